--- /dev/null
+++ b/samphirerill/backends/etcd.py
@@ -0,0 +1,281 @@
+"""The key-value service over the JSON form of the etcd v3 API.
+
+Source: the API's published JSON gateway. urllib3 carries the bytes; its own
+retries and redirects are off, because only the layers above may decide to
+send a write a second time.
+"""
+
+from __future__ import annotations
+
+import json
+from base64 import b64decode, b64encode
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from samphirerill.backends.store import (
+    NO_LEASE,
+    Absent,
+    Committed,
+    Holds,
+    Put,
+    RangeRead,
+    Stored,
+    StoreRefusedError,
+    StoreUnreachableError,
+    Transaction,
+    Unchanged,
+    WatchBatch,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from samphirerill.settings.model import StoreSettings
+
+_OK = 200
+_SERVER_ERRORS = 500
+_POOL_SIZE = 4
+_WATCH_READ_S = 60
+Json = dict[str, Any]
+
+
+class EtcdStore:
+    """A client of the service; safe to use from several threads.
+
+    Parameters
+    ----------
+    settings : StoreSettings
+        Addresses are tried in turn; one that failed goes to the end.
+    """
+
+    def __init__(self, settings: StoreSettings) -> None:
+        self._settings = settings
+        self._pools = [
+            _build_pool(address, settings.call_timeout_s)
+            for address in settings.addresses
+        ]
+
+    def read_prefix(self, prefix: str) -> RangeRead:
+        """Read all keys under a prefix, sorted."""
+        answer = self._call('/v3/kv/range', _build_range(prefix))
+        entries = [_read_entry(entry) for entry in answer.get('kvs', ())]
+        return RangeRead(entries, _read_revision(answer))
+
+    def commit(self, transaction: Transaction) -> Committed:
+        """Run a transaction as one call."""
+        otherwise = [
+            *_build_writes(transaction.otherwise),
+            *_build_deletes(transaction.otherwise_deletes),
+        ]
+        reads = [
+            {'request_range': {'key': _encode(key)}} for key in transaction.read
+        ]
+        call = {
+            'compare': [_compare(item) for item in transaction.conditions],
+            'success': [
+                *_build_writes(transaction.puts),
+                *_build_deletes(transaction.deletes),
+            ],
+            'failure': [*otherwise, *reads],
+        }
+        answer = self._call('/v3/kv/txn', call)
+        found = _collect_found(answer.get('responses', ()))
+        return Committed(
+            bool(answer.get('succeeded')), _read_revision(answer), found
+        )
+
+    def grant_lease(self, ttl_s: int) -> str:
+        """Return a new lease's id."""
+        return str(self._call('/v3/lease/grant', {'TTL': str(ttl_s)})['ID'])
+
+    def renew_lease(self, lease: str) -> bool:
+        """Renew a lease; return whether it was still there."""
+        answer = self._call('/v3/lease/keepalive', {'ID': lease})
+        return int(answer['result'].get('TTL', 0)) > 0
+
+    def revoke_lease(self, lease: str) -> None:
+        """End a lease and delete its keys."""
+        self._call('/v3/lease/revoke', {'ID': lease})
+
+    def watch(self, prefix: str, revision: int) -> Iterator[WatchBatch]:
+        """Yield changes from a revision on until the connection breaks.
+
+        An empty batch comes first, once the watch stands. A watch that has
+        gone silent ends after a minute with ``StoreUnreachableError``; whoever
+        watches starts another from the last revision it saw.
+        """
+        call = {
+            'create_request': {
+                **_build_range(prefix),
+                'start_revision': str(revision),
+            },
+        }
+        response = self._open('/v3/watch', call, stream=True)
+        try:
+            yield from _read_batches(response)
+        except (HTTPError, OSError, ValueError) as exc:
+            raise StoreUnreachableError(
+                f'the watch broke: {exc}', may_have_applied=False
+            ) from exc
+        finally:
+            response.close()
+
+    def _call(self, path: str, call: Json) -> Json:
+        response = self._open(path, call, stream=False)
+        try:
+            answer = json.loads(response.data)
+        except ValueError as exc:
+            raise StoreUnreachableError(
+                'got an answer that is not JSON', may_have_applied=True
+            ) from exc
+        if response.status != _OK:
+            raise StoreRefusedError(str(answer.get('message', answer)))
+        return answer
+
+    def _open(self, path: str, call: Json, *, stream: bool) -> Any:
+        pool = self._pools[0]
+        connect_s = self._settings.call_timeout_s
+        read_s = _WATCH_READ_S if stream else connect_s
+        try:
+            response = pool.request(
+                'POST',
+                path,
+                body=json.dumps(call),
+                preload_content=not stream,
+                retries=False,
+                redirect=False,
+                timeout=Timeout(connect=connect_s, read=read_s),
+            )
+        except (NewConnectionError, ConnectTimeoutError) as exc:
+            self._pools.append(self._pools.pop(0))
+            raise StoreUnreachableError(
+                f'no connection: {exc}', may_have_applied=False
+            ) from exc
+        except HTTPError as exc:
+            self._pools.append(self._pools.pop(0))
+            raise StoreUnreachableError(
+                f'no answer: {exc}', may_have_applied=True
+            ) from exc
+        if response.status >= _SERVER_ERRORS:
+            raise StoreUnreachableError(
+                f'got status {response.status}', may_have_applied=True
+            )
+        return response
+
+
+@singledispatch
+def _compare(condition: object) -> Json:
+    raise TypeError(f'got {condition!r}, expected a condition of the store')
+
+
+@_compare.register(Absent)
+def _compare_absent(condition: Absent) -> Json:
+    return {
+        'key': _encode(condition.key),
+        'target': 'CREATE',
+        'result': 'EQUAL',
+        'create_revision': '0',
+    }
+
+
+@_compare.register(Unchanged)
+def _compare_unchanged(condition: Unchanged) -> Json:
+    return {
+        'key': _encode(condition.key),
+        'target': 'MOD',
+        'result': 'EQUAL',
+        'mod_revision': str(condition.revision),
+    }
+
+
+@_compare.register(Holds)
+def _compare_holds(condition: Holds) -> Json:
+    return {
+        'key': _encode(condition.key),
+        'target': 'VALUE',
+        'result': 'EQUAL',
+        'value': _encode(condition.text),
+    }
+
+
+def _build_pool(address: str, timeout_s: float) -> HTTPConnectionPool:
+    host, _, port = address.rpartition(':')
+    return HTTPConnectionPool(
+        host, int(port), maxsize=_POOL_SIZE, timeout=timeout_s
+    )
+
+
+def _build_range(prefix: str) -> Json:
+    end = prefix[:-1] + chr(ord(prefix[-1]) + 1)
+    return {'key': _encode(prefix), 'range_end': _encode(end)}
+
+
+def _build_writes(puts: list[Put]) -> list[Json]:
+    return [{'request_put': _build_put(put)} for put in puts]
+
+
+def _build_put(put: Put) -> Json:
+    call = {'key': _encode(put.key), 'value': _encode(put.text)}
+    if put.lease != NO_LEASE:
+        call['lease'] = put.lease
+    return call
+
+
+def _build_deletes(keys: list[str]) -> list[Json]:
+    return [{'request_delete_range': {'key': _encode(key)}} for key in keys]
+
+
+def _collect_found(responses: Any) -> dict[str, Stored]:
+    found = {}
+    for response in responses:
+        for entry in response.get('response_range', {}).get('kvs', ()):
+            stored = _read_entry(entry)
+            found[stored.key] = stored
+    return found
+
+
+def _read_batches(response: Any) -> Iterator[WatchBatch]:
+    rest = b''
+    for part in response.stream(None):
+        *lines, rest = (rest + part).split(b'\n')
+        for line in lines:
+            if line:
+                yield _read_batch(json.loads(line)['result'])
+
+
+def _read_batch(document: Json) -> WatchBatch:
+    changed = []
+    gone = []
+    for event in document.get('events', ()):
+        if event.get('type') == 'DELETE':
+            gone.append(_decode(event['kv']['key']))
+        else:
+            changed.append(_read_entry(event['kv']))
+    return WatchBatch(_read_revision(document), changed, gone)
+
+
+def _read_entry(entry: Json) -> Stored:
+    return Stored(
+        _decode(entry['key']),
+        _decode(entry.get('value', '')),
+        int(entry['mod_revision']),
+    )
+
+
+def _read_revision(answer: Json) -> int:
+    return int(answer['header']['revision'])
+
+
+def _encode(text: str) -> str:
+    return b64encode(text.encode()).decode()
+
+
+def _decode(text: str) -> str:
+    return b64decode(text).decode()
--- /dev/null
+++ b/samphirerill/cli/main.py
@@ -0,0 +1,235 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sys
+from typing import TYPE_CHECKING, Any
+
+from samphirerill.cli.remote import (
+    RemoteError,
+    add_remote_options,
+    ask_operator,
+)
+from samphirerill.settings.checks import check_parsed
+from samphirerill.settings.errors import InvalidDocumentError
+from samphirerill.settings.jsonc import read_commented
+from samphirerill.settings.model import load_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one command and return its exit code.
+
+    Parameters
+    ----------
+    arguments : sequence of str, optional
+        The words after the program's name; those of the process if left out.
+    """
+    options = build_parser().parse_args(arguments)
+    command: Callable[[argparse.Namespace], int] = options.command
+    try:
+        return command(options)
+    except InvalidDocumentError as exc:
+        _complain(str(exc))
+        return EXIT_INVALID
+    except BrokenPipeError:
+        return EXIT_FAILED
+    except (RemoteError, OSError) as exc:
+        _complain(str(exc))
+        return EXIT_FAILED
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of all commands."""
+    parser = argparse.ArgumentParser(
+        prog='samphirerill',
+        description='Route language-model requests through pipelines over '
+        'mixed accelerators.',
+        epilog='Remote commands read the operator key from the environment '
+        'variable SAMPHIRERILL_OPERATOR_KEY.',
+    )
+    commands = parser.add_subparsers(required=True, metavar='COMMAND')
+    _add_serve(commands)
+    _add_check(commands)
+    _add_config(commands)
+    _add_state(commands)
+    _add_drain(commands)
+    _add_tools(commands)
+    # bench
+    return parser
+
+
+def _add_serve(commands: Any) -> None:
+    serve = commands.add_parser('serve', help='run a node until it is drained')
+    serve.add_argument(
+        '--config', required=True, metavar='FILE', help='the settings file'
+    )
+    serve.set_defaults(command=_serve)
+
+
+def _add_check(commands: Any) -> None:
+    check = commands.add_parser(
+        'check',
+        help='check a settings or configuration file',
+        description='Exit 0 if the file is right; else name every error '
+        'with its line, what was got and what was expected, and exit 2.',
+    )
+    check.add_argument('file', metavar='FILE')
+    check.set_defaults(command=_check)
+
+
+def _add_config(commands: Any) -> None:
+    config = commands.add_parser('config', help='show or change the routes')
+    parts = config.add_subparsers(required=True, metavar='ACTION')
+    show = parts.add_parser('show', help='print the configuration in force')
+    show.add_argument(
+        '--nodes',
+        action='store_true',
+        help='print which version each node has in force',
+    )
+    add_remote_options(show)
+    show.set_defaults(command=_show_config)
+    history = parts.add_parser('history', help='print the accepted changes')
+    add_remote_options(history)
+    history.set_defaults(command=_show_history)
+    patch = parts.add_parser(
+        'patch',
+        help='submit a patch (RFC 6902) against a version',
+        description='The patch is refused if another version is current.',
+    )
+    patch.add_argument('file', metavar='FILE', help='a list of operations')
+    patch.add_argument('--base', required=True, type=int, metavar='N')
+    patch.add_argument('--dry-run', action='store_true')
+    patch.add_argument('--author', default=os.environ.get('USER', 'operator'))
+    add_remote_options(patch)
+    patch.set_defaults(command=_patch_config)
+
+
+def _add_state(commands: Any) -> None:
+    state = commands.add_parser('state', help="print one process's state")
+    state.add_argument('--json', action='store_true', help='print it whole')
+    add_remote_options(state)
+    state.set_defaults(command=_show_state)
+
+
+def _add_drain(commands: Any) -> None:
+    drain = commands.add_parser('drain', help='shut one node down gracefully')
+    add_remote_options(drain)
+    drain.set_defaults(command=_drain)
+
+
+def _add_tools(commands: Any) -> None:
+    hashing = commands.add_parser(
+        'hash-key', help='print the digest of a key read from standard input'
+    )
+    hashing.set_defaults(command=_hash_key)
+
+
+def _add_bench(commands: Any) -> None:
+    from samphirerill.bench.command import add_bench_options
+
+    bench = commands.add_parser('bench', help='measure, on loopback')
+    add_bench_options(bench)
+
+
+def _serve(options: argparse.Namespace) -> int:
+    settings = load_settings(options.config)
+    # The server's libraries are only loaded to serve: other commands start
+    # faster without them.
+    from samphirerill.edges.serving import ListenError
+    from samphirerill.node.logs import start_logging
+    from samphirerill.node.process import serve
+
+    start_logging(settings.log)
+    try:
+        return serve(settings)
+    except ListenError as exc:
+        _complain(str(exc))
+        return EXIT_FAILED
+
+
+def _check(options: argparse.Namespace) -> int:
+    check_parsed(read_commented(options.file))
+    _print(f'{options.file}: right')
+    return EXIT_OK
+
+
+def _show_config(options: argparse.Namespace) -> int:
+    if not options.nodes:
+        _print_json(ask_operator(options, '/config'))
+        return EXIT_OK
+    for node in ask_operator(options, '/nodes'):
+        version = node['version']
+        shown = 'no answer' if version is None else f'version {version}'
+        _print(f'{node["node"]}: {shown}')
+    return EXIT_OK
+
+
+def _show_history(options: argparse.Namespace) -> int:
+    for change in ask_operator(options, '/history'):
+        _print(json.dumps(change))
+    return EXIT_OK
+
+
+def _patch_config(options: argparse.Namespace) -> int:
+    order = {
+        'base': options.base,
+        'patch': read_commented(options.file).document,
+        'author': options.author,
+        'dry_run': options.dry_run,
+    }
+    answer = ask_operator(options, '/patch', order)
+    done = 'would be accepted' if answer['dry_run'] else 'accepted'
+    _print(f'version {answer["version"]} {done}')
+    return EXIT_OK
+
+
+def _show_state(options: argparse.Namespace) -> int:
+    state = ask_operator(options, '/state')
+    if options.json:
+        _print_json(state)
+        return EXIT_OK
+    core = state['core']
+    _print(f'node {state["node"]} healthy={state["healthy"]}')
+    _print(f'configuration version {core["configuration_version"]}')
+    _print(f'open requests {core["requests"]} waiting {core["waiting"]}')
+    for name, endpoint in core['endpoints'].items():
+        _print(
+            f'endpoint {name} {endpoint["health"]} '
+            f'in_flight={endpoint["in_flight"]} free={endpoint["free"]}'
+        )
+    return EXIT_OK
+
+
+def _drain(options: argparse.Namespace) -> int:
+    ask_operator(options, '/drain', {})
+    _print('draining')
+    return EXIT_OK
+
+
+def _hash_key(options: argparse.Namespace) -> int:
+    from samphirerill.edges.operators import hash_key
+
+    _print(hash_key(sys.stdin.readline().strip()))
+    return EXIT_OK
+
+
+def _print_json(document: Any) -> None:
+    _print(json.dumps(document, indent=1))
+
+
+def _print(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+
+
+def _complain(line: str) -> None:
+    sys.stderr.write(f'{line}\n')
--- /dev/null
+++ b/samphirerill/control/configuration_log.py
@@ -0,0 +1,342 @@
+"""The operators' configuration in the platform's key-value service.
+
+Layout below the prefix::
+
+    shared/config/head          {"version": 7}
+    shared/config/log/000…007   one change: id, patch, author, time
+    shared/config/snapshot      {"version": 5, "parts": 3}
+    config-parts/ID/000         a part of a change or snapshot
+
+A change is accepted by one transaction that replaces ``head`` if it is
+unchanged and adds the log entry. Changes travel as patches, so 4,200 a day
+cost each node a few bytes a second, whatever the whole's size. What is too
+large for one value is written in parts first, under an id nobody else uses.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+import uuid
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from jsonpatch import JsonPatch, JsonPatchException
+from jsonpointer import JsonPointerException
+
+from samphirerill.backends.store import (
+    Put,
+    Stored,
+    StoreUnreachableError,
+    Transaction,
+    Unchanged,
+)
+from samphirerill.control.parts import PART_CHARS, Parts
+from samphirerill.settings.checks import check_configuration
+
+if TYPE_CHECKING:
+    from samphirerill.backends.store import Committed, KeyValueStore
+    from samphirerill.settings.errors import Finding
+
+HEAD = 'shared/config/head'
+LOG = 'shared/config/log/'
+SNAPSHOT = 'shared/config/snapshot'
+SNAPSHOT_EVERY = 50
+KEPT_CHANGES = 500
+_SETTLE_S = 5.0
+_SETTLE_PAUSE_S = 0.1
+
+
+class ConfigurationError(Exception):
+    """Base of the errors of the configuration in the service."""
+
+
+class StaleBaseError(ConfigurationError):
+    """The patch was written against a version that is no longer current."""
+
+    def __init__(self, base: int, current: int) -> None:
+        self.base = base
+        self.current = current
+        super().__init__(
+            f'got a patch against version {base}, expected version {current}; '
+            f'look at version {current} and write the patch anew',
+        )
+
+
+class InvalidPatchError(ConfigurationError):
+    """The patch can't be applied or leads to an invalid configuration."""
+
+    def __init__(self, findings: list[Finding], detail: str = '') -> None:
+        self.findings = findings
+        lines = [finding.describe('patched') for finding in findings]
+        super().__init__('\n'.join(lines) or detail)
+
+
+class UnknownResultError(ConfigurationError):
+    """The service fell silent after the write; it may have taken effect."""
+
+    def __init__(self, version: int) -> None:
+        super().__init__(
+            f'version {version} may or may not have been accepted: the '
+            'service gave no answer; look at the history before trying again',
+        )
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    """One accepted change; `patch` is a list of RFC 6902 operations."""
+
+    version: int
+    change_id: str
+    patch: list[Any]
+    author: str
+    written_at: float
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the change as it is stored and sent to peers."""
+        return {
+            'version': self.version,
+            'id': self.change_id,
+            'patch': self.patch,
+            'author': self.author,
+            'at': self.written_at,
+        }
+
+
+@dataclass(slots=True)
+class Loaded:
+    """A whole configuration read from the service."""
+
+    version: int
+    document: dict[str, Any]
+    revision: int
+    changes: list[Change]
+
+
+class ConfigurationLog:
+    """Reads and extends the configuration in the service.
+
+    Every method blocks; call from a thread that may wait.
+    """
+
+    def __init__(self, store: KeyValueStore, prefix: str) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._parts = Parts(store, prefix)
+
+    def load(self) -> Loaded:
+        """Read the newest snapshot and all changes since."""
+        found = self._store.read_prefix(f'{self._prefix}shared/config/')
+        by_key = {
+            entry.key.removeprefix(self._prefix): entry
+            for entry in found.entries
+        }
+        version, document = self._read_snapshot(by_key.get(SNAPSHOT))
+        changes = [
+            self.read_change(entry)
+            for key, entry in by_key.items()
+            if key.startswith(LOG)
+        ]
+        for change in changes:
+            if change.version == version + 1:
+                document = apply_patch(document, change.patch)
+                version = change.version
+        return Loaded(version, document, found.revision, changes)
+
+    def read_version(self) -> int:
+        """Return the version now accepted; one small read."""
+        return _read_head(self._store.read_prefix(self._key(HEAD)).entries)[0]
+
+    def read_change(self, entry: Stored) -> Change:
+        """Return a log entry's change, its parts fetched if it has any."""
+        document = json.loads(entry.text)
+        if 'parts' in document:
+            text = self._parts.read(document['id'])
+            document['patch'] = json.loads(text)
+        return parse_change(document)
+
+    def read_changes(self, after: int) -> list[Change]:
+        """Return the changes after a version, in order."""
+        found = self._store.read_prefix(self._key(LOG))
+        return [
+            self.read_change(entry)
+            for entry in found.entries
+            if int(entry.key.rpartition('/')[2]) > after
+        ]
+
+    def submit(
+        self,
+        patch: list[Any],
+        base: int,
+        author: str,
+        *,
+        dry_run: bool = False,
+    ) -> Change:
+        """Accept a patch against a version, or say why not.
+
+        Parameters
+        ----------
+        patch : list
+            RFC 6902 operations.
+        base : int
+            The version the patch was written against.
+        author : str
+            Who submits it, for the history.
+        dry_run : bool
+            Check all, write nothing.
+
+        Raises
+        ------
+        StaleBaseError
+            Another version is current; nothing was written.
+        InvalidPatchError
+            The result would be invalid; nothing was written.
+        UnknownResultError
+            The service fell silent after the write.
+        StoreError
+            The service could not be asked; nothing was written.
+        """
+        loaded = self.load()
+        if loaded.version != base:
+            raise StaleBaseError(base, loaded.version)
+        document = apply_patch(loaded.document, patch)
+        findings = check_configuration(document)
+        if findings:
+            raise InvalidPatchError(findings)
+        change = Change(base + 1, uuid.uuid4().hex, patch, author, time.time())
+        if not dry_run:
+            self._write(change)
+            self._write_snapshot(change.version, document)
+        return change
+
+    def _write(self, change: Change) -> None:
+        head = self._store.read_prefix(self._key(HEAD)).entries
+        version, revision = _read_head(head)
+        if version != change.version - 1:
+            raise StaleBaseError(change.version - 1, version)
+        transaction = Transaction(
+            conditions=[Unchanged(self._key(HEAD), revision)],
+            puts=[
+                Put(self._key(HEAD), json.dumps({'version': change.version})),
+                Put(self._log_key(change.version), self._pack(change)),
+            ],
+            read=[self._log_key(change.version), self._key(HEAD)],
+        )
+        self._settle(change, transaction)
+
+    def _settle(self, change: Change, transaction: Transaction) -> None:
+        """Commit; if the answer is lost, find out what became of the write.
+
+        The same transaction is sent again until an answer comes. It can't be
+        applied twice, as it needs ``head`` unchanged; if it fails and the log
+        entry has this change's id, it was the first sending that took effect.
+        """
+        done = self._commit_surely(change, transaction)
+        if not done.succeeded:
+            self._check_own(change, done.found)
+
+    def _commit_surely(
+        self, change: Change, transaction: Transaction
+    ) -> Committed:
+        give_up_at = time.monotonic() + _SETTLE_S
+        unsure = False
+        while time.monotonic() <= give_up_at:
+            try:
+                return self._store.commit(transaction)
+            except StoreUnreachableError as exc:
+                unsure = unsure or exc.may_have_applied
+                if not unsure:
+                    raise
+            time.sleep(_SETTLE_PAUSE_S)
+        raise UnknownResultError(change.version)
+
+    def _check_own(self, change: Change, found: dict[str, Stored]) -> None:
+        entry = found.get(self._log_key(change.version))
+        if entry and json.loads(entry.text)['id'] == change.change_id:
+            return
+        head = found.get(self._key(HEAD))
+        current = json.loads(head.text)['version'] if head else 0
+        raise StaleBaseError(change.version - 1, current)
+
+    def _pack(self, change: Change) -> str:
+        """Return a log entry; write its patch in parts if it is large."""
+        text = json.dumps(change.to_json())
+        if len(text) <= PART_CHARS:
+            return text
+        document = change.to_json()
+        patch = json.dumps(document.pop('patch'))
+        document['parts'] = self._parts.write(change.change_id, patch)
+        return json.dumps(document)
+
+    def _write_snapshot(self, version: int, document: Any) -> None:
+        """Now and then keep the whole, so that new nodes need few changes.
+
+        The change is accepted already: a snapshot that fails is made up for
+        by a later one.
+        """
+        if version % SNAPSHOT_EVERY:
+            return
+        name = f'snapshot-{version}-{uuid.uuid4().hex}'
+        try:
+            parts = self._parts.write(name, json.dumps(document))
+            entry = {'version': version, 'id': name, 'parts': parts}
+            put = Put(self._key(SNAPSHOT), json.dumps(entry))
+            self._store.commit(
+                Transaction(puts=[put], deletes=self._list_old(version))
+            )
+        except StoreUnreachableError:
+            return
+
+    def _list_old(self, version: int) -> list[str]:
+        """Return the log entries that a snapshot lets go."""
+        last = version - KEPT_CHANGES
+        first = max(1, last - SNAPSHOT_EVERY)
+        return [self._log_key(number) for number in range(first, last)]
+
+    def _read_snapshot(
+        self, entry: Stored | None
+    ) -> tuple[int, dict[str, Any]]:
+        if entry is None:
+            return 0, {}
+        spec = json.loads(entry.text)
+        return spec['version'], json.loads(self._parts.read(spec['id']))
+
+    def _key(self, name: str) -> str:
+        return f'{self._prefix}{name}'
+
+    def _log_key(self, version: int) -> str:
+        return self._key(f'{LOG}{version:012}')
+
+
+def parse_change(document: dict[str, Any]) -> Change:
+    """Return a change from its JSON form."""
+    return Change(
+        document['version'],
+        document['id'],
+        document['patch'],
+        document['author'],
+        document['at'],
+    )
+
+
+def apply_patch(document: Any, patch: list[Any]) -> Any:
+    """Return a document with a patch applied; the original stays as it is.
+
+    Raises
+    ------
+    InvalidPatchError
+        An operation is malformed or does not fit the document.
+    """
+    try:
+        return JsonPatch(patch).apply(document)
+    except (JsonPatchException, JsonPointerException, TypeError) as exc:
+        raise InvalidPatchError(
+            [], f'got a patch that can not be applied: {exc}'
+        ) from exc
+
+
+def _read_head(entries: list[Stored]) -> tuple[int, int]:
+    """Return the accepted version and the revision that wrote it."""
+    if not entries:
+        return 0, 0
+    return json.loads(entries[0].text)['version'], entries[0].revision
--- /dev/null
+++ b/samphirerill/control/configuration_view.py
@@ -0,0 +1,81 @@
+"""One node's copy of the accepted configuration; its number only rises."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+from samphirerill.control.configuration_log import apply_patch
+
+if TYPE_CHECKING:
+    from samphirerill.control.configuration_log import Change
+
+_REMEMBERED = 64
+
+
+class ConfigurationView:
+    """The document in force at this node and the changes that led to it."""
+
+    __slots__ = ('_early', 'document', 'known_version', 'recent', 'version')
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.known_version = 0
+        self.document: dict[str, Any] = {}
+        self.recent: deque[Change] = deque(maxlen=_REMEMBERED)
+        self._early: dict[int, Change] = {}
+
+    def install(self, version: int, document: dict[str, Any]) -> bool:
+        """Take a whole document if it is newer; return whether it was."""
+        if version <= self.version:
+            return False
+        self.version = version
+        self.document = document
+        self.recent.clear()
+        self._drop_old()
+        self._apply_early()
+        return True
+
+    def offer(self, change: Change) -> bool:
+        """Take a change; return whether the version rose.
+
+        Changes may come late, twice or out of order, from the service or
+        from peers. One that is ahead waits for those before it; one that is
+        not newer is ignored. Applying either would bring back an old
+        configuration, or make one that nobody accepted.
+        """
+        before = self.version
+        if change.version > self.version:
+            self._early[change.version] = change
+            self.note_known(change.version)
+            self._apply_early()
+        return self.version > before
+
+    def note_known(self, version: int) -> None:
+        """Remember that a version has been accepted somewhere."""
+        self.known_version = max(self.known_version, version)
+
+    def is_behind(self) -> bool:
+        """Tell whether a newer version is known to be accepted."""
+        return self.known_version > self.version
+
+    def list_after(self, version: int) -> list[Change] | None:
+        """Return the changes after a version, or nothing if forgotten."""
+        found = [item for item in self.recent if item.version > version]
+        if len(found) == self.version - version:
+            return found
+        return None
+
+    def _apply_early(self) -> None:
+        while self.version + 1 in self._early:
+            change = self._early.pop(self.version + 1)
+            self.document = apply_patch(self.document, change.patch)
+            self.version = change.version
+            self.recent.append(change)
+        self._drop_old()
+        self.note_known(self.version)
+
+    def _drop_old(self) -> None:
+        for version in tuple(self._early):
+            if version <= self.version:
+                self._early.pop(version)
--- /dev/null
+++ b/samphirerill/core/handling.py
@@ -0,0 +1,32 @@
+"""The one entry through which events change the decision core."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from samphirerill.core.errors import UnknownEventError
+
+if TYPE_CHECKING:
+    from samphirerill.core.state import CoreState
+
+
+@singledispatch
+def handle(event: object, state: CoreState, now: float) -> None:
+    """Change the state by one event and emit the commands it leads to.
+
+    Parameters
+    ----------
+    event : object
+        One of the classes of :mod:`samphirerill.core.events`.
+    state : CoreState
+        The state to change; commands are added to ``state.out``.
+    now : float
+        Seconds on the node's monotonic clock.
+
+    Raises
+    ------
+    UnknownEventError
+        No handler is registered for the event's type.
+    """
+    raise UnknownEventError(event)
--- /dev/null
+++ b/samphirerill/core/model.py
@@ -0,0 +1,175 @@
+"""The operators' configuration as typed, immutable objects.
+
+The document that operators patch is plain JSON (see
+:mod:`samphirerill.settings.schema`). ``build_configuration`` turns a checked
+document into the classes below; the rest of the code reads only these.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+HIGH = 'high'
+NORMAL = 'normal'
+ENGINE = 'engine'
+SERVICE = 'service'
+MODEL_ROUTE = 'model'
+SERVICE_ROUTE = 'service'
+DEFAULT_LINK_MS = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class Model:
+    """One language model; `layers` counts its layers, numbered from 0."""
+
+    name: str
+    layers: int
+
+
+@dataclass(slots=True, frozen=True)
+class Endpoint:
+    """One engine or plain service that requests are sent to.
+
+    `first` and `last` are the inclusive range of layers an engine holds.
+    `layer_ms` is the time one layer takes for one step of a batch.
+    """
+
+    name: str
+    kind: str
+    address: str
+    data_centre: str
+    model: str = ''
+    first: int = 0
+    last: int = -1
+    slots: int = 1
+    layer_ms: float = 0.1
+    accelerator: str = ''
+    checks_fencing: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Route:
+    """A named way to a model's pipelines or to plain services."""
+
+    name: str
+    kind: str
+    model: str = ''
+    endpoints: tuple[str, ...] = ()
+    priority: str = NORMAL
+    idempotent: bool = True
+    timeout_s: float = 120.0
+    queue_timeout_s: float = 10.0
+
+
+@dataclass(slots=True, frozen=True)
+class Account:
+    """One client account; `keys` are SHA-256 digests of its bearer keys."""
+
+    name: str
+    keys: tuple[str, ...]
+    routes: tuple[str, ...]
+    weight: float = 1.0
+    max_concurrent: int = 0
+    priority: str = ''
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """Deadlines and bounds that hold for every request."""
+
+    progress_timeout_s: float = 0.5
+    first_token_timeout_s: float = 3.0
+    service_timeout_s: float = 30.0
+    max_attempts: int = 4
+    retry_ratio: float = 0.2
+    retry_floor: float = 10.0
+    max_queue: int = 10_000
+    leave_within_s: float = 3.0
+
+
+@dataclass(slots=True)
+class Configuration:
+    """One accepted version of everything the operators decide."""
+
+    version: int
+    models: dict[str, Model] = field(default_factory=dict)
+    endpoints: dict[str, Endpoint] = field(default_factory=dict)
+    routes: dict[str, Route] = field(default_factory=dict)
+    accounts: dict[str, Account] = field(default_factory=dict)
+    links: dict[tuple[str, str], float] = field(default_factory=dict)
+    limits: Limits = field(default_factory=Limits)
+
+    def link_ms(self, source: str, target: str) -> float:
+        """Return the configured one-way time between two data centres."""
+        if source == target:
+            return self.links.get((source, target), 0)
+        return self.links.get((source, target), DEFAULT_LINK_MS)
+
+
+def build_configuration(
+    document: dict[str, Any], version: int
+) -> Configuration:
+    """Build the typed configuration from a document that passed the checks.
+
+    Parameters
+    ----------
+    document : dict
+        A document without problems by ``check_document``.
+    version : int
+        The number the document was accepted under.
+
+    Returns
+    -------
+    Configuration
+    """
+    limits = Limits(**document.get('limits', {}))
+    return Configuration(
+        version=version,
+        models={
+            name: Model(name, spec['layers'])
+            for name, spec in document.get('models', {}).items()
+        },
+        endpoints={
+            name: _build_endpoint(name, spec)
+            for name, spec in document.get('endpoints', {}).items()
+        },
+        routes={
+            name: _build_route(name, spec)
+            for name, spec in document.get('routes', {}).items()
+        },
+        accounts={
+            name: _build_account(name, spec)
+            for name, spec in document.get('accounts', {}).items()
+        },
+        links=_build_links(document.get('links', {})),
+        limits=limits,
+    )
+
+
+def _build_endpoint(name: str, spec: dict[str, Any]) -> Endpoint:
+    fields = dict(spec)
+    first, last = fields.pop('layers', (0, -1))
+    return Endpoint(name=name, first=first, last=last, **fields)
+
+
+def _build_route(name: str, spec: dict[str, Any]) -> Route:
+    fields = dict(spec)
+    fields['endpoints'] = tuple(fields.get('endpoints', ()))
+    return Route(name=name, **fields)
+
+
+def _build_account(name: str, spec: dict[str, Any]) -> Account:
+    fields = dict(spec)
+    fields['keys'] = tuple(fields['keys'])
+    fields['routes'] = tuple(fields['routes'])
+    return Account(name=name, **fields)
+
+
+def _build_links(spec: dict[str, float]) -> dict[tuple[str, str], float]:
+    links = {}
+    for pair, one_way_ms in spec.items():
+        source, _, target = pair.partition('/')
+        links[source, target] = one_way_ms
+        links[target, source] = one_way_ms
+    return links
--- /dev/null
+++ b/samphirerill/core/on_attempts.py
@@ -0,0 +1,255 @@
+"""Handlers for what becomes of attempts at endpoints."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from samphirerill.core.commands import (
+    CancelAttempt,
+    DeliverService,
+    DeliverToken,
+    ProbeEndpoint,
+)
+from samphirerill.core.ending import (
+    drop_attempt,
+    finish_request,
+    name_pool,
+)
+from samphirerill.core.events import (
+    AttemptBroke,
+    AttemptProgressed,
+    AttemptRefused,
+    AttemptSent,
+    ServiceAnswered,
+    TokenArrived,
+)
+from samphirerill.core.handling import handle
+from samphirerill.core.placement import (
+    choose_pipeline,
+    observe_hops,
+    predict_ms,
+)
+from samphirerill.core.starting import (
+    dispatch_pool,
+    retry_or_refuse,
+    start_attempt,
+    wait_in_front,
+)
+from samphirerill.core.state import Health
+
+if TYPE_CHECKING:
+    from samphirerill.core.state import (
+        AttemptState,
+        CoreState,
+        RequestState,
+    )
+
+LEAVING_DETAIL = 'leaving'
+SUSPECT_FOR_S = 2.0
+_MOVE_GAIN = 0.6
+_MOVE_LEAST_MS = 5.0
+
+
+@handle.register(AttemptSent)
+def on_attempt_sent(event: AttemptSent, state: CoreState, now: float) -> None:
+    """From here on the attempt may have run."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None or attempt.sent:
+        return
+    attempt.sent = True
+    state.requests[attempt.request_id].unsure_attempts += 1
+
+
+@handle.register(TokenArrived)
+def on_token_arrived(event: TokenArrived, state: CoreState, now: float) -> None:
+    """Pass a token on if it is the next one of the current attempt.
+
+    Late, crossed or doubled tokens belong to an attempt that is gone or to
+    another epoch or index. Passing one on would show the caller a token
+    twice or someone else's; so they are dropped and their connection goes.
+    """
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None or attempt.epoch != event.epoch:
+        state.counters['dropped.late'] += 1
+        state.emit(CancelAttempt(event.attempt_id))
+        return
+    req = state.requests[attempt.request_id]
+    if event.index < req.delivered:
+        state.counters['dropped.repeated'] += 1
+        return
+    if event.index > req.delivered:
+        state.counters['dropped.gap'] += 1
+        broke = AttemptBroke(event.attempt_id, 'a token is missing')
+        on_attempt_broke(broke, state, now)
+        return
+    req.delivered += 1
+    attempt.got_token = True
+    _extend_progress(state, attempt, now)
+    state.emit(
+        DeliverToken(req.request_id, event.index, event.text, event.finish),
+    )
+    if event.finish:
+        _finish_attempt(state, attempt, req, now)
+    elif event.hops_ms:
+        observe_hops(state, attempt.stages, event.hops_ms)
+        _move_off_slow_link(state, attempt, req, event.hops_ms, now)
+
+
+@handle.register(AttemptProgressed)
+def on_attempt_progressed(
+    event: AttemptProgressed, state: CoreState, now: float
+) -> None:
+    """An engine that says it is waiting is not silent."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is not None:
+        _extend_progress(state, attempt, now)
+
+
+@handle.register(AttemptRefused)
+def on_attempt_refused(
+    event: AttemptRefused, state: CoreState, now: float
+) -> None:
+    """The endpoint ran nothing: another may be tried, whatever the route."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        return
+    req = state.requests[attempt.request_id]
+    head = attempt.stages[0].endpoint
+    if attempt.sent:
+        req.unsure_attempts -= 1
+    drop_attempt(state, attempt)
+    state.emit(CancelAttempt(attempt.attempt_id))
+    req.avoid.add(head)
+    found = state.endpoints.get(head)
+    if found is not None and event.detail == LEAVING_DETAIL:
+        found.health = Health.LEAVING
+    state.counters['attempts.refused'] += 1
+    detail = f'the endpoint refused: {event.detail}'
+    retry_or_refuse(
+        state,
+        req,
+        now,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'endpoint-refused',
+        detail,
+    )
+    dispatch_pool(state, name_pool(req), now)
+
+
+@handle.register(AttemptBroke)
+def on_attempt_broke(event: AttemptBroke, state: CoreState, now: float) -> None:
+    """Blame the failed stage, then carry on elsewhere or tell the truth."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        return
+    req = state.requests[attempt.request_id]
+    drop_attempt(state, attempt)
+    state.emit(CancelAttempt(attempt.attempt_id))
+    _blame_stages(state, attempt, event, req, now)
+    state.counters['attempts.broke'] += 1
+    retry_or_refuse(
+        state, req, now, HTTPStatus.BAD_GATEWAY, 'attempt-broke', event.detail
+    )
+    dispatch_pool(state, name_pool(req), now)
+
+
+@handle.register(ServiceAnswered)
+def on_service_answered(
+    event: ServiceAnswered, state: CoreState, now: float
+) -> None:
+    """A plain service's answer is whole: deliver it."""
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
+        state.counters['dropped.late'] += 1
+        return
+    req = state.requests[attempt.request_id]
+    state.emit(DeliverService(req.request_id, event.attempt_id))
+    _finish_attempt(state, attempt, req, now)
+
+
+def suspect_endpoint(state: CoreState, name: str, now: float) -> None:
+    """Send an endpoint nothing until a probe has found it alive."""
+    found = state.endpoints.get(name)
+    if found is None or found.health is Health.LEAVING:
+        return
+    found.health = Health.SUSPECT
+    found.suspect_until = now + SUSPECT_FOR_S
+    state.wake_at(found.suspect_until, 'endpoint', name)
+
+
+def probe_stages(state: CoreState, attempt: AttemptState) -> None:
+    """Tell a dead endpoint from a dead path, over new connections."""
+    for stage in attempt.stages:
+        state.emit(ProbeEndpoint(stage.endpoint, stage.address))
+
+
+def _blame_stages(
+    state: CoreState,
+    attempt: AttemptState,
+    event: AttemptBroke,
+    req: RequestState,
+    now: float,
+) -> None:
+    if 0 <= event.failed_stage < len(attempt.stages):
+        name = attempt.stages[event.failed_stage].endpoint
+        req.avoid.add(name)
+        suspect_endpoint(state, name, now)
+        return
+    if not event.connected:
+        suspect_endpoint(state, attempt.stages[0].endpoint, now)
+    req.avoid.add(attempt.stages[0].endpoint)
+    probe_stages(state, attempt)
+
+
+def _finish_attempt(
+    state: CoreState, attempt: AttemptState, req: RequestState, now: float
+) -> None:
+    drop_attempt(state, attempt)
+    finish_request(state, req)
+    dispatch_pool(state, name_pool(req), now)
+
+
+def _extend_progress(
+    state: CoreState, attempt: AttemptState, now: float
+) -> None:
+    limits = state.configuration.limits
+    timeout_s = limits.first_token_timeout_s
+    if attempt.got_token:
+        timeout_s = limits.progress_timeout_s
+    was = attempt.progress_deadline
+    attempt.progress_deadline = now + timeout_s
+    if attempt.progress_deadline < was:
+        state.wake_at(attempt.progress_deadline, 'attempt', attempt.attempt_id)
+
+
+def _move_off_slow_link(
+    state: CoreState,
+    attempt: AttemptState,
+    req: RequestState,
+    hops_ms: tuple[float, ...],
+    now: float,
+) -> None:
+    """Carry a stream on elsewhere when its worst link has become slow.
+
+    Streams are long: if only new requests avoided a degraded link, those
+    already on it would crawl to their end.
+    """
+    if not req.route.idempotent or max(hops_ms) < _MOVE_LEAST_MS:
+        return
+    worst = hops_ms.index(max(hops_ms))
+    target = attempt.stages[(worst + 1) % len(attempt.stages)].endpoint
+    if worst + 1 == len(attempt.stages):
+        target = attempt.stages[worst].endpoint
+    current_ms = predict_ms(state, attempt.stages)
+    avoid = req.avoid | {target}
+    other = choose_pipeline(state, req.route.model, avoid)
+    if not other or predict_ms(state, other) > _MOVE_GAIN * current_ms:
+        return
+    drop_attempt(state, attempt)
+    state.emit(CancelAttempt(attempt.attempt_id))
+    req.avoid.add(target)
+    req.attempts = max(0, req.attempts)
+    state.counters['moved.slow_link'] += 1
+    if not start_attempt(state, req, now):
+        wait_in_front(state, req, now)
--- /dev/null
+++ b/samphirerill/core/on_claims.py
@@ -0,0 +1,101 @@
+"""Handlers for what becomes of claims on idempotency keys."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from samphirerill.core.commands import (
+    Outcome,
+    Problem,
+    RefuseRequest,
+    ReplayAnswer,
+)
+from samphirerill.core.ending import (
+    forget_request,
+    name_pool,
+    refuse_request,
+)
+from samphirerill.core.events import ClaimFailed, ClaimTaken, ClaimWon
+from samphirerill.core.handling import handle
+from samphirerill.core.starting import (
+    dispatch_pool,
+    start_attempt,
+    wait_in_front,
+)
+
+if TYPE_CHECKING:
+    from samphirerill.core.state import CoreState
+
+_RUNNING_RETRY_S = 1.0
+_OUTAGE_RETRY_S = 5.0
+
+
+@handle.register(ClaimWon)
+def on_claim_won(event: ClaimWon, state: CoreState, now: float) -> None:
+    """The key is this request's alone: start it."""
+    req = state.requests.get(event.request_id)
+    if req is None:
+        return
+    req.claimed = True
+    if not start_attempt(state, req, now):
+        wait_in_front(state, req, now)
+
+
+@handle.register(ClaimTaken)
+def on_claim_taken(event: ClaimTaken, state: CoreState, now: float) -> None:
+    """Tell a retry what became of the first request with its key."""
+    req = state.requests.get(event.request_id)
+    if req is None:
+        return
+    forget_request(state, req)
+    if event.state == 'answered':
+        state.emit(ReplayAnswer(req.request_id))
+        state.counters['replayed'] += 1
+    else:
+        problem = _explain_taken(event)
+        state.emit(RefuseRequest(req.request_id, problem))
+        state.counters[f'refused.{problem.code}'] += 1
+    dispatch_pool(state, name_pool(req), now)
+
+
+@handle.register(ClaimFailed)
+def on_claim_failed(event: ClaimFailed, state: CoreState, now: float) -> None:
+    """Without a claim nothing is sent: refuse, truthfully, as not run."""
+    req = state.requests.get(event.request_id)
+    if req is None:
+        return
+    refuse_request(
+        state,
+        req,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'claim-unavailable',
+        'the platform service cannot record the idempotency key now',
+        _OUTAGE_RETRY_S,
+    )
+    dispatch_pool(state, name_pool(req), now)
+
+
+def _explain_taken(event: ClaimTaken) -> Problem:
+    if event.state == 'mismatch':
+        return Problem(
+            HTTPStatus.UNPROCESSABLE_ENTITY,
+            'key-reused',
+            'this Idempotency-Key belongs to a request with another body',
+            Outcome.NOT_RUN,
+        )
+    if event.state == 'running' and event.holder_alive:
+        return Problem(
+            HTTPStatus.CONFLICT,
+            'in-progress',
+            'the first request with this Idempotency-Key still runs',
+            Outcome.MAY_HAVE_RUN,
+            _RUNNING_RETRY_S,
+        )
+    return Problem(
+        HTTPStatus.CONFLICT,
+        'may-have-run',
+        'the first request with this Idempotency-Key may have run; '
+        'its answer is lost and it will not be run again',
+        Outcome.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/samphirerill/core/on_requests.py
@@ -0,0 +1,202 @@
+"""Handlers for what callers do."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from samphirerill.core.admission import Ticket
+from samphirerill.core.commands import Outcome, Problem, RefuseRequest
+from samphirerill.core.ending import forget_request, name_pool, tell_outcome
+from samphirerill.core.events import (
+    CallerLeft,
+    DrainRequested,
+    RequestArrived,
+    ServingAllowed,
+    ServingForbidden,
+)
+from samphirerill.core.handling import handle
+from samphirerill.core.model import HIGH, NORMAL
+from samphirerill.core.starting import dispatch_pool, earn_retry, find_pool
+from samphirerill.core.state import Phase, RequestState
+
+if TYPE_CHECKING:
+    from samphirerill.core.model import Account, Route
+    from samphirerill.core.state import CoreState
+
+_DRAIN_RETRY_S = 1.0
+_FORBIDDEN_RETRY_S = 2.0
+_FULL_RETRY_S = 1.0
+
+
+@handle.register(RequestArrived)
+def on_request_arrived(
+    event: RequestArrived, state: CoreState, now: float
+) -> None:
+    """Queue a request, or refuse it at once if it can't be served."""
+    problem = _find_obstacle(event, state, now)
+    if problem is not None:
+        state.emit(RefuseRequest(event.request_id, problem))
+        state.counters[f'refused.{problem.code}'] += 1
+        return
+    req = _build_request(event, state, now)
+    state.requests[req.request_id] = req
+    state.counters['arrived'] += 1
+    earn_retry(state, req)
+    account = state.configuration.accounts[req.account]
+    cost = req.tokens / account.weight
+    pool_name = name_pool(req)
+    find_pool(state, pool_name).add(
+        Ticket(req.request_id, req.account, req.priority, cost),
+    )
+    state.wake_at(req.queue_deadline, 'queue', req.request_id)
+    state.wake_at(req.deadline, 'request', req.request_id)
+    dispatch_pool(state, pool_name, now)
+
+
+@handle.register(CallerLeft)
+def on_caller_left(event: CallerLeft, state: CoreState, now: float) -> None:
+    """Stop work that nobody waits for, unless a retry may ask for it.
+
+    A claimed request runs on: its caller may come back with the same key
+    and is owed the first answer, and stopping it would leave that unknown.
+    """
+    req = state.requests.get(event.request_id)
+    if req is None:
+        return
+    state.counters['callers_left'] += 1
+    if req.claimed or req.phase is Phase.CLAIMING:
+        return
+    outcome = tell_outcome(req)
+    forget_request(state, req)
+    state.counters[f'left.{outcome.value}'] += 1
+    dispatch_pool(state, name_pool(req), now)
+
+
+@handle.register(DrainRequested)
+def on_drain_requested(
+    event: DrainRequested, state: CoreState, now: float
+) -> None:
+    """Take no new work from now on."""
+    state.draining = True
+
+
+@handle.register(ServingForbidden)
+def on_serving_forbidden(
+    event: ServingForbidden, state: CoreState, now: float
+) -> None:
+    """Take no new work while the configuration's force is in doubt."""
+    state.forbidden = event.reason
+
+
+@handle.register(ServingAllowed)
+def on_serving_allowed(
+    event: ServingAllowed, state: CoreState, now: float
+) -> None:
+    """Take new work again."""
+    state.forbidden = ''
+
+
+def _find_obstacle(
+    event: RequestArrived, state: CoreState, now: float
+) -> Problem | None:
+    """Return why a new request can't be taken, or nothing."""
+    if state.draining:
+        return _refusal(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'draining',
+            'this node is leaving',
+            _DRAIN_RETRY_S,
+        )
+    if state.forbidden:
+        return _refusal(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'not-in-force',
+            state.forbidden,
+            _FORBIDDEN_RETRY_S,
+        )
+    route = state.configuration.routes.get(event.route)
+    account = state.configuration.accounts.get(event.account)
+    if route is None or account is None or event.route not in account.routes:
+        return _refusal(
+            HTTPStatus.NOT_FOUND,
+            'unknown-route',
+            f'no route {event.route!r}',
+            0,
+        )
+    if event.deadline <= now:
+        return _refusal(
+            HTTPStatus.GATEWAY_TIMEOUT,
+            'deadline-passed',
+            'the deadline has passed',
+            0,
+        )
+    return _find_overload(event, state, now, route, account)
+
+
+def _find_overload(
+    event: RequestArrived,
+    state: CoreState,
+    now: float,
+    route: Route,
+    account: Account,
+) -> Problem | None:
+    """Refuse early what could not start before its queue deadline.
+
+    Waiting for a certain refusal helps nobody: the caller would learn late
+    what is known now.
+    """
+    pool = find_pool(state, route.model or f'route {route.name}')
+    waiting = pool.size()
+    if waiting >= state.configuration.limits.max_queue:
+        return _refusal(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'overloaded',
+            'the queue is full',
+            _FULL_RETRY_S,
+        )
+    ahead = pool.ahead_of(account.name, _choose_priority(route, account))
+    wait_s = ahead * pool.pick_gap_s
+    if waiting and now + wait_s > _queue_deadline(event, route, now):
+        detail = f'about {wait_s:.1f} s of work wait ahead of this request'
+        return _refusal(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'overloaded',
+            detail,
+            max(1, wait_s / 2),
+        )
+    return None
+
+
+def _build_request(
+    event: RequestArrived, state: CoreState, now: float
+) -> RequestState:
+    route = state.configuration.routes[event.route]
+    account = state.configuration.accounts[event.account]
+    return RequestState(
+        request_id=event.request_id,
+        account=event.account,
+        route=route,
+        priority=_choose_priority(route, account),
+        deadline=event.deadline,
+        queue_deadline=_queue_deadline(event, route, now),
+        tokens=max(1, event.tokens),
+        key=event.key,
+        fingerprint=event.fingerprint,
+        arrived_at=now,
+    )
+
+
+def _choose_priority(route: Route, account: Account) -> str:
+    """An account's own priority goes before its route's."""
+    return HIGH if (account.priority or route.priority) == HIGH else NORMAL
+
+
+def _queue_deadline(event: RequestArrived, route: Route, now: float) -> float:
+    return min(event.deadline, now + route.queue_timeout_s)
+
+
+def _refusal(
+    status: int, code: str, detail: str, retry_after_s: float
+) -> Problem:
+    return Problem(status, code, detail, Outcome.NOT_RUN, retry_after_s)
--- /dev/null
+++ b/samphirerill/core/on_time.py
@@ -0,0 +1,96 @@
+"""Handlers for deadlines that have come."""
+
+from __future__ import annotations
+
+import heapq
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from samphirerill.core.commands import ProbeEndpoint
+from samphirerill.core.ending import name_pool, refuse_request
+from samphirerill.core.events import AttemptBroke, TimePassed
+from samphirerill.core.handling import handle
+from samphirerill.core.on_attempts import on_attempt_broke
+from samphirerill.core.starting import dispatch_pool
+from samphirerill.core.state import Health, Phase
+
+if TYPE_CHECKING:
+    from samphirerill.core.state import CoreState
+
+_LATE_RETRY_S = 1.0
+
+
+@handle.register(TimePassed)
+def on_time_passed(event: TimePassed, state: CoreState, now: float) -> None:
+    """Act on every deadline that is due."""
+    while state.deadlines and state.deadlines[0][0] <= now:
+        _, kind, name = heapq.heappop(state.deadlines)
+        _CHECKS[kind](state, name, now)
+
+
+def _check_queue(state: CoreState, name: str, now: float) -> None:
+    """Refuse a request that has waited as long as it may."""
+    req = state.requests.get(name)
+    if req is None or req.phase is not Phase.QUEUED:
+        return
+    if req.queue_deadline > now:
+        return
+    refuse_request(
+        state,
+        req,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'overloaded',
+        'no room came in time',
+        _LATE_RETRY_S,
+    )
+
+
+def _check_request(state: CoreState, name: str, now: float) -> None:
+    """End a request whose own deadline has come."""
+    req = state.requests.get(name)
+    if req is None:
+        return
+    refuse_request(
+        state,
+        req,
+        HTTPStatus.GATEWAY_TIMEOUT,
+        'deadline-passed',
+        'the deadline has passed',
+    )
+    dispatch_pool(state, name_pool(req), now)
+
+
+def _check_attempt(state: CoreState, name: str, now: float) -> None:
+    """Give up an attempt that has shown no progress.
+
+    A connection can go silent for good without an error. The caller would
+    wait until its own timeout; the progress deadline notices instead.
+    """
+    attempt = state.attempts.get(name)
+    if attempt is None:
+        return
+    if attempt.progress_deadline > now:
+        state.wake_at(attempt.progress_deadline, 'attempt', name)
+        return
+    state.counters['attempts.silent'] += 1
+    state.requests[attempt.request_id].avoid.update(
+        stage.endpoint for stage in attempt.stages
+    )
+    on_attempt_broke(AttemptBroke(name, 'the endpoint went silent'), state, now)
+
+
+def _check_endpoint(state: CoreState, name: str, now: float) -> None:
+    """Ask a suspect endpoint whether it is back."""
+    found = state.endpoints.get(name)
+    if found is None or found.health is not Health.SUSPECT:
+        return
+    if found.suspect_until <= now:
+        state.emit(ProbeEndpoint(name, found.endpoint.address))
+
+
+_CHECKS = {
+    'queue': _check_queue,
+    'request': _check_request,
+    'attempt': _check_attempt,
+    'endpoint': _check_endpoint,
+}
--- /dev/null
+++ b/samphirerill/core/queries.py
@@ -0,0 +1,62 @@
+"""Read-only views of the decision core, for state dumps and tests."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+from samphirerill.core.placement import count_free
+from samphirerill.core.state import Health
+
+if TYPE_CHECKING:
+    from samphirerill.core.state import CoreState
+
+
+def describe_state(state: CoreState, now: float) -> dict[str, Any]:
+    """Return the whole state in plain values, without prompts or keys."""
+    return {
+        'configuration_version': state.configuration.version,
+        'draining': state.draining,
+        'forbidden': state.forbidden,
+        'nodes': state.node_count,
+        'requests': _count_phases(state),
+        'attempts': len(state.attempts),
+        'waiting': {name: pool.size() for name, pool in state.pools.items()},
+        'endpoints': _describe_endpoints(state, now),
+        'retry_budgets': {
+            name: round(budget.left, 1)
+            for name, budget in state.budgets.items()
+        },
+        'counters': dict(state.counters),
+    }
+
+
+def count_open(state: CoreState) -> int:
+    """Return how many requests have no final answer yet."""
+    return len(state.requests)
+
+
+def list_leaving(state: CoreState) -> list[str]:
+    """Return the endpoints known to be leaving, sorted."""
+    return sorted(
+        name
+        for name, found in state.endpoints.items()
+        if found.health is Health.LEAVING
+    )
+
+
+def _count_phases(state: CoreState) -> dict[str, int]:
+    return dict(Counter(req.phase.value for req in state.requests.values()))
+
+
+def _describe_endpoints(state: CoreState, now: float) -> dict[str, Any]:
+    return {
+        name: {
+            'health': found.health.value,
+            'in_flight': found.in_flight,
+            'reported_running': found.running,
+            'reported_waiting': found.waiting,
+            'free': count_free(state, found),
+        }
+        for name, found in state.endpoints.items()
+    }
--- /dev/null
+++ b/samphirerill/core/router.py
@@ -0,0 +1,63 @@
+"""The decision core as one object: events in, commands out."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from samphirerill.core import (
+    on_attempts,
+    on_claims,
+    on_fleet,
+    on_requests,
+    on_time,
+)
+from samphirerill.core.handling import handle
+from samphirerill.core.state import CoreState
+
+if TYPE_CHECKING:
+    from samphirerill.core.commands import Command
+
+HANDLER_MODULES = (on_attempts, on_claims, on_fleet, on_requests, on_time)
+
+
+class Router:
+    """Decide what happens to requests, without I/O, clock or threads.
+
+    Parameters
+    ----------
+    node : str
+        This node's name.
+    seed : int
+        Seed of the core's only source of chance.
+
+    Examples
+    --------
+    >>> from samphirerill.core.events import DrainRequested
+    >>> Router('n1', seed=1).apply(DrainRequested(), now=0.0)
+    []
+    """
+
+    __slots__ = ('state',)
+
+    def __init__(self, node: str, seed: int = 0) -> None:
+        self.state = CoreState(node, seed)
+
+    def apply(self, event: object, now: float) -> list[Command]:
+        """Handle one event and return the commands to carry out, in order.
+
+        Parameters
+        ----------
+        event : object
+            One of the classes of :mod:`samphirerill.core.events`.
+        now : float
+            Seconds on the node's monotonic clock; never goes back.
+        """
+        handle(event, self.state, now)
+        out = self.state.out
+        self.state.out = []
+        return out
+
+    def next_wake(self) -> float | None:
+        """Return when ``TimePassed`` has to be applied next, if ever."""
+        deadlines = self.state.deadlines
+        return deadlines[0][0] if deadlines else None
--- /dev/null
+++ b/samphirerill/core/starting.py
@@ -0,0 +1,211 @@
+"""Start attempts: from the queue, after a claim, or again after a failure."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from math import ceil
+from typing import TYPE_CHECKING
+
+from samphirerill.core.admission import Pool, Ticket
+from samphirerill.core.budget import RetryBudget
+from samphirerill.core.commands import OpenAttempt, Stage, WriteClaim
+from samphirerill.core.ending import (
+    name_pool,
+    refuse_request,
+    release_account,
+)
+from samphirerill.core.model import SERVICE_ROUTE
+from samphirerill.core.placement import choose_pipeline, choose_service
+from samphirerill.core.state import AttemptState, Phase
+
+if TYPE_CHECKING:
+    from samphirerill.core.state import CoreState, RequestState
+
+_BUDGET_CEILING = 50.0
+_RETRY_AFTER_S = 1.0
+
+
+def find_pool(state: CoreState, name: str) -> Pool:
+    """Return the pool of a name, made on first use."""
+    if name not in state.pools:
+        state.pools[name] = Pool()
+    return state.pools[name]
+
+
+def dispatch_all(state: CoreState, now: float) -> None:
+    """Start what can start in every pool."""
+    for name in tuple(state.pools):
+        dispatch_pool(state, name, now)
+
+
+def dispatch_pool(state: CoreState, name: str, now: float) -> None:
+    """Start waiting requests of one pool while there is room for them."""
+    pool = find_pool(state, name)
+    started = True
+    while started:
+        started = _start_next(state, pool, now)
+
+
+def start_attempt(state: CoreState, req: RequestState, now: float) -> bool:
+    """Open an attempt if there is room; return whether it was opened."""
+    stages = _choose_stages(state, req)
+    if not stages:
+        return False
+    is_service = req.route.kind == SERVICE_ROUTE
+    attempt = AttemptState(
+        state.next_attempt_id(),
+        req.request_id,
+        epoch=req.attempts,
+        stages=stages,
+        progress_deadline=_first_deadline(state, req, now),
+    )
+    req.attempts += 1
+    req.attempt_id = attempt.attempt_id
+    req.phase = Phase.RUNNING
+    state.attempts[attempt.attempt_id] = attempt
+    for stage in stages:
+        state.endpoints[stage.endpoint].in_flight += 1
+    state.wake_at(attempt.progress_deadline, 'attempt', attempt.attempt_id)
+    state.emit(
+        OpenAttempt(
+            attempt.attempt_id,
+            req.request_id,
+            attempt.epoch,
+            stages,
+            req.delivered,
+            is_service,
+        ),
+    )
+    return True
+
+
+def retry_or_refuse(
+    state: CoreState,
+    req: RequestState,
+    now: float,
+    status: int,
+    code: str,
+    detail: str,
+) -> None:
+    """Try again if that is safe and affordable; else end the request now.
+
+    A request that may have run and is not idempotent must not run again:
+    the caller would see the doubled session or the second reminder.
+    """
+    if now >= req.deadline:
+        refuse_request(
+            state,
+            req,
+            HTTPStatus.GATEWAY_TIMEOUT,
+            'deadline-passed',
+            'the deadline has passed',
+        )
+        return
+    if not _may_repeat(req):
+        refuse_request(state, req, status, code, detail)
+        return
+    limits = state.configuration.limits
+    if req.attempts >= limits.max_attempts or not _spend_retry(state, req):
+        refuse_request(state, req, status, code, detail, _RETRY_AFTER_S)
+        return
+    state.counters['retries'] += 1
+    if not start_attempt(state, req, now):
+        wait_in_front(state, req, now)
+
+
+def wait_in_front(state: CoreState, req: RequestState, now: float) -> None:
+    """Put work that has started before all that has not."""
+    req.phase = Phase.QUEUED
+    release_account(state, req)
+    req.queue_deadline = min(req.deadline, now + req.route.queue_timeout_s)
+    state.wake_at(req.queue_deadline, 'queue', req.request_id)
+    ticket = Ticket(req.request_id, req.account, req.priority, 0)
+    find_pool(state, name_pool(req)).add(ticket, in_front=True)
+
+
+def earn_retry(state: CoreState, req: RequestState) -> None:
+    """Let a first attempt pay into its route's retry budget."""
+    _find_budget(state, req).earn()
+
+
+def _start_next(state: CoreState, pool: Pool, now: float) -> bool:
+    """Start the next request that may start; return whether one did."""
+    for ticket in pool.candidates():
+        req = state.requests[ticket.request_id]
+        if _is_over_limit(state, req):
+            continue
+        if not _choose_stages(state, req):
+            return False
+        pool.take(ticket, now)
+        state.running_by_account[req.account] += 1
+        _start_taken(state, req, now)
+        return True
+    return False
+
+
+def _start_taken(state: CoreState, req: RequestState, now: float) -> None:
+    if req.key and not req.claimed:
+        req.phase = Phase.CLAIMING
+        state.emit(
+            WriteClaim(
+                req.request_id,
+                req.account,
+                req.route.name,
+                req.key,
+                req.fingerprint,
+            ),
+        )
+        return
+    if not start_attempt(state, req, now):
+        wait_in_front(state, req, now)
+
+
+def _choose_stages(state: CoreState, req: RequestState) -> tuple[Stage, ...]:
+    if req.route.kind == SERVICE_ROUTE:
+        return choose_service(state, req.route.endpoints, req.avoid)
+    held = state.cached_prefixes.get((req.account, req.fingerprint))
+    return choose_pipeline(
+        state, req.route.model, req.avoid, held or frozenset()
+    )
+
+
+def _is_over_limit(state: CoreState, req: RequestState) -> bool:
+    """Tell whether the account runs its share of this node already.
+
+    The limit holds for the fleet; each node keeps to its share of it, so
+    that no call is needed for each request.
+    """
+    account = state.configuration.accounts.get(req.account)
+    if account is None or not account.max_concurrent:
+        return False
+    share = ceil(account.max_concurrent / max(1, state.node_count))
+    return state.running_by_account[req.account] >= share
+
+
+def _first_deadline(state: CoreState, req: RequestState, now: float) -> float:
+    limits = state.configuration.limits
+    if req.route.kind == SERVICE_ROUTE:
+        return min(req.deadline, now + limits.service_timeout_s)
+    return min(req.deadline, now + limits.first_token_timeout_s)
+
+
+def _may_repeat(req: RequestState) -> bool:
+    if req.route.idempotent:
+        return True
+    return not req.unsure_attempts and not req.delivered
+
+
+def _spend_retry(state: CoreState, req: RequestState) -> bool:
+    return _find_budget(state, req).spend()
+
+
+def _find_budget(state: CoreState, req: RequestState) -> RetryBudget:
+    limits = state.configuration.limits
+    name = req.route.name
+    if name not in state.budgets:
+        state.budgets[name] = RetryBudget(
+            limits.retry_ratio,
+            max(_BUDGET_CEILING, limits.retry_floor),
+            limits.retry_floor,
+        )
+    return state.budgets[name]
--- /dev/null
+++ b/samphirerill/core/state.py
@@ -0,0 +1,168 @@
+"""The decision core's memory: requests, attempts and endpoints.
+
+Nothing here does I/O or reads a clock. Deadlines are points on the clock that
+the node hands in with each event.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from samphirerill.core.admission import Pool
+from samphirerill.core.budget import RetryBudget
+from samphirerill.core.commands import Command, Stage
+from samphirerill.core.model import Configuration, Endpoint
+
+if TYPE_CHECKING:
+    from samphirerill.core.model import Route
+
+
+class Phase(Enum):
+    """Where a request stands between arrival and its end."""
+
+    QUEUED = 'queued'
+    CLAIMING = 'claiming'
+    RUNNING = 'running'
+
+
+class Health(Enum):
+    """What this node believes of an endpoint."""
+
+    LIVE = 'live'
+    SUSPECT = 'suspect'
+    LEAVING = 'leaving'
+
+
+@dataclass(slots=True)
+class RequestState:
+    """One request that has no final answer yet.
+
+    `delivered` is the index of the next token the caller is owed.
+    `unsure_attempts` counts attempts that may have run something.
+    """
+
+    request_id: str
+    account: str
+    route: Route
+    priority: str
+    deadline: float
+    queue_deadline: float
+    tokens: int
+    key: str
+    fingerprint: str
+    arrived_at: float
+    phase: Phase = Phase.QUEUED
+    claimed: bool = False
+    delivered: int = 0
+    attempts: int = 0
+    unsure_attempts: int = 0
+    attempt_id: str = ''
+    avoid: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class AttemptState:
+    """One try at a request over one pipeline or service."""
+
+    attempt_id: str
+    request_id: str
+    epoch: int
+    stages: tuple[Stage, ...]
+    progress_deadline: float
+    sent: bool = False
+    got_token: bool = False
+
+
+@dataclass(slots=True)
+class EndpointState:
+    """What this node knows of one endpoint.
+
+    `running` and `waiting` are the endpoint's own, late figures;
+    `own_at_report` is this node's share of them when they came.
+    """
+
+    endpoint: Endpoint
+    health: Health = Health.LIVE
+    in_flight: int = 0
+    running: int = 0
+    waiting: int = 0
+    own_at_report: int = 0
+    suspect_until: float = 0
+    listed_leaving: bool = False
+    reported_at: float = 0
+    first_used_at: float = 0
+
+    def others(self) -> int:
+        """Return how much of the endpoint other nodes use."""
+        return max(0, self.running + self.waiting - self.own_at_report)
+
+
+class CoreState:
+    """Everything the handlers read and change.
+
+    Parameters
+    ----------
+    node : str
+        This node's name; it makes attempt ids unique across nodes.
+    seed : int
+        Seed of the only source of chance in the core.
+    """
+
+    __slots__ = (
+        'attempts',
+        'budgets',
+        'cached_prefixes',
+        'configuration',
+        'counters',
+        'deadlines',
+        'draining',
+        'endpoints',
+        'forbidden',
+        'link_ms',
+        'node',
+        'node_count',
+        'out',
+        'pools',
+        'random',
+        'requests',
+        'running_by_account',
+        'sequence',
+    )
+
+    def __init__(self, node: str, seed: int) -> None:
+        self.node = node
+        self.random = random.Random(seed)  # noqa: S311
+        self.configuration = Configuration(version=0)
+        self.requests: dict[str, RequestState] = {}
+        self.attempts: dict[str, AttemptState] = {}
+        self.endpoints: dict[str, EndpointState] = {}
+        self.pools: dict[str, Pool] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self.link_ms: dict[tuple[str, str], float] = {}
+        self.cached_prefixes: dict[tuple[str, str], frozenset[str]] = {}
+        self.running_by_account: Counter[str] = Counter()
+        self.counters: Counter[str] = Counter()
+        self.deadlines: list[tuple[float, str, str]] = []
+        self.node_count = 1
+        self.sequence = 0
+        self.draining = False
+        self.forbidden = ''
+        self.out: list[Command] = []
+
+    def emit(self, command: Command) -> None:
+        """Add a command to those the current event leads to."""
+        self.out.append(command)
+
+    def wake_at(self, deadline: float, kind: str, name: str) -> None:
+        """Ask to be woken at a deadline."""
+        heapq.heappush(self.deadlines, (deadline, kind, name))
+
+    def next_attempt_id(self) -> str:
+        """Return an attempt id that no node has used."""
+        self.sequence += 1
+        return f'{self.node}-{self.sequence}'
--- /dev/null
+++ b/samphirerill/node/follower.py
@@ -0,0 +1,199 @@
+"""Follow what the nodes share in the key-value service.
+
+One watch covers the configuration's changes and the list of nodes. A watch
+can go silent without an error, so a small read of the accepted version goes
+beside it; that read is also the evidence that this node is not cut off.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import threading
+from typing import TYPE_CHECKING, Any
+
+from samphirerill.backends.store import StoreError
+from samphirerill.control.configuration_log import (
+    LOG,
+    Change,
+    ConfigurationError,
+    ConfigurationLog,
+    Loaded,
+)
+from samphirerill.control.configuration_view import ConfigurationView
+from samphirerill.control.evidence import Evidence
+from samphirerill.core.events import (
+    ConfigurationAccepted,
+    ServingAllowed,
+    ServingForbidden,
+)
+from samphirerill.core.model import build_configuration
+from samphirerill.node.logs import get_logger
+
+if TYPE_CHECKING:
+    from samphirerill.backends.store import WatchBatch
+    from samphirerill.node.members import Members
+    from samphirerill.node.node import Node
+    from samphirerill.node.store_worker import StoreWorker
+
+_LOG = get_logger('config')
+SHARED = 'shared/'
+_FLEET_READS_PER_S = 200
+_LEAST_POLL_S = 1.0
+_LEAST_PAUSE_S = 0.2
+_MOST_PAUSE_S = 5.0
+_CATCH_UP_S = 0.5
+_LEAST_SPREAD = 0.5
+_MOST_SPREAD = 1.5
+
+
+class Follower:
+    """Keeps one node's configuration and list of nodes up to date."""
+
+    def __init__(
+        self, node: Node, worker: StoreWorker, members: Members
+    ) -> None:
+        self.view = ConfigurationView()
+        self.evidence = Evidence(node.loop.time())
+        prefix = node.settings.store.prefix
+        self.log = ConfigurationLog(worker.store, prefix)
+        self._node = node
+        self._worker = worker
+        self._members = members
+        self._prefix = prefix
+        self._stopping = threading.Event()
+        self._forbidden = ''
+
+    async def run(self) -> None:
+        """Load once the service answers, then watch and poll for ever."""
+        loaded = await self._load_first()
+        self._install(loaded)
+        threading.Thread(
+            target=self._watch_forever,
+            args=(loaded.revision,),
+            name='watch',
+            daemon=True,
+        ).start()
+        while True:
+            await asyncio.sleep(self._poll_gap_s())
+            await self._poll()
+
+    async def judge(self) -> None:
+        """Tell the core whenever the evidence for serving changes."""
+        while True:
+            doubt = self.evidence.find_doubt(
+                self._node.loop.time(), self.view.version, self._members.count
+            )
+            if doubt != self._forbidden:
+                self._forbidden = doubt
+                event = ServingForbidden(doubt) if doubt else ServingAllowed()
+                _LOG.warning('serving changed', extra={'doubt': doubt})
+                self._node.apply(event)
+            await asyncio.sleep(_CATCH_UP_S)
+
+    def offer(self, change: Change) -> None:
+        """Take a change from the service or a peer."""
+        try:
+            rose = self.view.offer(change)
+        except ConfigurationError as exc:
+            _LOG.error('change unusable', extra={'error': str(exc)})
+            return
+        if rose:
+            self._put_in_force()
+
+    def install(self, version: int, document: dict[str, Any]) -> None:
+        """Take a whole configuration from the service or a peer."""
+        if self.view.install(version, document):
+            self._put_in_force()
+
+    def stop(self) -> None:
+        """Let the watch end."""
+        self._stopping.set()
+
+    async def _load_first(self) -> Loaded:
+        pause_s = _LEAST_PAUSE_S
+        while True:
+            try:
+                loaded = await self._worker.run(self.log.load)
+            except StoreError as exc:
+                _LOG.warning('service not there', extra={'error': str(exc)})
+            else:
+                self.evidence.note_store_read(self._node.loop.time())
+                return loaded
+            await asyncio.sleep(_jitter(pause_s))
+            pause_s = min(_MOST_PAUSE_S, 2 * pause_s)
+
+    def _install(self, loaded: Loaded) -> None:
+        self.install(loaded.version, loaded.document)
+        for change in loaded.changes:
+            self.view.recent.append(change)
+
+    def _put_in_force(self) -> None:
+        configuration = build_configuration(
+            self.view.document, self.view.version
+        )
+        self._node.keys.rebuild(configuration)
+        self._node.apply(ConfigurationAccepted(configuration))
+        _LOG.info('in force', extra={'version': self.view.version})
+
+    async def _poll(self) -> None:
+        try:
+            version = await self._worker.run(self.log.read_version)
+        except StoreError as exc:
+            _LOG.debug('poll failed', extra={'error': str(exc)})
+            return
+        self.evidence.note_store_read(self._node.loop.time())
+        self.view.note_known(version)
+        if self.view.is_behind():
+            await self._catch_up()
+
+    async def _catch_up(self) -> None:
+        """Read what a silent watch has not brought."""
+        try:
+            loaded = await self._worker.run(self.log.load)
+        except StoreError as exc:
+            _LOG.warning('catch-up failed', extra={'error': str(exc)})
+            return
+        self.install(loaded.version, loaded.document)
+
+    def _poll_gap_s(self) -> float:
+        """Spread the fleet's polls, so that they stay within its reads."""
+        gap_s = max(_LEAST_POLL_S, self._members.count / _FLEET_READS_PER_S)
+        return _jitter(gap_s)
+
+    def _watch_forever(self, revision: int) -> None:
+        """Watch in a thread; what comes is posted to the loop."""
+        pause_s = _LEAST_PAUSE_S
+        prefix = f'{self._prefix}{SHARED}'
+        while not self._stopping.is_set():
+            try:
+                for batch in self._worker.store.watch(prefix, revision + 1):
+                    revision = max(revision, self._post(batch))
+                    pause_s = _LEAST_PAUSE_S
+            except StoreError as exc:
+                _LOG.debug('watch broke', extra={'error': str(exc)})
+            self._stopping.wait(_jitter(pause_s))
+            pause_s = min(_MOST_PAUSE_S, 2 * pause_s)
+
+    def _post(self, batch: WatchBatch) -> int:
+        log_prefix = f'{self._prefix}{LOG}'
+        changes = [
+            self.log.read_change(entry)
+            for entry in batch.changed
+            if entry.key.startswith(log_prefix)
+        ]
+        loop = self._node.loop
+        if not loop.is_closed():
+            loop.call_soon_threadsafe(self._take_batch, changes, batch)
+        # A batch without events may be ahead of events still to come.
+        return batch.revision if batch.changed or batch.gone else 0
+
+    def _take_batch(self, changes: list[Change], batch: WatchBatch) -> None:
+        self._members.take_batch(batch)
+        for change in changes:
+            self.offer(change)
+
+
+def _jitter(seconds: float) -> float:
+    """Spread waits, so that nodes don't return all at once."""
+    return seconds * random.uniform(_LEAST_SPREAD, _MOST_SPREAD)  # noqa: S311
--- /dev/null
+++ b/samphirerill/node/node.py
@@ -0,0 +1,108 @@
+"""The node: the decision core wired to its edges, on one loop.
+
+Every event goes through :meth:`Node.apply`; every command the core answers
+with is carried out by :func:`samphirerill.node.actions.perform`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+from samphirerill.core.events import TimePassed
+from samphirerill.core.router import Router
+from samphirerill.node.accounts import KeyIndex
+from samphirerill.node.actions import perform
+from samphirerill.node.logs import get_logger
+from samphirerill.node.metrics import Metrics
+
+if TYPE_CHECKING:
+    from samphirerill.backends.calls import Call
+    from samphirerill.node.claim_writer import ClaimWriter
+    from samphirerill.node.sessions import Session
+    from samphirerill.settings.model import Settings
+
+_LOG = get_logger('node')
+_SEED_BITS = 32
+
+
+class Node:
+    """State and edges of one process; lives on the loop's thread only.
+
+    Parameters
+    ----------
+    settings : Settings
+        The node's settings, whole.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.node_id = f'{settings.name}-{uuid.uuid4().hex[:8]}'
+        seed = uuid.uuid4().int % (1 << _SEED_BITS)
+        self.router = Router(self.node_id, seed)
+        self.loop = asyncio.get_running_loop()
+        self.sessions: dict[str, Session] = {}
+        self.calls: dict[str, Call] = {}
+        self.metrics = Metrics()
+        self.keys = KeyIndex()
+        self.claims: ClaimWriter | None = None
+        self.healthy = False
+        self._events: deque[object] = deque()
+        self._applying = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = float('inf')
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def apply(self, event: object) -> None:
+        """Let the core handle an event and carry out what it answers.
+
+        Carrying out a command can lead to another event at once; it is
+        queued, so that commands never overtake each other.
+        """
+        self._events.append(event)
+        if self._applying:
+            return
+        self._applying = True
+        try:
+            while self._events:
+                self._apply_one(self._events.popleft())
+        finally:
+            self._applying = False
+        self._arm_timer()
+
+    def start_task(self, work: Any, name: str) -> None:
+        """Run a coroutine; an error in it is logged, not lost."""
+        task = self.loop.create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    def _apply_one(self, event: object) -> None:
+        for command in self.router.apply(event, self.loop.time()):
+            perform(command, self)
+
+    def _end_task(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _LOG.error(
+                'task failed',
+                extra={
+                    'task': task.get_name(),
+                    'error': repr(task.exception()),
+                },
+            )
+
+    def _arm_timer(self) -> None:
+        wake = self.router.next_wake()
+        if wake is None or wake >= self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = wake
+        self._timer = self.loop.call_at(wake, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer_at = float('inf')
+        self._timer = None
+        self.apply(TimePassed())
--- /dev/null
+++ b/samphirerill/node/probes.py
@@ -0,0 +1,95 @@
+"""Ask endpoints whether they are there and how busy they are."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from samphirerill.backends.engine import report_load
+from samphirerill.core.events import ProbeAnswered
+from samphirerill.core.model import ENGINE
+
+if TYPE_CHECKING:
+    from samphirerill.core.commands import ProbeEndpoint
+    from samphirerill.core.state import EndpointState
+    from samphirerill.node.node import Node
+
+PROBE_TIMEOUT_S = 0.4
+POLLS_PER_S = 8.0
+FRESH_FOR_S = 1.0
+_IDLE_S = 0.25
+_MAX_ANSWER = 65_536
+
+
+async def probe_endpoint(command: ProbeEndpoint, node: Node) -> None:
+    """Tell the core whether an endpoint answers a new connection."""
+    answer = await fetch(command.address, '/health')
+    node.apply(ProbeAnswered(command.endpoint, answer is not None))
+
+
+async def poll_loads(node: Node) -> None:
+    """Keep load reports fresh at a fixed number of polls a second.
+
+    The cost stays the same however many endpoints there are; with more of
+    them each is asked less often. Reports that come with answers count, so
+    the endpoints in use are known best.
+    """
+    while True:
+        found = _pick_stalest(node)
+        if found is None:
+            await asyncio.sleep(_IDLE_S)
+            continue
+        found.reported_at = node.loop.time()
+        work = _poll_one(found.endpoint.name, found.endpoint.address, node)
+        node.start_task(work, 'load poll')
+        await asyncio.sleep(1 / POLLS_PER_S)
+
+
+async def fetch(address: str, target: str) -> bytes | None:
+    """Return the body of a small answer, or nothing if none came."""
+    try:
+        return await asyncio.wait_for(_fetch(address, target), PROBE_TIMEOUT_S)
+    except (OSError, EOFError, TimeoutError, ValueError):
+        return None
+
+
+async def _poll_one(name: str, address: str, node: Node) -> None:
+    body = await fetch(address, '/load')
+    if body is None:
+        node.apply(ProbeAnswered(name, alive=False))
+    else:
+        report_load(name, body, node)
+
+
+def _pick_stalest(node: Node) -> EndpointState | None:
+    before = node.loop.time() - FRESH_FOR_S
+    stale = [
+        found
+        for found in node.router.state.endpoints.values()
+        if found.endpoint.kind == ENGINE and found.reported_at < before
+    ]
+    return min(stale, key=lambda item: item.reported_at, default=None)
+
+
+async def _fetch(address: str, target: str) -> bytes:
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    request = (
+        f'GET {target} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n'
+    )
+    writer.write(request.encode())
+    try:
+        head = await reader.readuntil(b'\r\n\r\n')
+        return await reader.readexactly(_find_length(head))
+    finally:
+        writer.close()
+
+
+def _find_length(head: bytes) -> int:
+    for line in head.split(b'\r\n'):
+        name, _, text = line.partition(b':')
+        if name.lower() == b'content-length':
+            length = int(text)
+            if length <= _MAX_ANSWER:
+                return length
+    raise ValueError('got no usable length')
--- /dev/null
+++ b/samphirerill/testing/clients.py
@@ -0,0 +1,182 @@
+"""Callers and operators for the demo, the benches and the tests."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.exceptions import HTTPError
+
+_DATA = b'data: '
+_BAD = 400
+StageRuns = list[list[Any]]
+
+
+class CallError(OSError):
+    """A call got no answer or one that says it failed."""
+
+    def __init__(self, detail: str, document: Any = None) -> None:
+        super().__init__(detail)
+        self.document = document or {}
+
+
+@dataclass(slots=True)
+class Answer:
+    """What a caller got; `broken` says that the connection ended early."""
+
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    texts: list[str] = field(default_factory=list)
+    layers: list[StageRuns] = field(default_factory=list)
+    outcome: str = ''
+    problem: dict[str, Any] = field(default_factory=dict)
+    body: bytes = b''
+    broken: bool = False
+
+    @property
+    def text(self) -> str:
+        """The whole text."""
+        return ''.join(self.texts)
+
+
+def call_json(address: str, target: str, key: str, document: Any = None) -> Any:
+    """Call with or without a JSON body and return the JSON answer.
+
+    Raises
+    ------
+    CallError
+        No answer came, or one with a status of 400 or above.
+    """
+    body = None if document is None else json.dumps(document)
+    try:
+        response = _open_pool(address, 10.0).request(
+            'GET' if body is None else 'POST',
+            target,
+            body=body,
+            headers={'Authorization': f'Bearer {key}'},
+        )
+    except HTTPError as exc:
+        raise CallError(f'no answer from {address}: {exc}') from exc
+    answer = json.loads(response.data or b'null')
+    if response.status >= _BAD:
+        raise CallError(f'status {response.status}: {answer}', answer)
+    return answer
+
+
+def complete(
+    address: str,
+    key: str,
+    route: str,
+    prompt: str,
+    max_tokens: int,
+    *,
+    stream: bool = True,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 60,
+) -> Answer:
+    """Ask for a completion and return everything that came of it."""
+    body = {
+        'model': route,
+        'prompt': prompt,
+        'max_tokens': max_tokens,
+        'stream': stream,
+    }
+    return call_raw(
+        address,
+        '/v1/completions',
+        key,
+        json.dumps(body).encode(),
+        headers=headers,
+        timeout_s=timeout_s,
+    )
+
+
+def call_raw(
+    address: str,
+    target: str,
+    key: str,
+    body: bytes,
+    *,
+    method: str = 'POST',
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 60,
+) -> Answer:
+    """Send one request and read its answer, streamed or whole."""
+    answer = Answer()
+    pool = _open_pool(address, timeout_s)
+    try:
+        response = pool.request(
+            method,
+            target,
+            body=body,
+            headers={'Authorization': f'Bearer {key}', **(headers or {})},
+            preload_content=False,
+        )
+        answer.status = response.status
+        answer.headers = {
+            name.lower(): text for name, text in response.headers.items()
+        }
+        _read(response, answer)
+    except HTTPError:
+        answer.broken = True
+    finally:
+        pool.close()
+    return answer
+
+
+def _open_pool(address: str, timeout_s: float) -> HTTPConnectionPool:
+    host, _, port = address.rpartition(':')
+    return HTTPConnectionPool(
+        host,
+        int(port),
+        retries=False,
+        timeout=Timeout(connect=2, read=timeout_s),
+    )
+
+
+def _read(response: Any, answer: Answer) -> None:
+    kind = answer.headers.get('content-type', '')
+    if kind.startswith('text/event-stream'):
+        rest = b''
+        for part in response.stream(None):
+            *events, rest = (rest + part).split(b'\n\n')
+            for event in events:
+                _read_event(event, answer)
+        return
+    answer.body = response.read()
+    answer.outcome = answer.headers.get('samphirerill-outcome', '')
+    if kind == 'application/problem+json':
+        answer.problem = json.loads(answer.body)
+    elif kind == 'application/json':
+        _read_whole(json.loads(answer.body), answer)
+
+
+def _read_whole(document: Any, answer: Answer) -> None:
+    if isinstance(document, dict) and document.get('choices'):
+        choice = document['choices'][0]
+        text = choice.get('text')
+        if text is None:
+            text = choice['message']['content']
+        answer.texts.append(text)
+
+
+def _read_event(event: bytes, answer: Answer) -> None:
+    payload = event.removeprefix(_DATA)
+    if payload == b'[DONE]':
+        return
+    document = json.loads(payload)
+    failure = document.get('error')
+    if failure:
+        answer.problem = failure
+        answer.outcome = failure['outcome']
+    elif document['choices']:
+        choice = document['choices'][0]
+        text = choice.get('text')
+        if text is None:
+            text = choice['delta']['content']
+        answer.texts.append(text)
+        answer.layers.append(document.get('layers', []))
+    else:
+        answer.outcome = document['samphirerill']['outcome']
--- /dev/null
+++ b/samphirerill/testing/engine.py
@@ -0,0 +1,326 @@
+"""A stand-in for a model engine that holds a range of layers.
+
+Callers of an engine speak the completions protocol with server-sent events.
+Beside the usual fields, the body's ``samphirerill`` object carries the attempt
+id, the epoch, the whole pipeline and the index to resume at. The first stage
+of a pipeline batches its sequences: once each ``step_ms`` it sends one frame
+through the other stages, each of which runs its layers, and then streams one
+token of each sequence. A token's text depends on the prompt and its index
+alone, so that a test knows the right answer.
+
+``POST /control`` makes an engine misbehave; see :class:`Faults`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+import zlib
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from samphirerill.testing.chain import Chain, Path, StageServer, Work
+from samphirerill.testing.httpd import Connection
+
+if TYPE_CHECKING:
+    from samphirerill.testing.httpd import Request
+
+_WORDS = (
+    'squat press row lunge hem bust seam waist rest tempo sets reps plate bar '
+    'belt lace veil train cuff yoke dart tack baste steam fit pin'
+).split()
+_KEEP_ALIVE_S = 0.1
+_HOPS_EVERY = 8
+
+
+@dataclass(slots=True)
+class Faults:
+    """How an engine misbehaves.
+
+    `frozen` accepts and never answers; `refuse` runs nothing and says so
+    with this detail; `crossed` sends another attempt's tokens;
+    `repeat` sends each token twice; `die_after` drops everything after that
+    many more tokens; `link_ms` adds to the time of each frame received.
+    """
+
+    frozen: bool = False
+    refuse: str = ''
+    crossed: bool = False
+    repeat: bool = False
+    die_after: int = -1
+    link_ms: float = 0
+
+
+@dataclass(slots=True)
+class Sequence:
+    """One answer in generation at the first stage."""
+
+    attempt: str
+    epoch: int
+    prompt: str
+    account: str
+    index: int
+    end: int
+    priority: int
+    path: Path
+    is_chat: bool
+    trace: bool
+    connection: Connection
+    work: Work = field(default_factory=lambda: Work('', 0))
+
+
+def make_token(prompt: str, index: int) -> str:
+    """Return the text of a token; the same for every engine and attempt."""
+    pick = zlib.crc32(f'{prompt}/{index}'.encode()) % len(_WORDS)
+    return f'{_WORDS[pick]} '
+
+
+class EngineStandIn:
+    """One engine behind one port.
+
+    Parameters
+    ----------
+    slots : int
+        How many sequences it generates at once as a first stage.
+    step_ms : float
+        The least time between two tokens of a sequence.
+    layer_ms : float
+        The time one layer takes for one frame.
+    """
+
+    def __init__(
+        self, slots: int = 8, step_ms: float = 26, layer_ms: float = 0.1
+    ) -> None:
+        self.slots = slots
+        self.step_s = step_ms / 1000
+        self.layer_ms = layer_ms
+        self.faults = Faults()
+        self.counts: Counter[str] = Counter()
+        self.address = ''
+        self._running: dict[Path, list[Sequence]] = {}
+        self._waiting: list[Sequence] = []
+        self._chain = Chain()
+        self._stages = StageServer(self, self._chain)
+        self._server: asyncio.Server | None = None
+        self._open: set[Any] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, host: str, port: int) -> str:
+        """Listen and return the address; port 0 picks a free one."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._connect, host, port)
+        name = self._server.sockets[0].getsockname()
+        self.address = f'{name[0]}:{name[1]}'
+        return self.address
+
+    def die(self) -> None:
+        """Close the port and drop every connection, as a killed VM does."""
+        if self._server is not None:
+            self._server.close()
+        for protocol in tuple(self._open):
+            protocol.abort()
+        self._running.clear()
+        self._waiting.clear()
+
+    def running(self) -> int:
+        """Return how many sequences are in generation."""
+        return sum(len(group) for group in self._running.values())
+
+    async def handle(self, request: Request) -> None:
+        """Answer one HTTP request."""
+        if request.path == '/control':
+            await self._control(request)
+        elif self.faults.frozen:
+            self.counts['ignored'] += 1
+        elif request.path.startswith('/v1/'):
+            self._start_sequence(request)
+        else:
+            request.connection.answer_json(self._describe(request.path))
+
+    async def _control(self, request: Request) -> None:
+        orders = request.read_json()
+        if orders.pop('die', False):
+            request.connection.answer_json({'ok': True})
+            await asyncio.sleep(0)
+            self.die()
+            return
+        for name, setting in orders.items():
+            setattr(self.faults, name, setting)
+        request.connection.answer_json({'ok': True})
+
+    def _start_sequence(self, request: Request) -> None:
+        if self.faults.refuse:
+            refusal = {'ran': False, 'reason': self.faults.refuse}
+            request.connection.answer_json(refusal, 503)
+            return
+        sequence = _read_sequence(request)
+        self.counts['sequences'] += 1
+        headers = {
+            'Content-Type': 'text/event-stream',
+            'endpoint-load-metrics': json.dumps(self._describe_load()),
+        }
+        request.connection.start_chunks(headers)
+        request.connection.on_close = lambda: self._forget(sequence)
+        self._waiting.append(sequence)
+        self._waiting.sort(key=lambda item: item.priority)
+        self._admit()
+        if sequence in self._waiting:
+            self._keep(self._comfort(sequence))
+
+    def _admit(self) -> None:
+        while self._waiting and self.running() < self.slots:
+            sequence = self._waiting.pop(0)
+            group = self._running.setdefault(sequence.path, [])
+            group.append(sequence)
+            if len(group) == 1:
+                self._keep(self._generate(sequence.path, group))
+
+    def _keep(self, work: Any) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _comfort(self, sequence: Sequence) -> None:
+        """Tell a waiting caller that the engine is there."""
+        while sequence in self._waiting:
+            if not self.faults.frozen:
+                sequence.connection.send_chunk(b': waiting\n\n')
+            await asyncio.sleep(_KEEP_ALIVE_S)
+
+    async def _generate(self, path: Path, group: list[Sequence]) -> None:
+        """Run steps until no sequence of this pipeline is left."""
+        while group and self._running.get(path) is group:
+            started = time.monotonic()
+            batch = tuple(group)
+            work = await self._chain.run(self, path, 0, len(batch))
+            if not self.faults.frozen:
+                self._emit_step(group, batch, work)
+            spent_s = time.monotonic() - started
+            await asyncio.sleep(max(0, self.step_s - spent_s))
+        if self._running.get(path) is group:
+            self._running.pop(path)
+        self._admit()
+
+    def _emit_step(
+        self, group: list[Sequence], batch: tuple[Sequence, ...], work: Work
+    ) -> None:
+        if work.failed_stage >= 0:
+            self._report_failure(group, work.failed_stage)
+            return
+        for sequence in batch:
+            if sequence in group:
+                self._emit(sequence, group, work)
+
+    def _emit(
+        self, sequence: Sequence, group: list[Sequence], work: Work
+    ) -> None:
+        if self._count_down_to_death():
+            return
+        chunk = self._build_chunk(sequence, work)
+        sequence.connection.send_chunk(chunk)
+        if self.faults.repeat:
+            sequence.connection.send_chunk(chunk)
+        self.counts['tokens'] += 1
+        sequence.index += 1
+        if sequence.index >= sequence.end:
+            group.remove(sequence)
+            sequence.connection.on_close = None
+            sequence.connection.send_chunk(b'data: [DONE]\n\n')
+            sequence.connection.send_chunk(b'')
+            self._admit()
+
+    def _count_down_to_death(self) -> bool:
+        if self.faults.die_after > 0:
+            self.faults.die_after -= 1
+        elif self.faults.die_after == 0:
+            self.die()
+            return True
+        return False
+
+    def _build_chunk(self, sequence: Sequence, work: Work) -> bytes:
+        attempt = sequence.attempt
+        if self.faults.crossed:
+            attempt = f'{attempt}-other'
+        is_last = sequence.index + 1 >= sequence.end
+        text = make_token(sequence.prompt, sequence.index)
+        choice: dict[str, Any] = {
+            'index': 0,
+            'finish_reason': 'length' if is_last else None,
+        }
+        if sequence.is_chat:
+            choice['delta'] = {'content': text}
+        else:
+            choice['text'] = text
+        chunk = {
+            'id': attempt,
+            'epoch': sequence.epoch,
+            'token': sequence.index,
+            'choices': [choice],
+        }
+        if sequence.trace:
+            chunk['layers'] = work.layers
+        if sequence.index % _HOPS_EVERY == 0:
+            chunk['hops_ms'] = work.hops_ms
+        return b'data: %b\n\n' % json.dumps(chunk).encode()
+
+    def _report_failure(self, group: list[Sequence], stage: int) -> None:
+        refusal = {'error': {'code': 'stage_failed', 'stage': stage}}
+        body = b'data: %b\n\n' % json.dumps(refusal).encode()
+        for sequence in tuple(group):
+            sequence.connection.on_close = None
+            sequence.connection.send_chunk(body)
+            sequence.connection.send_chunk(b'')
+        group.clear()
+
+    def _forget(self, sequence: Sequence) -> None:
+        """Stop a sequence whose caller closed its connection."""
+        group = self._running.get(sequence.path, [])
+        if sequence in group:
+            group.remove(sequence)
+            self.counts['cancelled'] += 1
+        if sequence in self._waiting:
+            self._waiting.remove(sequence)
+            self.counts['cancelled'] += 1
+        self._admit()
+
+    def _describe(self, path: str) -> dict[str, Any]:
+        if path == '/load':
+            return self._describe_load()
+        return dict(self.counts) if path == '/stats' else {'healthy': True}
+
+    def _describe_load(self) -> dict[str, Any]:
+        figures = {'running': self.running(), 'waiting': len(self._waiting)}
+        return {'named_metrics': figures}
+
+    def _connect(self) -> asyncio.Protocol:
+        protocol = self._stages.build_protocol(Connection(self.handle))
+        self._open.add(protocol)
+        return protocol
+
+
+def _read_sequence(request: Request) -> Sequence:
+    body = request.read_json()
+    plan = body['samphirerill']
+    is_chat = 'messages' in body
+    prompt = body.get('prompt', '')
+    if is_chat:
+        prompt = '\n'.join(turn['content'] for turn in body['messages'])
+    path = tuple(
+        (stage['address'], stage['first'], stage['last'])
+        for stage in plan['stages']
+    )
+    return Sequence(
+        attempt=plan['attempt'],
+        epoch=plan['epoch'],
+        prompt=prompt,
+        account=body.get('cache_salt', ''),
+        index=plan['resume_at'],
+        end=int(body.get('max_tokens', 16)),
+        priority=int(body.get('priority', 0)),
+        path=path,
+        is_chat=is_chat,
+        trace=bool(plan.get('trace')),
+        connection=request.connection,
+    )
--- /dev/null
+++ b/samphirerill/testing/httpd.py
@@ -0,0 +1,139 @@
+"""A small HTTP/1.1 server for the stand-ins, on asyncio and httptools.
+
+Only stand-ins use it; the nodes' own HTTP is served by CherryPy.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from httptools import HttpParserError, HttpRequestParser
+
+
+@dataclass(slots=True)
+class Request:
+    """One request, whole; `headers` has lower-case names."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    connection: Connection = field(repr=False)
+
+    def read_json(self) -> Any:
+        """Return the body as JSON, an empty body as an empty object."""
+        return json.loads(self.body or b'{}')
+
+
+Handler = Callable[[Request], Awaitable[None]]
+
+
+class Connection(asyncio.Protocol):
+    """One connection; requests on it are handled one after the other.
+
+    Parameters
+    ----------
+    handler : callable
+        Awaited with each request; answers by the connection's methods.
+    """
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+        self.transport: Any = None
+        self.closed = False
+        self.on_close: Callable[[], None] | None = None
+        self._parser = HttpRequestParser(self)
+        self._queue: asyncio.Queue[Request | None] = asyncio.Queue()
+        self._reset()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start handling the connection's requests."""
+        self.transport = transport
+        self._task = asyncio.ensure_future(self._serve())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop; tell whoever streams on this connection."""
+        self.closed = True
+        self._queue.put_nowait(None)
+        if self.on_close is not None:
+            self.on_close()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        try:
+            self._parser.feed_data(data)
+        except HttpParserError:
+            self.transport.close()
+
+    def on_url(self, url: bytes) -> None:
+        """Take the request's target."""
+        self._url += url.decode()
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Take one header."""
+        self._headers[name.decode().lower()] = text.decode('latin-1')
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        """Queue the whole request."""
+        method = self._parser.get_method().decode()
+        request = Request(
+            method, self._url, self._headers, bytes(self._body), self
+        )
+        self._reset()
+        self._queue.put_nowait(request)
+
+    def answer(
+        self, status: int, body: bytes, headers: dict[str, str] | None = None
+    ) -> None:
+        """Send a whole answer."""
+        lines = [f'HTTP/1.1 {status} Status', f'Content-Length: {len(body)}']
+        lines.extend(_format_headers(headers))
+        head = '\r\n'.join([*lines, '', '']).encode()
+        if not self.closed:
+            self.transport.write(head + body)
+
+    def answer_json(self, document: Any, status: int = 200) -> None:
+        """Send a whole JSON answer."""
+        body = json.dumps(document).encode()
+        self.answer(status, body, {'Content-Type': 'application/json'})
+
+    def start_chunks(self, headers: dict[str, str] | None = None) -> None:
+        """Send the head of a chunked answer."""
+        lines = ['HTTP/1.1 200 OK', 'Transfer-Encoding: chunked']
+        lines.extend(_format_headers(headers))
+        if not self.closed:
+            self.transport.write('\r\n'.join([*lines, '', '']).encode())
+
+    def send_chunk(self, body: bytes) -> None:
+        """Send one chunk; an empty one ends the answer."""
+        if not self.closed:
+            self.transport.write(b'%x\r\n%b\r\n' % (len(body), body))
+
+    def abort(self) -> None:
+        """Drop the connection without a word."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _reset(self) -> None:
+        self._url = ''
+        self._headers: dict[str, str] = {}
+        self._body = bytearray()
+
+    async def _serve(self) -> None:
+        while True:
+            request = await self._queue.get()
+            if request is None:
+                return
+            await self.handler(request)
+
+
+def _format_headers(headers: dict[str, str] | None) -> list[str]:
+    return [f'{name}: {text}' for name, text in (headers or {}).items()]
--- /dev/null
+++ b/samphirerill/testing/kv.py
@@ -0,0 +1,183 @@
+"""A stand-in for the platform's key-value service.
+
+It speaks the JSON form of the etcd v3 API. ``POST /control`` makes it
+misbehave: ``down`` refuses all, ``silent`` never answers, ``slow_s`` delays,
+``lose_replies`` carries out that many writes and drops their answers.
+``GET /stats`` counts the calls, a waiting watch as one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING, Any
+
+from samphirerill.testing.httpd import Connection
+from samphirerill.testing.kv_rules import RefusedError, Rules
+
+if TYPE_CHECKING:
+    from samphirerill.testing.httpd import Request
+
+_EXPIRE_EVERY_S = 0.1
+_WRITES = frozenset(
+    (
+        '/v3/kv/put',
+        '/v3/kv/txn',
+        '/v3/kv/deleterange',
+        '/v3/lease/grant',
+        '/v3/lease/keepalive',
+        '/v3/lease/revoke',
+    )
+)
+
+
+class KeyValueStandIn:
+    """The service behind one listening port."""
+
+    def __init__(self) -> None:
+        self.rules = Rules()
+        self.calls: Counter[str] = Counter()
+        self.by_second: dict[int, Counter[str]] = defaultdict(Counter)
+        self.down = False
+        self.silent = False
+        self.slow_s = 0.0
+        self.lose_replies = 0
+        self._changed = asyncio.Event()
+        self._open: set[Connection] = set()
+
+    async def start(self, host: str, port: int) -> asyncio.Server:
+        """Listen; port 0 picks a free one."""
+        loop = asyncio.get_running_loop()
+        self._expiry = asyncio.ensure_future(self._expire_leases())
+        return await loop.create_server(self._connect, host, port)
+
+    async def handle(self, request: Request) -> None:
+        """Answer one call."""
+        if request.path == '/control':
+            self._control(request)
+        elif request.path == '/stats':
+            request.connection.answer_json(self._describe())
+        elif self.down:
+            request.connection.abort()
+        elif not self.silent:
+            await self._answer(request)
+
+    def _connect(self) -> Connection:
+        connection = Connection(self.handle)
+        self._open.add(connection)
+        return connection
+
+    async def _answer(self, request: Request) -> None:
+        if self.slow_s:
+            await asyncio.sleep(self.slow_s)
+        is_write = request.path in _WRITES
+        self._count(request.path, is_write=is_write)
+        if request.path == '/v3/watch':
+            await self._watch(request)
+            return
+        try:
+            document = self._run(request.path, request.read_json())
+        except RefusedError as exc:
+            refusal = {'error': str(exc), 'code': 3, 'message': str(exc)}
+            request.connection.answer_json(refusal, 400)
+            return
+        self._wake_watches()
+        if is_write and self.lose_replies > 0:
+            self.lose_replies -= 1
+            request.connection.abort()
+            return
+        document['header'] = {'revision': str(self.rules.revision)}
+        request.connection.answer_json(document)
+
+    def _run(self, path: str, call: dict[str, Any]) -> dict[str, Any]:
+        now = time.monotonic()
+        if path == '/v3/lease/grant':
+            return self.rules.grant(call, now)
+        if path == '/v3/lease/keepalive':
+            return self.rules.keep_alive(call, now)
+        plain = {
+            '/v3/kv/range': self.rules.find_range,
+            '/v3/kv/put': self.rules.put,
+            '/v3/kv/txn': self.rules.run_txn,
+            '/v3/kv/deleterange': self.rules.delete,
+            '/v3/lease/revoke': self.rules.revoke,
+        }
+        if path not in plain:
+            raise RefusedError(f'unknown path {path}')
+        return plain[path](call)
+
+    async def _watch(self, request: Request) -> None:
+        call = request.read_json()['create_request']
+        connection = request.connection
+        start = int(call.get('start_revision', 0)) or self.rules.revision + 1
+        connection.start_chunks({'Content-Type': 'application/json'})
+        self._send_watch(connection, {'created': True})
+        while not connection.closed and not self.down:
+            if not self.silent:
+                changed = self._changed
+                found = self.rules.list_changes(
+                    {**call, 'start_revision': start}
+                )
+                start = self.rules.revision + 1
+                if found:
+                    self._send_watch(connection, {'events': found})
+            await asyncio.wait(
+                [asyncio.ensure_future(changed.wait())], timeout=1
+            )
+        connection.abort()
+
+    def _send_watch(
+        self, connection: Connection, document: dict[str, Any]
+    ) -> None:
+        header = {'revision': str(self.rules.revision)}
+        body = {'result': {'header': header, **document}}
+        connection.send_chunk(json.dumps(body).encode() + b'\n')
+
+    def _wake_watches(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _control(self, request: Request) -> None:
+        orders = request.read_json()
+        for name, setting in orders.items():
+            setattr(self, name, setting)
+        if self.down:
+            self._drop_all(request.connection)
+        self._wake_watches()
+        request.connection.answer_json({'ok': True})
+
+    def _drop_all(self, spared: Connection) -> None:
+        for connection in tuple(self._open):
+            if connection.closed:
+                self._open.discard(connection)
+            elif connection is not spared:
+                connection.abort()
+
+    def _count(self, path: str, *, is_write: bool) -> None:
+        kind = 'writes' if is_write else 'reads'
+        self.calls[kind] += 1
+        self.calls[path] += 1
+        self.by_second[int(time.monotonic())][kind] += 1
+
+    def _describe(self) -> dict[str, Any]:
+        seconds = list(self.by_second.values())
+        return {
+            'calls': dict(self.calls),
+            'most_writes_in_a_second': max(
+                (second['writes'] for second in seconds), default=0
+            ),
+            'most_reads_in_a_second': max(
+                (second['reads'] for second in seconds), default=0
+            ),
+            'keys': len(self.rules.entries),
+        }
+
+    async def _expire_leases(self) -> None:
+        while True:
+            await asyncio.sleep(_EXPIRE_EVERY_S)
+            before = self.rules.revision
+            self.rules.expire(time.monotonic())
+            if self.rules.revision != before:
+                self._wake_watches()
--- /dev/null
+++ b/samphirerill/testing/layout.py
@@ -0,0 +1,128 @@
+"""Small configurations for stand-ins: which engine holds which layers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from samphirerill.edges.operators import hash_key
+
+OPERATOR_KEY = 'operator-key'
+COACH_KEY = 'coach-key'
+BRIDAL_KEY = 'bridal-key'
+ACCOUNT_KEYS = {'tromsvik': COACH_KEY, 'viti': BRIDAL_KEY}
+
+
+@dataclass(slots=True)
+class EngineShape:
+    """One engine of a layout."""
+
+    first: int
+    last: int
+    slots: int = 8
+    step_ms: float = 26
+    layer_ms: float = 0.05
+    data_centre: str = 'a'
+
+
+@dataclass(slots=True)
+class Layout:
+    """Engines by name, plain services, and the limits in force."""
+
+    layers: int
+    engines: dict[str, EngineShape]
+    services: tuple[str, ...] = ()
+    limits: dict[str, Any] = field(default_factory=dict)
+    accounts: dict[str, dict[str, Any]] = field(default_factory=dict)
+    routes: dict[str, dict[str, Any]] = field(default_factory=dict)
+
+    def to_spec(self) -> dict[str, Any]:
+        """Return what the stand-ins' host needs to know."""
+        return {
+            'kv': True,
+            'vm_list': True,
+            'services': list(self.services),
+            'engines': {
+                name: {
+                    'slots': shape.slots,
+                    'step_ms': shape.step_ms,
+                    'layer_ms': shape.layer_ms,
+                }
+                for name, shape in self.engines.items()
+            },
+        }
+
+    def to_document(self, addresses: dict[str, Any]) -> dict[str, Any]:
+        """Return the configuration for stand-ins at these addresses."""
+        endpoints = {
+            name: self._describe_engine(name, address)
+            for name, address in addresses['engines'].items()
+        }
+        for name, address in addresses['services'].items():
+            endpoints[name] = {
+                'kind': 'service',
+                'address': address,
+                'data_centre': 'a',
+                'slots': 64,
+            }
+        routes = {**self._default_routes(), **self.routes}
+        return {
+            'models': {'strength': {'layers': self.layers}},
+            'endpoints': endpoints,
+            'routes': routes,
+            'accounts': self._describe_accounts(list(routes)),
+            'limits': self.limits,
+        }
+
+    def _describe_engine(self, name: str, address: str) -> dict[str, Any]:
+        shape = self.engines[name]
+        return {
+            'kind': 'engine',
+            'address': address,
+            'data_centre': shape.data_centre,
+            'model': 'strength',
+            'layers': [shape.first, shape.last],
+            'slots': shape.slots,
+            'layer_ms': shape.layer_ms,
+        }
+
+    def _default_routes(self) -> dict[str, dict[str, Any]]:
+        routes: dict[str, dict[str, Any]] = {
+            'plans': {'kind': 'model', 'model': 'strength'},
+            'fittings': {
+                'kind': 'model',
+                'model': 'strength',
+                'priority': 'high',
+            },
+        }
+        if self.services:
+            routes['notices'] = {
+                'kind': 'service',
+                'endpoints': list(self.services),
+                'idempotent': False,
+            }
+            routes['lookups'] = {
+                'kind': 'service',
+                'endpoints': list(self.services),
+            }
+        return routes
+
+    def _describe_accounts(self, routes: list[str]) -> dict[str, Any]:
+        accounts = {
+            name: {'keys': [hash_key(key)], 'routes': routes}
+            for name, key in ACCOUNT_KEYS.items()
+        }
+        for name, spec in self.accounts.items():
+            accounts[name] = {'routes': routes, **spec}
+        return accounts
+
+
+def build_three_stages(replicas: int = 2, **shape: Any) -> Layout:
+    """Return a layout of three overlapping stages over twelve layers."""
+    ranges = ((0, 4), (3, 8), (7, 11))
+    engines = {
+        f'stage{stage}-{replica}': EngineShape(first, last, **shape)
+        for stage, (first, last) in enumerate(ranges)
+        for replica in range(replicas)
+    }
+    return Layout(12, engines, services=('desk',))
