--- a/samphirerill/core/on_attempts.py
+++ b/samphirerill/core/on_attempts.py
@@ -70,10 +70,15 @@
     twice or someone else's; so they are dropped and their connection goes.
     """
     attempt = state.attempts.get(event.attempt_id)
-    if attempt is None or attempt.epoch != event.epoch:
+    if attempt is None:
         state.counters['dropped.late'] += 1
         state.emit(CancelAttempt(event.attempt_id))
         return
+    if attempt.epoch != event.epoch:
+        state.counters['dropped.epoch'] += 1
+        broke = AttemptBroke(event.attempt_id, 'a token of another epoch')
+        on_attempt_broke(broke, state, now)
+        return
     req = state.requests[attempt.request_id]
     if event.index < req.delivered:
         state.counters['dropped.repeated'] += 1
--- a/samphirerill/core/on_claims.py
+++ b/samphirerill/core/on_claims.py
@@ -10,6 +10,7 @@
     Problem,
     RefuseRequest,
     ReplayAnswer,
+    SettleClaim,
 )
 from samphirerill.core.ending import (
     forget_request,
@@ -33,9 +34,14 @@
 
 @handle.register(ClaimWon)
 def on_claim_won(event: ClaimWon, state: CoreState, now: float) -> None:
-    """The key is this request's alone: start it."""
+    """The key is this request's alone: start it.
+
+    If the request ended while its claim was under way, nothing ran and the
+    claim has to go: a retry would be told for a day that it may have run.
+    """
     req = state.requests.get(event.request_id)
     if req is None:
+        state.emit(SettleClaim(event.request_id, Outcome.NOT_RUN))
         return
     req.claimed = True
     if not start_attempt(state, req, now):
--- a/samphirerill/core/on_fleet.py
+++ b/samphirerill/core/on_fleet.py
@@ -18,6 +18,7 @@
 from samphirerill.core.state import EndpointState, Health
 
 if TYPE_CHECKING:
+    from samphirerill.core.model import Endpoint
     from samphirerill.core.state import CoreState
 
 
@@ -39,7 +40,7 @@
     for name, endpoint in configuration.endpoints.items():
         found = state.endpoints.get(name)
         if found is None or found.endpoint.address != endpoint.address:
-            found = EndpointState(endpoint, first_used_at=now)
+            found = _build_endpoint_state(state, endpoint, now)
         found.endpoint = endpoint
         kept[name] = found
     state.endpoints = kept
@@ -59,16 +60,30 @@
     leaving while the list still calls it live. Only one that the list itself
     has called leaving, and now calls live, has come back.
     """
+    back = state.leaving & event.live
+    state.leaving = (state.leaving | event.leaving) - back
     for name, found in state.endpoints.items():
         if name in event.leaving:
             found.health = Health.LEAVING
-            found.listed_leaving = True
-        elif name in event.live and found.listed_leaving:
+        elif name in back:
             found.health = Health.LIVE
-            found.listed_leaving = False
     dispatch_all(state, now)
 
 
+def _build_endpoint_state(
+    state: CoreState, endpoint: Endpoint, now: float
+) -> EndpointState:
+    """Return the state of an endpoint that the configuration brings.
+
+    One that is known to be leaving stays so, even if operators took it out
+    and put it back meanwhile.
+    """
+    found = EndpointState(endpoint, first_used_at=now)
+    if endpoint.name in state.leaving:
+        found.health = Health.LEAVING
+    return found
+
+
 @handle.register(LoadReported)
 def on_load_reported(event: LoadReported, state: CoreState, now: float) -> None:
     """Remember an endpoint's late figures beside this node's own share."""
--- a/samphirerill/core/state.py
+++ b/samphirerill/core/state.py
@@ -93,7 +93,6 @@
     waiting: int = 0
     own_at_report: int = 0
     suspect_until: float = 0
-    listed_leaving: bool = False
     reported_at: float = 0
     first_used_at: float = 0
 
@@ -123,6 +122,7 @@
         'draining',
         'endpoints',
         'forbidden',
+        'leaving',
         'link_ms',
         'node',
         'node_count',
@@ -143,6 +143,7 @@
         self.endpoints: dict[str, EndpointState] = {}
         self.pools: dict[str, Pool] = {}
         self.budgets: dict[str, RetryBudget] = {}
+        self.leaving: set[str] = set()
         self.link_ms: dict[tuple[str, str], float] = {}
         self.cached_prefixes: dict[tuple[str, str], frozenset[str]] = {}
         self.running_by_account: Counter[str] = Counter()
--- a/samphirerill/node/actions.py
+++ b/samphirerill/node/actions.py
@@ -147,8 +147,9 @@
 @perform.register(SettleClaim)
 def perform_settle(command: SettleClaim, node: Node) -> None:
     """Queue a claim's outcome, with the answer if it is small enough."""
-    session = node.sessions[command.request_id]
-    _claims(node).settle(command, _pack_answer(command, session))
+    session = node.sessions.get(command.request_id)
+    answer = {} if session is None else _pack_answer(command, session)
+    _claims(node).settle(command, answer)
 
 
 @perform.register(ProbeEndpoint)
