--- a/samphirerill/cli/main.py
+++ b/samphirerill/cli/main.py
@@ -64,6 +64,7 @@
     _add_state(commands)
     _add_drain(commands)
     _add_tools(commands)
+    _add_bench(commands)
     # bench
     return parser
 
--- a/samphirerill/core/model.py
+++ b/samphirerill/core/model.py
@@ -83,7 +83,7 @@
     service_timeout_s: float = 30.0
     max_attempts: int = 4
     retry_ratio: float = 0.2
-    retry_floor: float = 10.0
+    retry_burst: float = 50.0
     max_queue: int = 10_000
     leave_within_s: float = 3.0
 
--- a/samphirerill/core/starting.py
+++ b/samphirerill/core/starting.py
@@ -21,7 +21,6 @@
 if TYPE_CHECKING:
     from samphirerill.core.state import CoreState, RequestState
 
-_BUDGET_CEILING = 50.0
 _RETRY_AFTER_S = 1.0
 
 
@@ -48,9 +47,17 @@
 
 def start_attempt(state: CoreState, req: RequestState, now: float) -> bool:
     """Open an attempt if there is room; return whether it was opened."""
-    stages = _choose_stages(state, req)
+    stages = choose_stages(state, req)
     if not stages:
         return False
+    open_attempt(state, req, stages, now)
+    return True
+
+
+def open_attempt(
+    state: CoreState, req: RequestState, stages: tuple[Stage, ...], now: float
+) -> None:
+    """Open an attempt over stages that have room."""
     is_service = req.route.kind == SERVICE_ROUTE
     attempt = AttemptState(
         state.next_attempt_id(),
@@ -76,7 +83,16 @@
             is_service,
         ),
     )
-    return True
+
+
+def choose_stages(state: CoreState, req: RequestState) -> tuple[Stage, ...]:
+    """Return stages with room for a request, or an empty tuple."""
+    if req.route.kind == SERVICE_ROUTE:
+        return choose_service(state, req.route.endpoints, req.avoid)
+    held = state.cached_prefixes.get((req.account, req.fingerprint))
+    return choose_pipeline(
+        state, req.route.model, req.avoid, held or frozenset()
+    )
 
 
 def retry_or_refuse(
@@ -134,16 +150,19 @@
         req = state.requests[ticket.request_id]
         if _is_over_limit(state, req):
             continue
-        if not _choose_stages(state, req):
+        stages = choose_stages(state, req)
+        if not stages:
             return False
         pool.take(ticket, now)
         state.running_by_account[req.account] += 1
-        _start_taken(state, req, now)
+        _start_taken(state, req, stages, now)
         return True
     return False
 
 
-def _start_taken(state: CoreState, req: RequestState, now: float) -> None:
+def _start_taken(
+    state: CoreState, req: RequestState, stages: tuple[Stage, ...], now: float
+) -> None:
     if req.key and not req.claimed:
         req.phase = Phase.CLAIMING
         state.emit(
@@ -156,17 +175,7 @@
             ),
         )
         return
-    if not start_attempt(state, req, now):
-        wait_in_front(state, req, now)
-
-
-def _choose_stages(state: CoreState, req: RequestState) -> tuple[Stage, ...]:
-    if req.route.kind == SERVICE_ROUTE:
-        return choose_service(state, req.route.endpoints, req.avoid)
-    held = state.cached_prefixes.get((req.account, req.fingerprint))
-    return choose_pipeline(
-        state, req.route.model, req.avoid, held or frozenset()
-    )
+    open_attempt(state, req, stages, now)
 
 
 def _is_over_limit(state: CoreState, req: RequestState) -> bool:
@@ -205,7 +214,7 @@
     if name not in state.budgets:
         state.budgets[name] = RetryBudget(
             limits.retry_ratio,
-            max(_BUDGET_CEILING, limits.retry_floor),
-            limits.retry_floor,
+            limits.retry_burst,
+            limits.retry_burst,
         )
     return state.budgets[name]
--- a/samphirerill/settings/schema.py
+++ b/samphirerill/settings/schema.py
@@ -103,7 +103,7 @@
         'service_timeout_s': _number(0.01, 'seconds'),
         'max_attempts': _number(1, 'attempts', 'integer'),
         'retry_ratio': _number(0, 'retries for each request'),
-        'retry_floor': _number(0, 'retries'),
+        'retry_burst': _number(0, 'retries'),
         'max_queue': _number(1, 'requests', 'integer'),
         'leave_within_s': _number(0, 'seconds'),
     }
--- a/samphirerill/testing/cluster.py
+++ b/samphirerill/testing/cluster.py
@@ -130,6 +130,16 @@
 
     def start(self) -> None:
         """Start stand-ins and nodes, and accept the first configuration."""
+        self.start_stand_ins()
+        for _ in range(self._count):
+            self.add_node()
+        document = self._layout.to_document(self.addresses)
+        self.wait_ready(version=0)
+        self.submit([{'op': 'replace', 'path': '', 'value': document}])
+        self.wait_ready(self.version)
+
+    def start_stand_ins(self) -> None:
+        """Start the stand-ins alone."""
         self._host = subprocess.Popen(  # noqa: S603
             _build_command(
                 'samphirerill.testing.host', json.dumps(self._layout.to_spec())
@@ -141,12 +151,6 @@
         if self._host.stdout is None:
             raise ClusterError('the stand-ins have no output')
         self.addresses = json.loads(self._host.stdout.readline())
-        for _ in range(self._count):
-            self.add_node()
-        document = self._layout.to_document(self.addresses)
-        self.wait_ready(version=0)
-        self.submit([{'op': 'replace', 'path': '', 'value': document}])
-        self.wait_ready(self.version)
 
     def add_node(self) -> NodeProcess:
         """Start one more node."""
--- a/samphirerill/testing/engine.py
+++ b/samphirerill/testing/engine.py
@@ -98,6 +98,8 @@
         self.layer_ms = layer_ms
         self.faults = Faults()
         self.counts: Counter[str] = Counter()
+        self.prompts: set[str] = set()
+        self.last_start = 0.0
         self.address = ''
         self._running: dict[Path, list[Sequence]] = {}
         self._waiting: list[Sequence] = []
@@ -157,6 +159,8 @@
             return
         sequence = _read_sequence(request)
         self.counts['sequences'] += 1
+        self.prompts.add(sequence.prompt)
+        self.last_start = time.monotonic()
         headers = {
             'Content-Type': 'text/event-stream',
             'endpoint-load-metrics': json.dumps(self._describe_load()),
@@ -288,7 +292,13 @@
     def _describe(self, path: str) -> dict[str, Any]:
         if path == '/load':
             return self._describe_load()
-        return dict(self.counts) if path == '/stats' else {'healthy': True}
+        if path != '/stats':
+            return {'healthy': True}
+        return {
+            **self.counts,
+            'last_start': self.last_start,
+            'prompts': sorted(self.prompts),
+        }
 
     def _describe_load(self) -> dict[str, Any]:
         figures = {'running': self.running(), 'waiting': len(self._waiting)}
--- a/samphirerill/testing/httpd.py
+++ b/samphirerill/testing/httpd.py
@@ -47,7 +47,7 @@
         self.closed = False
         self.on_close: Callable[[], None] | None = None
         self._parser = HttpRequestParser(self)
-        self._queue: asyncio.Queue[Request | None] = asyncio.Queue()
+        self._queue: asyncio.Queue[Request] = asyncio.Queue()
         self._reset()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -58,7 +58,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop; tell whoever streams on this connection."""
         self.closed = True
-        self._queue.put_nowait(None)
+        self._task.cancel()
         if self.on_close is not None:
             self.on_close()
 
@@ -129,10 +129,7 @@
 
     async def _serve(self) -> None:
         while True:
-            request = await self._queue.get()
-            if request is None:
-                return
-            await self.handler(request)
+            await self.handler(await self._queue.get())
 
 
 def _format_headers(headers: dict[str, str] | None) -> list[str]:
--- a/samphirerill/testing/kv.py
+++ b/samphirerill/testing/kv.py
@@ -12,6 +12,7 @@
 import json
 import time
 from collections import Counter, defaultdict
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 from samphirerill.testing.httpd import Connection
@@ -115,19 +116,21 @@
         connection.start_chunks({'Content-Type': 'application/json'})
         self._send_watch(connection, {'created': True})
         while not connection.closed and not self.down:
+            changed = self._changed
             if not self.silent:
-                changed = self._changed
                 found = self.rules.list_changes(
                     {**call, 'start_revision': start}
                 )
                 start = self.rules.revision + 1
                 if found:
                     self._send_watch(connection, {'events': found})
-            await asyncio.wait(
-                [asyncio.ensure_future(changed.wait())], timeout=1
-            )
+            await self._wait_change(changed)
         connection.abort()
 
+    async def _wait_change(self, changed: asyncio.Event) -> None:
+        with suppress(TimeoutError):
+            await asyncio.wait_for(changed.wait(), timeout=1)
+
     def _send_watch(
         self, connection: Connection, document: dict[str, Any]
     ) -> None:
--- a/samphirerill/tests/test_whole_path.py
+++ b/samphirerill/tests/test_whole_path.py
@@ -6,44 +6,20 @@
 import threading
 import time
 import unittest
-from typing import ClassVar
 
 from samphirerill.testing.clients import call_raw, complete
-from samphirerill.testing.cluster import Cluster
 from samphirerill.testing.engine import make_token
-from samphirerill.testing.layout import (
-    BRIDAL_KEY,
-    COACH_KEY,
-    build_three_stages,
-)
+from samphirerill.testing.layout import BRIDAL_KEY, COACH_KEY
+from samphirerill.tests.support import ClusterCase
 
 
-class WholePathCase(unittest.TestCase):
-    """Shares one small cluster between the tests of a class."""
-
-    cluster: ClassVar[Cluster]
-    nodes: ClassVar[int] = 1
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        """Start stand-ins and nodes."""
-        cls.cluster = Cluster(build_three_stages(), cls.nodes)
-        cls.addClassCleanup(cls.cluster.stop)
-        cls.cluster.start()
-
-    def assert_whole(self, texts: list[str], prompt: str, count: int) -> None:
-        """Every token came once, in order."""
-        expected = [make_token(prompt, index) for index in range(count)]
-        self.assertEqual(texts, expected)
-
-
-class TestAnswersAreWhole(WholePathCase):
+class TestAnswersAreWhole(ClusterCase):
     """A request gets its whole answer, streamed or not."""
 
     def test_streamed_answer_names_stages_and_outcome(self) -> None:
         """Each token was run by stages that cover each layer once."""
         answer = complete(
-            self.cluster.nodes[0].callers,
+            self.callers,
             COACH_KEY,
             'plans',
             'block one',
@@ -63,7 +39,7 @@
     def test_answer_that_is_not_streamed(self) -> None:
         """The whole text comes in one document."""
         answer = complete(
-            self.cluster.nodes[0].callers,
+            self.callers,
             COACH_KEY,
             'plans',
             'block two',
@@ -82,7 +58,7 @@
             'max_tokens': 3,
         }
         answer = call_raw(
-            self.cluster.nodes[0].callers,
+            self.callers,
             '/v1/chat/completions',
             COACH_KEY,
             json.dumps(body).encode(),
@@ -94,7 +70,7 @@
     def test_plain_service_gets_method_path_and_body(self) -> None:
         """Any method and body reach the plain service."""
         answer = call_raw(
-            self.cluster.nodes[0].callers,
+            self.callers,
             '/svc/lookups/orders/7?full=1',
             BRIDAL_KEY,
             b'abc',
@@ -108,7 +84,7 @@
         self.assertEqual(answer.outcome, 'answered')
 
 
-class TestStageDeath(WholePathCase):
+class TestStageDeath(ClusterCase):
     """A stage that dies halfway is replaced without a seam."""
 
     def test_stream_carries_on_from_the_last_token(self) -> None:
@@ -131,9 +107,7 @@
 
         killer = threading.Thread(target=kill)
         killer.start()
-        answer = complete(
-            self.cluster.nodes[0].callers, COACH_KEY, 'plans', 'knee', 50
-        )
+        answer = complete(self.callers, COACH_KEY, 'plans', 'knee', 50)
         killer.join()
         self.assertEqual(len(found), 1)
         self.assert_whole(answer.texts, 'knee', 50)
