Turn errors into results where they are handled on the spot; bench 'overhead'

Cause: the house style asks for 'result'; callers of blocking calls wrapped each call in its own try. Change: StoreWorker.attempt, PeerClients and VmList return results; errors that pass through layers stay exceptions. A bench that streams through a node and directly to the engines in the same run, at 1, 50, 100 and 200 streams.

--- a/samphirerill/backends/peers.py
+++ b/samphirerill/backends/peers.py
@@ -14,6 +14,7 @@
 
 from grpc import RpcError
 from grpc.aio import Channel, insecure_channel, server
+from result import Err, Ok, Result
 
 from samphirerill.backends.peers_pb2 import (
     ClaimGroup,
@@ -100,44 +101,40 @@
         self._most = most
         self._channels: dict[str, Channel] = {}
 
-    async def exchange(self, address: str, word: Word) -> Word:
-        """Send a word and return the answer.
-
-        Raises
-        ------
-        PeerError
-            No answer came in time.
-        """
+    async def exchange(
+        self, address: str, word: Word
+    ) -> Result[Word, PeerError]:
+        """Send a word and return the answer, or that none came in time."""
         stub = PeersStub(await self._find_channel(address))
         try:
             answer = await stub.Exchange(
                 _to_wire(word), timeout=EXCHANGE_TIMEOUT_S
             )
-        except RpcError as exc:
-            raise PeerError(f'no answer from {address}') from exc
-        return _from_wire(answer)
+        except RpcError:
+            return Err(PeerError(f'no answer from {address}'))
+        return Ok(_from_wire(answer))
 
-    async def collect(self, address: str, batch: Batch) -> list[Verdict]:
+    async def collect(
+        self, address: str, batch: Batch
+    ) -> Result[list[Verdict], PeerError]:
         """Have another node write a batch; return its verdicts.
 
-        Raises
-        ------
-        PeerError
-            No answer came in time; the batch may have been written.
+        If no answer came in time, the batch may have been written.
         """
         stub = PeersStub(await self._find_channel(address))
         try:
             answer = await stub.Collect(
                 _build_group(batch), timeout=COLLECT_TIMEOUT_S
             )
-        except RpcError as exc:
-            raise PeerError(f'no verdicts from {address}') from exc
+        except RpcError:
+            return Err(PeerError(f'no verdicts from {address}'))
         by_request = {claim.request_id: claim for claim in batch.claims}
-        return [
+        verdicts = [
             _read_verdict(note, by_request[note.request])
             for note in answer.verdicts
             if note.request in by_request
         ]
+        return Ok(verdicts)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/samphirerill/backends/vms.py
+++ b/samphirerill/backends/vms.py
@@ -9,6 +9,7 @@
 
 import json
 
+from result import Err, Ok, Result
 from urllib3 import PoolManager, Timeout
 from urllib3.exceptions import HTTPError
 
@@ -28,14 +29,8 @@
         self._url = f'http://{address}/vms'
         self._http = PoolManager(retries=False)
 
-    def read(self) -> VmListRead:
-        """Return which endpoints the list calls live and leaving.
-
-        Raises
-        ------
-        VmListError
-            No usable list came.
-        """
+    def read(self) -> Result[VmListRead, VmListError]:
+        """Return which endpoints are live and leaving, or why not."""
         try:
             response = self._http.request(
                 'GET', self._url, timeout=Timeout(total=_TIMEOUT_S)
@@ -47,8 +42,10 @@
                 for target in group['targets']
             }
         except (HTTPError, LookupError, TypeError, ValueError) as exc:
-            raise VmListError(f'got no list of VMs: {exc}') from exc
+            return Err(VmListError(f'got no list of VMs: {exc}'))
         leaving = {name for name in states if states[name] == 'leaving'}
-        return VmListRead(
-            live=frozenset(states) - leaving, leaving=frozenset(leaving)
+        return Ok(
+            VmListRead(
+                live=frozenset(states) - leaving, leaving=frozenset(leaving)
+            ),
         )
--- a/samphirerill/bench/calls.py
+++ b/samphirerill/bench/calls.py
@@ -21,13 +21,17 @@
 
 @dataclass(slots=True)
 class Ask:
-    """One request to send; `due_at` is when it arrives, whatever happens."""
+    """One request to send; `due_at` is when it arrives, whatever happens.
+
+    `extra` is added to its body, for calls that go to an engine directly.
+    """
 
     due_at: float
     prompt: str
     tokens: int
     key: str
     route: str = 'plans'
+    extra: dict[str, Any] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -164,6 +168,7 @@
             'prompt': ask.prompt,
             'max_tokens': ask.tokens,
             'stream': True,
+            **ask.extra,
         }
     ).encode()
     head = (
--- a/samphirerill/bench/catalogue.py
+++ b/samphirerill/bench/catalogue.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from samphirerill.bench import scenes, state_scenes
+from samphirerill.bench import overhead, scenes, state_scenes
 from samphirerill.bench.scenes import Scene, build_layout
 from samphirerill.bench.targets import OurTarget, RivalTarget, Target
 from samphirerill.testing.layout import Layout
@@ -38,6 +38,12 @@
             'goodput at the bound; times and processor cost below it',
             scenes.run_throughput,
         ),
+        Bench(
+            'overhead',
+            'what a node adds to direct calls, at 1 to 200 live streams',
+            overhead.run_overhead,
+            overhead.build_overhead_layout,
+        ),
         Bench(
             'overload',
             'twice the bound, priorities and a small account',
--- a/samphirerill/node/claim_carriers.py
+++ b/samphirerill/node/claim_carriers.py
@@ -11,7 +11,8 @@
 from hashlib import sha256
 from typing import TYPE_CHECKING, Protocol
 
-from samphirerill.backends.peers import PeerError
+from result import Err
+
 from samphirerill.backends.store import StoreUnreachableError
 from samphirerill.control.claims import (
     Batch,
@@ -73,12 +74,12 @@
         self, batch: Batch, lease: str
     ) -> tuple[list[Verdict], list[Claim]]:
         """Send a batch to the node that gathers, and wait for its word."""
-        try:
-            verdicts = await self._clients.collect(self._address, batch)
-        except PeerError as exc:
+        answer = await self._clients.collect(self._address, batch)
+        if isinstance(answer, Err):
             raise StoreUnreachableError(
-                str(exc), may_have_applied=True
-            ) from exc
+                str(answer.err_value), may_have_applied=True
+            )
+        verdicts = answer.ok_value
         if any(verdict.state == UNKNOWN for verdict in verdicts):
             raise StoreUnreachableError(
                 'the gathering node gave no verdict', may_have_applied=True
--- a/samphirerill/node/claim_releases.py
+++ b/samphirerill/node/claim_releases.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from samphirerill.backends.store import StoreError
+from result import Ok
+
 from samphirerill.control.claims import build_release
 
 if TYPE_CHECKING:
@@ -62,8 +63,7 @@
 
     async def _remove(self, release: _Release) -> bool:
         transaction = build_release(release.claim)
-        try:
-            await self._worker.run(self._worker.store.commit, transaction)
-        except StoreError:
-            return False
-        return True
+        done = await self._worker.attempt(
+            self._worker.store.commit, transaction
+        )
+        return isinstance(done, Ok)
--- a/samphirerill/node/commander.py
+++ b/samphirerill/node/commander.py
@@ -9,6 +9,7 @@
 
 from msgspec import DecodeError, Struct
 from msgspec.json import Decoder
+from result import Err
 
 from samphirerill.backends.store import (
     Absent,
@@ -102,9 +103,10 @@
         lease = self._lease
         self._lease = ''
         self._tenure = None
-        try:
-            await self._worker.run(self._worker.store.revoke_lease, lease)
-        except StoreError:
+        revoked = await self._worker.attempt(
+            self._worker.store.revoke_lease, lease
+        )
+        if isinstance(revoked, Err):
             _LOG.info('the key will lapse by itself')
 
     async def _hold_office(self) -> None:
--- a/samphirerill/node/follower.py
+++ b/samphirerill/node/follower.py
@@ -12,6 +12,8 @@
 import threading
 from typing import TYPE_CHECKING, Any
 
+from result import Err, Ok
+
 from samphirerill.backends.store import StoreError
 from samphirerill.control.configuration_log import (
     LOG,
@@ -117,13 +119,12 @@
     async def _load_first(self) -> Loaded:
         pause_s = _LEAST_PAUSE_S
         while True:
-            try:
-                loaded = await self._worker.run(self.log.load)
-            except StoreError as exc:
-                _LOG.warning('service not there', extra={'error': str(exc)})
-            else:
+            loaded = await self._worker.attempt(self.log.load)
+            if isinstance(loaded, Ok):
                 self.evidence.note_store_read(self._node.loop.time())
-                return loaded
+                return loaded.ok_value
+            why = str(loaded.err_value)
+            _LOG.warning('service not there', extra={'error': why})
             await asyncio.sleep(_jitter(pause_s))
             pause_s = min(_MOST_PAUSE_S, 2 * pause_s)
 
@@ -144,24 +145,23 @@
         _LOG.info('in force', extra={'version': self.view.version})
 
     async def _poll(self) -> None:
-        try:
-            version = await self._worker.run(self.log.read_version)
-        except StoreError as exc:
-            _LOG.debug('poll failed', extra={'error': str(exc)})
+        version = await self._worker.attempt(self.log.read_version)
+        if isinstance(version, Err):
+            _LOG.debug('poll failed', extra={'error': str(version.err_value)})
             return
         self.evidence.note_store_read(self._node.loop.time())
-        self.view.note_known(version)
+        self.view.note_known(version.ok_value)
         if self.view.is_behind():
             await self._catch_up()
 
     async def _catch_up(self) -> None:
         """Read what a silent watch has not brought."""
-        try:
-            loaded = await self._worker.run(self.log.load)
-        except StoreError as exc:
-            _LOG.warning('catch-up failed', extra={'error': str(exc)})
+        loaded = await self._worker.attempt(self.log.load)
+        if isinstance(loaded, Err):
+            why = str(loaded.err_value)
+            _LOG.warning('catch-up failed', extra={'error': why})
             return
-        self.install(loaded.version, loaded.document)
+        self.install(loaded.ok_value.version, loaded.ok_value.document)
 
     def _poll_gap_s(self) -> float:
         """Spread the fleet's polls, so that they stay within its reads."""
--- a/samphirerill/node/gossip.py
+++ b/samphirerill/node/gossip.py
@@ -13,6 +13,8 @@
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any
 
+from result import Err
+
 from samphirerill.backends.peers import (
     PeerClients,
     PeerError,
@@ -114,13 +116,12 @@
         return random.sample(known, min(PARTNERS, len(known)))
 
     async def _talk(self, address: str) -> Word | None:
-        try:
-            answer = await self.clients.exchange(address, self._build_word())
-        except PeerError as exc:
-            _LOG.debug('no word', extra={'reason': str(exc)})
+        answer = await self.clients.exchange(address, self._build_word())
+        if isinstance(answer, Err):
+            _LOG.debug('no word', extra={'reason': str(answer.err_value)})
             return None
-        self._hear(answer)
-        return answer
+        self._hear(answer.ok_value)
+        return answer.ok_value
 
     def _answer(self, word: Word) -> Word:
         """Answer a peer's word with all that it lacks."""
--- a/samphirerill/node/members.py
+++ b/samphirerill/node/members.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from result import Err
+
 from samphirerill.backends.store import Put, StoreError, Transaction
 from samphirerill.core.events import NodesSeen
 from samphirerill.node.logs import get_logger
@@ -102,9 +104,10 @@
         """Take this node's key away at once."""
         if not self._lease:
             return
-        try:
-            await self._worker.run(self._worker.store.revoke_lease, self._lease)
-        except StoreError:
+        revoked = await self._worker.attempt(
+            self._worker.store.revoke_lease, self._lease
+        )
+        if isinstance(revoked, Err):
             _LOG.info('the lease will lapse by itself')
 
     async def _renew(self, lease_s: int) -> None:
@@ -124,14 +127,13 @@
         """Read the list once; afterwards the watch brings its changes."""
         prefix = f'{self._prefix}{NODES}'
         while True:
-            try:
-                found = await self._worker.run(
-                    self._worker.store.read_prefix, prefix
-                )
-            except StoreError:
+            found = await self._worker.attempt(
+                self._worker.store.read_prefix, prefix
+            )
+            if isinstance(found, Err):
                 await asyncio.sleep(_RETRY_S)
                 continue
-            for entry in found.entries:
+            for entry in found.ok_value.entries:
                 self._take_entry(entry)
             self._tell()
             return
--- a/samphirerill/node/vm_reader.py
+++ b/samphirerill/node/vm_reader.py
@@ -13,8 +13,10 @@
 import random
 from typing import TYPE_CHECKING
 
-from samphirerill.backends.store import Put, StoreError, Transaction
-from samphirerill.backends.vms import VmList, VmListError
+from result import Err
+
+from samphirerill.backends.store import Put, Transaction
+from samphirerill.backends.vms import VmList
 from samphirerill.core.events import VmListRead
 from samphirerill.node.logs import get_logger
 
@@ -44,12 +46,11 @@
     async def run(self) -> None:
         """Read and share for ever."""
         while True:
-            try:
-                event = await self._worker.run(self._vms.read)
-            except VmListError as exc:
-                _LOG.debug('no list', extra={'error': str(exc)})
+            found = await self._worker.run(self._vms.read)
+            if isinstance(found, Err):
+                _LOG.debug('no list', extra={'error': str(found.err_value)})
             else:
-                await self._take(event)
+                await self._take(found.ok_value)
             await asyncio.sleep(self._gap_s() * random.uniform(*SPREAD))  # noqa: S311
 
     async def _take(self, event: VmListRead) -> None:
@@ -72,10 +73,11 @@
             puts=[Put(f'{prefix}{name}', 'leaving') for name in new],
             deletes=[f'{prefix}{name}' for name in back],
         )
-        try:
-            await self._worker.run(self._worker.store.commit, transaction)
-        except StoreError as exc:
-            _LOG.debug('not shared', extra={'error': str(exc)})
+        done = await self._worker.attempt(
+            self._worker.store.commit, transaction
+        )
+        if isinstance(done, Err):
+            _LOG.debug('not shared', extra={'error': str(done.err_value)})
 
 
 def read_leaving(prefix: str, batch: WatchBatch) -> VmListRead | None:
