Bounded subsets, gentle starts, and fuzzing of what is agreed

Causes: a node's choice and polls grew with the fleet; all nodes fill a newcomer before its first report; patches, views and commanders were not fuzzed.

--- a/samphirerill/bench/targets.py
+++ b/samphirerill/bench/targets.py
@@ -63,7 +63,7 @@
         return [
             node.callers
             for node in self.cluster.nodes
-            if node.process.poll() is None
+            if node.callers and node.process.poll() is None
         ]
 
     def read_cpu_s(self) -> float:
--- a/samphirerill/control/configuration_log.py
+++ b/samphirerill/control/configuration_log.py
@@ -104,9 +104,15 @@
     Every method blocks; call from a thread that may wait.
     """
 
-    def __init__(self, store: KeyValueStore, prefix: str) -> None:
+    def __init__(
+        self,
+        store: KeyValueStore,
+        prefix: str,
+        settle_pause_s: float = _SETTLE_PAUSE_S,
+    ) -> None:
         self._store = store
         self._prefix = prefix
+        self._settle_pause_s = settle_pause_s
         self._parts = Parts(store, prefix)
 
     def load(self) -> Loaded:
@@ -232,7 +238,7 @@
                 unsure = unsure or exc.may_have_applied
                 if not unsure:
                     raise
-            time.sleep(_SETTLE_PAUSE_S)
+            time.sleep(self._settle_pause_s)
         raise UnknownResultError(change.version)
 
     def _check_own(self, change: Change, found: dict[str, Stored]) -> None:
--- a/samphirerill/core/on_fleet.py
+++ b/samphirerill/core/on_fleet.py
@@ -14,8 +14,10 @@
 )
 from samphirerill.core.handling import handle
 from samphirerill.core.on_attempts import LONGEST_LAG_S, suspect_endpoint
+from samphirerill.core.placement import GENTLE_S
 from samphirerill.core.starting import dispatch_all, dispatch_pool
 from samphirerill.core.state import EndpointState, Health
+from samphirerill.core.subsets import group_by_model
 
 if TYPE_CHECKING:
     from samphirerill.core.model import Endpoint
@@ -32,6 +34,7 @@
     Only a rising number keeps an accepted configuration from reverting.
     """
     configuration = event.configuration
+    is_first = not state.configuration.version
     if configuration.version <= state.configuration.version:
         state.counters['configuration.stale'] += 1
         return
@@ -40,11 +43,12 @@
     for name, endpoint in configuration.endpoints.items():
         found = state.endpoints.get(name)
         if found is None or found.endpoint.address != endpoint.address:
-            found = _build_endpoint_state(state, endpoint, now)
+            gentle_until = now if is_first else now + GENTLE_S
+            found = _build_endpoint_state(state, endpoint, gentle_until)
         found.endpoint = endpoint
         kept[name] = found
     state.endpoints = kept
-    state.by_model = _group_by_model(kept)
+    state.by_model = group_by_model(state.node, kept)
     state.link_ms = {
         pair: known
         for pair, known in state.link_ms.items()
@@ -74,15 +78,6 @@
     dispatch_all(state, now)
 
 
-def _group_by_model(
-    endpoints: dict[str, EndpointState],
-) -> dict[str, list[EndpointState]]:
-    grouped: dict[str, list[EndpointState]] = {}
-    for found in endpoints.values():
-        grouped.setdefault(found.endpoint.model, []).append(found)
-    return grouped
-
-
 def _revive(state: CoreState, name: str) -> None:
     found = state.endpoints.get(name)
     if found is not None:
@@ -90,14 +85,14 @@
 
 
 def _build_endpoint_state(
-    state: CoreState, endpoint: Endpoint, now: float
+    state: CoreState, endpoint: Endpoint, gentle_until: float
 ) -> EndpointState:
     """Return the state of an endpoint that the configuration brings.
 
     One that is known to be leaving stays so, even if operators took it out
     and put it back meanwhile.
     """
-    found = EndpointState(endpoint, first_used_at=now)
+    found = EndpointState(endpoint, gentle_until=gentle_until)
     if endpoint.name in state.leaving:
         found.health = Health.LEAVING
     return found
--- a/samphirerill/core/placement.py
+++ b/samphirerill/core/placement.py
@@ -26,6 +26,7 @@
 _LINK_SMOOTHING = 0.3
 _CACHE_GAIN = 0.5
 _LEAST_HOP_MS = 0.3
+GENTLE_S = 5.0
 
 
 @dataclass(slots=True)
@@ -116,10 +117,15 @@
 
     Reports are late and all nodes read the same ones, so a node may always
     use its fair share; above that it uses only what others seem to leave.
+    One that has just joined gets work little by little, as all nodes hear of
+    it at once and would fill it before its first report.
     """
     slots = found.endpoint.slots
     share = max(1, slots // max(1, state.node_count))
     allowed = max(share, slots - found.others())
+    if state.now < found.gentle_until:
+        grown = 1 - (found.gentle_until - state.now) / GENTLE_S
+        allowed = min(allowed, max(1, int(slots * grown)))
     return allowed - found.in_flight
 
 
--- a/samphirerill/core/router.py
+++ b/samphirerill/core/router.py
@@ -52,6 +52,7 @@
         now : float
             Seconds on the node's monotonic clock; never goes back.
         """
+        self.state.now = now
         handle(event, self.state, now)
         out = self.state.out
         self.state.out = []
--- a/samphirerill/core/state.py
+++ b/samphirerill/core/state.py
@@ -87,7 +87,8 @@
     """What this node knows of one endpoint.
 
     `running` and `waiting` are the endpoint's own, late figures;
-    `own_at_report` is this node's share of them when they came.
+    `own_at_report` is this node's share of them when they came. Until
+    `gentle_until` the endpoint is new and gets work little by little.
     """
 
     endpoint: Endpoint
@@ -98,7 +99,7 @@
     own_at_report: int = 0
     suspect_until: float = 0
     reported_at: float = 0
-    first_used_at: float = 0
+    gentle_until: float = 0
 
     def others(self) -> int:
         """Return how much of the endpoint other nodes use."""
@@ -130,6 +131,7 @@
         'link_ms',
         'node',
         'node_count',
+        'now',
         'out',
         'pools',
         'prefixes',
@@ -156,6 +158,7 @@
         self.counters: Counter[str] = Counter()
         self.deadlines: list[tuple[float, str, str]] = []
         self.node_count = 1
+        self.now = 0.0
         self.sequence = 0
         self.draining = False
         self.forbidden = ''
--- a/samphirerill/node/probes.py
+++ b/samphirerill/node/probes.py
@@ -85,7 +85,8 @@
     before = node.loop.time() - FRESH_FOR_S
     stale = [
         found
-        for found in node.router.state.endpoints.values()
+        for replicas in node.router.state.by_model.values()
+        for found in replicas
         if found.endpoint.kind == ENGINE and found.reported_at < before
     ]
     return min(stale, key=lambda item: item.reported_at, default=None)
--- a/samphirerill/properties/long_run.py
+++ b/samphirerill/properties/long_run.py
@@ -15,14 +15,15 @@
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import invariant, run_state_machine_as_test
 
+from samphirerill.properties.agreement import AgreementMachine
 from samphirerill.properties.machine import RouterMachine
 
 _STEPS = 80
-_EXAMPLES = 3000
+_EXAMPLES = 1500
 
 
-class _Counting(RouterMachine):
-    """Counts the steps and requests of all examples."""
+class _CountingRouter(RouterMachine):
+    """Counts the steps, and how requests ended."""
 
     counts: ClassVar[Counter[str]] = Counter()
 
@@ -37,11 +38,26 @@
             self.counts.update(asked.ends or ('open at the end',))
 
 
+class _CountingAgreement(AgreementMachine):
+    """Counts the steps, and what was accepted."""
+
+    counts: ClassVar[Counter[str]] = Counter()
+
+    @invariant()
+    def count_step(self) -> None:
+        """Count one step."""
+        self.counts['steps'] += 1
+
+    def teardown(self) -> None:
+        """Count the patches that were accepted and those submitted."""
+        self.counts['accepted'] += len(self.accepted)
+        self.counts['submitted'] += self.number
+
+
 def run_long() -> int:
     """Fuzz until done; a broken promise ends it with its shortest story."""
     examples = int(os.environ.get('EXAMPLES', _EXAMPLES))
     number = int(os.environ.get('SEED', '0'))
-    started = time.monotonic()
     chosen = settings(
         max_examples=examples,
         stateful_step_count=_STEPS,
@@ -50,12 +66,14 @@
         phases=(Phase.generate, Phase.shrink),
         suppress_health_check=list(HealthCheck),
     )
-    run_state_machine_as_test(seed(number)(_Counting), settings=chosen)
-    spent_s = time.monotonic() - started
-    sys.stdout.write(
-        f'seed {number}: {examples} examples, {spent_s:.0f} s, '
-        f'0 broken promises, {dict(_Counting.counts)}\n'
-    )
+    for machine in (_CountingRouter, _CountingAgreement):
+        started = time.monotonic()
+        run_state_machine_as_test(seed(number)(machine), settings=chosen)
+        spent_s = time.monotonic() - started
+        sys.stdout.write(
+            f'{machine.__name__}, seed {number}: {examples} examples, '
+            f'{spent_s:.0f} s, 0 broken promises, {dict(machine.counts)}\n'
+        )
     return 0
 
 
--- /dev/null
+++ b/samphirerill/tests/test_fleet.py
@@ -0,0 +1,92 @@
+"""A fleet that grows and changes: subsets, and new endpoints."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+from typing import Any
+
+from samphirerill.bench.slopes import build_large_document
+from samphirerill.core.commands import OpenAttempt
+from samphirerill.core.events import ConfigurationAccepted, RequestArrived
+from samphirerill.core.model import build_configuration
+from samphirerill.core.placement import GENTLE_S, count_free
+from samphirerill.core.router import Router
+from samphirerill.core.subsets import SUBSET
+
+_MODELS = 2
+_REPLICAS = 800
+_RANGES = 4
+
+
+def _start(name: str, document: dict[str, Any]) -> Router:
+    router = Router(name, seed=1)
+    event = ConfigurationAccepted(build_configuration(document, 1))
+    router.apply(event, 0)
+    return router
+
+
+class TestSubsets(unittest.TestCase):
+    """A node uses a part of a large fleet, and the nodes spread evenly."""
+
+    def test_every_range_stays_held_by_a_bounded_number(self) -> None:
+        """Whatever the size, a request finds a whole pipeline."""
+        document = build_large_document(_REPLICAS, 10, _MODELS)
+        router = _start('n1', document)
+        for replicas in router.state.by_model.values():
+            self.assertEqual(len(replicas), SUBSET * _RANGES)
+        arrived = RequestArrived('r1', 'account-1', 'r1', 100)
+        commands = router.apply(arrived, 1)
+        self.assertIsInstance(commands[0], OpenAttempt)
+
+    def test_nodes_choose_apart(self) -> None:
+        """No replica is left out, and none is chosen by all."""
+        document = build_large_document(_REPLICAS, 10, _MODELS)
+        chosen: Counter[str] = Counter()
+        for number in range(60):
+            router = _start(f'node-{number}', document)
+            for replicas in router.state.by_model.values():
+                chosen.update(found.endpoint.name for found in replicas)
+        self.assertEqual(len(chosen), _REPLICAS)
+        self.assertLess(max(chosen.values()), 35)
+
+
+class TestNewEndpoints(unittest.TestCase):
+    """A new VM takes work at once, gently."""
+
+    def setUp(self) -> None:
+        """Know a small fleet; later one engine joins it."""
+        document = build_large_document(8, 2, 1)
+        self.router = _start('n1', document)
+        endpoints = dict(document['endpoints'])
+        endpoints['new'] = {**endpoints['e0'], 'address': '10.9.9.9:1'}
+        joined = {**document, 'endpoints': endpoints}
+        event = ConfigurationAccepted(build_configuration(joined, 2))
+        self.router.apply(event, 10)
+
+    def find_free(self, name: str, now: float) -> int:
+        """Return how much an endpoint may be sent at a time."""
+        state = self.router.state
+        state.now = now
+        return count_free(state, state.endpoints[name])
+
+    def test_share_grows_from_one_to_all(self) -> None:
+        """All nodes hear of it at once; together they must not fill it.
+
+        Symptom: a new engine's first answers are slow, and some time out.
+        Sequence: it joins; every node finds it empty and sends it a full
+        load before its first report.
+        Cause: an empty endpoint was taken for one that is free for oneself.
+        """
+        self.assertEqual(self.find_free('new', 10), 1)
+        halfway = self.find_free('new', 10 + GENTLE_S / 2)
+        self.assertEqual(halfway, 16)
+        self.assertEqual(self.find_free('new', 10 + GENTLE_S), 32)
+
+    def test_node_that_starts_takes_the_fleet_as_it_is(self) -> None:
+        """For a new node all endpoints are new, but none has just joined."""
+        self.assertEqual(self.find_free('e0', 10), 32)
+
+
+if __name__ == '__main__':
+    unittest.main()
