--- a/samphirerill/node/actions.py
+++ b/samphirerill/node/actions.py
@@ -26,8 +26,7 @@
     SettleClaim,
     WriteClaim,
 )
-from samphirerill.core.prefixes import digest_prefixes
-from samphirerill.node.answers import KeptAnswer, read_prompt
+from samphirerill.node.answers import KeptAnswer
 from samphirerill.node.metrics import FIRST_TOKEN, TOKEN_GAP, WHOLE
 from samphirerill.node.probes import probe_endpoint
 
@@ -174,7 +173,7 @@
         {**session.caller.body, 'resume_text': ''.join(session.texts)},
         salt_account(session.account),
         session.priority,
-        digest_prefixes(session.account, read_prompt(session.caller)),
+        session.prefixes,
         trace=session.caller.trace,
     )
     on_layers = session.layers.__setitem__ if session.caller.trace else None
--- a/samphirerill/node/arrivals.py
+++ b/samphirerill/node/arrivals.py
@@ -69,6 +69,7 @@
         is_high = (account.priority or route.priority) == HIGH
         session.priority = HIGH if is_high else NORMAL
         timeout_s = min(caller.timeout_s or route.timeout_s, route.timeout_s)
+        session.prefixes = digest_prefixes(session.account, read_prompt(caller))
         self._node.sessions[session.request_id] = session
         self._node.apply(
             RequestArrived(
@@ -79,7 +80,7 @@
                 tokens=int(caller.body.get('max_tokens', 1)),
                 key=caller.key,
                 fingerprint=_fingerprint(caller),
-                prefixes=digest_prefixes(session.account, read_prompt(caller)),
+                prefixes=session.prefixes,
             ),
         )
 
--- a/samphirerill/node/sessions.py
+++ b/samphirerill/node/sessions.py
@@ -55,6 +55,7 @@
         self.caller = caller
         self.account = ''
         self.priority = ''
+        self.prefixes: tuple[str, ...] = ()
         self.texts: list[str] = []
         self.layers: dict[int, StageRuns] = {}
         self.answered = False
