Keep the claim writer alive when another node stops waiting

Symptom: after an outage a node refuses all keyed work for good. Sequence: a node gathers a claim for another; the service is away; the other's call is cancelled at its deadline; the claim is given up. Cause: the verdict was set on the cancelled future, which raised and ended the only task that writes claims. Found by reading the whole change. Before: the new test fails ('no verdict came'); after: 12 tests of claims pass.

--- a/samphirerill/node/claim_writer.py
+++ b/samphirerill/node/claim_writer.py
@@ -9,7 +9,7 @@
 import asyncio
 import time
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from samphirerill.backends.store import StoreError
 from samphirerill.control.claims import (
@@ -40,6 +40,7 @@
     from samphirerill.node.store_worker import StoreWorker
 
 _LOG = get_logger('claims')
+Told = TypeVar('Told')
 FLEET_WRITES_PER_S = 150
 LEAST_GAP_S = 0.02
 GIVE_UP_S = 2.0
@@ -231,8 +232,8 @@
     def _note_written(self, outcomes: list[_Outcome]) -> None:
         self.figures.settlements += len(outcomes)
         for item in outcomes:
-            if item.written is not None and not item.written.done():
-                item.written.set_result(None)
+            if item.written is not None:
+                _answer(item.written, None)
 
     async def _carry(self, batch: Batch) -> tuple[list[Verdict], list[Claim]]:
         """Take a batch to the service, by the way that is right now."""
@@ -268,7 +269,7 @@
             elif item.told is None:
                 self._give_up(item.claim, exc)
             else:
-                item.told.set_result(Verdict(item.claim, UNKNOWN))
+                _answer(item.told, Verdict(item.claim, UNKNOWN))
 
     def _give_up(self, claim: Claim, exc: StoreError) -> None:
         self.figures.failed += 1
@@ -296,8 +297,7 @@
             if waiting is None:
                 self._tell_own(verdict)
                 continue
-            if not waiting.done():
-                waiting.set_result(verdict)
+            _answer(waiting, verdict)
 
     def _tell_own(self, verdict: Verdict) -> None:
         self.figures.claims += 1
@@ -311,3 +311,13 @@
         alive = self._members.is_alive(verdict.holder)
         self._sink.apply(ClaimTaken(request_id, verdict.state, alive))
         self.answers.pop(request_id, None)
+
+
+def _answer(fut: asyncio.Future[Told], answer: Told) -> None:
+    """Answer another node's call, unless it has given up waiting.
+
+    A call whose deadline passed is cancelled. An answer set on it all the
+    same would raise, and end the only task that writes claims.
+    """
+    if not fut.done():
+        fut.set_result(answer)
--- a/samphirerill/tests/test_claims.py
+++ b/samphirerill/tests/test_claims.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any, cast
 
 from samphirerill.backends.peers import PeerClients, PeerServer
+from samphirerill.control.claims import Batch, Claim
 from samphirerill.core.commands import Outcome, SettleClaim, WriteClaim
 from samphirerill.core.events import ClaimFailed, ClaimTaken, ClaimWon
 from samphirerill.node.claim_carriers import COLLECT_ABOVE, pick_collector
@@ -276,5 +277,32 @@
         self.assertEqual(await self.sender.claim('r1', 'k'), ClaimFailed('r1'))
 
 
+class TestImpatientSenders(unittest.IsolatedAsyncioTestCase):
+    """A sender that gives up waiting harms nobody else."""
+
+    async def test_writer_outlives_a_cancelled_request(self) -> None:
+        """The gathering node goes on writing claims.
+
+        Symptom: after an outage a node refuses all keyed work for good.
+        Sequence: another node has it write a claim; the service is away;
+        the other node's deadline passes and its call is cancelled; the
+        claim is given up.
+        Cause: the verdict was set on a future that was cancelled, which
+        ended the only task that writes claims.
+        """
+        node = _Node('n1', Rules())
+        self.addCleanup(node.worker.stop)
+        self.addCleanup(node.task.cancel)
+        node.store.down = True
+        theirs = Claim('/p/claims/k', 'n2', 'r1', 'b')
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(
+                node.writer.collect(Batch([theirs])), timeout=0.5
+            )
+        await asyncio.sleep(1.5)
+        node.store.down = False
+        self.assertEqual(await node.claim('r2', 'other'), ClaimWon('r2'))
+
+
 if __name__ == '__main__':
     unittest.main()
