Let one piece of code serve where four twins stood

Cause: reading the whole change. A request's priority was chosen at the edge and in the core; waits were spread by five copies of one line; an endpoint was marked as leaving in two ways; the claims' lease was found by the writer and handed to carriers, one of which ignored it. Change: choose_priority in the model, node/jitter.py, CoreState.mark_leaving, and the lease where it is used. An endpoint that refused as leaving is now remembered so even if the configuration has dropped it, as the list's word was.

--- a/samphirerill/core/model.py
+++ b/samphirerill/core/model.py
@@ -123,6 +123,11 @@
         return self.links.get((source, target), DEFAULT_LINK_MS)
 
 
+def choose_priority(route: Route, account: Account) -> str:
+    """Return a request's priority: the account's own goes first."""
+    return HIGH if (account.priority or route.priority) == HIGH else NORMAL
+
+
 def build_configuration(
     document: dict[str, Any],
     version: int,
--- a/samphirerill/core/on_attempts.py
+++ b/samphirerill/core/on_attempts.py
@@ -46,7 +46,6 @@
     )
 
 LEAVING_DETAIL = 'leaving'
-LONGEST_LAG_S = 30.0
 SUSPECT_FOR_S = 2.0
 _MOVE_GAIN = 0.6
 _MOVE_LEAST_MS = 5.0
@@ -128,10 +127,8 @@
     drop_attempt(state, attempt)
     state.emit(CancelAttempt(attempt.attempt_id))
     req.avoid.add(head)
-    found = state.endpoints.get(head)
-    if found is not None and event.detail == LEAVING_DETAIL:
-        found.health = Health.LEAVING
-        state.leaving[head] = now + LONGEST_LAG_S
+    if event.detail == LEAVING_DETAIL:
+        state.mark_leaving(head, now)
     state.counters['attempts.refused'] += 1
     detail = f'the endpoint refused: {event.detail}'
     retry_or_refuse(
--- a/samphirerill/core/on_fleet.py
+++ b/samphirerill/core/on_fleet.py
@@ -13,7 +13,7 @@
     VmListRead,
 )
 from samphirerill.core.handling import handle
-from samphirerill.core.on_attempts import LONGEST_LAG_S, suspect_endpoint
+from samphirerill.core.on_attempts import suspect_endpoint
 from samphirerill.core.placement import GENTLE_S
 from samphirerill.core.starting import dispatch_all, dispatch_pool
 from samphirerill.core.state import EndpointState, Health
@@ -67,14 +67,11 @@
     is about to vanish.
     """
     for name in event.leaving:
-        state.leaving[name] = now + LONGEST_LAG_S
+        state.mark_leaving(name, now)
     for name in event.live:
         if state.leaving.get(name, now) < now:
             state.leaving.pop(name)
             _revive(state, name)
-    for name, found in state.endpoints.items():
-        if name in state.leaving:
-            found.health = Health.LEAVING
     dispatch_all(state, now)
 
 
--- a/samphirerill/core/on_requests.py
+++ b/samphirerill/core/on_requests.py
@@ -16,7 +16,7 @@
     ServingForbidden,
 )
 from samphirerill.core.handling import handle
-from samphirerill.core.model import HIGH, NORMAL
+from samphirerill.core.model import choose_priority
 from samphirerill.core.starting import dispatch_pool, earn_retry, find_pool
 from samphirerill.core.state import Phase, RequestState
 
@@ -155,7 +155,7 @@
             'the queue is full',
             _FULL_RETRY_S,
         )
-    ahead = pool.ahead_of(account.name, _choose_priority(route, account))
+    ahead = pool.ahead_of(account.name, choose_priority(route, account))
     wait_s = ahead * pool.pick_gap_s
     if waiting and now + wait_s > _queue_deadline(event, route, now):
         detail = f'about {wait_s:.1f} s of work wait ahead of this request'
@@ -177,7 +177,7 @@
         request_id=event.request_id,
         account=event.account,
         route=route,
-        priority=_choose_priority(route, account),
+        priority=choose_priority(route, account),
         deadline=event.deadline,
         queue_deadline=_queue_deadline(event, route, now),
         tokens=max(1, event.tokens),
@@ -188,11 +188,6 @@
     )
 
 
-def _choose_priority(route: Route, account: Account) -> str:
-    """An account's own priority goes before its route's."""
-    return HIGH if (account.priority or route.priority) == HIGH else NORMAL
-
-
 def _queue_deadline(event: RequestArrived, route: Route, now: float) -> float:
     return min(event.deadline, now + route.queue_timeout_s)
 
--- a/samphirerill/core/state.py
+++ b/samphirerill/core/state.py
@@ -22,6 +22,8 @@
 if TYPE_CHECKING:
     from samphirerill.core.model import Route
 
+LONGEST_LAG_S = 30.0
+
 
 class Phase(Enum):
     """Where a request stands between arrival and its end."""
@@ -172,6 +174,13 @@
         """Ask to be woken at a deadline."""
         heapq.heappush(self.deadlines, (deadline, kind, name))
 
+    def mark_leaving(self, name: str, now: float) -> None:
+        """Send an endpoint nothing new, whatever a lagging list says."""
+        self.leaving[name] = now + LONGEST_LAG_S
+        found = self.endpoints.get(name)
+        if found is not None:
+            found.health = Health.LEAVING
+
     def next_attempt_id(self) -> str:
         """Return an attempt id that no node has used."""
         self.sequence += 1
--- a/samphirerill/node/arrivals.py
+++ b/samphirerill/node/arrivals.py
@@ -10,7 +10,7 @@
 
 from samphirerill.core.commands import Outcome, Problem
 from samphirerill.core.events import CallerLeft, RequestArrived
-from samphirerill.core.model import HIGH, MODEL_ROUTE, NORMAL
+from samphirerill.core.model import MODEL_ROUTE, choose_priority
 from samphirerill.core.prefixes import digest_prefixes
 from samphirerill.edges.callers import MODELS
 from samphirerill.node.answers import read_prompt
@@ -66,8 +66,7 @@
         state = self._node.router.state
         route = state.configuration.routes[caller.route]
         account = state.configuration.accounts[session.account]
-        is_high = (account.priority or route.priority) == HIGH
-        session.priority = HIGH if is_high else NORMAL
+        session.priority = choose_priority(route, account)
         timeout_s = min(caller.timeout_s or route.timeout_s, route.timeout_s)
         session.prefixes = digest_prefixes(session.account, read_prompt(caller))
         self._node.sessions[session.request_id] = session
--- a/samphirerill/node/claim_carriers.py
+++ b/samphirerill/node/claim_carriers.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import time
 from hashlib import sha256
 from typing import TYPE_CHECKING, Protocol
 
@@ -30,14 +31,14 @@
 COLLECTORS = 8
 COLLECT_ABOVE = 16
 UNKNOWN = ''
+KEEP_S = 86_400
+_LEASE_RENEWAL_S = 3600.0
 
 
 class Carrier(Protocol):
     """Takes a batch to the service; returns verdicts and what to retry."""
 
-    async def carry(
-        self, batch: Batch, lease: str
-    ) -> tuple[list[Verdict], list[Claim]]:
+    async def carry(self, batch: Batch) -> tuple[list[Verdict], list[Claim]]:
         """Write a batch.
 
         Raises
@@ -52,16 +53,27 @@
 
     def __init__(self, worker: StoreWorker) -> None:
         self._worker = worker
+        self._lease = ''
+        self._lease_until = 0.0
 
-    async def carry(
-        self, batch: Batch, lease: str
-    ) -> tuple[list[Verdict], list[Claim]]:
+    async def carry(self, batch: Batch) -> tuple[list[Verdict], list[Claim]]:
         """Write a batch in one transaction."""
+        lease = await self._find_lease()
         done = await self._worker.run(
             self._worker.store.commit, build_transaction(batch, lease)
         )
         return read_verdicts(batch.claims, done)
 
+    async def _find_lease(self) -> str:
+        """Return the lease that lets claims vanish after a day."""
+        now = time.monotonic()
+        if now >= self._lease_until:
+            self._lease = await self._worker.run(
+                self._worker.store.grant_lease, KEEP_S
+            )
+            self._lease_until = now + _LEASE_RENEWAL_S
+        return self._lease
+
 
 class PeerCarrier:
     """Has another node write."""
@@ -70,9 +82,7 @@
         self._clients = clients
         self._address = address
 
-    async def carry(
-        self, batch: Batch, lease: str
-    ) -> tuple[list[Verdict], list[Claim]]:
+    async def carry(self, batch: Batch) -> tuple[list[Verdict], list[Claim]]:
         """Send a batch to the node that gathers, and wait for its word."""
         answer = await self._clients.collect(self._address, batch)
         if isinstance(answer, Err):
--- a/samphirerill/node/claim_writer.py
+++ b/samphirerill/node/claim_writer.py
@@ -25,6 +25,7 @@
     COLLECT_ABOVE,
     COLLECTORS,
     UNKNOWN,
+    Carrier,
     DirectCarrier,
     PeerCarrier,
     pick_collector,
@@ -46,8 +47,6 @@
 GIVE_UP_S = 2.0
 RELEASE_AFTER_S = 4.0
 _COLLECT_S = 1.0
-KEEP_S = 86_400
-_LEASE_RENEWAL_S = 3600.0
 _BACKOFF_S = 0.25
 _MAX_BATCH = 50
 
@@ -132,8 +131,6 @@
         self._gathered = _Gathered()
         self._held: dict[str, Claim] = {}
         self._wake = asyncio.Event()
-        self._lease = ''
-        self._lease_until = 0.0
 
     def write(self, command: WriteClaim) -> None:
         """Queue a claim; its verdict comes as an event."""
@@ -239,10 +236,10 @@
         """Take a batch to the service, by the way that is right now."""
         self.figures.calls += 1
         address = pick_collector(self.name, self._members)
+        carrier: Carrier = self._direct
         if address:
             carrier = PeerCarrier(self._clients, address)
-            return await carrier.carry(batch, '')
-        return await self._direct.carry(batch, await self._find_lease())
+        return await carrier.carry(batch)
 
     def _take(self) -> _Gathered:
         gathered = self._gathered
@@ -278,16 +275,6 @@
         _LOG.warning('claim given up', extra={'reason': type(exc).__name__})
         self._sink.apply(ClaimFailed(claim.request_id))
 
-    async def _find_lease(self) -> str:
-        """Return the lease that lets claims vanish after a day."""
-        now = time.monotonic()
-        if now >= self._lease_until:
-            self._lease = await self._worker.run(
-                self._worker.store.grant_lease, KEEP_S
-            )
-            self._lease_until = now + _LEASE_RENEWAL_S
-        return self._lease
-
     def _tell_all(
         self, pending: list[_Pending], verdicts: list[Verdict]
     ) -> None:
--- a/samphirerill/node/commander.py
+++ b/samphirerill/node/commander.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import random
 from typing import TYPE_CHECKING
 
 from msgspec import DecodeError, Struct
@@ -26,6 +25,7 @@
     Tenure,
     plan_orders,
 )
+from samphirerill.node.jitter import spread
 from samphirerill.node.logs import get_logger
 from samphirerill.node.probes import fetch
 
@@ -36,7 +36,6 @@
     from samphirerill.node.store_worker import StoreWorker
 
 COMMANDER = 'shared/commander'
-SPREAD = (0.8, 1.2)
 _EVERY_S = 1.0
 _ASKED_AT_ONCE = 32
 _LOG = get_logger('orders')
@@ -86,7 +85,7 @@
     async def run(self) -> None:
         """Command whenever the key can be had, for ever."""
         while True:
-            await asyncio.sleep(_EVERY_S * random.uniform(*SPREAD))  # noqa: S311
+            await asyncio.sleep(spread(_EVERY_S))
             if not self._list_wanted():
                 continue
             try:
--- a/samphirerill/node/follower.py
+++ b/samphirerill/node/follower.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import threading
 from typing import TYPE_CHECKING, Any
 
@@ -31,6 +30,7 @@
 )
 from samphirerill.core.model import build_configuration
 from samphirerill.node.commander import Commander
+from samphirerill.node.jitter import WIDE, spread
 from samphirerill.node.logs import get_logger
 from samphirerill.node.vm_reader import read_leaving
 
@@ -47,8 +47,6 @@
 _LEAST_PAUSE_S = 0.2
 _MOST_PAUSE_S = 5.0
 _CATCH_UP_S = 0.5
-_LEAST_SPREAD = 0.5
-_MOST_SPREAD = 1.5
 
 
 class Follower:
@@ -126,7 +124,7 @@
                 return loaded.ok_value
             why = str(loaded.err_value)
             _LOG.warning('service not there', extra={'error': why})
-            await asyncio.sleep(_jitter(pause_s))
+            await asyncio.sleep(spread(pause_s, WIDE))
             pause_s = min(_MOST_PAUSE_S, 2 * pause_s)
 
     def _install(self, loaded: Loaded) -> None:
@@ -168,7 +166,7 @@
     def _poll_gap_s(self) -> float:
         """Spread the fleet's polls, so that they stay within its reads."""
         gap_s = max(LEAST_POLL_S, self._members.count / FLEET_READS_PER_S)
-        return _jitter(gap_s)
+        return spread(gap_s, WIDE)
 
     def _watch_forever(self) -> None:
         """Watch in a thread; what comes is posted to the loop.
@@ -187,7 +185,7 @@
                     pause_s = _LEAST_PAUSE_S
             except StoreError as exc:
                 _LOG.debug('watch broke', extra={'error': str(exc)})
-            self._stopping.wait(_jitter(pause_s))
+            self._stopping.wait(spread(pause_s, WIDE))
             pause_s = min(_MOST_PAUSE_S, 2 * pause_s)
 
     def _post(self, batch: WatchBatch) -> int:
@@ -211,8 +209,3 @@
             self._node.apply(leaving)
         for change in changes:
             self.offer(change)
-
-
-def _jitter(seconds: float) -> float:
-    """Spread waits, so that nodes don't return all at once."""
-    return seconds * random.uniform(_LEAST_SPREAD, _MOST_SPREAD)  # noqa: S311
--- a/samphirerill/node/gossip.py
+++ b/samphirerill/node/gossip.py
@@ -26,6 +26,7 @@
 from samphirerill.core.events import VmListRead
 from samphirerill.core.queries import list_leaving
 from samphirerill.edges.serving import ListenError
+from samphirerill.node.jitter import spread
 from samphirerill.node.logs import get_logger
 
 if TYPE_CHECKING:
@@ -35,7 +36,6 @@
     from samphirerill.node.node import Node
 
 EVERY_S = 1.0
-SPREAD = (0.8, 1.2)
 PARTNERS = 2
 _KEPT_CHANNELS = 16
 _NEVER_S = 1e9
@@ -76,7 +76,7 @@
     async def run(self) -> None:
         """Exchange words with a few other nodes, for ever."""
         while True:
-            await asyncio.sleep(EVERY_S * random.uniform(*SPREAD))  # noqa: S311
+            await asyncio.sleep(spread(EVERY_S))
             await asyncio.gather(
                 *(self._talk(address) for address in self._pick_partners())
             )
--- a/samphirerill/node/members.py
+++ b/samphirerill/node/members.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -12,6 +11,7 @@
 
 from samphirerill.backends.store import Put, StoreError, Transaction
 from samphirerill.core.events import NodesSeen
+from samphirerill.node.jitter import spread
 from samphirerill.node.logs import get_logger
 
 if TYPE_CHECKING:
@@ -21,7 +21,6 @@
 
 NODES = 'shared/nodes/'
 FORGET_AFTER_S = 10.0
-SPREAD = (0.8, 1.2)
 RENEWALS_A_LEASE = 3
 _RETRY_S = 0.5
 _SWEEP_S = 1.0
@@ -86,7 +85,7 @@
             except StoreError as exc:
                 _LOG.debug('renewal failed', extra={'error': str(exc)})
                 pause_s = _RETRY_S
-            await asyncio.sleep(pause_s * random.uniform(*SPREAD))  # noqa: S311
+            await asyncio.sleep(spread(pause_s))
 
     async def sweep(self) -> None:
         """Forget nodes that have been gone for long enough."""
--- a/samphirerill/node/vm_reader.py
+++ b/samphirerill/node/vm_reader.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -18,6 +17,7 @@
 from samphirerill.backends.store import Put, Transaction
 from samphirerill.backends.vms import VmList
 from samphirerill.core.events import VmListRead
+from samphirerill.node.jitter import spread
 from samphirerill.node.logs import get_logger
 
 if TYPE_CHECKING:
@@ -28,7 +28,6 @@
 
 LEAVING = 'shared/leaving/'
 FLEET_READERS = 8
-SPREAD = (0.8, 1.2)
 _LOG = get_logger('vms')
 
 
@@ -51,7 +50,7 @@
                 _LOG.debug('no list', extra={'error': str(found.err_value)})
             else:
                 await self._take(found.ok_value)
-            await asyncio.sleep(self._gap_s() * random.uniform(*SPREAD))  # noqa: S311
+            await asyncio.sleep(spread(self._gap_s()))
 
     async def _take(self, event: VmListRead) -> None:
         """Apply a read and share what this node did not know before."""
