Repair the pipeline that broke and leave the others alone

Chains tell whole pipelines from broken ones; a gap is closed by what holds nothing useful. Streams move on their first replica (repath).

--- /dev/null
+++ b/samphirerill/fleet/chains.py
@@ -0,0 +1,167 @@
+"""Read from what replicas hold which pipelines there are, whole or broken.
+
+A chain runs from the first layer to the last; where nobody holds a layer it
+has a gap. The cheapest chain is taken out first, then the next of what is
+left, so that whole and fast ones come before those with gaps.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from samphirerill.fleet.model import LayerRange, Stage
+from samphirerill.fleet.prediction import (
+    predict_transfer_ms,
+    predict_visit_ms,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from samphirerill.fleet.model import EngineSpec, Replica
+
+# A missing layer costs more than any detour over present ones.
+_GAP_MS_PER_LAYER = 1000.0
+# One gap of two layers is easier to close than two of one.
+_GAP_MS = 300.0
+_STAGE_COST_MS = 0.5
+# With less than this share of its layers, a chain is only a heap of parts.
+_LEAST_COVER = 0.5
+
+
+@dataclass(slots=True)
+class Chain:
+    """Parts in order, and the ranges between them that nobody holds."""
+
+    stages: list[Stage] = field(default_factory=list)
+    gaps: list[LayerRange] = field(default_factory=list)
+
+    def count_missing(self) -> int:
+        """Return how many layers are missing."""
+        return sum(gap.count for gap in self.gaps)
+
+    def find_home(self) -> str:
+        """Return the data centre that most layers are in."""
+        layers: dict[str, int] = {}
+        for stage in self.stages:
+            zone = stage.replica.data_centre
+            layers[zone] = layers.get(zone, 0) + stage.layers.count
+        return max(sorted(layers), key=layers.__getitem__, default='')
+
+
+@dataclass(slots=True)
+class _Step:
+    """The cheapest way to a layer, ending in one data centre."""
+
+    cost: float
+    before: _Step | None
+    stage: Stage | None
+    gap: LayerRange | None
+
+
+def extract_chains(
+    engine: EngineSpec, replicas: Sequence[Replica]
+) -> list[Chain]:
+    """Return disjoint chains, the cheapest first; heaps are left out."""
+    left = [replica for replica in replicas if replica.layers is not None]
+    chains = []
+    while left:
+        chain = _find_chain(engine, left)
+        held = engine.layers - chain.count_missing()
+        if held < engine.layers * _LEAST_COVER:
+            break
+        chains.append(chain)
+        used = {stage.replica.replica_id for stage in chain.stages}
+        left = [item for item in left if item.replica_id not in used]
+    return chains
+
+
+def _find_chain(engine: EngineSpec, replicas: list[Replica]) -> Chain:
+    cuts = _list_cuts(engine, replicas)
+    transfer_ms = predict_transfer_ms(engine, engine.usual_prompt)
+    best: dict[int, dict[str, _Step]] = {cut: {} for cut in cuts}
+    best[0][''] = _Step(0, None, None, None)
+    for at, cut in enumerate(cuts[:-1]):
+        for zone, step in tuple(best[cut].items()):
+            _skip(best, cuts, at, zone, step)
+            for replica in replicas:
+                if replica.layers.first <= cut < replica.layers.end:
+                    _use(engine, best, cut, zone, step, replica, transfer_ms)
+    return _collect(min(best[engine.layers].values(), key=_cost))
+
+
+def _list_cuts(engine: EngineSpec, replicas: list[Replica]) -> list[int]:
+    cuts = {0, engine.layers}
+    for replica in replicas:
+        cuts.update((replica.layers.first, replica.layers.end))
+    return sorted(cut for cut in cuts if 0 <= cut <= engine.layers)
+
+
+def _skip(
+    best: dict[int, dict[str, _Step]],
+    cuts: list[int],
+    at: int,
+    zone: str,
+    step: _Step,
+) -> None:
+    """Go on without the layers up to the next cut."""
+    gap = LayerRange(cuts[at], cuts[at + 1])
+    cost = step.cost + gap.count * _GAP_MS_PER_LAYER
+    if step.gap is None:
+        cost += _GAP_MS
+    _relax(best, gap.end, zone, _Step(cost, step, None, gap))
+
+
+def _use(
+    engine: EngineSpec,
+    best: dict[int, dict[str, _Step]],
+    cut: int,
+    zone: str,
+    step: _Step,
+    replica: Replica,
+    transfer_ms: float,
+) -> None:
+    kind = engine.accelerators.get(replica.accelerator)
+    if kind is None or replica.layers.end not in best:
+        return
+    part = LayerRange(cut, replica.layers.end)
+    cost = step.cost + _STAGE_COST_MS
+    cost += predict_visit_ms(engine, kind, part.count, 1)
+    if zone and zone != replica.data_centre:
+        cost += transfer_ms
+    found = _Step(cost, step, Stage(replica, part), None)
+    _relax(best, part.end, replica.data_centre, found)
+
+
+def _relax(
+    best: dict[int, dict[str, _Step]], cut: int, zone: str, step: _Step
+) -> None:
+    known = best[cut].get(zone)
+    if known is None or step.cost < known.cost:
+        best[cut][zone] = step
+
+
+def _collect(step: _Step | None) -> Chain:
+    chain = Chain()
+    while step is not None:
+        if step.stage is not None:
+            chain.stages.append(step.stage)
+        if step.gap is not None:
+            _add_gap(chain, step.gap)
+        step = step.before
+    chain.stages.reverse()
+    chain.gaps.reverse()
+    return chain
+
+
+def _add_gap(chain: Chain, gap: LayerRange) -> None:
+    """Add a gap before all known ones, joined to one that it touches."""
+    if chain.gaps and chain.gaps[-1].first == gap.end:
+        chain.gaps[-1] = LayerRange(gap.first, chain.gaps[-1].end)
+    else:
+        chain.gaps.append(gap)
+
+
+def _cost(step: _Step) -> float:
+    return step.cost
--- a/samphirerill/fleet/endpoints.py
+++ b/samphirerill/fleet/endpoints.py
@@ -36,7 +36,7 @@
         for found in view.list_service(service)
         if found.replica.replica_id not in tried
     ]
-    fresh = [found for found in present if found.avoid_until <= now]
+    fresh = [found for found in present if found.dead_until <= now]
     pool = fresh or present
     if not pool:
         return None
--- a/samphirerill/fleet/paths.py
+++ b/samphirerill/fleet/paths.py
@@ -49,12 +49,16 @@
 class PathRequest:
     """What is asked: room for `tokens`, without the replicas of `avoid`.
 
-    `first` names the replica that a path must begin with, if any.
+    `heads` names the replicas that a path may begin with, if not any;
+    `first_end` is where its first part must end, if not anywhere. Replicas in
+    `held` already hold the tokens.
     """
 
     tokens: float
     avoid: Collection[str] = ()
-    first: str = ''
+    heads: frozenset[str] = frozenset()
+    first_end: int = 0
+    held: frozenset[str] = frozenset()
 
 
 def choose_path(
@@ -70,17 +74,26 @@
         for found in usable
         if found.replica.layers is not None
         and found.replica.replica_id not in wanted.avoid
-        and _has_room(engine, found, book, wanted.tokens)
+        and _has_room(engine, found, book, wanted)
     ]
     cuts = _list_cuts(engine, holders)
     best: dict[int, list[_Partial]] = {cut: [] for cut in cuts}
     start = _Partial(0, None, None, None, 0)
     transfer_ms = predict_transfer_ms(engine, engine.usual_prompt)
     for found in holders:
-        if wanted.first and found.replica.replica_id != wanted.first:
+        if wanted.heads and found.replica.replica_id not in wanted.heads:
             continue
         if found.replica.layers.first == 0:
-            _extend(engine, best, cuts, start, found, book, 0.0, now)
+            _extend(
+                engine,
+                best,
+                _limit_cuts(cuts, wanted),
+                start,
+                found,
+                book,
+                0.0,
+                now,
+            )
     for cut in cuts[:-1]:
         for found in holders:
             layers = found.replica.layers
@@ -107,7 +120,9 @@
     return total
 
 
-def has_capacity(engine: EngineSpec, found: Known, layers: LayerRange) -> float:
+def count_capacity(
+    engine: EngineSpec, found: Known, layers: LayerRange
+) -> float:
     """Return how many tokens fit at a replica."""
     kind = engine.accelerators.get(found.replica.accelerator)
     if kind is None:
@@ -115,17 +130,27 @@
     return count_tokens(engine, kind, layers.count) * MEMORY_USE
 
 
+def _limit_cuts(cuts: list[int], wanted: PathRequest) -> list[int]:
+    """Return where the first part may end."""
+    if not wanted.first_end:
+        return cuts
+    return [cut for cut in cuts if cut == wanted.first_end]
+
+
 def _has_room(
-    engine: EngineSpec, found: Known, book: LoadBook, tokens: float
+    engine: EngineSpec, found: Known, book: LoadBook, wanted: PathRequest
 ) -> bool:
     replica = found.replica
     if replica.layers is None:
         return False
-    fits = has_capacity(engine, found, replica.layers)
-    return book.tokens(replica.replica_id) + tokens <= fits
+    if replica.replica_id in wanted.held:
+        return True
+    fits = count_capacity(engine, found, replica.layers)
+    return book.tokens(replica.replica_id) + wanted.tokens <= fits
 
 
 def _list_cuts(engine: EngineSpec, holders: Sequence[Known]) -> list[int]:
+    """Return where parts may end, in order."""
     cuts = {engine.layers}
     for found in holders:
         cuts.update((found.replica.layers.first, found.replica.layers.end))
--- a/samphirerill/fleet/repair.py
+++ b/samphirerill/fleet/repair.py
@@ -1,37 +1,36 @@
 """Decide the next moves of layers, given what replicas hold now.
 
-Pipelines that work stay as they are. Replicas outside them first close gaps
-where a part was lost, then form further pipelines, then double the parts that
-a loss would hurt most. A replica that serves is never moved by this module.
+Whole pipelines stay as they are. A replica outside them closes a gap where a
+part was lost; what is left then forms further pipelines, and what can't even
+do that doubles parts of others. Loads cost seconds, so what already holds
+something useful is moved last.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from samphirerill.fleet.load import LoadBook
+from samphirerill.fleet.chains import extract_chains
 from samphirerill.fleet.model import LayerRange, count_tokens
-from samphirerill.fleet.paths import PathRequest, choose_path
-from samphirerill.fleet.planner import plan_layers
+from samphirerill.fleet.planner import Pipeline, plan_layers, predict_rate
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from samphirerill.fleet.model import EngineSpec, Replica, Stage
-    from samphirerill.fleet.view import Known
+    from samphirerill.fleet.chains import Chain
+    from samphirerill.fleet.model import EngineSpec, Replica
 
 # A part must leave room for this many usual requests, or it would throttle
 # the pipeline it completes.
-_LEAST_REQUESTS = 20
+_LEAST_REQUESTS = 15
 _WANTED_REQUESTS = 40
+# A slower pipeline is given up for a faster one only for this much more.
+_GAIN = 1.3
 Moves = dict[str, LayerRange]
 
 
 def plan_moves(
-    engine: EngineSpec,
-    present: Sequence[Known],
-    pause_ms: float,
-    now: float,
+    engine: EngineSpec, present: Sequence[Replica], pause_ms: float
 ) -> Moves:
     """Return the layers that replicas should hold other than now.
 
@@ -39,142 +38,79 @@
     ----------
     engine : EngineSpec
         The service's figures.
-    present : sequence of Known
-        Replicas that live and are not leaving.
+    present : sequence of Replica
+        Those that live and are not leaving.
     pause_ms : float
         The pause between events that is still on time.
-    now : float
-        On the loop's clock.
     """
-    holders = [found for found in present if found.replica.layers is not None]
-    if not holders:
-        planned = plan_layers(
-            engine, [found.replica for found in present], pause_ms
-        )
-        if planned is None:
-            return {}
-        moves = planned.list_ranges()
-        moves.update(_place_spares(engine, planned.spares, present, moves))
-        return moves
-    pipelines = extract_pipelines(engine, holders, now)
-    used = {
-        stage.replica.replica_id for stages in pipelines for stage in stages
-    }
-    free = [
-        found.replica
-        for found in present
-        if found.replica.replica_id not in used
-    ]
-    return _use_free(engine, free, present, pause_ms)
-
-
-def extract_pipelines(
-    engine: EngineSpec, holders: Sequence[Known], now: float
-) -> list[tuple[Stage, ...]]:
-    """Return disjoint paths through what replicas hold, the best first."""
-    left = list(holders)
-    pipelines = []
-    book = LoadBook()
-    while stages := choose_path(engine, left, book, PathRequest(0), now):
-        pipelines.append(stages)
-        used = {stage.replica.replica_id for stage in stages}
-        left = [found for found in left if found.replica.replica_id not in used]
-    return pipelines
+    if all(replica.layers is None for replica in present):
+        return _plan_first(engine, present, pause_ms)
+    chains = extract_chains(engine, present)
+    whole = [chain for chain in chains if not chain.gaps]
+    broken = [chain for chain in chains if chain.gaps]
+    used = _list_used(chains)
+    spares = [item for item in present if item.replica_id not in used]
+    broken.sort(key=_count_missing)
+    moves: Moves = {}
+    while broken:
+        chain = broken.pop(0)
+        taken = _close_gaps(engine, chain, spares)
+        if taken is None:
+            # The parts of the chain that lacks most may complete others.
+            taken = _sacrifice(engine, chain, broken, whole, spares, pause_ms)
+        if taken is None:
+            continue
+        moves.update(taken)
+        spares = [item for item in spares if item.replica_id not in taken]
+    moves.update(_use_spares(engine, spares, present, moves, pause_ms))
+    return moves
 
 
-def _use_free(
-    engine: EngineSpec,
-    free: list[Replica],
-    present: Sequence[Known],
-    pause_ms: float,
+def _plan_first(
+    engine: EngineSpec, present: Sequence[Replica], pause_ms: float
 ) -> Moves:
-    """Build one more pipeline of free replicas, or use them as doubles."""
-    chain, gaps = find_gaps(engine, free)
-    moves = _fill_gaps(engine, free, chain, gaps)
-    if moves is not None:
-        return moves
-    planned = plan_layers(engine, free, pause_ms)
-    if planned is not None and planned.pipelines:
-        wanted = planned.list_ranges()
-        return {
-            replica.replica_id: wanted[replica.replica_id]
-            for replica in free
-            if wanted.get(replica.replica_id, replica.layers) != replica.layers
-        }
-    idle = [replica for replica in free if replica.layers is None]
-    ranges = {
-        found.replica.replica_id: found.replica.layers
-        for found in present
-        if found.replica.layers is not None
-    }
-    return _place_spares(engine, idle, present, ranges)
-
-
-def find_gaps(
-    engine: EngineSpec, free: list[Replica]
-) -> tuple[list[Replica], list[LayerRange]]:
-    """Return the free replicas that form most of a pipeline, and its gaps."""
-    parts = sorted(
-        (replica for replica in free if replica.layers is not None),
-        key=lambda item: (item.layers.first, -item.layers.end),
-    )
-    chain: list[Replica] = []
-    gaps: list[LayerRange] = []
-    position = 0
-    for replica in parts:
-        if replica.layers.end <= position:
-            continue
-        if replica.layers.first > position:
-            gaps.append(LayerRange(position, replica.layers.first))
-        chain.append(replica)
-        position = replica.layers.end
-    if position < engine.layers:
-        gaps.append(LayerRange(position, engine.layers))
-    return chain, gaps
+    planned = plan_layers(engine, present, pause_ms)
+    if planned is None:
+        return {}
+    moves = planned.list_ranges()
+    moves.update(_double_parts(engine, planned.spares, present, moves))
+    return moves
 
 
-def _fill_gaps(
-    engine: EngineSpec,
-    free: list[Replica],
-    chain: list[Replica],
-    gaps: list[LayerRange],
+def _close_gaps(
+    engine: EngineSpec, chain: Chain, spares: Sequence[Replica]
 ) -> Moves | None:
-    """Return the moves that close all gaps, or none if they can't be."""
-    if not chain or not gaps:
-        return None
-    kept = {replica.replica_id for replica in chain}
-    spares = [replica for replica in free if replica.replica_id not in kept]
-    zones = [replica.data_centre for replica in chain]
-    home = max(set(zones), key=zones.count)
+    """Return the moves that close a chain's gaps, or none if they can't be."""
+    left = list(spares)
     moves: Moves = {}
-    for gap in gaps:
-        taken = _fill_gap(engine, gap, spares, home)
+    for gap in chain.gaps:
+        taken = _close_gap(engine, gap, left, chain.find_home())
         if taken is None:
             return None
         moves.update(taken)
-        spares = [item for item in spares if item.replica_id not in taken]
+        left = [item for item in left if item.replica_id not in taken]
     return moves
 
 
-def _fill_gap(
+def _close_gap(
     engine: EngineSpec, gap: LayerRange, spares: list[Replica], home: str
 ) -> Moves | None:
-    """Cut a gap among spares: near ones first, then those that hold more."""
+    """Cut a gap among spares: near ones first, then empty ones."""
     for requests in (_WANTED_REQUESTS, _LEAST_REQUESTS):
         order = sorted(
             spares,
             key=lambda item: (
                 item.data_centre != home,
-                -_most_layers(engine, item, requests),
+                item.layers is not None,
+                -min(gap.count, _most_layers(engine, item, requests)),
                 item.replica_id,
             ),
         )
         moves: Moves = {}
         first = gap.first
         for replica in order:
-            count = min(
-                _most_layers(engine, replica, requests), gap.end - first
-            )
+            most = _most_layers(engine, replica, requests)
+            count = min(most, gap.end - first)
             if count <= 0:
                 continue
             moves[replica.replica_id] = LayerRange(first, first + count)
@@ -184,32 +120,107 @@
     return None
 
 
-def _place_spares(
+def _sacrifice(
+    engine: EngineSpec,
+    chain: Chain,
+    broken: list[Chain],
+    whole: list[Chain],
+    spares: list[Replica],
+    pause_ms: float,
+) -> Moves | None:
+    """Close gaps with the parts of a chain that is worth less.
+
+    First another broken chain, then the slowest whole one, if the one that it
+    completes is faster by far.
+    """
+    if broken:
+        given = broken[-1]
+        taken = _close_gaps(engine, chain, [*spares, *_list_replicas(given)])
+        if taken is not None:
+            broken.remove(given)
+        return taken
+    rates = [(_rate(engine, item, pause_ms), item) for item in whole]
+    slow = min(rates, key=lambda pair: pair[0], default=None)
+    if slow is None:
+        return None
+    given = slow[1]
+    taken = _close_gaps(engine, chain, [*spares, *_list_replicas(given)])
+    if taken is None:
+        return None
+    completed = _complete(chain, taken, given, spares)
+    if predict_rate(engine, completed, pause_ms) < slow[0] * _GAIN:
+        return None
+    whole.remove(given)
+    return taken
+
+
+def _complete(
+    chain: Chain, taken: Moves, given: Chain, spares: list[Replica]
+) -> Pipeline:
+    """Return a chain's parts together with those that close its gaps."""
+    replicas = {
+        item.replica_id: item for item in (*spares, *_list_replicas(given))
+    }
+    parts = [
+        (stage.layers.first, stage.replica, stage.layers.count)
+        for stage in chain.stages
+    ]
+    parts.extend(
+        (layers.first, replicas[name], layers.count)
+        for name, layers in taken.items()
+    )
+    parts.sort(key=lambda part: part[0])
+    return Pipeline([(replica, count) for _, replica, count in parts])
+
+
+def _use_spares(
+    engine: EngineSpec,
+    spares: list[Replica],
+    present: Sequence[Replica],
+    moves: Moves,
+    pause_ms: float,
+) -> Moves:
+    """Build another pipeline of spares, or let empty ones double parts."""
+    planned = plan_layers(engine, spares, pause_ms)
+    if planned is not None:
+        return {
+            name: layers
+            for name, layers in planned.list_ranges().items()
+            if layers != _find_layers(spares, name)
+        }
+    ranges = {
+        item.replica_id: item.layers
+        for item in present
+        if item.layers is not None
+    }
+    ranges.update(moves)
+    idle = [item for item in spares if item.layers is None]
+    return _double_parts(engine, idle, present, ranges)
+
+
+def _double_parts(
     engine: EngineSpec,
     spares: Sequence[Replica],
-    present: Sequence[Known],
+    present: Sequence[Replica],
     ranges: Moves,
 ) -> Moves:
     """Let each spare double what a near replica holds and the fewest hold.
 
     A part with a second holder survives its loss without a load.
     """
-    zones = {
-        found.replica.replica_id: found.replica.data_centre for found in present
-    }
+    zones = {item.replica_id: item.data_centre for item in present}
     held = dict(ranges)
     moves: Moves = {}
     for replica in spares:
         most = _most_layers(engine, replica, _LEAST_REQUESTS)
         options = {
             layers
-            for replica_id, layers in ranges.items()
-            if layers.count <= most
-            and zones.get(replica_id) == replica.data_centre
+            for name, layers in ranges.items()
+            if layers.count <= most and zones.get(name) == replica.data_centre
         }
         if not options:
             continue
-        chosen = min(
+        moves[replica.replica_id] = min(
             options,
             key=lambda layers: (
                 _count_holders(layers, held),
@@ -217,8 +228,7 @@
                 layers.first,
             ),
         )
-        moves[replica.replica_id] = chosen
-        held[replica.replica_id] = chosen
+        held[replica.replica_id] = moves[replica.replica_id]
     return moves
 
 
@@ -239,3 +249,29 @@
     while count > 0 and count_tokens(engine, kind, count) < tokens:
         count -= 1
     return count
+
+
+def _list_used(chains: list[Chain]) -> set[str]:
+    return {
+        stage.replica.replica_id for chain in chains for stage in chain.stages
+    }
+
+
+def _list_replicas(chain: Chain) -> list[Replica]:
+    return [stage.replica for stage in chain.stages]
+
+
+def _find_layers(replicas: list[Replica], name: str) -> LayerRange | None:
+    for replica in replicas:
+        if replica.replica_id == name:
+            return replica.layers
+    return None
+
+
+def _count_missing(chain: Chain) -> int:
+    return chain.count_missing()
+
+
+def _rate(engine: EngineSpec, chain: Chain, pause_ms: float) -> float:
+    parts = [(stage.replica, stage.layers.count) for stage in chain.stages]
+    return predict_rate(engine, Pipeline(parts), pause_ms)
--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -26,16 +26,18 @@
 class Known:
     """A replica as announced, and what this node holds of it.
 
-    `avoid_until` is how long it gets no new work, `found_until` the same as
-    far as this node found it out itself; `lapsed_until` how long its
+    `dead_until` is how long it is taken to be dead, `found_until` the same as
+    far as this node found it out itself; `busy_until` how long this node does
+    not ask it again after a refusal; `lapsed_until` how long its
     missing announcement may still come back; `slowness` above 1 multiplies
     its predicted times.
     """
 
     replica: Replica
     revision: int
-    avoid_until: float = 0.0
+    dead_until: float = 0.0
     found_until: float = 0.0
+    busy_until: float = 0.0
     lapsed_until: float = 0.0
     slowness: float = 1.0
     slow_until: float = 0.0
@@ -123,10 +125,10 @@
             self._bury(replica_id, self.known[replica_id].revision)
         return gone
 
-    def avoid(
+    def suspect(
         self, replica_id: str, until: float, now: float, *, is_own: bool = True
     ) -> bool:
-        """Give a replica no new work for a while; return if that is news.
+        """Take a replica to be dead for a while; return if that is news.
 
         Parameters
         ----------
@@ -140,18 +142,24 @@
         found = self.known.get(replica_id)
         if found is None:
             return False
-        is_news = found.avoid_until <= now
-        found.avoid_until = max(found.avoid_until, until)
+        is_news = found.dead_until <= now
+        found.dead_until = max(found.dead_until, until)
         if is_own:
             found.found_until = max(found.found_until, until)
             self.own_version += is_news
         return is_news
 
+    def rest(self, replica_id: str, until: float) -> None:
+        """Ask a replica that refused not again for a moment."""
+        found = self.known.get(replica_id)
+        if found is not None:
+            found.busy_until = max(found.busy_until, until)
+
     def trust(self, replica_id: str) -> None:
         """A replica has answered: what was held against it is over."""
         found = self.known.get(replica_id)
-        if found is not None and found.avoid_until:
-            found.avoid_until = 0.0
+        if found is not None and found.dead_until:
+            found.dead_until = 0.0
             found.found_until = 0.0
 
     def is_leaving(self, replica_id: str) -> bool:
@@ -167,12 +175,20 @@
             and found.replica.replica_id not in self.leaving
         ]
 
-    def list_usable(self, service: str, now: float) -> list[Known]:
-        """Return the replicas of a service that may get new work."""
+    def list_live(self, service: str, now: float) -> list[Known]:
+        """Return the replicas of a service that are not taken to be dead."""
         return [
             found
             for found in self.list_service(service)
-            if found.avoid_until <= now
+            if found.dead_until <= now
+        ]
+
+    def list_usable(self, service: str, now: float) -> list[Known]:
+        """Return the replicas of a service that may get new work now."""
+        return [
+            found
+            for found in self.list_live(service, now)
+            if found.busy_until <= now
         ]
 
     def find_address(self, address: str) -> Known | None:
--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -91,6 +91,12 @@
         self._refuse_hopeless(waiting, deadline)
         return await self._wait(service, engine, wanted, rank, deadline)
 
+    def admit_now(
+        self, service: str, engine: EngineSpec, wanted: PathRequest
+    ) -> tuple[Stage, ...]:
+        """Return a path, counted as taken, or none: for a stream under way."""
+        return self._try(service, engine, wanted)
+
     def release(self, stages: tuple[Stage, ...], tokens: float) -> None:
         """A stream has ended: its room is free."""
         self._state.book.give_back(list_ids(stages), tokens)
--- a/samphirerill/relay/commander.py
+++ b/samphirerill/relay/commander.py
@@ -9,23 +9,26 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from samphirerill.backends.store import StoreError
-from samphirerill.fleet.model import LayerRange
 from samphirerill.fleet.repair import plan_moves
 from samphirerill.node.logs import get_logger
 from samphirerill.platform.store import (
     ConditionFailedError,
     NoSuchLeaseError,
 )
-from samphirerill.relay.errors import EndpointError
 from samphirerill.relay.examiner import ask_report
-from samphirerill.relay.pool import call_once
+from samphirerill.relay.orders import ACCEPTED, send_order
 
 if TYPE_CHECKING:
-    from samphirerill.fleet.model import EngineSpec, Replica, Service
-    from samphirerill.fleet.view import Known
+    from samphirerill.fleet.model import (
+        EngineSpec,
+        LayerRange,
+        Replica,
+        Service,
+    )
     from samphirerill.platform.store import (
         DeletedKey,
         PlatformStore,
@@ -39,13 +42,11 @@
 _LEASE_S = 3.0
 _RENEW_S = 0.8
 _STEP_S = 0.2
-_ORDER_TIMEOUT_S = 0.5
 # Replicas announce themselves one by one at the start; the first plan waits
 # until no new one has come for this long.
 _SETTLE_S = 0.6
 # An order whose effect is not seen by then is given up and planned anew.
 _EFFECT_S = 4.0
-_ACCEPTED = frozenset((200, 202))
 _DEFAULT_PAUSE_MS = 200.0
 _MS_PER_S = 1000
 
@@ -92,6 +93,7 @@
         self._count = 0
         self._settled_at = 0.0
         self._is_leaving = False
+        self._seen_fleet: dict[str, object] = {}
 
     def take_all(self, items: list[StoredItem], revision: int) -> None:
         """Take a whole reading."""
@@ -188,10 +190,14 @@
     ) -> None:
         now = self._loop.time()
         present = self._list_present(service.name, now)
-        moves = plan_moves(engine, present, self._get_pause_ms(service), now)
-        replicas = {
-            found.replica.replica_id: found.replica for found in present
-        }
+        seen = (engine, tuple(present))
+        if seen == self._seen_fleet.get(service.name):
+            return
+        moves = plan_moves(engine, present, self._get_pause_ms(service))
+        if not moves:
+            # Nothing to do until something changes.
+            self._seen_fleet[service.name] = seen
+        replicas = {replica.replica_id: replica for replica in present}
         orders = [
             self._order(engine, replicas[replica_id], layers)
             for replica_id, layers in moves.items()
@@ -200,19 +206,19 @@
         if orders:
             await asyncio.gather(*orders)
 
-    def _list_present(self, service: str, now: float) -> list[Known]:
+    def _list_present(self, service: str, now: float) -> list[Replica]:
         """Return live replicas as if pending orders had taken effect."""
         present = []
-        for found in self._state.view.list_usable(service, now):
-            replica_id = found.replica.replica_id
-            pending = self._pending.get(replica_id)
+        for found in self._state.view.list_live(service, now):
+            replica = found.replica
+            pending = self._pending.get(replica.replica_id)
             if pending is not None:
-                done = found.replica.layers == pending.layers
+                done = replica.layers == pending.layers
                 if done or now >= pending.until:
-                    self._pending.pop(replica_id)
+                    self._pending.pop(replica.replica_id)
                 else:
-                    found = _assume(found, pending.layers)
-            present.append(found)
+                    replica = replace(replica, layers=pending.layers)
+            present.append(replica)
         return present
 
     def _get_pause_ms(self, service: Service) -> float:
@@ -248,47 +254,21 @@
     async def _send(
         self, replica: Replica, layers: LayerRange, order: bytes
     ) -> None:
-        deadline = self._loop.time() + _ORDER_TIMEOUT_S
-        path = self._state.dialect.order_path
-        status = 0
-        reason = ''
-        try:
-            status, body = await call_once(
-                replica.address, b'POST', path, order, deadline
-            )
-            reason = body[:80].decode('latin-1')
-        except EndpointError as exc:
-            reason = str(exc)
-        self._state.counters['orders'] += 1
+        status = await send_order(self._state, replica, order)
         _LOG.info(
             'ordered',
             extra={
                 'replica': replica.replica_id,
+                'kind': replica.accelerator,
                 'layers': f'{layers.first}-{layers.end}',
+                'held': format_layers(replica.layers),
                 'status': status,
-                'reason': reason,
             },
         )
-        if status and status not in _ACCEPTED:
+        if status and status not in ACCEPTED:
             self._pending.pop(replica.replica_id, None)
 
 
-def _assume(found: Known, layers: LayerRange) -> Known:
-    """Return a replica as if it held other layers."""
-    known = type(found)(_with_layers(found.replica, layers), found.revision)
-    known.slowness = found.slowness
-    known.slow_until = found.slow_until
-    return known
-
-
-def _with_layers(replica: Replica, layers: LayerRange) -> Replica:
-    return type(replica)(
-        replica.replica_id,
-        replica.service,
-        replica.address,
-        replica.data_centre,
-        replica.slots,
-        replica.is_leaving,
-        replica.accelerator,
-        layers,
-    )
+def format_layers(layers: LayerRange | None) -> str:
+    """Return a range as logs show it."""
+    return 'none' if layers is None else f'{layers.first}-{layers.end}'
--- a/samphirerill/relay/examiner.py
+++ b/samphirerill/relay/examiner.py
@@ -85,7 +85,7 @@
 
     def _suspect(self, replica_id: str, reason: str) -> None:
         now = self._loop.time()
-        if self._state.view.avoid(replica_id, now + AVOID_S, now):
+        if self._state.view.suspect(replica_id, now + AVOID_S, now):
             _LOG.warning(
                 'replica avoided',
                 extra={'replica': replica_id, 'reason': reason},
--- a/samphirerill/relay/members.py
+++ b/samphirerill/relay/members.py
@@ -242,7 +242,7 @@
         for key, left_ms in told.avoided.items():
             if key in names:
                 until = now + left_ms / _MS_PER_S
-                self._state.view.avoid(names[key], until, now, is_own=False)
+                self._state.view.suspect(names[key], until, now, is_own=False)
         self._count()
         self._state.notify()
         self._fetch_if_behind(peer)
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -207,7 +207,7 @@
     def _avoid(self, found: Known, reason: str) -> None:
         now = self._loop.time()
         replica_id = found.replica.replica_id
-        if self._state.view.avoid(replica_id, now + _AVOID_S, now):
+        if self._state.view.suspect(replica_id, now + _AVOID_S, now):
             _LOG.info(
                 'endpoint avoided',
                 extra={'replica': replica_id, 'reason': reason},
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -28,6 +28,7 @@
     SilentEndpointError,
 )
 from samphirerill.relay.events import EventSplitter
+from samphirerill.relay.orders import order_repath
 from samphirerill.relay.refusals import (
     FAILED,
     TIMED_OUT,
@@ -40,7 +41,7 @@
     from samphirerill.fleet.model import EngineSpec, Stage
     from samphirerill.relay.admission import Admission
     from samphirerill.relay.connection import HttpConnection
-    from samphirerill.relay.examiner import Examiner
+    from samphirerill.relay.examiner import Diagnosis, Examiner
     from samphirerill.relay.front import Task
     from samphirerill.relay.state import EdgeState
 
@@ -57,7 +58,8 @@
 _FIRST_SILENCE_S = 0.8
 # How often a stream may be sent to a path that ran nothing of it.
 _MOST_SENDS = 6
-_AVOID_S = 1.0
+# A replica that refused a part is not asked again for this long.
+_REST_S = 0.25
 
 
 class StreamExchange:
@@ -99,11 +101,13 @@
         self._failure: tuple[Head, bytes] | None = None
         self._reason = ''
         self._last_event_at = 0.0
+        self._request_id = task.facts.request_id.decode('latin-1')
+        self._tokens = self._count_tokens()
 
     async def run(self) -> None:
         """Answer the request."""
         while not self._ended and self._may_send():
-            wanted = PathRequest(self._count_tokens(), self._avoid)
+            wanted = PathRequest(self._tokens, self._avoid, self._limit_heads())
             try:
                 self._stages = await self._admission.admit(
                     self._task.service.name,
@@ -118,7 +122,7 @@
             try:
                 await self._attempt()
             finally:
-                self._admission.release(self._stages, wanted.tokens)
+                self._admission.release(self._stages, self._tokens)
         if not self._ended:
             self._give_up(None)
 
@@ -132,10 +136,25 @@
             return True
         if self._may_have_run and not self._task.may_repeat:
             return False
-        if len(self._heads) >= self._task.route.max_attempts:
-            return False
         return budget.spend(now, self._state.count_nodes())
 
+    def _limit_heads(self) -> frozenset[str]:
+        """Return the replicas that a path must begin with; empty for any.
+
+        A route says to how many replicas a request may be sent; those that
+        are gone don't count.
+        """
+        known = self._state.view.known
+        now = self._loop.time()
+        live = {
+            name
+            for name in self._heads
+            if name in known and known[name].dead_until <= now
+        }
+        if len(live) < self._task.route.max_attempts:
+            return frozenset()
+        return frozenset(live)
+
     def _count_tokens(self) -> float:
         """Return the memory this stream will need, in tokens."""
         facts = self._task.facts
@@ -271,24 +290,72 @@
                 await self._examine()
 
     async def _examine(self) -> None:
-        """Raise if the path can't go on."""
+        """Move the stream if its path can't go on; raise if that fails."""
         head_replica = self._stages[0].replica
         diagnosis = await self._examiner.examine(head_replica)
-        request_id = self._task.facts.request_id.decode('latin-1')
         if not diagnosis.is_reachable:
             raise SilentEndpointError(
                 f'{head_replica.address}: does not answer'
             )
-        culprit = diagnosis.stalled.get(request_id)
-        if culprit is not None and self._task.may_repeat:
+        if not self._task.may_repeat:
+            return
+        culprit = self._find_culprit(diagnosis)
+        if not culprit:
+            return
+        if culprit == head_replica.replica_id or not await self._repath():
             raise SilentEndpointError(f'the path waits for {culprit}')
+
+    def _find_culprit(self, diagnosis: Diagnosis) -> str:
+        """Return the replica that the path waits for; empty if none."""
+        address = diagnosis.stalled.get(self._request_id, '')
+        known = self._state.view.known
+        now = self._loop.time()
+        for stage in self._stages:
+            name = stage.replica.replica_id
+            if stage.replica.address == address:
+                return name
+            if name not in known or known[name].dead_until > now:
+                return name
+        return ''
+
+    async def _repath(self) -> bool:
+        """Move the stream to other replicas behind its first one."""
+        head_id = self._stages[0].replica.replica_id
+        wanted = PathRequest(
+            self._tokens,
+            {*self._avoid, *self._list_lost()},
+            frozenset((head_id,)),
+            first_end=self._stages[0].layers.end,
+            held=frozenset(list_ids(self._stages)),
+        )
+        stages = self._admission.admit_now(
+            self._task.service.name, self._engine, wanted
+        )
+        if not stages:
+            return False
+        try:
+            moved = await order_repath(
+                self._state, self._task.facts.request_id, stages
+            )
+        except asyncio.CancelledError:
+            self._admission.release(stages, self._tokens)
+            raise
+        given_back = self._stages if moved else stages
+        self._admission.release(given_back, self._tokens)
+        if moved:
+            self._stages = stages
+            self._state.counters['streams.moved'] += 1
+        return moved
+
+    def _list_lost(self) -> set[str]:
+        """Return the replicas of the path that are gone or taken for dead."""
         known = self._state.view.known
         now = self._loop.time()
-        for replica_id in list_ids(self._stages):
-            found = known.get(replica_id)
-            is_avoided = found is None or found.avoid_until > now
-            if is_avoided and self._task.may_repeat:
-                raise SilentEndpointError(f'{replica_id}: is avoided')
+        return {
+            name
+            for name in list_ids(self._stages)
+            if name not in known or known[name].dead_until > now
+        }
 
     def _predict_silence_s(self) -> float:
         gap_ms = predict_gap_ms(
@@ -314,19 +381,12 @@
     def _note_break(self, exc: EndpointError) -> None:
         self._may_have_run = self._may_have_run or exc.may_have_run
         self._reason = str(exc)
-        head_id = self._stages[0].replica.replica_id
-        now = self._loop.time()
-        for replica_id in list_ids(self._stages):
-            found = self._state.view.known.get(replica_id)
-            if found is None or found.avoid_until > now:
-                self._avoid.add(replica_id)
-        self._avoid.add(head_id)
-        self._heads.discard(head_id)
+        self._avoid.update(self._list_lost())
         self._state.counters['streams.broken'] += 1
         _LOG.info(
             'stream broke',
             extra={
-                'request': self._task.facts.request_id.decode('latin-1'),
+                'request': self._request_id,
                 'path': ','.join(list_ids(self._stages)),
                 'last_event': self._last_id,
                 'reason': self._reason,
@@ -334,14 +394,19 @@
         )
 
     def _shun(self, replica_id: str, reason: str) -> None:
+        """Ask a replica not again at once, and not for this stream."""
         self._avoid.add(replica_id)
         now = self._loop.time()
-        if self._state.view.avoid(replica_id, now + _AVOID_S, now):
-            _LOG.info(
-                'replica avoided',
-                extra={'replica': replica_id, 'reason': reason},
-            )
-            self._state.notify()
+        self._state.view.rest(replica_id, now + _REST_S)
+        self._state.counters['streams.refused'] += 1
+        _LOG.info(
+            'engine refused',
+            extra={
+                'request': self._request_id,
+                'replica': replica_id,
+                'reason': reason,
+            },
+        )
 
     def _give_up(self, hopeless: HopelessError | None) -> None:
         """Give the final answer, or cut one that has begun."""
@@ -351,7 +416,7 @@
             _LOG.warning(
                 'stream cut',
                 extra={
-                    'request': self._task.facts.request_id.decode('latin-1'),
+                    'request': self._request_id,
                     'last_event': self._last_id,
                     'reason': self._reason or str(hopeless),
                 },
