--- a/samphirerill/fleet/paths.py
+++ b/samphirerill/fleet/paths.py
@@ -25,7 +25,7 @@
     from samphirerill.fleet.view import Known
 
 # Reports of others are a little late, and answers may be longer than said.
-MEMORY_USE = 0.92
+MEMORY_USE = 0.95
 # Engines refuse a path of more parts.
 MOST_STAGES = 32
 _STAGE_COST_MS = 0.5
--- a/samphirerill/fleet/repair.py
+++ b/samphirerill/fleet/repair.py
@@ -24,6 +24,7 @@
 # the pipeline it completes.
 _LEAST_REQUESTS = 15
 _WANTED_REQUESTS = 40
+_STEP_REQUESTS = 5
 # A slower pipeline is given up for a faster one only for this much more.
 _GAIN = 1.3
 Moves = dict[str, LayerRange]
@@ -55,6 +56,8 @@
     while broken:
         chain = broken.pop(0)
         taken = _close_gaps(engine, chain, spares)
+        if taken is None:
+            taken = _cut_anew(engine, chain, spares)
         if taken is None:
             # The parts of the chain that lacks most may complete others.
             taken = _sacrifice(engine, chain, broken, whole, spares, pause_ms)
@@ -102,7 +105,7 @@
             key=lambda item: (
                 item.data_centre != home,
                 item.layers is not None,
-                -min(gap.count, _most_layers(engine, item, requests)),
+                *_fit(gap, _most_layers(engine, item, requests)),
                 item.replica_id,
             ),
         )
@@ -120,6 +123,52 @@
     return None
 
 
+def _fit(gap: LayerRange, most: int) -> tuple[int, int]:
+    """Rank a replica for a gap: none too small, then none too large."""
+    return max(0, gap.count - most), max(0, most - gap.count)
+
+
+def _cut_anew(
+    engine: EngineSpec, chain: Chain, spares: Sequence[Replica]
+) -> Moves | None:
+    """Let each part of a broken chain take on some of the missing layers.
+
+    The parts keep their order, so that most of what they hold stays.
+    """
+    home = chain.find_home()
+    near = [item for item in spares if item.data_centre == home]
+    cards = [(stage.layers.first, stage.replica) for stage in chain.stages]
+    cards.extend((chain.gaps[0].first, item) for item in near)
+    cards.sort(key=lambda pair: (pair[0], pair[1].replica_id))
+    replicas = [replica for _, replica in cards]
+    for requests in range(
+        _WANTED_REQUESTS, _LEAST_REQUESTS - 1, -_STEP_REQUESTS
+    ):
+        counts = [_most_layers(engine, item, requests) for item in replicas]
+        if sum(counts) >= engine.layers:
+            return _assign(engine, replicas, counts)
+    return None
+
+
+def _assign(
+    engine: EngineSpec, replicas: list[Replica], counts: list[int]
+) -> Moves:
+    """Give out all layers in order, most to those that can hold most."""
+    surplus = sum(counts) - engine.layers
+    while surplus:
+        largest = max(range(len(counts)), key=counts.__getitem__)
+        counts[largest] -= 1
+        surplus -= 1
+    moves: Moves = {}
+    first = 0
+    for replica, count in zip(replicas, counts, strict=True):
+        layers = LayerRange(first, first + count)
+        first += count
+        if count and layers != replica.layers:
+            moves[replica.replica_id] = layers
+    return moves
+
+
 def _sacrifice(
     engine: EngineSpec,
     chain: Chain,
--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -7,8 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.load import list_ids
@@ -19,22 +18,28 @@
     from samphirerill.fleet.paths import PathRequest
     from samphirerill.relay.state import EdgeState
 
+# What a first event takes from the send on: reading a usual prompt through all
+# stages beside other streams.
+_FIRST_EVENT_S = 0.15
 # Smoothing of the time between two admissions of waiting requests.
 _SMOOTHING = 0.2
 # A request is only refused for a long queue when so many are before it.
 _SHORT_QUEUE = 4
 
 
-@dataclass(slots=True, order=True)
+@dataclass(slots=True, eq=False)
 class _Ticket:
-    """A waiting request; lower ranks go first, then earlier arrivals."""
+    """A waiting request; lower ranks go first.
+
+    `timely_until` is until when a path still brings a timely first event.
+    """
 
     rank: int
-    number: int
-    service: str = field(compare=False)
-    engine: EngineSpec = field(compare=False)
-    wanted: PathRequest = field(compare=False)
-    granted: asyncio.Future[tuple[Stage, ...]] = field(compare=False)
+    timely_until: float
+    service: str
+    engine: EngineSpec
+    wanted: PathRequest
+    granted: asyncio.Future[tuple[Stage, ...]]
 
 
 class HopelessError(Exception):
@@ -58,7 +63,6 @@
         self._state = state
         self._loop = asyncio.get_running_loop()
         self._queue: list[_Ticket] = []
-        self._count = 0
         self._gap_s = 0.0
         self._last_grant = 0.0
         self._is_pumping = False
@@ -75,9 +79,23 @@
         wanted: PathRequest,
         rank: int,
         deadline: float,
+        target: float,
     ) -> tuple[Stage, ...]:
         """Return a path with room, already counted as taken.
 
+        Parameters
+        ----------
+        service, engine : str, EngineSpec
+            Whose replicas.
+        wanted : PathRequest
+            What the path must offer.
+        rank : int
+            Its priority, 0 first.
+        deadline : float
+            Until when it may wait.
+        target : float
+            When the first event should be there.
+
         Raises
         ------
         HopelessError
@@ -89,7 +107,15 @@
             if stages:
                 return stages
         self._refuse_hopeless(waiting, deadline)
-        return await self._wait(service, engine, wanted, rank, deadline)
+        ticket = _Ticket(
+            rank,
+            target - _FIRST_EVENT_S,
+            service,
+            engine,
+            wanted,
+            self._loop.create_future(),
+        )
+        return await self._wait(ticket, deadline)
 
     def admit_now(
         self, service: str, engine: EngineSpec, wanted: PathRequest
@@ -103,23 +129,9 @@
         self._state.notify()
 
     async def _wait(
-        self,
-        service: str,
-        engine: EngineSpec,
-        wanted: PathRequest,
-        rank: int,
-        deadline: float,
+        self, ticket: _Ticket, deadline: float
     ) -> tuple[Stage, ...]:
-        self._count += 1
-        ticket = _Ticket(
-            rank,
-            self._count,
-            service,
-            engine,
-            wanted,
-            self._loop.create_future(),
-        )
-        heapq.heappush(self._queue, ticket)
+        self._queue.append(ticket)
         try:
             async with asyncio.timeout_at(deadline):
                 return await ticket.granted
@@ -154,17 +166,22 @@
             self._loop.call_soon(self._pump)
 
     def _pump(self) -> None:
-        """Grant what there is room for, best rank and oldest first."""
+        """Grant what there is room for.
+
+        Under overload, first come first served would make every stream late
+        by the length of the queue. Those that can still be on time go first,
+        the others when there is room left.
+        """
         self._is_pumping = False
+        self._queue = [item for item in self._queue if not item.granted.done()]
+        now = self._loop.time()
+        self._queue.sort(key=lambda item: (item.rank, item.timely_until < now))
         while self._queue:
             ticket = self._queue[0]
-            if ticket.granted.done():
-                heapq.heappop(self._queue)
-                continue
             stages = self._try(ticket.service, ticket.engine, ticket.wanted)
             if not stages:
                 return
-            heapq.heappop(self._queue)
+            self._queue.pop(0)
             ticket.granted.set_result(stages)
             self._note_grant()
 
--- a/samphirerill/relay/commander.py
+++ b/samphirerill/relay/commander.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.backends.store import StoreError
+from samphirerill.fleet.chains import extract_chains
 from samphirerill.fleet.repair import plan_moves
 from samphirerill.node.logs import get_logger
 from samphirerill.platform.store import (
@@ -29,6 +30,7 @@
         Replica,
         Service,
     )
+    from samphirerill.fleet.repair import Moves
     from samphirerill.platform.store import (
         DeletedKey,
         PlatformStore,
@@ -39,8 +41,8 @@
 
 _LOG = get_logger('commander')
 KEY = 'samphirerill/commander'
-_LEASE_S = 3.0
-_RENEW_S = 0.8
+_LEASE_S = 2.0
+_RENEW_S = 0.6
 _STEP_S = 0.2
 # Replicas announce themselves one by one at the start; the first plan waits
 # until no new one has come for this long.
@@ -171,17 +173,18 @@
 
     async def _command(self) -> None:
         cfg = self._state.cfg
-        if cfg is None or not self._has_settled():
+        if cfg is None:
             return
         for service in cfg.services.values():
             if service.engine is not None and service.engine.layers:
                 await self._command_service(service, service.engine)
 
-    def _has_settled(self) -> bool:
-        now = self._loop.time()
-        count = len(self._state.view.known)
-        if count != self._count:
-            self._count = count
+    def _has_settled(self, present: list[Replica], now: float) -> bool:
+        """Return whether all replicas of a first plan have announced."""
+        if any(replica.layers is not None for replica in present):
+            return True
+        if len(present) != self._count:
+            self._count = len(present)
             self._settled_at = now + _SETTLE_S
         return now >= self._settled_at
 
@@ -190,10 +193,13 @@
     ) -> None:
         now = self._loop.time()
         present = self._list_present(service.name, now)
+        if not self._has_settled(present, now):
+            return
         seen = (engine, tuple(present))
         if seen == self._seen_fleet.get(service.name):
             return
         moves = plan_moves(engine, present, self._get_pause_ms(service))
+        self._log_fleet(service, engine, present, moves)
         if not moves:
             # Nothing to do until something changes.
             self._seen_fleet[service.name] = seen
@@ -206,6 +212,25 @@
         if orders:
             await asyncio.gather(*orders)
 
+    def _log_fleet(
+        self,
+        service: Service,
+        engine: EngineSpec,
+        present: list[Replica],
+        moves: Moves,
+    ) -> None:
+        chains = extract_chains(engine, present)
+        _LOG.info(
+            'fleet',
+            extra={
+                'service': service.name,
+                'replicas': len(present),
+                'empty': sum(item.layers is None for item in present),
+                'missing': [chain.count_missing() for chain in chains],
+                'moves': len(moves),
+            },
+        )
+
     def _list_present(self, service: str, now: float) -> list[Replica]:
         """Return live replicas as if pending orders had taken effect."""
         present = []
@@ -239,7 +264,10 @@
             _LOG.error('order refused', extra={'replica': replica.replica_id})
             return
         report = await ask_report(self._state, replica)
-        if report is None or report.is_busy:
+        if report is None:
+            return
+        self._state.view.observe(replica.replica_id, report.layers)
+        if report.is_busy:
             return
         if report.layers == layers or not self._is_holder():
             return
--- a/samphirerill/relay/follower.py
+++ b/samphirerill/relay/follower.py
@@ -131,6 +131,7 @@
         for event in changes.events:
             self._take(event)
         self.revision = max(self.revision, changes.revision)
+        self._state.view.reach(self.revision)
         if changes.events:
             self._state.notify()
 
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -115,6 +115,7 @@
                     wanted,
                     self._task.priority,
                     self._limit_admission(),
+                    self._task.req.arrived_at + self._task.route.target_s,
                 )
             except HopelessError as exc:
                 self._give_up(exc)
@@ -156,9 +157,15 @@
         return frozenset(live)
 
     def _count_tokens(self) -> float:
-        """Return the memory this stream will need, in tokens."""
+        """Return the memory this stream will need, in tokens.
+
+        Clients name the most tokens that an answer may have, some twice what
+        answers have in the end; to keep room for all of that left a quarter of
+        the memory unused.
+        """
         facts = self._task.facts
-        answer = facts.most_tokens or self._engine.usual_answer
+        usual = self._engine.usual_answer
+        answer = min(facts.most_tokens or usual, facts.hinted_tokens or usual)
         return (facts.prompt_tokens or self._engine.usual_prompt) + answer
 
     def _limit_admission(self) -> float:
@@ -176,6 +183,7 @@
             return
         self._sends += 1
         self._heads.add(head_replica.replica_id)
+        self._log_send()
         try:
             conn.send(self._build_call())
             await self._read_answer(conn)
@@ -188,6 +196,23 @@
         else:
             self._state.pool.give_back(head_replica, conn)
 
+    def _log_send(self) -> None:
+        now = self._loop.time()
+        _LOG.info(
+            'stream sent',
+            extra={
+                'request': self._request_id,
+                'path': format_path(self._stages),
+                'send': self._sends,
+                'after_event': self._last_id,
+                'tokens': int(self._tokens),
+                'gap_ms': round(self._predict_gap_ms()),
+                'waited_ms': round(
+                    (now - self._task.req.arrived_at) * _MS_PER_S
+                ),
+            },
+        )
+
     def _build_call(self) -> bytes:
         task = self._task
         resume_after = b''
@@ -357,15 +382,18 @@
             if name not in known or known[name].dead_until > now
         }
 
-    def _predict_silence_s(self) -> float:
-        gap_ms = predict_gap_ms(
+    def _predict_gap_ms(self) -> float:
+        return predict_gap_ms(
             self._engine,
             self._state.view.known,
             self._stages,
             self._state.book,
             self._loop.time(),
         )
-        return max(_LEAST_SILENCE_S, _SILENT_GAPS * gap_ms / _MS_PER_S)
+
+    def _predict_silence_s(self) -> float:
+        gaps_s = _SILENT_GAPS * self._predict_gap_ms() / _MS_PER_S
+        return max(_LEAST_SILENCE_S, gaps_s)
 
     def _note_not_run(self, head: Head, at_fault: str) -> None:
         """The path refused and ran nothing; avoid who could not do its part."""
@@ -446,5 +474,13 @@
     return await conn.read(deadline)
 
 
+def format_path(stages: tuple[Stage, ...]) -> str:
+    """Return a path as logs show it."""
+    return ' '.join(
+        f'{stage.replica.replica_id}:{stage.layers.first}-{stage.layers.end}'
+        for stage in stages
+    )
+
+
 def _read_last_id(text: bytes) -> int:
     return int(text) if text.isdigit() else -1
