Keep the callers' port open to the end; read again after a deaf watch

Cause: with fewer than half of a data centre's nodes ready the balancer uses all of them, and the ones that were ending refused connections.

--- a/samphirerill/platform/store.py
+++ b/samphirerill/platform/store.py
@@ -33,10 +33,11 @@
 _NOT_FOUND = 404
 # The service answers in milliseconds; on its slow days in some hundred.
 CALL_TIMEOUT_S = 1.0
-# Long enough to cost next to nothing, short enough to notice a connection
-# that went silent before much has been missed.
-WATCH_WAIT_S = 4.0
-_WATCH_SLACK_S = 1.0
+# A watch that has gone deaf shows only by not ending. A change must be in force
+# within two seconds also then; a call every 1.2 s costs a node 0.8 reads a
+# second.
+WATCH_WAIT_S = 1.2
+_WATCH_SLACK_S = 0.3
 _MS = 1000
 _IDLE_CONNECTIONS = 3
 
--- a/samphirerill/relay/follower.py
+++ b/samphirerill/relay/follower.py
@@ -110,6 +110,9 @@
                 continue
             except StoreError as exc:
                 self._health.note_failure(exc, self._loop.time())
+                # A watch without an answer may have missed changes; what it
+                # would say next is only of what happens from then on.
+                self.revision = 0
                 await asyncio.sleep(pause_s)
                 pause_s = min(_MOST_PAUSE_S, pause_s * 2)
                 continue
--- a/samphirerill/relay/front.py
+++ b/samphirerill/relay/front.py
@@ -108,6 +108,10 @@
     async def _serve(self, task: Task) -> None:
         engine = task.service.engine
         if engine is not None and engine.layers:
+            if self._loop.time() >= self._state.streams_until:
+                refusal = Refusal(503, 'the node ends')
+                refuse(self._state, task.conn, task.facts, refusal)
+                return
             stream = StreamExchange(
                 self._state, task, self._admission, self._examiner
             )
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -5,7 +5,7 @@
 import asyncio
 import gc
 import signal
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.admission import Admission
@@ -23,6 +23,8 @@
 from samphirerill.relay.state import EdgeState
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from samphirerill.platform.settings import EdgeSettings
     from samphirerill.platform.store import PlatformStore
     from samphirerill.relay.dialect import Dialect
@@ -38,7 +40,11 @@
 _DRAIN_STEP_S = 0.05
 _RESTART_S = 0.5
 # Left of the time to SIGKILL for the process to end by itself.
-_EXIT_MARGIN_S = 0.3
+_EXIT_MARGIN_S = 0.6
+_LEAVE_S = 0.15
+# A stream takes some seconds; one that comes later than so much before the
+# end is sent to another node, which can finish it.
+_STREAM_S = 4.5
 
 
 class EdgeProcess:
@@ -147,22 +153,37 @@
             self.state.notify()
 
     async def _drain(self) -> None:
-        finish_at = self._loop.time() + self._settings.finish_s
-        finish_at -= _EXIT_MARGIN_S
-        notice_until = self._loop.time() + _NOTICE_S
-        await self._commander.leave()
-        await asyncio.sleep(max(0, notice_until - self._loop.time()))
-        for server in self._servers[:1]:
-            server.close()
+        """Fail the readiness check, finish every request, then end.
+
+        The callers' port stays open to the end: when too few nodes of a data
+        centre are ready, the balancer sends connections to all of them, and
+        one that was refused there would be lost to its client.
+        """
+        now = self._loop.time()
+        finish_at = now + self._settings.finish_s - _EXIT_MARGIN_S
+        self.state.streams_until = finish_at - _STREAM_S
+        notice_until = now + _NOTICE_S
+        await self._leave(self._commander.leave())
         while self._loop.time() < finish_at:
-            for conn in tuple(self._connections):
-                conn.close_idle()
-            if not self._count_busy():
-                break
+            if self._loop.time() >= notice_until:
+                for conn in tuple(self._connections):
+                    conn.close_idle()
+                if not self._count_busy():
+                    break
             await asyncio.sleep(_DRAIN_STEP_S)
-        await self._members.leave()
+        await self._leave(self._members.leave())
+        for server in self._servers:
+            server.close()
         self._ended.set()
 
+    async def _leave(self, leaving: Coroutine[Any, Any, None]) -> None:
+        """Give something up in the store, but don't wait for a slow one."""
+        try:
+            async with asyncio.timeout(_LEAVE_S):
+                await leaving
+        except TimeoutError:
+            _LOG.info('lease left to lapse', extra={'waited_s': _LEAVE_S})
+
     def _count_busy(self) -> int:
         return sum(conn.is_busy for conn in self._connections)
 
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -51,6 +51,8 @@
         self.cfg_text = b''
         self.routes: RouteTable | None = None
         self.is_draining = False
+        # A node that ends takes no new streams from then on.
+        self.streams_until = float('inf')
         self.peer_count = 0
         self._budgets: dict[str, RepeatBudget] = {}
         self._listeners: list[Callable[[], None]] = []
