--- a/samphirerill/fleet/repair.py
+++ b/samphirerill/fleet/repair.py
@@ -24,7 +24,7 @@
 # the pipeline it completes.
 _LEAST_REQUESTS = 15
 _WANTED_REQUESTS = 40
-_STEP_REQUESTS = 5
+_REQUESTS = range(_WANTED_REQUESTS, _LEAST_REQUESTS - 1, -5)
 # A slower pipeline is given up for a faster one only for this much more.
 _GAIN = 1.3
 Moves = dict[str, LayerRange]
@@ -35,6 +35,8 @@
     present: Sequence[Replica],
     pause_ms: float,
     settled: Collection[str],
+    *,
+    is_calm: bool = True,
 ) -> Moves:
     """Return the layers that replicas should hold other than now.
 
@@ -49,6 +51,9 @@
     settled : collection of str
         Replicas that may be given something to double; the others are kept
         free to take over from one that leaves.
+    is_calm : bool
+        No replica has come or gone for a while. Until then only gaps are
+        closed; in a release the next newcomer fits better than any rebuilding.
     """
     if all(replica.layers is None for replica in present):
         return _plan_first(engine, present, pause_ms)
@@ -62,6 +67,8 @@
     while broken:
         chain = broken.pop(0)
         taken = _close_gaps(engine, chain, spares)
+        if taken is None and not is_calm:
+            continue
         if taken is None:
             taken = _cut_anew(engine, chain, spares)
         if taken is None:
@@ -72,7 +79,8 @@
         moves.update(taken)
         spares = [item for item in spares if item.replica_id not in taken]
     spares = [item for item in spares if item.replica_id in settled]
-    moves.update(_use_spares(engine, spares, present, moves, pause_ms))
+    if is_calm:
+        moves.update(_use_spares(engine, spares, present, moves, pause_ms))
     return moves
 
 
@@ -144,17 +152,21 @@
     """
     home = chain.find_home()
     near = [item for item in spares if item.data_centre == home]
+    for joining in (near, spares):
+        replicas = _join(chain, joining)
+        for requests in _REQUESTS:
+            counts = [_most_layers(engine, item, requests) for item in replicas]
+            if sum(counts) >= engine.layers:
+                return _assign(engine, replicas, counts)
+    return None
+
+
+def _join(chain: Chain, joining: Sequence[Replica]) -> list[Replica]:
+    """Return a chain's parts with others where its first gap is."""
     cards = [(stage.layers.first, stage.replica) for stage in chain.stages]
-    cards.extend((chain.gaps[0].first, item) for item in near)
+    cards.extend((chain.gaps[0].first, item) for item in joining)
     cards.sort(key=lambda pair: (pair[0], pair[1].replica_id))
-    replicas = [replica for _, replica in cards]
-    for requests in range(
-        _WANTED_REQUESTS, _LEAST_REQUESTS - 1, -_STEP_REQUESTS
-    ):
-        counts = [_most_layers(engine, item, requests) for item in replicas]
-        if sum(counts) >= engine.layers:
-            return _assign(engine, replicas, counts)
-    return None
+    return [replica for _, replica in cards]
 
 
 def _assign(
--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -54,6 +54,8 @@
     # Changes with the set of replicas, and with what this node suspects.
     ids_version: int = 0
     own_version: int = 0
+    # Replicas that began to leave or were found dead.
+    losses: int = 0
     leaving: set[str] = field(default_factory=set)
     _tombs: dict[str, int] = field(default_factory=dict)
 
@@ -66,8 +68,9 @@
         if found is not None and revision <= found.revision:
             found.lapsed_until = 0.0
             return False
-        if replica.is_leaving:
+        if replica.is_leaving and replica_id not in self.leaving:
             self.leaving.add(replica_id)
+            self.losses += 1
         if found is None:
             self.known[replica_id] = Known(replica, revision)
             self.ids_version += 1
@@ -147,6 +150,7 @@
         if found is None:
             return False
         is_news = found.dead_until <= now
+        self.losses += is_news
         found.dead_until = max(found.dead_until, until)
         if is_own:
             found.found_until = max(found.found_until, until)
@@ -170,6 +174,13 @@
         """Return whether a replica has said that it leaves."""
         return replica_id in self.leaving
 
+    def is_lost(self, replica_id: str, now: float) -> bool:
+        """Return whether a replica is gone, leaving or taken to be dead."""
+        found = self.known.get(replica_id)
+        if found is None or replica_id in self.leaving:
+            return True
+        return found.dead_until > now
+
     def list_service(self, service: str) -> list[Known]:
         """Return the replicas of a service that are not leaving."""
         return [
@@ -210,5 +221,6 @@
         self.leaving.discard(replica_id)
         self._tombs[replica_id] = revision
         self.ids_version += 1
+        self.losses += 1
         while len(self._tombs) > _MOST_TOMBS:
             self._tombs.pop(next(iter(self._tombs)))
--- a/samphirerill/relay/commander.py
+++ b/samphirerill/relay/commander.py
@@ -51,6 +51,8 @@
 # given up first wait for the streams that pass through them.
 _GOAL_S = 12.0
 _MOST_ROUNDS = 3
+# A release replaces a replica about once a second.
+_CALM_S = 1.5
 # How long a replica is new; in a release the old one leaves within a second.
 _NEWCOMER_S = 2.5
 _DEFAULT_PAUSE_MS = 200.0
@@ -112,6 +114,7 @@
         self._settled_at = 0.0
         self._is_leaving = False
         self._planned: dict[str, _Planned] = {}
+        self._calm: dict[str, tuple[frozenset[str] | None, float]] = {}
         self._first_seen: dict[str, float] = {}
 
     def take_all(self, items: list[StoredItem], revision: int) -> None:
@@ -215,7 +218,9 @@
         if not self._has_settled(present, now):
             return
         settled = self._list_settled(present, now)
-        if not self._may_plan(service.name, engine, present, settled):
+        is_calm = self._is_calm(service.name, present, now)
+        fleet = (engine, frozenset(replicas_by_id(present)), settled, is_calm)
+        if not self._may_plan(service.name, fleet, tuple(present)):
             await self._pursue(engine, present)
             return
         moves = plan_moves(
@@ -223,27 +228,32 @@
             present,
             self._get_pause_ms(service),
             settled,
+            is_calm=is_calm,
         )
         self._log_fleet(service, engine, present, moves)
         for replica_id, layers in moves.items():
             self._goals[replica_id] = _Goal(layers, now + _GOAL_S)
         await self._pursue(engine, present)
 
+    def _is_calm(
+        self, service: str, present: list[Replica], now: float
+    ) -> bool:
+        """Return whether no replica has come or gone for a while."""
+        ids = frozenset(replicas_by_id(present))
+        known_ids, since = self._calm.get(service, (None, 0.0))
+        if ids != known_ids:
+            self._calm[service] = (ids, now)
+            return False
+        return since + _CALM_S <= now
+
     def _may_plan(
-        self,
-        service: str,
-        engine: EngineSpec,
-        present: list[Replica],
-        settled: frozenset[str],
+        self, service: str, fleet: object, holdings: tuple[Replica, ...]
     ) -> bool:
         """Return whether something has changed that a plan should answer.
 
         Plans that answered to their own effects have moved the same layers to
-        and fro for ever; each set of replicas is planned for a few times only.
+        and fro for ever; each fleet is planned for a few times only.
         """
-        ids = frozenset(replica.replica_id for replica in present)
-        fleet = (engine, ids, settled)
-        holdings = tuple(present)
         known = self._planned.get(service)
         if known is None or known.fleet != fleet:
             known = _Planned(fleet)
@@ -373,3 +383,8 @@
 def format_layers(layers: LayerRange | None) -> str:
     """Return a range as logs show it."""
     return 'none' if layers is None else f'{layers.first}-{layers.end}'
+
+
+def replicas_by_id(replicas: list[Replica]) -> dict[str, Replica]:
+    """Return replicas by their id."""
+    return {replica.replica_id: replica for replica in replicas}
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -89,6 +89,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
         self._ended = asyncio.Event()
+        self._losses = 0
+        self.state.listen(self._move_streams)
 
     async def run(self) -> int:
         """Serve until told to stop; return the exit code."""
@@ -141,6 +143,14 @@
         gauges['now.version'] = state.cfg.version if state.cfg else 0
         return _OK, state.metrics.format_prometheus(gauges).encode()
 
+    def _move_streams(self) -> None:
+        """Replicas were lost: streams leave them now, not when they notice."""
+        if self._losses == self.state.view.losses:
+            return
+        self._losses = self.state.view.losses
+        for stream in tuple(self.state.streams):
+            stream.check_path()
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_S)
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -22,6 +22,7 @@
     from samphirerill.fleet.model import FleetConfiguration
     from samphirerill.platform.settings import EdgeSettings
     from samphirerill.relay.dialect import Dialect
+    from samphirerill.relay.streaming import StreamExchange
 
 _LOG = get_logger('state')
 
@@ -50,6 +51,7 @@
         self.cfg: FleetConfiguration | None = None
         self.cfg_text = b''
         self.routes: RouteTable | None = None
+        self.streams: set[StreamExchange] = set()
         self.is_draining = False
         # A node that ends takes no new streams from then on.
         self.streams_until = float('inf')
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -101,11 +101,50 @@
         self._failure: tuple[Head, bytes] | None = None
         self._reason = ''
         self._last_event_at = 0.0
+        self._conn: HttpConnection | None = None
+        self._moving: asyncio.Task[None] | None = None
+        self._events = 0
+        self._most_gap_s = 0.0
+        self._first_event_at = 0.0
         self._request_id = task.facts.request_id.decode('latin-1')
         self._tokens = self._count_tokens()
 
     async def run(self) -> None:
         """Answer the request."""
+        self._state.streams.add(self)
+        try:
+            await self._serve()
+        finally:
+            self._state.streams.discard(self)
+            self._log_end()
+
+    def check_path(self) -> None:
+        """Leave replicas that are lost, without waiting for a silence."""
+        conn = self._conn
+        if conn is None or not self._task.may_repeat:
+            return
+        now = self._loop.time()
+        view = self._state.view
+        lost = [
+            name for name in list_ids(self._stages) if view.is_lost(name, now)
+        ]
+        if not lost:
+            return
+        if lost[0] == self._stages[0].replica.replica_id:
+            if not view.is_leaving(lost[0]):
+                conn.close()
+            return
+        if self._moving is None:
+            self._moving = self._loop.create_task(self._move())
+
+    async def _move(self) -> None:
+        """Move behind the first replica; one that only leaves may go on."""
+        try:
+            await self._repath()
+        finally:
+            self._moving = None
+
+    async def _serve(self) -> None:
         while not self._ended and self._may_send():
             wanted = PathRequest(self._tokens, self._avoid, self._limit_heads())
             try:
@@ -184,6 +223,7 @@
         self._sends += 1
         self._heads.add(head_replica.replica_id)
         self._log_send()
+        self._conn = conn
         try:
             conn.send(self._build_call())
             await self._read_answer(conn)
@@ -195,6 +235,27 @@
             raise
         else:
             self._state.pool.give_back(head_replica, conn)
+        finally:
+            self._conn = None
+            if self._moving is not None:
+                self._moving.cancel()
+
+    def _log_end(self) -> None:
+        spent_s = self._last_event_at - self._first_event_at
+        _LOG.info(
+            'stream ended',
+            extra={
+                'request': self._request_id,
+                'events': self._events,
+                'first_ms': round(
+                    (self._first_event_at - self._task.req.arrived_at)
+                    * _MS_PER_S
+                ),
+                'gap_ms': round(spent_s * _MS_PER_S / max(1, self._events - 1)),
+                'most_gap_ms': round(self._most_gap_s * _MS_PER_S),
+                'sends': self._sends,
+            },
+        )
 
     def _log_send(self) -> None:
         now = self._loop.time()
@@ -261,7 +322,6 @@
     async def _relay(self, conn: HttpConnection, head: Head) -> None:
         """Pass the events on."""
         caller = self._task.conn
-        self._note_event()
         if not self._started:
             self._started = True
             caller.start_answer(head.status, filter_headers(head), None)
@@ -290,12 +350,15 @@
 
     def _note_event(self) -> None:
         now = self._loop.time()
+        self._events += 1
         if self._last_event_at:
             gap_s = now - self._last_event_at
+            self._most_gap_s = max(self._most_gap_s, gap_s)
             self._state.metrics.record('token_gap', 'stream', gap_s)
         else:
             waited_s = now - self._task.req.arrived_at
             self._state.metrics.record('first_token', 'stream', waited_s)
+            self._first_event_at = now
         self._last_event_at = now
 
     async def _patiently(self, conn: HttpConnection, silence_s: float, read):
@@ -374,12 +437,10 @@
 
     def _list_lost(self) -> set[str]:
         """Return the replicas of the path that are gone or taken for dead."""
-        known = self._state.view.known
         now = self._loop.time()
+        view = self._state.view
         return {
-            name
-            for name in list_ids(self._stages)
-            if name not in known or known[name].dead_until > now
+            name for name in list_ids(self._stages) if view.is_lost(name, now)
         }
 
     def _predict_gap_ms(self) -> float:
