--- a/samphirerill/fleet/planner.py
+++ b/samphirerill/fleet/planner.py
@@ -95,18 +95,25 @@
     pause_ms : float
         The pause between events that is still on time.
     """
+    plans = list_plans(engine, replicas, pause_ms)
+    return max(plans, key=lambda planned: planned.rate, default=None)
+
+
+def list_plans(
+    engine: EngineSpec, replicas: Sequence[Replica], pause_ms: float
+) -> list[Planned]:
+    """Return a plan for each step of the ladder that gives any pipeline."""
     known = [
         replica
         for replica in replicas
         if replica.accelerator in engine.accelerators
     ]
-    best: Planned | None = None
-    for tokens in _list_token_goals(engine):
-        for fast_first in (False, True):
-            planned = _plan_for(engine, known, tokens, pause_ms, fast_first)
-            if planned.pipelines and (best is None or planned.rate > best.rate):
-                best = planned
-    return best
+    plans = [
+        _plan_for(engine, known, tokens, pause_ms, fast_first=fast_first)
+        for tokens in _list_token_goals(engine)
+        for fast_first in (False, True)
+    ]
+    return [planned for planned in plans if planned.pipelines]
 
 
 def predict_rate(
@@ -169,6 +176,7 @@
     replicas: Sequence[Replica],
     tokens: float,
     pause_ms: float,
+    *,
     fast_first: bool,
 ) -> Planned:
     """Build a plan whose stages all have room for so many tokens."""
--- a/samphirerill/fleet/repair.py
+++ b/samphirerill/fleet/repair.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.chains import extract_chains
+from samphirerill.fleet.migration import plan_migration, predict_chain_rate
 from samphirerill.fleet.model import LayerRange, count_tokens
 from samphirerill.fleet.planner import Pipeline, plan_layers, predict_rate
 
@@ -79,8 +80,11 @@
         moves.update(taken)
         spares = [item for item in spares if item.replica_id not in taken]
     spares = [item for item in spares if item.replica_id in settled]
-    if is_calm:
-        moves.update(_use_spares(engine, spares, present, moves, pause_ms))
+    if not is_calm:
+        return moves
+    moves.update(_use_spares(engine, spares, present, moves, pause_ms))
+    if not moves:
+        moves = plan_migration(engine, present, whole, pause_ms)
     return moves
 
 
@@ -207,7 +211,9 @@
         if taken is not None:
             broken.remove(given)
         return taken
-    rates = [(_rate(engine, item, pause_ms), item) for item in whole]
+    rates = [
+        (predict_chain_rate(engine, item, pause_ms), item) for item in whole
+    ]
     slow = min(rates, key=lambda pair: pair[0], default=None)
     if slow is None:
         return None
@@ -338,8 +344,3 @@
 
 def _count_missing(chain: Chain) -> int:
     return chain.count_missing()
-
-
-def _rate(engine: EngineSpec, chain: Chain, pause_ms: float) -> float:
-    parts = [(stage.replica, stage.layers.count) for stage in chain.stages]
-    return predict_rate(engine, Pipeline(parts), pause_ms)
--- a/samphirerill/relay/commander.py
+++ b/samphirerill/relay/commander.py
@@ -51,7 +51,7 @@
 # A goal not reached by then is given up and planned anew. Layers that are
 # given up first wait for the streams that pass through them.
 _GOAL_S = 12.0
-_MOST_ROUNDS = 3
+_MOST_ROUNDS = 6
 # A release replaces a replica about once a second.
 _CALM_S = 1.5
 # How long a replica is new; in a release the old one leaves within a second.
