Pipelines that cross share the pipes, in plans and at work

Cause: each crossing pipeline was predicted alone; three that shared one pipe looked as good as three local ones. All nodes now keep one estimate of each pipe's backlog.

--- a/samphirerill/fleet/migration.py
+++ b/samphirerill/fleet/migration.py
@@ -13,7 +13,7 @@
 from samphirerill.fleet.planner import (
     Pipeline,
     list_plans,
-    predict_rate,
+    predict_total_rate,
 )
 
 if TYPE_CHECKING:
@@ -50,9 +50,8 @@
     pause_ms : float
         The pause between events that is still on time.
     """
-    now_rate = sum(
-        predict_chain_rate(engine, chain, pause_ms) for chain in whole
-    )
+    working = [build_pipeline(chain) for chain in whole]
+    now_rate = predict_total_rate(engine, working, pause_ms)
     best: list[Moves] = []
     best_score = now_rate * _GAIN
     for planned in list_plans(engine, present, pause_ms):
@@ -74,8 +73,14 @@
     engine: EngineSpec, chain: Chain, pause_ms: float
 ) -> float:
     """Return the answers a second that a whole chain gives in good time."""
-    parts = [(stage.replica, stage.layers.count) for stage in chain.stages]
-    return predict_rate(engine, Pipeline(parts), pause_ms)
+    return predict_total_rate(engine, [build_pipeline(chain)], pause_ms)
+
+
+def build_pipeline(chain: Chain) -> Pipeline:
+    """Return a whole chain as a pipeline."""
+    return Pipeline(
+        [(stage.replica, stage.layers.count) for stage in chain.stages]
+    )
 
 
 def _assign(planned: Planned, present: Sequence[Replica]) -> list[Moves]:
--- a/samphirerill/fleet/paths.py
+++ b/samphirerill/fleet/paths.py
@@ -77,7 +77,7 @@
         for found in usable
         if found.replica.layers is not None
         and found.replica.replica_id not in wanted.avoid
-        and _has_room(engine, found, book, wanted)
+        and has_room(engine, found, book, wanted)
     ]
     cuts = _list_cuts(engine, holders)
     best: dict[int, list[_Partial]] = {cut: [] for cut in cuts}
@@ -142,20 +142,16 @@
     return count_tokens(engine, kind, layers.count) * MEMORY_USE
 
 
-def _may_cross(wanted: PathRequest, one: str, other: str, now: float) -> bool:
-    return wanted.pipes is None or wanted.pipes.is_open(one, other, now)
-
-
-def _limit_cuts(cuts: list[int], wanted: PathRequest) -> list[int]:
-    """Return where the first part may end."""
-    if not wanted.first_end:
-        return cuts
-    return [cut for cut in cuts if cut == wanted.first_end]
+def _wait_ms(wanted: PathRequest, one: str, other: str, now: float) -> float:
+    if wanted.pipes is None:
+        return 0.0
+    return wanted.pipes.backlog_ms(one, other, now)
 
 
-def _has_room(
+def has_room(
     engine: EngineSpec, found: Known, book: LoadBook, wanted: PathRequest
 ) -> bool:
+    """Return whether a replica holds layers and has memory for a request."""
     replica = found.replica
     if replica.layers is None:
         return False
@@ -165,6 +161,17 @@
     return book.tokens(replica.replica_id) + wanted.tokens <= fits
 
 
+def _may_cross(wanted: PathRequest, one: str, other: str, now: float) -> bool:
+    return wanted.pipes is None or wanted.pipes.is_open(one, other, now)
+
+
+def _limit_cuts(cuts: list[int], wanted: PathRequest) -> list[int]:
+    """Return where the first part may end."""
+    if not wanted.first_end:
+        return cuts
+    return [cut for cut in cuts if cut == wanted.first_end]
+
+
 def _list_cuts(engine: EngineSpec, holders: Sequence[Known]) -> list[int]:
     """Return where parts may end, in order."""
     cuts = {engine.layers}
@@ -198,7 +205,7 @@
         if here != replica.data_centre:
             if not _may_cross(wanted, here, replica.data_centre, now):
                 continue
-            hop = transfer_ms
+            hop = transfer_ms + _wait_ms(wanted, here, replica.data_centre, now)
         if chosen is None or partial.cost + hop < chosen.cost + chosen_hop:
             chosen = partial
             chosen_hop = hop
--- a/samphirerill/fleet/pipes.py
+++ b/samphirerill/fleet/pipes.py
@@ -1,29 +1,37 @@
-"""How much of the pipes between data centres this node uses.
+"""How much of the pipes between data centres is in use.
 
 Transfers queue in a pipe one after another: a prompt that crosses holds up
-every other stream's next token there. Each node may use its share; what it has
-sent beyond that has to drain before it sends more.
+every other stream's next token there. All nodes keep the same estimate of each
+pipe's backlog: every node counts what it has sent in all, tells the others,
+and adds what they have sent since it last heard.
 """
 
 from __future__ import annotations
 
-# Above this use, prompts wait for prompts and pauses triple.
-_USE = 0.6
-# A node may be this far ahead of its share: prompts come in clumps.
-MOST_BACKLOG_MS = 1200.0
+# Above this use, prompts wait for prompts and pauses triple; it also covers
+# the tokens, which cross beside the prompts.
+_USE = 0.5
+# Further prompts wait at the node rather than in the pipe: behind so much,
+# the next token of a stream is still on time.
+MOST_BACKLOG_MS = 100.0
 _MS_PER_S = 1000
+Pair = frozenset[str]
 
 
 class PipeUse:
-    """This node's transfers through each pipe, as a backlog that drains."""
+    """The estimated backlog of every pipe, in milliseconds of transfer."""
 
-    __slots__ = ('_free_at',)
+    __slots__ = ('_free_at', '_heard', 'own_version', 'sent')
 
     def __init__(self) -> None:
-        self._free_at: dict[frozenset[str], float] = {}
+        self._free_at: dict[Pair, float] = {}
+        self._heard: dict[tuple[str, Pair], float] = {}
+        # What this node has sent through each pipe since it started.
+        self.sent: dict[Pair, float] = {}
+        self.own_version = 0
 
     def backlog_ms(self, one: str, other: str, now: float) -> float:
-        """Return how far this node is ahead of its share of a pipe."""
+        """Return how long a prompt would wait for those before it."""
         free_at = self._free_at.get(frozenset((one, other)), 0.0)
         return max(0.0, free_at - now) * _MS_PER_S
 
@@ -32,21 +40,34 @@
         return self.backlog_ms(one, other, now) < MOST_BACKLOG_MS
 
     def note(
-        self, one: str, other: str, transfer_ms: float, nodes: int, now: float
+        self, one: str, other: str, transfer_ms: float, now: float
     ) -> None:
-        """Count one prompt that crosses.
+        """Count one prompt of this node that crosses."""
+        pair = frozenset((one, other))
+        self.sent[pair] = self.sent.get(pair, 0.0) + transfer_ms
+        self.own_version += 1
+        self._add(pair, transfer_ms, now)
+
+    def hear(self, node: str, pair: Pair, sent_ms: float, now: float) -> None:
+        """Take what another node has sent through a pipe in all.
 
         Parameters
         ----------
-        one, other : str
+        node : str
+            Which start of which node.
+        pair : frozenset of str
             The data centres.
-        transfer_ms : float
-            How long it occupies the pipe.
-        nodes : int
-            How many nodes share the pipe.
+        sent_ms : float
+            Its total since it started.
         now : float
             On the loop's clock.
         """
-        pair = frozenset((one, other))
-        spent_s = transfer_ms / _MS_PER_S * nodes / _USE
+        key = (node, pair)
+        before = self._heard.get(key, sent_ms)
+        self._heard[key] = max(before, sent_ms)
+        if sent_ms > before:
+            self._add(pair, sent_ms - before, now)
+
+    def _add(self, pair: Pair, transfer_ms: float, now: float) -> None:
+        spent_s = transfer_ms / _MS_PER_S / _USE
         self._free_at[pair] = max(now, self._free_at.get(pair, 0.0)) + spent_s
--- a/samphirerill/fleet/planner.py
+++ b/samphirerill/fleet/planner.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from itertools import pairwise
 from typing import TYPE_CHECKING
@@ -55,8 +56,14 @@
 
     def count_crossings(self) -> int:
         """Return how often a prompt changes data centres."""
+        return self.list_crossings().total()
+
+    def list_crossings(self) -> Counter[frozenset[str]]:
+        """Return how often a prompt passes through each pipe."""
         zones = [replica.data_centre for replica, _ in self.parts]
-        return sum(one != other for one, other in pairwise(zones))
+        return Counter(
+            frozenset(pair) for pair in pairwise(zones) if pair[0] != pair[1]
+        )
 
 
 @dataclass(slots=True)
@@ -133,12 +140,30 @@
         running *= 0.8
         event_ms = predict_event_ms(engine, pipeline, running)
     rate = running / (count_events(engine) * event_ms / MS_PER_S)
-    rate = min(rate, *_list_reading_rates(engine, pipeline))
-    if pipeline.count_crossings():
-        transfer_s = predict_transfer_ms(engine, engine.usual_prompt) / MS_PER_S
-        if transfer_s > 0:
-            rate = min(rate, _PIPE_USE / transfer_s)
-    return rate
+    return min(rate, *_list_reading_rates(engine, pipeline))
+
+
+def predict_total_rate(
+    engine: EngineSpec, pipelines: Sequence[Pipeline], pause_ms: float
+) -> float:
+    """Return the answers a second that pipelines give together.
+
+    Those that cross share the pipes: each prompt occupies every pipe on its
+    path, as often as it crosses there.
+    """
+    transfer_s = predict_transfer_ms(engine, engine.usual_prompt) / MS_PER_S
+    most = _PIPE_USE / transfer_s if transfer_s > 0 else float('inf')
+    left: dict[frozenset[str], float] = {}
+    total = 0.0
+    for pipeline in sorted(pipelines, key=Pipeline.count_crossings):
+        rate = predict_rate(engine, pipeline, pause_ms)
+        crossings = pipeline.list_crossings()
+        for pair, times in crossings.items():
+            rate = min(rate, left.get(pair, most) / times)
+        for pair, times in crossings.items():
+            left[pair] = left.get(pair, most) - rate * times
+        total += rate
+    return total
 
 
 def predict_event_ms(
@@ -194,7 +219,7 @@
             pipelines.append(taken)
     while taken := _take_across(engine, free, most):
         pipelines.append(taken)
-    rate = sum(predict_rate(engine, item, pause_ms) for item in pipelines)
+    rate = predict_total_rate(engine, pipelines, pause_ms)
     used = {part.replica_id for item in pipelines for part, _ in item.parts}
     spares = [item for item in replicas if item.replica_id not in used]
     return Planned(pipelines, spares, rate, tokens)
--- a/samphirerill/fleet/repair.py
+++ b/samphirerill/fleet/repair.py
@@ -13,7 +13,11 @@
 from samphirerill.fleet.chains import extract_chains
 from samphirerill.fleet.migration import plan_migration, predict_chain_rate
 from samphirerill.fleet.model import LayerRange, count_tokens
-from samphirerill.fleet.planner import Pipeline, plan_layers, predict_rate
+from samphirerill.fleet.planner import (
+    Pipeline,
+    plan_layers,
+    predict_total_rate,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -222,7 +226,7 @@
     if taken is None:
         return None
     completed = _complete(chain, taken, given, spares)
-    if predict_rate(engine, completed, pause_ms) < slow[0] * _GAIN:
+    if predict_total_rate(engine, [completed], pause_ms) < slow[0] * _GAIN:
         return None
     whole.remove(given)
     return taken
--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -11,6 +11,7 @@
 from itertools import pairwise
 from typing import TYPE_CHECKING
 
+from samphirerill.fleet.explain import explain_no_path
 from samphirerill.fleet.load import list_ids
 from samphirerill.fleet.paths import choose_path
 from samphirerill.fleet.prediction import predict_transfer_ms
@@ -47,8 +48,8 @@
 class HopelessError(Exception):
     """No path will have room in time; `wait_s` is when one might."""
 
-    def __init__(self, wait_s: float) -> None:
-        super().__init__(f'no path within {wait_s:.2f} s')
+    def __init__(self, wait_s: float, reason: str) -> None:
+        super().__init__(f'no path in time: {reason}')
         self.wait_s = wait_s
 
 
@@ -108,7 +109,6 @@
             stages = self._try(service, engine, wanted)
             if stages:
                 return stages
-        self._refuse_hopeless(waiting, deadline)
         ticket = _Ticket(
             rank,
             target - _FIRST_EVENT_S,
@@ -117,6 +117,7 @@
             wanted,
             self._loop.create_future(),
         )
+        self._refuse_hopeless(waiting, ticket, deadline)
         return await self._wait(ticket, deadline)
 
     def admit_now(
@@ -139,7 +140,9 @@
                 return await ticket.granted
         except TimeoutError as exc:
             self._abandon(ticket)
-            raise HopelessError(self.predict_wait_s()) from exc
+            raise HopelessError(
+                self.predict_wait_s(), self._explain(ticket)
+            ) from exc
         except asyncio.CancelledError:
             self._abandon(ticket)
             raise
@@ -155,12 +158,19 @@
             self.release(granted.result(), ticket.wanted.tokens)
         granted.cancel()
 
-    def _refuse_hopeless(self, waiting: int, deadline: float) -> None:
+    def _refuse_hopeless(
+        self, waiting: int, ticket: _Ticket, deadline: float
+    ) -> None:
         """Refuse at once what the queue before it will not let through."""
         left_s = deadline - self._loop.time()
         expected_s = self._gap_s * waiting
         if waiting > _SHORT_QUEUE and expected_s > left_s:
-            raise HopelessError(expected_s)
+            raise HopelessError(expected_s, self._explain(ticket))
+
+    def _explain(self, ticket: _Ticket) -> str:
+        state = self._state
+        usable = state.view.list_usable(ticket.service, self._loop.time())
+        return explain_no_path(ticket.engine, usable, state.book, ticket.wanted)
 
     def _schedule(self) -> None:
         if self._queue and not self._is_pumping:
@@ -214,9 +224,8 @@
         now: float,
     ) -> None:
         transfer_ms = predict_transfer_ms(engine, tokens)
-        nodes = self._state.count_nodes()
         for stage, following in pairwise(stages):
             here = stage.replica.data_centre
             there = following.replica.data_centre
             if here != there:
-                self._state.pipes.note(here, there, transfer_ms, nodes, now)
+                self._state.pipes.note(here, there, transfer_ms, now)
--- a/samphirerill/relay/members.py
+++ b/samphirerill/relay/members.py
@@ -74,6 +74,8 @@
     revision: int
     held: dict[int, tuple[int, int]]
     avoided: dict[int, int]
+    # Milliseconds of transfer through each pipe since the node started.
+    pipes: list[tuple[str, str, int]]
 
 
 class _Peer:
@@ -243,6 +245,10 @@
             if key in names:
                 until = now + left_ms / _MS_PER_S
                 self._state.view.suspect(names[key], until, now, is_own=False)
+        node = f'{told.node}/{told.started}'
+        for one, other, sent_ms in told.pipes:
+            pair = frozenset((one, other))
+            self._state.pipes.hear(node, pair, sent_ms, now)
         self._count()
         self._state.notify()
         self._fetch_if_behind(peer)
@@ -376,6 +382,7 @@
             state.view.revision,
             held,
             avoided,
+            [(*sorted(pair), int(ms)) for pair, ms in state.pipes.sent.items()],
         )
 
     def _list_addresses(self, now: float) -> set[str]:
