--- a/samphirerill/relay/commander.py
+++ b/samphirerill/relay/commander.py
@@ -51,9 +51,9 @@
 # A goal not reached by then is given up and planned anew. Layers that are
 # given up first wait for the streams that pass through them.
 _GOAL_S = 12.0
-_MOST_ROUNDS = 6
+_MOST_ROUNDS = 8
 # A release replaces a replica about once a second.
-_CALM_S = 1.5
+_CALM_S = 1.2
 # How long a replica is new; in a release the old one leaves within a second.
 _NEWCOMER_S = 2.5
 _DEFAULT_PAUSE_MS = 200.0
@@ -253,8 +253,12 @@
     def _is_calm(
         self, service: str, present: list[Replica], now: float
     ) -> bool:
-        """Return whether no replica has come or gone for a while."""
+        """Return whether nothing is under way and nobody came or went."""
         ids = frozenset(replicas_by_id(present))
+        if any(name in self._goals for name in ids):
+            # One change at a time: a second one would take apart what the
+            # first is still loading, and with it every pipeline at once.
+            return False
         known_ids, since = self._calm.get(service, (None, 0.0))
         if ids != known_ids:
             self._calm[service] = (ids, now)
