--- a/samphirerill/fleet/paths.py
+++ b/samphirerill/fleet/paths.py
@@ -25,8 +25,10 @@
     from samphirerill.fleet.pipes import PipeUse
     from samphirerill.fleet.view import Known
 
-# Reports of others are a little late, and answers may be longer than said.
-MEMORY_USE = 0.95
+# Reports of others are a little late, and answers may be longer than said. The
+# rest is kept for streams that lost their path.
+MEMORY_USE = 0.92
+URGENT_USE = 1.0
 # Engines refuse a path of more parts.
 MOST_STAGES = 32
 _STAGE_COST_MS = 0.5
@@ -53,7 +55,8 @@
 
     `heads` names the replicas that a path may begin with, if not any;
     `first_end` is where its first part must end, if not anywhere. Replicas in
-    `held` already hold the tokens.
+    `held` already hold the tokens. An urgent request, one that has begun, may
+    use the last of the memory, and pipes that are busy.
     """
 
     tokens: float
@@ -61,6 +64,7 @@
     heads: frozenset[str] = frozenset()
     first_end: int = 0
     pipes: PipeUse | None = None
+    is_urgent: bool = False
     held: frozenset[str] = frozenset()
 
 
@@ -139,7 +143,7 @@
     kind = engine.accelerators.get(found.replica.accelerator)
     if kind is None:
         return 0.0
-    return count_tokens(engine, kind, layers.count) * MEMORY_USE
+    return count_tokens(engine, kind, layers.count)
 
 
 def _wait_ms(wanted: PathRequest, one: str, other: str, now: float) -> float:
@@ -157,12 +161,15 @@
         return False
     if replica.replica_id in wanted.held:
         return True
-    fits = count_capacity(engine, found, replica.layers)
+    use = URGENT_USE if wanted.is_urgent else MEMORY_USE
+    fits = count_capacity(engine, found, replica.layers) * use
     return book.tokens(replica.replica_id) + wanted.tokens <= fits
 
 
 def _may_cross(wanted: PathRequest, one: str, other: str, now: float) -> bool:
-    return wanted.pipes is None or wanted.pipes.is_open(one, other, now)
+    if wanted.pipes is None or wanted.is_urgent:
+        return True
+    return wanted.pipes.is_open(one, other, now)
 
 
 def _limit_cuts(cuts: list[int], wanted: PathRequest) -> list[int]:
--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -203,17 +203,23 @@
         self._gap_s += _SMOOTHING * (gap_s - self._gap_s)
         self._last_grant = now
 
-    def _try(
+    def find(
         self, service: str, engine: EngineSpec, wanted: PathRequest
     ) -> tuple[Stage, ...]:
+        """Return a path with room, or none; nothing is taken."""
         now = self._loop.time()
         state = self._state
         wanted.pipes = state.pipes
         usable = state.view.list_usable(service, now)
-        stages = choose_path(engine, usable, state.book, wanted, now)
+        return choose_path(engine, usable, state.book, wanted, now)
+
+    def _try(
+        self, service: str, engine: EngineSpec, wanted: PathRequest
+    ) -> tuple[Stage, ...]:
+        stages = self.find(service, engine, wanted)
         if stages:
-            state.book.take(list_ids(stages), wanted.tokens)
-            self._note_crossings(engine, stages, wanted.tokens, now)
+            self._state.book.take(list_ids(stages), wanted.tokens)
+            self._note_crossings(engine, stages, wanted.tokens)
         return stages
 
     def _note_crossings(
@@ -221,8 +227,8 @@
         engine: EngineSpec,
         stages: tuple[Stage, ...],
         tokens: float,
-        now: float,
     ) -> None:
+        now = self._loop.time()
         transfer_ms = predict_transfer_ms(engine, tokens)
         for stage, following in pairwise(stages):
             here = stage.replica.data_centre
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -50,6 +50,10 @@
 # Clients give a stream up after a gap of two seconds, also before its first
 # event; a request that has waited so long for a path is refused instead.
 _ADMISSION_S = 1.4
+# One that has begun is worth more: it is resumed up to the last moment, and
+# before any new one.
+_RESUME_S = 1.9
+_URGENT = -1
 # A path is asked about when it has been silent for so many predicted gaps,
 # but not sooner than this: other streams' prompts cause shorter pauses.
 _SILENT_GAPS = 4.0
@@ -128,28 +132,72 @@
             return
         head_id = self._stages[0].replica.replica_id
         if head_id in lost:
-            if not self._state.view.is_leaving(head_id):
-                conn.close()
-            return
-        if self._moving is None:
-            self._moving = self._loop.create_task(self._move())
+            self._leave_head(head_id, conn)
+        elif self._moving is None:
+            self._moving = self._loop.create_task(self._move(conn))
+
+    def _leave_head(self, head_id: str, conn: HttpConnection) -> None:
+        """Go on elsewhere if the first replica is gone or gives up its part.
+
+        One that only leaves finishes what it has begun.
+        """
+        view = self._state.view
+        found = view.known.get(head_id)
+        is_dead = found is None or found.dead_until > self._loop.time()
+        if is_dead or (not view.is_leaving(head_id) and self._has_other_path()):
+            conn.close()
 
-    async def _move(self) -> None:
-        """Move behind the first replica; one that only leaves may go on."""
+    async def _move(self, conn: HttpConnection) -> None:
+        """Move behind the first replica, or go on over another path.
+
+        A replica that gives up layers loads others only when no stream passes
+        through them any more; one that waits for its end would keep a whole
+        pipeline out of work for seconds. One that only leaves may go on.
+        """
         try:
-            await self._repath()
+            if await self._repath() or not self._is_given_up():
+                return
+            if self._conn is conn and self._has_other_path():
+                conn.close()
         finally:
             self._moving = None
 
+    def _is_given_up(self) -> bool:
+        now = self._loop.time()
+        view = self._state.view
+        return any(
+            view.is_lost(stage, now)
+            and not view.is_leaving(stage.replica.replica_id)
+            for stage in self._stages
+        )
+
+    def _has_other_path(self) -> bool:
+        """Return whether the stream could go on over other replicas now."""
+        wanted = PathRequest(
+            self._tokens,
+            {*self._avoid, *self._list_lost()},
+            self._limit_heads(),
+            is_urgent=True,
+        )
+        stages = self._admission.find(
+            self._task.service.name, self._engine, wanted
+        )
+        return bool(stages)
+
     async def _serve(self) -> None:
         while not self._ended and self._may_send():
-            wanted = PathRequest(self._tokens, self._avoid, self._limit_heads())
+            wanted = PathRequest(
+                self._tokens,
+                self._avoid,
+                self._limit_heads(),
+                is_urgent=self._started,
+            )
             try:
                 self._stages = await self._admission.admit(
                     self._task.service.name,
                     self._engine,
                     wanted,
-                    self._task.priority,
+                    _URGENT if self._started else self._task.priority,
                     self._limit_admission(),
                     self._task.req.arrived_at + self._task.route.target_s,
                 )
@@ -205,8 +253,10 @@
         return (facts.prompt_tokens or self._engine.usual_prompt) + answer
 
     def _limit_admission(self) -> float:
-        since = self._last_event_at or self._task.req.arrived_at
-        return min(self._task.deadline, since + _ADMISSION_S)
+        if self._started:
+            return min(self._task.deadline, self._last_event_at + _RESUME_S)
+        until = self._task.req.arrived_at + _ADMISSION_S
+        return min(self._task.deadline, until)
 
     async def _attempt(self) -> None:
         """Send to the path once and pass on what comes."""
@@ -407,6 +457,7 @@
             frozenset((head_id,)),
             first_end=self._stages[0].layers.end,
             held=frozenset(list_ids(self._stages)),
+            is_urgent=True,
         )
         stages = self._admission.admit_now(
             self._task.service.name, self._engine, wanted
