--- a/samphirerill/fleet/chains.py
+++ b/samphirerill/fleet/chains.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.model import LayerRange, Stage
-from samphirerill.fleet.paths import TRANSFER_WEIGHT
 from samphirerill.fleet.prediction import (
     predict_transfer_ms,
     predict_visit_ms,
@@ -26,6 +25,10 @@
 _GAP_MS_PER_LAYER = 1000.0
 # One gap of two layers is easier to close than two of one.
 _GAP_MS = 300.0
+# A change of data centre is worth as many missing layers: a local pipeline with
+# a gap that one load closes is better than a whole one that crosses, which
+# answers a fraction of the requests.
+CROSSING_LAYERS = 6
 _STAGE_COST_MS = 0.5
 # With less than this share of its layers, a chain is only a heap of parts.
 _LEAST_COVER = 0.5
@@ -80,8 +83,8 @@
 
 def _find_chain(engine: EngineSpec, replicas: list[Replica]) -> Chain:
     cuts = _list_cuts(engine, replicas)
-    transfer_ms = predict_transfer_ms(engine, engine.usual_prompt)
-    transfer_ms *= TRANSFER_WEIGHT
+    crosses = predict_transfer_ms(engine, engine.usual_prompt) > 0
+    crossing_ms = CROSSING_LAYERS * _GAP_MS_PER_LAYER if crosses else 0.0
     best: dict[int, dict[str, _Step]] = {cut: {} for cut in cuts}
     best[0][''] = _Step(0, None, None, None)
     for at, cut in enumerate(cuts[:-1]):
@@ -89,7 +92,7 @@
             _skip(best, cuts, at, zone, step)
             for replica in replicas:
                 if replica.layers.first <= cut < replica.layers.end:
-                    _use(engine, best, cut, zone, step, replica, transfer_ms)
+                    _use(engine, best, cut, zone, step, replica, crossing_ms)
     return _collect(min(best[engine.layers].values(), key=_cost))
 
 
@@ -122,7 +125,7 @@
     zone: str,
     step: _Step,
     replica: Replica,
-    transfer_ms: float,
+    crossing_ms: float,
 ) -> None:
     kind = engine.accelerators.get(replica.accelerator)
     if kind is None or replica.layers.end not in best:
@@ -131,7 +134,7 @@
     cost = step.cost + _STAGE_COST_MS
     cost += predict_visit_ms(engine, kind, part.count, 1)
     if zone and zone != replica.data_centre:
-        cost += transfer_ms
+        cost += crossing_ms
     found = _Step(cost, step, Stage(replica, part), None)
     _relax(best, part.end, replica.data_centre, found)
 
--- a/samphirerill/fleet/planner.py
+++ b/samphirerill/fleet/planner.py
@@ -36,7 +36,7 @@
 _MOST_REQUESTS = 160
 _LADDER = 1.15
 # Above this use of a pipe, prompts wait for prompts and pauses triple.
-_PIPE_USE = 0.4
+_PIPE_USE = 0.2
 # Memory is never filled to the last token: answers differ in length.
 _MEMORY_USE = 0.85
 # The share of the wanted pause that the predicted mean may take; pauses at
--- a/samphirerill/fleet/repair.py
+++ b/samphirerill/fleet/repair.py
@@ -10,7 +10,7 @@
 
 from typing import TYPE_CHECKING
 
-from samphirerill.fleet.chains import extract_chains
+from samphirerill.fleet.chains import CROSSING_LAYERS, extract_chains
 from samphirerill.fleet.migration import plan_migration, predict_chain_rate
 from samphirerill.fleet.model import LayerRange, count_tokens
 from samphirerill.fleet.planner import (
@@ -109,8 +109,15 @@
     """Return the moves that close a chain's gaps, or none if they can't be."""
     left = list(spares)
     moves: Moves = {}
+    home = chain.find_home()
+    zones = {stage.replica.data_centre for stage in chain.stages}
     for gap in chain.gaps:
-        taken = _close_gap(engine, gap, left, chain.find_home())
+        usable = left
+        if gap.count <= CROSSING_LAYERS * 2:
+            # From elsewhere it would cost two crossings, which is worse than
+            # the gap.
+            usable = [item for item in left if item.data_centre in zones]
+        taken = _close_gap(engine, gap, usable, home)
         if taken is None:
             return None
         moves.update(taken)
@@ -160,12 +167,11 @@
     """
     home = chain.find_home()
     near = [item for item in spares if item.data_centre == home]
-    for joining in (near, spares):
-        replicas = _join(chain, joining)
-        for requests in _REQUESTS:
-            counts = [_most_layers(engine, item, requests) for item in replicas]
-            if sum(counts) >= engine.layers:
-                return _assign(engine, replicas, counts)
+    replicas = _join(chain, near)
+    for requests in _REQUESTS:
+        counts = [_most_layers(engine, item, requests) for item in replicas]
+        if sum(counts) >= engine.layers:
+            return _assign(engine, replicas, counts)
     return None
 
 
--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -19,12 +19,10 @@
 # its return; a little more covers the way of that news.
 LAPSE_GRACE_S = 2.4
 # How long a replica that refused is not asked again, doubled each time, and
-# how many refusals in a row make it suspect, for how long.
+# how long a refusal counts.
 _REST_S = 0.25
 _MOST_DOUBLINGS = 4
 _STREAK_S = 5.0
-_SUSPECT_REFUSALS = 3
-_SUSPECT_S = 3.0
 # The ids of replicas that were withdrawn, kept to refuse older news of them.
 _MOST_TOMBS = 4096
 
@@ -167,25 +165,22 @@
             self.own_version += is_news
         return is_news
 
-    def refuse(self, replica_id: str, now: float) -> bool:
-        """Note that a replica refused its part; return if it is now suspect.
+    def refuse(self, replica_id: str, now: float) -> None:
+        """Note that a replica refused its part.
 
-        It is asked again after a pause that doubles. One that refuses again
-        and again, though its announcement says it is well, is taken for dead:
-        each request sent to it costs a repeat of the budget of all nodes.
+        This node asks it again after a pause that doubles: each request sent
+        in vain costs a repeat of the budget of all nodes. It is not taken for
+        dead; while it changes its layers it refuses too.
         """
         found = self.known.get(replica_id)
         if found is None:
-            return False
+            return
         if now - found.refused_at > _STREAK_S:
             found.refusals = 0
         found.refusals += 1
         found.refused_at = now
         pause_s = _REST_S * 2 ** min(found.refusals - 1, _MOST_DOUBLINGS)
         found.busy_until = max(found.busy_until, now + pause_s)
-        if found.refusals < _SUSPECT_REFUSALS:
-            return False
-        return self.suspect(replica_id, now + _SUSPECT_S, now)
 
     def trust(self, replica_id: str) -> None:
         """A replica has answered: what was held against it is over."""
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -530,12 +530,7 @@
     def _shun(self, replica_id: str, reason: str) -> None:
         """Ask a replica not again at once, and not for this stream."""
         self._avoid.add(replica_id)
-        if self._state.view.refuse(replica_id, self._loop.time()):
-            _LOG.warning(
-                'replica suspect',
-                extra={'replica': replica_id, 'reason': reason},
-            )
-            self._state.notify()
+        self._state.view.refuse(replica_id, self._loop.time())
         self._state.counters['streams.refused'] += 1
         _LOG.info(
             'engine refused',
