--- a/samphirerill/fleet/chains.py
+++ b/samphirerill/fleet/chains.py
@@ -91,7 +91,7 @@
         for zone, step in tuple(best[cut].items()):
             _skip(best, cuts, at, zone, step)
             for replica in replicas:
-                if replica.layers.first <= cut < replica.layers.end:
+                if replica.held.first <= cut < replica.held.end:
                     _use(engine, best, cut, zone, step, replica, crossing_ms)
     return _collect(min(best[engine.layers].values(), key=_cost))
 
@@ -99,7 +99,7 @@
 def _list_cuts(engine: EngineSpec, replicas: list[Replica]) -> list[int]:
     cuts = {0, engine.layers}
     for replica in replicas:
-        cuts.update((replica.layers.first, replica.layers.end))
+        cuts.update((replica.held.first, replica.held.end))
     return sorted(cut for cut in cuts if 0 <= cut <= engine.layers)
 
 
@@ -128,9 +128,9 @@
     crossing_ms: float,
 ) -> None:
     kind = engine.accelerators.get(replica.accelerator)
-    if kind is None or replica.layers.end not in best:
+    if kind is None or replica.held.end not in best:
         return
-    part = LayerRange(cut, replica.layers.end)
+    part = LayerRange(cut, replica.held.end)
     cost = step.cost + _STAGE_COST_MS
     cost += predict_visit_ms(engine, kind, part.count, 1)
     if zone and zone != replica.data_centre:
--- a/samphirerill/fleet/model.py
+++ b/samphirerill/fleet/model.py
@@ -151,6 +151,9 @@
         return self.end - self.first
 
 
+NO_LAYERS = LayerRange(0, 0)
+
+
 @dataclass(slots=True, frozen=True)
 class Replica:
     """One start of an endpoint as it announces itself.
@@ -168,6 +171,11 @@
     accelerator: str = ''
     layers: LayerRange | None = None
 
+    @property
+    def held(self) -> LayerRange:
+        """Return the layers it holds; an empty range for none."""
+        return self.layers or NO_LAYERS
+
 
 @dataclass(slots=True, frozen=True)
 class Stage:
--- a/samphirerill/fleet/paths.py
+++ b/samphirerill/fleet/paths.py
@@ -43,11 +43,20 @@
     """A path up to some layer and its predicted milliseconds per event."""
 
     cost: float
-    known: Known | None
-    layers: LayerRange | None
+    known: Known
+    layers: LayerRange
     before: _Partial | None
     stages: int
 
+    def visits(self, replica_id: str) -> bool:
+        """Return whether a replica is on the path."""
+        step: _Partial | None = self
+        while step is not None:
+            if step.known.replica.replica_id == replica_id:
+                return True
+            step = step.before
+        return False
+
 
 @dataclass(slots=True)
 class PathRequest:
@@ -79,45 +88,124 @@
     holders = [
         found
         for found in usable
-        if found.replica.layers is not None
-        and found.replica.replica_id not in wanted.avoid
+        if found.replica.replica_id not in wanted.avoid
         and has_room(engine, found, book, wanted)
     ]
-    cuts = _list_cuts(engine, holders)
-    best: dict[int, list[_Partial]] = {cut: [] for cut in cuts}
-    start = _Partial(0, None, None, None, 0)
-    tokens = wanted.tokens or engine.usual_prompt
-    transfer_ms = predict_transfer_ms(engine, tokens) * TRANSFER_WEIGHT
-    for found in holders:
-        if wanted.heads and found.replica.replica_id not in wanted.heads:
-            continue
-        if found.replica.layers.first == 0:
-            _extend(
-                engine,
-                best,
-                _limit_cuts(cuts, wanted),
-                start,
-                found,
-                book,
-                0.0,
-                now,
-            )
-    for cut in cuts[:-1]:
-        for found in holders:
-            layers = found.replica.layers
-            if layers.first <= cut < layers.end:
-                _extend_best(
-                    engine,
-                    best,
-                    cuts,
-                    cut,
-                    found,
-                    book,
-                    transfer_ms,
-                    wanted,
-                    now,
-                )
-    return _collect(best[engine.layers]) if cuts else ()
+    return _PathSearch(engine, holders, book, wanted, now).find()
+
+
+class _PathSearch:
+    """The cheapest partial paths to every layer where a part may end."""
+
+    __slots__ = (
+        '_best',
+        '_book',
+        '_cuts',
+        '_engine',
+        '_holders',
+        '_now',
+        '_transfer_ms',
+        '_wanted',
+    )
+
+    def __init__(
+        self,
+        engine: EngineSpec,
+        holders: Sequence[Known],
+        book: LoadBook,
+        wanted: PathRequest,
+        now: float,
+    ) -> None:
+        self._engine = engine
+        self._holders = holders
+        self._book = book
+        self._wanted = wanted
+        self._now = now
+        self._cuts = _list_cuts(engine, holders)
+        self._best: dict[int, list[_Partial]] = {cut: [] for cut in self._cuts}
+        tokens = wanted.tokens or engine.usual_prompt
+        self._transfer_ms = predict_transfer_ms(engine, tokens)
+
+    def find(self) -> tuple[Stage, ...]:
+        """Return the cheapest whole path, or an empty tuple."""
+        for found in self._holders:
+            if self._may_begin(found):
+                self._begin(found)
+        for cut in self._cuts[:-1]:
+            for found in self._holders:
+                held = found.replica.held
+                if held.first <= cut < held.end:
+                    self._extend_best(cut, found)
+        return _collect(self._best[self._engine.layers])
+
+    def _may_begin(self, found: Known) -> bool:
+        replica = found.replica
+        if self._wanted.heads and replica.replica_id not in self._wanted.heads:
+            return False
+        if replica.held.first or not replica.held.end:
+            return False
+        return self._book.requests(replica.replica_id) < self._engine.slots
+
+    def _begin(self, found: Known) -> None:
+        cuts = self._cuts
+        if self._wanted.first_end:
+            cuts = [cut for cut in cuts if cut == self._wanted.first_end]
+        for cut in cuts:
+            if cut <= found.replica.held.end:
+                self._add(None, found, LayerRange(0, cut), 0.0)
+
+    def _extend_best(self, cut: int, found: Known) -> None:
+        """Extend the cheapest partial path at a cut by one replica."""
+        options = [
+            (partial.cost + hop, hop, partial)
+            for partial in self._best[cut]
+            if (hop := self._find_hop_ms(partial, found)) is not None
+        ]
+        if not options:
+            return
+        _, hop, chosen = min(options, key=_first)
+        for end in self._cuts:
+            if cut < end <= found.replica.held.end:
+                self._add(chosen, found, LayerRange(cut, end), hop)
+
+    def _find_hop_ms(self, partial: _Partial, found: Known) -> float | None:
+        """Return what the way to a replica costs; none if it can't be."""
+        replica = found.replica
+        if partial.stages >= MOST_STAGES:
+            return None
+        if partial.visits(replica.replica_id):
+            return None
+        here = partial.known.replica.data_centre
+        there = replica.data_centre
+        if here == there:
+            return 0.0
+        transfer_ms = self._transfer_ms * TRANSFER_WEIGHT
+        pipes = self._wanted.pipes
+        if pipes is None:
+            return transfer_ms
+        if not self._wanted.is_urgent and not pipes.is_open(
+            here, there, self._now
+        ):
+            return None
+        return transfer_ms + pipes.backlog_ms(here, there, self._now)
+
+    def _add(
+        self,
+        before: _Partial | None,
+        found: Known,
+        layers: LayerRange,
+        hop_ms: float,
+    ) -> None:
+        visit_ms = _visit_ms(
+            self._engine, found, layers.count, self._book, self._now
+        )
+        cost = hop_ms + visit_ms + _STAGE_COST_MS
+        count = 1
+        if before is not None:
+            cost += before.cost
+            count += before.stages
+        partial = _Partial(cost, found, layers, before, count)
+        self._best[layers.end].append(partial)
 
 
 def predict_gap_ms(
@@ -146,12 +234,6 @@
     return count_tokens(engine, kind, layers.count)
 
 
-def _wait_ms(wanted: PathRequest, one: str, other: str, now: float) -> float:
-    if wanted.pipes is None:
-        return 0.0
-    return wanted.pipes.backlog_ms(one, other, now)
-
-
 def has_room(
     engine: EngineSpec, found: Known, book: LoadBook, wanted: PathRequest
 ) -> bool:
@@ -166,89 +248,14 @@
     return book.tokens(replica.replica_id) + wanted.tokens <= fits
 
 
-def _may_cross(wanted: PathRequest, one: str, other: str, now: float) -> bool:
-    if wanted.pipes is None or wanted.is_urgent:
-        return True
-    return wanted.pipes.is_open(one, other, now)
-
-
-def _limit_cuts(cuts: list[int], wanted: PathRequest) -> list[int]:
-    """Return where the first part may end."""
-    if not wanted.first_end:
-        return cuts
-    return [cut for cut in cuts if cut == wanted.first_end]
-
-
 def _list_cuts(engine: EngineSpec, holders: Sequence[Known]) -> list[int]:
     """Return where parts may end, in order."""
     cuts = {engine.layers}
     for found in holders:
-        cuts.update((found.replica.layers.first, found.replica.layers.end))
+        cuts.update((found.replica.held.first, found.replica.held.end))
     return sorted(cut for cut in cuts if 0 < cut <= engine.layers)
 
 
-def _extend_best(
-    engine: EngineSpec,
-    best: dict[int, list[_Partial]],
-    cuts: list[int],
-    cut: int,
-    found: Known,
-    book: LoadBook,
-    transfer_ms: float,
-    wanted: PathRequest,
-    now: float,
-) -> None:
-    """Extend the cheapest partial path at a cut by one replica."""
-    replica = found.replica
-    chosen: _Partial | None = None
-    chosen_hop = 0.0
-    for partial in best[cut]:
-        if partial.stages >= MOST_STAGES or _visits(
-            partial, replica.replica_id
-        ):
-            continue
-        here = partial.known.replica.data_centre
-        hop = 0.0
-        if here != replica.data_centre:
-            if not _may_cross(wanted, here, replica.data_centre, now):
-                continue
-            hop = transfer_ms + _wait_ms(wanted, here, replica.data_centre, now)
-        if chosen is None or partial.cost + hop < chosen.cost + chosen_hop:
-            chosen = partial
-            chosen_hop = hop
-    if chosen is not None:
-        _extend(engine, best, cuts, chosen, found, book, chosen_hop, now)
-
-
-def _extend(
-    engine: EngineSpec,
-    best: dict[int, list[_Partial]],
-    cuts: list[int],
-    partial: _Partial,
-    found: Known,
-    book: LoadBook,
-    hop: float,
-    now: float,
-) -> None:
-    """Let one replica run from where a partial path ends to each cut."""
-    layers = found.replica.layers
-    first = partial.layers.end if partial.layers is not None else 0
-    if (
-        partial.known is None
-        and book.requests(found.replica.replica_id) >= engine.slots
-    ):
-        return
-    for cut in cuts:
-        if not first < cut <= layers.end:
-            continue
-        part = LayerRange(first, cut)
-        cost = partial.cost + hop + _STAGE_COST_MS
-        cost += _visit_ms(engine, found, part.count, book, now)
-        best[cut].append(
-            _Partial(cost, found, part, partial, partial.stages + 1)
-        )
-
-
 def _visit_ms(
     engine: EngineSpec, found: Known, layers: int, book: LoadBook, now: float
 ) -> float:
@@ -261,21 +268,10 @@
     return predict_visit_ms(engine, kind, layers, running, slowness)
 
 
-def _visits(partial: _Partial, replica_id: str) -> bool:
-    step: _Partial | None = partial
-    while step is not None and step.known is not None:
-        if step.known.replica.replica_id == replica_id:
-            return True
-        step = step.before
-    return False
-
-
 def _collect(ends: list[_Partial]) -> tuple[Stage, ...]:
-    if not ends:
-        return ()
-    step: _Partial | None = min(ends, key=_cost)
+    step: _Partial | None = min(ends, key=_cost, default=None)
     stages: list[Stage] = []
-    while step is not None and step.known is not None:
+    while step is not None:
         stages.append(Stage(step.known.replica, step.layers))
         step = step.before
     return tuple(reversed(stages))
@@ -283,3 +279,7 @@
 
 def _cost(partial: _Partial) -> float:
     return partial.cost
+
+
+def _first(option: tuple[float, float, _Partial]) -> float:
+    return option[0]
--- a/samphirerill/platform/dialect.py
+++ b/samphirerill/platform/dialect.py
@@ -7,25 +7,7 @@
 from msgspec import Struct, field, json
 
 from samphirerill.fleet.model import MS_PER_S
-from samphirerill.platform import documents
-from samphirerill.platform.words import (
-    ACCOUNT,
-    AT_FAULT,
-    DEADLINE_MS,
-    EXPECTED_REPLICA,
-    LENGTH_HINT,
-    LOAD,
-    NOT_RUN,
-    ORDER_PATH,
-    PATH,
-    PRIORITY,
-    READY_PATH,
-    REPORT_PATH,
-    REQUEST_ID,
-    RESUME_AFTER,
-    SEAL,
-    TOKENS,
-)
+from samphirerill.platform import documents, words
 from samphirerill.relay.dialect import AnswerFacts, RequestFacts
 
 if TYPE_CHECKING:
@@ -57,11 +39,11 @@
         b'upgrade',
         b'expect',
         b'content-length',
-        ACCOUNT,
-        DEADLINE_MS,
-        EXPECTED_REPLICA,
-        PATH,
-        PRIORITY,
+        words.ACCOUNT,
+        words.DEADLINE_MS,
+        words.EXPECTED_REPLICA,
+        words.PATH,
+        words.PRIORITY,
     )
 )
 
@@ -86,31 +68,24 @@
 class PlatformDialect:
     """Implements :class:`~samphirerill.relay.dialect.Dialect`."""
 
-    ready_path = READY_PATH.encode()
-    report_path = REPORT_PATH.encode()
-    order_path = ORDER_PATH.encode()
+    ready_path = words.READY_PATH.encode()
+    report_path = words.REPORT_PATH.encode()
+    order_path = words.ORDER_PATH.encode()
     configuration_key = 'op/config'
     replicas_prefix = 'servers/'
 
     def read_request(self, req: Request) -> RequestFacts:
         """Return what a request says of itself; nonsense counts as unsaid."""
-        facts = RequestFacts()
-        for name, text in req.headers:
-            if name == REQUEST_ID:
-                facts.request_id = text
-            elif name == DEADLINE_MS:
-                facts.deadline_s = _read_deadline_s(text)
-            elif name == b'authorization':
-                facts.api_key = _read_key(text)
-            elif name == TOKENS:
-                prompt, _, most = text.partition(b',')
-                facts.prompt_tokens = _read_number(prompt)
-                facts.most_tokens = _read_number(most)
-            elif name == LENGTH_HINT:
-                facts.hinted_tokens = _read_number(text)
-            elif name == RESUME_AFTER:
-                facts.resume_after = text
-        return facts
+        prompt, _, most = (req.get(words.TOKENS) or b'').partition(b',')
+        return RequestFacts(
+            request_id=req.get(words.REQUEST_ID) or b'',
+            api_key=_read_key(req.get(b'authorization') or b''),
+            deadline_s=_read_deadline_s(req.get(words.DEADLINE_MS) or b''),
+            prompt_tokens=_read_number(prompt),
+            most_tokens=_read_number(most),
+            hinted_tokens=_read_number(req.get(words.LENGTH_HINT) or b''),
+            resume_after=req.get(words.RESUME_AFTER) or b'',
+        )
 
     def build_headers(
         self, req: Request, facts: RequestFacts, attempt: Attempt
@@ -121,45 +96,43 @@
             # The key is the client's own; endpoints get the account's name.
             dropped.add(b'authorization')
         if attempt.resume_after:
-            dropped.add(RESUME_AFTER)
+            dropped.add(words.RESUME_AFTER)
         headers = [
             pair
             for pair in req.headers
             if pair[0] not in _OWN and pair[0] not in dropped
         ]
-        headers.append((EXPECTED_REPLICA, attempt.replica.replica_id.encode()))
+        headers.append(
+            (words.EXPECTED_REPLICA, attempt.replica.replica_id.encode())
+        )
         left_ms = max(1, int(attempt.left_s * MS_PER_S))
-        headers.append((DEADLINE_MS, b'%d' % left_ms))
+        headers.append((words.DEADLINE_MS, b'%d' % left_ms))
         if attempt.account:
-            headers.append((ACCOUNT, attempt.account.encode()))
+            headers.append((words.ACCOUNT, attempt.account.encode()))
         if attempt.resume_after:
-            headers.append((RESUME_AFTER, attempt.resume_after))
+            headers.append((words.RESUME_AFTER, attempt.resume_after))
         if attempt.stages:
-            headers.append((PATH, format_path(attempt.stages).encode()))
+            headers.append((words.PATH, format_path(attempt.stages).encode()))
         if attempt.priority is not None:
             rank = min(_HIGHEST_PRIORITY, max(0, attempt.priority))
-            headers.append((PRIORITY, b'%d' % rank))
+            headers.append((words.PRIORITY, b'%d' % rank))
         return headers
 
     def read_answer(self, head: Head) -> AnswerFacts:
         """Return what an endpoint's answer says of itself."""
-        facts = AnswerFacts()
-        facts.is_other_replica = head.status == _MISDIRECTED
-        facts.is_not_run = facts.is_other_replica
-        for name, text in head.headers:
-            if name == REQUEST_ID:
-                facts.request_id = text
-            elif name == SEAL:
-                facts.is_signed = bool(text)
-            elif name == NOT_RUN:
-                facts.is_not_run = True
-            elif name == b'content-encoding':
-                facts.is_encoded = text.lower() != b'identity'
-            elif name == AT_FAULT:
-                facts.at_fault = text.decode('latin-1')
-            elif name == LOAD:
-                _read_load(text, facts)
-        return facts
+        encoding = (head.get(b'content-encoding') or b'identity').lower()
+        running, waiting = _read_load(head.get(words.LOAD) or b'')
+        is_other_replica = head.status == _MISDIRECTED
+        return AnswerFacts(
+            request_id=head.get(words.REQUEST_ID) or b'',
+            is_signed=bool(head.get(words.SEAL)),
+            is_not_run=is_other_replica or head.get(words.NOT_RUN) is not None,
+            is_other_replica=is_other_replica,
+            is_encoded=encoding != b'identity',
+            running=running,
+            waiting=waiting,
+            at_fault=(head.get(words.AT_FAULT) or b'').decode('latin-1'),
+        )
 
     def decode_configuration(self, text: bytes) -> FleetConfiguration:
         """Return the configuration in a stored text."""
@@ -219,8 +192,9 @@
     return float(stripped) if stripped.isdigit() else 0.0
 
 
-def _read_load(text: bytes, facts: AnswerFacts) -> None:
-    words = text.split(b',')
-    if len(words) >= 2 and words[0].strip().isdigit():
-        facts.running = int(_read_number(words[0]))
-        facts.waiting = int(_read_number(words[1]))
+def _read_load(text: bytes) -> tuple[int, int]:
+    """Return how many requests run and wait; -1 if the endpoint is silent."""
+    figures = [word.strip() for word in text.split(b',')[:2]]
+    if len(figures) < 2 or not all(figure.isdigit() for figure in figures):
+        return -1, -1
+    return int(figures[0]), int(figures[1])
--- a/samphirerill/platform/documents.py
+++ b/samphirerill/platform/documents.py
@@ -27,6 +27,7 @@
 from samphirerill.relay.dialect import DocumentError, ReplicaReport
 
 _LEAVING = 'draining'
+_MOST_SHOWN = 80
 _REPEATS = {
     'idempotent': Repeat.IDEMPOTENT,
     'non_idempotent': Repeat.NON_IDEMPOTENT,
@@ -218,7 +219,7 @@
     try:
         return decoder.decode(text)
     except (DecodeError, ValidationError) as exc:
-        raise DocumentError(f'{exc}; got {text[:80]!r}') from exc
+        raise DocumentError(f'{exc}; got {text[:_MOST_SHOWN]!r}') from exc
 
 
 def _build_layers(found: _Layers | None) -> LayerRange | None:
--- a/samphirerill/relay/answers.py
+++ b/samphirerill/relay/answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from samphirerill.relay.connection import Head, Part, Whole
@@ -11,7 +12,7 @@
     from samphirerill.relay.connection import Headers, HttpConnection
     from samphirerill.relay.dialect import AnswerFacts, Dialect
 
-_SUCCESS = range(200, 300)
+_SUCCESS = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 # Headers of an answer that concern one connection only, or its framing.
 _HOP = frozenset(
     (
@@ -53,13 +54,12 @@
 
 async def skip_body(conn: HttpConnection, deadline: float) -> None:
     """Read an answer to its end."""
-    while not isinstance(await conn.read(deadline), Whole):
-        continue
+    await read_body(conn, deadline)
 
 
 async def read_body(conn: HttpConnection, deadline: float) -> bytes:
     """Return the rest of an answer."""
-    chunks = []
+    chunks: list[bytes] = []
     while True:
         part = await conn.read(deadline)
         if isinstance(part, Whole):
--- a/samphirerill/relay/events.py
+++ b/samphirerill/relay/events.py
@@ -30,7 +30,8 @@
 
     def feed(self, body: bytes) -> list[Event]:
         """Return the events that are now whole."""
-        *whole, self.rest = (self.rest + body).split(_END)
+        whole = (self.rest + body).split(_END)
+        self.rest = whole.pop()
         if len(self.rest) > _MOST_BYTES:
             whole.append(self.rest)
             self.rest = b''
--- a/samphirerill/relay/follower.py
+++ b/samphirerill/relay/follower.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from samphirerill.fleet.model import Replica
     from samphirerill.platform.store import PlatformStore, StoredItem
     from samphirerill.relay.state import EdgeState
 
@@ -231,7 +232,7 @@
         if replica is not None:
             was_leaving = self.state.view.is_leaving(replica.replica_id)
             before = self.state.view.known.get(replica.replica_id)
-            held = before.replica.layers if before is not None else None
+            held = None if before is None else before.replica.layers
             self.state.view.announce(replica, item.revision)
             if replica.layers != held:
                 _LOG.info(
@@ -255,7 +256,7 @@
             extra={'replica': replica_id, 'may_return': bool(grace_until)},
         )
 
-    def _decode(self, item: StoredItem):
+    def _decode(self, item: StoredItem) -> Replica | None:
         try:
             return self.state.dialect.decode_replica(
                 self._strip(item.key), item.text
--- a/samphirerill/relay/front.py
+++ b/samphirerill/relay/front.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from samphirerill.fleet.model import Repeat
 from samphirerill.fleet.routes import choose_service
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.plain import PlainExchange
-from samphirerill.relay.refusals import Refusal, refuse
+from samphirerill.relay.refusals import (
+    NOT_FOUND,
+    UNAVAILABLE,
+    UNKNOWN_KEY,
+    Refusal,
+    refuse,
+)
 from samphirerill.relay.streaming import StreamExchange
+from samphirerill.relay.task import Task
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import (
@@ -29,38 +34,6 @@
 _LOG = get_logger('requests')
 
 
-@dataclass(slots=True)
-class Task:
-    """One request with all that was found out about it.
-
-    `deadline` is on the loop's clock: the client's own or the route's, the
-    earlier one. `client_deadline` is the client's.
-    """
-
-    req: Request
-    facts: RequestFacts
-    conn: CallerConnection
-    route: FleetRoute
-    service: Service
-    account: ClientAccount | None
-    deadline: float
-    client_deadline: float
-
-    @property
-    def may_repeat(self) -> bool:
-        """Return whether the request may run more than once."""
-        if self.route.repeat is Repeat.STREAM:
-            return self.route.is_resumable
-        return self.route.repeat is Repeat.IDEMPOTENT
-
-    @property
-    def priority(self) -> int:
-        """Return the rank; the account's own goes before the route's."""
-        if self.account is not None and self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
-
-
 class Front:
     """Implements :class:`~samphirerill.relay.server.RequestHandler`.
 
@@ -107,23 +80,21 @@
 
     async def _serve(self, task: Task) -> None:
         engine = task.service.engine
-        is_stream = engine is not None and engine.layers > 0
-        if self._is_too_late(is_stream):
-            refusal = Refusal(503, 'the node ends')
-            refuse(self._state, task.conn, task.facts, refusal)
-        elif is_stream:
+        if engine is None or not engine.layers:
+            if not self._is_too_late(self._state.requests_until, task):
+                await PlainExchange(self._state, task).run()
+        elif not self._is_too_late(self._state.streams_until, task):
             await StreamExchange(
-                self._state, task, self._admission, self._examiner
+                self._state, task, engine, self._admission, self._examiner
             ).run()
-        else:
-            await PlainExchange(self._state, task).run()
 
-    def _is_too_late(self, is_stream: bool) -> bool:
-        """Return whether this node ends before the answer would."""
-        now = self._loop.time()
-        if is_stream:
-            return now >= self._state.streams_until
-        return now >= self._state.requests_until
+    def _is_too_late(self, until: float, task: Task) -> bool:
+        """Refuse what would outlast this node; return whether it would."""
+        if self._loop.time() < until:
+            return False
+        refusal = Refusal(UNAVAILABLE, 'the node ends')
+        refuse(self._state, task.conn, task.facts, refusal)
+        return True
 
     def _resolve(
         self, req: Request, facts: RequestFacts, conn: CallerConnection
@@ -131,19 +102,19 @@
         state = self._state
         if state.cfg is None or state.routes is None:
             # Nobody may be told "not found" on no evidence.
-            return Refusal(503, 'no configuration yet', 1.0)
+            return Refusal(UNAVAILABLE, 'no configuration yet', 1.0)
         host = (req.get(b'host') or b'').decode('latin-1')
         route = state.routes.find(host, req.target.decode('latin-1'))
         if route is None:
-            return Refusal(404, 'no route')
+            return Refusal(NOT_FOUND, 'no route')
         account = None
         if state.cfg.needs_keys and not route.is_public:
             account = state.cfg.accounts.get(facts.api_key)
             if account is None:
-                return Refusal(401, 'unknown key')
+                return Refusal(UNKNOWN_KEY, 'unknown key')
         service = state.cfg.services.get(choose_service(route, state.random))
         if service is None:
-            return Refusal(503, 'the route has no service', 1.0)
+            return Refusal(UNAVAILABLE, 'the route has no service', 1.0)
         return self._build_task(req, facts, conn, route, service, account)
 
     def _build_task(
--- a/samphirerill/relay/listeners.py
+++ b/samphirerill/relay/listeners.py
@@ -6,21 +6,15 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.model import ClientLimits
+from samphirerill.relay.server import CallerConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from samphirerill.relay.server import (
-        CallerConnection,
-        Request,
-        RequestHandler,
-    )
-
-from samphirerill.relay.server import CallerConnection as _Connection
+    from samphirerill.relay.server import Request, RequestHandler
 
 _BACKLOG = 1024
 _NOT_FOUND = 404
-_UNAVAILABLE = 503
 Page = tuple[int, bytes]
 
 
@@ -63,7 +57,7 @@
     host, _, port = address.rpartition(':')
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: _Connection(handler, connections),
+        lambda: CallerConnection(handler, connections),
         host,
         int(port),
         backlog=_BACKLOG,
--- a/samphirerill/relay/orders.py
+++ b/samphirerill/relay/orders.py
@@ -19,6 +19,7 @@
 ACCEPTED = frozenset((200, 202))
 # Orders to move a stream are no orders of the commander's.
 _NO_TOKEN = 0
+_MOST_SHOWN = 80
 
 
 async def send_order(state: EdgeState, replica: Replica, order: bytes) -> int:
@@ -45,7 +46,7 @@
             extra={
                 'replica': replica.replica_id,
                 'status': status,
-                'answer': body[:80].decode('latin-1'),
+                'answer': body[:_MOST_SHOWN].decode('latin-1'),
             },
         )
     return status
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -35,8 +35,9 @@
 
 if TYPE_CHECKING:
     from samphirerill.fleet.view import Known
-    from samphirerill.relay.front import Task
+    from samphirerill.relay.connection import HttpConnection
     from samphirerill.relay.state import EdgeState
+    from samphirerill.relay.task import Task
 
 _LOG = get_logger('plain')
 _SERVER_ERROR = 500
@@ -49,6 +50,8 @@
 # Connections that fail cost no endpoint any work; so many are tried.
 _MOST_CONNECTS = 4
 _RETRY_S = 0.3
+# The weight of the newest answer in an endpoint's latency and failures.
+_SMOOTHING = 0.15
 
 
 @dataclass(slots=True)
@@ -143,47 +146,51 @@
 
     async def _exchange(self, found: Known) -> _Outcome:
         replica = found.replica
-        task = self._task
         try:
             conn = await self._state.pool.take(
-                replica, fresh=not task.may_repeat
+                replica, fresh=not self._task.may_repeat
             )
         except ConnectError as exc:
             self._avoid(found, str(exc))
             return _Outcome(is_not_run=True, was_sent=False, reason=str(exc))
-        deadline = self._limit_send()
         self._sends += 1
         sent_at = self._loop.time()
         try:
-            conn.send(self._build_call(found))
-            head, facts = await read_head(
-                conn, self._state.dialect, task.facts.request_id, deadline
-            )
-            body = await read_body(conn, deadline)
-        except SilentEndpointError as exc:
-            conn.close()
-            self._may_have_run = True
-            if self._loop.time() - sent_at >= _SILENT_S:
-                self._avoid(found, str(exc))
-            return _Outcome(timed_out=True, reason=str(exc))
+            outcome = await self._call(found, conn)
         except EndpointError as exc:
             conn.close()
-            self._may_have_run = True
-            return _Outcome(reason=str(exc))
+            return self._note_error(found, exc, sent_at)
         except asyncio.CancelledError:
             conn.close()
             raise
         self._state.pool.give_back(replica, conn)
+        return outcome
+
+    async def _call(self, found: Known, conn: HttpConnection) -> _Outcome:
+        deadline = self._limit_send()
+        conn.send(self._build_call(found))
+        head, facts = await read_head(
+            conn, self._state.dialect, self._task.facts.request_id, deadline
+        )
+        body = await read_body(conn, deadline)
         if facts.is_not_run and not is_success(head.status):
             return _Outcome(is_not_run=True, reason='endpoint refused')
         self._may_have_run = True
         return _Outcome(head, body)
 
+    def _note_error(
+        self, found: Known, exc: EndpointError, sent_at: float
+    ) -> _Outcome:
+        self._may_have_run = True
+        is_silent = isinstance(exc, SilentEndpointError)
+        if is_silent and self._loop.time() - sent_at >= _SILENT_S:
+            self._avoid(found, str(exc))
+        return _Outcome(timed_out=is_silent, reason=str(exc))
+
     def _build_call(self, found: Known) -> bytes:
         task = self._task
         left_s = task.client_deadline - self._loop.time()
-        account = task.account.name if task.account else ''
-        attempt = Attempt(found.replica, account, left_s)
+        attempt = Attempt(found.replica, task.account_name, left_s)
         headers = self._state.dialect.build_headers(
             task.req, task.facts, attempt
         )
@@ -199,7 +206,7 @@
         """
         now = self._loop.time()
         task = self._task
-        last = self._sends + 1 >= task.route.max_attempts
+        last = self._sends >= task.route.max_attempts
         if last or not task.may_repeat:
             return task.deadline
         return now + (task.deadline - now) * _FIRST_SHARE
@@ -216,24 +223,21 @@
     def _note(self, found: Known, outcome: _Outcome, took_s: float) -> None:
         failed = outcome.head is None or outcome.head.status >= _SERVER_ERROR
         if outcome.was_sent:
-            found.failures += 0.1 * (float(failed) - found.failures)
+            found.failures += _SMOOTHING * (float(failed) - found.failures)
         if not failed:
-            found.latency_s += 0.2 * (took_s - found.latency_s)
+            found.latency_s += _SMOOTHING * (took_s - found.latency_s)
             self._state.view.trust(found.replica.replica_id)
 
     def _finish(self, outcome: _Outcome) -> None:
         conn = self._task.conn
         facts = self._task.facts
-        if outcome.head is not None:
-            conn.answer(
-                outcome.head.status, filter_headers(outcome.head), outcome.body
-            )
+        head = outcome.head
+        if head is not None:
+            conn.answer(head.status, filter_headers(head), outcome.body)
             return
         timed_out = self._loop.time() >= self._task.deadline
-        if not self._may_have_run:
-            refusal = Refusal(UNAVAILABLE, outcome.reason, _RETRY_S)
-        elif outcome.timed_out or timed_out:
-            refusal = Refusal(TIMED_OUT, outcome.reason)
-        else:
-            refusal = Refusal(FAILED, outcome.reason)
+        refusal = Refusal(UNAVAILABLE, outcome.reason, _RETRY_S)
+        if self._may_have_run:
+            late = outcome.timed_out or timed_out
+            refusal = Refusal(TIMED_OUT if late else FAILED, outcome.reason)
         refuse(self._state, conn, facts, refusal)
--- a/samphirerill/relay/pool.py
+++ b/samphirerill/relay/pool.py
@@ -119,7 +119,7 @@
 ) -> tuple[int, bytes]:
     """Read a whole short answer; return its status and body."""
     status = 0
-    chunks = []
+    chunks: list[bytes] = []
     while True:
         part = await conn.read(deadline)
         if isinstance(part, Whole):
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -23,7 +23,7 @@
 from samphirerill.relay.state import EdgeState
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Awaitable, Callable, Coroutine
 
     from samphirerill.platform.settings import EdgeSettings
     from samphirerill.platform.store import PlatformStore
@@ -209,7 +209,9 @@
     def _note_hangup(self) -> None:
         _LOG.info('settings changed', extra={'node': self._settings.name})
 
-    async def _keep_running(self, work, name: str) -> None:
+    async def _keep_running(
+        self, work: Callable[[], Awaitable[None]], name: str
+    ) -> None:
         """Run a loop; one that fails is logged and started again.
 
         A loop that ended for good would leave the node with what it knew at
@@ -218,13 +220,13 @@
         while True:
             try:
                 await work()
-            except Exception as exc:
+            except Exception as exc:  # noqa: BLE001
                 _LOG.error(
                     'loop failed', extra={'loop': name, 'error': repr(exc)}
                 )
             await asyncio.sleep(_RESTART_S)
 
-    def _start_task(self, work, name: str) -> None:
+    def _start_task(self, work: Coroutine[Any, Any, None], name: str) -> None:
         task = self._loop.create_task(work, name=name)
         self._tasks.add(task)
         task.add_done_callback(self._end_task)
--- a/samphirerill/relay/refusals.py
+++ b/samphirerill/relay/refusals.py
@@ -14,8 +14,10 @@
     from samphirerill.relay.state import EdgeState
 
 _LOG = get_logger('refusals')
-UNAVAILABLE = 503
+UNKNOWN_KEY = 401
+NOT_FOUND = 404
 FAILED = 502
+UNAVAILABLE = 503
 TIMED_OUT = 504
 # Callers that were refused together must not come back together.
 _SPREAD = 0.5
--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -36,7 +36,6 @@
 _REASONS = {
     status.value: status.phrase.encode('latin-1') for status in HTTPStatus
 }
-_REASONS[421] = b'Misdirected Request'
 
 
 @dataclass(slots=True)
@@ -134,7 +133,7 @@
         try:
             self._parser.feed_data(data)
         except HttpParserError:
-            self._refuse(self._refused or 400)
+            self._refuse(self._refused or HTTPStatus.BAD_REQUEST)
 
     def eof_received(self) -> bool:
         """A client that closes its side has left."""
@@ -169,7 +168,7 @@
         self._headers.append((name.lower(), text.strip()))
         self._count_header(len(name) + len(text), self._limits.max_header_bytes)
         if len(self._headers) > _MAX_HEADERS:
-            self._give_up(431)
+            self._give_up(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
         """Parser: the head is whole."""
@@ -196,7 +195,7 @@
             return
         req.chunks.append(body)
         if sum(map(len, req.chunks)) > self._limits.max_body_bytes:
-            self._give_up(413)
+            self._give_up(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
     def on_message_complete(self) -> None:
         """Parser: the request is whole."""
@@ -210,7 +209,7 @@
         req.arrived_at = self._loop.time()
         self._waiting.append(req)
         if len(self._waiting) > _MAX_PIPELINED:
-            self._give_up(400)
+            self._give_up(HTTPStatus.BAD_REQUEST)
         self._start_next()
 
     def start_answer(
@@ -289,7 +288,7 @@
     async def _serve(self, req: Request) -> None:
         try:
             await self._handler.handle(req, self)
-        except Exception as exc:
+        except Exception as exc:  # noqa: BLE001
             # One request's fault must neither hang its client nor end others.
             _LOG.error('request failed', extra={'error': repr(exc)})
             self._end_failed()
@@ -306,12 +305,12 @@
             self.cut()
         else:
             self._keeps_alive = False
-            self.answer(502, [], b'')
+            self.answer(HTTPStatus.BAD_GATEWAY, [], b'')
 
     def _count_header(self, size: int, most: int) -> None:
         self._header_bytes += size
         if self._header_bytes > most:
-            self._give_up(431)
+            self._give_up(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _give_up(self, status: int) -> None:
         """Stop the parser; `data_received` answers."""
@@ -357,25 +356,26 @@
     def _on_timer(self) -> None:
         """Nothing arrived for too long."""
         if self._in_message:
-            self._refuse(408)
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT)
         else:
             self._close()
 
 
 def _find_problem(req: Request, limits: ClientLimits) -> int:
     """Return the status to refuse a head with, or 0."""
-    names = [name for name, _ in req.headers if name in _SINGLE]
-    if len(names) != len(set(names)) or b'host' not in names:
-        return 400
-    if b'content-length' in names and b'transfer-encoding' in names:
-        return 400
+    length = req.get(b'content-length') or b'0'
+    if _is_ambiguous(req) or not length.isdigit():
+        return HTTPStatus.BAD_REQUEST
     if not req.target.startswith(b'/') or not req.target.isascii():
-        return 400
-    if req.method == b'CONNECT':
-        return 400
-    length = req.get(b'content-length')
-    if length is not None and not length.isdigit():
-        return 400
-    if length is not None and int(length) > limits.max_body_bytes:
-        return 413
+        return HTTPStatus.BAD_REQUEST
+    if int(length) > limits.max_body_bytes:
+        return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
     return 0
+
+
+def _is_ambiguous(req: Request) -> bool:
+    """Return whether two parties could read the head in two ways."""
+    names = [name for name, _ in req.headers if name in _SINGLE]
+    if len(names) != len(set(names)) or b'host' not in names:
+        return True
+    return b'content-length' in names and b'transfer-encoding' in names
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -97,7 +97,7 @@
 
     def get_limits(self) -> ClientLimits:
         """Return what clients may send."""
-        return self.cfg.limits if self.cfg is not None else ClientLimits()
+        return ClientLimits() if self.cfg is None else self.cfg.limits
 
     def get_budget(self, service: str) -> RepeatBudget:
         """Return a service's budget of repeats."""
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.load import list_ids
-from samphirerill.fleet.paths import PathRequest, predict_gap_ms
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.admission import HopelessError
 from samphirerill.relay.answers import (
@@ -21,14 +20,13 @@
     read_head,
 )
 from samphirerill.relay.connection import Head, Part, Whole, build_call
-from samphirerill.relay.dialect import Attempt
+from samphirerill.relay.dialect import AnswerFacts, Attempt
 from samphirerill.relay.errors import (
     ConnectError,
     EndpointError,
     SilentEndpointError,
 )
 from samphirerill.relay.events import EventSplitter
-from samphirerill.relay.orders import order_repath
 from samphirerill.relay.refusals import (
     FAILED,
     TIMED_OUT,
@@ -36,14 +34,21 @@
     Refusal,
     refuse,
 )
+from samphirerill.relay.stream_path import StreamPath
+from samphirerill.relay.stream_times import StreamTimes
 
 if TYPE_CHECKING:
-    from samphirerill.fleet.model import EngineSpec, Stage
+    from collections.abc import Awaitable, Callable
+    from typing import TypeVar
+
+    from samphirerill.fleet.model import EngineSpec
     from samphirerill.relay.admission import Admission
     from samphirerill.relay.connection import HttpConnection
-    from samphirerill.relay.examiner import Diagnosis, Examiner
-    from samphirerill.relay.front import Task
+    from samphirerill.relay.examiner import Examiner
     from samphirerill.relay.state import EdgeState
+    from samphirerill.relay.task import Task
+
+    Read = TypeVar('Read')
 
 _LOG = get_logger('streams')
 _MS_PER_S = 1000
@@ -62,6 +67,8 @@
 _FIRST_SILENCE_S = 0.8
 # How often a stream may be sent to a path that ran nothing of it.
 _MOST_SENDS = 6
+# When to come back if nothing better is known.
+_RETRY_S = 0.3
 
 
 class StreamExchange:
@@ -73,6 +80,8 @@
         What this node knows.
     task : Task
         The request.
+    engine : EngineSpec
+        The service's figures.
     admission : Admission
         Grants paths.
     examiner : Examiner
@@ -83,33 +92,25 @@
         self,
         state: EdgeState,
         task: Task,
+        engine: EngineSpec,
         admission: Admission,
         examiner: Examiner,
     ) -> None:
         self._state = state
         self._task = task
-        self._admission = admission
         self._examiner = examiner
         self._loop = asyncio.get_running_loop()
-        self._engine: EngineSpec = task.service.engine
-        self._stages: tuple[Stage, ...] = ()
-        self._avoid: set[str] = set()
-        self._heads: set[str] = set()
+        self._path = StreamPath(state, task, engine, admission)
+        self._times = StreamTimes(state.metrics, task.req.arrived_at)
+        self._last_id = _read_last_id(task.facts.resume_after)
         self._sends = 0
         self._may_have_run = False
-        self._last_id = _read_last_id(task.facts.resume_after)
         self._started = False
         self._ended = False
         self._failure: tuple[Head, bytes] | None = None
         self._reason = ''
-        self._last_event_at = 0.0
         self._conn: HttpConnection | None = None
         self._moving: asyncio.Task[None] | None = None
-        self._events = 0
-        self._most_gap_s = 0.0
-        self._first_event_at = 0.0
-        self._request_id = task.facts.request_id.decode('latin-1')
-        self._tokens = self._count_tokens()
 
     async def run(self) -> None:
         """Answer the request."""
@@ -118,31 +119,33 @@
             await self._serve()
         finally:
             self._state.streams.discard(self)
-            self._log_end()
+            self._log(
+                'stream ended', sends=self._sends, **self._times.describe()
+            )
 
     def check_path(self) -> None:
         """Leave replicas that are lost, without waiting for a silence."""
         conn = self._conn
         if conn is None or not self._task.may_repeat:
             return
-        lost = self._list_lost()
+        lost = self._path.list_lost()
         if not lost:
             return
-        head_id = self._stages[0].replica.replica_id
-        if head_id in lost:
-            self._leave_head(head_id, conn)
+        if self._path.head_id in lost:
+            self._leave_head(conn)
         elif self._moving is None:
             self._moving = self._loop.create_task(self._move(conn))
 
-    def _leave_head(self, head_id: str, conn: HttpConnection) -> None:
+    def _leave_head(self, conn: HttpConnection) -> None:
         """Go on elsewhere if the first replica is gone or gives up its part.
 
         One that only leaves finishes what it has begun.
         """
-        view = self._state.view
-        found = view.known.get(head_id)
-        is_dead = found is None or found.dead_until > self._loop.time()
-        if is_dead or (not view.is_leaving(head_id) and self._has_other_path()):
+        if (
+            self._path.is_head_dead()
+            or self._path.is_given_up()
+            and self._path.has_other()
+        ):
             conn.close()
 
     async def _move(self, conn: HttpConnection) -> None:
@@ -153,51 +156,20 @@
         pipeline out of work for seconds. One that only leaves may go on.
         """
         try:
-            if await self._repath() or not self._is_given_up():
+            if await self._path.move() or not self._path.is_given_up():
                 return
-            if self._conn is conn and self._has_other_path():
+            if self._conn is conn and self._path.has_other():
                 conn.close()
         finally:
             self._moving = None
 
-    def _is_given_up(self) -> bool:
-        now = self._loop.time()
-        view = self._state.view
-        return any(
-            view.is_lost(stage, now)
-            and not view.is_leaving(stage.replica.replica_id)
-            for stage in self._stages
-        )
-
-    def _has_other_path(self) -> bool:
-        """Return whether the stream could go on over other replicas now."""
-        wanted = PathRequest(
-            self._tokens,
-            {*self._avoid, *self._list_lost()},
-            self._limit_heads(),
-            is_urgent=True,
-        )
-        stages = self._admission.find(
-            self._task.service.name, self._engine, wanted
-        )
-        return bool(stages)
-
     async def _serve(self) -> None:
         while not self._ended and self._may_send():
-            wanted = PathRequest(
-                self._tokens,
-                self._avoid,
-                self._limit_heads(),
-                is_urgent=self._started,
-            )
             try:
-                self._stages = await self._admission.admit(
-                    self._task.service.name,
-                    self._engine,
-                    wanted,
+                await self._path.take(
                     _URGENT if self._started else self._task.priority,
                     self._limit_admission(),
-                    self._task.req.arrived_at + self._task.route.target_s,
+                    is_urgent=self._started,
                 )
             except HopelessError as exc:
                 self._give_up(exc)
@@ -205,7 +177,7 @@
             try:
                 await self._attempt()
             finally:
-                self._admission.release(self._stages, self._tokens)
+                self._path.give_back()
         if not self._ended:
             self._give_up(None)
 
@@ -221,53 +193,21 @@
             return False
         return budget.spend(now, self._state.count_nodes())
 
-    def _limit_heads(self) -> frozenset[str]:
-        """Return the replicas that a path must begin with; empty for any.
-
-        A route says to how many replicas a request may be sent; those that
-        are gone don't count.
-        """
-        known = self._state.view.known
-        now = self._loop.time()
-        live = {
-            name
-            for name in self._heads
-            if name in known and known[name].dead_until <= now
-        }
-        if len(live) < self._task.route.max_attempts:
-            return frozenset()
-        return frozenset(live)
-
-    def _count_tokens(self) -> float:
-        """Return the memory this stream will need, in tokens.
-
-        Clients name the most tokens that an answer may have, some twice what
-        answers have in the end; to keep room for all of that left a quarter of
-        the memory unused.
-        """
-        facts = self._task.facts
-        usual = self._engine.usual_answer
-        answer = min(facts.most_tokens or usual, facts.hinted_tokens or usual)
-        return (facts.prompt_tokens or self._engine.usual_prompt) + answer
-
     def _limit_admission(self) -> float:
-        if self._started:
-            return min(self._task.deadline, self._last_event_at + _RESUME_S)
         until = self._task.req.arrived_at + _ADMISSION_S
+        if self._started:
+            until = self._times.last_at + _RESUME_S
         return min(self._task.deadline, until)
 
     async def _attempt(self) -> None:
         """Send to the path once and pass on what comes."""
-        head_replica = self._stages[0].replica
+        replica = self._path.stages[0].replica
         try:
-            conn = await self._state.pool.take(head_replica)
+            conn = await self._state.pool.take(replica)
         except ConnectError as exc:
-            self._reason = str(exc)
-            self._shun(head_replica.replica_id, str(exc))
+            self._shun(replica.replica_id, str(exc))
             return
-        self._sends += 1
-        self._heads.add(head_replica.replica_id)
-        self._log_send()
+        self._note_send()
         self._conn = conn
         try:
             conn.send(self._build_call())
@@ -279,58 +219,35 @@
             conn.close()
             raise
         else:
-            self._state.pool.give_back(head_replica, conn)
+            self._state.pool.give_back(replica, conn)
         finally:
             self._conn = None
             if self._moving is not None:
                 self._moving.cancel()
 
-    def _log_end(self) -> None:
-        spent_s = self._last_event_at - self._first_event_at
-        _LOG.info(
-            'stream ended',
-            extra={
-                'request': self._request_id,
-                'events': self._events,
-                'first_ms': round(
-                    (self._first_event_at - self._task.req.arrived_at)
-                    * _MS_PER_S
-                ),
-                'gap_ms': round(spent_s * _MS_PER_S / max(1, self._events - 1)),
-                'most_gap_ms': round(self._most_gap_s * _MS_PER_S),
-                'sends': self._sends,
-            },
-        )
-
-    def _log_send(self) -> None:
-        now = self._loop.time()
-        _LOG.info(
+    def _note_send(self) -> None:
+        self._sends += 1
+        self._path.heads.add(self._path.head_id)
+        waited_s = self._loop.time() - self._task.req.arrived_at
+        self._log(
             'stream sent',
-            extra={
-                'request': self._request_id,
-                'path': format_path(self._stages),
-                'send': self._sends,
-                'after_event': self._last_id,
-                'tokens': int(self._tokens),
-                'gap_ms': round(self._predict_gap_ms()),
-                'waited_ms': round(
-                    (now - self._task.req.arrived_at) * _MS_PER_S
-                ),
-            },
+            path=self._path.describe(),
+            send=self._sends,
+            after_event=self._last_id,
+            tokens=int(self._path.tokens),
+            gap_ms=round(self._path.predict_gap_s() * _MS_PER_S),
+            waited_ms=round(waited_s * _MS_PER_S),
         )
 
     def _build_call(self) -> bytes:
         task = self._task
-        resume_after = b''
-        if self._started:
-            resume_after = b'%d' % self._last_id
         attempt = Attempt(
-            self._stages[0].replica,
-            task.account.name if task.account else '',
-            min(task.deadline, task.client_deadline) - self._loop.time(),
-            self._stages,
+            self._path.stages[0].replica,
+            task.account_name,
+            task.deadline - self._loop.time(),
+            self._path.stages,
             task.priority,
-            resume_after,
+            b'%d' % self._last_id if self._started else b'',
         )
         headers = self._state.dialect.build_headers(
             task.req, task.facts, attempt
@@ -348,18 +265,18 @@
             self._note_not_run(head, facts.at_fault)
             return
         self._may_have_run = True
-        if not is_success(head.status):
-            body = await read_body(conn, self._task.deadline)
-            self._failure = (head, body)
-            self._reason = f'engine answered {head.status}'
-            self._avoid.add(self._stages[0].replica.replica_id)
-            if not self._task.may_repeat:
-                self._ended = True
-                self._task.conn.answer(head.status, filter_headers(head), body)
+        if is_success(head.status):
+            await self._relay(conn, head)
             return
-        await self._relay(conn, head)
+        self._failure = (head, await read_body(conn, self._task.deadline))
+        self._reason = f'engine answered {head.status}'
+        self._path.avoid.add(self._path.head_id)
+        if not self._task.may_repeat:
+            self._give_up(None)
 
-    async def _read_head(self, conn: HttpConnection, deadline: float):
+    async def _read_head(
+        self, conn: HttpConnection, deadline: float
+    ) -> tuple[Head, AnswerFacts]:
         return await read_head(
             conn, self._state.dialect, self._task.facts.request_id, deadline
         )
@@ -370,18 +287,18 @@
         if not self._started:
             self._started = True
             caller.start_answer(head.status, filter_headers(head), None)
-        for replica_id in list_ids(self._stages):
+        for replica_id in list_ids(self._path.stages):
             self._state.view.trust(replica_id)
         splitter = EventSplitter()
-        silence_s = self._predict_silence_s()
-        while True:
+        silence_s = _SILENT_GAPS * self._path.predict_gap_s()
+        silence_s = max(_LEAST_SILENCE_S, silence_s)
+        while not self._ended:
             part = await self._patiently(conn, silence_s, _read_part)
             if isinstance(part, Whole):
                 caller.write_body(splitter.rest)
                 caller.end_answer()
                 self._ended = True
-                return
-            if isinstance(part, Part):
+            elif isinstance(part, Part):
                 self._pass_on(splitter, part.body)
                 await caller.drain()
 
@@ -392,31 +309,22 @@
                 self._last_id = max(self._last_id, event.number)
                 fresh.append(event.raw)
         if fresh:
-            self._note_event()
+            self._times.note_event(self._loop.time())
             self._task.conn.write_body(b''.join(fresh))
 
-    def _note_event(self) -> None:
-        now = self._loop.time()
-        self._events += 1
-        if self._last_event_at:
-            gap_s = now - self._last_event_at
-            self._most_gap_s = max(self._most_gap_s, gap_s)
-            self._state.metrics.record('token_gap', 'stream', gap_s)
-        else:
-            waited_s = now - self._task.req.arrived_at
-            self._state.metrics.record('first_token', 'stream', waited_s)
-            self._first_event_at = now
-        self._last_event_at = now
-
-    async def _patiently(self, conn: HttpConnection, silence_s: float, read):
+    async def _patiently(
+        self,
+        conn: HttpConnection,
+        silence_s: float,
+        read: Callable[[HttpConnection, float], Awaitable[Read]],
+    ) -> Read:
         """Read on; after a silence, ask whether the path still works.
 
         Without asking, a stream on a dead stage would wait until the engine
         itself gives up, seconds later, while other paths are free.
         """
         while True:
-            now = self._loop.time()
-            until = min(self._task.deadline, now + silence_s)
+            until = min(self._task.deadline, self._loop.time() + silence_s)
             try:
                 return await read(conn, until)
             except SilentEndpointError:
@@ -426,165 +334,81 @@
 
     async def _examine(self) -> None:
         """Move the stream if its path can't go on; raise if that fails."""
-        head_replica = self._stages[0].replica
-        diagnosis = await self._examiner.examine(head_replica)
+        head_id = self._path.head_id
+        diagnosis = await self._examiner.examine(self._path.stages[0].replica)
         if not diagnosis.is_reachable:
-            raise SilentEndpointError(
-                f'{head_replica.address}: does not answer'
-            )
+            raise SilentEndpointError(f'{head_id}: does not answer')
         if not self._task.may_repeat:
             return
-        culprit = self._find_culprit(diagnosis)
+        culprit = self._path.find_culprit(diagnosis, self._task.request_id)
         if not culprit:
             return
-        if culprit == head_replica.replica_id or not await self._repath():
+        if culprit == head_id or not await self._path.move():
             raise SilentEndpointError(f'the path waits for {culprit}')
 
-    def _find_culprit(self, diagnosis: Diagnosis) -> str:
-        """Return the replica that the path waits for; empty if none."""
-        address = diagnosis.stalled.get(self._request_id, '')
-        for stage in self._stages:
-            if stage.replica.address == address:
-                return stage.replica.replica_id
-        return next(iter(self._list_lost()), '')
-
-    async def _repath(self) -> bool:
-        """Move the stream to other replicas behind its first one."""
-        head_id = self._stages[0].replica.replica_id
-        wanted = PathRequest(
-            self._tokens,
-            {*self._avoid, *self._list_lost()},
-            frozenset((head_id,)),
-            first_end=self._stages[0].layers.end,
-            held=frozenset(list_ids(self._stages)),
-            is_urgent=True,
-        )
-        stages = self._admission.admit_now(
-            self._task.service.name, self._engine, wanted
-        )
-        if not stages:
-            return False
-        try:
-            moved = await order_repath(
-                self._state, self._task.facts.request_id, stages
-            )
-        except asyncio.CancelledError:
-            self._admission.release(stages, self._tokens)
-            raise
-        given_back = self._stages if moved else stages
-        self._admission.release(given_back, self._tokens)
-        if moved:
-            self._stages = stages
-            self._state.counters['streams.moved'] += 1
-        return moved
-
-    def _list_lost(self) -> set[str]:
-        """Return the replicas of the path that are gone or taken for dead."""
-        now = self._loop.time()
-        view = self._state.view
-        return {
-            stage.replica.replica_id
-            for stage in self._stages
-            if view.is_lost(stage, now)
-        }
-
-    def _predict_gap_ms(self) -> float:
-        return predict_gap_ms(
-            self._engine,
-            self._state.view.known,
-            self._stages,
-            self._state.book,
-            self._loop.time(),
-        )
-
-    def _predict_silence_s(self) -> float:
-        gaps_s = _SILENT_GAPS * self._predict_gap_ms() / _MS_PER_S
-        return max(_LEAST_SILENCE_S, gaps_s)
-
     def _note_not_run(self, head: Head, at_fault: str) -> None:
         """The path refused and ran nothing; avoid who could not do its part."""
-        self._reason = f'engine refused with {head.status}'
-        self._heads.discard(self._stages[0].replica.replica_id)
-        replica_id = self._stages[0].replica.replica_id
+        replica_id = self._path.head_id
+        self._path.heads.discard(replica_id)
         if at_fault:
             found = self._state.view.find_address(at_fault)
             if found is not None:
                 replica_id = found.replica.replica_id
-        self._shun(replica_id, self._reason)
+        self._shun(replica_id, f'engine refused with {head.status}')
 
     def _note_break(self, exc: EndpointError) -> None:
         self._may_have_run = self._may_have_run or exc.may_have_run
         self._reason = str(exc)
-        self._avoid.update(self._list_lost())
+        self._path.avoid.update(self._path.list_lost())
         self._state.counters['streams.broken'] += 1
-        _LOG.info(
+        self._log(
             'stream broke',
-            extra={
-                'request': self._request_id,
-                'path': ','.join(list_ids(self._stages)),
-                'last_event': self._last_id,
-                'reason': self._reason,
-            },
+            path=self._path.describe(),
+            last_event=self._last_id,
+            reason=self._reason,
         )
 
     def _shun(self, replica_id: str, reason: str) -> None:
         """Ask a replica not again at once, and not for this stream."""
-        self._avoid.add(replica_id)
+        self._reason = reason
+        self._path.avoid.add(replica_id)
         self._state.view.refuse(replica_id, self._loop.time())
         self._state.counters['streams.refused'] += 1
-        _LOG.info(
-            'engine refused',
-            extra={
-                'request': self._request_id,
-                'replica': replica_id,
-                'reason': reason,
-            },
-        )
+        self._log('engine refused', replica=replica_id, reason=reason)
 
     def _give_up(self, hopeless: HopelessError | None) -> None:
         """Give the final answer, or cut one that has begun."""
         self._ended = True
         caller = self._task.conn
         if self._started:
-            _LOG.warning(
-                'stream cut',
-                extra={
-                    'request': self._request_id,
-                    'last_event': self._last_id,
-                    'reason': self._reason or str(hopeless),
-                },
-            )
             self._state.counters['streams.cut'] += 1
+            reason = self._reason or str(hopeless)
+            self._log('stream cut', last_event=self._last_id, reason=reason)
             caller.cut()
-            return
-        if self._failure is not None:
+        elif self._failure is not None:
             head, body = self._failure
             caller.answer(head.status, filter_headers(head), body)
-            return
-        refuse(
-            self._state, caller, self._task.facts, self._build_refusal(hopeless)
-        )
+        else:
+            refusal = self._build_refusal(hopeless)
+            refuse(self._state, caller, self._task.facts, refusal)
 
     def _build_refusal(self, hopeless: HopelessError | None) -> Refusal:
         if not self._may_have_run:
             reason = self._reason or str(hopeless)
-            wait_s = hopeless.wait_s if hopeless is not None else 0.3
+            wait_s = _RETRY_S if hopeless is None else hopeless.wait_s
             return Refusal(UNAVAILABLE, reason, wait_s)
         if self._loop.time() >= self._task.deadline:
             return Refusal(TIMED_OUT, self._reason)
         return Refusal(FAILED, self._reason)
 
-
-async def _read_part(conn: HttpConnection, deadline: float):
-    return await conn.read(deadline)
+    def _log(self, event: str, **facts: object) -> None:
+        _LOG.info(event, extra={'request': self._task.request_id, **facts})
 
 
-def format_path(stages: tuple[Stage, ...]) -> str:
-    """Return a path as logs show it."""
-    return ' '.join(
-        f'{stage.replica.replica_id}:{stage.layers.first}-{stage.layers.end}'
-        for stage in stages
-    )
+async def _read_part(
+    conn: HttpConnection, deadline: float
+) -> Head | Part | Whole:
+    return await conn.read(deadline)
 
 
 def _read_last_id(text: bytes) -> int:
--- /dev/null
+++ b/samphirerill/relay/task.py
@@ -0,0 +1,55 @@
+"""One request with all that was found out about it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from samphirerill.fleet.model import Repeat
+
+if TYPE_CHECKING:
+    from samphirerill.fleet.model import ClientAccount, FleetRoute, Service
+    from samphirerill.relay.dialect import RequestFacts
+    from samphirerill.relay.server import CallerConnection, Request
+
+
+@dataclass(slots=True)
+class Task:
+    """A request, its route and whose it is.
+
+    `deadline` is on the loop's clock: the client's own or the route's, the
+    earlier one. `client_deadline` is the client's.
+    """
+
+    req: Request
+    facts: RequestFacts
+    conn: CallerConnection
+    route: FleetRoute
+    service: Service
+    account: ClientAccount | None
+    deadline: float
+    client_deadline: float
+
+    @property
+    def request_id(self) -> str:
+        """Return the client's name for this attempt."""
+        return self.facts.request_id.decode('latin-1')
+
+    @property
+    def account_name(self) -> str:
+        """Return whose request it is; empty on a public route."""
+        return self.account.name if self.account is not None else ''
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether the request may run more than once."""
+        if self.route.repeat is Repeat.STREAM:
+            return self.route.is_resumable
+        return self.route.repeat is Repeat.IDEMPOTENT
+
+    @property
+    def priority(self) -> int:
+        """Return the rank; the account's own goes before the route's."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
