--- a/samphirerill/fleet/explain.py
+++ b/samphirerill/fleet/explain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.paths import has_room
@@ -50,7 +51,7 @@
 def _find_gap(engine: EngineSpec, ranges: Iterable[LayerRange]) -> str:
     """Return the first layers that no range covers, as text."""
     position = 0
-    for layers in sorted(ranges, key=lambda item: (item.first, item.end)):
+    for layers in sorted(ranges, key=attrgetter('first')):
         if layers.first > position:
             return f'{position}-{layers.first}'
         position = max(position, layers.end)
--- a/samphirerill/fleet/migration.py
+++ b/samphirerill/fleet/migration.py
@@ -92,30 +92,34 @@
     free: dict[Slot, list[Replica]] = {}
     for replica in present:
         free.setdefault(_slot(replica), []).append(replica)
+    steps: list[Moves] = [{} for _ in planned.pipelines]
+    for number, slot, layers in _list_open_parts(planned, free):
+        overlaps = [_overlap(item, layers) for item in free[slot]]
+        replica = free[slot].pop(overlaps.index(max(overlaps)))
+        steps[number][replica.replica_id] = layers
+    return steps
+
+
+def _list_open_parts(
+    planned: Planned, free: dict[Slot, list[Replica]]
+) -> list[tuple[int, Slot, LayerRange]]:
+    """Return the parts that nobody holds yet; who holds one is not free."""
     parts = []
     for number, pipeline in enumerate(planned.pipelines):
         first = 0
         for replica, count in pipeline.parts:
             layers = LayerRange(first, first + count)
-            parts.append((number, _slot(replica), layers))
-            first += count
-    steps: list[Moves] = [{} for _ in planned.pipelines]
-    kept = [part for part in parts if not _keep(part, free)]
-    for number, slot, layers in kept:
-        replica = max(free[slot], key=lambda item: _overlap(item, layers))
-        free[slot].remove(replica)
-        steps[number][replica.replica_id] = layers
-    return steps
+            first = layers.end
+            if not _keep(free[_slot(replica)], layers):
+                parts.append((number, _slot(replica), layers))
+    return parts
 
 
-def _keep(
-    part: tuple[int, Slot, LayerRange], free: dict[Slot, list[Replica]]
-) -> bool:
-    """Give a part to a replica that holds just that; return if there is one."""
-    _, slot, layers = part
-    for replica in free[slot]:
+def _keep(free: list[Replica], layers: LayerRange) -> bool:
+    """Take out the replica that holds just these layers, if there is one."""
+    for at, replica in enumerate(free):
         if replica.layers == layers:
-            free[slot].remove(replica)
+            free.pop(at)
             return True
     return False
 
--- a/samphirerill/fleet/planner.py
+++ b/samphirerill/fleet/planner.py
@@ -15,10 +15,11 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import pairwise
 from typing import TYPE_CHECKING
 
-from samphirerill.fleet.model import MS_PER_S, LayerRange, count_tokens
+from samphirerill.fleet.model import MB, MS_PER_S, LayerRange, count_tokens
 from samphirerill.fleet.prediction import (
     count_events,
     predict_reading_ms,
@@ -45,6 +46,8 @@
 _DEFAULT_PAUSE_MS = 200.0
 # A hop costs its delay and one more chance that a stage is lost.
 _STAGE_COST_MS = 0.5
+_FEWER = 0.8
+_LEAST_MS = 0.001
 Plan = dict[str, LayerRange]
 
 
@@ -137,7 +140,7 @@
         return 0.0
     event_ms = predict_event_ms(engine, pipeline, running)
     while event_ms > pause_ms * _PAUSE_USE and running > 1:
-        running *= 0.8
+        running *= _FEWER
         event_ms = predict_event_ms(engine, pipeline, running)
     rate = running / (count_events(engine) * event_ms / MS_PER_S)
     return min(rate, *_list_reading_rates(engine, pipeline))
@@ -185,7 +188,7 @@
         reading_ms = predict_reading_ms(
             engine, _kind(engine, replica), layers, engine.usual_prompt
         )
-        yield MS_PER_S / 2 / max(reading_ms, 0.001)
+        yield MS_PER_S / 2 / max(reading_ms, _LEAST_MS)
 
 
 def _list_token_goals(engine: EngineSpec) -> Iterable[float]:
@@ -210,19 +213,35 @@
         for name, accelerator in engine.accelerators.items()
     }
     free = [replica for replica in replicas if most[replica.accelerator]]
-    free.sort(key=lambda item: _rank(engine, most, item))
+    free.sort(key=partial(_rank, engine, most))
+    pipelines = _take_fastest(engine, free, most) if fast_first else []
+    pipelines.extend(_take_local(engine, free, most))
+    while taken := _take_across(engine, free, most):
+        pipelines.append(taken)
+    rate = predict_total_rate(engine, pipelines, pause_ms)
+    return Planned(pipelines, _list_rest(replicas, pipelines), rate, tokens)
+
+
+def _list_rest(
+    replicas: Sequence[Replica], pipelines: list[Pipeline]
+) -> list[Replica]:
+    used = {
+        replica.replica_id
+        for pipeline in pipelines
+        for replica, _ in pipeline.parts
+    }
+    return [item for item in replicas if item.replica_id not in used]
+
+
+def _take_local(
+    engine: EngineSpec, free: list[Replica], most: dict[str, int]
+) -> list[Pipeline]:
+    """Build pipelines that stay within one data centre."""
     pipelines = []
-    if fast_first:
-        pipelines.extend(_take_fastest(engine, free, most))
     for zone in sorted({replica.data_centre for replica in free}):
         while taken := _take(engine, free, most, zone):
             pipelines.append(taken)
-    while taken := _take_across(engine, free, most):
-        pipelines.append(taken)
-    rate = predict_total_rate(engine, pipelines, pause_ms)
-    used = {part.replica_id for item in pipelines for part, _ in item.parts}
-    spares = [item for item in replicas if item.replica_id not in used]
-    return Planned(pipelines, spares, rate, tokens)
+    return pipelines
 
 
 def _take_fastest(
@@ -263,7 +282,7 @@
     for item in free:
         held = layers.get(item.data_centre, 0)
         layers[item.data_centre] = held + most[item.accelerator]
-    order = sorted(layers, key=lambda zone: -layers[zone])
+    order = sorted(layers, key=layers.__getitem__, reverse=True)
     cards = sorted(free, key=lambda item: order.index(item.data_centre))
     needed = _take_enough(cards, engine.layers, most)
     if not needed:
@@ -300,29 +319,27 @@
         free.remove(card)
     counts = [most[card.accelerator] for card in needed]
     while sum(counts) > engine.layers:
-        worst = max(
-            range(len(needed)), key=lambda at: _load(engine, needed, counts, at)
-        )
-        counts[worst] -= 1
+        ranks = [
+            _rank_room(engine, card, count)
+            for card, count in zip(needed, counts, strict=True)
+        ]
+        counts[ranks.index(max(ranks))] -= 1
     parts = list(zip(needed, counts, strict=True))
     return Pipeline([part for part in parts if part[1] > 0])
 
 
-def _load(
-    engine: EngineSpec, cards: list[Replica], counts: list[int], at: int
-) -> float:
+def _rank_room(engine: EngineSpec, card: Replica, count: int) -> float:
     """Rank a card by how little room for tokens its layers leave it."""
-    if counts[at] <= 1:
+    if count <= 1:
         return -1
-    kind = _kind(engine, cards[at])
-    return 1 / (1 + count_tokens(engine, kind, counts[at]))
+    return 1 / (1 + count_tokens(engine, _kind(engine, card), count))
 
 
 def _most_layers(
     engine: EngineSpec, accelerator: Accelerator, tokens: float
 ) -> int:
     per_layer = engine.layer_mb
-    per_layer += tokens * engine.token_bytes / max(1, engine.layers) / 1_000_000
+    per_layer += tokens * engine.token_bytes / max(1, engine.layers) / MB
     return min(engine.layers, int(accelerator.size_mb / per_layer))
 
 
--- a/samphirerill/fleet/repair.py
+++ b/samphirerill/fleet/repair.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.chains import CROSSING_LAYERS, extract_chains
@@ -63,35 +64,70 @@
     if all(replica.layers is None for replica in present):
         return _plan_first(engine, present, pause_ms)
     chains = extract_chains(engine, present)
+    spares = _list_spares(present, chains)
+    moves = _mend_chains(engine, chains, spares, pause_ms, is_calm=is_calm)
+    if is_calm:
+        free = [
+            item
+            for item in spares
+            if item.replica_id in settled and item.replica_id not in moves
+        ]
+        moves.update(_use_spares(engine, free, present, moves, pause_ms))
+    moves = _drop_done(moves, present)
+    if moves or not is_calm:
+        return moves
+    whole = [chain for chain in chains if not chain.gaps]
+    return plan_migration(engine, present, whole, pause_ms)
+
+
+def _mend_chains(
+    engine: EngineSpec,
+    chains: list[Chain],
+    spares: list[Replica],
+    pause_ms: float,
+    *,
+    is_calm: bool,
+) -> Moves:
+    """Return the moves that make broken chains whole, the fullest first."""
     whole = [chain for chain in chains if not chain.gaps]
     broken = [chain for chain in chains if chain.gaps]
-    used = _list_used(chains)
-    spares = [item for item in present if item.replica_id not in used]
     broken.sort(key=_count_missing)
+    left = list(spares)
     moves: Moves = {}
     while broken:
         chain = broken.pop(0)
-        taken = _close_gaps(engine, chain, spares)
-        if taken is None and not is_calm:
-            continue
-        if taken is None:
-            taken = _cut_anew(engine, chain, spares)
-        if taken is None:
+        taken = _close_gaps(engine, chain, left)
+        if not taken and is_calm:
             # The parts of the chain that lacks most may complete others.
-            taken = _sacrifice(engine, chain, broken, whole, spares, pause_ms)
-        if taken is None:
-            continue
-        moves.update(taken)
-        spares = [item for item in spares if item.replica_id not in taken]
-    spares = [item for item in spares if item.replica_id in settled]
-    if not is_calm:
-        return moves
-    moves.update(_use_spares(engine, spares, present, moves, pause_ms))
-    if not moves:
-        moves = plan_migration(engine, present, whole, pause_ms)
+            taken = _cut_anew(engine, chain, left) or _sacrifice(
+                engine, chain, broken, whole, left, pause_ms
+            )
+        moves.update(taken or {})
+        left = [item for item in left if item.replica_id not in moves]
     return moves
 
 
+def _list_spares(
+    present: Sequence[Replica], chains: list[Chain]
+) -> list[Replica]:
+    used = {
+        stage.replica.replica_id for chain in chains for stage in chain.stages
+    }
+    return [item for item in present if item.replica_id not in used]
+
+
+def _drop_done(moves: Moves, present: Sequence[Replica]) -> Moves:
+    """Leave out what replicas already hold.
+
+    A gap that can only be closed from another data centre is seen as a gap
+    again when it is closed.
+    """
+    held = {item.replica_id: item.layers for item in present}
+    return {
+        name: layers for name, layers in moves.items() if held[name] != layers
+    }
+
+
 def _plan_first(
     engine: EngineSpec, present: Sequence[Replica], pause_ms: float
 ) -> Moves:
@@ -130,15 +166,8 @@
 ) -> Moves | None:
     """Cut a gap among spares: near ones first, then empty ones."""
     for requests in (_WANTED_REQUESTS, _LEAST_REQUESTS):
-        order = sorted(
-            spares,
-            key=lambda item: (
-                item.data_centre != home,
-                item.layers is not None,
-                *_fit(gap, _most_layers(engine, item, requests)),
-                item.replica_id,
-            ),
-        )
+        rank = partial(_rank_for_gap, engine, gap, home, requests)
+        order = sorted(spares, key=rank)
         moves: Moves = {}
         first = gap.first
         for replica in order:
@@ -153,9 +182,22 @@
     return None
 
 
-def _fit(gap: LayerRange, most: int) -> tuple[int, int]:
-    """Rank a replica for a gap: none too small, then none too large."""
-    return max(0, gap.count - most), max(0, most - gap.count)
+def _rank_for_gap(
+    engine: EngineSpec,
+    gap: LayerRange,
+    home: str,
+    requests: float,
+    replica: Replica,
+) -> tuple[bool, bool, int, int, str]:
+    """Rank a replica for a gap: near, empty, not too small, not too large."""
+    most = _most_layers(engine, replica, requests)
+    return (
+        replica.data_centre != home,
+        replica.layers is not None,
+        max(0, gap.count - most),
+        max(0, most - gap.count),
+        replica.replica_id,
+    )
 
 
 def _cut_anew(
@@ -304,18 +346,16 @@
         }
         if not options:
             continue
-        moves[replica.replica_id] = min(
-            options,
-            key=lambda layers: (
-                _count_holders(layers, held),
-                -layers.count,
-                layers.first,
-            ),
-        )
+        moves[replica.replica_id] = min(options, key=partial(_rank_part, held))
         held[replica.replica_id] = moves[replica.replica_id]
     return moves
 
 
+def _rank_part(held: Moves, layers: LayerRange) -> tuple[int, int, int]:
+    """Rank a part to double: the fewest hold it, then it is large."""
+    return _count_holders(layers, held), -layers.count, layers.first
+
+
 def _count_holders(layers: LayerRange, held: Moves) -> int:
     return sum(
         other.first <= layers.first and other.end >= layers.end
@@ -335,12 +375,6 @@
     return count
 
 
-def _list_used(chains: list[Chain]) -> set[str]:
-    return {
-        stage.replica.replica_id for chain in chains for stage in chain.stages
-    }
-
-
 def _list_replicas(chain: Chain) -> list[Replica]:
     return [stage.replica for stage in chain.stages]
 
--- a/samphirerill/platform/store.py
+++ b/samphirerill/platform/store.py
@@ -83,7 +83,7 @@
 class _Item(Struct, rename='camel'):
     key: str
     revision: int
-    value: str = ''
+    text: str = field(default='', name='value')
     lease: int = 0
     deleted: bool = False
 
@@ -93,7 +93,7 @@
 
 
 class _Range(Struct, rename='camel'):
-    items: list[_Item]
+    found: list[_Item] = field(name='items')
     more_pages: bool = False
     current_rev: int = 0
 
@@ -119,7 +119,7 @@
 
 class _Put(Struct, omit_defaults=True):
     key: str
-    value: str
+    text: str = field(name='value')
     lease: int = 0
 
 
@@ -157,7 +157,7 @@
         Pages are no snapshot: the revision is the first page's, so that a
         watch from it on repeats changes rather than misses any.
         """
-        items: list[StoredItem] = []
+        found: list[StoredItem] = []
         revision = 0
         after = ''
         while True:
@@ -166,11 +166,11 @@
                 query['after'] = after
             _, body = await self._call('GET', '/kv-range', query)
             page = _decode(body, _Range)
-            items.extend(_build_item(item) for item in page.items)
+            found.extend(_build_item(item) for item in page.found)
             revision = revision or page.current_rev
-            if not page.more_pages or not page.items:
-                return items, revision
-            after = page.items[-1].key
+            if not page.more_pages or not page.found:
+                return found, revision
+            after = page.found[-1].key
 
     async def watch(self, prefix: str, after: int) -> Changes:
         """Wait for changes after a revision; none may come within a while.
@@ -327,7 +327,7 @@
 
 def _build_item(found: _Item) -> StoredItem:
     try:
-        text = b64decode(found.value)
+        text = b64decode(found.text)
     except ValueError as exc:
         raise StoreUnreachableError(
             f'{found.key}: the value is not base64', may_have_applied=True
--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -75,6 +75,10 @@
         """Return how many requests wait."""
         return sum(not ticket.granted.done() for ticket in self._queue)
 
+    def predict_wait_s(self) -> float:
+        """Return how long the queue as it is takes to pass."""
+        return self._gap_s * (1 + self.count_waiting())
+
     async def admit(
         self,
         service: str,
@@ -147,10 +151,6 @@
             self._abandon(ticket)
             raise
 
-    def predict_wait_s(self) -> float:
-        """Return how long the queue as it is takes to pass."""
-        return self._gap_s * (1 + self.count_waiting())
-
     def _abandon(self, ticket: _Ticket) -> None:
         """Give back what was granted in the moment of giving up."""
         granted = ticket.granted
--- a/samphirerill/relay/follower.py
+++ b/samphirerill/relay/follower.py
@@ -73,7 +73,7 @@
 
     prefix: str
 
-    def take_all(self, items: list[StoredItem], revision: int) -> None:
+    def take_all(self, found: list[StoredItem], revision: int) -> None:
         """Take a whole reading."""
 
     def take_item(self, item: StoredItem) -> None:
@@ -137,10 +137,10 @@
 
     async def _step(self) -> None:
         if not self.revision:
-            items, revision = await self._store.read_prefix('')
+            found, revision = await self._store.read_prefix('')
             for folder in self._folders:
                 mine = [
-                    item for item in items if item.key.startswith(folder.prefix)
+                    item for item in found if item.key.startswith(folder.prefix)
                 ]
                 folder.take_all(mine, revision)
             self.revision = revision
@@ -171,9 +171,9 @@
         self.prefix = state.dialect.configuration_key
         self.state = state
 
-    def take_all(self, items: list[StoredItem], revision: int) -> None:
+    def take_all(self, found: list[StoredItem], revision: int) -> None:
         """Take a whole reading."""
-        for item in items:
+        for item in found:
             self.take_item(item)
 
     def take_item(self, item: StoredItem) -> None:
@@ -207,20 +207,20 @@
         self._health = health
         self._loop = asyncio.get_running_loop()
 
-    def take_all(self, items: list[StoredItem], revision: int) -> None:
+    def take_all(self, found: list[StoredItem], revision: int) -> None:
         """Take a whole reading."""
         view = self.state.view
         known = []
         unreadable = set()
-        for item in items:
+        for item in found:
             replica = self._decode(item)
             if replica is None:
                 unreadable.add(self._strip(item.key))
             else:
                 known.append((replica, item.revision))
         known.extend(
-            (found.replica, found.revision)
-            for replica_id, found in view.known.items()
+            (present.replica, present.revision)
+            for replica_id, present in view.known.items()
             if replica_id in unreadable
         )
         view.replace_all(known, revision, self._get_grace())
--- /dev/null
+++ b/samphirerill/relay/messages.py
@@ -0,0 +1,125 @@
+"""What nodes tell each other by datagram.
+
+Replicas are named by the checksum of their id: at 40 replicas a datagram stays
+under half a kilobyte.
+"""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+
+from samphirerill.fleet.load import Held
+
+if TYPE_CHECKING:
+    from samphirerill.fleet.view import FleetView
+    from samphirerill.relay.state import EdgeState
+
+_TOKENS_UNIT = 16
+_MS_PER_S = 1000
+
+
+class Announced(Struct):
+    """What a node writes into the store: addresses, ``IP:PORT``."""
+
+    exchange: str
+    peers: str
+
+
+class Told(Struct, array_like=True):
+    """A datagram.
+
+    `number` grows with each of one start of a node. `version` and `revision`
+    are what it knows of the configuration and the replicas. `held` maps
+    replicas to its requests there and their tokens, in units of 16; `avoided`
+    to how many more milliseconds it takes them for dead. `pipes` holds
+    milliseconds of transfer through each pipe since the node started.
+    """
+
+    node: str
+    started: int
+    number: int
+    version: int
+    revision: int
+    held: dict[int, tuple[int, int]]
+    avoided: dict[int, int]
+    pipes: list[tuple[str, str, int]]
+
+
+class ReplicaNames:
+    """Replica ids by their checksums, made anew when replicas change."""
+
+    __slots__ = ('_names', '_version', '_view')
+
+    def __init__(self, view: FleetView) -> None:
+        self._view = view
+        self._names: dict[int, str] = {}
+        self._version = -1
+
+    def get(self, key: int) -> str | None:
+        """Return the id of a replica that is known here."""
+        if self._version != self._view.ids_version:
+            self._names = {_checksum(name): name for name in self._view.known}
+            self._version = self._view.ids_version
+        return self._names.get(key)
+
+
+def build_told(state: EdgeState, started: int, number: int, now: float) -> Told:
+    """Return what this node has to tell."""
+    held = {
+        _checksum(name): (part.requests, int(part.tokens) // _TOKENS_UNIT)
+        for name, part in state.book.own().items()
+    }
+    avoided = {
+        _checksum(name): int((found.found_until - now) * _MS_PER_S)
+        for name, found in state.view.known.items()
+        if found.found_until > now
+    }
+    return Told(
+        node=state.settings.name,
+        started=started,
+        number=number,
+        version=state.version,
+        revision=state.view.revision,
+        held=held,
+        avoided=avoided,
+        pipes=_list_pipes(state),
+    )
+
+
+def _list_pipes(state: EdgeState) -> list[tuple[str, str, int]]:
+    pipes = []
+    for pair, sent_ms in state.pipes.sent.items():
+        one, other = sorted(pair)
+        pipes.append((one, other, int(sent_ms)))
+    return pipes
+
+
+def take_told(
+    state: EdgeState, names: ReplicaNames, told: Told, now: float
+) -> None:
+    """Let what another node tells count here."""
+    state.book.hear(told.node, _read_held(names, told), now)
+    for key, left_ms in told.avoided.items():
+        name = names.get(key)
+        if name is not None:
+            until = now + left_ms / _MS_PER_S
+            state.view.suspect(name, until, now, is_own=False)
+    node = f'{told.node}/{told.started}'
+    for one, other, sent_ms in told.pipes:
+        state.pipes.hear(node, frozenset((one, other)), sent_ms, now)
+
+
+def _read_held(names: ReplicaNames, told: Told) -> dict[str, Held]:
+    held = {}
+    for key, (count, units) in told.held.items():
+        name = names.get(key)
+        if name is not None:
+            held[name] = Held(count, units * _TOKENS_UNIT)
+    return held
+
+
+def _checksum(replica_id: str) -> int:
+    return zlib.crc32(replica_id.encode())
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -18,6 +18,7 @@
     StoreHealth,
 )
 from samphirerill.relay.front import Front
+from samphirerill.relay.leadership import Leadership
 from samphirerill.relay.listeners import Page, PageHandler, listen
 from samphirerill.relay.members import Members
 from samphirerill.relay.state import EdgeState
@@ -74,7 +75,8 @@
         examiner = Examiner(self.state)
         self._front = Front(self.state, self._admission, examiner)
         self._members = Members(self.state, store, health)
-        self._commander = Commander(self.state, store, health)
+        leadership = Leadership(self.state, store)
+        self._commander = Commander(self.state, leadership, health)
         self._follower = Follower(
             self.state,
             store,
@@ -83,7 +85,7 @@
                 ConfigurationFolder(self.state),
                 ReplicaFolder(self.state, health),
                 self._members,
-                self._commander,
+                leadership,
             ),
         )
         self._connections: set[CallerConnection] = set()
@@ -125,12 +127,11 @@
         pages = PageHandler({self.state.dialect.ready_path: self._get_ready})
         metrics = PageHandler({b'/metrics': self._get_metrics})
         metrics_address = f'{settings.host}:{settings.metrics_port}'
-        for address, handler, connections in (
-            (settings.callers, self._front, self._connections),
-            (settings.readiness, pages, self._pages),
-            (metrics_address, metrics, self._pages),
-        ):
-            self._servers.append(await listen(address, handler, connections))
+        self._servers[:] = await asyncio.gather(
+            listen(settings.callers, self._front, self._connections),
+            listen(settings.readiness, pages, self._pages),
+            listen(metrics_address, metrics, self._pages),
+        )
 
     def _get_ready(self) -> Page:
         is_ready = self.state.cfg is not None and not self.state.is_draining
@@ -142,7 +143,7 @@
         gauges['now.waiting'] = self._admission.count_waiting()
         gauges['now.open'] = self._count_busy()
         gauges['now.replicas'] = len(state.view.known)
-        gauges['now.version'] = state.cfg.version if state.cfg else 0
+        gauges['now.version'] = state.version
         return _OK, state.metrics.format_prometheus(gauges).encode()
 
     def _move_streams(self) -> None:
@@ -178,13 +179,11 @@
         self.state.requests_until = finish_at - _REQUEST_S
         notice_until = now + _NOTICE_S
         await self._leave(self._commander.leave())
-        while self._loop.time() < finish_at:
-            if self._loop.time() >= notice_until:
-                for conn in tuple(self._connections):
-                    conn.close_idle()
-                if not self._count_busy():
-                    break
+        await asyncio.sleep(notice_until - self._loop.time())
+        self._close_idle()
+        while self._count_busy() and self._loop.time() < finish_at:
             await asyncio.sleep(_DRAIN_STEP_S)
+            self._close_idle()
         await self._leave(self._members.leave())
         for server in self._servers:
             server.close()
@@ -198,6 +197,10 @@
         except TimeoutError:
             _LOG.info('lease left to lapse', extra={'waited_s': _LEAVE_S})
 
+    def _close_idle(self) -> None:
+        for conn in tuple(self._connections):
+            conn.close_idle()
+
     def _count_busy(self) -> int:
         return sum(conn.is_busy for conn in self._connections)
 
--- a/samphirerill/relay/refusals.py
+++ b/samphirerill/relay/refusals.py
@@ -56,7 +56,7 @@
             'request': facts.request_id.decode('latin-1'),
             'status': refusal.status,
             'reason': refusal.reason,
-            'configuration': state.cfg.version if state.cfg else 0,
+            'configuration': state.version,
         },
     )
     conn.answer(refusal.status, headers, b'')
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -63,6 +63,11 @@
         self._budgets: dict[str, RepeatBudget] = {}
         self._listeners: list[Callable[[], None]] = []
 
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force; 0 for none."""
+        return 0 if self.cfg is None else self.cfg.version
+
     def count_nodes(self) -> int:
         """Return how many nodes share the fleet, this one included.
 
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -233,6 +233,7 @@
             'stream sent',
             path=self._path.describe(),
             send=self._sends,
+            nodes=1 + self._state.book.count_peers(),
             after_event=self._last_id,
             tokens=int(self._path.tokens),
             gap_ms=round(self._path.predict_gap_s() * _MS_PER_S),
--- a/samphirerill/relay/task.py
+++ b/samphirerill/relay/task.py
@@ -38,7 +38,7 @@
     @property
     def account_name(self) -> str:
         """Return whose request it is; empty on a public route."""
-        return self.account.name if self.account is not None else ''
+        return '' if self.account is None else self.account.name
 
     @property
     def may_repeat(self) -> bool:
