--- a/samphirerill/tests/fleets.py
+++ b/samphirerill/tests/fleets.py
@@ -46,7 +46,7 @@
 
 def build_fleet(zones: dict[str, dict[str, int]]) -> list[Replica]:
     """Return empty replicas, named by zone, kind and number."""
-    fleet = []
+    fleet: list[Replica] = []
     for zone, kinds in zones.items():
         for kind, count in kinds.items():
             fleet.extend(
