--- a/samphirerill/node/logs.py
+++ b/samphirerill/node/logs.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from logbook import LogRecord
 
+    from samphirerill.node.log_sink import LogSink
     from samphirerill.settings.model import LogSettings
 
 
@@ -23,14 +24,16 @@
     return Logger(part)
 
 
-def start_logging(settings: LogSettings, stream: TextIO | None = None) -> None:
+def start_logging(
+    settings: LogSettings, stream: TextIO | LogSink | None = None
+) -> None:
     """Send all logs to a stream in the form the settings ask for.
 
     Parameters
     ----------
     settings : LogSettings
         Level and form.
-    stream : TextIO, optional
+    stream : TextIO or LogSink, optional
         Standard error if left out.
     """
     level = lookup_level(settings.level.upper())
--- a/samphirerill/platform/start.py
+++ b/samphirerill/platform/start.py
@@ -6,6 +6,7 @@
 import os
 import sys
 
+from samphirerill.node.log_sink import LogSink
 from samphirerill.node.logs import start_logging
 from samphirerill.platform.dialect import PlatformDialect
 from samphirerill.platform.settings import (
@@ -27,7 +28,7 @@
         The settings file; by default the one that the environment names.
     """
     settings = load_edge_settings(path or os.environ[SETTINGS_VARIABLE])
-    start_logging(LogSettings(form='json'), sys.stdout)
+    start_logging(LogSettings(form='json'), LogSink(sys.stdout.fileno()))
     return asyncio.run(_run(settings))
 
 
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.endpoints import choose_endpoint
+from samphirerill.fleet.model import MS_PER_S
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.answers import (
     filter_headers,
@@ -141,7 +142,20 @@
         finally:
             self._state.book.give_back(held, 0)
             self._state.notify()
-        self._note(found, outcome, self._loop.time() - started_at)
+        took_s = self._loop.time() - started_at
+        self._note(found, outcome, took_s)
+        _LOG.info(
+            'request sent',
+            extra={
+                'request': self._task.request_id,
+                'endpoint': found.replica.replica_id,
+                'send': self._sends,
+                'status': 0 if outcome.head is None else outcome.head.status,
+                'not_run': outcome.is_not_run,
+                'reason': outcome.reason,
+                'took_ms': round(took_s * MS_PER_S),
+            },
+        )
         return outcome
 
     async def _exchange(self, found: Known) -> _Outcome:
--- a/samphirerill/tests/test_callers_input.py
+++ b/samphirerill/tests/test_callers_input.py
@@ -155,7 +155,7 @@
         if choice == 0:
             raw[at] = random.randrange(256)
         elif choice == 1:
-            del raw[at]
+            raw.pop(at)
         else:
             raw[at:at] = raw[at : at + random.randint(1, 9)]
     return bytes(raw)
