Tell refused streams to come back after the repair

Cause: requests are refused for want of room while a pipeline is out of work; a Retry-After of 0.2 to 1 s brought callers back into the same shortage.

--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -69,6 +69,9 @@
 _MOST_SENDS = 6
 # When to come back if nothing better is known.
 _RETRY_S = 0.3
+# Requests are refused for want of room while a pipeline is out of work; a part
+# that is lost is noticed and loaded again in two to four seconds.
+_REPAIR_S = 2.5
 
 
 class StreamExchange:
@@ -396,7 +399,9 @@
     def _build_refusal(self, hopeless: HopelessError | None) -> Refusal:
         if not self._may_have_run:
             reason = self._reason or str(hopeless)
-            wait_s = _RETRY_S if hopeless is None else hopeless.wait_s
+            wait_s = _RETRY_S
+            if hopeless is not None:
+                wait_s = max(_REPAIR_S, hopeless.wait_s)
             return Refusal(UNAVAILABLE, reason, wait_s)
         if self._loop.time() >= self._task.deadline:
             return Refusal(TIMED_OUT, self._reason)
