--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -23,6 +23,8 @@
 _REST_S = 0.25
 _MOST_DOUBLINGS = 4
 _STREAK_S = 5.0
+# How long a replica's own word on its pace counts.
+_PACE_S = 5.0
 # The ids of replicas that were withdrawn, kept to refuse older news of them.
 _MOST_TOMBS = 4096
 
@@ -182,6 +184,13 @@
         pause_s = _REST_S * 2 ** min(found.refusals - 1, _MOST_DOUBLINGS)
         found.busy_until = max(found.busy_until, now + pause_s)
 
+    def note_pace(self, replica_id: str, slowness: float, now: float) -> None:
+        """Take what a replica says of its pace; believed for some seconds."""
+        found = self.known.get(replica_id)
+        if found is not None:
+            found.slowness = max(1.0, slowness)
+            found.slow_until = now + _PACE_S
+
     def trust(self, replica_id: str) -> None:
         """A replica has answered: what was held against it is over."""
         found = self.known.get(replica_id)
--- a/samphirerill/platform/dialect.py
+++ b/samphirerill/platform/dialect.py
@@ -121,16 +121,12 @@
     def read_answer(self, head: Head) -> AnswerFacts:
         """Return what an endpoint's answer says of itself."""
         encoding = (head.get(b'content-encoding') or b'identity').lower()
-        running, waiting = _read_load(head.get(words.LOAD) or b'')
         is_other_replica = head.status == _MISDIRECTED
         return AnswerFacts(
             request_id=head.get(words.REQUEST_ID) or b'',
             is_signed=bool(head.get(words.SEAL)),
             is_not_run=is_other_replica or head.get(words.NOT_RUN) is not None,
-            is_other_replica=is_other_replica,
             is_encoded=encoding != b'identity',
-            running=running,
-            waiting=waiting,
             at_fault=(head.get(words.AT_FAULT) or b'').decode('latin-1'),
         )
 
@@ -190,11 +186,3 @@
 def _read_number(text: bytes) -> float:
     stripped = text.strip()
     return float(stripped) if stripped.isdigit() else 0.0
-
-
-def _read_load(text: bytes) -> tuple[int, int]:
-    """Return how many requests run and wait; -1 if the endpoint is silent."""
-    figures = [word.strip() for word in text.split(b',')[:2]]
-    if len(figures) < 2 or not all(figure.isdigit() for figure in figures):
-        return -1, -1
-    return int(figures[0]), int(figures[1])
--- a/samphirerill/platform/documents.py
+++ b/samphirerill/platform/documents.py
@@ -147,11 +147,6 @@
     busy: bool = False
     # Orders that the replica has taken on since it started.
     sequence: int = 0
-    queued: int = 0
-    active: int = 0
-    # Tokens times layers, as is the total.
-    kv_used: float = 0
-    kv_total: float = 0
     pace: float = 1
     stalled: list[_Stalled] = []
 
@@ -206,10 +201,6 @@
         layers=_build_layers(found.layers),
         is_busy=found.busy,
         orders_taken=found.sequence,
-        waiting=found.queued,
-        running=found.active,
-        used=found.kv_used,
-        total=found.kv_total,
         slowness=found.pace,
         stalled={item.id: item.address for item in found.stalled},
     )
--- a/samphirerill/platform/settings.py
+++ b/samphirerill/platform/settings.py
@@ -22,8 +22,7 @@
     `peers` their calls; `seeds` are such addresses of some nodes, perhaps
     outdated. The figures after them are the platform's bounds: `finish_s`
     between SIGTERM and SIGKILL, `leaving_s` until a leaving endpoint may get
-    no more work, `reuse_after_s` until a gone endpoint's address may belong
-    to another, and the share of repeats, with its window, that all nodes
+    no more work, and the share of repeats, with its window, that all nodes
     together may make.
     """
 
@@ -42,9 +41,6 @@
     retry_ratio: float = 0.2
     retry_slack: float = 0
     retry_window_s: float = 10
-    reuse_after_s: float = 2
-    pass_ms: float = 120
-    stall_ms: float = 2500
 
 
 def load_edge_settings(path: str) -> EdgeSettings:
--- a/samphirerill/platform/words.py
+++ b/samphirerill/platform/words.py
@@ -10,8 +10,6 @@
 # The replica that a request is meant for; any other one answers 421.
 EXPECTED_REPLICA = b'x-samphirerill-target-instance'
 REPLICA_ID = b'x-samphirerill-instance-id'
-# Running, waiting and slots of the endpoint that answers.
-LOAD = b'x-samphirerill-server-load'
 NOT_RUN = b'x-samphirerill-not-executed'
 # "PROMPT,MOST": tokens of the prompt, and most tokens of the answer.
 TOKENS = b'x-samphirerill-token-count'
--- a/samphirerill/relay/dialect.py
+++ b/samphirerill/relay/dialect.py
@@ -62,10 +62,7 @@
     request_id: bytes = b''
     is_signed: bool = False
     is_not_run: bool = False
-    is_other_replica: bool = False
     is_encoded: bool = False
-    running: int = -1
-    waiting: int = -1
     at_fault: str = ''
 
 
@@ -80,10 +77,6 @@
     layers: LayerRange | None
     is_busy: bool
     orders_taken: int
-    waiting: int
-    running: int
-    used: float
-    total: float
     slowness: float
     stalled: dict[str, str]
 
--- a/samphirerill/relay/examiner.py
+++ b/samphirerill/relay/examiner.py
@@ -112,10 +112,12 @@
     if status != _OK:
         return None
     try:
-        return state.dialect.decode_report(body)
+        report = state.dialect.decode_report(body)
     except DocumentError as exc:
         _LOG.warning(
             'report is not what it should be',
             extra={'replica': replica.replica_id, 'error': str(exc)},
         )
         return None
+    state.view.note_pace(replica.replica_id, report.slowness, deadline)
+    return report
--- a/samphirerill/relay/pool.py
+++ b/samphirerill/relay/pool.py
@@ -33,7 +33,6 @@
     def __init__(self, counters: Counter[str]) -> None:
         self._counters = counters
         self._idle: defaultdict[str, list[HttpConnection]] = defaultdict(list)
-        self._in_use: Counter[str] = counters.__class__()
 
     async def take(
         self, replica: Replica, *, fresh: bool = False
--- a/samphirerill/tests/test_fleet_paths.py
+++ b/samphirerill/tests/test_fleet_paths.py
@@ -288,3 +288,17 @@
         Repeat.IDEMPOTENT,
         (Share('llm', 1),),
     )
+
+
+class TestPace(TestCase):
+    """Replicas that say they are slow."""
+
+    def test_a_slow_replica_gets_less_work(self) -> None:
+        view = FleetView()
+        for name in ('slow', 'usual'):
+            view.announce(build_replica(name, 'a', 'large', (0, 40)), 1)
+        view.announce(build_replica('tail', 'a', 'large', (40, 80)), 1)
+        view.note_pace('slow', 4.0, 0)
+        usable = view.list_usable('llm', 1)
+        stages = choose_path(ENGINE, usable, LoadBook(), PathRequest(1), 1)
+        self.assertEqual(list_ids(stages), ('usual', 'tail'))
