--- a/samphirerill/platform/dialect.py
+++ b/samphirerill/platform/dialect.py
@@ -92,8 +92,7 @@
     ) -> Headers:
         """Return the client's headers with what this system says itself."""
         dropped = _list_named(req)
-        if attempt.account:
-            # The key is the client's own; endpoints get the account's name.
+        if attempt.hides_key:
             dropped.add(b'authorization')
         if attempt.resume_after:
             dropped.add(words.RESUME_AFTER)
--- a/samphirerill/relay/dialect.py
+++ b/samphirerill/relay/dialect.py
@@ -40,12 +40,14 @@
 class Attempt:
     """One send of a request: to whom, for whom and until when.
 
-    `left_s` is what is left of the client's time.
+    `left_s` is what is left of the client's time. `hides_key` is set where
+    clients have keys: a key is never passed on, also not on a public route.
     """
 
     replica: Replica
     account: str
     left_s: float
+    hides_key: bool
     stages: tuple[Stage, ...] = ()
     priority: int | None = None
     resume_after: bytes = b''
--- a/samphirerill/relay/front.py
+++ b/samphirerill/relay/front.py
@@ -137,4 +137,5 @@
             account,
             deadline=req.arrived_at + min(own_s, client_s),
             client_deadline=req.arrived_at + client_s,
+            hides_key=self._state.cfg is None or self._state.cfg.needs_keys,
         )
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -204,7 +204,9 @@
     def _build_call(self, found: Known) -> bytes:
         task = self._task
         left_s = task.client_deadline - self._loop.time()
-        attempt = Attempt(found.replica, task.account_name, left_s)
+        attempt = Attempt(
+            found.replica, task.account_name, left_s, task.hides_key
+        )
         headers = self._state.dialect.build_headers(
             task.req, task.facts, attempt
         )
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -263,6 +263,7 @@
             self._path.stages[0].replica,
             task.account_name,
             task.deadline - self._loop.time(),
+            task.hides_key,
             self._path.stages,
             task.priority,
             b'%d' % self._last_id if self._started else b'',
--- a/samphirerill/relay/task.py
+++ b/samphirerill/relay/task.py
@@ -18,7 +18,8 @@
     """A request, its route and whose it is.
 
     `deadline` is on the loop's clock: the client's own or the route's, the
-    earlier one. `client_deadline` is the client's.
+    earlier one. `client_deadline` is the client's. `hides_key` is whether
+    clients have keys, which endpoints must not see.
     """
 
     req: Request
@@ -29,6 +30,7 @@
     account: ClientAccount | None
     deadline: float
     client_deadline: float
+    hides_key: bool
 
     @property
     def request_id(self) -> str:
--- a/samphirerill/tests/test_platform.py
+++ b/samphirerill/tests/test_platform.py
@@ -135,12 +135,23 @@
         self.assertEqual(facts.prompt_tokens, 0)
         self.assertEqual(facts.api_key, '')
 
+    def test_the_key_is_hidden_on_a_public_route_too(self) -> None:
+        key = [(b'authorization', b'Bearer secret')]
+        hidden = self._build(key, account='')
+        self.assertNotIn(b'authorization', dict(hidden))
+        shown = self._build(key, account='', hides_key=False)
+        self.assertIn(b'authorization', dict(shown))
+
     def _build(
-        self, headers: list[tuple[bytes, bytes]]
+        self,
+        headers: list[tuple[bytes, bytes]],
+        account: str = 'suva',
+        *,
+        hides_key: bool = True,
     ) -> list[tuple[bytes, bytes]]:
         req = Request(b'POST', b'/', headers, 0)
         stages = (Stage(self.replica, LayerRange(0, 80)),)
-        attempt = Attempt(self.replica, 'suva', 1.5, stages)
+        attempt = Attempt(self.replica, account, 1.5, hides_key, stages)
         facts = self.dialect.read_request(req)
         return self.dialect.build_headers(req, facts, attempt)
 
