--- a/samphirerill/fleet/chains.py
+++ b/samphirerill/fleet/chains.py
@@ -12,6 +12,7 @@
 
 from samphirerill.fleet.model import LayerRange, Stage
 from samphirerill.fleet.prediction import (
+    STAGE_COST_MS,
     predict_transfer_ms,
     predict_visit_ms,
 )
@@ -29,7 +30,6 @@
 # a gap that one load closes is better than a whole one that crosses, which
 # answers a fraction of the requests.
 CROSSING_LAYERS = 6
-_STAGE_COST_MS = 0.5
 # With less than this share of its layers, a chain is only a heap of parts.
 _LEAST_COVER = 0.5
 
@@ -131,7 +131,7 @@
     if kind is None or replica.held.end not in best:
         return
     part = LayerRange(cut, replica.held.end)
-    cost = step.cost + _STAGE_COST_MS
+    cost = step.cost + STAGE_COST_MS
     cost += predict_visit_ms(engine, kind, part.count, 1)
     if zone and zone != replica.data_centre:
         cost += crossing_ms
--- a/samphirerill/fleet/paths.py
+++ b/samphirerill/fleet/paths.py
@@ -13,6 +13,7 @@
 
 from samphirerill.fleet.model import LayerRange, Stage, count_tokens
 from samphirerill.fleet.prediction import (
+    STAGE_COST_MS,
     predict_transfer_ms,
     predict_visit_ms,
 )
@@ -31,7 +32,6 @@
 URGENT_USE = 1.0
 # Engines refuse a path of more parts.
 MOST_STAGES = 32
-_STAGE_COST_MS = 0.5
 # A transfer holds up the next event of every stream behind it, not only of its
 # own: with weight 0.5, paths through three data centres were chosen to save
 # 13 ms an event, and pauses of seconds came of it.
@@ -199,7 +199,7 @@
         visit_ms = _visit_ms(
             self._engine, found, layers.count, self._book, self._now
         )
-        cost = hop_ms + visit_ms + _STAGE_COST_MS
+        cost = hop_ms + visit_ms + STAGE_COST_MS
         count = 1
         if before is not None:
             cost += before.cost
--- a/samphirerill/fleet/planner.py
+++ b/samphirerill/fleet/planner.py
@@ -21,6 +21,7 @@
 
 from samphirerill.fleet.model import MB, MS_PER_S, LayerRange, count_tokens
 from samphirerill.fleet.prediction import (
+    STAGE_COST_MS,
     count_events,
     predict_reading_ms,
     predict_transfer_ms,
@@ -43,9 +44,7 @@
 # The share of the wanted pause that the predicted mean may take; pauses at
 # one in a hundred are some three times the mean.
 _PAUSE_USE = 0.45
-_DEFAULT_PAUSE_MS = 200.0
-# A hop costs its delay and one more chance that a stage is lost.
-_STAGE_COST_MS = 0.5
+DEFAULT_PAUSE_MS = 200.0
 _FEWER = 0.8
 _LEAST_MS = 0.001
 Plan = dict[str, LayerRange]
@@ -92,7 +91,7 @@
 def plan_layers(
     engine: EngineSpec,
     replicas: Sequence[Replica],
-    pause_ms: float = _DEFAULT_PAUSE_MS,
+    pause_ms: float = DEFAULT_PAUSE_MS,
 ) -> Planned | None:
     """Return the best plan found, or none if no pipeline can be built.
 
@@ -175,7 +174,7 @@
     """Return the predicted time between two events of a stream."""
     return sum(
         predict_visit_ms(engine, _kind(engine, replica), layers, running)
-        + _STAGE_COST_MS
+        + STAGE_COST_MS
         for replica, layers in pipeline.parts
     )
 
--- a/samphirerill/fleet/prediction.py
+++ b/samphirerill/fleet/prediction.py
@@ -16,6 +16,8 @@
 # An event meets a pass under way at a random moment: half of it is left on
 # average, beside the event's own pass.
 _PASSES_PER_VISIT = 1.5
+# A hop costs its delay and one more chance that a stage is lost.
+STAGE_COST_MS = 0.5
 _PER_K = 1000
 _BITS = 8
 _MBIT = 1_000_000
--- a/samphirerill/relay/commander.py
+++ b/samphirerill/relay/commander.py
@@ -15,6 +15,7 @@
 from samphirerill.backends.store import StoreError
 from samphirerill.fleet.chains import extract_chains
 from samphirerill.fleet.model import MS_PER_S, format_layers
+from samphirerill.fleet.planner import DEFAULT_PAUSE_MS
 from samphirerill.fleet.repair import plan_moves
 from samphirerill.fleet.timing import PlanTiming
 from samphirerill.node.logs import get_logger
@@ -39,7 +40,6 @@
 # A goal not reached by then is given up and planned anew. Layers that are
 # given up first wait for the streams that pass through them.
 _GOAL_S = 12.0
-_DEFAULT_PAUSE_MS = 200.0
 
 
 @dataclass(slots=True)
@@ -246,4 +246,4 @@
         for route in cfg.routes
         if route.gap_s and any(part.service == service for part in route.shares)
     ]
-    return min(pauses, default=_DEFAULT_PAUSE_MS)
+    return min(pauses, default=DEFAULT_PAUSE_MS)
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.endpoints import choose_endpoint
@@ -65,7 +65,6 @@
     was_sent: bool = True
     timed_out: bool = False
     reason: str = ''
-    tried: set[str] = field(default_factory=set)
 
 
 class PlainExchange:
