--- a/samphirerill/fleet/chains.py
+++ b/samphirerill/fleet/chains.py
@@ -26,10 +26,8 @@
 _GAP_MS_PER_LAYER = 1000.0
 # One gap of two layers is easier to close than two of one.
 _GAP_MS = 300.0
-# A change of data centre is worth as many missing layers: a local pipeline with
-# a gap that one load closes is better than a whole one that crosses, which
-# answers a fraction of the requests.
-CROSSING_LAYERS = 6
+# A change of data centre costs a pipeline so many transfers of a prompt.
+_TRANSFERS_PER_CROSSING = 4.0
 # With less than this share of its layers, a chain is only a heap of parts.
 _LEAST_COVER = 0.5
 
@@ -45,6 +43,11 @@
         """Return how many layers are missing."""
         return sum(gap.count for gap in self.gaps)
 
+    def crosses(self) -> bool:
+        """Return whether it leaves a data centre."""
+        zones = {stage.replica.data_centre for stage in self.stages}
+        return len(zones) > 1
+
     def find_home(self) -> str:
         """Return the data centre that most layers are in."""
         layers: dict[str, int] = {}
@@ -83,8 +86,8 @@
 
 def _find_chain(engine: EngineSpec, replicas: list[Replica]) -> Chain:
     cuts = _list_cuts(engine, replicas)
-    crosses = predict_transfer_ms(engine, engine.usual_prompt) > 0
-    crossing_ms = CROSSING_LAYERS * _GAP_MS_PER_LAYER if crosses else 0.0
+    crossing_ms = predict_transfer_ms(engine, engine.usual_prompt)
+    crossing_ms *= _TRANSFERS_PER_CROSSING
     best: dict[int, dict[str, _Step]] = {cut: {} for cut in cuts}
     best[0][''] = _Step(0, None, None, None)
     for at, cut in enumerate(cuts[:-1]):
--- a/samphirerill/fleet/migration.py
+++ b/samphirerill/fleet/migration.py
@@ -1,79 +1,65 @@
-"""Change over to a better plan, one pipeline at a time.
+"""Change over to a better plan, one data centre at a time.
 
 After some losses and repairs the parts that are left may add up to far less
 than the same replicas could do if they were cut anew. The change is made only
-for a clear gain, and in steps that each give up as little as possible.
+for a clear gain, and at once: done a pipeline at a time, each step was mended in
+another way than the next one meant it, and the same replicas loaded for ever.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from samphirerill.fleet.doubling import list_parts, predict_outage
 from samphirerill.fleet.model import LayerRange
-from samphirerill.fleet.planner import (
-    Pipeline,
-    list_plans,
-    predict_total_rate,
-)
+from samphirerill.fleet.planner import plan_zone
+from samphirerill.fleet.rates import Pipeline, predict_total_rate
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from samphirerill.fleet.chains import Chain
     from samphirerill.fleet.model import EngineSpec, Replica
-    from samphirerill.fleet.planner import Planned
 
 # A change takes some seconds of a pipeline's work; it must be worth it.
 _GAIN = 1.2
 # What one move takes off a plan's predicted rate when plans are compared.
 _MOVE_COST = 0.004
 Moves = dict[str, LayerRange]
-Slot = tuple[str, str]
 
 
 def plan_migration(
     engine: EngineSpec,
-    present: Sequence[Replica],
-    whole: Sequence[Chain],
+    cards: Sequence[Replica],
+    whole: Sequence[Pipeline],
+    doubles: Sequence[LayerRange],
     pause_ms: float,
 ) -> Moves:
-    """Return the moves of the next step towards a better plan, if any.
+    """Return the moves to a clearly better plan, if there is one.
 
     Parameters
     ----------
     engine : EngineSpec
         The service's figures.
-    present : sequence of Replica
-        Those that live and are not leaving.
-    whole : sequence of Chain
+    cards : sequence of Replica
+        Those of one data centre that live and are not leaving.
+    whole : sequence of Pipeline
         The pipelines that work now.
+    doubles : sequence of LayerRange
+        What replicas hold that no pipeline needs.
     pause_ms : float
         The pause between events that is still on time.
     """
-    working = [build_pipeline(chain) for chain in whole]
-    now_rate = predict_total_rate(engine, working, pause_ms)
-    best: list[Moves] = []
-    best_score = now_rate * _GAIN
-    for planned in list_plans(engine, present, pause_ms):
-        steps = _assign(planned, present)
-        count = sum(len(step) for step in steps)
-        score = planned.rate * (1 - _MOVE_COST * count)
-        if score > best_score:
-            best = steps
-            best_score = score
-    steps = [step for step in best if step]
-    if not steps:
+    planned = plan_zone(engine, cards, pause_ms)
+    if planned is None:
         return {}
-    return min(
-        steps, key=lambda step: _count_given_up(engine, step, whole, pause_ms)
-    )
-
-
-def predict_chain_rate(
-    engine: EngineSpec, chain: Chain, pause_ms: float
-) -> float:
-    """Return the answers a second that a whole chain gives in good time."""
-    return predict_total_rate(engine, [build_pipeline(chain)], pause_ms)
+    parts = list_parts(engine, whole, pause_ms)
+    worth = predict_total_rate(engine, whole, pause_ms)
+    worth -= predict_outage(parts, doubles)
+    moves = _assign(planned.pipelines, cards)
+    if planned.worth * (1 - _MOVE_COST * len(moves)) <= worth * _GAIN:
+        return {}
+    return moves
 
 
 def build_pipeline(chain: Chain) -> Pipeline:
@@ -83,35 +69,33 @@
     )
 
 
-def _assign(planned: Planned, present: Sequence[Replica]) -> list[Moves]:
-    """Return, for each pipeline of a plan, the moves that it needs.
+def _assign(pipelines: Sequence[Pipeline], cards: Sequence[Replica]) -> Moves:
+    """Return the moves that a plan needs.
 
-    Replicas of one kind in one data centre are interchangeable: each part
-    goes to the one that holds most of it already.
+    Replicas of one kind are interchangeable: each part goes to the one that
+    holds most of it already.
     """
-    free: dict[Slot, list[Replica]] = {}
-    for replica in present:
-        free.setdefault(_slot(replica), []).append(replica)
-    steps: list[Moves] = [{} for _ in planned.pipelines]
-    for number, slot, layers in _list_open_parts(planned, free):
-        overlaps = [_overlap(item, layers) for item in free[slot]]
-        chosen = free[slot].pop(overlaps.index(max(overlaps)))
-        steps[number][chosen.replica_id] = layers
-    return steps
+    free: dict[str, list[Replica]] = {}
+    for card in cards:
+        free.setdefault(card.accelerator, []).append(card)
+    moves: Moves = {}
+    for kind, layers in _list_open_parts(pipelines, free):
+        overlaps = [_overlap(item, layers) for item in free[kind]]
+        chosen = free[kind].pop(overlaps.index(max(overlaps)))
+        moves[chosen.replica_id] = layers
+    return moves
 
 
 def _list_open_parts(
-    planned: Planned, free: dict[Slot, list[Replica]]
-) -> list[tuple[int, Slot, LayerRange]]:
+    pipelines: Sequence[Pipeline], free: dict[str, list[Replica]]
+) -> list[tuple[str, LayerRange]]:
     """Return the parts that nobody holds yet; who holds one is not free."""
     parts = []
-    for number, pipeline in enumerate(planned.pipelines):
-        first = 0
-        for replica, count in pipeline.parts:
-            layers = LayerRange(first, first + count)
-            first = layers.end
-            if not _keep(free[_slot(replica)], layers):
-                parts.append((number, _slot(replica), layers))
+    for pipeline in pipelines:
+        for stage in pipeline.list_stages():
+            kind = stage.replica.accelerator
+            if not _keep(free[kind], stage.layers):
+                parts.append((kind, stage.layers))
     return parts
 
 
@@ -129,18 +113,3 @@
     if held is None:
         return 0
     return max(0, min(held.end, layers.end) - max(held.first, layers.first))
-
-
-def _slot(replica: Replica) -> Slot:
-    return replica.accelerator, replica.data_centre
-
-
-def _count_given_up(
-    engine: EngineSpec, step: Moves, whole: Sequence[Chain], pause_ms: float
-) -> float:
-    """Return the rate of the working pipelines that a step takes apart."""
-    return sum(
-        predict_chain_rate(engine, chain, pause_ms)
-        for chain in whole
-        if any(stage.replica.replica_id in step for stage in chain.stages)
-    )
--- a/samphirerill/fleet/planner.py
+++ b/samphirerill/fleet/planner.py
@@ -1,31 +1,33 @@
-"""Decide which layers each engine should hold.
+"""Decide which layers each engine should hold, from nothing.
 
 A plan is a set of pipelines; each covers every layer once. For a wanted number
 of tokens each accelerator kind has a number of layers that leaves room for
-them. Pipelines are first built within one data centre, since a prompt that
-crosses a pipe holds up every other stream's next token there; what is left in
-the data centres is joined into pipelines that cross as seldom as possible, and
-what can't even do that doubles parts of others.
+them. Pipelines are built within one data centre, since a prompt that crosses
+a pipe holds up every other stream's next token there; only data centres that
+can't build one of their own are joined. What is left doubles parts.
 
-The plan with the highest predicted answers a second, over a ladder of wanted
-tokens, wins. Answers to: the usual load of a day, and any one accelerator lost.
+Of a ladder of wanted tokens the step wins, for each data centre, that gives the
+most answers a second less those that repairs will cost. Answers to: the usual
+load of a day, and replicas that are lost one after another.
 """
 
 from __future__ import annotations
 
-from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, replace
 from functools import partial
-from itertools import pairwise
 from typing import TYPE_CHECKING
 
-from samphirerill.fleet.model import MB, MS_PER_S, LayerRange, count_tokens
-from samphirerill.fleet.prediction import (
-    STAGE_COST_MS,
-    count_events,
-    predict_reading_ms,
-    predict_transfer_ms,
-    predict_visit_ms,
+from samphirerill.fleet.doubling import (
+    double_parts,
+    list_parts,
+    predict_outage,
+)
+from samphirerill.fleet.model import MB, LayerRange, count_tokens
+from samphirerill.fleet.rates import (
+    DEFAULT_PAUSE_MS,
+    Pipeline,
+    get_kind,
+    predict_total_rate,
 )
 
 if TYPE_CHECKING:
@@ -37,54 +39,29 @@
 _LEAST_REQUESTS = 8
 _MOST_REQUESTS = 160
 _LADDER = 1.15
-# Above this use of a pipe, prompts wait for prompts and pauses triple.
-_PIPE_USE = 0.2
-# Memory is never filled to the last token: answers differ in length.
-_MEMORY_USE = 0.85
-# The share of the wanted pause that the predicted mean may take; pauses at
-# one in a hundred are some three times the mean.
-_PAUSE_USE = 0.45
-DEFAULT_PAUSE_MS = 200.0
-_FEWER = 0.8
-_LEAST_MS = 0.001
 Plan = dict[str, LayerRange]
 
 
-@dataclass(slots=True)
-class Pipeline:
-    """Replicas in order, with the layers each would hold."""
-
-    parts: list[tuple[Replica, int]] = field(default_factory=list)
-
-    def count_crossings(self) -> int:
-        """Return how often a prompt changes data centres."""
-        return self.list_crossings().total()
-
-    def list_crossings(self) -> Counter[frozenset[str]]:
-        """Return how often a prompt passes through each pipe."""
-        zones = [replica.data_centre for replica, _ in self.parts]
-        return Counter(
-            frozenset(pair) for pair in pairwise(zones) if pair[0] != pair[1]
-        )
-
-
 @dataclass(slots=True)
 class Planned:
-    """A plan with what is predicted of it; rates are answers a second."""
+    """Pipelines, what is left over, and doubles that the latter may hold.
+
+    `worth` is the predicted answers a second, less what repairs will cost.
+    """
 
     pipelines: list[Pipeline]
     spares: list[Replica]
-    rate: float
-    tokens: float
+    doubles: Plan
+    worth: float
 
     def list_ranges(self) -> Plan:
-        """Return the layers of each replica that is in a pipeline."""
-        ranges = {}
-        for pipeline in self.pipelines:
-            first = 0
-            for replica, count in pipeline.parts:
-                ranges[replica.replica_id] = LayerRange(first, first + count)
-                first += count
+        """Return the layers of each replica that should hold any."""
+        ranges = {
+            stage.replica.replica_id: stage.layers
+            for pipeline in self.pipelines
+            for stage in pipeline.list_stages()
+        }
+        ranges.update(self.doubles)
         return ranges
 
 
@@ -104,203 +81,140 @@
     pause_ms : float
         The pause between events that is still on time.
     """
-    plans = list_plans(engine, replicas, pause_ms)
-    return max(plans, key=lambda planned: planned.rate, default=None)
-
-
-def list_plans(
-    engine: EngineSpec, replicas: Sequence[Replica], pause_ms: float
-) -> list[Planned]:
-    """Return a plan for each step of the ladder that gives any pipeline."""
-    known = [
-        replica
-        for replica in replicas
-        if replica.accelerator in engine.accelerators
-    ]
+    plans = []
+    homeless: list[Replica] = []
+    for cards in group_by_zone(replicas).values():
+        planned = plan_zone(engine, cards, pause_ms)
+        if planned is None:
+            homeless.extend(cards)
+        else:
+            plans.append(planned)
+    joined = _plan_across(engine, homeless, pause_ms)
+    if joined is not None:
+        plans.append(joined)
+    if not plans:
+        return None
+    return Planned(
+        [pipeline for planned in plans for pipeline in planned.pipelines],
+        [spare for planned in plans for spare in planned.spares],
+        {
+            key: held
+            for planned in plans
+            for key, held in planned.doubles.items()
+        },
+        sum(planned.worth for planned in plans),
+    )
+
+
+def plan_zone(
+    engine: EngineSpec, cards: Sequence[Replica], pause_ms: float
+) -> Planned | None:
+    """Return the best plan of one data centre, if it can have any."""
     plans = [
-        _plan_for(engine, known, tokens, pause_ms, fast_first=fast_first)
+        _plan_local(engine, cards, tokens, pause_ms)
         for tokens in _list_token_goals(engine)
-        for fast_first in (False, True)
     ]
-    return [planned for planned in plans if planned.pipelines]
+    return _choose(plans)
 
 
-def predict_rate(
-    engine: EngineSpec, pipeline: Pipeline, pause_ms: float
-) -> float:
-    """Return the answers a second that a pipeline gives in good time."""
-    usual = engine.usual_prompt + engine.usual_answer / 2
-    tokens = min(
-        count_tokens(engine, _kind(engine, replica), layers)
-        for replica, layers in pipeline.parts
-    )
-    running = min(engine.slots, tokens * _MEMORY_USE / usual)
-    if running < 1:
-        return 0.0
-    event_ms = predict_event_ms(engine, pipeline, running)
-    while event_ms > pause_ms * _PAUSE_USE and running > 1:
-        running *= _FEWER
-        event_ms = predict_event_ms(engine, pipeline, running)
-    rate = running / (count_events(engine) * event_ms / MS_PER_S)
-    return min(rate, *_list_reading_rates(engine, pipeline))
-
-
-def predict_total_rate(
-    engine: EngineSpec, pipelines: Sequence[Pipeline], pause_ms: float
-) -> float:
-    """Return the answers a second that pipelines give together.
-
-    Those that cross share the pipes: each prompt occupies every pipe on its
-    path, as often as it crosses there.
-    """
-    transfer_s = predict_transfer_ms(engine, engine.usual_prompt) / MS_PER_S
-    most = _PIPE_USE / transfer_s if transfer_s > 0 else float('inf')
-    left: dict[frozenset[str], float] = {}
-    total = 0.0
-    for pipeline in sorted(pipelines, key=Pipeline.count_crossings):
-        rate = predict_rate(engine, pipeline, pause_ms)
-        crossings = pipeline.list_crossings()
-        for pair, times in crossings.items():
-            rate = min(rate, left.get(pair, most) / times)
-        for pair, times in crossings.items():
-            left[pair] = left.get(pair, most) - rate * times
-        total += rate
-    return total
-
-
-def predict_event_ms(
-    engine: EngineSpec, pipeline: Pipeline, running: float
-) -> float:
-    """Return the predicted time between two events of a stream."""
-    return sum(
-        predict_visit_ms(engine, _kind(engine, replica), layers, running)
-        + STAGE_COST_MS
-        for replica, layers in pipeline.parts
-    )
+def group_by_zone(replicas: Iterable[Replica]) -> dict[str, list[Replica]]:
+    """Return the replicas of each data centre, in order of its name."""
+    zones: dict[str, list[Replica]] = {}
+    for replica in replicas:
+        zones.setdefault(replica.data_centre, []).append(replica)
+    return dict(sorted(zones.items()))
 
 
-def _list_reading_rates(
-    engine: EngineSpec, pipeline: Pipeline
-) -> Iterable[float]:
-    """Yield, for each stage, the prompts it can read with half its time."""
-    for replica, layers in pipeline.parts:
-        reading_ms = predict_reading_ms(
-            engine, _kind(engine, replica), layers, engine.usual_prompt
-        )
-        yield MS_PER_S / 2 / max(reading_ms, _LEAST_MS)
+def _choose(plans: list[Planned]) -> Planned | None:
+    best = max(plans, key=lambda planned: planned.worth, default=None)
+    return best if best is not None and best.pipelines else None
 
 
-def _list_token_goals(engine: EngineSpec) -> Iterable[float]:
-    usual = engine.usual_prompt + engine.usual_answer / 2
-    requests = float(_LEAST_REQUESTS)
-    while requests < _MOST_REQUESTS:
-        yield requests * usual
-        requests *= _LADDER
-
-
-def _plan_for(
+def _plan_local(
     engine: EngineSpec,
-    replicas: Sequence[Replica],
+    cards: Sequence[Replica],
     tokens: float,
     pause_ms: float,
-    *,
-    fast_first: bool,
 ) -> Planned:
-    """Build a plan whose stages all have room for so many tokens."""
+    """Build pipelines whose parts all have room for so many tokens."""
+    most, free = _list_free(engine, cards, tokens)
+    pipelines = []
+    while taken := _take(engine, free, free, most):
+        pipelines.append(taken)
+    spares = _list_rest(cards, pipelines)
+    parts = list_parts(engine, pipelines, pause_ms)
+    doubles = double_parts(engine, parts, [_empty(item) for item in spares])
+    rate = predict_total_rate(engine, pipelines, pause_ms)
+    outage = predict_outage(parts, list(doubles.values()))
+    return Planned(pipelines, spares, doubles, rate - outage)
+
+
+def _plan_across(
+    engine: EngineSpec, cards: Sequence[Replica], pause_ms: float
+) -> Planned | None:
+    """Join data centres that can't build a pipeline of their own."""
+    plans = []
+    for tokens in _list_token_goals(engine):
+        most, free = _list_free(engine, cards, tokens)
+        pipelines = []
+        while taken := _take(engine, free, _order_zones(free, most), most):
+            pipelines.append(taken)
+        rate = predict_total_rate(engine, pipelines, pause_ms)
+        plans.append(Planned(pipelines, _list_rest(cards, pipelines), {}, rate))
+    return _choose(plans)
+
+
+def _list_free(
+    engine: EngineSpec, cards: Sequence[Replica], tokens: float
+) -> tuple[dict[str, int], list[Replica]]:
+    """Return the layers each kind may hold, and the cards, fast ones first."""
     most = {
         name: _most_layers(engine, accelerator, tokens)
         for name, accelerator in engine.accelerators.items()
     }
-    free = [replica for replica in replicas if most[replica.accelerator]]
+    free = [item for item in cards if most.get(item.accelerator)]
     free.sort(key=partial(_rank, engine, most))
-    pipelines = _take_fastest(engine, free, most) if fast_first else []
-    pipelines.extend(_take_local(engine, free, most))
-    while taken := _take_across(engine, free, most):
-        pipelines.append(taken)
-    rate = predict_total_rate(engine, pipelines, pause_ms)
-    return Planned(pipelines, _list_rest(replicas, pipelines), rate, tokens)
+    return most, free
+
+
+def _order_zones(free: list[Replica], most: dict[str, int]) -> list[Replica]:
+    """Return cards of the data centre with the most layers first."""
+    layers: dict[str, int] = {}
+    for replica in free:
+        held = layers.get(replica.data_centre, 0)
+        layers[replica.data_centre] = held + most[replica.accelerator]
+    order = sorted(layers, key=layers.__getitem__, reverse=True)
+    return sorted(free, key=lambda item: order.index(item.data_centre))
 
 
 def _list_rest(
-    replicas: Sequence[Replica], pipelines: list[Pipeline]
+    cards: Sequence[Replica], pipelines: list[Pipeline]
 ) -> list[Replica]:
     used = {
         replica.replica_id
         for pipeline in pipelines
         for replica, _ in pipeline.parts
     }
-    return [item for item in replicas if item.replica_id not in used]
-
-
-def _take_local(
-    engine: EngineSpec, free: list[Replica], most: dict[str, int]
-) -> list[Pipeline]:
-    """Build pipelines that stay within one data centre."""
-    pipelines = []
-    for zone in sorted({replica.data_centre for replica in free}):
-        while taken := _take(engine, free, most, zone):
-            pipelines.append(taken)
-    return pipelines
-
-
-def _take_fastest(
-    engine: EngineSpec, free: list[Replica], most: dict[str, int]
-) -> list[Pipeline]:
-    """Build one pipeline of the fastest accelerators of two data centres."""
-    best: list[Replica] = []
-    for zones in _list_zone_pairs(free):
-        cards = [item for item in free if item.data_centre in zones]
-        needed = _take_enough(cards, engine.layers, most)
-        if needed and (not best or len(needed) < len(best)):
-            best = needed
-    if not best:
-        return []
-    return [_close_pipeline(engine, free, best, most)]
-
-
-def _list_zone_pairs(free: list[Replica]) -> list[tuple[str, str]]:
-    zones = sorted({replica.data_centre for replica in free})
-    return [(one, other) for one in zones for other in zones if one < other]
+    return [item for item in cards if item.replica_id not in used]
 
 
 def _take(
-    engine: EngineSpec, free: list[Replica], most: dict[str, int], zone: str
-) -> Pipeline | None:
-    cards = [item for item in free if item.data_centre == zone]
-    needed = _take_enough(cards, engine.layers, most)
-    if not needed:
-        return None
-    return _close_pipeline(engine, free, needed, most)
-
-
-def _take_across(
-    engine: EngineSpec, free: list[Replica], most: dict[str, int]
+    engine: EngineSpec,
+    free: list[Replica],
+    order: Sequence[Replica],
+    most: dict[str, int],
 ) -> Pipeline | None:
-    """Join what is left, the data centre with the most layers first."""
-    layers: dict[str, int] = {}
-    for replica in free:
-        held = layers.get(replica.data_centre, 0)
-        layers[replica.data_centre] = held + most[replica.accelerator]
-    order = sorted(layers, key=layers.__getitem__, reverse=True)
-    cards = sorted(free, key=lambda item: order.index(item.data_centre))
-    needed = _take_enough(cards, engine.layers, most)
-    if not needed:
-        return None
-    return _close_pipeline(engine, free, needed, most)
-
-
-def _take_enough(
-    cards: list[Replica], layers: int, most: dict[str, int]
-) -> list[Replica]:
-    """Return the first cards that together hold all layers, or none."""
+    """Build a pipeline of the first cards that together hold all layers."""
     needed = []
-    left = layers
-    for card in cards:
+    left = engine.layers
+    for card in order:
         if left <= 0:
             break
         needed.append(card)
         left -= most[card.accelerator]
-    return needed if left <= 0 else []
+    if left > 0:
+        return None
+    return _close_pipeline(engine, free, needed, most)
 
 
 def _close_pipeline(
@@ -312,7 +226,7 @@
     """Take cards out of the free ones and cut the layers among them.
 
     What they could hold beyond all layers is taken off those whose last layer
-    costs them most time, which also leaves them the most memory.
+    leaves them the least memory.
     """
     for replica in needed:
         free.remove(replica)
@@ -331,7 +245,15 @@
     """Rank a card by how little room for tokens its layers leave it."""
     if count <= 1:
         return -1
-    return 1 / (1 + count_tokens(engine, _kind(engine, card), count))
+    return 1 / (1 + count_tokens(engine, get_kind(engine, card), count))
+
+
+def _list_token_goals(engine: EngineSpec) -> Iterable[float]:
+    usual = engine.usual_prompt + engine.usual_answer / 2
+    requests = float(_LEAST_REQUESTS)
+    while requests < _MOST_REQUESTS:
+        yield requests * usual
+        requests *= _LADDER
 
 
 def _most_layers(
@@ -345,9 +267,10 @@
 def _rank(
     engine: EngineSpec, most: dict[str, int], replica: Replica
 ) -> tuple[float, str]:
-    kind = _kind(engine, replica)
+    kind = get_kind(engine, replica)
     return kind.pace / most[replica.accelerator], replica.replica_id
 
 
-def _kind(engine: EngineSpec, replica: Replica) -> Accelerator:
-    return engine.accelerators[replica.accelerator]
+def _empty(replica: Replica) -> Replica:
+    """Return a replica as if it held nothing."""
+    return replace(replica, layers=None)
--- /dev/null
+++ b/samphirerill/fleet/rates.py
@@ -0,0 +1,156 @@
+"""Predict what pipelines answer in good time.
+
+A pipeline holds as many streams as its smallest part has memory for, or fewer
+where their events would come too slowly. Rates are answers a second.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from itertools import pairwise
+from typing import TYPE_CHECKING
+
+from samphirerill.fleet.model import (
+    MS_PER_S,
+    LayerRange,
+    Stage,
+    count_tokens,
+)
+from samphirerill.fleet.prediction import (
+    STAGE_COST_MS,
+    count_events,
+    predict_reading_ms,
+    predict_transfer_ms,
+    predict_visit_ms,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from samphirerill.fleet.model import Accelerator, EngineSpec, Replica
+
+# Above this use of a pipe, prompts wait for prompts and pauses triple.
+_PIPE_USE = 0.2
+# Memory is never filled to the last token: answers differ in length.
+_MEMORY_USE = 0.85
+# The share of the wanted pause that the predicted mean may take; pauses at
+# one in a hundred are some three times the mean.
+_PAUSE_USE = 0.45
+DEFAULT_PAUSE_MS = 200.0
+# A part must leave room for this many usual requests, or it would throttle
+# the pipeline it completes.
+LEAST_REQUESTS = 15
+_FEWER = 0.8
+_LEAST_MS = 0.001
+
+
+@dataclass(slots=True)
+class Pipeline:
+    """Replicas in order, with the layers each would hold."""
+
+    parts: list[tuple[Replica, int]] = field(default_factory=list)
+
+    def list_stages(self) -> list[Stage]:
+        """Return the parts with their layers, from the first one on."""
+        stages = []
+        first = 0
+        for replica, count in self.parts:
+            stages.append(Stage(replica, LayerRange(first, first + count)))
+            first += count
+        return stages
+
+    def count_crossings(self) -> int:
+        """Return how often a prompt changes data centres."""
+        return self.list_crossings().total()
+
+    def list_crossings(self) -> Counter[frozenset[str]]:
+        """Return how often a prompt passes through each pipe."""
+        zones = [replica.data_centre for replica, _ in self.parts]
+        return Counter(
+            frozenset(pair) for pair in pairwise(zones) if pair[0] != pair[1]
+        )
+
+
+def predict_rate(
+    engine: EngineSpec, pipeline: Pipeline, pause_ms: float
+) -> float:
+    """Return the answers a second that a pipeline gives in good time."""
+    usual = engine.usual_prompt + engine.usual_answer / 2
+    tokens = min(
+        count_tokens(engine, get_kind(engine, replica), layers)
+        for replica, layers in pipeline.parts
+    )
+    running = min(engine.slots, tokens * _MEMORY_USE / usual)
+    if running < 1:
+        return 0.0
+    event_ms = predict_event_ms(engine, pipeline, running)
+    while event_ms > pause_ms * _PAUSE_USE and running > 1:
+        running *= _FEWER
+        event_ms = predict_event_ms(engine, pipeline, running)
+    rate = running / (count_events(engine) * event_ms / MS_PER_S)
+    return min(rate, *_list_reading_rates(engine, pipeline))
+
+
+def predict_total_rate(
+    engine: EngineSpec, pipelines: Sequence[Pipeline], pause_ms: float
+) -> float:
+    """Return the answers a second that pipelines give together.
+
+    Those that cross share the pipes: each prompt occupies every pipe on its
+    path, as often as it crosses there.
+    """
+    transfer_s = predict_transfer_ms(engine, engine.usual_prompt) / MS_PER_S
+    most = _PIPE_USE / transfer_s if transfer_s > 0 else float('inf')
+    left: dict[frozenset[str], float] = {}
+    total = 0.0
+    for pipeline in sorted(pipelines, key=Pipeline.count_crossings):
+        rate = predict_rate(engine, pipeline, pause_ms)
+        crossings = pipeline.list_crossings()
+        for pair, times in crossings.items():
+            rate = min(rate, left.get(pair, most) / times)
+        for pair, times in crossings.items():
+            left[pair] = left.get(pair, most) - rate * times
+        total += rate
+    return total
+
+
+def predict_event_ms(
+    engine: EngineSpec, pipeline: Pipeline, running: float
+) -> float:
+    """Return the predicted time between two events of a stream."""
+    return sum(
+        predict_visit_ms(engine, get_kind(engine, replica), layers, running)
+        + STAGE_COST_MS
+        for replica, layers in pipeline.parts
+    )
+
+
+def count_most_layers(
+    engine: EngineSpec, replica: Replica, requests: float = LEAST_REQUESTS
+) -> int:
+    """Return how many layers leave room for so many usual requests."""
+    kind = engine.accelerators.get(replica.accelerator)
+    if kind is None:
+        return 0
+    tokens = requests * (engine.usual_prompt + engine.usual_answer / 2)
+    count = min(engine.layers, int(kind.size_mb / engine.layer_mb))
+    while count > 0 and count_tokens(engine, kind, count) < tokens:
+        count -= 1
+    return count
+
+
+def get_kind(engine: EngineSpec, replica: Replica) -> Accelerator:
+    """Return the figures of a replica's accelerator."""
+    return engine.accelerators[replica.accelerator]
+
+
+def _list_reading_rates(
+    engine: EngineSpec, pipeline: Pipeline
+) -> Iterable[float]:
+    """Yield, for each stage, the prompts it can read with half its time."""
+    for replica, layers in pipeline.parts:
+        reading_ms = predict_reading_ms(
+            engine, get_kind(engine, replica), layers, engine.usual_prompt
+        )
+        yield MS_PER_S / 2 / max(reading_ms, _LEAST_MS)
--- a/samphirerill/fleet/repair.py
+++ b/samphirerill/fleet/repair.py
@@ -1,41 +1,64 @@
 """Decide the next moves of layers, given what replicas hold now.
 
-Whole pipelines stay as they are. A replica outside them closes a gap where a
-part was lost; what is left then forms further pipelines, and what can't even
-do that doubles parts of others. Loads cost seconds, so what already holds
-something useful is moved last.
+Data centres are planned one by one. Whole pipelines stay as they are; one that
+lost a part is made whole, first by replicas that no pipeline needs. What is left
+doubles parts. Only a data centre without any whole pipeline takes replicas of
+others. A calm fleet changes over to a clearly better plan.
+
+Answers to: losses, releases and newcomers, several at once.
 """
 
 from __future__ import annotations
 
-from functools import partial
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from samphirerill.fleet.chains import CROSSING_LAYERS, extract_chains
-from samphirerill.fleet.migration import plan_migration, predict_chain_rate
-from samphirerill.fleet.model import LayerRange, count_tokens
-from samphirerill.fleet.planner import (
+from samphirerill.fleet.chains import extract_chains
+from samphirerill.fleet.doubling import (
+    double_parts,
+    list_parts,
+    predict_outage,
+)
+from samphirerill.fleet.mending import close_gaps, complete, cut_anew
+from samphirerill.fleet.migration import build_pipeline, plan_migration
+from samphirerill.fleet.model import NO_LAYERS, LayerRange
+from samphirerill.fleet.planner import group_by_zone, plan_layers, plan_zone
+from samphirerill.fleet.prediction import predict_visit_ms
+from samphirerill.fleet.rates import (
     Pipeline,
-    plan_layers,
-    predict_total_rate,
+    count_most_layers,
+    get_kind,
+    predict_rate,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Collection, Iterable, Mapping, Sequence
 
     from samphirerill.fleet.chains import Chain
     from samphirerill.fleet.model import EngineSpec, Replica
 
-# A part must leave room for this many usual requests, or it would throttle
-# the pipeline it completes.
-_LEAST_REQUESTS = 15
-_WANTED_REQUESTS = 40
-_REQUESTS = range(_WANTED_REQUESTS, _LEAST_REQUESTS - 1, -5)
 # A slower pipeline is given up for a faster one only for this much more.
 _GAIN = 1.3
+# A newcomer of a kind that so few others have will take over from one of them.
+_FEW_HOLDERS = 2
 Moves = dict[str, LayerRange]
 
 
+@dataclass(slots=True)
+class _Zone:
+    """One data centre: its pipelines, and what they don't need.
+
+    `whole` are pipelines that work, or will by `moves`; `broken` those to be
+    made whole.
+    """
+
+    cards: list[Replica]
+    whole: list[Pipeline] = field(default_factory=list)
+    broken: list[Chain] = field(default_factory=list)
+    spares: list[Replica] = field(default_factory=list)
+    moves: Moves = field(default_factory=dict)
+
+
 def plan_moves(
     engine: EngineSpec,
     present: Sequence[Replica],
@@ -43,6 +66,7 @@
     settled: Collection[str],
     *,
     is_calm: bool = True,
+    had: Mapping[str, int] | None = None,
 ) -> Moves:
     """Return the layers that replicas should hold other than now.
 
@@ -58,333 +82,304 @@
         Replicas that may be given something to double; the others are kept
         free to take over from one that leaves.
     is_calm : bool
-        No replica has come or gone for a while. Until then only gaps are
-        closed; in a release the next newcomer fits better than any rebuilding.
+        No replica has come or gone for a while.
+    had : mapping of str to int, optional
+        How many whole pipelines each data centre had.
     """
-    if all(replica.layers is None for replica in present):
-        return _plan_first(engine, present, pause_ms)
-    chains = extract_chains(engine, present)
-    spares = _list_spares(present, chains)
-    moves = _mend_chains(engine, chains, spares, pause_ms, is_calm=is_calm)
-    if is_calm:
-        free = [
-            item
-            for item in spares
-            if item.replica_id in settled and item.replica_id not in moves
-        ]
-        moves.update(_use_spares(engine, free, present, moves, pause_ms))
-    moves = _drop_done(moves, present)
+    known = [
+        item for item in present if item.accelerator in engine.accelerators
+    ]
+    if all(replica.layers is None for replica in known):
+        planned = plan_layers(engine, known, pause_ms)
+        return {} if planned is None else planned.list_ranges()
+    zones = [
+        _read_zone(engine, cards, pause_ms, settled, (had or {}).get(name, 0))
+        for name, cards in group_by_zone(known).items()
+    ]
+    for zone in zones:
+        _mend_zone(engine, zone, pause_ms)
+    _mend_across(engine, zones)
+    moves = _drop_done(_join_moves(item.moves for item in zones), known)
+    if moves:
+        return moves
+    doubles = [_double(engine, item, pause_ms, settled) for item in zones]
+    moves = _drop_done(_join_moves(doubles), known)
     if moves or not is_calm:
         return moves
-    whole = [chain for chain in chains if not chain.gaps]
-    return plan_migration(engine, present, whole, pause_ms)
-
-
-def _mend_chains(
-    engine: EngineSpec,
-    chains: list[Chain],
-    spares: list[Replica],
-    pause_ms: float,
-    *,
-    is_calm: bool,
-) -> Moves:
-    """Return the moves that make broken chains whole, the fullest first."""
-    whole = [chain for chain in chains if not chain.gaps]
-    broken = [chain for chain in chains if chain.gaps]
-    broken.sort(key=_count_missing)
-    left = list(spares)
-    moves: Moves = {}
-    while broken:
-        chain = broken.pop(0)
-        taken = _close_gaps(engine, chain, left)
-        if not taken and is_calm:
-            # The parts of the chain that lacks most may complete others.
-            taken = _cut_anew(engine, chain, left) or _sacrifice(
-                engine, chain, broken, whole, left, pause_ms
-            )
-        moves.update(taken or {})
-        left = [item for item in left if item.replica_id not in moves]
-    return moves
+    return _migrate(engine, zones, pause_ms)
 
 
-def _list_spares(
-    present: Sequence[Replica], chains: list[Chain]
-) -> list[Replica]:
-    used = {
-        stage.replica.replica_id for chain in chains for stage in chain.stages
+def count_whole(
+    engine: EngineSpec, present: Sequence[Replica]
+) -> dict[str, int]:
+    """Return how many whole pipelines each data centre has."""
+    return {
+        name: sum(not chain.gaps for chain in extract_chains(engine, cards))
+        for name, cards in group_by_zone(present).items()
     }
-    return [item for item in present if item.replica_id not in used]
 
 
-def _drop_done(moves: Moves, present: Sequence[Replica]) -> Moves:
-    """Leave out what replicas already hold.
+def _read_zone(
+    engine: EngineSpec,
+    cards: list[Replica],
+    pause_ms: float,
+    settled: Collection[str],
+    had: int,
+) -> _Zone:
+    """Tell pipelines that lost a part from replicas that only double.
 
-    A gap that can only be closed from another data centre is seen as a gap
-    again when it is closed.
+    Newcomers are no reason for another pipeline: the replicas that they
+    replace are about to leave.
     """
-    held = {item.replica_id: item.layers for item in present}
-    return {
-        name: layers for name, layers in moves.items() if held[name] != layers
+    chains = extract_chains(engine, cards)
+    whole = [build_pipeline(chain) for chain in chains if not chain.gaps]
+    broken = [chain for chain in chains if chain.gaps]
+    if broken:
+        lasting = [item for item in cards if item.replica_id in settled]
+        planned = plan_zone(engine, lasting, pause_ms)
+        wanted = 0 if planned is None else len(planned.pipelines)
+        broken.sort(key=lambda chain: _predict_pace(engine, chain))
+        broken = broken[: max(0, max(wanted, had) - len(whole))]
+    used = {
+        replica.replica_id
+        for pipeline in whole
+        for replica, _ in pipeline.parts
     }
+    used.update(
+        stage.replica.replica_id for chain in broken for stage in chain.stages
+    )
+    spares = [item for item in cards if item.replica_id not in used]
+    return _Zone(cards, whole, broken, spares)
 
 
-def _plan_first(
-    engine: EngineSpec, present: Sequence[Replica], pause_ms: float
-) -> Moves:
-    planned = plan_layers(engine, present, pause_ms)
-    if planned is None:
-        return {}
-    moves = planned.list_ranges()
-    moves.update(_double_parts(engine, planned.spares, present, moves))
-    return moves
-
-
-def _close_gaps(
-    engine: EngineSpec, chain: Chain, spares: Sequence[Replica]
-) -> Moves | None:
-    """Return the moves that close a chain's gaps, or none if they can't be."""
-    left = list(spares)
-    moves: Moves = {}
-    home = chain.find_home()
-    zones = {stage.replica.data_centre for stage in chain.stages}
-    for gap in chain.gaps:
-        usable = left
-        if gap.count <= CROSSING_LAYERS * 2:
-            # From elsewhere it would cost two crossings, which is worse than
-            # the gap.
-            usable = [item for item in left if item.data_centre in zones]
-        taken = _close_gap(engine, gap, usable, home)
-        if taken is None:
-            return None
-        moves.update(taken)
-        left = [item for item in left if item.replica_id not in taken]
-    return moves
+def _mend_zone(engine: EngineSpec, zone: _Zone, pause_ms: float) -> None:
+    """Make broken pipelines whole, the fastest first."""
+    for chain in tuple(zone.broken):
+        if chain not in zone.broken:
+            # A faster one has taken its parts.
+            continue
+        moves = _find_moves(engine, zone, chain, pause_ms)
+        if moves and _is_worth_it(engine, zone, chain, moves, pause_ms):
+            _accept(zone, chain, moves)
 
 
-def _close_gap(
-    engine: EngineSpec, gap: LayerRange, spares: list[Replica], home: str
+def _find_moves(
+    engine: EngineSpec, zone: _Zone, chain: Chain, pause_ms: float
 ) -> Moves | None:
-    """Cut a gap among spares: near ones first, then empty ones."""
-    for requests in (_WANTED_REQUESTS, _LEAST_REQUESTS):
-        rank = partial(_rank_for_gap, engine, gap, home, requests)
-        order = sorted(spares, key=rank)
-        moves: Moves = {}
-        first = gap.first
-        for replica in order:
-            most = _most_layers(engine, replica, requests)
-            count = min(most, gap.end - first)
-            if count <= 0:
-                continue
-            moves[replica.replica_id] = LayerRange(first, first + count)
-            first += count
-            if first >= gap.end:
-                return moves
-    return None
-
-
-def _rank_for_gap(
-    engine: EngineSpec,
-    gap: LayerRange,
-    home: str,
-    requests: float,
-    replica: Replica,
-) -> tuple[bool, bool, int, int, str]:
-    """Rank a replica for a gap: near, empty, not too small, not too large."""
-    most = _most_layers(engine, replica, requests)
+    """Return the moves that make a pipeline whole, the gentlest that do."""
     return (
-        replica.data_centre != home,
-        replica.layers is not None,
-        max(0, gap.count - most),
-        max(0, most - gap.count),
-        replica.replica_id,
+        close_gaps(engine, chain, zone.spares)
+        or _use_slower(engine, zone, chain)
+        or cut_anew(engine, chain, zone.spares, pause_ms)
+        or _sacrifice(engine, zone, chain, pause_ms)
     )
 
 
-def _cut_anew(
-    engine: EngineSpec, chain: Chain, spares: Sequence[Replica]
-) -> Moves | None:
-    """Let each part of a broken chain take on some of the missing layers.
-
-    The parts keep their order, so that most of what they hold stays.
-    """
-    home = chain.find_home()
-    near = [item for item in spares if item.data_centre == home]
-    replicas = _join(chain, near)
-    for requests in _REQUESTS:
-        counts = [_most_layers(engine, item, requests) for item in replicas]
-        if sum(counts) >= engine.layers:
-            return _assign(engine, replicas, counts)
-    return None
-
-
-def _join(chain: Chain, joining: Sequence[Replica]) -> list[Replica]:
-    """Return a chain's parts with others where its first gap is."""
-    cards = [(stage.layers.first, stage.replica) for stage in chain.stages]
-    cards.extend((chain.gaps[0].first, item) for item in joining)
-    cards.sort(key=lambda pair: (pair[0], pair[1].replica_id))
-    return [replica for _, replica in cards]
-
-
-def _assign(
-    engine: EngineSpec, replicas: list[Replica], counts: list[int]
-) -> Moves:
-    """Give out all layers in order, most to those that can hold most."""
-    surplus = sum(counts) - engine.layers
-    while surplus:
-        largest = max(range(len(counts)), key=counts.__getitem__)
-        counts[largest] -= 1
-        surplus -= 1
-    moves: Moves = {}
-    first = 0
-    for replica, count in zip(replicas, counts, strict=True):
-        layers = LayerRange(first, first + count)
-        first += count
-        if count and layers != replica.layers:
-            moves[replica.replica_id] = layers
-    return moves
+def _use_slower(engine: EngineSpec, zone: _Zone, chain: Chain) -> Moves | None:
+    """Close gaps with the parts of broken pipelines that are slower."""
+    at = zone.broken.index(chain)
+    slower = [
+        stage.replica
+        for other in zone.broken[at + 1 :]
+        for stage in other.stages
+    ]
+    if not slower:
+        return None
+    return close_gaps(engine, chain, [*zone.spares, *slower])
 
 
 def _sacrifice(
-    engine: EngineSpec,
-    chain: Chain,
-    broken: list[Chain],
-    whole: list[Chain],
-    spares: list[Replica],
-    pause_ms: float,
+    engine: EngineSpec, zone: _Zone, chain: Chain, pause_ms: float
 ) -> Moves | None:
-    """Close gaps with the parts of a chain that is worth less.
-
-    First another broken chain, then the slowest whole one, if the one that it
-    completes is faster by far.
-    """
-    if broken:
-        given = broken[-1]
-        taken = _close_gaps(engine, chain, [*spares, *_list_replicas(given)])
-        if taken is not None:
-            broken.remove(given)
-        return taken
-    rates = [
-        (predict_chain_rate(engine, item, pause_ms), item) for item in whole
-    ]
-    slow = min(rates, key=lambda pair: pair[0], default=None)
+    """Close gaps with the parts of a whole pipeline that is worth less."""
+    slow = min(
+        zone.whole,
+        key=lambda pipeline: predict_rate(engine, pipeline, pause_ms),
+        default=None,
+    )
     if slow is None:
         return None
-    given = slow[1]
-    taken = _close_gaps(engine, chain, [*spares, *_list_replicas(given)])
-    if taken is None:
+    parts = [replica for replica, _ in slow.parts]
+    moves = close_gaps(engine, chain, [*zone.spares, *parts])
+    if moves is None:
         return None
-    completed = _complete(chain, taken, given, spares)
-    if predict_total_rate(engine, [completed], pause_ms) < slow[0] * _GAIN:
+    gained = predict_rate(
+        engine, complete(chain, moves, _by_id(zone)), pause_ms
+    )
+    if gained < predict_rate(engine, slow, pause_ms) * _GAIN:
         return None
-    whole.remove(given)
-    return taken
+    zone.whole.remove(slow)
+    return moves
 
 
-def _complete(
-    chain: Chain, taken: Moves, given: Chain, spares: list[Replica]
-) -> Pipeline:
-    """Return a chain's parts together with those that close its gaps."""
-    replicas = {
-        item.replica_id: item for item in (*spares, *_list_replicas(given))
-    }
-    parts = [
-        (stage.layers.first, stage.replica, stage.layers.count)
-        for stage in chain.stages
+def _is_worth_it(
+    engine: EngineSpec,
+    zone: _Zone,
+    chain: Chain,
+    moves: Moves,
+    pause_ms: float,
+) -> bool:
+    """Return whether a pipeline is worth the doubles that it takes away."""
+    gained = predict_rate(
+        engine, complete(chain, moves, _by_id(zone)), pause_ms
+    )
+    parts = list_parts(engine, zone.whole, pause_ms)
+    doubles = _list_held(zone.spares)
+    before = predict_outage(parts, doubles)
+    left = [item for item in zone.spares if item.replica_id not in moves]
+    return gained > predict_outage(parts, _list_held(left)) - before
+
+
+def _accept(zone: _Zone, chain: Chain, moves: Moves) -> None:
+    """Take moves as done."""
+    zone.whole.append(complete(chain, moves, _by_id(zone)))
+    zone.broken.remove(chain)
+    zone.broken = [
+        other
+        for other in zone.broken
+        if not any(stage.replica.replica_id in moves for stage in other.stages)
     ]
-    parts.extend(
-        (layers.first, replicas[name], layers.count)
-        for name, layers in taken.items()
+    zone.moves.update(moves)
+    used = {
+        replica.replica_id
+        for pipeline in zone.whole
+        for replica, _ in pipeline.parts
+    }
+    used.update(
+        stage.replica.replica_id
+        for other in zone.broken
+        for stage in other.stages
     )
-    parts.sort(key=lambda part: part[0])
-    return Pipeline([(replica, count) for _, replica, count in parts])
+    zone.spares = [item for item in zone.cards if item.replica_id not in used]
+
+
+def _mend_across(engine: EngineSpec, zones: list[_Zone]) -> None:
+    """Let data centres without a pipeline use what others don't need."""
+    stranded = [zone for zone in zones if not zone.whole]
+    if not stranded:
+        return
+    names = {card.data_centre for zone in stranded for card in zone.cards}
+    cards = [card for zone in stranded for card in zone.cards]
+    cards.extend(card for zone in zones if zone.whole for card in zone.spares)
+    chains = [
+        chain
+        for chain in extract_chains(engine, cards)
+        if any(stage.replica.data_centre in names for stage in chain.stages)
+    ]
+    if not chains:
+        return
+    if all(chain.gaps for chain in chains):
+        best = chains[0]
+        held = {stage.replica.replica_id for stage in best.stages}
+        free = [card for card in cards if card.replica_id not in held]
+        stranded[0].moves.update(close_gaps(engine, best, free) or {})
+    _reserve(zones, chains)
+
+
+def _reserve(zones: list[_Zone], chains: list[Chain]) -> None:
+    """Take away spares that a pipeline across data centres needs."""
+    used = {
+        stage.replica.replica_id
+        for chain in chains
+        if not chain.gaps
+        for stage in chain.stages
+    }
+    used.update(name for zone in zones for name in zone.moves)
+    for zone in zones:
+        zone.spares = [
+            card for card in zone.spares if card.replica_id not in used
+        ]
 
 
-def _use_spares(
+def _double(
     engine: EngineSpec,
-    spares: list[Replica],
-    present: Sequence[Replica],
-    moves: Moves,
+    zone: _Zone,
     pause_ms: float,
+    settled: Collection[str],
 ) -> Moves:
-    """Build another pipeline of spares, or let empty ones double parts."""
-    planned = plan_layers(engine, spares, pause_ms)
-    if planned is not None:
-        return {
-            name: layers
-            for name, layers in planned.list_ranges().items()
-            if layers != _find_layers(spares, name)
-        }
-    ranges = {
-        item.replica_id: item.layers
-        for item in present
-        if item.layers is not None
-    }
-    ranges.update(moves)
-    idle = [item for item in spares if item.layers is None]
-    return _double_parts(engine, idle, present, ranges)
+    """Let spares double parts; newcomers only where that is no guess."""
+    moves = _expect_leavers(engine, zone, settled)
+    parts = list_parts(engine, zone.whole, pause_ms)
+    spares = [item for item in zone.spares if item.replica_id in settled]
+    moves.update(double_parts(engine, parts, spares))
+    return moves
 
 
-def _double_parts(
-    engine: EngineSpec,
-    spares: Sequence[Replica],
-    present: Sequence[Replica],
-    ranges: Moves,
+def _expect_leavers(
+    engine: EngineSpec, zone: _Zone, settled: Collection[str]
 ) -> Moves:
-    """Let each spare double what a near replica holds and the fewest hold.
+    """Load a newcomer with what the only other one of its kind holds.
 
-    A part with a second holder survives its loss without a load.
+    In a release the new replica starts just before the old one leaves. Where
+    it can only be one or two, loading at once takes that second off the time
+    that their pipeline is out of work, which for the largest ones is five.
     """
-    zones = {item.replica_id: item.data_centre for item in present}
-    held = dict(ranges)
     moves: Moves = {}
-    for replica in spares:
-        most = _most_layers(engine, replica, _LEAST_REQUESTS)
-        options = {
-            layers
-            for name, layers in ranges.items()
-            if layers.count <= most and zones.get(name) == replica.data_centre
-        }
-        if not options:
+    for card in zone.spares:
+        if card.replica_id in settled or card.layers is not None:
             continue
-        moves[replica.replica_id] = min(options, key=partial(_rank_part, held))
-        held[replica.replica_id] = moves[replica.replica_id]
+        held = _list_held_by(zone, card.accelerator)
+        left = [item for item in held if item not in moves.values()]
+        largest = max(left, key=_count, default=NO_LAYERS)
+        fits = 0 < largest.count <= count_most_layers(engine, card)
+        if fits and len(held) <= _FEW_HOLDERS:
+            moves[card.replica_id] = largest
     return moves
 
 
-def _rank_part(held: Moves, layers: LayerRange) -> tuple[int, int, int]:
-    """Rank a part to double: the fewest hold it, then it is large."""
-    return _count_holders(layers, held), -layers.count, layers.first
+def _list_held_by(zone: _Zone, accelerator: str) -> list[LayerRange]:
+    """Return the parts of pipelines on accelerators of one kind."""
+    return [
+        stage.layers
+        for pipeline in zone.whole
+        for stage in pipeline.list_stages()
+        if stage.replica.accelerator == accelerator
+    ]
 
 
-def _count_holders(layers: LayerRange, held: Moves) -> int:
-    return sum(
-        other.first <= layers.first and other.end >= layers.end
-        for other in held.values()
-    )
+def _migrate(engine: EngineSpec, zones: list[_Zone], pause_ms: float) -> Moves:
+    """Return the moves of one data centre to a better plan."""
+    for zone in zones:
+        if not zone.whole:
+            continue
+        moves = plan_migration(
+            engine, zone.cards, zone.whole, _list_held(zone.spares), pause_ms
+        )
+        if moves:
+            return moves
+    return {}
 
 
-def _most_layers(engine: EngineSpec, replica: Replica, requests: float) -> int:
-    """Return how many layers leave room for so many usual requests."""
-    kind = engine.accelerators.get(replica.accelerator)
-    if kind is None:
-        return 0
-    tokens = requests * (engine.usual_prompt + engine.usual_answer / 2)
-    count = min(engine.layers, int(kind.size_mb / engine.layer_mb))
-    while count > 0 and count_tokens(engine, kind, count) < tokens:
-        count -= 1
-    return count
+def _join_moves(steps: Iterable[Moves]) -> Moves:
+    return {name: layers for step in steps for name, layers in step.items()}
+
+
+def _drop_done(moves: Moves, present: Sequence[Replica]) -> Moves:
+    """Leave out what replicas already hold."""
+    held = {item.replica_id: item.layers for item in present}
+    return {
+        name: layers for name, layers in moves.items() if held[name] != layers
+    }
+
+
+def _predict_pace(engine: EngineSpec, chain: Chain) -> float:
+    """Return the milliseconds per layer that a chain takes."""
+    spent = sum(
+        predict_visit_ms(
+            engine, get_kind(engine, stage.replica), stage.layers.count, 1
+        )
+        for stage in chain.stages
+    )
+    return spent / max(1, engine.layers - chain.count_missing())
 
 
-def _list_replicas(chain: Chain) -> list[Replica]:
-    return [stage.replica for stage in chain.stages]
+def _list_held(replicas: Sequence[Replica]) -> list[LayerRange]:
+    return [item.layers for item in replicas if item.layers is not None]
 
 
-def _find_layers(replicas: list[Replica], name: str) -> LayerRange | None:
-    for replica in replicas:
-        if replica.replica_id == name:
-            return replica.layers
-    return None
+def _by_id(zone: _Zone) -> dict[str, Replica]:
+    return {item.replica_id: item for item in zone.cards}
 
 
-def _count_missing(chain: Chain) -> int:
-    return chain.count_missing()
+def _count(layers: LayerRange) -> int:
+    return layers.count
--- a/samphirerill/fleet/timing.py
+++ b/samphirerill/fleet/timing.py
@@ -31,18 +31,27 @@
     _fleet: object = None
     _holdings: tuple[Replica, ...] = ()
     _rounds: int = 0
+    # The most whole pipelines that each data centre has had.
+    had: dict[str, int] = field(default_factory=dict)
 
     def observe(self, present: Sequence[Replica], now: float) -> None:
         """Take the replicas that are there now."""
         ids = frozenset(replica.replica_id for replica in present)
         if ids == self._ids:
             return
+        # Who commands anew finds a fleet that may have been there for long.
+        since = now if self._ids else float('-inf')
         self._ids = ids
         self._changed_at = now
         self._first_seen = {
-            name: self._first_seen.get(name, now) for name in ids
+            name: self._first_seen.get(name, since) for name in ids
         }
 
+    def note_whole(self, whole: dict[str, int]) -> None:
+        """Take how many whole pipelines each data centre has."""
+        for zone, count in whole.items():
+            self.had[zone] = max(count, self.had.get(zone, 0))
+
     def has_settled(self, present: Sequence[Replica], now: float) -> bool:
         """Return whether all replicas of a first plan have announced."""
         if any(replica.layers is not None for replica in present):
--- a/samphirerill/relay/commander.py
+++ b/samphirerill/relay/commander.py
@@ -13,10 +13,9 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.backends.store import StoreError
-from samphirerill.fleet.chains import extract_chains
 from samphirerill.fleet.model import MS_PER_S, format_layers
-from samphirerill.fleet.planner import DEFAULT_PAUSE_MS
-from samphirerill.fleet.repair import plan_moves
+from samphirerill.fleet.rates import DEFAULT_PAUSE_MS
+from samphirerill.fleet.repair import count_whole, plan_moves
 from samphirerill.fleet.timing import PlanTiming
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.examiner import ask_report
@@ -132,11 +131,17 @@
         is_calm = timing.is_calm(now) and not self._is_busy(present)
         fleet = (engine, service, _list_ids(present), settled, is_calm)
         if timing.may_plan(fleet, present):
-            pause_ms = _find_pause_ms(cfg, service)
+            whole = count_whole(engine, present)
+            timing.note_whole(whole)
             moves = plan_moves(
-                engine, present, pause_ms, settled, is_calm=is_calm
+                engine,
+                present,
+                _find_pause_ms(cfg, service),
+                settled,
+                is_calm=is_calm,
+                had=timing.had,
             )
-            self._note_plan(service, engine, present, moves)
+            self._note_plan(service, present, whole, moves)
         await self._pursue(engine, present)
 
     def _is_busy(self, present: list[Replica]) -> bool:
@@ -176,21 +181,20 @@
     def _note_plan(
         self,
         service: str,
-        engine: EngineSpec,
         present: list[Replica],
+        whole: dict[str, int],
         moves: Moves,
     ) -> None:
         until = self._loop.time() + _GOAL_S
         for replica_id, layers in moves.items():
             self._goals[replica_id] = _Goal(layers, until)
-        chains = extract_chains(engine, present)
         _LOG.info(
             'fleet',
             extra={
                 'service': service,
                 'replicas': len(present),
                 'empty': sum(item.layers is None for item in present),
-                'missing': [chain.count_missing() for chain in chains],
+                'whole': whole,
                 'moves': len(moves),
             },
         )
--- a/samphirerill/tests/test_fleet_plans.py
+++ b/samphirerill/tests/test_fleet_plans.py
@@ -9,7 +9,7 @@
 from unittest import TestCase
 
 from samphirerill.fleet.chains import extract_chains
-from samphirerill.fleet.model import LayerRange, Replica
+from samphirerill.fleet.model import Replica
 from samphirerill.fleet.planner import Planned, plan_layers
 from samphirerill.fleet.repair import plan_moves
 from samphirerill.fleet.timing import PlanTiming
@@ -116,7 +116,7 @@
         are planned anew, then again from the half-ordered state. Cause: the
         plan did not keep what works.
         """
-        lost = self._find(LayerRange(0, 14), 'b')
+        lost = self._find_part('b', 0)
         left = [item for item in self.fleet if item is not lost]
         whole = [
             chain for chain in extract_chains(ENGINE, left) if not chain.gaps
@@ -126,17 +126,19 @@
             for chain in whole
             for stage in chain.stages
         }
-        moves = plan_moves(ENGINE, left, _PAUSE_MS, set(), is_calm=False)
+        settled = {item.replica_id for item in left}
+        moves = plan_moves(ENGINE, left, _PAUSE_MS, settled, is_calm=False)
         self.assertFalse(kept & set(moves))
 
     def test_a_newcomer_takes_the_part_that_is_lost(self) -> None:
-        lost = self._find(LayerRange(14, 22), 'b')
-        newcomer = build_replica('new', 'b', 'small')
+        lost = self._find_part('b', 0)
+        newcomer = build_replica('new', 'b', 'middle')
         left = [item for item in self.fleet if item is not lost]
+        settled = {item.replica_id for item in left}
         moves = plan_moves(
-            ENGINE, [*left, newcomer], _PAUSE_MS, set(), is_calm=False
+            ENGINE, [*left, newcomer], _PAUSE_MS, settled, is_calm=False
         )
-        self.assertEqual(moves.get('new'), LayerRange(14, 22))
+        self.assertEqual(moves, {'new': lost.layers})
 
     def test_serves_on_after_any_three_losses(self) -> None:
         for seed in range(12):
@@ -166,11 +168,62 @@
                 moves = plan_moves(ENGINE, rested, _PAUSE_MS, names)
                 self.assertEqual(moves, {})
 
-    def _find(self, layers: LayerRange, zone: str) -> Replica:
-        for item in self.fleet:
-            if item.layers == layers and item.data_centre == zone:
-                return item
-        raise AssertionError(f'nobody in {zone} holds {layers}')
+    def test_doubled_parts_need_no_load(self) -> None:
+        """Symptom: a pipeline out of work for three seconds after each loss.
+
+        Sequence: a replica is lost; somebody loads its layers. Cause: what no
+        pipeline needed stood in one that crossed data centres, in place of
+        holding the same layers nearby.
+        """
+        for name in ('a-small-0', 'a-small-2', 'c-tiny-0'):
+            with self.subTest(name):
+                left = [item for item in self.fleet if item.replica_id != name]
+                self.assertEqual(self.count_whole(left), 3)
+
+    def test_repairs_stay_in_their_data_centre(self) -> None:
+        lost = self._find_part('a', 0)
+        left = [item for item in self.fleet if item is not lost]
+        settled = {item.replica_id for item in left}
+        moves = plan_moves(ENGINE, left, _PAUSE_MS, settled, is_calm=False)
+        self.assertTrue(moves)
+        self.assertTrue(all(name.startswith('a-') for name in moves), moves)
+        self.assertEqual(self.count_whole(place(left, moves)), 3)
+
+    def test_a_data_centre_without_a_pipeline_uses_others(self) -> None:
+        kept = ('b-small-0', 'b-small-1', 'b-small-2', 'b-small-3')
+        left = [
+            item
+            for item in self.fleet
+            if item.data_centre != 'b' or item.replica_id in kept
+        ]
+        crossing = [
+            chain
+            for chain in extract_chains(ENGINE, self.mend(left))
+            if not chain.gaps and chain.crosses()
+        ]
+        self.assertEqual(len(crossing), 1)
+
+    def test_a_newcomer_that_replaces_the_only_one_loads_at_once(self) -> None:
+        """Symptom: the fastest pipeline is out of work for six seconds.
+
+        Sequence: a release starts a new large replica; a second later the
+        old one leaves; only then does the new one begin to load for five
+        seconds. Cause: newcomers were kept free until their part was lost,
+        though there was only one part that it could be.
+        """
+        newcomer = build_replica('new', 'a', 'large')
+        settled = {item.replica_id for item in self.fleet}
+        moves = plan_moves(
+            ENGINE, [*self.fleet, newcomer], _PAUSE_MS, settled, is_calm=False
+        )
+        held = self._find_part('a', 0).layers
+        self.assertEqual(moves, {'new': held})
+
+    def _find_part(self, zone: str, number: int) -> Replica:
+        """Return the replica that holds a part of a zone's pipeline."""
+        local = [item for item in self.fleet if item.data_centre == zone]
+        chain = extract_chains(ENGINE, local)[0]
+        return chain.stages[number].replica
 
 
 class TestTiming(TestCase):
