A replica that left in a gap of the history is given up

Cause: an engine crashed; its entry went while watches were deaf and the history was dropped; the next whole reading lacked it, and an entry that is missing right after an outage is kept for the bound of leaving replicas. That bound came from the template in milliseconds and was read as seconds: it was kept for half an hour. Meanwhile the engine had started again at its address, so that refusals named the new one, and paths went on over the old one.

Ruled out: lost deletions (the whole reading lacks the entry: the new log line 'replicas read' names it), late announcements, peers.

--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -81,6 +81,7 @@
             self.leaving.add(replica_id)
             self.losses += 1
         if found is None:
+            self._bury_predecessors(replica.address, revision)
             self.known[replica_id] = Known(replica, revision)
             self.ids_version += 1
         else:
@@ -254,6 +255,21 @@
                 best = found
         return best
 
+    def _bury_predecessors(self, address: str, revision: int) -> None:
+        """Drop replicas whose address another one announces later.
+
+        One that crashed may start again at its address before its old
+        announcement has gone. Paths over the old one are refused then, by
+        a replica that they don't name, again and again.
+        """
+        gone = [
+            name
+            for name, found in self.known.items()
+            if found.replica.address == address and found.revision < revision
+        ]
+        for name in gone:
+            self._bury(name, self.known[name].revision)
+
     def _bury(self, replica_id: str, revision: int) -> None:
         self.known.pop(replica_id, None)
         self.leaving.discard(replica_id)
--- a/samphirerill/platform/settings.py
+++ b/samphirerill/platform/settings.py
@@ -21,7 +21,7 @@
     of their own are opened. `exchange_port` takes the other nodes' datagrams,
     `peers` their calls; `seeds` are such addresses of some nodes, perhaps
     outdated. The figures after them are the platform's bounds: `finish_s`
-    between SIGTERM and SIGKILL, `leaving_s` until a leaving endpoint may get
+    between SIGTERM and SIGKILL, `leaving_ms` until a leaving endpoint may get
     no more work, and the share of repeats, with its window, that all nodes
     together may make.
     """
@@ -37,7 +37,7 @@
     metrics_port: int
     seeds: list[str] = []
     finish_s: float = 8
-    leaving_s: float = 2
+    leaving_ms: float = 2000
     retry_ratio: float = 0.2
     retry_slack: float = 0
     retry_window_s: float = 10
--- a/samphirerill/relay/follower.py
+++ b/samphirerill/relay/follower.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from samphirerill.backends.store import StoreError
-from samphirerill.fleet.model import format_layers
+from samphirerill.fleet.model import MS_PER_S, format_layers
 from samphirerill.fleet.view import LAPSE_GRACE_S
 from samphirerill.node.logs import get_logger
 from samphirerill.platform.store import DeletedKey, HistoryGoneError
@@ -31,6 +31,8 @@
 _LEAVING_MARGIN_S = 0.3
 # A call that fails once is no outage in which leases lapse.
 _OUTAGE_S = 0.4
+# Names in one log line.
+_MOST_SHOWN = 8
 
 
 class StoreHealth:
@@ -245,7 +247,17 @@
             for replica_id, present in view.known.items()
             if replica_id in unreadable
         )
+        present = {replica.replica_id for replica, _ in known}
+        missing = sorted(set(view.known) - present)
         view.replace_all(known, revision, self._get_grace())
+        _LOG.info(
+            'replicas read',
+            extra={
+                'revision': revision,
+                'count': len(known),
+                'missing': missing[:_MOST_SHOWN],
+            },
+        )
         self.state.notify()
 
     def take_item(self, item: StoredItem) -> None:
@@ -295,5 +307,6 @@
 
     def _get_grace(self) -> float:
         """Return until when a missing entry may come back; 0 for never."""
-        most_s = self.state.settings.leaving_s - _LEAVING_MARGIN_S
+        most_s = self.state.settings.leaving_ms / MS_PER_S
+        most_s -= _LEAVING_MARGIN_S
         return self._health.find_grace(self._loop.time(), most_s)
--- a/samphirerill/tests/test_edge.py
+++ b/samphirerill/tests/test_edge.py
@@ -237,6 +237,26 @@
             while process.state.version != 9:
                 await asyncio.sleep(0.02)
 
+    async def test_a_replica_that_left_in_a_gap_is_given_up(self) -> None:
+        """Symptom: for 25 s two of three streams are refused by an engine.
+
+        Sequence: an engine crashes; the store drops its history together with
+        the removal of that engine's entry; the whole is read anew without it.
+        Cause: the entry was kept for as many seconds as it should be kept
+        milliseconds, as one that may only have lapsed.
+        """
+        process = await self.world.until_ready()
+        self.world.service.deaf = True
+        await self.world.service.delete('servers/engine-1')
+        self.world.service.forget_history()
+        self.world.service.busy = True
+        await asyncio.sleep(0.5)
+        self.world.service.busy = False
+        self.world.service.deaf = False
+        async with asyncio.timeout(5):
+            while 'engine-1' in process.state.view.known:
+                await asyncio.sleep(0.05)
+
     async def test_serves_on_while_the_store_is_away(self) -> None:
         self.world.service.busy = True
         await asyncio.sleep(0.3)
