Ask every replica of a silent path, at once

Cause: when a middle part of a path dies, its streams were noticed to be silent after 0.35 s, then only the first replica was asked, whose list of waiting requests is 0.2 s old; the pause was over 0.4 s, twice of what is timely.

Change: after 90 ms or three usual gaps every replica on the path is asked; one whose port nobody listens on, or that answers neither of two questions in 90 ms, is dead, unless nobody answers at all. Streams that are silent for 1.2 s without a reason leave too. All streams of a node share one question for 150 ms.

Ruled out: shorter time-outs of the former question; its answer is late by itself. A node that is cut off took the whole fleet for dead before; it does not any more.

--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -18,7 +18,9 @@
 from samphirerill.relay.errors import (
     BrokenAnswerError,
     ConnectError,
+    NobodyListensError,
     SilentEndpointError,
+    UnreachableError,
 )
 
 # A connection to an address that is gone hangs; a live one within a region
@@ -32,6 +34,7 @@
 _IDLE_MARGIN_S = 0.6
 _NO_BODY = frozenset((204, 304))
 _CONTINUE_END = 200
+_NEVER = float('inf')
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -93,14 +96,27 @@
         self._bodiless = False
         self._buffered = 0
 
-    async def open(self) -> None:
-        """Connect; raise ``ConnectError`` if that fails or takes long."""
+    async def open(self, deadline: float = _NEVER) -> None:
+        """Connect; raise ``ConnectError`` if that fails or takes long.
+
+        Parameters
+        ----------
+        deadline : float
+            On the loop's clock, if it is sooner than the usual one.
+        """
         host, _, port = self.address.rpartition(':')
         loop = asyncio.get_running_loop()
+        until = min(deadline, loop.time() + CONNECT_TIMEOUT_S)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout_at(until):
                 await loop.create_connection(lambda: self, host, int(port))
-        except (OSError, TimeoutError, ValueError) as exc:
+        except ConnectionRefusedError as exc:
+            self.close()
+            raise NobodyListensError(f'{self.address}: {exc!r}') from exc
+        except TimeoutError as exc:
+            self.close()
+            raise UnreachableError(f'{self.address}: {exc!r}') from exc
+        except (OSError, ValueError) as exc:
             self.close()
             raise ConnectError(f'{self.address}: {exc!r}') from exc
 
--- a/samphirerill/relay/errors.py
+++ b/samphirerill/relay/errors.py
@@ -18,6 +18,14 @@
     may_have_run = False
 
 
+class NobodyListensError(ConnectError):
+    """The connection was refused: the process at that address has ended."""
+
+
+class UnreachableError(ConnectError):
+    """No answer to the connection came: the VM is gone, or the way to it."""
+
+
 class BrokenAnswerError(EndpointError):
     """The connection ended, or its bytes were no answer to this call."""
 
--- a/samphirerill/relay/examiner.py
+++ b/samphirerill/relay/examiner.py
@@ -1,22 +1,32 @@
-"""Find out why a stream is silent: ask the replica that it was sent to.
+"""Find out why a stream is silent: ask every replica on its path.
 
-The first replica of a path lists the requests that wait and for whom. If it
-does not answer either, it is the one that is gone.
+The first replica lists the requests that wait and for whom, but some hundred
+milliseconds late; one that has ended refuses connections at once, and one that
+is gone does not answer at all. Asked as soon as a path is silent, streams leave
+a dead part before their clients notice a pause.
 """
 
 from __future__ import annotations
 
 import asyncio
+import enum
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.dialect import DocumentError
-from samphirerill.relay.errors import EndpointError
+from samphirerill.relay.errors import (
+    EndpointError,
+    NobodyListensError,
+    SilentEndpointError,
+    UnreachableError,
+)
 from samphirerill.relay.pool import call_once
 
 if TYPE_CHECKING:
-    from samphirerill.fleet.model import Replica
+    from collections.abc import Sequence
+
+    from samphirerill.fleet.model import Replica, Stage
     from samphirerill.relay.dialect import ReplicaReport
     from samphirerill.relay.state import EdgeState
 
@@ -24,19 +34,48 @@
 _OK = 200
 # A report takes two milliseconds; a lost packet of it two hundred.
 _REPORT_TIMEOUT_S = 0.3
-# All streams of one path fall silent together; one report serves them all.
+# A replica on a silent path is asked a second time after so long, as a packet
+# may be lost, and is dead if neither brings an answer in time.
+_SECOND_ASK_S = 0.035
+_PROBE_TIMEOUT_S = 0.09
+# All streams of one path fall silent together; one probe serves them all.
 _FRESH_S = 0.15
+# Probes kept, about as many as there are replicas; they are of use for a moment.
+_MOST_KEPT = 1024
 # How long a replica that others wait for, or that does not answer, gets no
 # new work; engines stall for some seconds before they give up themselves.
 AVOID_S = 4.0
 
 
+class Verdict(enum.Enum):
+    """What asking a replica says of it."""
+
+    LIVES = 'lives'
+    HAS_ENDED = 'has ended'
+    IS_SILENT = 'does not answer'
+    IS_UNCLEAR = 'broke off'
+
+
 @dataclass(slots=True)
-class Diagnosis:
-    """What came of asking; `stalled` as in the replica's report."""
+class Probe:
+    """What came of asking one replica; `report` only if it gave one."""
 
-    is_reachable: bool
     at: float
+    verdict: Verdict
+    report: ReplicaReport | None = None
+
+
+_DEAD = frozenset((Verdict.HAS_ENDED, Verdict.IS_SILENT))
+
+
+@dataclass(slots=True)
+class Diagnosis:
+    """What came of asking a path: the dead, and who waits for which address.
+
+    `stalled` is as the first replica reports it, by request id.
+    """
+
+    dead: set[str] = field(default_factory=set)
     stalled: dict[str, str] = field(default_factory=dict)
 
 
@@ -46,11 +85,26 @@
     def __init__(self, state: EdgeState) -> None:
         self._state = state
         self._loop = asyncio.get_running_loop()
-        self._latest: dict[str, Diagnosis] = {}
-        self._asking: dict[str, asyncio.Task[Diagnosis]] = {}
+        self._latest: dict[str, Probe] = {}
+        self._asking: dict[str, asyncio.Task[Probe]] = {}
 
-    async def examine(self, replica: Replica) -> Diagnosis:
-        """Return why streams on a replica are silent."""
+    async def examine(self, stages: tuple[Stage, ...]) -> Diagnosis:
+        """Return why streams on a path are silent."""
+        probes = await asyncio.gather(
+            *(self._probe(stage.replica) for stage in stages)
+        )
+        diagnosis = Diagnosis(_find_dead(stages, probes))
+        head = probes[0].report
+        if head is not None:
+            diagnosis.stalled = head.stalled
+        for replica_id in diagnosis.dead:
+            self._suspect(replica_id, 'does not answer')
+        for address in set(diagnosis.stalled.values()):
+            self._suspect_address(address)
+        return diagnosis
+
+    async def _probe(self, replica: Replica) -> Probe:
+        """Return a fresh probe of a replica, a new one if there is none."""
         key = replica.replica_id
         latest = self._latest.get(key)
         if latest is not None and latest.at + _FRESH_S > self._loop.time():
@@ -62,21 +116,26 @@
             task.add_done_callback(lambda _: self._asking.pop(key, None))
         return await asyncio.shield(task)
 
-    async def _ask(self, replica: Replica) -> Diagnosis:
+    async def _ask(self, replica: Replica) -> Probe:
+        """Ask twice, the second time only if the first takes long."""
         self._state.counters['reports.asked'] += 1
-        report = await ask_report(self._state, replica)
-        now = self._loop.time()
-        if report is None:
-            diagnosis = Diagnosis(is_reachable=False, at=now)
-            self._suspect(replica.replica_id, 'does not answer')
-        else:
-            diagnosis = Diagnosis(True, now, report.stalled)
-            for address in set(report.stalled.values()):
-                self._suspect_address(address)
-        if len(self._latest) > len(self._state.view.known):
+        deadline = self._loop.time() + _PROBE_TIMEOUT_S
+        first = self._loop.create_task(
+            _ask_once(self._state, replica, deadline)
+        )
+        await asyncio.wait((first,), timeout=_SECOND_ASK_S)
+        if not first.done():
+            second = await _ask_once(self._state, replica, deadline)
+            if second.verdict is not Verdict.IS_SILENT:
+                first.cancel()
+                return self._keep(replica, second)
+        return self._keep(replica, await first)
+
+    def _keep(self, replica: Replica, probe: Probe) -> Probe:
+        if len(self._latest) > _MOST_KEPT:
             self._latest.clear()
-        self._latest[replica.replica_id] = diagnosis
-        return diagnosis
+        self._latest[replica.replica_id] = probe
+        return probe
 
     def _suspect_address(self, address: str) -> None:
         found = self._state.view.find_address(address)
@@ -93,22 +152,61 @@
             self._state.notify()
 
 
+def _find_dead(stages: tuple[Stage, ...], probes: Sequence[Probe]) -> set[str]:
+    """Return the replicas of a path that are dead.
+
+    If none answers, it is this node that is cut off, or was held up itself:
+    taken for dead then, the whole fleet would be left for nothing.
+    """
+    dead = {
+        stage.replica.replica_id
+        for stage, probe in zip(stages, probes, strict=True)
+        if probe.verdict in _DEAD
+    }
+    are_all_silent = all(probe.verdict is Verdict.IS_SILENT for probe in probes)
+    return set() if are_all_silent and len(probes) > 1 else dead
+
+
+async def _ask_once(
+    state: EdgeState, replica: Replica, deadline: float
+) -> Probe:
+    loop = asyncio.get_running_loop()
+    try:
+        report = await _read_report(state, replica, deadline)
+    except NobodyListensError:
+        return Probe(loop.time(), Verdict.HAS_ENDED)
+    except (UnreachableError, SilentEndpointError):
+        return Probe(loop.time(), Verdict.IS_SILENT)
+    except EndpointError as exc:
+        _LOG.info(
+            'no report',
+            extra={'replica': replica.replica_id, 'reason': str(exc)},
+        )
+        return Probe(loop.time(), Verdict.IS_UNCLEAR)
+    return Probe(loop.time(), Verdict.LIVES, report)
+
+
 async def ask_report(
     state: EdgeState, replica: Replica
 ) -> ReplicaReport | None:
     """Return a replica's report on itself, or none if none came."""
     deadline = asyncio.get_running_loop().time() + _REPORT_TIMEOUT_S
-    path = state.dialect.report_path
     try:
-        status, body = await call_once(
-            replica.address, b'GET', path, b'', deadline
-        )
+        return await _read_report(state, replica, deadline)
     except EndpointError as exc:
         _LOG.info(
             'no report',
             extra={'replica': replica.replica_id, 'reason': str(exc)},
         )
         return None
+
+
+async def _read_report(
+    state: EdgeState, replica: Replica, deadline: float
+) -> ReplicaReport | None:
+    """Return a report; none if the answer is no report."""
+    path = state.dialect.report_path
+    status, body = await call_once(replica.address, b'GET', path, b'', deadline)
     if status != _OK:
         return None
     try:
@@ -119,5 +217,6 @@
             extra={'replica': replica.replica_id, 'error': str(exc)},
         )
         return None
-    state.view.note_pace(replica.replica_id, report.slowness, deadline)
+    now = asyncio.get_running_loop().time()
+    state.view.note_pace(replica.replica_id, report.slowness, now)
     return report
--- a/samphirerill/relay/pool.py
+++ b/samphirerill/relay/pool.py
@@ -106,7 +106,7 @@
     if body:
         headers.append((b'content-type', b'application/json'))
     try:
-        await conn.open()
+        await conn.open(deadline)
         conn.send(build_call(method, path, headers, body))
         return await read_answer(conn, deadline)
     finally:
--- a/samphirerill/relay/stream_times.py
+++ b/samphirerill/relay/stream_times.py
@@ -8,6 +8,7 @@
     from samphirerill.node.metrics import Metrics
 
 _MS_PER_S = 1000
+_ENOUGH_EVENTS = 5
 
 
 class StreamTimes:
@@ -51,6 +52,18 @@
             self._first_at = now
         self.last_at = now
 
+    def predict_gap_s(self, predicted_s: float) -> float:
+        """Return the time to expect between two events.
+
+        Parameters
+        ----------
+        predicted_s : float
+            Used until the stream's own events tell.
+        """
+        if self._events < _ENOUGH_EVENTS:
+            return predicted_s
+        return (self.last_at - self._first_at) / (self._events - 1)
+
     def describe(self) -> dict[str, Any]:
         """Return counts and milliseconds for a log line."""
         if not self._events:
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -59,12 +59,18 @@
 # before any new one.
 _RESUME_S = 1.9
 _URGENT = -1
-# A path is asked about when it has been silent for so many predicted gaps,
-# but not sooner than this: other streams' prompts cause shorter pauses.
-_SILENT_GAPS = 4.0
-_LEAST_SILENCE_S = 0.35
+# A path is asked about when it has been silent for so many usual gaps, but not
+# sooner than this: other streams' prompts cause shorter pauses. Asking takes 2 to
+# 90 ms and moving the stream some 30, within the 200 ms of a timely pause.
+_SILENT_GAPS = 3.0
+_LEAST_SILENCE_S = 0.09
 # Reading the prompt through all stages takes up to half a second under load.
-_FIRST_SILENCE_S = 0.8
+_FIRST_SILENCE_S = 0.22
+# Asked in vain, the next question waits longer, up to this.
+_MORE_PATIENCE = 1.6
+# A path that is silent for so long without a reason is left; clients give up
+# after two seconds.
+_MOST_SILENCE_S = 1.2
 # How often a stream may be sent to a path that ran nothing of it.
 _MOST_SENDS = 6
 # When to come back if nothing better is known.
@@ -309,9 +315,10 @@
         for replica_id in list_ids(self._path.stages):
             self._state.view.trust(replica_id)
         splitter = EventSplitter()
-        silence_s = _SILENT_GAPS * self._path.predict_gap_s()
-        silence_s = max(_LEAST_SILENCE_S, silence_s)
+        predicted_s = self._path.predict_gap_s()
         while not self._ended:
+            gap_s = self._times.predict_gap_s(predicted_s)
+            silence_s = max(_LEAST_SILENCE_S, _SILENT_GAPS * gap_s)
             part = await self._patiently(conn, silence_s, _read_part)
             if isinstance(part, Whole):
                 caller.write_body(splitter.rest)
@@ -342,6 +349,7 @@
         Without asking, a stream on a dead stage would wait until the engine
         itself gives up, seconds later, while other paths are free.
         """
+        since = self._loop.time()
         while True:
             until = min(self._task.deadline, self._loop.time() + silence_s)
             try:
@@ -349,24 +357,45 @@
             except SilentEndpointError:
                 if self._loop.time() >= self._task.deadline:
                     raise
-                await self._examine()
+                await self._examine(since)
+            silence_s *= _MORE_PATIENCE
 
-    async def _examine(self) -> None:
-        """Move the stream if its path can't go on; raise if that fails."""
+    async def _examine(self, since: float) -> None:
+        """Move the stream if its path can't go on; raise if that fails.
+
+        Parameters
+        ----------
+        since : float
+            When the silence began.
+        """
         head_id = self._path.head_id
-        diagnosis = await self._examiner.examine(self._path.stages[0].replica)
-        if not diagnosis.is_reachable:
+        diagnosis = await self._examiner.examine(self._path.stages)
+        if head_id in diagnosis.dead:
             raise SilentEndpointError(f'{head_id}: does not answer')
         if not self._task.may_repeat:
             return
         culprit = self._path.find_culprit(diagnosis, self._task.request_id)
         if not culprit:
+            self._leave_silent(since)
             return
-        if culprit != head_id and await self._path.move():
+        if culprit != head_id and await self._move_behind_head():
             return
         if self._can_go_elsewhere():
             raise SilentEndpointError(f'the path waits for {culprit}')
 
+    async def _move_behind_head(self) -> bool:
+        """Move the stream, or wait for the move that is under way."""
+        if self._moving is None:
+            return await self._path.move()
+        await asyncio.wait((self._moving,))
+        return not self._path.list_lost()
+
+    def _leave_silent(self, since: float) -> None:
+        """Leave a path that is silent for long, though all its parts live."""
+        waited_s = self._loop.time() - since
+        if waited_s >= _MOST_SILENCE_S and self._can_go_elsewhere():
+            raise SilentEndpointError(f'silent for {waited_s:.1f} s')
+
     def _note_not_run(self, head: Head, at_fault: str) -> None:
         """The path refused and ran nothing; avoid who could not do its part."""
         replica_id = self._path.head_id
--- a/samphirerill/testing/platform_world.py
+++ b/samphirerill/testing/platform_world.py
@@ -84,6 +84,12 @@
         self.replicas[name] = replica
         return replica
 
+    def expect_process(self) -> EdgeProcess:
+        """Return the node, ready or not."""
+        if self.process is None:
+            raise RuntimeError('the node is not there: call start() first')
+        return self.process
+
     async def until_ready(self) -> EdgeProcess:
         """Wait until the node takes requests; return it."""
         async with asyncio.timeout(_PATIENCE_S):
--- /dev/null
+++ b/samphirerill/tests/test_examiner.py
@@ -0,0 +1,108 @@
+"""Finding out which part of a silent path is dead."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from unittest import IsolatedAsyncioTestCase
+
+from samphirerill.fleet.model import LayerRange, Stage
+from samphirerill.relay.examiner import Examiner
+from samphirerill.testing.platform_world import PlatformWorld
+from samphirerill.tests.fleets import build_replica
+
+if TYPE_CHECKING:
+    from samphirerill.fleet.model import Replica
+
+# Within a timely pause of 200 ms a stream has to notice and to move.
+_IN_TIME_S = 0.12
+
+
+async def _swallow(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Take a call and never answer."""
+    await reader.read()
+    writer.close()
+
+
+class TestExaminer(IsolatedAsyncioTestCase):
+    """A path of two engines; what is asked of the second one differs."""
+
+    async def asyncSetUp(self) -> None:
+        self.world = PlatformWorld()
+        self.addAsyncCleanup(self.world.stop)
+        await self.world.start()
+        process = self.world.expect_process()
+        self.examiner = Examiner(process.state)
+        await self.world.add('head')
+
+    async def test_one_that_has_ended_is_dead(self) -> None:
+        """Symptom: every stream of a pipeline pauses for 0.4 s and longer.
+
+        Sequence: the process of a middle part ends; only the first part was
+        asked, and its list of who waits for whom comes late. Cause: a port
+        that nobody listens on tells at once, but nobody asked it.
+        """
+        address = await self._find_free_address()
+        dead = await self._examine_in_time(self._build_path(address))
+        self.assertEqual(dead, {'tail'})
+
+    async def test_one_that_never_answers_is_dead(self) -> None:
+        address = await self._listen_silently()
+        dead = await self._examine_in_time(self._build_path(address))
+        self.assertEqual(dead, {'tail'})
+
+    async def test_nobody_is_dead_if_nobody_answers(self) -> None:
+        """Symptom: a node leaves the whole fleet, and tells the others to.
+
+        Sequence: the node is cut off for a second. Cause: everyone it asked
+        was silent, and it took all of them for dead.
+        """
+        address = await self._listen_silently()
+        stages = (
+            Stage(_at('head', address), LayerRange(0, 40)),
+            Stage(_at('tail', address), LayerRange(40, 80)),
+        )
+        self.assertEqual(await self._examine_in_time(stages), set())
+
+    async def test_streams_share_one_question(self) -> None:
+        await self.world.add('tail')
+        stages = self._build_path(self.world.addresses['tail'])
+        await asyncio.gather(*(self.examiner.examine(stages) for _ in range(5)))
+        await self.examiner.examine(stages)
+        process = self.world.expect_process()
+        self.assertEqual(process.state.counters['reports.asked'], 2)
+
+    async def _examine_in_time(self, stages: tuple[Stage, ...]) -> set[str]:
+        async with asyncio.timeout(_IN_TIME_S):
+            diagnosis = await self.examiner.examine(stages)
+        return diagnosis.dead
+
+    def _build_path(self, address: str) -> tuple[Stage, ...]:
+        return (
+            Stage(_at('head', self.world.addresses['head']), LayerRange(0, 40)),
+            Stage(_at('tail', address), LayerRange(40, 80)),
+        )
+
+    async def _listen_silently(self) -> str:
+        server = await asyncio.start_server(_swallow, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        return _get_address(server)
+
+    async def _find_free_address(self) -> str:
+        server = await asyncio.start_server(_swallow, '127.0.0.1', 0)
+        address = _get_address(server)
+        server.close()
+        await server.wait_closed()
+        return address
+
+
+def _get_address(server: asyncio.Server) -> str:
+    host, port = server.sockets[0].getsockname()
+    return f'{host}:{port}'
+
+
+def _at(name: str, address: str) -> Replica:
+    return replace(build_replica(name), address=address)
