Doubles carry what their pipelines carry; change plans for clear gains only

Spares doubled parts with 7 layers each, which leaves them room for 24 requests beside 44 elsewhere; after one loss such a part halved its pipeline's predicted rate, which a change of the whole pipeline, out of work for seconds, then had to restore.

Change: doubles leave room for 40 requests, as parts that close gaps do. A change of plan needs a gain of 1.6 instead of 1.2: it costs three seconds of work and every stream under way a pause.

--- a/samphirerill/fleet/doubling.py
+++ b/samphirerill/fleet/doubling.py
@@ -15,7 +15,11 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.model import LayerRange
-from samphirerill.fleet.rates import count_most_layers, predict_rate
+from samphirerill.fleet.rates import (
+    WANTED_REQUESTS,
+    count_most_layers,
+    predict_rate,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -96,7 +100,8 @@
     def __init__(self, engine: EngineSpec, spares: Iterable[Replica]) -> None:
         self._last = engine.layers
         self._limits = {
-            item.replica_id: count_most_layers(engine, item) for item in spares
+            item.replica_id: count_most_layers(engine, item, WANTED_REQUESTS)
+            for item in spares
         }
         self._free = [item for item in spares if self._limits[item.replica_id]]
         self._free.sort(key=self._rank)
--- a/samphirerill/fleet/mending.py
+++ b/samphirerill/fleet/mending.py
@@ -12,6 +12,7 @@
 from samphirerill.fleet.model import LayerRange
 from samphirerill.fleet.rates import (
     LEAST_REQUESTS,
+    WANTED_REQUESTS,
     Pipeline,
     count_most_layers,
     predict_rate,
@@ -23,8 +24,7 @@
     from samphirerill.fleet.chains import Chain
     from samphirerill.fleet.model import EngineSpec, Replica
 
-_WANTED_REQUESTS = 40
-_REQUESTS = range(_WANTED_REQUESTS, LEAST_REQUESTS - 1, -5)
+_REQUESTS = range(WANTED_REQUESTS, LEAST_REQUESTS - 1, -5)
 # What one move takes off a predicted rate: it costs a load, and a spare that
 # joins doubles nothing any more.
 _MOVE_COST = 0.01
@@ -133,7 +133,7 @@
     engine: EngineSpec, gap: LayerRange, spares: list[Replica], home: str
 ) -> Moves | None:
     """Cut a gap among spares: near ones first, then empty ones."""
-    for requests in (_WANTED_REQUESTS, LEAST_REQUESTS):
+    for requests in (WANTED_REQUESTS, LEAST_REQUESTS):
         rank = partial(_rank_for_gap, engine, gap, home, requests)
         moves: Moves = {}
         first = gap.first
--- a/samphirerill/fleet/migration.py
+++ b/samphirerill/fleet/migration.py
@@ -22,7 +22,7 @@
     from samphirerill.fleet.model import EngineSpec, Replica
 
 # A change takes some seconds of a pipeline's work; it must be worth it.
-_GAIN = 1.2
+_GAIN = 1.6
 # What one move takes off a plan's predicted rate when plans are compared.
 _MOVE_COST = 0.004
 Moves = dict[str, LayerRange]
--- a/samphirerill/fleet/rates.py
+++ b/samphirerill/fleet/rates.py
@@ -41,6 +41,9 @@
 # A part must leave room for this many usual requests, or it would throttle
 # the pipeline it completes.
 LEAST_REQUESTS = 15
+# Parts are given room for this many where that is possible: with less, a part
+# holds up a pipeline whose other parts hold more.
+WANTED_REQUESTS = 40
 _FEWER = 0.8
 _LEAST_MS = 0.001
 
