Put changed settings in force while serving

Cause: a changed settings file was logged and nothing else, with a signal; without one it was not noticed. A node went on with bounds that the platform had changed.

Change: relay/reload.py looks at the file once a second and at SIGHUP; bounds, seeds, the share of repeats and the store's address change at once, what was counted is kept. A node's own addresses need a restart, which is logged; a faulty file changes nothing.

--- a/samphirerill/fleet/budget.py
+++ b/samphirerill/fleet/budget.py
@@ -30,11 +30,15 @@
     __slots__ = ('_first', '_ratio', '_repeats', '_slack', '_window_s')
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+        self._first: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+        self.change(ratio, slack, window_s)
+
+    def change(self, ratio: float, slack: float, window_s: float) -> None:
+        """Allow another share from now on."""
         self._ratio = ratio * _USE
         self._slack = slack * _USE
         self._window_s = window_s
-        self._first: deque[float] = deque()
-        self._repeats: deque[float] = deque()
 
     def note_first(self, now: float) -> None:
         """Count a request's first send."""
--- a/samphirerill/platform/start.py
+++ b/samphirerill/platform/start.py
@@ -16,6 +16,7 @@
 )
 from samphirerill.platform.store import PlatformStore
 from samphirerill.relay.process import EdgeProcess
+from samphirerill.relay.reload import SettingsFile
 from samphirerill.settings.model import LogSettings
 
 
@@ -27,11 +28,14 @@
     path : str
         The settings file; by default the one that the environment names.
     """
-    settings = load_edge_settings(path or os.environ[SETTINGS_VARIABLE])
+    path = path or os.environ[SETTINGS_VARIABLE]
+    settings = load_edge_settings(path)
     start_logging(LogSettings(form='json'), LogSink(sys.stdout.fileno()))
-    return asyncio.run(_run(settings))
+    source = SettingsFile(path, load_edge_settings)
+    return asyncio.run(_run(settings, source))
 
 
-async def _run(settings: EdgeSettings) -> int:
+async def _run(settings: EdgeSettings, source: SettingsFile) -> int:
     store = PlatformStore(settings.store)
-    return await EdgeProcess(settings, PlatformDialect(), store).run()
+    process = EdgeProcess(settings, PlatformDialect(), store, source)
+    return await process.run()
--- a/samphirerill/platform/store.py
+++ b/samphirerill/platform/store.py
@@ -248,6 +248,12 @@
         """End a lease; its keys go at once."""
         await self._call('DELETE', f'/kv-lease-end/{lease}', {})
 
+    def change_address(self, address: str) -> None:
+        """Make further calls to another address."""
+        if address != self._address:
+            self._address = address
+            self.close()
+
     def close(self) -> None:
         """Close the connections that wait for calls."""
         while self._idle:
@@ -298,7 +304,10 @@
         except asyncio.CancelledError:
             conn.close()
             raise
-        self._put_back(conn)
+        if conn.address == self._address:
+            self._put_back(conn)
+        else:
+            conn.close()
         return status, body
 
     async def _get_connection(self, deadline: float) -> HttpConnection:
--- a/samphirerill/relay/members.py
+++ b/samphirerill/relay/members.py
@@ -84,7 +84,6 @@
         self._state = state
         self._store = store
         self._health = health
-        self._settings = state.settings
         self._loop = asyncio.get_running_loop()
         self._help = PeerHelp(state, health)
         self._names = ReplicaNames(state.view)
@@ -102,11 +101,14 @@
         """Open the ports for the other nodes."""
         pages = PageHandler(self._help.list_pages())
         self._server = await listen(
-            self._settings.peers, pages, self._connections
+            self._state.settings.peers, pages, self._connections
         )
         await self._loop.create_datagram_endpoint(
             lambda: self,
-            local_addr=(self._settings.host, self._settings.exchange_port),
+            local_addr=(
+                self._state.settings.host,
+                self._state.settings.exchange_port,
+            ),
         )
         self._state.listen(self._schedule)
 
@@ -149,7 +151,7 @@
     def take_item(self, item: StoredItem) -> None:
         """Take one announcement."""
         name = item.key.removeprefix(PREFIX)
-        if name == self._settings.name:
+        if name == self._state.settings.name:
             return
         try:
             found = json.decode(item.text, type=Announced)
@@ -182,11 +184,11 @@
         except (DecodeError, ValidationError) as exc:
             _LOG.warning('datagram is unreadable', extra={'error': str(exc)})
             return
-        if told.node == self._settings.name:
+        if told.node == self._state.settings.name:
             return
         peer = self._peers.get(told.node)
         if peer is None:
-            port = self._settings.peers.rpartition(':')[2]
+            port = self._state.settings.peers.rpartition(':')[2]
             peer = _Peer(
                 f'{addr[0]}:{addr[1]}', f'{addr[0]}:{port}', announced=False
             )
@@ -223,8 +225,8 @@
             await self._store.renew_lease(self._lease)
             return
         lease = await self._store.grant_lease(_LEASE_S)
-        mine = Announced(self._own_exchange(), self._settings.peers)
-        key = f'{PREFIX}{self._settings.name}'
+        mine = Announced(self._own_exchange(), self._state.settings.peers)
+        key = f'{PREFIX}{self._state.settings.name}'
         await self._store.write({key: json.encode(mine)}, {}, lease)
         self._lease = lease
 
@@ -258,10 +260,10 @@
             for peer in self._peers.values()
             if peer.announced or peer.heard_at + _FORGET_S > now
         }
-        seeds = self._settings.seeds
+        seeds = self._state.settings.seeds
         if len(addresses) < len(seeds):
             # Ports are the same on all nodes.
-            port = self._settings.exchange_port
+            port = self._state.settings.exchange_port
             addresses.update(
                 f'{seed.rpartition(":")[0]}:{port}' for seed in seeds
             )
@@ -269,7 +271,9 @@
         return addresses
 
     def _own_exchange(self) -> str:
-        return f'{self._settings.host}:{self._settings.exchange_port}'
+        return (
+            f'{self._state.settings.host}:{self._state.settings.exchange_port}'
+        )
 
     def _count(self) -> None:
         self._state.peer_count = sum(
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -21,6 +21,7 @@
 from samphirerill.relay.leadership import Leadership
 from samphirerill.relay.listeners import Page, PageHandler, listen
 from samphirerill.relay.members import Members
+from samphirerill.relay.reload import Reloader
 from samphirerill.relay.state import EdgeState
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
     from samphirerill.platform.settings import EdgeSettings
     from samphirerill.platform.store import PlatformStore
     from samphirerill.relay.dialect import Dialect
+    from samphirerill.relay.reload import SettingsFile
     from samphirerill.relay.server import CallerConnection
 
 _LOG = get_logger('edge')
@@ -61,12 +63,17 @@
         The words spoken with callers and endpoints.
     store : PlatformStore
         The platform's key-value service.
+    source : SettingsFile, optional
+        Where changed settings come from.
     """
 
     def __init__(
-        self, settings: EdgeSettings, dialect: Dialect, store: PlatformStore
+        self,
+        settings: EdgeSettings,
+        dialect: Dialect,
+        store: PlatformStore,
+        source: SettingsFile | None = None,
     ) -> None:
-        self._settings = settings
         self._loop = asyncio.get_running_loop()
         self.state = EdgeState(settings, dialect)
         health = StoreHealth(self._loop.time())
@@ -88,6 +95,7 @@
                 leadership,
             ),
         )
+        self._reloader = Reloader(self.state, store, source)
         self._connections: set[CallerConnection] = set()
         self._pages: set[CallerConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -106,13 +114,14 @@
             (self._members.run, 'membership'),
             (self._commander.run, 'commander'),
             (self._sweep, 'sweep'),
+            (self._reloader.run, 'settings'),
         ):
             self._start_task(self._keep_running(work, name), name)
-        _LOG.info('started', extra={'node': self._settings.name})
+        _LOG.info('started', extra={'node': self.state.settings.name})
         gc.freeze()
         await self._ended.wait()
         self.close()
-        _LOG.info('ended', extra={'node': self._settings.name})
+        _LOG.info('ended', extra={'node': self.state.settings.name})
         return 0
 
     def close(self) -> None:
@@ -142,7 +151,7 @@
         self._start_task(self._drain(), 'drain')
 
     async def _listen(self) -> None:
-        settings = self._settings
+        settings = self.state.settings
         pages = PageHandler({self.state.dialect.ready_path: self._get_ready})
         metrics = PageHandler({b'/metrics': self._get_metrics})
         metrics_address = f'{settings.host}:{settings.metrics_port}'
@@ -196,7 +205,7 @@
         one that was refused there would be lost to its client.
         """
         now = self._loop.time()
-        finish_at = now + self._settings.finish_s - _EXIT_MARGIN_S
+        finish_at = now + self.state.settings.finish_s - _EXIT_MARGIN_S
         self.state.streams_until = finish_at - _STREAM_S
         self.state.requests_until = finish_at - _REQUEST_S
         notice_until = now + _NOTICE_S
@@ -227,10 +236,7 @@
     def _catch_signals(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.begin_drain)
-        self._loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
-
-    def _note_hangup(self) -> None:
-        _LOG.info('settings changed', extra={'node': self._settings.name})
+        self._loop.add_signal_handler(signal.SIGHUP, self._reloader.reload)
 
     async def _keep_running(
         self, work: Callable[[], Awaitable[None]], name: str
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -116,6 +116,16 @@
             self._budgets[service] = found
         return found
 
+    def change_settings(self, settings: EdgeSettings) -> None:
+        """Let other settings be in force; what was counted is kept."""
+        self.settings = settings
+        for budget in self._budgets.values():
+            budget.change(
+                settings.retry_ratio,
+                settings.retry_slack,
+                settings.retry_window_s,
+            )
+
     def listen(self, listener: Callable[[], None]) -> None:
         """Call back whenever load or replicas have changed."""
         self._listeners.append(listener)
