Keep to a share of each endpoint's connections

Cause: an endpoint takes a stated number of connections from all nodes together and resets the others; every node opened as many as its requests wanted.

Change: a node has at most its share of them, the number divided by the nodes it knows; a plain request waits up to 0.1 s for one and goes elsewhere, a stream takes another path. Waiting connections are closed to make room for a new one.

--- a/samphirerill/fleet/endpoints.py
+++ b/samphirerill/fleet/endpoints.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from samphirerill.fleet.load import LoadBook
     from samphirerill.fleet.view import FleetView, Known
@@ -26,15 +26,19 @@
     service: str,
     tried: Collection[str],
     now: float,
+    may_call: Callable[[str], bool] = bool,
 ) -> Known | None:
     """Return the best endpoint not yet tried, or none.
 
+    `may_call` tells of an endpoint's id whether it would take a call now.
+
     Endpoints that are avoided are used only if no other is left.
     """
     present = [
         found
         for found in view.list_service(service)
         if found.replica.replica_id not in tried
+        and may_call(found.replica.replica_id)
     ]
     fresh = [found for found in present if found.dead_until <= now]
     pool = fresh or present
--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -11,7 +11,7 @@
 import socket
 from collections import deque
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from httptools import HttpParserError, HttpResponseParser
 
@@ -23,6 +23,9 @@
     UnreachableError,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # A connection to an address that is gone hangs; a live one within a region
 # answers in milliseconds. Another one is tried sooner than a lost packet of the
 # handshake is sent again, which takes a second.
@@ -87,6 +90,8 @@
         self.calls = 0
         self.idle_until = 0.0
         self.is_reusable = True
+        # Called once, when the connection has ended for this side.
+        self.on_end: Callable[[], None] | None = None
         self._transport: Any = None
         self._parser = HttpResponseParser(self)
         self._parts: deque[Head | Part | Whole | Lost] = deque()
@@ -174,6 +179,7 @@
     def close(self) -> None:
         """Close at once; an endpoint at work stops then."""
         self.is_reusable = False
+        self._tell_end()
         if self._transport is not None:
             self._transport.abort()
 
@@ -207,6 +213,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell whoever reads."""
         self.is_reusable = False
+        self._tell_end()
         self._lose('the connection closed' if exc is None else repr(exc))
 
     def on_header(self, name: bytes, text: bytes) -> None:
@@ -245,6 +252,12 @@
         self._answering = False
         self._push(Whole())
 
+    def _tell_end(self) -> None:
+        tell = self.on_end
+        self.on_end = None
+        if tell is not None:
+            tell()
+
     async def _wait(self, deadline: float) -> None:
         loop = asyncio.get_running_loop()
         self._waiter = loop.create_future()
--- a/samphirerill/relay/errors.py
+++ b/samphirerill/relay/errors.py
@@ -26,6 +26,10 @@
     """No answer to the connection came: the VM is gone, or the way to it."""
 
 
+class NoConnectionLeftError(ConnectError):
+    """This node has its share of the endpoint's connections in use."""
+
+
 class BrokenAnswerError(EndpointError):
     """The connection ended, or its bytes were no answer to this call."""
 
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -24,6 +24,7 @@
 from samphirerill.relay.errors import (
     ConnectError,
     EndpointError,
+    NoConnectionLeftError,
     SilentEndpointError,
 )
 from samphirerill.relay.refusals import (
@@ -35,6 +36,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from samphirerill.fleet.view import Known
     from samphirerill.relay.connection import HttpConnection
     from samphirerill.relay.state import EdgeState
@@ -51,6 +54,10 @@
 # Connections that fail cost no endpoint any work; so many are tried.
 _MOST_CONNECTS = 4
 _RETRY_S = 0.3
+# While all connections of this node are in use a request waits for one, as long
+# as some answers take, but not long enough to be late by that alone.
+_CONNECTION_WAIT_S = 0.1
+_CONNECTION_STEP_S = 0.005
 # The weight of the newest answer in an endpoint's latency and failures.
 _SMOOTHING = 0.15
 
@@ -91,7 +98,7 @@
         outcome = _Outcome(is_not_run=True, reason='no endpoint')
         connects = 0
         while connects < _MOST_CONNECTS and self._may_send():
-            found = self._choose()
+            found = await self._choose()
             if found is None:
                 break
             outcome = await self._send(found)
@@ -101,16 +108,33 @@
                 break
         self._finish(outcome)
 
-    def _choose(self) -> Known | None:
-        now = self._loop.time()
+    async def _choose(self) -> Known | None:
+        """Return an endpoint, waiting while all connections are in use."""
+        until = self._loop.time() + _CONNECTION_WAIT_S
+        while True:
+            found = self._find_endpoint(self._has_connection)
+            if found is not None or self._loop.time() >= until:
+                return found
+            if self._find_endpoint() is None:
+                return None
+            await asyncio.sleep(_CONNECTION_STEP_S)
+
+    def _find_endpoint(
+        self, may_call: Callable[[str], bool] = bool
+    ) -> Known | None:
         return choose_endpoint(
             self._state.view,
             self._state.book,
             self._task.service.name,
             self._tried,
-            now,
+            self._loop.time(),
+            may_call,
         )
 
+    def _has_connection(self, replica_id: str) -> bool:
+        most = self._state.count_connections(self._task.service)
+        return self._state.pool.has_left(replica_id, most)
+
     def _may_send(self) -> bool:
         """Return whether another send is allowed."""
         now = self._loop.time()
@@ -161,8 +185,12 @@
         replica = found.replica
         try:
             conn = await self._state.pool.take(
-                replica, fresh=not self._task.may_repeat
+                replica,
+                fresh=not self._task.may_repeat,
+                most=self._state.count_connections(self._task.service),
             )
+        except NoConnectionLeftError as exc:
+            return _Outcome(is_not_run=True, was_sent=False, reason=str(exc))
         except ConnectError as exc:
             self._avoid(found, str(exc))
             return _Outcome(is_not_run=True, was_sent=False, reason=str(exc))
--- a/samphirerill/relay/pool.py
+++ b/samphirerill/relay/pool.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections import defaultdict
+from collections import Counter, defaultdict
+from functools import partial
 from typing import TYPE_CHECKING
 
 from samphirerill.relay.connection import (
@@ -12,10 +13,9 @@
     Whole,
     build_call,
 )
+from samphirerill.relay.errors import NoConnectionLeftError
 
 if TYPE_CHECKING:
-    from collections import Counter
-
     from samphirerill.fleet.model import Replica
 
 _IDLE_PER_REPLICA = 16
@@ -33,9 +33,24 @@
     def __init__(self, counters: Counter[str]) -> None:
         self._counters = counters
         self._idle: defaultdict[str, list[HttpConnection]] = defaultdict(list)
+        self._open: Counter[str] = Counter()
+
+    def has_left(self, replica_id: str, most: int) -> bool:
+        """Return whether a call to a replica would find a connection.
+
+        Parameters
+        ----------
+        replica_id : str
+            To whom.
+        most : int
+            The connections that this node may have there; 0 for any number.
+        """
+        if not most or self._idle.get(replica_id):
+            return True
+        return self._open[replica_id] < most
 
     async def take(
-        self, replica: Replica, *, fresh: bool = False
+        self, replica: Replica, *, fresh: bool = False, most: int = 0
     ) -> HttpConnection:
         """Return an open connection; raise ``ConnectError`` if none comes.
 
@@ -47,6 +62,9 @@
             Make a new one. On a kept connection that the endpoint has just
             closed, a request seems lost although nothing ran; one that may
             not be repeated could not be sent again.
+        most : int
+            The connections that this node may have there; 0 for any number.
+            An endpoint resets those beyond what it takes from all nodes.
         """
         now = asyncio.get_running_loop().time()
         idle = self._idle[replica.replica_id]
@@ -56,7 +74,9 @@
                 self._counters['connections.reused'] += 1
                 return conn
             conn.close()
+        self._make_room(replica.replica_id, most)
         conn = HttpConnection(replica.address)
+        self._count(replica.replica_id, conn)
         await conn.open()
         self._counters['connections.made'] += 1
         return conn
@@ -85,6 +105,24 @@
             else:
                 self._idle.pop(replica_id)
 
+    def _make_room(self, replica_id: str, most: int) -> None:
+        """Close a waiting connection if there are as many as there may be."""
+        if not most or self._open[replica_id] < most:
+            return
+        idle = self._idle[replica_id]
+        if not idle:
+            raise NoConnectionLeftError(f'{replica_id}: all {most} in use')
+        idle.pop(0).close()
+
+    def _count(self, replica_id: str, conn: HttpConnection) -> None:
+        self._open[replica_id] += 1
+        conn.on_end = partial(self._uncount, replica_id)
+
+    def _uncount(self, replica_id: str) -> None:
+        self._open[replica_id] -= 1
+        if self._open[replica_id] <= 0:
+            self._open.pop(replica_id)
+
 
 async def call_once(
     address: str, method: bytes, path: bytes, body: bytes, deadline: float
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from samphirerill.fleet.model import FleetConfiguration
+    from samphirerill.fleet.model import FleetConfiguration, Service
     from samphirerill.platform.settings import EdgeSettings
     from samphirerill.relay.dialect import Dialect
     from samphirerill.relay.streaming import StreamExchange
@@ -78,6 +78,17 @@
         self._most_nodes = max(self._most_nodes, seen)
         return self._most_nodes
 
+    def count_connections(self, service: Service) -> int:
+        """Return how many connections to each endpoint this node may have.
+
+        Endpoints take so many from all nodes together, and reset the others;
+        0 stands for any number.
+        """
+        if not service.max_connections:
+            return 0
+        share = service.max_connections // self.count_nodes()
+        return max(1, share)
+
     def put_in_force(self, cfg: FleetConfiguration, text: bytes) -> bool:
         """Let a newer configuration replace the one in force.
 
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -24,6 +24,7 @@
 from samphirerill.relay.errors import (
     ConnectError,
     EndpointError,
+    NoConnectionLeftError,
     SilentEndpointError,
 )
 from samphirerill.relay.events import EventSplitter
@@ -226,7 +227,13 @@
         """Send to the path once and pass on what comes."""
         replica = self._path.stages[0].replica
         try:
-            conn = await self._state.pool.take(replica)
+            conn = await self._state.pool.take(
+                replica, most=self._state.count_connections(self._task.service)
+            )
+        except NoConnectionLeftError as exc:
+            self._reason = str(exc)
+            self._path.avoid.add(replica.replica_id)
+            return
         except ConnectError as exc:
             self._shun(replica.replica_id, str(exc))
             return
