A fault soak: real nodes as processes, harmed from outside; resume after nothing

Cause: a stream whose engine broke off between its head and its first event was resumed after event -1, and began with an event 0. Change: nothing is said of a last event if there is none.

--- a/samphirerill/cli/main.py
+++ b/samphirerill/cli/main.py
@@ -66,7 +66,7 @@
     _add_drain(commands)
     _add_tools(commands)
     _add_bench(commands)
-    # bench
+    _add_soak(commands)
     return parser
 
 
@@ -156,6 +156,15 @@
     add_bench_options(bench)
 
 
+def _add_soak(commands: Any) -> None:
+    from samphirerill.soak.command import add_soak_options
+
+    soak = commands.add_parser(
+        'soak', help='run real nodes under faults and check every promise'
+    )
+    add_soak_options(soak)
+
+
 def _serve(options: argparse.Namespace) -> int:
     settings = load_settings(options.config)
     # The server's libraries are only loaded to serve: other commands start
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -279,7 +279,7 @@
             task.hides_key,
             self._path.stages,
             task.priority,
-            b'%d' % self._last_id if self._started else b'',
+            self._encode_resume(),
         )
         headers = self._state.dialect.build_headers(
             task.req, task.facts, attempt
@@ -288,6 +288,16 @@
             task.req.method, task.req.target, headers, task.req.body
         )
 
+    def _encode_resume(self) -> bytes:
+        """Return the last event that the client has, if it has any of ours.
+
+        A stream may break between its head and its first event; there is
+        nothing to go on from then, and the client's own word holds.
+        """
+        if not self._started or self._last_id < 0:
+            return b''
+        return b'%d' % self._last_id
+
     async def _read_answer(self, conn: HttpConnection) -> None:
         head, facts = await self._patiently(
             conn, _FIRST_SILENCE_S, self._read_head
--- /dev/null
+++ b/samphirerill/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real nodes as processes, faults from outside them."""
--- /dev/null
+++ b/samphirerill/soak/seeds.py
@@ -0,0 +1,9 @@
+"""Seeds that once broke a promise, with the cause; all of them are kept."""
+
+from __future__ import annotations
+
+# An engine broke off between the head of its answer and the first event; the
+# stream was resumed after event -1, and began with an event 0.
+NOTHING_TO_RESUME = (101, 111, 130, 131)
+
+REGRESSIONS = NOTHING_TO_RESUME
--- a/samphirerill/testing/platform_replicas.py
+++ b/samphirerill/testing/platform_replicas.py
@@ -34,6 +34,7 @@
         self.layers = (0, 0)
         self.stop_after = 0
         self.silent_after = 0
+        self.cut_after_head = False
         self.refuses = False
         self.fails = 0
         self.answers_other_first = False
@@ -92,6 +93,10 @@
     ) -> None:
         headers.append((b'Content-Type', b'text/event-stream'))
         conn.start_answer(_OK, headers, None)
+        if self.cut_after_head:
+            await asyncio.sleep(self.gap_s)
+            conn.cut()
+            return
         first = int(req.get(b'last-event-id') or b'0') + 1
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.gap_s)
--- a/samphirerill/testing/platform_store.py
+++ b/samphirerill/testing/platform_store.py
@@ -41,6 +41,8 @@
         self.lose_answers = 0
         self.page = 500
         self._leases: dict[int, set[str]] = {}
+        self._lease_until: dict[int, float] = {}
+        self._ttl_s: dict[int, float] = {}
         self._next_lease = 1
         self._changed = asyncio.Condition()
 
@@ -91,6 +93,17 @@
             self._end_lease(lease)
         await self._tell()
 
+    async def end_overdue(self) -> None:
+        """Let the leases lapse that were not renewed in time."""
+        now = asyncio.get_running_loop().time()
+        overdue = [
+            lease for lease, until in self._lease_until.items() if until < now
+        ]
+        for lease in overdue:
+            self._end_lease(lease)
+        if overdue:
+            await self._tell()
+
     async def _answer(
         self, path: str, query: dict[str, str], body: Json
     ) -> tuple[int, Json]:
@@ -159,10 +172,13 @@
             lease = self._next_lease
             self._next_lease += 1
             self._leases[lease] = set()
+            self._ttl_s[lease] = body['ttlMs'] / _MS_PER_S
+            self._renew(lease)
             return _OK, {'lease': lease, 'ttlMs': body['ttlMs']}
         lease = int(path.rpartition('/')[2])
         if lease not in self._leases:
             return _NOT_FOUND, {}
+        self._renew(lease)
         if path.startswith('/kv-lease-end/'):
             self._end_lease(lease)
             await self._tell()
@@ -189,7 +205,13 @@
             {'key': key, 'revision': self.revision, 'deleted': True}
         )
 
+    def _renew(self, lease: int) -> None:
+        now = asyncio.get_running_loop().time()
+        self._lease_until[lease] = now + self._ttl_s[lease]
+
     def _end_lease(self, lease: int) -> None:
+        self._lease_until.pop(lease, None)
+        self._ttl_s.pop(lease, None)
         for key in self._leases.pop(lease):
             self._delete(key)
 
--- a/samphirerill/tests/test_edge.py
+++ b/samphirerill/tests/test_edge.py
@@ -145,6 +145,27 @@
         resumed = self.world.replicas[other].seen[0]
         self.assertEqual(resumed.get(b'last-event-id'), b'2')
 
+    async def test_before_the_first_event_there_is_nothing_to_resume(
+        self,
+    ) -> None:
+        """Symptom: a stream begins with an event 0 that no answer has.
+
+        Sequence: an engine sends the head of its answer and breaks off; the
+        stream goes on elsewhere. Cause: the last event was said to be -1.
+        """
+        for name in ('engine-1', 'engine-2'):
+            self.world.replicas[name].silent_after = 0
+            self.world.replicas[name].cut_after_head = True
+        waiting = asyncio.create_task(self.stream())
+        while not self.sent():
+            await asyncio.sleep(0.005)
+        first = self.sent()[0]
+        other = 'engine-2' if first == 'engine-1' else 'engine-1'
+        self.world.replicas[other].cut_after_head = False
+        self.assertEqual(await waiting, self.expect(5))
+        resumed = self.world.replicas[other].seen[0]
+        self.assertIsNone(resumed.get(b'last-event-id'))
+
     async def test_a_stream_that_may_not_resume_is_cut(self) -> None:
         await self.world.service.put(
             'op/config', build_configuration(8, resumable=False)
