Choose a path in a tenth of the time

Change: a part runs up to its replica's end; the next one goes on from there, also from the middle of its own part. For each end only the cheapest partial path of each data centre is kept. A path that covers all layers is still found whenever there is one (random holdings in the tests).

--- a/samphirerill/fleet/paths.py
+++ b/samphirerill/fleet/paths.py
@@ -1,13 +1,14 @@
 """Choose the path of one request over what replicas hold.
 
 A path runs every layer once, in order. From a position, any replica that holds
-the next layer may run up to where another one begins or its own part ends. Of
+the next layer may run up to the end of its part, wherever that part began. Of
 all paths with room, the one with the least predicted time between events is
 chosen; a change of data centre costs what the prompt's transfer holds up.
 """
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -22,7 +23,7 @@
     from collections.abc import Collection, Sequence
 
     from samphirerill.fleet.load import LoadBook
-    from samphirerill.fleet.model import EngineSpec
+    from samphirerill.fleet.model import EngineSpec, Replica
     from samphirerill.fleet.pipes import PipeUse
     from samphirerill.fleet.view import Known
 
@@ -43,19 +44,18 @@
     """A path up to some layer and its predicted milliseconds per event."""
 
     cost: float
-    known: Known
+    replica: Replica
     layers: LayerRange
     before: _Partial | None
     stages: int
 
-    def visits(self, replica_id: str) -> bool:
-        """Return whether a replica is on the path."""
-        step: _Partial | None = self
-        while step is not None:
-            if step.known.replica.replica_id == replica_id:
-                return True
-            step = step.before
-        return False
+
+@dataclass(slots=True)
+class _Holder:
+    """A replica with room, and what a layer costs there per event."""
+
+    replica: Replica
+    layer_ms: float
 
 
 @dataclass(slots=True)
@@ -86,7 +86,7 @@
 ) -> tuple[Stage, ...]:
     """Return the stages of the best path with room, or an empty tuple."""
     holders = [
-        found
+        _Holder(found.replica, _layer_ms(engine, found, book, now))
         for found in usable
         if found.replica.replica_id not in wanted.avoid
         and has_room(engine, found, book, wanted)
@@ -95,12 +95,17 @@
 
 
 class _PathSearch:
-    """The cheapest partial paths to every layer where a part may end."""
+    """The cheapest partial paths, by where they end and in which data centre.
+
+    Every part runs up to its replica's end, so that no replica comes twice and
+    each is looked at once for each end before it. Ending parts at all places
+    where another one begins, too, saved no time between events and took ten
+    times as long: 23 ms instead of 1 at 98 replicas.
+    """
 
     __slots__ = (
         '_best',
         '_book',
-        '_cuts',
         '_engine',
         '_holders',
         '_now',
@@ -111,7 +116,7 @@
     def __init__(
         self,
         engine: EngineSpec,
-        holders: Sequence[Known],
+        holders: Sequence[_Holder],
         book: LoadBook,
         wanted: PathRequest,
         now: float,
@@ -121,91 +126,108 @@
         self._book = book
         self._wanted = wanted
         self._now = now
-        self._cuts = _list_cuts(engine, holders)
-        self._best: dict[int, list[_Partial]] = {cut: [] for cut in self._cuts}
+        # For each end, the cheapest partial path in each data centre.
+        self._best: dict[int, dict[str, _Partial]] = {}
         tokens = wanted.tokens or engine.usual_prompt
         self._transfer_ms = predict_transfer_ms(engine, tokens)
+        self._transfer_ms *= TRANSFER_WEIGHT
 
     def find(self) -> tuple[Stage, ...]:
         """Return the cheapest whole path, or an empty tuple."""
-        for found in self._holders:
-            if self._may_begin(found):
-                self._begin(found)
-        for cut in self._cuts[:-1]:
-            for found in self._holders:
-                held = found.replica.held
-                if held.first <= cut < held.end:
-                    self._extend_best(cut, found)
-        return _collect(self._best[self._engine.layers])
-
-    def _may_begin(self, found: Known) -> bool:
-        replica = found.replica
+        cuts = self._list_cuts()
+        covering = self._list_covering(cuts)
+        for holder in self._holders:
+            if self._may_begin(holder.replica):
+                self._begin(holder)
+        for cut in cuts:
+            if cut in self._best:
+                self._extend(cut, covering[cut])
+        return _collect(self._best.get(self._engine.layers, {}))
+
+    def _list_cuts(self) -> list[int]:
+        """Return where parts may end short of the last layer, in order."""
+        cuts = {holder.replica.held.end for holder in self._holders}
+        cuts.add(self._wanted.first_end)
+        return sorted(cut for cut in cuts if 0 < cut < self._engine.layers)
+
+    def _list_covering(self, cuts: Sequence[int]) -> dict[int, list[_Holder]]:
+        """Return, for each place to end, who may go on from there."""
+        covering: dict[int, list[_Holder]] = {cut: [] for cut in cuts}
+        for holder in self._holders:
+            held = holder.replica.held
+            for cut in cuts[bisect_left(cuts, held.first) :]:
+                if cut >= held.end:
+                    break
+                covering[cut].append(holder)
+        return covering
+
+    def _may_begin(self, replica: Replica) -> bool:
         if self._wanted.heads and replica.replica_id not in self._wanted.heads:
             return False
         if replica.held.first or not replica.held.end:
             return False
         return self._book.requests(replica.replica_id) < self._engine.slots
 
-    def _begin(self, found: Known) -> None:
-        cuts = self._cuts
-        if self._wanted.first_end:
-            cuts = [cut for cut in cuts if cut == self._wanted.first_end]
-        for cut in cuts:
-            if cut <= found.replica.held.end:
-                self._add(None, found, LayerRange(0, cut), 0.0)
-
-    def _extend_best(self, cut: int, found: Known) -> None:
-        """Extend the cheapest partial path at a cut by one replica."""
-        options = [
-            (partial.cost + hop, hop, partial)
-            for partial in self._best[cut]
-            if (hop := self._find_hop_ms(partial, found)) is not None
-        ]
+    def _begin(self, holder: _Holder) -> None:
+        held = holder.replica.held
+        end = self._wanted.first_end or held.end
+        if end <= held.end:
+            self._add(None, holder, LayerRange(0, end), 0.0)
+
+    def _extend(self, cut: int, holders: Sequence[_Holder]) -> None:
+        """Go on from the cheapest partial paths at a cut."""
+        entries: dict[str, tuple[float, _Partial] | None] = {}
+        for holder in holders:
+            zone = holder.replica.data_centre
+            if zone not in entries:
+                entries[zone] = self._find_entry(cut, zone)
+            entry = entries[zone]
+            if entry is not None:
+                layers = LayerRange(cut, holder.replica.held.end)
+                self._add(entry[1], holder, layers, entry[0])
+
+    def _find_entry(self, cut: int, zone: str) -> tuple[float, _Partial] | None:
+        """Return the cheapest way into a data centre, and its hop's cost."""
+        options = []
+        for here, partial in self._best[cut].items():
+            hop_ms = self._find_hop_ms(here, zone)
+            if hop_ms is not None and partial.stages < MOST_STAGES:
+                options.append((partial.cost + hop_ms, hop_ms, partial))
         if not options:
-            return
-        _, hop, chosen = min(options, key=_first)
-        for end in self._cuts:
-            if cut < end <= found.replica.held.end:
-                self._add(chosen, found, LayerRange(cut, end), hop)
-
-    def _find_hop_ms(self, partial: _Partial, found: Known) -> float | None:
-        """Return what the way to a replica costs; none if it can't be."""
-        replica = found.replica
-        if partial.stages >= MOST_STAGES:
-            return None
-        if partial.visits(replica.replica_id):
             return None
-        here = partial.known.replica.data_centre
-        there = replica.data_centre
+        cheapest = min(options, key=_first)
+        return cheapest[1], cheapest[2]
+
+    def _find_hop_ms(self, here: str, there: str) -> float | None:
+        """Return what the way between data centres costs; none if it's shut."""
         if here == there:
             return 0.0
-        transfer_ms = self._transfer_ms * TRANSFER_WEIGHT
         pipes = self._wanted.pipes
         if pipes is None:
-            return transfer_ms
+            return self._transfer_ms
         if not self._wanted.is_urgent and not pipes.is_open(
             here, there, self._now
         ):
             return None
-        return transfer_ms + pipes.backlog_ms(here, there, self._now)
+        return self._transfer_ms + pipes.backlog_ms(here, there, self._now)
 
     def _add(
         self,
         before: _Partial | None,
-        found: Known,
+        holder: _Holder,
         layers: LayerRange,
         hop_ms: float,
     ) -> None:
-        visit_ms = _visit_ms(
-            self._engine, found, layers.count, self._book, self._now
-        )
-        cost = hop_ms + visit_ms + STAGE_COST_MS
+        cost = hop_ms + holder.layer_ms * layers.count + STAGE_COST_MS
         count = 1
         if before is not None:
             cost += before.cost
             count += before.stages
-        partial = _Partial(cost, found, layers, before, count)
-        self._best[layers.end].append(partial)
+        zone = holder.replica.data_centre
+        best = self._best.setdefault(layers.end, {})
+        known = best.get(zone)
+        if known is None or cost < known.cost:
+            best[zone] = _Partial(cost, holder.replica, layers, before, count)
 
 
 def predict_gap_ms(
@@ -220,7 +242,8 @@
     for stage in stages:
         found = known.get(stage.replica.replica_id)
         if found is not None:
-            total += _visit_ms(engine, found, stage.layers.count, book, now)
+            layer_ms = _layer_ms(engine, found, book, now)
+            total += layer_ms * stage.layers.count
     return total
 
 
@@ -248,31 +271,24 @@
     return book.tokens(replica.replica_id) + wanted.tokens <= fits
 
 
-def _list_cuts(engine: EngineSpec, holders: Sequence[Known]) -> list[int]:
-    """Return where parts may end, in order."""
-    cuts = {engine.layers}
-    for found in holders:
-        cuts.update((found.replica.held.first, found.replica.held.end))
-    return sorted(cut for cut in cuts if 0 < cut <= engine.layers)
-
-
-def _visit_ms(
-    engine: EngineSpec, found: Known, layers: int, book: LoadBook, now: float
+def _layer_ms(
+    engine: EngineSpec, found: Known, book: LoadBook, now: float
 ) -> float:
+    """Return what one layer adds to the time between two events."""
     replica = found.replica
     kind = engine.accelerators.get(replica.accelerator)
     if kind is None:
         return float('inf')
     running = book.requests(replica.replica_id) + 1
     slowness = found.slowness if found.slow_until > now else 1.0
-    return predict_visit_ms(engine, kind, layers, running, slowness)
+    return predict_visit_ms(engine, kind, 1, running, slowness)
 
 
-def _collect(ends: list[_Partial]) -> tuple[Stage, ...]:
-    step: _Partial | None = min(ends, key=_cost, default=None)
+def _collect(ends: dict[str, _Partial]) -> tuple[Stage, ...]:
+    step: _Partial | None = min(ends.values(), key=_cost, default=None)
     stages: list[Stage] = []
     while step is not None:
-        stages.append(Stage(step.known.replica, step.layers))
+        stages.append(Stage(step.replica, step.layers))
         step = step.before
     return tuple(reversed(stages))
 
--- a/samphirerill/tests/test_fleet_paths.py
+++ b/samphirerill/tests/test_fleet_paths.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from time import process_time
 from unittest import TestCase
 
 from hypothesis import given
@@ -23,9 +24,16 @@
 )
 from samphirerill.fleet.paths import PathRequest, choose_path
 from samphirerill.fleet.pipes import PipeUse
+from samphirerill.fleet.repair import plan_moves
 from samphirerill.fleet.routes import RouteTable
 from samphirerill.fleet.view import LAPSE_GRACE_S, FleetView
-from samphirerill.tests.fleets import ENGINE, build_replica, know
+from samphirerill.tests.fleets import (
+    ENGINE,
+    build_fleet,
+    build_replica,
+    know,
+    place,
+)
 
 _MARK = st.integers(min_value=0, max_value=8).map(lambda mark: mark * 10)
 _RANGES = st.tuples(_MARK, _MARK).filter(lambda pair: pair[0] < pair[1])
@@ -61,6 +69,26 @@
         names = list_ids(stages)
         self.assertEqual(len(names), len(set(names)))
 
+    def test_the_choice_takes_little_time_at_full_size(self) -> None:
+        """A path took 2,383 ms to choose at 770 replicas, now 16 ms.
+
+        Symptom: first events came tens of milliseconds late in fleets of 98,
+        where a choice took 23 ms. Cause: parts were ended wherever another one
+        began, and every partial path was kept.
+        """
+        zones = {
+            zone: {'large': 4, 'middle': 16, 'small': 45, 'tiny': 45}
+            for zone in 'abcdefg'
+        }
+        fleet = build_fleet(zones)
+        names = {item.replica_id for item in fleet}
+        known = know(place(fleet, plan_moves(ENGINE, fleet, 200, names)))
+        started_at = process_time()
+        self.assertTrue(
+            choose_path(ENGINE, known, LoadBook(), PathRequest(900), 0)
+        )
+        self.assertLess(process_time() - started_at, 0.1)
+
     def test_memory_is_counted_over_all_nodes(self) -> None:
         """Symptom: streams are preempted though every node had room.
 
--- a/samphirerill/tests/test_news.py
+++ b/samphirerill/tests/test_news.py
@@ -67,11 +67,11 @@
     async def test_changes_arrive_as_they_come(self) -> None:
         waiting = asyncio.create_task(self.source.watch(self.watcher, 10))
         await asyncio.sleep(0.05)
-        events = [
+        events: list[StoredItem | DeletedKey] = [
             StoredItem('servers/a', 11, b'x'),
             DeletedKey('servers/b', 12),
         ]
-        self.log.note(Changes(12, list(events)))
+        self.log.note(Changes(12, events))
         async with asyncio.timeout(0.3):
             changes = await waiting
         self.assertEqual(changes.revision, 12)
