--- /dev/null
+++ b/samphirerill/relay/stream_guard.py
@@ -0,0 +1,170 @@
+"""Keep one stream on a path that works.
+
+While a stream is sent, its path may lose a replica, or fall silent. What is lost
+is left at once; after a silence, all replicas on the path are asked. A stream
+moves behind its first replica if it can, else it is sent again elsewhere.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from samphirerill.relay.errors import SilentEndpointError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from typing import TypeVar
+
+    from samphirerill.relay.connection import HttpConnection
+    from samphirerill.relay.examiner import Examiner
+    from samphirerill.relay.stream_path import StreamPath
+    from samphirerill.relay.task import Task
+
+    Read = TypeVar('Read')
+
+# Asked in vain, the next question waits longer, up to this.
+_MORE_PATIENCE = 1.6
+# A path that is silent for so long without a reason is left; clients give up
+# after two seconds.
+_MOST_SILENCE_S = 1.2
+
+
+class StreamGuard:
+    """Watches over one stream while it is sent.
+
+    Parameters
+    ----------
+    task : Task
+        The request.
+    path : StreamPath
+        Where the stream passes through.
+    examiner : Examiner
+        Asks the replicas of silent paths.
+    may_resend : callable
+        Returns whether the stream could be sent again.
+    """
+
+    def __init__(
+        self,
+        task: Task,
+        path: StreamPath,
+        examiner: Examiner,
+        may_resend: Callable[[], bool],
+    ) -> None:
+        self._task = task
+        self._path = path
+        self._examiner = examiner
+        self._may_resend = may_resend
+        self._loop = asyncio.get_running_loop()
+        self._conn: HttpConnection | None = None
+        self._moving: asyncio.Task[None] | None = None
+
+    def begin(self, conn: HttpConnection) -> None:
+        """The stream is sent on a connection."""
+        self._conn = conn
+
+    def end(self) -> None:
+        """The stream is not sent any more."""
+        self._conn = None
+        if self._moving is not None:
+            self._moving.cancel()
+
+    def check_path(self) -> None:
+        """Leave replicas that are lost, without waiting for a silence."""
+        conn = self._conn
+        if conn is None or not self._task.may_repeat:
+            return
+        lost = self._path.list_lost()
+        if not lost:
+            return
+        if self._path.head_id in lost:
+            self._leave_head(conn)
+        elif self._moving is None:
+            self._moving = self._loop.create_task(self._move(conn))
+
+    async def read(
+        self,
+        conn: HttpConnection,
+        silence_s: float,
+        read: Callable[[HttpConnection, float], Awaitable[Read]],
+    ) -> Read:
+        """Read on; after a silence, ask whether the path still works.
+
+        Without asking, a stream on a dead stage would wait until the engine
+        itself gives up, seconds later, while other paths are free.
+        """
+        since = self._loop.time()
+        while True:
+            until = min(self._task.deadline, self._loop.time() + silence_s)
+            try:
+                return await read(conn, until)
+            except SilentEndpointError:
+                if self._loop.time() >= self._task.deadline:
+                    raise
+                await self._examine(since)
+            silence_s *= _MORE_PATIENCE
+
+    def _leave_head(self, conn: HttpConnection) -> None:
+        """Go on elsewhere if the first replica is gone or gives up its part.
+
+        One that only leaves finishes what it has begun.
+        """
+        path = self._path
+        may_go = path.is_given_up() and self._can_go_elsewhere()
+        if path.is_head_dead() or may_go:
+            conn.close()
+
+    def _can_go_elsewhere(self) -> bool:
+        return self._may_resend() and self._path.has_other()
+
+    async def _move(self, conn: HttpConnection) -> None:
+        """Move behind the first replica, or go on over another path.
+
+        A replica that gives up layers loads others only when no stream passes
+        through them any more; one that waits for its end would keep a whole
+        pipeline out of work for seconds. One that only leaves may go on.
+        """
+        try:
+            if await self._path.move() or not self._path.is_given_up():
+                return
+            if self._conn is conn and self._can_go_elsewhere():
+                conn.close()
+        finally:
+            self._moving = None
+
+    async def _examine(self, since: float) -> None:
+        """Move the stream if its path can't go on; raise if that fails.
+
+        Parameters
+        ----------
+        since : float
+            When the silence began.
+        """
+        head_id = self._path.head_id
+        diagnosis = await self._examiner.examine(self._path.stages)
+        if head_id in diagnosis.dead:
+            raise SilentEndpointError(f'{head_id}: does not answer')
+        if not self._task.may_repeat:
+            return
+        culprit = self._path.find_culprit(diagnosis, self._task.request_id)
+        if not culprit:
+            self._leave_silent(since)
+            return
+        if culprit != head_id and await self._move_behind_head():
+            return
+        if self._can_go_elsewhere():
+            raise SilentEndpointError(f'the path waits for {culprit}')
+
+    async def _move_behind_head(self) -> bool:
+        """Move the stream, or wait for the move that is under way."""
+        if self._moving is None:
+            return await self._path.move()
+        await asyncio.wait((self._moving,))
+        return not self._path.list_lost()
+
+    def _leave_silent(self, since: float) -> None:
+        """Leave a path that is silent for long, though all its parts live."""
+        waited_s = self._loop.time() - since
+        if waited_s >= _MOST_SILENCE_S and self._can_go_elsewhere():
+            raise SilentEndpointError(f'silent for {waited_s:.1f} s')
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -25,7 +25,6 @@
     ConnectError,
     EndpointError,
     NoConnectionLeftError,
-    SilentEndpointError,
 )
 from samphirerill.relay.events import EventSplitter
 from samphirerill.relay.refusals import (
@@ -35,13 +34,11 @@
     Refusal,
     refuse,
 )
+from samphirerill.relay.stream_guard import StreamGuard
 from samphirerill.relay.stream_path import StreamPath
 from samphirerill.relay.stream_times import StreamTimes
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-    from typing import TypeVar
-
     from samphirerill.fleet.model import EngineSpec
     from samphirerill.relay.admission import Admission
     from samphirerill.relay.connection import HttpConnection
@@ -49,8 +46,6 @@
     from samphirerill.relay.state import EdgeState
     from samphirerill.relay.task import Task
 
-    Read = TypeVar('Read')
-
 _LOG = get_logger('streams')
 _MS_PER_S = 1000
 # Clients give a stream up after a gap of two seconds, also before its first
@@ -67,11 +62,6 @@
 _LEAST_SILENCE_S = 0.09
 # Reading the prompt through all stages takes up to half a second under load.
 _FIRST_SILENCE_S = 0.22
-# Asked in vain, the next question waits longer, up to this.
-_MORE_PATIENCE = 1.6
-# A path that is silent for so long without a reason is left; clients give up
-# after two seconds.
-_MOST_SILENCE_S = 1.2
 # How often a stream may be sent to a path that ran nothing of it.
 _MOST_SENDS = 6
 # When to come back if nothing better is known.
@@ -108,7 +98,6 @@
     ) -> None:
         self._state = state
         self._task = task
-        self._examiner = examiner
         self._loop = asyncio.get_running_loop()
         self._path = StreamPath(state, task, engine, admission)
         self._times = StreamTimes(state.metrics, task.req.arrived_at)
@@ -119,8 +108,7 @@
         self._ended = False
         self._failure: tuple[Head, bytes] | None = None
         self._reason = ''
-        self._conn: HttpConnection | None = None
-        self._moving: asyncio.Task[None] | None = None
+        self._guard = StreamGuard(task, self._path, examiner, self._may_resend)
 
     async def run(self) -> None:
         """Answer the request."""
@@ -135,44 +123,7 @@
 
     def check_path(self) -> None:
         """Leave replicas that are lost, without waiting for a silence."""
-        conn = self._conn
-        if conn is None or not self._task.may_repeat:
-            return
-        lost = self._path.list_lost()
-        if not lost:
-            return
-        if self._path.head_id in lost:
-            self._leave_head(conn)
-        elif self._moving is None:
-            self._moving = self._loop.create_task(self._move(conn))
-
-    def _leave_head(self, conn: HttpConnection) -> None:
-        """Go on elsewhere if the first replica is gone or gives up its part.
-
-        One that only leaves finishes what it has begun.
-        """
-        path = self._path
-        may_go = path.is_given_up() and self._can_go_elsewhere()
-        if path.is_head_dead() or may_go:
-            conn.close()
-
-    def _can_go_elsewhere(self) -> bool:
-        return self._may_resend() and self._path.has_other()
-
-    async def _move(self, conn: HttpConnection) -> None:
-        """Move behind the first replica, or go on over another path.
-
-        A replica that gives up layers loads others only when no stream passes
-        through them any more; one that waits for its end would keep a whole
-        pipeline out of work for seconds. One that only leaves may go on.
-        """
-        try:
-            if await self._path.move() or not self._path.is_given_up():
-                return
-            if self._conn is conn and self._can_go_elsewhere():
-                conn.close()
-        finally:
-            self._moving = None
+        self._guard.check_path()
 
     async def _serve(self) -> None:
         while not self._ended and self._may_send():
@@ -238,7 +189,7 @@
             self._shun(replica.replica_id, str(exc))
             return
         self._note_send()
-        self._conn = conn
+        self._guard.begin(conn)
         try:
             conn.send(self._build_call())
             await self._read_answer(conn)
@@ -251,9 +202,7 @@
         else:
             self._state.pool.give_back(replica, conn)
         finally:
-            self._conn = None
-            if self._moving is not None:
-                self._moving.cancel()
+            self._guard.end()
 
     def _note_send(self) -> None:
         self._sends += 1
@@ -299,7 +248,7 @@
         return b'%d' % self._last_id
 
     async def _read_answer(self, conn: HttpConnection) -> None:
-        head, facts = await self._patiently(
+        head, facts = await self._guard.read(
             conn, _FIRST_SILENCE_S, self._read_head
         )
         if facts.is_not_run:
@@ -336,7 +285,7 @@
         while not self._ended:
             gap_s = self._times.predict_gap_s(predicted_s)
             silence_s = max(_LEAST_SILENCE_S, _SILENT_GAPS * gap_s)
-            part = await self._patiently(conn, silence_s, _read_part)
+            part = await self._guard.read(conn, silence_s, _read_part)
             if isinstance(part, Whole):
                 caller.write_body(splitter.rest)
                 caller.end_answer()
@@ -355,64 +304,6 @@
             self._times.note_event(self._loop.time())
             self._task.conn.write_body(b''.join(fresh))
 
-    async def _patiently(
-        self,
-        conn: HttpConnection,
-        silence_s: float,
-        read: Callable[[HttpConnection, float], Awaitable[Read]],
-    ) -> Read:
-        """Read on; after a silence, ask whether the path still works.
-
-        Without asking, a stream on a dead stage would wait until the engine
-        itself gives up, seconds later, while other paths are free.
-        """
-        since = self._loop.time()
-        while True:
-            until = min(self._task.deadline, self._loop.time() + silence_s)
-            try:
-                return await read(conn, until)
-            except SilentEndpointError:
-                if self._loop.time() >= self._task.deadline:
-                    raise
-                await self._examine(since)
-            silence_s *= _MORE_PATIENCE
-
-    async def _examine(self, since: float) -> None:
-        """Move the stream if its path can't go on; raise if that fails.
-
-        Parameters
-        ----------
-        since : float
-            When the silence began.
-        """
-        head_id = self._path.head_id
-        diagnosis = await self._examiner.examine(self._path.stages)
-        if head_id in diagnosis.dead:
-            raise SilentEndpointError(f'{head_id}: does not answer')
-        if not self._task.may_repeat:
-            return
-        culprit = self._path.find_culprit(diagnosis, self._task.request_id)
-        if not culprit:
-            self._leave_silent(since)
-            return
-        if culprit != head_id and await self._move_behind_head():
-            return
-        if self._can_go_elsewhere():
-            raise SilentEndpointError(f'the path waits for {culprit}')
-
-    async def _move_behind_head(self) -> bool:
-        """Move the stream, or wait for the move that is under way."""
-        if self._moving is None:
-            return await self._path.move()
-        await asyncio.wait((self._moving,))
-        return not self._path.list_lost()
-
-    def _leave_silent(self, since: float) -> None:
-        """Leave a path that is silent for long, though all its parts live."""
-        waited_s = self._loop.time() - since
-        if waited_s >= _MOST_SILENCE_S and self._can_go_elsewhere():
-            raise SilentEndpointError(f'silent for {waited_s:.1f} s')
-
     def _note_not_run(self, head: Head, at_fault: str) -> None:
         """The path refused and ran nothing; avoid who could not do its part."""
         replica_id = self._path.head_id
