--- a/samphirerill/relay/leadership.py
+++ b/samphirerill/relay/leadership.py
@@ -5,12 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from samphirerill.backends.store import StoreError
 from samphirerill.node.logs import get_logger
 from samphirerill.platform.store import (
     ConditionFailedError,
     NoSuchLeaseError,
 )
+from samphirerill.relay.leases import give_up_lease
 
 if TYPE_CHECKING:
     from samphirerill.platform.store import (
@@ -88,13 +88,9 @@
 
     async def leave(self) -> None:
         """Let another node take over at once."""
-        if not self._lease:
-            return
-        try:
-            await self._store.end_lease(self._lease)
-        except StoreError as exc:
-            _LOG.info('lease not ended', extra={'error': str(exc)})
+        lease = self._lease
         self._lease = 0
+        await give_up_lease(self._store, lease, _LOG)
 
     async def _renew(self, now: float) -> None:
         self._next_call = now + _RENEW_S
--- a/samphirerill/relay/members.py
+++ b/samphirerill/relay/members.py
@@ -15,6 +15,7 @@
 from samphirerill.backends.store import StoreError
 from samphirerill.node.logs import get_logger
 from samphirerill.platform.store import NoSuchLeaseError
+from samphirerill.relay.leases import give_up_lease
 from samphirerill.relay.listeners import listen
 from samphirerill.relay.messages import (
     Announced,
@@ -152,12 +153,7 @@
 
     async def leave(self) -> None:
         """End the announcement."""
-        if not self._lease:
-            return
-        try:
-            await self._store.end_lease(self._lease)
-        except StoreError as exc:
-            _LOG.info('lease not ended', extra={'error': str(exc)})
+        await give_up_lease(self._store, self._lease, _LOG)
 
     def take_all(self, found: list[StoredItem], revision: int) -> None:
         """Take a whole reading of the announcements."""
