An emulator of engines, pipes and callers, and a lab to play plans in it

A plan could only be judged by runs of the whole system.

Not there: memory that runs out, the store, ranking of measured placements, plots (docs/design/emulator.md).

--- a/samphirerill/cli/main.py
+++ b/samphirerill/cli/main.py
@@ -67,6 +67,7 @@
     _add_tools(commands)
     _add_bench(commands)
     _add_soak(commands)
+    _add_lab(commands)
     return parser
 
 
@@ -165,6 +166,15 @@
     add_soak_options(soak)
 
 
+def _add_lab(commands: Any) -> None:
+    from samphirerill.emulator.lab import add_lab_options
+
+    lab = commands.add_parser(
+        'lab', help='play fleets and plans in an emulator'
+    )
+    add_lab_options(lab)
+
+
 def _serve(options: argparse.Namespace) -> int:
     settings = load_settings(options.config)
     # The server's libraries are only loaded to serve: other commands start
