--- a/samphirerill/cli/main.py
+++ b/samphirerill/cli/main.py
@@ -158,7 +158,7 @@
 
 
 def _add_soak(commands: Any) -> None:
-    from samphirerill.soak.command import add_soak_options
+    from samphirerill.testing.soak.command import add_soak_options
 
     soak = commands.add_parser(
         'soak', help='run real nodes under faults and check every promise'
--- a/samphirerill/soak/clients.py
+++ b/samphirerill/testing/soak/clients.py
@@ -15,14 +15,14 @@
 from samphirerill.relay.errors import EndpointError
 from samphirerill.relay.events import EventSplitter
 from samphirerill.relay.pool import call_once
-from samphirerill.soak.replicas import count_events
-from samphirerill.soak.world import HOST, KEYS
+from samphirerill.testing.soak.replicas import count_events
+from samphirerill.testing.soak.world import HOST, KEYS
 
 if TYPE_CHECKING:
     from random import Random
 
-    from samphirerill.soak.nodes import SoakNode
-    from samphirerill.soak.world import SoakWorld
+    from samphirerill.testing.soak.nodes import SoakNode
+    from samphirerill.testing.soak.world import SoakWorld
 
 KINDS = frozenset(('notes', 'look', 'book'))
 _MIX = ('notes', 'notes', 'look', 'book')
--- a/samphirerill/soak/command.py
+++ b/samphirerill/testing/soak/command.py
@@ -5,7 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from samphirerill.soak.seeds import REGRESSIONS
+from samphirerill.testing.soak.seeds import REGRESSIONS
 
 if TYPE_CHECKING:
     import argparse
@@ -55,7 +55,7 @@
 def _soak(options: argparse.Namespace) -> int:
     """Return 1 if any seed broke a promise."""
     # The stand-ins are loaded only for this command.
-    from samphirerill.soak.run import run_seeds
+    from samphirerill.testing.soak.run import run_seeds
 
     seeds = list(REGRESSIONS)
     if not options.regressions:
--- a/samphirerill/soak/faults.py
+++ b/samphirerill/testing/soak/faults.py
@@ -12,14 +12,14 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
-from samphirerill.soak.truth import Fault
+from samphirerill.testing.soak.truth import Fault
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
     from random import Random
 
-    from samphirerill.soak.nodes import SoakNode
-    from samphirerill.soak.world import Slot, SoakWorld
+    from samphirerill.testing.soak.nodes import SoakNode
+    from samphirerill.testing.soak.world import Slot, SoakWorld
 
 _LONGEST_S = 2.5
 _SHORTEST_S = 0.2
--- a/samphirerill/soak/replicas.py
+++ b/samphirerill/testing/soak/replicas.py
@@ -17,7 +17,7 @@
 
 if TYPE_CHECKING:
     from samphirerill.relay.server import CallerConnection, Request
-    from samphirerill.soak.truth import Truth
+    from samphirerill.testing.soak.truth import Truth
 
 LAYERS = 80
 _OK = 200
--- a/samphirerill/soak/run.py
+++ b/samphirerill/testing/soak/run.py
@@ -12,14 +12,14 @@
 from tempfile import TemporaryDirectory
 from typing import TYPE_CHECKING
 
-from samphirerill.soak.clients import (
+from samphirerill.testing.soak.clients import (
     KINDS,
     Balancer,
     Client,
     VersionProbe,
 )
-from samphirerill.soak.faults import Trouble
-from samphirerill.soak.world import SoakWorld
+from samphirerill.testing.soak.faults import Trouble
+from samphirerill.testing.soak.world import SoakWorld
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/samphirerill/soak/world.py
+++ b/samphirerill/testing/soak/world.py
@@ -8,10 +8,10 @@
 from msgspec import json
 
 from samphirerill.relay.listeners import listen
-from samphirerill.soak.nodes import SoakNode
-from samphirerill.soak.proxy import LoopbackProxy
-from samphirerill.soak.replicas import LAYERS, Replicas, SoakReplica
-from samphirerill.soak.truth import Truth
+from samphirerill.testing.soak.nodes import SoakNode
+from samphirerill.testing.soak.proxy import LoopbackProxy
+from samphirerill.testing.soak.replicas import LAYERS, Replicas, SoakReplica
+from samphirerill.testing.soak.truth import Truth
 from samphirerill.testing.platform_store import StandInStore
 
 if TYPE_CHECKING:
--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -6,8 +6,8 @@
 from tempfile import TemporaryDirectory
 from unittest import TestCase
 
-from samphirerill.soak.run import run_seed
-from samphirerill.soak.truth import Fault, Truth
+from samphirerill.testing.soak.run import run_seed
+from samphirerill.testing.soak.truth import Fault, Truth
 
 _SEED = 7
 _LENGTH_S = 8.0
