--- a/samphirerill/relay/news.py
+++ b/samphirerill/relay/news.py
@@ -164,8 +164,9 @@
         self._loop = asyncio.get_running_loop()
         self._peers: Mapping[str, str] = {}
         self._avoid_until: dict[str, float] = {}
-        self._behind_since = 0
-        self._behind_at = 0.0
+        # The revision at which this node was last behind others, and when.
+        self._late_revision = 0
+        self._late_since = 0.0
         self._distrust_until = 0.0
 
     def take_peers(self, peers: Mapping[str, str]) -> None:
@@ -187,14 +188,19 @@
 
         A watcher may be deaf without noticing; the others then know more, and
         go on knowing more.
+
+        Parameters
+        ----------
+        known, own : int
+            Revisions of the store that the other node and this one know.
         """
         now = self._loop.time()
         if known <= own:
             return
-        if self._behind_since < own:
-            self._behind_since = own
-            self._behind_at = now
-        elif now >= self._behind_at + _BEHIND_S:
+        if self._late_revision < own:
+            self._late_revision = own
+            self._late_since = now
+        elif now >= self._late_since + _BEHIND_S:
             self._distrust_until = now + _DISTRUST_S
 
     async def watch(self, watcher: str, after: int) -> Changes:
