--- a/samphirerill/tests/test_fleet_plans.py
+++ b/samphirerill/tests/test_fleet_plans.py
@@ -11,6 +11,7 @@
 from samphirerill.fleet.chains import extract_chains
 from samphirerill.fleet.model import Replica
 from samphirerill.fleet.planner import Planned, plan_layers
+from samphirerill.fleet.rates import WANTED_REQUESTS, count_most_layers
 from samphirerill.fleet.repair import plan_moves
 from samphirerill.fleet.timing import PlanTiming
 from samphirerill.tests.fleets import (
@@ -180,6 +181,18 @@
                 left = [item for item in self.fleet if item.replica_id != name]
                 self.assertEqual(self.count_whole(left), 3)
 
+    def test_doubles_carry_what_their_pipeline_carries(self) -> None:
+        """Symptom: whole pipelines are cut anew after one loss each.
+
+        Sequence: a part is lost; its double takes over, with room for 24
+        requests where the other parts hold 44. Cause: doubles held as many
+        layers as fit beside 15 requests.
+        """
+        for item in self.fleet:
+            with self.subTest(item.replica_id):
+                most = count_most_layers(ENGINE, item, WANTED_REQUESTS)
+                self.assertLessEqual(item.held.count, most)
+
     def test_repairs_stay_in_their_data_centre(self) -> None:
         lost = self._find_part('a', 0)
         left = [item for item in self.fleet if item is not lost]
@@ -237,6 +250,21 @@
             plans += timing.may_plan('fleet', held)
         self.assertLess(plans, 10)
 
+    def test_who_commands_anew_takes_the_fleet_as_settled(self) -> None:
+        """Symptom: after a change of command no gap is closed for 2.5 s.
+
+        Sequence: the node that commands is killed; the next one sees every
+        replica for the first time. Cause: all of them counted as newcomers,
+        for which no pipeline is wanted.
+        """
+        timing = PlanTiming()
+        fleet = [build_replica(f'r{at}', layers=(0, 8)) for at in range(3)]
+        timing.observe(fleet, 100.0)
+        names = {item.replica_id for item in fleet}
+        self.assertEqual(timing.list_settled(100.0), names)
+        timing.observe([*fleet, build_replica('new')], 101.0)
+        self.assertEqual(timing.list_settled(101.0), names)
+
     def test_newcomers_are_kept_free_for_a_while(self) -> None:
         timing = PlanTiming()
         old = build_replica('old')
