--- a/samphirerill/cli/main.py
+++ b/samphirerill/cli/main.py
@@ -95,7 +95,7 @@
 def _add_check(commands: Any) -> None:
     check = commands.add_parser(
         'check',
-        help='check a settings or configuration file',
+        help='check a settings or configuration file, or a scenario',
         description='Exit 0 if the file is right; else name every error '
         'with its line, what was got and what was expected, and exit 2.',
     )
@@ -198,7 +198,13 @@
 
 
 def _check(options: argparse.Namespace) -> int:
-    check_parsed(read_commented(options.file))
+    parsed = read_commented(options.file)
+    if isinstance(parsed.document, dict) and 'traffic' in parsed.document:
+        from samphirerill.emulator.scenario import load_scenario
+
+        load_scenario(options.file)
+    else:
+        check_parsed(parsed)
     _print(f'{options.file}: right')
     return EXIT_OK
 
