Streams stay on replicas that leave, and move off them one by one

Cause: a replica that says that it leaves was left by all its streams at the same moment, though it serves on for two seconds and more; they all passed through one pipe to another data centre, or were read by one replica one after another, and paused for 570 to 680 ms. One whose entry was removed without that word was taken for dead, and its streams were cut and read anew.

Ruled out: load (first events at a median of 50 ms throughout), the planner (the newcomer that takes over is ordered within 20 ms and loaded 1.6 s later).

Change: a stream stays until a moment of its own in the last part of the time for which the replica still serves; a removed entry means leaving unless the replica was found dead; after a crash a stream is sent anew where that is predicted to take less than moving it (predict_pause_ms). Both can be switched off in Policy.

What is left of losses is noticing and parts that nobody in the data centre doubles.

--- /dev/null
+++ b/samphirerill/fleet/policy.py
@@ -0,0 +1,24 @@
+"""Which ways of deciding are in use; each can be switched off by itself.
+
+A mechanism stays only if it is worth something. To measure that, every one has
+a field here, all of them on unless the settings say otherwise; the object is
+passed whole to those who decide.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Policy:
+    """Switches of single mechanisms.
+
+    `unhurried_leaving`: streams on a replica that leaves stay as long as it
+    serves them, and then move one by one; otherwise all move at once.
+    `cheaper_way`: a stream that lost a part is sent again where that takes
+    less than moving it; otherwise it moves if it can.
+    """
+
+    unhurried_leaving: bool = True
+    cheaper_way: bool = True
--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -25,6 +25,9 @@
 _STREAK_S = 5.0
 # How long a replica's own word on its pace counts.
 _PACE_S = 5.0
+# Replicas that were withdrawn while they served are forgotten so much later
+# than they may have ended; some serve on for many seconds.
+_FORGET_LEAVING_S = 30.0
 # The ids of replicas that were withdrawn, kept to refuse older news of them.
 _MOST_TOMBS = 4096
 
@@ -66,11 +69,25 @@
     own_version: int = 0
     # Replicas that began to leave, gave up layers or were found dead.
     losses: int = 0
-    leaving: set[str] = field(default_factory=set)
+    # Until when each replica that leaves serves what it has begun; also of
+    # those that are no longer announced.
+    leaving: dict[str, float] = field(default_factory=dict)
     _tombs: dict[str, int] = field(default_factory=dict)
 
-    def announce(self, replica: Replica, revision: int) -> bool:
-        """Take an announcement; return whether it was news."""
+    def announce(
+        self, replica: Replica, revision: int, leaves_at: float = 0.0
+    ) -> bool:
+        """Take an announcement; return whether it was news.
+
+        Parameters
+        ----------
+        replica : Replica
+            As it announces itself.
+        revision : int
+            Of the store that wrote it.
+        leaves_at : float
+            Until when it serves what it has begun, if it says that it leaves.
+        """
         replica_id = replica.replica_id
         if revision <= self._tombs.get(replica_id, -1):
             return False
@@ -79,7 +96,7 @@
             found.lapsed_until = 0.0
             return False
         if replica.is_leaving and replica_id not in self.leaving:
-            self.leaving.add(replica_id)
+            self.leaving[replica_id] = leaves_at
             self.losses += 1
         if found is None:
             self._bury_predecessors(replica.address, revision)
@@ -93,7 +110,11 @@
         return True
 
     def withdraw(
-        self, replica_id: str, revision: int, grace_until: float
+        self,
+        replica_id: str,
+        revision: int,
+        grace_until: float,
+        leaves_at: float = 0.0,
     ) -> None:
         """An announcement is gone; with a grace it may come back.
 
@@ -105,6 +126,10 @@
             Of the news; older than the announcement, it means nothing.
         grace_until : float
             Until when the replica is still used; 0 if it is gone for sure.
+        leaves_at : float
+            Until when it serves what it has begun. Some replicas leave without
+            a word but this; one that was found dead, or has said before that
+            it leaves, serves nothing any more.
         """
         found = self.known.get(replica_id)
         if found is None or revision < found.revision:
@@ -112,21 +137,25 @@
         if grace_until and replica_id not in self.leaving:
             found.lapsed_until = found.lapsed_until or grace_until
             return
+        may_serve = replica_id not in self.leaving and not found.dead_until
         self._bury(replica_id, revision)
+        if may_serve and leaves_at:
+            self.leaving[replica_id] = leaves_at
 
     def replace_all(
         self,
         replicas: Iterable[tuple[Replica, int]],
         revision: int,
         grace_until: float,
+        leaves_at: float = 0.0,
     ) -> None:
         """Take a whole list; what is missing from it is withdrawn."""
         present = set()
         for replica, written in replicas:
             present.add(replica.replica_id)
-            self.announce(replica, written)
+            self.announce(replica, written, leaves_at)
         for replica_id in set(self.known) - present:
-            self.withdraw(replica_id, revision, grace_until)
+            self.withdraw(replica_id, revision, grace_until, leaves_at)
         self.revision = max(self.revision, revision)
 
     def reach(self, revision: int) -> None:
@@ -142,6 +171,9 @@
         ]
         for replica_id in gone:
             self._bury(replica_id, self.known[replica_id].revision)
+        for replica_id in set(self.leaving) - set(self.known):
+            if self.leaving[replica_id] + _FORGET_LEAVING_S < now:
+                self.leaving.pop(replica_id)
         return gone
 
     def suspect(
@@ -172,7 +204,9 @@
     def has_ended(self, replica_id: str) -> bool:
         """Return whether a replica is gone for sure, not only silent."""
         found = self.known.get(replica_id)
-        return found is None or found.has_ended
+        if found is None:
+            return replica_id not in self.leaving
+        return found.has_ended
 
     def refuse(self, replica_id: str, now: float) -> None:
         """Note that a replica refused its part.
@@ -214,16 +248,18 @@
         return replica_id in self.leaving
 
     def is_lost(self, stage: Stage, now: float) -> bool:
-        """Return whether a part of a path should be left.
+        """Return whether a part of a path should be left at once.
 
-        Its replica is gone, leaving, taken to be dead, or about to give up
-        the layers; it loads others only when nothing passes through any more.
+        Its replica is gone, taken to be dead, or about to give up the layers;
+        it loads others only when nothing passes through any more. One that
+        leaves still serves what it has begun.
         """
         replica_id = stage.replica.replica_id
+        is_leaving = replica_id in self.leaving
         found = self.known.get(replica_id)
-        if found is None or replica_id in self.leaving:
-            return True
-        if _gives_up(stage.layers, found.replica.layers):
+        if found is None:
+            return not is_leaving
+        if not is_leaving and _gives_up(stage.layers, found.replica.layers):
             return True
         return found.dead_until > now
 
@@ -279,7 +315,7 @@
 
     def _bury(self, replica_id: str, revision: int) -> None:
         self.known.pop(replica_id, None)
-        self.leaving.discard(replica_id)
+        self.leaving.pop(replica_id, None)
         self._tombs[replica_id] = revision
         self.ids_version += 1
         self.losses += 1
--- a/samphirerill/platform/settings.py
+++ b/samphirerill/platform/settings.py
@@ -8,6 +8,7 @@
 
 from msgspec import Struct, ValidationError, convert
 
+from samphirerill.fleet.policy import Policy
 from samphirerill.settings.errors import Finding, InvalidDocumentError
 from samphirerill.settings.jsonc import read_commented
 
@@ -23,7 +24,7 @@
     outdated. The figures after them are the platform's bounds: `finish_s`
     between SIGTERM and SIGKILL, `leaving_ms` until a leaving endpoint may get
     no more work, and the share of repeats, with its window, that all nodes
-    together may make.
+    together may make. `policy` switches single mechanisms off.
     """
 
     name: str
@@ -41,6 +42,7 @@
     retry_ratio: float = 0.2
     retry_slack: float = 0
     retry_window_s: float = 10
+    policy: Policy = Policy()
 
 
 def load_edge_settings(path: str) -> EdgeSettings:
--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -124,11 +124,12 @@
         self._refuse_hopeless(waiting, ticket, deadline)
         return await self._wait(ticket, deadline)
 
-    def admit_now(
-        self, service: str, engine: EngineSpec, wanted: PathRequest
-    ) -> tuple[Stage, ...]:
-        """Return a path, counted as taken, or none: for a stream under way."""
-        return self._try(service, engine, wanted)
+    def hold(
+        self, engine: EngineSpec, stages: tuple[Stage, ...], tokens: float
+    ) -> None:
+        """Count a path that `find` returned as taken."""
+        self._state.book.take(list_ids(stages), tokens)
+        self._note_crossings(engine, stages, tokens)
 
     def release(self, stages: tuple[Stage, ...], tokens: float) -> None:
         """A stream has ended: its room is free."""
@@ -229,8 +230,7 @@
     ) -> tuple[Stage, ...]:
         stages = self.find(service, engine, wanted)
         if stages:
-            self._state.book.take(list_ids(stages), wanted.tokens)
-            self._note_crossings(engine, stages, wanted.tokens)
+            self.hold(engine, stages, wanted.tokens)
         return stages
 
     def _note_crossings(
--- a/samphirerill/relay/follower.py
+++ b/samphirerill/relay/follower.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from samphirerill.backends.store import StoreError
-from samphirerill.fleet.model import MS_PER_S, format_layers
+from samphirerill.fleet.model import format_layers
 from samphirerill.fleet.view import LAPSE_GRACE_S
 from samphirerill.node.logs import get_logger
 from samphirerill.platform.store import DeletedKey, HistoryGoneError
@@ -33,8 +33,6 @@
 _LOG = get_logger('follower')
 _FIRST_PAUSE_S = 0.1
 _MOST_PAUSE_S = 0.5
-# Kept of the time within which a leaving replica must get no more work.
-_LEAVING_MARGIN_S = 0.3
 # A call that fails once is no outage in which leases lapse.
 _OUTAGE_S = 0.4
 # A watch ends with each change; where changes come one after another, as at the
@@ -299,7 +297,9 @@
         )
         present = {replica.replica_id for replica, _ in known}
         missing = sorted(set(view.known) - present)
-        view.replace_all(known, revision, self._get_grace())
+        view.replace_all(
+            known, revision, self._get_grace(), self._find_leaves_at()
+        )
         _LOG.info(
             'replicas read',
             extra={
@@ -317,7 +317,9 @@
             was_leaving = self.state.view.is_leaving(replica.replica_id)
             before = self.state.view.known.get(replica.replica_id)
             held = None if before is None else before.replica.layers
-            self.state.view.announce(replica, item.revision)
+            self.state.view.announce(
+                replica, item.revision, self._find_leaves_at()
+            )
             if replica.layers != held:
                 _LOG.info(
                     'replica holds',
@@ -334,7 +336,9 @@
         """Take a deletion; right after an outage it may be a lapse."""
         replica_id = self._strip(gone.key)
         grace_until = self._get_grace()
-        self.state.view.withdraw(replica_id, gone.revision, grace_until)
+        self.state.view.withdraw(
+            replica_id, gone.revision, grace_until, self._find_leaves_at()
+        )
         _LOG.info(
             'replica withdrawn',
             extra={'replica': replica_id, 'may_return': bool(grace_until)},
@@ -357,6 +361,8 @@
 
     def _get_grace(self) -> float:
         """Return until when a missing entry may come back; 0 for never."""
-        most_s = self.state.settings.leaving_ms / MS_PER_S
-        most_s -= _LEAVING_MARGIN_S
-        return self._health.find_grace(self._loop.time(), most_s)
+        now = self._loop.time()
+        return self._health.find_grace(now, self._find_leaves_at() - now)
+
+    def _find_leaves_at(self) -> float:
+        return self.state.find_leaves_at(self._loop.time())
--- /dev/null
+++ b/samphirerill/relay/path_finder.py
@@ -0,0 +1,127 @@
+"""Find paths that one stream may go on over."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from samphirerill.fleet.paths import PathRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from samphirerill.fleet.model import EngineSpec, Stage
+    from samphirerill.relay.admission import Admission
+    from samphirerill.relay.state import EdgeState
+    from samphirerill.relay.task import Task
+
+
+class PathFinder:
+    """What one stream needs of a path, and which replicas it leaves out.
+
+    `avoid` are replicas that failed the stream, `heads` those that it was sent
+    to first; `tokens` is the memory that it will need.
+
+    Parameters
+    ----------
+    state : EdgeState
+        What this node knows.
+    task : Task
+        The request.
+    engine : EngineSpec
+        The service's figures.
+    admission : Admission
+        Looks for paths.
+    """
+
+    __slots__ = (
+        '_admission',
+        '_engine',
+        '_state',
+        '_task',
+        'avoid',
+        'heads',
+        'tokens',
+    )
+
+    def __init__(
+        self,
+        state: EdgeState,
+        task: Task,
+        engine: EngineSpec,
+        admission: Admission,
+    ) -> None:
+        self.tokens = _count_tokens(engine, task)
+        self.avoid: set[str] = set()
+        self.heads: set[str] = set()
+        self._state = state
+        self._task = task
+        self._engine = engine
+        self._admission = admission
+
+    def find_other(self, lost: Collection[str]) -> tuple[Stage, ...]:
+        """Return a path to be sent again over; empty if there is none."""
+        wanted = self.build_request(is_urgent=True)
+        wanted.avoid = {*self.avoid, *lost}
+        return self._find(wanted)
+
+    def find_behind(
+        self, head: Stage, held: frozenset[str], lost: Collection[str]
+    ) -> tuple[Stage, ...]:
+        """Return a path that begins as before; empty if there is none.
+
+        Parameters
+        ----------
+        head : Stage
+            The first part, which stays as it is.
+        held : frozenset of str
+            Replicas that hold the stream's tokens already.
+        lost : collection of str
+            Replicas that it must not pass through.
+        """
+        wanted = PathRequest(
+            self.tokens,
+            {*self.avoid, *lost},
+            frozenset((head.replica.replica_id,)),
+            first_end=head.layers.end,
+            held=held,
+            is_urgent=True,
+        )
+        return self._find(wanted)
+
+    def build_request(self, *, is_urgent: bool) -> PathRequest:
+        """Return what a path must offer for the stream to be sent over it."""
+        heads = self._limit_heads()
+        # One that failed is better than one more than the route allows.
+        avoid = self.avoid - heads
+        return PathRequest(self.tokens, avoid, heads, is_urgent=is_urgent)
+
+    def _limit_heads(self) -> frozenset[str]:
+        """Return the replicas that a path must begin with; empty for any.
+
+        A route says to how many replicas a request may be sent; those that
+        are gone don't count. One that is only silent does: where packets are
+        lost it is there, and has run the request.
+        """
+        view = self._state.view
+        live = {name for name in self.heads if not view.has_ended(name)}
+        if len(live) < self._task.route.max_attempts:
+            return frozenset()
+        return frozenset(live)
+
+    def _find(self, wanted: PathRequest) -> tuple[Stage, ...]:
+        return self._admission.find(
+            self._task.service.name, self._engine, wanted
+        )
+
+
+def _count_tokens(engine: EngineSpec, task: Task) -> float:
+    """Return the memory that a stream will need, in tokens.
+
+    Clients name the most tokens that an answer may have, some twice what
+    answers have in the end; to keep room for all of that left a quarter of
+    the memory unused.
+    """
+    facts = task.facts
+    usual = engine.usual_answer
+    answer = min(facts.most_tokens or usual, facts.hinted_tokens or usual)
+    return (facts.prompt_tokens or engine.usual_prompt) + answer
--- a/samphirerill/relay/peer_help.py
+++ b/samphirerill/relay/peer_help.py
@@ -108,7 +108,8 @@
             text, type=tuple[int, list[tuple[Replica, int]]]
         )
         if revision > self._state.view.revision and not self._health.is_up:
-            self._state.view.replace_all(rows, revision, 0)
+            leaves_at = self._state.find_leaves_at(self._loop.time())
+            self._state.view.replace_all(rows, revision, 0, leaves_at)
             _LOG.info('replicas from a peer', extra={'revision': revision})
             self._state.notify()
 
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -8,7 +8,7 @@
 
 from samphirerill.fleet.budget import RepeatBudget
 from samphirerill.fleet.load import LoadBook
-from samphirerill.fleet.model import ClientLimits
+from samphirerill.fleet.model import MS_PER_S, ClientLimits
 from samphirerill.fleet.pipes import PipeUse
 from samphirerill.fleet.routes import RouteTable
 from samphirerill.fleet.view import FleetView
@@ -27,6 +27,8 @@
 _LOG = get_logger('state')
 # Until a node knows the others it takes an eighth of what all share.
 _LEAST_NODES = 8
+# Kept of the time for which a leaving replica serves, as news of it is late.
+_LEAVING_MARGIN_S = 0.3
 
 
 class EdgeState:
@@ -111,6 +113,10 @@
         self.notify()
         return True
 
+    def find_leaves_at(self, now: float) -> float:
+        """Return until when a replica serves that is found to leave now."""
+        return now + self.settings.leaving_ms / MS_PER_S - _LEAVING_MARGIN_S
+
     def get_limits(self) -> ClientLimits:
         """Return what clients may send."""
         return ClientLimits() if self.cfg is None else self.cfg.limits
--- a/samphirerill/relay/stream_guard.py
+++ b/samphirerill/relay/stream_guard.py
@@ -59,6 +59,7 @@
         self._loop = asyncio.get_running_loop()
         self._conn: HttpConnection | None = None
         self._moving: asyncio.Task[None] | None = None
+        self._leaving: asyncio.TimerHandle | None = None
 
     def begin(self, conn: HttpConnection) -> None:
         """The stream is sent on a connection."""
@@ -69,19 +70,25 @@
         self._conn = None
         if self._moving is not None:
             self._moving.cancel()
+        if self._leaving is not None:
+            self._leaving.cancel()
+            self._leaving = None
 
     def check_path(self) -> None:
-        """Leave replicas that are lost, without waiting for a silence."""
+        """Leave replicas that are lost, without waiting for a silence.
+
+        Those that leave are left while they still serve, but not in a hurry.
+        """
         conn = self._conn
         if conn is None or not self._task.may_repeat:
             return
         lost = self._path.list_lost()
-        if not lost:
-            return
         if self._path.head_id in lost:
             self._leave_head(conn)
-        elif self._moving is None:
-            self._moving = self._loop.create_task(self._move(conn))
+        elif lost:
+            self._start_move(conn)
+        elif self._path.list_leaving():
+            self._plan_leaving(conn)
 
     async def read(
         self,
@@ -105,19 +112,31 @@
                 await self._examine(since)
             silence_s *= _MORE_PATIENCE
 
-    def _leave_head(self, conn: HttpConnection) -> None:
-        """Go on elsewhere if the first replica is gone or gives up its part.
+    def _plan_leaving(self, conn: HttpConnection) -> None:
+        """Move off replicas that leave, at a moment of the stream's own."""
+        if self._leaving is not None:
+            return
+        at = self._path.choose_leaving_time()
+        if at:
+            self._leaving = self._loop.call_at(at, self._leave, conn)
 
-        One that only leaves finishes what it has begun.
-        """
-        path = self._path
-        may_go = path.is_given_up() and self._can_go_elsewhere()
-        if path.is_head_dead() or may_go:
+    def _leave(self, conn: HttpConnection) -> None:
+        self._leaving = None
+        if self._conn is conn:
+            self._start_move(conn)
+
+    def _leave_head(self, conn: HttpConnection) -> None:
+        """Go on elsewhere if the first replica is gone or gives up its part."""
+        if self._path.is_head_dead() or self._can_go_elsewhere():
             conn.close()
 
     def _can_go_elsewhere(self) -> bool:
         return self._may_resend() and self._path.has_other()
 
+    def _start_move(self, conn: HttpConnection) -> None:
+        if self._moving is None:
+            self._moving = self._loop.create_task(self._move(conn))
+
     async def _move(self, conn: HttpConnection) -> None:
         """Move behind the first replica, or go on over another path.
 
@@ -126,7 +145,7 @@
         pipeline out of work for seconds. One that only leaves may go on.
         """
         try:
-            if await self._path.move() or not self._path.is_given_up():
+            if await self._path.move() or not self._path.list_lost():
                 return
             if self._conn is conn and self._can_go_elsewhere():
                 conn.close()
--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -6,8 +6,10 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.load import list_ids
-from samphirerill.fleet.paths import PathRequest, predict_gap_ms
+from samphirerill.fleet.moves import predict_pause_ms
+from samphirerill.fleet.paths import predict_gap_ms
 from samphirerill.relay.orders import order_repath
+from samphirerill.relay.path_finder import PathFinder
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import EngineSpec, Stage
@@ -17,6 +19,11 @@
     from samphirerill.relay.task import Task
 
 _MS_PER_S = 1000
+# Of the time for which a leaving replica still serves a stream, the part that
+# passes before the stream moves: most streams end by themselves in it, and who
+# takes over has loaded the layers. The last moments are kept for the move.
+_STAY = 0.4
+_MOVE_S = 0.15
 
 
 class StreamPath:
@@ -43,10 +50,10 @@
     ) -> None:
         self.engine = engine
         self.stages: tuple[Stage, ...] = ()
-        self.tokens = _count_tokens(engine, task)
-        # Replicas that failed this stream, and those it was sent to first.
-        self.avoid: set[str] = set()
-        self.heads: set[str] = set()
+        self._finder = PathFinder(state, task, engine, admission)
+        self.tokens = self._finder.tokens
+        self.avoid = self._finder.avoid
+        self.heads = self._finder.heads
         self._state = state
         self._task = task
         self._admission = admission
@@ -65,7 +72,7 @@
         self.stages = await self._admission.admit(
             task.service.name,
             self.engine,
-            self._build_request(is_urgent=is_urgent),
+            self._finder.build_request(is_urgent=is_urgent),
             rank,
             deadline,
             task.req.arrived_at + task.route.target_s,
@@ -78,33 +85,51 @@
 
     def has_other(self) -> bool:
         """Return whether the stream could go on over other replicas now."""
-        wanted = self._build_request(is_urgent=True)
-        wanted.avoid = {*self.avoid, *self.list_lost()}
-        found = self._admission.find(
-            self._task.service.name, self.engine, wanted
-        )
-        return bool(found)
+        return bool(self._finder.find_other(self.list_lost()))
 
     async def move(self) -> bool:
-        """Move the stream behind its first replica; return whether it did."""
-        held = list_ids(self.stages)
-        wanted = PathRequest(
-            self.tokens,
-            {*self.avoid, *self.list_lost()},
-            frozenset(held[:1]),
-            first_end=self.stages[0].layers.end,
-            held=frozenset(held),
-            is_urgent=True,
-        )
-        stages = self._admission.admit_now(
-            self._task.service.name, self.engine, wanted
+        """Move the stream behind its first replica; return whether it did.
+
+        It stays if to be sent again would take it less time.
+        """
+        held = frozenset(list_ids(self.stages))
+        stages = self._finder.find_behind(
+            self.stages[0], held, self.list_lost()
         )
-        if not stages:
+        if not stages or self._is_dearer(stages, held):
             return False
+        self._admission.hold(self.engine, stages, self.tokens)
         return await self._change_to(stages)
 
+    def choose_leaving_time(self) -> float:
+        """Return when to move off replicas that leave; 0 if it is too late.
+
+        All streams of a replica that moved at once would wait for each other
+        at whoever takes over: 40 contexts are read one after another. Spread
+        over the time that is left, none waits for another.
+        """
+        now = self._loop.time()
+        if not self._state.settings.policy.unhurried_leaving:
+            return now
+        leaving = self._state.view.leaving
+        names = self.list_leaving()
+        until = min((leaving[name] for name in names), default=now) - _MOVE_S
+        if until <= now:
+            return 0.0
+        since = now + (until - now) * _STAY
+        return self._state.random.uniform(since, until)
+
+    def list_leaving(self) -> set[str]:
+        """Return the replicas behind the first one that leave.
+
+        The first one finishes what it has begun; a stream can't be moved off
+        it, only sent again.
+        """
+        leaving = self._state.view.leaving
+        return {name for name in list_ids(self.stages[1:]) if name in leaving}
+
     def list_lost(self) -> set[str]:
-        """Return the replicas of the path that should be left."""
+        """Return the replicas of the path that should be left at once."""
         now = self._loop.time()
         view = self._state.view
         return {
@@ -113,11 +138,6 @@
             if view.is_lost(stage, now)
         }
 
-    def is_given_up(self) -> bool:
-        """Return whether a part is lost by other than a planned leaving."""
-        view = self._state.view
-        return any(not view.is_leaving(name) for name in self.list_lost())
-
     def is_head_dead(self) -> bool:
         """Return whether the first replica is gone or taken to be dead."""
         found = self._state.view.known.get(self.head_id)
@@ -127,8 +147,9 @@
         """Return the replica that the path waits for; empty if none."""
         address = diagnosis.stalled.get(request_id, '')
         for stage in self.stages:
-            if stage.replica.address == address:
-                return stage.replica.replica_id
+            name = stage.replica.replica_id
+            if stage.replica.address == address or name in diagnosis.dead:
+                return name
         return next(iter(self.list_lost()), '')
 
     def predict_gap_s(self) -> float:
@@ -150,24 +171,20 @@
             for stage in self.stages
         )
 
-    def _build_request(self, *, is_urgent: bool) -> PathRequest:
-        heads = self._limit_heads()
-        # One that failed is better than one more than the route allows.
-        avoid = self.avoid - heads
-        return PathRequest(self.tokens, avoid, heads, is_urgent=is_urgent)
-
-    def _limit_heads(self) -> frozenset[str]:
-        """Return the replicas that a path must begin with; empty for any.
-
-        A route says to how many replicas a request may be sent; those that
-        are gone don't count. One that is only silent does: where packets are
-        lost it is there, and has run the request.
-        """
-        view = self._state.view
-        live = {name for name in self.heads if not view.has_ended(name)}
-        if len(live) < self._task.route.max_attempts:
-            return frozenset()
-        return frozenset(live)
+    def _is_dearer(
+        self, stages: tuple[Stage, ...], held: frozenset[str]
+    ) -> bool:
+        """Return whether moving takes longer than to be sent again."""
+        lost = self.list_lost()
+        if not lost or not self._state.settings.policy.cheaper_way:
+            return False
+        other = self._finder.find_other(self.list_lost())
+        crowd = max(self._state.book.requests(name) for name in lost)
+        move_ms = predict_pause_ms(
+            self.engine, stages, held, self.tokens, crowd
+        )
+        again_ms = predict_pause_ms(self.engine, other, (), self.tokens, crowd)
+        return bool(other) and again_ms < move_ms
 
     async def _change_to(self, stages: tuple[Stage, ...]) -> bool:
         """Order the move; only one of the two paths stays taken."""
@@ -185,16 +202,3 @@
         self.stages = stages
         self._state.counters['streams.moved'] += 1
         return True
-
-
-def _count_tokens(engine: EngineSpec, task: Task) -> float:
-    """Return the memory that a stream will need, in tokens.
-
-    Clients name the most tokens that an answer may have, some twice what
-    answers have in the end; to keep room for all of that left a quarter of
-    the memory unused.
-    """
-    facts = task.facts
-    usual = engine.usual_answer
-    answer = min(facts.most_tokens or usual, facts.hinted_tokens or usual)
-    return (facts.prompt_tokens or engine.usual_prompt) + answer
