Starts of an endpoint are told apart; entries of other writers name nobody

Cause: an endpoint may start again under its id; it then holds nothing, and its count of orders begins anew. By id alone its paths, kept connections, goals of the commander, suspicions and leaving outlived its start. An entry that lacks what a replica's own has, or names an unknown state, was used; one of an unknown service ended the replica at its address.

Change: Replica.started_ms; FleetView takes another start as a new replica; the pool closes connections to the one before; a goal is for one start; a report of another start means that the one asked for has ended. Announcements moved out of documents.py into announcements.py.

--- a/samphirerill/fleet/model.py
+++ b/samphirerill/fleet/model.py
@@ -158,8 +158,10 @@
 class Replica:
     """One start of an endpoint as it announces itself.
 
-    `replica_id` is new with each start. `layers` is what it holds now;
-    ``None`` means none, or that the service has no layers.
+    An endpoint may start again under the same `replica_id`; then it holds
+    nothing of before. `started_ms` tells starts apart, in Unix milliseconds; 0
+    if it says nothing of it. `layers` is what it holds now; ``None`` means
+    none, or that the service has no layers.
     """
 
     replica_id: str
@@ -170,6 +172,11 @@
     is_leaving: bool = False
     accelerator: str = ''
     layers: LayerRange | None = None
+    started_ms: int = 0
+
+    def is_other_start(self, started_ms: int) -> bool:
+        """Return whether something was said by another start than this."""
+        return bool(started_ms and self.started_ms not in (0, started_ms))
 
     @property
     def held(self) -> LayerRange:
--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -72,6 +72,9 @@
     # Until when each replica that leaves serves what it has begun; also of
     # those that are no longer announced.
     leaving: dict[str, float] = field(default_factory=dict)
+    # The services that operators know; an entry of any other is somebody
+    # else's, and ends no replica at its address. Empty if not known yet.
+    services: frozenset[str] = frozenset()
     _tombs: dict[str, int] = field(default_factory=dict)
 
     def announce(
@@ -98,10 +101,13 @@
         if replica.is_leaving and replica_id not in self.leaving:
             self.leaving[replica_id] = leaves_at
             self.losses += 1
-        if found is None:
-            self._bury_predecessors(replica.address, revision)
-            self.known[replica_id] = Known(replica, revision)
-            self.ids_version += 1
+        is_new = found is None or replica.is_other_start(
+            found.replica.started_ms
+        )
+        if is_new and not replica.is_leaving:
+            self.leaving.pop(replica_id, None)
+        if found is None or is_new:
+            self._admit(replica, revision)
         else:
             self.losses += _gives_up(found.replica.layers, replica.layers)
             found.replica = replica
@@ -259,6 +265,8 @@
         found = self.known.get(replica_id)
         if found is None:
             return not is_leaving
+        if found.replica.is_other_start(stage.replica.started_ms):
+            return True
         if not is_leaving and _gives_up(stage.layers, found.replica.layers):
             return True
         return found.dead_until > now
@@ -298,20 +306,27 @@
                 best = found
         return best
 
-    def _bury_predecessors(self, address: str, revision: int) -> None:
-        """Drop replicas whose address another one announces later.
+    def _admit(self, replica: Replica, revision: int) -> None:
+        """Take a replica that is new, or a new start of a known one.
 
-        One that crashed may start again at its address before its old
-        announcement has gone. Paths over the old one are refused then, by
-        a replica that they don't name, again and again.
+        Nothing that was held against the start before, or for it, is true of
+        this one; streams that pass through it have lost their part. It also
+        ends whoever announced its address before: paths that named both were
+        refused by a replica that they don't name, again and again.
         """
+        is_ours = replica.service in self.services or not self.services
         gone = [
             name
             for name, found in self.known.items()
-            if found.replica.address == address and found.revision < revision
+            if found.replica.address == replica.address
+            and found.revision < revision
+            and is_ours
         ]
         for name in gone:
             self._bury(name, self.known[name].revision)
+        self.losses += replica.replica_id in self.known
+        self.known[replica.replica_id] = Known(replica, revision)
+        self.ids_version += 1
 
     def _bury(self, replica_id: str, revision: int) -> None:
         self.known.pop(replica_id, None)
--- a/samphirerill/platform/dialect.py
+++ b/samphirerill/platform/dialect.py
@@ -7,7 +7,7 @@
 from msgspec import Struct, field, json
 
 from samphirerill.fleet.model import MS_PER_S
-from samphirerill.platform import documents, words
+from samphirerill.platform import announcements, documents, words
 from samphirerill.relay.dialect import AnswerFacts, RequestFacts
 
 if TYPE_CHECKING:
@@ -135,11 +135,11 @@
 
     def decode_replica(self, replica_id: str, text: bytes) -> Replica:
         """Return the replica announced in a stored text."""
-        return documents.decode_replica(replica_id, text)
+        return announcements.decode_replica(replica_id, text)
 
     def decode_report(self, text: bytes) -> ReplicaReport:
         """Return an engine's report."""
-        return documents.decode_report(text)
+        return announcements.decode_report(text)
 
     def encode_place(
         self, layers: LayerRange, expected_orders: int, token: int
--- a/samphirerill/platform/documents.py
+++ b/samphirerill/platform/documents.py
@@ -1,4 +1,4 @@
-"""The platform's documents, decoded into the project's types.
+"""The operators' configuration, decoded into the project's types.
 
 Every document is checked while it is decoded; one that is not what the pages
 say raises :class:`~samphirerill.relay.dialect.DocumentError`. Unknown fields are ignored.
@@ -18,15 +18,12 @@
     EngineSpec,
     FleetConfiguration,
     FleetRoute,
-    LayerRange,
     Repeat,
-    Replica,
     Service,
     Share,
 )
-from samphirerill.relay.dialect import DocumentError, ReplicaReport
+from samphirerill.relay.dialect import DocumentError
 
-_LEAVING = 'draining'
 _MOST_SHOWN = 80
 _REPEATS = {
     'idempotent': Repeat.IDEMPOTENT,
@@ -121,44 +118,12 @@
     tenants: list[_Account] | None = None
 
 
-class _Layers(Struct):
-    # `to` is exclusive.
-    begin: int = field(default=0, name='from')
-    to: int = 0
-
-
-class _Entry(Struct):
-    service: str
-    address: str
-    zone: str = ''
-    slots: int = 1
-    state: str = 'ready'
-    kind: str = ''
-    layers: _Layers | None = None
-
-
-class _Stalled(Struct):
-    id: str = ''
-    address: str = ''
-
-
-class _Report(Struct, rename='camel'):
-    layers: _Layers | None = None
-    busy: bool = False
-    # Orders that the replica has taken on since it started.
-    sequence: int = 0
-    pace: float = 1
-    stalled: list[_Stalled] = []
-
-
 _CONFIG = json.Decoder(_Config)
-_ENTRY = json.Decoder(_Entry)
-_REPORT = json.Decoder(_Report)
 
 
 def decode_configuration(text: bytes) -> FleetConfiguration:
     """Return the configuration that a stored document holds."""
-    found: _Config = _decode(_CONFIG, text)
+    found: _Config = decode_document(_CONFIG, text)
     accounts = {
         key: ClientAccount(account.name, account.priority)
         for account in found.tenants or ()
@@ -179,46 +144,14 @@
     )
 
 
-def decode_replica(replica_id: str, text: bytes) -> Replica:
-    """Return the replica that an announcement in the store tells of."""
-    found: _Entry = _decode(_ENTRY, text)
-    return Replica(
-        replica_id=replica_id,
-        service=found.service,
-        address=found.address,
-        data_centre=found.zone,
-        slots=found.slots,
-        is_leaving=found.state == _LEAVING,
-        accelerator=found.kind,
-        layers=_build_layers(found.layers),
-    )
-
-
-def decode_report(text: bytes) -> ReplicaReport:
-    """Return an engine's report on itself."""
-    found: _Report = _decode(_REPORT, text)
-    return ReplicaReport(
-        layers=_build_layers(found.layers),
-        is_busy=found.busy,
-        orders_taken=found.sequence,
-        slowness=found.pace,
-        stalled={item.id: item.address for item in found.stalled},
-    )
-
-
-def _decode(decoder: Any, text: bytes) -> Any:
+def decode_document(decoder: Any, text: bytes) -> Any:
+    """Return what a decoder reads; raise ``DocumentError`` if it can't."""
     try:
         return decoder.decode(text)
     except (DecodeError, ValidationError) as exc:
         raise DocumentError(f'{exc}; got {text[:_MOST_SHOWN]!r}') from exc
 
 
-def _build_layers(found: _Layers | None) -> LayerRange | None:
-    if found is None or found.to <= found.begin:
-        return None
-    return LayerRange(found.begin, found.to)
-
-
 def _build_route(found: _Route) -> FleetRoute:
     repeat = _REPEATS.get(found.kind, Repeat.NON_IDEMPOTENT)
     shares = [Share(part.service, part.weight) for part in found.traffic_split]
--- a/samphirerill/relay/commander.py
+++ b/samphirerill/relay/commander.py
@@ -44,12 +44,20 @@
 
 @dataclass(slots=True)
 class _Goal:
-    """Layers that a replica should hold; given up at `until`."""
+    """Layers that a replica should hold; given up at `until`.
+
+    `replica` is the start of it that the goal is for.
+    """
 
     layers: LayerRange
     until: float
+    replica: Replica
     is_accepted: bool = False
 
+    def is_for(self, replica: Replica) -> bool:
+        """Return whether this start of a replica was meant."""
+        return not replica.is_other_start(self.replica.started_ms)
+
 
 class Commander:
     """Moves layers while this node holds the lease.
@@ -168,6 +176,9 @@
         goal = self._goals.get(replica.replica_id)
         if goal is None:
             return replica
+        if not goal.is_for(replica):
+            self._goals.pop(replica.replica_id)
+            return replica
         if replica.layers != goal.layers and now < goal.until:
             return replace(replica, layers=goal.layers)
         if replica.layers != goal.layers:
@@ -190,8 +201,11 @@
         moves: Moves,
     ) -> None:
         until = self._loop.time() + _GOAL_S
-        for replica_id, layers in moves.items():
-            self._goals[replica_id] = _Goal(layers, until)
+        for replica in present:
+            layers = moves.get(replica.replica_id)
+            if layers is not None:
+                goal = _Goal(layers, until, replica)
+                self._goals[replica.replica_id] = goal
         _LOG.info(
             'fleet',
             extra={
@@ -224,6 +238,9 @@
         report = await ask_report(self._state, replica)
         if report is None or report.is_busy or report.layers == goal.layers:
             return
+        if replica.is_other_start(report.started_ms):
+            # It started again; its new announcement is on its way.
+            return
         if not self._leadership.is_held():
             return
         order = self._state.dialect.encode_place(
--- a/samphirerill/relay/dialect.py
+++ b/samphirerill/relay/dialect.py
@@ -74,6 +74,7 @@
 
     `slowness` above 1 multiplies its usual times. `stalled` maps the ids of
     requests that wait to the address of the replica they wait for.
+    `started_ms` is when it started, in Unix milliseconds; 0 if unsaid.
     """
 
     layers: LayerRange | None
@@ -81,6 +82,7 @@
     orders_taken: int
     slowness: float
     stalled: dict[str, str]
+    started_ms: int = 0
 
 
 class Dialect(Protocol):
--- a/samphirerill/relay/examiner.py
+++ b/samphirerill/relay/examiner.py
@@ -229,6 +229,8 @@
             extra={'replica': replica.replica_id, 'reason': str(exc)},
         )
         return Probe(loop.time(), Verdict.IS_UNCLEAR)
+    if report is not None and replica.is_other_start(report.started_ms):
+        return Probe(loop.time(), Verdict.HAS_ENDED)
     return Probe(loop.time(), Verdict.LIVES, report)
 
 
--- a/samphirerill/relay/follower.py
+++ b/samphirerill/relay/follower.py
@@ -43,6 +43,8 @@
 _MOST_BATCH_S = 0.25
 # Names in one log line.
 _MOST_SHOWN = 8
+# Keys of entries that could not be read, each logged once.
+_MOST_UNREADABLE = 256
 
 
 class StoreHealth:
@@ -278,6 +280,7 @@
         self.state = state
         self._health = health
         self._loop = asyncio.get_running_loop()
+        self._unreadable: set[str] = set()
 
     def take_all(self, found: list[StoredItem], revision: int) -> None:
         """Take a whole reading."""
@@ -350,12 +353,21 @@
                 self._strip(item.key), item.text
             )
         except DocumentError as exc:
-            _LOG.error(
-                'announcement is unreadable',
-                extra={'key': item.key, 'error': str(exc)},
-            )
+            self._note_unreadable(item.key, exc)
             return None
 
+    def _note_unreadable(self, key: str, exc: DocumentError) -> None:
+        """Log an entry once; some are written every second."""
+        if key in self._unreadable:
+            return
+        if len(self._unreadable) >= _MOST_UNREADABLE:
+            self._unreadable.clear()
+        self._unreadable.add(key)
+        _LOG.error(
+            'announcement is unreadable',
+            extra={'key': key, 'error': str(exc)},
+        )
+
     def _strip(self, key: str) -> str:
         return key.removeprefix(self.prefix)
 
--- a/samphirerill/relay/pool.py
+++ b/samphirerill/relay/pool.py
@@ -34,6 +34,8 @@
         self._counters = counters
         self._idle: defaultdict[str, list[HttpConnection]] = defaultdict(list)
         self._open: Counter[str] = Counter()
+        # When each replica started that connections are kept to.
+        self._started: dict[str, int] = {}
 
     def has_left(self, replica_id: str, most: int) -> bool:
         """Return whether a call to a replica would find a connection.
@@ -67,6 +69,7 @@
             An endpoint resets those beyond what it takes from all nodes.
         """
         now = asyncio.get_running_loop().time()
+        self._note_start(replica)
         idle = self._idle[replica.replica_id]
         while idle and not fresh:
             conn = idle.pop()
@@ -84,6 +87,9 @@
     def give_back(self, replica: Replica, conn: HttpConnection) -> None:
         """Keep a connection whose answer was read whole."""
         now = asyncio.get_running_loop().time()
+        if replica.is_other_start(self._started.get(replica.replica_id, 0)):
+            conn.close()
+            return
         idle = self._idle[replica.replica_id]
         if conn.is_usable(now) and len(idle) < _IDLE_PER_REPLICA:
             idle.append(conn)
@@ -104,6 +110,19 @@
                 self._idle[replica_id] = kept
             else:
                 self._idle.pop(replica_id)
+                self._started.pop(replica_id, None)
+
+    def _note_start(self, replica: Replica) -> None:
+        """Close what is kept to the start before an endpoint's present one.
+
+        It may have ended behind a cut, without a word to its connections; a
+        call on one of them would wait in vain.
+        """
+        name = replica.replica_id
+        if replica.is_other_start(self._started.get(name, 0)):
+            for conn in self._idle.pop(name, ()):
+                conn.close()
+        self._started[name] = replica.started_ms
 
     def _make_room(self, replica_id: str, most: int) -> None:
         """Close a waiting connection if there are as many as there may be."""
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -102,6 +102,7 @@
         self.cfg = cfg
         self.cfg_text = text
         self.routes = RouteTable(cfg)
+        self.view.services = frozenset(cfg.services)
         _LOG.info(
             'configuration in force',
             extra={
--- a/samphirerill/tests/test_leaving.py
+++ b/samphirerill/tests/test_leaving.py
@@ -160,6 +160,19 @@
         self.view.sweep(50)
         self.assertTrue(self.view.is_lost(self.stage, 50))
 
+    def test_one_that_serves_on_counts_as_tried(self) -> None:
+        """Symptom: eleven streams ran on three replicas where two are allowed.
+
+        Sequence: a release removes the entry of a head that serves on; its
+        streams are sent to a second head, of which the same becomes true, and
+        then to a third. Cause: a replica without an entry had ended, it was
+        thought, so that it did not count.
+        """
+        self.view.withdraw('one', 2, 0, leaves_at=10)
+        self.assertFalse(self.view.has_ended('one'))
+        self.view.sweep(50)
+        self.assertTrue(self.view.has_ended('one'))
+
     def test_one_that_said_so_before_ends_with_its_entry(self) -> None:
         leaving = replace(self.replica, is_leaving=True)
         self.view.announce(leaving, 2, leaves_at=10)
