samphirerill explain: why streams were late, from the nodes' logs

Cause: to name the cause of a late stream, an operator had to compare the times of four kinds of lines in six logs by hand; moves of a stream were not logged at all.

New lines and facts: stream moved, most_gap_ago_ms.

--- a/samphirerill/cli/main.py
+++ b/samphirerill/cli/main.py
@@ -68,6 +68,7 @@
     _add_bench(commands)
     _add_soak(commands)
     _add_lab(commands)
+    _add_explain(commands)
     return parser
 
 
@@ -175,6 +176,18 @@
     add_lab_options(lab)
 
 
+def _add_explain(commands: Any) -> None:
+    from samphirerill.reports.explain import add_explain_options
+
+    explain = commands.add_parser(
+        'explain',
+        help="find out from nodes' logs why streams were late",
+        description='Print the causes of all late streams with the time that '
+        'each phase took, or with --request one request from first to last.',
+    )
+    add_explain_options(explain)
+
+
 def _serve(options: argparse.Namespace) -> int:
     settings = load_settings(options.config)
     # The server's libraries are only loaded to serve: other commands start
--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -9,6 +9,7 @@
 from samphirerill.fleet.load import list_ids
 from samphirerill.fleet.moves import predict_pause_ms
 from samphirerill.fleet.paths import predict_gap_ms
+from samphirerill.node.logs import get_logger
 from samphirerill.relay.orders import order_repath
 from samphirerill.relay.path_finder import PathFinder
 from samphirerill.relay.signs import list_unproven
@@ -20,6 +21,7 @@
     from samphirerill.relay.state import EdgeState
     from samphirerill.relay.task import Task
 
+_LOG = get_logger('streams')
 _MS_PER_S = 1000
 # Of the time for which a leaving replica still serves a stream, the part that
 # passes before the stream moves: most streams end by themselves in it, and who
@@ -222,6 +224,15 @@
             self._admission.release(stages, self.tokens)
             return False
         self._admission.release(self.stages, self.tokens)
+        left = self.describe()
         self.stages = stages
         self._state.counters['streams.moved'] += 1
+        _LOG.info(
+            'stream moved',
+            extra={
+                'request': self._task.request_id,
+                'path': self.describe(),
+                'before': left,
+            },
+        )
         return True
--- a/samphirerill/relay/stream_times.py
+++ b/samphirerill/relay/stream_times.py
@@ -43,6 +43,7 @@
         '_first_at',
         '_mean_s',
         '_metrics',
+        '_most_gap_at',
         '_most_gap_s',
         '_policy',
         'last_at',
@@ -58,6 +59,7 @@
         self._events = 0
         self._first_at = 0.0
         self._most_gap_s = 0.0
+        self._most_gap_at = 0.0
         self._mean_s = 0.0
         self._deviation_s = 0.0
 
@@ -66,7 +68,9 @@
         self._events += 1
         if self.last_at:
             gap_s = now - self.last_at
-            self._most_gap_s = max(self._most_gap_s, gap_s)
+            if gap_s > self._most_gap_s:
+                self._most_gap_s = gap_s
+                self._most_gap_at = now
             self._smooth(gap_s)
             self._metrics.record('token_gap', 'stream', gap_s)
         else:
@@ -94,8 +98,11 @@
         longest_s = self._mean_s + _DEVIATIONS * self._deviation_s
         return max(LEAST_SILENCE_S, longest_s)
 
-    def describe(self) -> dict[str, Any]:
-        """Return counts and milliseconds for a log line."""
+    def describe(self, now: float) -> dict[str, Any]:
+        """Return counts and milliseconds for a log line.
+
+        `most_gap_ago_ms` is how long ago the longest pause ended.
+        """
         if not self._events:
             return {'events': 0}
         spent_s = self.last_at - self._first_at
@@ -104,6 +111,7 @@
             'first_ms': round((self._first_at - self._arrived_at) * _MS_PER_S),
             'gap_ms': round(spent_s * _MS_PER_S / max(1, self._events - 1)),
             'most_gap_ms': round(self._most_gap_s * _MS_PER_S),
+            'most_gap_ago_ms': round((now - self._most_gap_at) * _MS_PER_S),
         }
 
     def _smooth(self, gap_s: float) -> None:
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -124,9 +124,7 @@
             await self._serve()
         finally:
             self._state.streams.discard(self)
-            self._log(
-                'stream ended', sends=self._sends, **self._times.describe()
-            )
+            self._note_end()
 
     def check_path(self) -> None:
         """Leave replicas that are lost, without waiting for a silence."""
@@ -367,6 +365,10 @@
             return Refusal(TIMED_OUT, self._reason)
         return Refusal(FAILED, self._reason)
 
+    def _note_end(self) -> None:
+        facts = self._times.describe(self._loop.time())
+        self._log('stream ended', sends=self._sends, **facts)
+
     def _log(self, event: str, **facts: object) -> None:
         _LOG.info(event, extra={'request': self._task.request_id, **facts})
 
--- /dev/null
+++ b/samphirerill/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Reports for operators, made of what nodes have logged."""
