--- a/samphirerill/fleet/worth.py
+++ b/samphirerill/fleet/worth.py
@@ -12,9 +12,9 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.doubling import (
-    OUTAGE_SHARE,
     list_parts,
     list_uncovered,
+    predict_outage,
 )
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.policy import Policy
@@ -80,7 +80,8 @@
     if not pipelines:
         return 0.0
     rate = predict_total_rate(engine, pipelines, aims.pause_ms)
-    outage = _predict_outage(engine, pipelines, doubles, aims)
+    parts = list_parts(engine, pipelines, aims.pause_ms)
+    outage = predict_outage(parts, doubles)
     if not aims.policy.lean_plans:
         return rate - outage
     spent_s = _predict_spent_s(engine, pipelines)
@@ -91,21 +92,6 @@
     return useful * (timely - outage / max(rate, _LEAST_RATE))
 
 
-def _predict_outage(
-    engine: EngineSpec,
-    pipelines: Sequence[Pipeline],
-    doubles: Sequence[LayerRange],
-    aims: Aims,
-) -> float:
-    """Return the answers a second that are lost to repairs."""
-    parts = list_parts(engine, pipelines, aims.pause_ms)
-    return sum(
-        part.rate * OUTAGE_SHARE
-        for part in parts
-        if list_uncovered(part.layers, doubles)
-    )
-
-
 def _predict_spent_s(
     engine: EngineSpec, pipelines: Sequence[Pipeline]
 ) -> float:
--- a/samphirerill/tests/test_edge.py
+++ b/samphirerill/tests/test_edge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 from unittest import IsolatedAsyncioTestCase, TestCase
 
 from msgspec.structs import replace
@@ -18,6 +19,9 @@
     build_entry,
 )
 
+if TYPE_CHECKING:
+    from samphirerill.relay.process import EdgeProcess
+
 _OK = 200
 _HOST = (b'host', b'bridal.example')
 _ID = (b'x-samphirerill-request-id', b'r1')
@@ -57,6 +61,17 @@
         )
         await self.world.service.put(f'servers/{name}', entry)
 
+    async def add_third(self) -> EdgeProcess:
+        """Add an engine that is whole, and repeats enough for any test."""
+        process = await self.world.until_ready()
+        await self.world.add('engine-3')
+        self.world.replicas['engine-3'].layers = (0, 80)
+        await self.announce('engine-3', layers=(0, 80))
+        await self.world.until_known(4)
+        settings = replace(process.state.settings, retry_slack=80)
+        process.state.change_settings(settings)
+        return process
+
     async def stream(
         self, headers: list[tuple[bytes, bytes]] = _HEADERS
     ) -> bytes:
@@ -207,13 +222,7 @@
         asked again and refuses; the stream is sent to a third. Cause: who
         refuses ran nothing, and was forgotten as one that had been tried.
         """
-        process = await self.world.until_ready()
-        await self.world.add('engine-3')
-        self.world.replicas['engine-3'].layers = (0, 80)
-        await self.announce('engine-3', layers=(0, 80))
-        await self.world.until_known(4)
-        settings = replace(process.state.settings, retry_slack=80)
-        process.state.change_settings(settings)
+        await self.add_third()
         for name in ('engine-1', 'engine-2', 'engine-3'):
             self.world.replicas[name].stop_after = 2
             self.world.replicas[name].most_runs = 1
@@ -228,13 +237,7 @@
         second breaks off; the stream is sent to a third. Cause: replicas that
         were only silent did not count.
         """
-        process = await self.world.until_ready()
-        await self.world.add('engine-3')
-        self.world.replicas['engine-3'].layers = (0, 80)
-        await self.announce('engine-3', layers=(0, 80))
-        await self.world.until_known(4)
-        settings = replace(process.state.settings, retry_slack=80)
-        process.state.change_settings(settings)
+        process = await self.add_third()
         now = asyncio.get_running_loop().time()
         for replica in self.world.replicas.values():
             replica.stop_after = 2
