--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -29,6 +29,8 @@
 # takes over has loaded the layers. The last moments are kept for the move.
 _STAY = 0.4
 _MOVE_S = 0.15
+# Where streams hurry, all leave at once; one that finds no way tries again.
+_HURRY_S = 0.05
 # An event of another stream proves its path for so long. One that passed a
 # replica just before this died may arrive most of a gap later.
 _PROOF_S = 0.015
@@ -134,7 +136,7 @@
         if not ends:
             return 0.0
         if not self._state.settings.policy.unhurried_leaving:
-            return now
+            return now + _HURRY_S
         until = min(ends.values())
         latest = until - _MOVE_S
         if latest > now and set(ends) != {self.head_id}:
