Who knew the fleet before an outage of the store plans as soon as it commands

Change: only a node that started less than 2.2 s after its first word from the store waits in any case; one that knew the fleet plans at once, and waits between the time when missing entries stop to count and the time when all that live are back.

--- a/samphirerill/relay/commander.py
+++ b/samphirerill/relay/commander.py
@@ -115,9 +115,10 @@
         cfg = self._state.cfg
         if cfg is None or not self._leadership.is_held():
             return
-        if self._health.may_lapse(self._loop.time()):
-            # Announcements that are missing may only have lapsed; layers must
-            # not be loaded anew because of that.
+        now = self._loop.time()
+        counted_s = self._state.find_leaves_at(now) - now
+        if not self._health.knows_fleet(now, counted_s):
+            # Layers must not be loaded anew because entries have lapsed.
             return
         await asyncio.gather(
             *(
