--- a/samphirerill/relay/commander.py
+++ b/samphirerill/relay/commander.py
@@ -31,9 +31,9 @@
     )
     from samphirerill.fleet.repair import Moves
     from samphirerill.fleet.view import Known
-    from samphirerill.relay.follower import StoreHealth
     from samphirerill.relay.leadership import Leadership
     from samphirerill.relay.state import EdgeState
+    from samphirerill.relay.store_health import StoreHealth
 
 _LOG = get_logger('commander')
 _STEP_S = 0.2
--- a/samphirerill/relay/members.py
+++ b/samphirerill/relay/members.py
@@ -28,10 +28,10 @@
         PlatformStore,
         StoredItem,
     )
-    from samphirerill.relay.follower import StoreHealth
     from samphirerill.relay.news import ChangeLog, NewsSource
     from samphirerill.relay.server import CallerConnection
     from samphirerill.relay.state import EdgeState
+    from samphirerill.relay.store_health import StoreHealth
 
 _LOG = get_logger('members')
 PREFIX = 'samphirerill/nodes/'
--- a/samphirerill/relay/peer_help.py
+++ b/samphirerill/relay/peer_help.py
@@ -21,9 +21,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from samphirerill.relay.follower import StoreHealth
     from samphirerill.relay.listeners import Page
     from samphirerill.relay.state import EdgeState
+    from samphirerill.relay.store_health import StoreHealth
 
 _LOG = get_logger('peers')
 _OK = 200
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -11,19 +11,16 @@
 from samphirerill.relay.admission import Admission
 from samphirerill.relay.commander import Commander
 from samphirerill.relay.examiner import Examiner
-from samphirerill.relay.follower import (
-    ConfigurationFolder,
-    Follower,
-    ReplicaFolder,
-    StoreHealth,
-)
+from samphirerill.relay.follower import ConfigurationFolder, Follower
 from samphirerill.relay.front import Front
 from samphirerill.relay.leadership import Leadership
 from samphirerill.relay.listeners import Page, PageHandler, listen
 from samphirerill.relay.members import Members
 from samphirerill.relay.news import ChangeLog, NewsSource
 from samphirerill.relay.reload import Reloader
+from samphirerill.relay.replica_folder import ReplicaFolder
 from samphirerill.relay.state import EdgeState
+from samphirerill.relay.store_health import StoreHealth
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
