--- a/samphirerill/relay/follower.py
+++ b/samphirerill/relay/follower.py
@@ -15,6 +15,7 @@
 from samphirerill.platform.store import DeletedKey, HistoryGoneError
 from samphirerill.relay.dialect import DocumentError
 from samphirerill.relay.errors import EndpointError
+from samphirerill.relay.replica_folder import ReplicaFolder
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -197,3 +198,23 @@
     def take_gone(self, gone: DeletedKey) -> None:
         """A configuration that was deleted stays in force."""
         _LOG.warning('configuration deleted', extra={'key': gone.key})
+
+
+def build_follower(
+    state: EdgeState,
+    store: PlatformStore,
+    health: StoreHealth,
+    folders: Sequence[Folder],
+    news: NewsSource,
+    log: ChangeLog,
+) -> Follower:
+    """Return a follower of the configuration, the replicas and more.
+
+    Parameters are those of `Follower`; `folders` take the news of other keys.
+    """
+    all_folders = (
+        ConfigurationFolder(state),
+        ReplicaFolder(state, health),
+        *folders,
+    )
+    return Follower(state, store, health, all_folders, news, log)
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -11,14 +11,13 @@
 from samphirerill.relay.admission import Admission
 from samphirerill.relay.commander import Commander
 from samphirerill.relay.examiner import Examiner
-from samphirerill.relay.follower import ConfigurationFolder, Follower
+from samphirerill.relay.follower import build_follower
 from samphirerill.relay.front import Front
 from samphirerill.relay.leadership import Leadership
 from samphirerill.relay.listeners import Page, PageHandler, listen
 from samphirerill.relay.members import Members
 from samphirerill.relay.news import ChangeLog, NewsSource
 from samphirerill.relay.reload import Reloader
-from samphirerill.relay.replica_folder import ReplicaFolder
 from samphirerill.relay.state import EdgeState
 from samphirerill.relay.store_health import StoreHealth
 
@@ -84,16 +83,11 @@
         self._members = Members(self.state, store, health, news, log)
         leadership = Leadership(self.state, store)
         self._commander = Commander(self.state, leadership, health)
-        self._follower = Follower(
+        self._follower = build_follower(
             self.state,
             store,
             health,
-            (
-                ConfigurationFolder(self.state),
-                ReplicaFolder(self.state, health),
-                self._members,
-                leadership,
-            ),
+            (self._members, leadership),
             news,
             log,
         )
