--- a/samphirerill/relay/follower.py
+++ b/samphirerill/relay/follower.py
@@ -212,9 +212,9 @@
 
     Parameters are those of `Follower`; `folders` take the news of other keys.
     """
-    all_folders = (
+    all_folders: list[Folder] = [
         ConfigurationFolder(state),
         ReplicaFolder(state, health),
         *folders,
-    )
+    ]
     return Follower(state, store, health, all_folders, news, log)
