A new start of an endpoint that leaves at once gets no work

Cause: the announcement's leaving was noted first and dropped with what was known of the start before.

--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -117,9 +117,6 @@
         if found is not None and revision <= found.revision:
             found.lapsed_until = 0.0
             return False
-        if replica.is_leaving and replica_id not in self.leaving:
-            self.leaving[replica_id] = leaves_at
-            self.losses += 1
         is_new = found is None or replica.is_other_start(
             found.replica.started_ms
         )
@@ -134,6 +131,9 @@
             found.replica = replica
             found.revision = revision
             found.lapsed_until = 0.0
+        if replica.is_leaving and replica_id not in self.leaving:
+            self.leaving[replica_id] = leaves_at
+            self.losses += 1
         return True
 
     def withdraw(
--- a/samphirerill/tests/test_starts.py
+++ b/samphirerill/tests/test_starts.py
@@ -63,6 +63,16 @@
         self.view.announce(self.second, 3)
         self.assertEqual(len(self.view.list_usable('llm', 3)), 1)
 
+    def test_a_new_start_that_leaves_at_once_gets_no_work(self) -> None:
+        """Symptom: a replica that leaves gets new work.
+
+        Sequence: the first that is heard of another start is that it leaves.
+        Cause: what was known of the start before was dropped after that.
+        """
+        leaving = replace(self.second, is_leaving=True, layers=_WHOLE)
+        self.view.announce(leaving, 2, leaves_at=9)
+        self.assertEqual(self.view.list_usable('llm', 2), [])
+
     def test_an_entry_that_says_nothing_of_its_start_is_the_same(self) -> None:
         self.view.suspect('one', 9, 1)
         self.view.announce(replace(self.first, started_ms=0), 2)
