--- a/samphirerill/tests/test_news.py
+++ b/samphirerill/tests/test_news.py
@@ -92,6 +92,27 @@
             await self.source.watch(self.watcher, 9)
         self.assertNotEqual(self.source.choose(), self.watcher)
 
+    async def test_a_fresh_start_of_a_watcher_is_not_taken_for_no_news(
+        self,
+    ) -> None:
+        """Symptom: a node refuses a route five seconds after it was added.
+
+        Sequence: other nodes wait at a watcher; its watch at the store is cut
+        and the history dropped; it reads everything anew, at revision 15,
+        and the others are told that nothing happened up to 15. They ask for
+        what follows, and never hear of what changed in between: here the
+        configuration and a replica that leaves. Cause: a log that starts anew
+        woke those who wait and answered from what it had left. Evidence: 14
+        nodes of 69 went from revision 303 or 305 to 307 with no change at all,
+        within 13 ms of their watcher's fresh start; the configuration was
+        one of the changes in between.
+        """
+        waiting = asyncio.create_task(self.source.watch(self.watcher, 10))
+        await asyncio.sleep(0.05)
+        self.log.restart(15)
+        with self.assertRaises(EndpointError):
+            await waiting
+
     async def test_a_watcher_that_hears_nothing_says_so(self) -> None:
         """Symptom: nodes behind a watcher go on with old news for seconds.
 
