Nodes tell each other what is other in a configuration, not the whole

Cause: news of a configuration went as a whole to each of the 17 nodes that wait at a watcher, and by "/configuration" to any that asked: 48 KB each, 282 KB with 1,550 routes, at once over a link of 20 Mbit/s.

Change: who has the version before gets the difference (fleet/deltas.py), made once per change and checked by checksums of both texts; a node that has another text reads the whole at the store. What is still over 8 KB is left to the store, whose link is 50 times as wide. Whole configurations are given to nodes that the store turns away at a quarter of a 10 Mbit/s link. The log of changes has a module of its own.

--- /dev/null
+++ b/samphirerill/fleet/deltas.py
@@ -0,0 +1,86 @@
+"""The difference between two versions of one large text.
+
+A configuration has some hundred kilobytes, and one version differs from the
+next by some hundred bytes. Who has the version before needs only the difference.
+Texts are compared in pieces that end where a JSON object does; any other text is
+right too, only not smaller.
+"""
+
+from __future__ import annotations
+
+import hashlib
+
+from msgspec import Struct
+
+_PIECE_END = b'}'
+_CHECKSUM_BYTES = 8
+
+
+class DeltaError(Exception):
+    """A difference does not fit the text that it is applied to."""
+
+
+class Run(Struct, array_like=True):
+    """Pieces of the old text that follow each other."""
+
+    first: int
+    count: int
+
+
+class Delta(Struct, array_like=True):
+    """How to make a new text of an old one.
+
+    `base` and `target` are checksums of the two; `parts` make up the new
+    text: runs of the old one's pieces, and bytes that it does not have.
+    """
+
+    base: bytes
+    target: bytes
+    parts: list[Run | bytes]
+
+
+def build_delta(old: bytes, new: bytes) -> Delta:
+    """Return how to make `new` of `old`."""
+    had = _split(old)
+    places = {piece: at for at, piece in reversed(list(enumerate(had)))}
+    parts: list[Run | bytes] = []
+    for piece in _split(new):
+        last = parts[-1] if parts else b''
+        if isinstance(last, Run) and _continues(had, last, piece):
+            last.count += 1
+        else:
+            at = places.get(piece)
+            parts.append(piece if at is None else Run(at, 1))
+    return Delta(_checksum(old), _checksum(new), parts)
+
+
+def apply_delta(old: bytes, delta: Delta) -> bytes:
+    """Return the new text; raise ``DeltaError`` if `old` is another one."""
+    if _checksum(old) != delta.base:
+        raise DeltaError('the difference is to another text; read it whole')
+    had = _split(old)
+    chunks = []
+    for part in delta.parts:
+        if isinstance(part, bytes):
+            chunks.append(part)
+        else:
+            chunks.extend(had[part.first : part.first + part.count])
+    new = b''.join(chunks)
+    if _checksum(new) != delta.target:
+        raise DeltaError('the difference is damaged; read the text whole')
+    return new
+
+
+def _continues(had: list[bytes], run: Run, piece: bytes) -> bool:
+    follows = run.first + run.count
+    return follows < len(had) and had[follows] == piece
+
+
+def _split(text: bytes) -> list[bytes]:
+    pieces = [piece + _PIECE_END for piece in text.split(_PIECE_END)]
+    pieces[-1] = pieces[-1].removesuffix(_PIECE_END)
+    return pieces
+
+
+def _checksum(text: bytes) -> bytes:
+    return hashlib.blake2b(text, digest_size=_CHECKSUM_BYTES).digest()
--- a/samphirerill/relay/errors.py
+++ b/samphirerill/relay/errors.py
@@ -36,3 +36,7 @@
 
 class SilentEndpointError(EndpointError):
     """No answer came before the deadline."""
+
+
+class TooLargeError(EndpointError):
+    """Another node does not pass on a change of this size."""
--- a/samphirerill/relay/follower.py
+++ b/samphirerill/relay/follower.py
@@ -25,7 +25,8 @@
         PlatformStore,
         StoredItem,
     )
-    from samphirerill.relay.news import ChangeLog, NewsSource
+    from samphirerill.relay.change_log import ChangeLog
+    from samphirerill.relay.news import NewsSource
     from samphirerill.relay.state import EdgeState
     from samphirerill.relay.store_health import StoreHealth
 
@@ -126,7 +127,7 @@
                 ]
                 folder.take_all(mine, revision)
             self.revision = revision
-            self._log.restart(revision)
+            self._log.restart(revision, found)
             self._state.notify()
             return
         changes = await self._hear()
--- a/samphirerill/relay/hearing.py
+++ b/samphirerill/relay/hearing.py
@@ -13,7 +13,8 @@
 from samphirerill.relay.roster import Peer
 
 if TYPE_CHECKING:
-    from samphirerill.relay.news import ChangeLog, NewsSource
+    from samphirerill.relay.change_log import ChangeLog
+    from samphirerill.relay.news import NewsSource
     from samphirerill.relay.peer_help import PeerHelp
     from samphirerill.relay.roster import Roster
     from samphirerill.relay.state import EdgeState
--- a/samphirerill/relay/listeners.py
+++ b/samphirerill/relay/listeners.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
 
 from samphirerill.fleet.model import ClientLimits
 from samphirerill.relay.server import CallerConnection
@@ -63,3 +64,9 @@
         backlog=_BACKLOG,
         reuse_address=True,
     )
+
+
+def read_revision(query: bytes) -> int:
+    """Return what a query asks for what comes after; -1 if it names nothing."""
+    after = parse_qs(query).get(b'after', [b''])[0]
+    return int(after) if after.isdigit() else -1
--- a/samphirerill/relay/members.py
+++ b/samphirerill/relay/members.py
@@ -28,7 +28,8 @@
         PlatformStore,
         StoredItem,
     )
-    from samphirerill.relay.news import ChangeLog, NewsSource
+    from samphirerill.relay.change_log import ChangeLog
+    from samphirerill.relay.news import NewsSource
     from samphirerill.relay.server import CallerConnection
     from samphirerill.relay.state import EdgeState
     from samphirerill.relay.store_health import StoreHealth
--- a/samphirerill/relay/news.py
+++ b/samphirerill/relay/news.py
@@ -9,31 +9,35 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from typing import TYPE_CHECKING
-from urllib.parse import parse_qs
 
-from msgspec import DecodeError, Struct, ValidationError, msgpack
+from msgspec import DecodeError, ValidationError, msgpack
 
+from samphirerill.fleet.deltas import DeltaError
 from samphirerill.fleet.watchers import choose_watcher
-from samphirerill.platform.store import Changes, DeletedKey, StoredItem
-from samphirerill.relay.errors import BrokenAnswerError, EndpointError
-from samphirerill.relay.listeners import PageHandler
+from samphirerill.relay.change_log import ChangeLog, News
+from samphirerill.relay.errors import (
+    BrokenAnswerError,
+    EndpointError,
+    TooLargeError,
+)
+from samphirerill.relay.listeners import PageHandler, read_revision
 from samphirerill.relay.pool import call_once
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from samphirerill.platform.store import Changes
     from samphirerill.relay.listeners import Page
     from samphirerill.relay.server import CallerConnection, Request
 
 _OK = 200
 _GONE = 410
+_TOO_LARGE = 413
 _UNAVAILABLE = 503
 _BAD_REQUEST = 400
+_NOT_FOUND = 404
 _PATH = b'/changes'
-# Changes kept, some minutes' worth; who lacks older ones asks the store.
-_MOST_KEPT = 2000
 # How long a call waits for news. Shorter than at the store, as it costs nothing
 # there: a watcher that stands still is noticed sooner.
 _WAIT_S = 0.7
@@ -48,78 +52,13 @@
 _DISTRUST_S = 3.0
 
 
-class _Row(Struct, array_like=True):
-    """One change; `text` is ``None`` if the key was deleted."""
-
-    key: str
-    revision: int
-    text: bytes | None
-    lease: int
-
-
-class _News(Struct, array_like=True):
-    """All changes up to `revision` after the one that was asked for."""
-
-    revision: int
-    rows: list[_Row]
-
-
-class ChangeLog:
-    """The latest changes that a node has heard of, in order."""
-
-    def __init__(self) -> None:
-        self.revision = 0
-        self._oldest = 0
-        self._rows: deque[_Row] = deque()
-        self._changed = asyncio.Event()
-
-    def restart(self, revision: int) -> None:
-        """Everything was read anew: what came before is not known."""
-        self._rows.clear()
-        self._oldest = revision
-        self._advance(revision)
-
-    def note(self, changes: Changes) -> None:
-        """Keep changes that were heard."""
-        self._rows.extend(map(_build_row, changes.events))
-        while len(self._rows) > _MOST_KEPT:
-            self._oldest = self._rows.popleft().revision
-        self._advance(changes.revision)
-
-    def has(self, after: int) -> bool:
-        """Return whether all changes after a revision are known here."""
-        return self._oldest <= after <= self.revision
-
-    async def wait(self, after: int) -> None:
-        """Wait a while for changes after a revision, or a new start."""
-        if self.revision > after:
-            return
-        changed = self._changed
-        try:
-            async with asyncio.timeout(_WAIT_S):
-                await changed.wait()
-        except TimeoutError:
-            return
-
-    def list_after(self, after: int) -> bytes:
-        """Return the changes after a revision that this log has, encoded."""
-        rows = [row for row in self._rows if row.revision > after]
-        return msgpack.encode(_News(self.revision, rows))
-
-    def _advance(self, revision: int) -> None:
-        if revision > self.revision:
-            self.revision = revision
-            self._changed.set()
-            self._changed = asyncio.Event()
-
-
 class PeerPages(PageHandler):
     """What other nodes may ask this one.
 
     Parameters
     ----------
     pages : dict
-        Pages that need no waiting.
+        Pages that need no waiting; each takes the query.
     log : ChangeLog
         What is passed on.
     hears_store : callable
@@ -128,38 +67,42 @@
 
     def __init__(
         self,
-        pages: dict[bytes, Callable[[], Page]],
+        pages: dict[bytes, Callable[[bytes], Page]],
         log: ChangeLog,
         hears_store: Callable[[], bool],
     ) -> None:
-        super().__init__(pages)
+        super().__init__({})
+        self._given = pages
         self._log = log
         self._hears_store = hears_store
 
     async def handle(self, req: Request, conn: CallerConnection) -> None:
         """Answer with a page, or with news."""
         path, _, query = req.target.partition(b'?')
-        if path != _PATH:
-            await super().handle(req, conn)
-            return
-        after = parse_qs(query).get(b'after', [b''])[0]
-        status, body = await self._find_news(after)
+        give = self._given.get(path)
+        if path == _PATH:
+            status, body = await self._find_news(query)
+        elif give is None:
+            status, body = _NOT_FOUND, b''
+        else:
+            status, body = give(query)
         conn.answer(status, [], body)
 
-    async def _find_news(self, after: bytes) -> Page:
-        if not after.isdigit():
+    async def _find_news(self, query: bytes) -> Page:
+        after = read_revision(query)
+        if after < 0:
             return _BAD_REQUEST, b''
-        revision = int(after)
-        if self._hears_store() and self._log.has(revision):
-            await self._log.wait(revision)
+        if self._hears_store() and self._log.has(after):
+            await self._log.wait(after, _WAIT_S)
         if not self._hears_store():
             return _UNAVAILABLE, b''
         # The log may have begun anew during the wait, and then lacks what
         # changed before. To answer from it made 14 of 69 nodes miss a
         # configuration, and refuse its routes until another node told them.
-        if not self._log.has(revision):
+        if not self._log.has(after):
             return _GONE, b''
-        return _OK, self._log.list_after(revision)
+        news = self._log.encode_after(after)
+        return (_TOO_LARGE, b'') if news is None else (_OK, news)
 
 
 class NewsSource:
@@ -169,9 +112,15 @@
     ----------
     own : str
         The node's name.
+
+    Attributes
+    ----------
+    log : ChangeLog
+        What this node has heard.
     """
 
     def __init__(self, own: str) -> None:
+        self.log = ChangeLog()
         self._own = own
         self._loop = asyncio.get_running_loop()
         self._peers: Mapping[str, str] = {}
@@ -216,9 +165,15 @@
             self._distrust_until = now + _DISTRUST_S
 
     async def watch(self, watcher: str, after: int) -> Changes:
-        """Wait at a watcher for changes; raise ``EndpointError`` if it fails."""
+        """Wait at a watcher for changes; raise ``EndpointError`` if it fails.
+
+        One whose changes are only too large to be passed on is asked for the
+        next ones again.
+        """
         try:
             return await self._ask(self._peers[watcher], after)
+        except TooLargeError:
+            raise
         except EndpointError:
             self._avoid_until[watcher] = self._loop.time() + _AVOID_S
             raise
@@ -227,22 +182,11 @@
         deadline = self._loop.time() + _WAIT_S + _SLACK_S
         path = b'%b?after=%d' % (_PATH, after)
         status, body = await call_once(address, b'GET', path, b'', deadline)
+        if status == _TOO_LARGE:
+            raise TooLargeError(f'{address}: leaves it to the store')
         if status != _OK:
             raise BrokenAnswerError(f'{address}: got status {status}')
         try:
-            news = msgpack.decode(body, type=_News)
-        except (DecodeError, ValidationError) as exc:
+            return self.log.decode(msgpack.decode(body, type=News))
+        except (DecodeError, ValidationError, DeltaError) as exc:
             raise BrokenAnswerError(f'{address}: {exc}') from exc
-        return Changes(news.revision, list(map(_build_event, news.rows)))
-
-
-def _build_row(event: StoredItem | DeletedKey) -> _Row:
-    if isinstance(event, StoredItem):
-        return _Row(event.key, event.revision, event.text, event.lease)
-    return _Row(event.key, event.revision, None, 0)
-
-
-def _build_event(row: _Row) -> StoredItem | DeletedKey:
-    if row.text is None:
-        return DeletedKey(row.key, row.revision)
-    return StoredItem(row.key, row.revision, row.text, row.lease)
--- a/samphirerill/relay/peer_help.py
+++ b/samphirerill/relay/peer_help.py
@@ -10,12 +10,14 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from msgspec import DecodeError, ValidationError, json
+from msgspec import DecodeError, json
 
+from samphirerill.fleet.deltas import DeltaError
 from samphirerill.fleet.model import Replica
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.dialect import DocumentError
 from samphirerill.relay.errors import EndpointError
+from samphirerill.relay.listeners import read_revision
 from samphirerill.relay.pool import call_once
 
 if TYPE_CHECKING:
@@ -28,9 +30,13 @@
 _LOG = get_logger('peers')
 _OK = 200
 _NOT_FOUND = 404
+_UNAVAILABLE = 503
 _TIMEOUT_S = 0.6
 # News that the store should bring are asked for only if they don't come.
 _PATIENCE_S = 0.3
+# Whole configurations are given at this rate, a quarter of the smallest link of 10
+# Mbit/s: the rest is for streams. Who is refused asks the next node.
+_WHOLE_BYTES_S = 312_500
 _REPLICAS_PATH = b'/replicas'
 _CONFIGURATION_PATH = b'/configuration'
 
@@ -51,9 +57,11 @@
         self._health = health
         self._loop = asyncio.get_running_loop()
         self._task: asyncio.Task[None] | None = None
+        # A whole configuration is given again from then on.
+        self._whole_at = 0.0
 
-    def list_pages(self) -> dict[bytes, Callable[[], Page]]:
-        """Return what other nodes may ask for."""
+    def list_pages(self) -> dict[bytes, Callable[[bytes], Page]]:
+        """Return what other nodes may ask for, with a query."""
         return {
             _CONFIGURATION_PATH: self._give_configuration,
             _REPLICAS_PATH: self._give_replicas,
@@ -87,15 +95,19 @@
         except (
             EndpointError,
             DocumentError,
+            DeltaError,
             DecodeError,
-            ValidationError,
         ) as exc:
             _LOG.info('peer does not help', extra={'error': str(exc)})
         finally:
             self._task = None
 
     async def _take_configuration(self, address: str) -> None:
-        text = await self._ask(address, _CONFIGURATION_PATH)
+        own = self._state.version
+        given = await self._ask(
+            address, b'%b?after=%d' % (_CONFIGURATION_PATH, own)
+        )
+        text = self._state.cfg_texts.decode(given, own)
         cfg = self._state.dialect.decode_configuration(text)
         if self._state.put_in_force(cfg, text):
             _LOG.info(
@@ -120,11 +132,20 @@
             raise DocumentError(f'{address}: got status {status}')
         return body
 
-    def _give_configuration(self) -> Page:
-        text = self._state.cfg_text
-        return (_OK, text) if text else (_NOT_FOUND, b'')
-
-    def _give_replicas(self) -> Page:
+    def _give_configuration(self, query: bytes) -> Page:
+        """Give the difference to what the other node has, or the whole."""
+        if not self._state.version:
+            return _NOT_FOUND, b''
+        after = read_revision(query)
+        if not self._state.cfg_texts.has(after):
+            if self._loop.time() < self._whole_at:
+                return _UNAVAILABLE, b''
+            given = self._state.cfg_texts.encode(after)
+            self._whole_at = self._loop.time() + len(given) / _WHOLE_BYTES_S
+            return _OK, given
+        return _OK, self._state.cfg_texts.encode(after)
+
+    def _give_replicas(self, query: bytes) -> Page:
         view = self._state.view
         rows = [
             (found.replica, found.revision) for found in view.known.values()
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -16,7 +16,7 @@
 from samphirerill.relay.leadership import Leadership
 from samphirerill.relay.listeners import Page, PageHandler, listen
 from samphirerill.relay.members import Members
-from samphirerill.relay.news import ChangeLog, NewsSource
+from samphirerill.relay.news import NewsSource
 from samphirerill.relay.reload import Reloader
 from samphirerill.relay.state import EdgeState
 from samphirerill.relay.store_health import StoreHealth
@@ -79,8 +79,7 @@
         examiner = Examiner(self.state)
         self._front = Front(self.state, self._admission, examiner)
         news = NewsSource(settings.name)
-        log = ChangeLog()
-        self._members = Members(self.state, store, health, news, log)
+        self._members = Members(self.state, store, health, news, news.log)
         leadership = Leadership(self.state, store)
         self._commander = Commander(self.state, leadership, health)
         self._follower = build_follower(
@@ -89,7 +88,7 @@
             health,
             (self._members, leadership),
             news,
-            log,
+            news.log,
         )
         self._reloader = Reloader(self.state, store, source)
         self._connections: set[CallerConnection] = set()
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -14,6 +14,7 @@
 from samphirerill.fleet.view import FleetView
 from samphirerill.node.logs import get_logger
 from samphirerill.node.metrics import Metrics
+from samphirerill.relay.cfg_texts import CfgTexts
 from samphirerill.relay.pool import ConnectionPool
 
 if TYPE_CHECKING:
@@ -53,7 +54,7 @@
         self.pipes = PipeUse()
         self.pool = ConnectionPool(self.counters)
         self.cfg: FleetConfiguration | None = None
-        self.cfg_text = b''
+        self.cfg_texts = CfgTexts()
         self.routes: RouteTable | None = None
         self.streams: set[StreamExchange] = set()
         self.is_draining = False
@@ -100,7 +101,7 @@
         if self.cfg is not None and cfg.version <= self.cfg.version:
             return False
         self.cfg = cfg
-        self.cfg_text = text
+        self.cfg_texts.note(cfg.version, text)
         self.routes = RouteTable(cfg)
         self.view.services = frozenset(cfg.services)
         _LOG.info(
--- /dev/null
+++ b/samphirerill/tests/test_cfg_texts.py
@@ -0,0 +1,132 @@
+"""Configurations that nodes give to each other, and how many bytes that takes."""
+
+from __future__ import annotations
+
+from unittest import IsolatedAsyncioTestCase, TestCase
+
+from msgspec import json
+
+from samphirerill.fleet.deltas import DeltaError, apply_delta, build_delta
+from samphirerill.platform.dialect import PlatformDialect
+from samphirerill.platform.settings import EdgeSettings
+from samphirerill.relay.cfg_texts import CfgTexts
+from samphirerill.relay.peer_help import PeerHelp
+from samphirerill.relay.state import EdgeState
+from samphirerill.relay.store_health import StoreHealth
+
+_ROUTES = 300
+_PATH = b'/configuration'
+
+
+def _build_text(version: int, *, routes: int = _ROUTES) -> bytes:
+    rows = [
+        {
+            'name': f'r{at}',
+            'host': 'bridal.example',
+            'prefix': f'/p{at}/',
+            'kind': 'idempotent',
+            'service': 'desk',
+        }
+        for at in range(routes)
+    ]
+    return json.encode({'version': version, 'routes': rows, 'services': []})
+
+
+class TestDeltas(TestCase):
+    """Differences between two texts."""
+
+    def test_any_two_texts_can_be_told_apart(self) -> None:
+        texts = (
+            b'',
+            b'}',
+            b'no object',
+            b'{"a": {"b": 1}}',
+            b'{"a": {"b": 1}}}}}',
+            _build_text(1),
+            _build_text(2, routes=_ROUTES + 1),
+        )
+        for old in texts:
+            for new in texts:
+                with self.subTest(old=old[:20], new=new[:20]):
+                    delta = build_delta(old, new)
+                    self.assertEqual(apply_delta(old, delta), new)
+
+    def test_a_difference_fits_one_text_only(self) -> None:
+        delta = build_delta(_build_text(1), _build_text(2))
+        with self.assertRaises(DeltaError):
+            apply_delta(_build_text(3), delta)
+
+
+class TestCfgTexts(TestCase):
+    """What one node tells another of the configuration."""
+
+    def setUp(self) -> None:
+        self.giver = CfgTexts()
+        self.taker = CfgTexts()
+        for version in (3, 5, 8):
+            self.giver.note(version, _build_text(version))
+        self.taker.note(3, _build_text(3))
+
+    def test_who_has_an_older_version_gets_the_difference(self) -> None:
+        given = self.giver.encode(3)
+        self.assertLess(len(given), 300)
+        self.assertEqual(self.taker.decode(given, 3), _build_text(8))
+
+    def test_who_has_none_that_is_known_gets_the_whole(self) -> None:
+        given = self.giver.encode(4)
+        self.assertEqual(self.taker.decode(given, 4), _build_text(8))
+
+    def test_another_text_of_the_same_version_is_found_out(self) -> None:
+        self.taker.note(5, _build_text(6))
+        with self.assertRaises(DeltaError):
+            self.taker.decode(self.giver.encode(5), 5)
+
+    def test_few_versions_are_kept(self) -> None:
+        for version in range(10, 40):
+            self.giver.note(version, _build_text(version))
+        self.assertFalse(self.giver.has(30))
+        self.assertTrue(self.giver.has(35))
+
+
+class TestGiving(IsolatedAsyncioTestCase):
+    """Nodes that lack a configuration ask one that has it."""
+
+    async def asyncSetUp(self) -> None:
+        settings = EdgeSettings(
+            name='n1',
+            data_centre='a',
+            host='127.0.0.1',
+            callers='127.0.0.1:1',
+            readiness='127.0.0.1:2',
+            peers='127.0.0.1:3',
+            store='127.0.0.1:4',
+            exchange_port=5,
+            metrics_port=6,
+        )
+        self.state = EdgeState(settings, PlatformDialect())
+        helper = PeerHelp(self.state, StoreHealth(0))
+        self.give = helper.list_pages()[_PATH]
+
+    def put_in_force(self, version: int) -> None:
+        """Let the node take a configuration over."""
+        text = _build_text(version)
+        cfg = self.state.dialect.decode_configuration(text)
+        self.state.put_in_force(cfg, text)
+
+    async def test_a_node_without_a_configuration_says_so(self) -> None:
+        self.assertEqual(self.give(b'after=0')[0], 404)
+
+    async def test_wholes_do_not_fill_the_link(self) -> None:
+        """Symptom: a node's streams stand still while others start.
+
+        Sequence: nodes start that the store turns away; all of them ask the
+        first node that they hear for the whole configuration, and its link
+        passes nothing else. Cause: wholes were given as fast as asked for.
+        """
+        self.put_in_force(4)
+        self.put_in_force(7)
+        statuses = [self.give(b'after=0')[0] for _ in range(5)]
+        self.assertEqual(statuses, [200, 503, 503, 503, 503])
+        differences = [self.give(b'after=4') for _ in range(5)]
+        self.assertEqual({status for status, _ in differences}, {200})
+        self.assertLess(max(len(body) for _, body in differences), 300)
--- a/samphirerill/tests/test_news.py
+++ b/samphirerill/tests/test_news.py
@@ -7,11 +7,11 @@
 
 from samphirerill.fleet.watchers import choose_watcher, list_watchers
 from samphirerill.platform.store import Changes, DeletedKey, StoredItem
-from samphirerill.relay.errors import EndpointError
+from samphirerill.relay.change_log import ChangeLog
+from samphirerill.relay.errors import EndpointError, TooLargeError
 from samphirerill.relay.listeners import listen
 from samphirerill.relay.news import (
     BEHIND_S,
-    ChangeLog,
     NewsSource,
     PeerPages,
 )
@@ -52,7 +52,7 @@
         self.assertEqual(choose_watcher('alone', [], ()), '')
 
 
-class TestNews(IsolatedAsyncioTestCase):
+class NewsCase(IsolatedAsyncioTestCase):
     """A watcher and a node that listens at it."""
 
     async def asyncSetUp(self) -> None:
@@ -71,6 +71,10 @@
         self.source.take_peers(self.names)
         self.watcher = self.source.choose()
 
+
+class TestNews(NewsCase):
+    """Changes that a watcher passes on, or can't."""
+
     async def test_changes_arrive_as_they_come(self) -> None:
         waiting = asyncio.create_task(self.source.watch(self.watcher, 10))
         await asyncio.sleep(0.05)
@@ -135,6 +139,25 @@
         self.source.note_others(known=18, own=15)
         self.assertEqual(self.source.choose(), '')
 
+
+class TestLargeNews(NewsCase):
+    """A configuration that a watcher passes on to many."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.text = b','.join(
+            b'{"route": "r%d", "service": "notes"}' % at for at in range(1500)
+        )
+        known = StoredItem('op/config', 10, self.text)
+        self.log.restart(10, [known])
+        self.source.log.restart(10, [known])
+
+    def change(self, revision: int, text: bytes) -> StoredItem:
+        """Let the watcher hear of another configuration."""
+        item = StoredItem('op/config', revision, text)
+        self.log.note(Changes(revision, [item]))
+        return item
+
     async def test_a_watcher_passes_on_what_is_other_in_a_configuration(
         self,
     ) -> None:
@@ -148,11 +171,9 @@
         work alone the replicas that nodes found dead fell on the watchers,
         within 0.2 s of a version; five of 13 cuts were one watcher's.
         """
-        text = b','.join(
-            b'{"route": "r%d", "service": "notes"}' % at for at in range(1500)
-        )
-        self.log.note(Changes(11, [StoredItem('op/config', 11, text)]))
-        other = text.replace(b'"r7"', b'"r7-new"')
+        before = StoredItem('op/config', 11, self.text)
+        self.log.note(Changes(11, [before]))
+        other = self.text.replace(b'"r7"', b'"r7-new"')
         self.log.note(Changes(12, [StoredItem('op/config', 12, other)]))
         status, body = await call_once(
             self.names[self.watcher],
@@ -163,3 +184,35 @@
         )
         self.assertEqual(status, 200)
         self.assertLess(len(body), 500)
+
+    async def test_a_difference_makes_the_same_text(self) -> None:
+        for revision in (11, 12):
+            other = self.text.replace(b'"r7"', b'"r7-%d"' % revision)
+            item = self.change(revision, other)
+            changes = await self.source.watch(self.watcher, revision - 1)
+            self.assertEqual(changes.events, [item])
+            self.source.log.note(changes)
+
+    async def test_versions_that_were_missed_come_one_after_another(
+        self,
+    ) -> None:
+        versions = [
+            self.change(at, self.text.replace(b'"r8"', b'"r8-%d"' % at))
+            for at in (11, 12, 13)
+        ]
+        changes = await self.source.watch(self.watcher, 10)
+        self.assertEqual(changes.events, versions)
+
+    async def test_a_node_with_another_text_reads_the_whole(self) -> None:
+        self.source.log.restart(
+            10, [StoredItem('op/config', 10, self.text[:-1])]
+        )
+        self.change(11, self.text + b',{"route": "new"}')
+        with self.assertRaises(EndpointError):
+            await self.source.watch(self.watcher, 10)
+
+    async def test_what_is_large_is_left_to_the_store(self) -> None:
+        self.change(11, self.text * 2 + bytes(range(256)) * 64)
+        with self.assertRaises(TooLargeError):
+            await self.source.watch(self.watcher, 10)
+        self.assertEqual(self.source.choose(), self.watcher)
--- a/samphirerill/tests/test_telling.py
+++ b/samphirerill/tests/test_telling.py
@@ -16,9 +16,10 @@
 )
 from samphirerill.platform.dialect import PlatformDialect
 from samphirerill.platform.settings import EdgeSettings
+from samphirerill.relay.change_log import ChangeLog
 from samphirerill.relay.hearing import Hearing
 from samphirerill.relay.messages import Announced
-from samphirerill.relay.news import ChangeLog, NewsSource
+from samphirerill.relay.news import NewsSource
 from samphirerill.relay.peer_help import PeerHelp
 from samphirerill.relay.roster import Roster
 from samphirerill.relay.state import EdgeState
