Runs that are ended before another has begun: failing tests

Cause, traced in tests without any network trouble: a stream leaves its path for what the node believes (its replica is dead, gives up layers, is silent), its run is ended, and only then is another one looked for. If the second replica refuses, or the repeat, the room or the connection that was seen is taken by another stream in the same moment, the stream is closed midway although its replica would have gone on.

A second window: a node that ends looks for the last time at what is under way, gives its lease back, which takes up to 0.15 s, and closes everything; what it read and passed on meanwhile ends without an answer.

Change: none of logic.

--- a/samphirerill/testing/platform_replicas.py
+++ b/samphirerill/testing/platform_replicas.py
@@ -40,6 +40,17 @@
         self.most_runs = 0
         self.fails = 0
         self.answers_other_first = False
+        # Cleared, it neither sends events nor answers anything until set.
+        self.free = asyncio.Event()
+        self.free.set()
+        # Cleared, it sends no events, but answers questions.
+        self.goes_on = asyncio.Event()
+        self.goes_on.set()
+        self.order_status = _ACCEPTED
+        # So many calls it resets instead of answering.
+        self.resets = 0
+        # So many bytes more are in a plain answer.
+        self.padding = 0
         self.cancelled = 0
 
     def get_limits(self) -> ClientLimits:
@@ -52,12 +63,14 @@
 
     async def handle(self, req: Request, conn: CallerConnection) -> None:
         """Answer one request."""
+        if req.target in (b'/report', b'/order'):
+            await self.free.wait()
         if req.target == b'/report':
             conn.answer(_OK, [], json.encode(self._report()))
             return
         if req.target == b'/order':
             self._take_order(json.decode(req.body))
-            conn.answer(_ACCEPTED, [], b'')
+            conn.answer(self.order_status, [], b'')
             return
         self.seen.append(req)
         try:
@@ -73,6 +86,10 @@
                 req.get(b'x-samphirerill-request-id') or b'',
             ),
         ]
+        if self.resets:
+            self.resets -= 1
+            conn.cut()
+            return
         is_full = 0 < self.most_runs < len(self.seen)
         if self.refuses or is_full:
             headers.append((b'X-Samphirerill-Not-Executed', b'1'))
@@ -84,7 +101,9 @@
             self.fails -= 1
             conn.answer(_FAILED, headers, b'failed')
         elif req.get(b'x-samphirerill-hop-count') is None:
-            conn.answer(_OK, headers, b'plain ' + req.body)
+            await self.free.wait()
+            body = b'plain ' + req.body + bytes(self.padding)
+            conn.answer(_OK, headers, body)
         else:
             await self._stream(req, conn, headers)
 
@@ -102,7 +121,7 @@
             return
         first = int(req.get(b'last-event-id') or b'0') + 1
         for number in range(first, self.events + 1):
-            await asyncio.sleep(self.gap_s)
+            await self._wait_for_event()
             if self.stop_after and number > self.stop_after:
                 # Half an event, then the end without a last chunk.
                 conn.write_body(b'id: %d\ndata: to' % number)
@@ -114,6 +133,11 @@
             conn.write_body(b'id: %d\ndata: token%d\n\n' % (number, number))
         conn.end_answer()
 
+    async def _wait_for_event(self) -> None:
+        await asyncio.sleep(self.gap_s)
+        await self.free.wait()
+        await self.goes_on.wait()
+
     def _take_order(self, order: dict[str, Any]) -> None:
         self.orders.append(order)
         if order['operation'] == 'place':
