A stream that has begun keeps its run until another one takes over

Class: a working thing is given up for one that was only looked at.

A stream that has not begun is sent again as before.

--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -206,20 +206,22 @@
 
         Under overload, first come first served would make every stream late
         by the length of the queue. Those that can still be on time go first,
-        the others when there is room left.
+        the others when there is room left. One that has begun and finds no
+        path holds up nobody: it may have tried all replicas, and those behind
+        it have not.
         """
         self._is_pumping = False
         self._queue = [item for item in self._queue if not item.granted.done()]
         now = self._loop.time()
         self._queue.sort(key=lambda item: (item.rank, item.timely_until < now))
-        while self._queue:
-            ticket = self._queue[0]
+        for ticket in tuple(self._queue):
             stages = self._try(ticket.service, ticket.engine, ticket.wanted)
-            if not stages:
+            if stages:
+                self._queue.remove(ticket)
+                ticket.granted.set_result(stages)
+                self._note_grant()
+            elif not ticket.wanted.is_urgent:
                 return
-            self._queue.pop(0)
-            ticket.granted.set_result(stages)
-            self._note_grant()
 
     def _note_grant(self) -> None:
         now = self._loop.time()
--- a/samphirerill/relay/path_finder.py
+++ b/samphirerill/relay/path_finder.py
@@ -95,6 +95,20 @@
         avoid = self.avoid - heads
         return PathRequest(self.tokens, avoid, heads, is_urgent=is_urgent)
 
+    def build_beside(self, head_id: str, lost: Collection[str]) -> PathRequest:
+        """Return what a path must offer that begins elsewhere.
+
+        Parameters
+        ----------
+        head_id : str
+            Where the present path begins.
+        lost : collection of str
+            Replicas that the path must not pass through.
+        """
+        wanted = self.build_request(is_urgent=True)
+        wanted.avoid = {*wanted.avoid, *lost, head_id}
+        return wanted
+
     def _limit_heads(self) -> frozenset[str]:
         """Return the replicas that a path must begin with; empty for any.
 
--- a/samphirerill/relay/stream_guard.py
+++ b/samphirerill/relay/stream_guard.py
@@ -2,7 +2,7 @@
 
 While a stream is sent, its path may lose a replica, or fall silent. What is lost
 is left at once; after a silence, all replicas on the path are asked. A stream
-moves behind its first replica if it can, else it is sent again elsewhere.
+moves behind its first replica if it can, else another run takes over.
 """
 
 from __future__ import annotations
@@ -48,6 +48,9 @@
         Asks the replicas of silent paths.
     may_resend : callable
         Returns whether the stream could be sent again.
+    seek : callable
+        Lets another run take over if the stream has begun, and returns whether
+        it has. One that has not begun loses nothing if it is sent again.
     """
 
     def __init__(
@@ -56,11 +59,13 @@
         path: StreamPath,
         examiner: Examiner,
         may_resend: Callable[[], bool],
+        seek: Callable[[HttpConnection], bool],
     ) -> None:
         self._task = task
         self._path = path
         self._examiner = examiner
         self._may_resend = may_resend
+        self._seek = seek
         self._loop = asyncio.get_running_loop()
         self._conn: HttpConnection | None = None
         self._moving: asyncio.Task[None] | None = None
@@ -75,6 +80,9 @@
         self._conn = None
         if self._moving is not None:
             self._moving.cancel()
+            # A move that is cancelled before its first step does not forget
+            # itself, and the stream would never move again.
+            self._moving = None
         if self._leaving is not None:
             self._leaving.cancel()
             self._leaving = None
@@ -135,6 +143,8 @@
 
     def _leave_head(self, conn: HttpConnection) -> None:
         """Go on elsewhere if the first replica is gone or gives up its part."""
+        if self._seek(conn):
+            return
         if self._path.is_head_dead() or self._can_go_elsewhere():
             conn.close()
 
@@ -152,17 +162,15 @@
         through them any more. As long as it waits, a stream that finds no
         other way stays, as on one that leaves.
         """
-        try:
-            way = await self._path.move()
-        finally:
-            self._moving = None
+        way = await self._path.move()
+        self._moving = None
         if way is Way.MOVED or self._conn is not conn:
             return
         must_leave = way is Way.AGAIN or bool(self._path.list_lost())
-        if must_leave and self._can_go_elsewhere():
-            conn.close()
-        else:
+        if not must_leave or not self._can_go_elsewhere():
             self._plan_leaving(conn)
+        elif not self._seek(conn):
+            conn.close()
 
     async def _find_cause(self, since: float, silence_s: float) -> float:
         """Ask who is silent; return how long to wait before asking again."""
@@ -185,17 +193,18 @@
         head_id = self._path.head_id
         diagnosis = await self._examiner.examine(unproven)
         if head_id in diagnosis.dead:
-            raise SilentEndpointError(f'{head_id}: does not answer')
+            self._leave_silent(f'{head_id}: does not answer')
+            return
         if not self._task.may_repeat:
             return
         culprit = self._path.find_culprit(diagnosis, self._task.request_id)
         if not culprit:
-            self._leave_silent(since)
+            self._leave_unexplained(since)
             return
         if culprit != head_id and await self._move_behind_head():
             return
         if self._can_go_elsewhere():
-            raise SilentEndpointError(f'the path waits for {culprit}')
+            self._leave_silent(f'the path waits for {culprit}')
 
     async def _move_behind_head(self) -> bool:
         """Move the stream, or wait for the move that is under way."""
@@ -204,8 +213,14 @@
         await asyncio.wait((self._moving,))
         return not self._path.list_lost()
 
-    def _leave_silent(self, since: float) -> None:
+    def _leave_unexplained(self, since: float) -> None:
         """Leave a path that is silent for long, though all its parts live."""
         waited_s = self._loop.time() - since
         if waited_s >= _MOST_SILENCE_S and self._can_go_elsewhere():
-            raise SilentEndpointError(f'silent for {waited_s:.1f} s')
+            self._leave_silent(f'silent for {waited_s:.1f} s')
+
+    def _leave_silent(self, reason: str) -> None:
+        """Let another run take over; raise if the stream has not begun."""
+        conn = self._conn
+        if conn is None or not self._seek(conn):
+            raise SilentEndpointError(reason)
--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import EngineSpec, Stage
+    from samphirerill.fleet.paths import PathRequest
     from samphirerill.relay.admission import Admission
     from samphirerill.relay.examiner import Diagnosis
     from samphirerill.relay.state import EdgeState
@@ -90,15 +91,19 @@
         self, rank: int, deadline: float, *, is_urgent: bool
     ) -> None:
         """Wait for a path with room; raise ``HopelessError`` if none comes."""
-        task = self._task
-        self.stages = await self._admission.admit(
-            task.service.name,
-            self.engine,
-            self._finder.build_request(is_urgent=is_urgent),
-            rank,
-            deadline,
-            task.req.arrived_at + task.route.target_s,
-        )
+        wanted = self._finder.build_request(is_urgent=is_urgent)
+        self.stages = await self._admit(wanted, rank, deadline)
+
+    async def take_beside(
+        self, rank: int, deadline: float
+    ) -> tuple[Stage, ...]:
+        """Wait for a path beside the present one.
+
+        It begins elsewhere: no replica is sent the same stream twice at a
+        time. Raises ``HopelessError`` if none comes.
+        """
+        wanted = self._finder.build_beside(self.head_id, self.list_lost())
+        return await self._admit(wanted, rank, deadline)
 
     def give_back(self) -> None:
         """The stream does not pass through the path any more."""
@@ -176,23 +181,28 @@
                 return name
         return next(iter(self.list_lost()), '')
 
-    def predict_gap_s(self) -> float:
-        """Return the predicted time between two events."""
+    def predict_gap_s(self, stages: tuple[Stage, ...]) -> float:
+        """Return the predicted time between two events on a path."""
         gap_ms = predict_gap_ms(
             self.engine,
             self._state.view.known,
-            self.stages,
+            stages,
             self._state.book,
             self._loop.time(),
         )
         return gap_ms / _MS_PER_S
 
-    def describe(self) -> str:
-        """Return the path as logs show it."""
-        return ' '.join(
-            f'{stage.replica.replica_id}:'
-            f'{stage.layers.first}-{stage.layers.end}'
-            for stage in self.stages
+    async def _admit(
+        self, wanted: PathRequest, rank: int, deadline: float
+    ) -> tuple[Stage, ...]:
+        task = self._task
+        return await self._admission.admit(
+            task.service.name,
+            self.engine,
+            wanted,
+            rank,
+            deadline,
+            task.req.arrived_at + task.route.target_s,
         )
 
     def _list_ends(self, now: float) -> dict[str, float]:
@@ -251,15 +261,23 @@
             self._admission.release(stages, self.tokens)
             return False
         self._admission.release(self.stages, self.tokens)
-        left = self.describe()
+        left = describe_stages(self.stages)
         self.stages = stages
         self._state.counters['streams.moved'] += 1
         _LOG.info(
             'stream moved',
             extra={
                 'request': self._task.request_id,
-                'path': self.describe(),
+                'path': describe_stages(self.stages),
                 'before': left,
             },
         )
         return True
+
+
+def describe_stages(stages: tuple[Stage, ...]) -> str:
+    """Return a path as logs show it."""
+    return ' '.join(
+        f'{stage.replica.replica_id}:{stage.layers.first}-{stage.layers.end}'
+        for stage in stages
+    )
