A node that ends answers what it has read

Cause: after the last look at what is under way a node gave its lease back and then closed everything: what it had read and passed on meanwhile got no answer. An answer that still waited in the node's own buffer counted as sent and was cut. What was unanswered at the latest time was closed without a word.

Change: it looks again after giving the lease back, and ends in the same step; an answer counts as under way until it has left the buffer; who is unanswered at the end is told that the request may have run; requests behind another on one connection are answered before it closes. Besides, a request that offers another protocol is answered in this one: the parser's word on the offer closed the connection.

--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -124,7 +124,7 @@
         for server in self._servers:
             server.close()
         for conn in (*self._connections, *self._pages):
-            conn.cut()
+            conn.end()
         self._members.close()
         for task in tuple(self._tasks):
             task.cancel()
@@ -207,11 +207,19 @@
         await self._leave(self._commander.leave())
         await asyncio.sleep(notice_until - self._loop.time())
         self._close_idle()
+        await self._finish(finish_at)
+        await self._leave(self._members.leave())
+        # Requests that were read meanwhile. Nothing is read between the last
+        # look and the end: one that was passed on would be closed unanswered.
+        await self._finish(finish_at)
+        self._ended.set()
+        self.close()
+
+    async def _finish(self, finish_at: float) -> None:
+        """Wait until no request is under way, or its time is over."""
         while self._count_busy() and self._loop.time() < finish_at:
             await asyncio.sleep(_DRAIN_STEP_S)
             self._close_idle()
-        await self._leave(self._members.leave())
-        self._ended.set()
 
     async def _leave(self, leaving: Coroutine[Any, Any, None]) -> None:
         """Give something up in the store, but don't wait for a slow one."""
@@ -226,7 +234,7 @@
             conn.close_idle()
 
     def _count_busy(self) -> int:
-        return sum(conn.is_busy for conn in self._connections)
+        return sum(conn.has_work for conn in self._connections)
 
     def _catch_signals(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -14,7 +14,11 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Protocol
 
-from httptools import HttpParserError, HttpRequestParser
+from httptools import (
+    HttpParserError,
+    HttpParserUpgrade,
+    HttpRequestParser,
+)
 
 from samphirerill.node.logs import get_logger
 
@@ -107,6 +111,15 @@
         self._in_message = False
         self._closing = False
 
+    @property
+    def has_work(self) -> bool:
+        """Return whether a request is served, or its answer on its way.
+
+        What is written may wait here for a client with a slow link; to end
+        then cut such answers in the middle.
+        """
+        return self.is_busy or self._transport.get_write_buffer_size() > 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start waiting for the first request."""
         self._transport = transport
@@ -132,6 +145,8 @@
             return
         try:
             self._parser.feed_data(data)
+        except HttpParserUpgrade as exc:
+            self._stay_with_http(data[exc.args[0] :])
         except HttpParserError:
             self._refuse(self._refused or HTTPStatus.BAD_REQUEST)
 
@@ -218,7 +233,8 @@
         """Write the head of an answer; `length` is ``None`` for chunks."""
         self.has_answered = True
         self._chunked = length is None
-        if self._handler.is_draining():
+        if self._handler.is_draining() and not self._waiting:
+            # Requests that were read already are answered before the close.
             self._keeps_alive = False
         lines = [b'HTTP/1.1 %d %b' % (status, _REASONS.get(status, b'Other'))]
         lines.extend(b'%b: %b' % pair for pair in headers)
@@ -257,6 +273,19 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def end(self) -> None:
+        """End the connection with the node.
+
+        Who has no answer yet is told that its request may have run; an answer
+        that has begun can only be cut.
+        """
+        if not self.is_busy or self.has_answered:
+            self.cut()
+            return
+        self._keeps_alive = False
+        self.answer(HTTPStatus.BAD_GATEWAY, [], b'')
+        self._close()
+
     def close_idle(self) -> None:
         """Close if nothing is under way and nothing was begun."""
         if not self.is_busy and not self._in_message:
@@ -275,6 +304,16 @@
             )
             self.cut()
 
+    def _stay_with_http(self, following: bytes) -> None:
+        """Go on after a request that offers another protocol.
+
+        The offer may be passed over. The parser stops at it with the request
+        whole; unheeded, that closed the connection without an answer.
+        """
+        self._parser = HttpRequestParser(self)
+        if following:
+            self.data_received(following)
+
     def _start_next(self) -> None:
         if self.is_busy or not self._waiting or self._closing:
             return
--- a/samphirerill/tests/test_ending.py
+++ b/samphirerill/tests/test_ending.py
@@ -5,11 +5,17 @@
 import asyncio
 from unittest.mock import patch
 
+from msgspec import json
 
+from samphirerill.relay.connection import HttpConnection, build_call
+from samphirerill.relay.pool import read_answer
+from samphirerill.tests.platform_documents import build_configuration
 from samphirerill.tests.two_engines import (
     OK,
+    PATIENCE_S,
     SETTLE_S,
     TwoEnginesCase,
+    build_headers,
 )
 
 
@@ -48,6 +54,94 @@
             status, reason = await waiting
         self.assertEqual(status, OK, reason)
 
+    async def test_an_answer_that_is_not_yet_on_its_way(self) -> None:
+        """Symptom: a node that ends cuts an answer in the middle.
+
+        Sequence: an answer is written whole to a client with a slow link; a
+        SIGTERM comes; nothing is under way any more, and the process ends with
+        the rest of the answer in its own buffer. Cause: what was written
+        counted as sent.
+        """
+        self.desk.padding = 16_000_000
+        port = self.process.get_port()
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', port, limit=1024
+        )
+        call = build_call(b'POST', b'/pickup/x', build_headers('r1'), b'')
+        writer.write(call)
+        await self.until(lambda: self.desk.seen)
+        await asyncio.sleep(2 * SETTLE_S)
+        self.process.begin_drain()
+        await asyncio.sleep(5 * SETTLE_S)
+        read = await _read_rest(reader)
+        writer.close()
+        self.assertGreater(read, self.desk.padding)
+
+    async def test_what_is_unanswered_at_the_end_is_told_so(self) -> None:
+        """Symptom: a node that ends closes connections without an answer.
+
+        Sequence: a request waits for a slow endpoint as the time after a
+        SIGTERM runs out. Cause: connections were closed without a word, though
+        the status of a request that may have run could still be sent.
+        """
+        self.change(finish_s=1.3)
+        document = json.decode(build_configuration(8))
+        document['routes'][1]['timeoutMs'] = 4000
+        await self.configure(json.encode(document))
+        self.desk.free.clear()
+        waiting = self.start(b'/pickup/x')
+        await self.until(lambda: self.desk.seen)
+        self.process.begin_drain()
+        status, reason = await waiting
+        self.desk.free.set()
+        self.assertIn(status, (502, 504), reason)
+
+    async def test_requests_that_wait_behind_another_are_answered(
+        self,
+    ) -> None:
+        """Symptom: a node that ends closes a connection on a whole request.
+
+        Sequence: two requests arrive on one connection; a SIGTERM comes while
+        the first is served; its answer closes the connection. Cause: the
+        connection was ended with a request in it that had been read.
+        """
+        self.desk.free.clear()
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.process.get_port()
+        )
+        for request_id in ('r1', 'r2'):
+            headers = build_headers(request_id)
+            writer.write(build_call(b'POST', b'/pickup/x', headers, b''))
+        await self.until(lambda: self.desk.seen)
+        self.process.begin_drain()
+        self.desk.free.set()
+        body = await reader.read()
+        writer.close()
+        self.assertEqual(body.count(b'HTTP/1.1 '), 2)
+
+    async def test_a_kept_connection_is_served_until_the_end(self) -> None:
+        conn = HttpConnection(f'127.0.0.1:{self.process.get_port()}')
+        await conn.open()
+        self.addCleanup(conn.close)
+        for is_last in (False, True):
+            if is_last:
+                self.process.begin_drain()
+            call = build_call(b'POST', b'/pickup/x', build_headers('r'), b'')
+            conn.send(call)
+            until = asyncio.get_running_loop().time() + PATIENCE_S
+            status, _ = await read_answer(conn, until)
+            self.assertEqual(status, OK)
+
+    async def test_a_stream_between_two_paths_is_finished(self) -> None:
+        waiting, head, other = await self.start_stream()
+        now = asyncio.get_running_loop().time()
+        self.process.state.view.refuse(other, now)
+        self.world.replicas[head].stop_after = 1
+        broken = self.process.state.counters
+        await self.until(lambda: broken['streams.broken'])
+        self.process.begin_drain()
+        self.assert_whole(await waiting)
+
 
 async def _read_rest(reader: asyncio.StreamReader) -> int:
     """Return how many bytes come before the end, however it comes."""
