What sends a stream has a module of its own

Change: relay/stream_sender.py connects, sends and notes refusals; how far a stream has come is one object that both share. A search that fails by a fault of its own is logged and the stream sent again. No other behaviour changes.

--- /dev/null
+++ b/samphirerill/relay/stream_sender.py
@@ -0,0 +1,218 @@
+"""Send a stream to an engine, and note what becomes of it.
+
+A stream is sent over a path for the first time, again after its run broke, or
+beside a run that goes on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from samphirerill.node.logs import get_logger
+from samphirerill.relay.answers import is_success, read_head
+from samphirerill.relay.errors import (
+    ConnectError,
+    EndpointError,
+    NoConnectionLeftError,
+)
+from samphirerill.relay.stream_call import build_stream_call, read_last_id
+from samphirerill.relay.stream_path import describe_stages
+from samphirerill.relay.succession import Run
+
+if TYPE_CHECKING:
+    from samphirerill.fleet.model import Replica, Stage
+    from samphirerill.relay.connection import Head, HttpConnection
+    from samphirerill.relay.dialect import AnswerFacts
+    from samphirerill.relay.state import EdgeState
+    from samphirerill.relay.stream_path import StreamPath
+    from samphirerill.relay.task import Task
+
+_LOG = get_logger('streams')
+_MS_PER_S = 1000
+# A run that should take a stream over and has not begun by then is not waited for:
+# reading the prompt takes up to half a second under load.
+_TAKE_OVER_S = 0.7
+
+
+class StreamProgress:
+    """How far a stream has come.
+
+    `last_id` is the last event that the client has, `begun_at` when its answer
+    began, `sends` how often it was sent, `reason` why the last send failed.
+    """
+
+    __slots__ = ('begun_at', 'last_id', 'may_have_run', 'reason', 'sends')
+
+    def __init__(self, task: Task) -> None:
+        self.last_id = read_last_id(task.facts.resume_after)
+        self.begun_at = 0.0
+        self.sends = 0
+        self.may_have_run = False
+        self.reason = ''
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the client has the head of its answer."""
+        return self.begun_at > 0
+
+
+class StreamSender:
+    """Sends one stream.
+
+    Parameters
+    ----------
+    state : EdgeState
+        What this node knows.
+    task : Task
+        The request.
+    path : StreamPath
+        Replicas that were tried, and those to be left out.
+    progress : StreamProgress
+        Read and kept up to date.
+    """
+
+    __slots__ = ('_loop', '_path', '_progress', '_state', '_task')
+
+    def __init__(
+        self,
+        state: EdgeState,
+        task: Task,
+        path: StreamPath,
+        progress: StreamProgress,
+    ) -> None:
+        self._state = state
+        self._task = task
+        self._path = path
+        self._progress = progress
+        self._loop = asyncio.get_running_loop()
+
+    async def connect(self, replica: Replica) -> HttpConnection | None:
+        """Return a connection; none if the replica can't be used now."""
+        try:
+            return await self._state.pool.take(
+                replica,
+                fresh=not self._task.may_repeat,
+                most=self._state.count_connections(self._task.service),
+            )
+        except NoConnectionLeftError as exc:
+            self._put_off(replica.replica_id, str(exc))
+            if self._progress.has_begun:
+                self._state.view.refuse(replica.replica_id, self._loop.time())
+        except ConnectError as exc:
+            self._shun(replica.replica_id, str(exc))
+        return None
+
+    def send(
+        self, conn: HttpConnection, stages: tuple[Stage, ...], event: str
+    ) -> bool:
+        """Send over a path; return whether its first replica is a new one.
+
+        Parameters
+        ----------
+        conn : HttpConnection
+            To the first replica.
+        stages : tuple of Stage
+            The path.
+        event : str
+            How the log names it.
+        """
+        progress = self._progress
+        progress.sends += 1
+        head_id = stages[0].replica.replica_id
+        is_new_head = head_id not in self._path.heads
+        self._path.heads.add(head_id)
+        waited_s = self._loop.time() - self._task.req.arrived_at
+        self._log(
+            event,
+            path=describe_stages(stages),
+            send=progress.sends,
+            nodes=1 + self._state.book.count_peers(),
+            after_event=progress.last_id,
+            tokens=int(self._path.tokens),
+            gap_ms=round(self._path.predict_gap_s(stages) * _MS_PER_S),
+            waited_ms=round(waited_s * _MS_PER_S),
+        )
+        conn.send(self._build_call(stages))
+        return is_new_head
+
+    async def begin(self, stages: tuple[Stage, ...]) -> Run | None:
+        """Send beside the present run; return the new one once it answers."""
+        conn = await self.connect(stages[0].replica)
+        if conn is None:
+            return None
+        head = None
+        try:
+            head = await self._open(conn, stages)
+        except EndpointError as exc:
+            self._shun(stages[0].replica.replica_id, str(exc))
+        finally:
+            if head is None:
+                conn.close()
+        return None if head is None else Run(stages, conn, head)
+
+    async def read_head(
+        self, conn: HttpConnection, deadline: float
+    ) -> tuple[Head, AnswerFacts]:
+        """Return the head of the answer to this stream."""
+        return await read_head(
+            conn, self._state.dialect, self._task.facts.request_id, deadline
+        )
+
+    def note_not_run(
+        self, head_id: str, head: Head, at_fault: str, *, is_new_head: bool
+    ) -> None:
+        """A path refused and ran nothing; avoid who could not do its part."""
+        if is_new_head:
+            # One that has run the stream before counts as tried all the same.
+            self._path.heads.discard(head_id)
+        found = self._state.view.find_address(at_fault) if at_fault else None
+        replica_id = head_id if found is None else found.replica.replica_id
+        self._shun(replica_id, f'engine refused with {head.status}')
+
+    async def _open(
+        self, conn: HttpConnection, stages: tuple[Stage, ...]
+    ) -> Head | None:
+        """Return the head of a run that has begun; none if it was refused."""
+        is_new_head = self.send(conn, stages, 'stream sent beside')
+        until = self._loop.time() + _TAKE_OVER_S
+        head, facts = await self.read_head(conn, until)
+        if facts.is_not_run:
+            self.note_not_run(
+                stages[0].replica.replica_id,
+                head,
+                facts.at_fault,
+                is_new_head=is_new_head,
+            )
+        return head if is_success(head.status) else None
+
+    def _build_call(self, stages: tuple[Stage, ...]) -> bytes:
+        """Return the call; it resumes after what the client has of ours.
+
+        A stream may break between its head and its first event; there is
+        nothing to go on from then, and the client's own word holds.
+        """
+        resume = b''
+        if self._progress.has_begun and self._progress.last_id >= 0:
+            resume = b'%d' % self._progress.last_id
+        return build_stream_call(self._state, self._task, stages, resume)
+
+    def _shun(self, replica_id: str, reason: str) -> None:
+        """Ask a replica not again at once."""
+        self._put_off(replica_id, reason)
+        self._state.view.refuse(replica_id, self._loop.time())
+        self._state.counters['streams.refused'] += 1
+        self._log('engine refused', replica=replica_id, reason=reason)
+
+    def _put_off(self, replica_id: str, reason: str) -> None:
+        """Look for another replica.
+
+        A stream that has begun may come back to this one: who was full for a
+        moment is better than an answer that is cut.
+        """
+        self._progress.reason = reason
+        if not self._progress.has_begun:
+            self._path.avoid.add(replica_id)
+
+    def _log(self, event: str, **facts: object) -> None:
+        _LOG.info(event, extra={'request': self._task.request_id, **facts})
--- a/samphirerill/relay/succession.py
+++ b/samphirerill/relay/succession.py
@@ -12,12 +12,16 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from samphirerill.node.logs import get_logger
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from samphirerill.fleet.model import Stage
     from samphirerill.relay.connection import Head, HttpConnection
 
+_LOG = get_logger('streams')
+
 
 @dataclass(slots=True)
 class Run:
@@ -74,7 +78,7 @@
             return None
         await asyncio.wait((task,))
         self._task = None
-        return task.result()
+        return _read_run(task)
 
     def cancel(self) -> None:
         """The stream has ended: no run is needed any more."""
@@ -95,8 +99,18 @@
         return run
 
     def _drop_late(self, task: asyncio.Task[Run | None]) -> None:
-        if task.cancelled() or task.exception() is not None:
-            return
-        run = task.result()
+        run = _read_run(task)
         if run is not None:
             self._drop(run)
+
+
+def _read_run(task: asyncio.Task[Run | None]) -> Run | None:
+    """Return what a search that is over has found."""
+    if task.cancelled():
+        return None
+    exc = task.exception()
+    if exc is not None:
+        # The stream is not lost with it: it is sent again as after any break.
+        _LOG.error('search failed', extra={'error': repr(exc)})
+        return None
+    return task.result()
