News: a node that the store turns away goes on at the watchers; forms have numbers

Change: after a failed call the watchers are asked first, by revision, and everything is read anew only if none has what follows; who can't apply a difference asks for the whole; the paths of both pages carry the number of their form; who has left renews nothing.

--- a/samphirerill/relay/change_log.py
+++ b/samphirerill/relay/change_log.py
@@ -107,6 +107,7 @@
         self.revision = 0
         self._oldest = 0
         self._changes: deque[_Change] = deque()
+        self._large = 0
         self._texts: dict[str, bytes] = {}
         self._changed = asyncio.Event()
 
@@ -121,6 +122,7 @@
             All keys that there are.
         """
         self._changes.clear()
+        self._large = 0
         self._texts = {
             item.key: item.text for item in found if _is_large(item.text)
         }
@@ -133,9 +135,13 @@
             before = self._texts.pop(event.key, None)
             if isinstance(event, StoredItem) and _is_large(event.text):
                 self._texts[event.key] = event.text
-            self._changes.append(_Change(event, before))
+            change = _Change(event, before)
+            self._large += change.is_large
+            self._changes.append(change)
         while self._has_too_many():
-            self._oldest = self._changes.popleft().event.revision
+            dropped = self._changes.popleft()
+            self._large -= dropped.is_large
+            self._oldest = dropped.event.revision
         self._advance(changes.revision)
 
     def has(self, after: int) -> bool:
@@ -191,8 +197,7 @@
             yield StoredItem(row.key, row.revision, text, row.lease)
 
     def _has_too_many(self) -> bool:
-        large = sum(change.is_large for change in self._changes)
-        return len(self._changes) > _MOST_KEPT or large > _MOST_LARGE
+        return len(self._changes) > _MOST_KEPT or self._large > _MOST_LARGE
 
     def _advance(self, revision: int) -> None:
         if revision > self.revision:
--- a/samphirerill/relay/follower.py
+++ b/samphirerill/relay/follower.py
@@ -94,6 +94,7 @@
         self._health = health
         self._folders = folders
         self._loop = asyncio.get_running_loop()
+        self._must_read = False
         self._batch_s = 0.0
         self._heard_at = 0.0
 
@@ -110,8 +111,9 @@
             except StoreError as exc:
                 self._health.note_failure(exc, self._loop.time())
                 # A watch without an answer may have missed changes; what it
-                # would say next is only of what happens from then on.
-                self.revision = 0
+                # would say next is only of what happens from then on. Another
+                # node's log is asked by revision, and misses nothing.
+                self._must_read = True
                 await asyncio.sleep(pause_s)
                 pause_s = min(_MOST_PAUSE_S, pause_s * 2)
                 continue
@@ -119,7 +121,8 @@
             pause_s = _FIRST_PAUSE_S
 
     async def _step(self) -> None:
-        if not self.revision:
+        changes = await self._hear() if self.revision else None
+        if changes is None:
             found, revision = await self._store.read_prefix('')
             for folder in self._folders:
                 mine = [
@@ -127,10 +130,10 @@
                 ]
                 folder.take_all(mine, revision)
             self.revision = revision
+            self._must_read = False
             self._log.restart(revision, found)
             self._state.notify()
             return
-        changes = await self._hear()
         self._log.note(changes)
         for event in changes.events:
             self._take(event)
@@ -140,17 +143,27 @@
             self._state.notify()
             await asyncio.sleep(self._choose_pause())
 
-    async def _hear(self) -> Changes:
-        """Wait for changes at a watcher, or at the store if there is none."""
+    async def _hear(self) -> Changes | None:
+        """Wait for changes at a watcher, or at the store if there is none.
+
+        Returns none if all must be read anew. A node that the store turned
+        away once, and asked only the store from then on, was deaf though
+        watchers would have told it.
+        """
         watcher = self._news.choose()
         if watcher:
             try:
-                return await self._news.watch(watcher, self.revision)
+                changes = await self._news.watch(watcher, self.revision)
             except EndpointError as exc:
                 _LOG.info(
                     'watcher failed',
                     extra={'watcher': watcher, 'error': str(exc)},
                 )
+            else:
+                self._must_read = False
+                return changes
+        if self._must_read:
+            return None
         return await self._store.watch('', self.revision)
 
     def _choose_pause(self) -> float:
--- a/samphirerill/relay/members.py
+++ b/samphirerill/relay/members.py
@@ -83,6 +83,7 @@
         self._server: asyncio.Server | None = None
         self._connections: set[CallerConnection] = set()
         self._lease = 0
+        self._has_left = False
 
     async def start(self) -> None:
         """Open the ports for the other nodes."""
@@ -109,7 +110,8 @@
             group.create_task(self._keep_lease())
 
     async def leave(self) -> None:
-        """End the announcement."""
+        """End the announcement, for good."""
+        self._has_left = True
         await give_up_lease(self._store, self._lease, _LOG)
 
     def take_all(self, found: list[StoredItem], revision: int) -> None:
@@ -137,7 +139,7 @@
         self._count()
 
     async def _keep_lease(self) -> None:
-        while True:
+        while not self._has_left:
             self._loop.create_task(self._renew(), name='renew')
             await asyncio.sleep(_RENEW_S)
 
@@ -164,6 +166,9 @@
         key = f'{PREFIX}{self._state.settings.name}'
         await self._store.write({key: json.encode(mine)}, {}, lease)
         self._lease = lease
+        if self._has_left:
+            # The node left while the store was asked.
+            await give_up_lease(self._store, lease, _LOG)
 
     def _count(self) -> None:
         announced = self._roster.list_announced()
--- a/samphirerill/relay/news.py
+++ b/samphirerill/relay/news.py
@@ -37,7 +37,9 @@
 _UNAVAILABLE = 503
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
-_PATH = b'/changes'
+# The number is that of the form of the answer: while a fleet changes over to
+# another form, who asks for it finds nothing at nodes that tell the other one.
+_PATH = b'/changes/2'
 # How long a call waits for news. Shorter than at the store, as it costs nothing
 # there: a watcher that stands still is noticed sooner.
 _WAIT_S = 0.7
--- a/samphirerill/relay/peer_help.py
+++ b/samphirerill/relay/peer_help.py
@@ -38,7 +38,7 @@
 # Mbit/s: the rest is for streams. Who is refused asks the next node.
 _WHOLE_BYTES_S = 312_500
 _REPLICAS_PATH = b'/replicas'
-_CONFIGURATION_PATH = b'/configuration'
+_CONFIGURATION_PATH = b'/configuration/2'
 
 
 class PeerHelp:
@@ -107,7 +107,14 @@
         given = await self._ask(
             address, b'%b?after=%d' % (_CONFIGURATION_PATH, own)
         )
-        text = self._state.cfg_texts.decode(given, own)
+        try:
+            text = self._state.cfg_texts.decode(given, own)
+        except DeltaError as exc:
+            _LOG.info('difference does not fit', extra={'error': str(exc)})
+            whole = await self._ask(
+                address, b'%b?after=0' % _CONFIGURATION_PATH
+            )
+            text = self._state.cfg_texts.decode(whole, 0)
         cfg = self._state.dialect.decode_configuration(text)
         if self._state.put_in_force(cfg, text):
             _LOG.info(
--- a/samphirerill/tests/test_cfg_texts.py
+++ b/samphirerill/tests/test_cfg_texts.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections import Counter
+from typing import TYPE_CHECKING
 from unittest import IsolatedAsyncioTestCase, TestCase
+from unittest.mock import patch
 
 from msgspec import json
 
@@ -11,11 +15,16 @@
 from samphirerill.platform.settings import EdgeSettings
 from samphirerill.relay.cfg_texts import CfgTexts
 from samphirerill.relay.peer_help import PeerHelp
+from samphirerill.relay.pool import ConnectionPool
 from samphirerill.relay.state import EdgeState
 from samphirerill.relay.store_health import StoreHealth
+from samphirerill.tests.fleets import build_replica
+
+if TYPE_CHECKING:
+    from samphirerill.relay.listeners import Page
 
 _ROUTES = 300
-_PATH = b'/configuration'
+_PATH = b'/configuration/2'
 
 
 def _build_text(version: int, *, routes: int = _ROUTES) -> bytes:
@@ -130,3 +139,55 @@
         differences = [self.give(b'after=4') for _ in range(5)]
         self.assertEqual({status for status, _ in differences}, {200})
         self.assertLess(max(len(body) for _, body in differences), 300)
+
+    async def test_a_difference_that_does_not_fit_is_made_good(self) -> None:
+        """Symptom: a node that the store turns away keeps an old version.
+
+        Sequence: it has a version in other bytes than its helper; the
+        difference does not fit, and is asked for again each time. Cause: it
+        never asked for the whole.
+        """
+        self.put_in_force(1)
+        self.put_in_force(2)
+        taker = EdgeState(self.state.settings, PlatformDialect())
+        other = bytes(json.format(_build_text(1)))
+        taker.put_in_force(taker.dialect.decode_configuration(other), other)
+        helper = PeerHelp(taker, StoreHealth(0))
+
+        async def call(
+            address: str, method: bytes, path: bytes, *rest: object
+        ) -> Page:
+            page, _, query = path.partition(b'?')
+            return self.give(query) if page == _PATH else (404, b'')
+
+        with patch('samphirerill.relay.peer_help.call_once', call):
+            helper.consider('a', 2, 0)
+            await asyncio.sleep(0.5)
+        self.assertEqual(taker.version, 2)
+
+
+class TestPool(IsolatedAsyncioTestCase):
+    """Connections that come to nothing."""
+
+    async def test_one_that_is_given_up_while_it_opens_is_not_counted(
+        self,
+    ) -> None:
+        """Symptom: a node finds all connections in use where none is.
+
+        Sequence: a client leaves while the connection for it is opened. Cause:
+        the end of such a connection was not told to whoever counts them.
+        """
+        hangs = asyncio.Event()
+
+        async def connect(*_: object) -> None:
+            await hangs.wait()
+
+        pool = ConnectionPool(Counter())
+        loop = asyncio.get_running_loop()
+        with patch.object(loop, 'create_connection', connect):
+            task = asyncio.create_task(pool.take(build_replica('one'), most=1))
+            await asyncio.sleep(0.02)
+            self.assertFalse(pool.has_left('one', 1))
+            task.cancel()
+            await asyncio.wait((task,))
+        self.assertTrue(pool.has_left('one', 1))
--- a/samphirerill/tests/test_ending.py
+++ b/samphirerill/tests/test_ending.py
@@ -8,6 +8,7 @@
 from msgspec import json
 
 from samphirerill.relay.connection import HttpConnection, build_call
+from samphirerill.relay.members import PREFIX
 from samphirerill.relay.pool import read_answer
 from samphirerill.tests.platform_documents import build_configuration
 from samphirerill.tests.two_engines import (
@@ -143,6 +144,33 @@
         self.assert_whole(await waiting)
 
 
+class TestLeft(TwoEnginesCase):
+    """What a node that has left says of itself."""
+
+    async def asyncSetUp(self) -> None:
+        renew = patch('samphirerill.relay.members._RENEW_S', SETTLE_S / 2)
+        renew.start()
+        self.addCleanup(renew.stop)
+        await super().asyncSetUp()
+
+    async def test_a_node_that_has_left_stays_away(self) -> None:
+        """Symptom: other nodes wait at one that has ended.
+
+        Sequence: a node gives its lease back, and finishes a request that came
+        meanwhile; it announces itself anew, and ends without giving that back.
+        Cause: its lease was renewed, and so granted anew, after that.
+        """
+        await self.until(self.list_announced)
+        await self.process._members.leave()  # noqa: SLF001
+        await asyncio.sleep(3 * SETTLE_S)
+        self.assertEqual(self.list_announced(), [])
+
+    def list_announced(self) -> list[str]:
+        """Return the keys under which nodes are announced."""
+        known = self.world.service.keys
+        return [key for key in known if key.startswith(PREFIX)]
+
+
 async def _read_rest(reader: asyncio.StreamReader) -> int:
     """Return how many bytes come before the end, however it comes."""
     read = 0
--- a/samphirerill/tests/test_news.py
+++ b/samphirerill/tests/test_news.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING, cast
 from unittest import IsolatedAsyncioTestCase, TestCase
+from unittest.mock import Mock
 
+from samphirerill.backends.store import StoreRefusedError
 from samphirerill.fleet.watchers import choose_watcher, list_watchers
 from samphirerill.platform.store import Changes, DeletedKey, StoredItem
 from samphirerill.relay.change_log import ChangeLog
 from samphirerill.relay.errors import EndpointError, TooLargeError
+from samphirerill.relay.follower import Follower
 from samphirerill.relay.listeners import listen
 from samphirerill.relay.news import (
     BEHIND_S,
@@ -17,6 +21,11 @@
 )
 from samphirerill.relay.pool import call_once
 from samphirerill.relay.server import CallerConnection
+from samphirerill.relay.state import EdgeState
+from samphirerill.relay.store_health import StoreHealth
+
+if TYPE_CHECKING:
+    from samphirerill.platform.store import PlatformStore
 
 _MARGIN_S = 0.05
 _NAMES = [f'edge-hall-{zone}-{at}' for zone in 'abc' for at in range(24)]
@@ -178,7 +187,7 @@
         status, body = await call_once(
             self.names[self.watcher],
             b'GET',
-            b'/changes?after=11',
+            b'/changes/2?after=11',
             b'',
             asyncio.get_running_loop().time() + 1,
         )
@@ -216,3 +225,85 @@
         with self.assertRaises(TooLargeError):
             await self.source.watch(self.watcher, 10)
         self.assertEqual(self.source.choose(), self.watcher)
+
+
+class _Watcher:
+    """A watcher that can't be reached once, and then tells of a change."""
+
+    def __init__(self) -> None:
+        self.asked: list[int] = []
+
+    def choose(self) -> str:
+        """Return the one watcher there is."""
+        return 'watcher'
+
+    async def watch(self, watcher: str, after: int) -> Changes:
+        """Fail the first call."""
+        self.asked.append(after)
+        if len(self.asked) == 1:
+            raise EndpointError('not there')
+        await asyncio.sleep(_MARGIN_S)
+        return Changes(11, [StoredItem('op/config', 11, b'new')])
+
+
+class _DeafStore:
+    """A store that answers one whole reading and then turns the node away."""
+
+    def __init__(self) -> None:
+        self.is_up = True
+
+    async def read_prefix(self, prefix: str) -> tuple[list[StoredItem], int]:
+        """Answer once."""
+        if not self.is_up:
+            raise StoreRefusedError('got status 503')
+        self.is_up = False
+        return [], 10
+
+    async def watch(self, prefix: str, after: int) -> Changes:
+        """Refuse."""
+        raise StoreRefusedError('got status 503')
+
+
+class _Folder:
+    """Keeps the keys that it is told of."""
+
+    prefix = 'op/'
+
+    def __init__(self) -> None:
+        self.keys: list[str] = []
+
+    def take_all(self, found: list[StoredItem], revision: int) -> None:
+        """A whole reading tells nothing here."""
+
+    def take_item(self, item: StoredItem) -> None:
+        """Keep a key."""
+        self.keys.append(item.key)
+
+    def take_gone(self, gone: DeletedKey) -> None:
+        """Nothing goes here."""
+
+
+class TestTurnedAway(IsolatedAsyncioTestCase):
+    """A node that the store turns away, while watchers work."""
+
+    async def test_it_goes_on_hearing_of_changes(self) -> None:
+        """Symptom: a node goes on with an old configuration for seconds.
+
+        Sequence: the store turns it away; a watcher fails once; it asks the
+        store, in vain, and from then on only the store. Cause: after a failed
+        call everything had to be read anew, which only the store can give,
+        though watchers tell what changed since a revision.
+        """
+        folder = _Folder()
+        follower = Follower(
+            cast('EdgeState', Mock(spec=EdgeState, view=Mock())),
+            cast('PlatformStore', _DeafStore()),
+            StoreHealth(0),
+            [folder],
+            cast('NewsSource', _Watcher()),
+            ChangeLog(),
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.5)
+        task.cancel()
+        self.assertIn('op/config', folder.keys)
