--- a/samphirerill/node/follower.py
+++ b/samphirerill/node/follower.py
@@ -13,7 +13,7 @@
 
 from result import Err, Ok
 
-from samphirerill.backends.store import StoreError
+from samphirerill.backends.store import StoreError, WatchBatch
 from samphirerill.control.configuration_log import (
     LOG,
     Change,
@@ -35,7 +35,6 @@
 from samphirerill.node.vm_reader import read_leaving
 
 if TYPE_CHECKING:
-    from samphirerill.backends.store import WatchBatch
     from samphirerill.node.members import Members
     from samphirerill.node.node import Node
     from samphirerill.node.store_worker import StoreWorker
@@ -154,13 +153,24 @@
             await self._catch_up()
 
     async def _catch_up(self) -> None:
-        """Read what a silent watch has not brought."""
+        """Read what a silent watch has not brought.
+
+        The watch carries more than the configuration: moved on without that,
+        it never told of nodes that joined or went meanwhile.
+        """
         loaded = await self._worker.attempt(self.log.load)
-        if isinstance(loaded, Err):
-            why = str(loaded.err_value)
+        shared = await self._worker.attempt(
+            self._worker.store.read_prefix, f'{self._prefix}{SHARED}'
+        )
+        if isinstance(loaded, Err) or isinstance(shared, Err):
+            why = str(loaded.err() or shared.err())
             _LOG.warning('catch-up failed', extra={'error': why})
             return
         self.install(loaded.ok_value.version, loaded.ok_value.document)
+        entries = shared.ok_value.entries
+        gone = self._members.list_missing(entries)
+        revision = shared.ok_value.revision
+        self._take_batch([], WatchBatch(revision, entries, gone))
         self._revision = max(self._revision, loaded.ok_value.revision)
 
     def _poll_gap_s(self) -> float:
--- a/samphirerill/node/members.py
+++ b/samphirerill/node/members.py
@@ -15,6 +15,8 @@
 from samphirerill.node.logs import get_logger
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from samphirerill.backends.store import Stored, WatchBatch
     from samphirerill.node.node import Node
     from samphirerill.node.store_worker import StoreWorker
@@ -74,6 +76,12 @@
                 self._gone_at.setdefault(node_id, now + FORGET_AFTER_S)
         self._tell()
 
+    def list_missing(self, entries: Iterable[Stored]) -> list[str]:
+        """Return the keys of nodes that a whole reading does not have."""
+        there = {entry.key for entry in entries}
+        keys = (f'{self._prefix}{NODES}{node_id}' for node_id in self.others)
+        return [key for key in keys if key not in there]
+
     async def run(self) -> None:
         """Keep this node's key alive for ever."""
         await self._read_all()
