A loop that fails as its node ends is not started again

Cause, seen once in a log: a node that was told to end closed its datagram port; a datagram that was due failed on it; the failure took the place of the loop's cancellation, the loop was started again each half second, and the node never ended until it was killed. Change: nothing is sent on a closed port; loops are not started again once the node has ended. Figures: two tests that fail on the code before pass.

--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -247,9 +247,11 @@
         """Run a loop; one that fails is logged and started again.
 
         A loop that ended for good would leave the node with what it knew at
-        that moment, and nobody would notice but by its age.
+        that moment, and nobody would notice but by its age. One that fails
+        while it is ended ends all the same: started again it would keep the
+        process from ending, until it is killed.
         """
-        while True:
+        while not self._ended.is_set():
             try:
                 await work()
             except Exception as exc:  # noqa: BLE001
--- a/samphirerill/relay/telling.py
+++ b/samphirerill/relay/telling.py
@@ -117,7 +117,9 @@
         )
 
     def _send(self, data: bytes, addresses: Iterable[str]) -> None:
-        if self._transport is None:
+        # The port closes before the tasks that tell have ended; to send then
+        # is a fault of its own, which kept a node from ending.
+        if self._transport is None or self._transport.is_closing():
             return
         settings = self._state.settings
         own = f'{settings.host}:{settings.exchange_port}'
--- a/samphirerill/tests/test_ending.py
+++ b/samphirerill/tests/test_ending.py
@@ -171,6 +171,29 @@
         return [key for key in known if key.startswith(PREFIX)]
 
 
+class TestLoops(TwoEnginesCase):
+    """What a node does all the time ends with it."""
+
+    async def test_a_loop_that_fails_as_it_ends_is_not_started_again(
+        self,
+    ) -> None:
+        """Symptom: a node that was told to end is killed eight seconds later.
+
+        Sequence: its loops are cancelled; one of them fails in that moment; it
+        is started again, each half second. Cause: the failure was looked at, and
+        not that the node ends. Evidence: "loop failed" each half second until
+        the process was killed.
+        """
+
+        async def fail() -> None:
+            raise ValueError('a port that is closed')
+
+        self.process.close()
+        self.process._ended.set()  # noqa: SLF001
+        async with asyncio.timeout(3.0):
+            await self.process._keep_running(fail, 'x')  # noqa: SLF001
+
+
 async def _read_rest(reader: asyncio.StreamReader) -> int:
     """Return how many bytes come before the end, however it comes."""
     read = 0
--- a/samphirerill/tests/test_telling.py
+++ b/samphirerill/tests/test_telling.py
@@ -61,6 +61,10 @@
         self._network = network
         self._host = host
 
+    def is_closing(self) -> bool:
+        """Return whether the port is closed."""
+        return False
+
     def sendto(self, data: bytes, addr: Any) -> None:
         """Send a datagram."""
         self._network.send(self._host, data, addr[0])
@@ -191,3 +195,23 @@
         self.assertTrue(is_direct(MOST_DIRECT))
         self.assertFalse(is_direct(MOST_DIRECT + 1))
         self.assertNotEqual(name_sum('a'), name_sum('b'))
+
+
+class TestClosedPort(IsolatedAsyncioTestCase):
+    """A node that ends while it tells."""
+
+    async def test_nothing_is_sent_on_a_port_that_is_closed(self) -> None:
+        """Symptom: a node that was told to end is killed.
+
+        Sequence: it closes its port; a datagram that was due is sent; the loop
+        of the transport has no socket any more, and the failure takes the place
+        of the cancellation. Cause: the port was not looked at before.
+        """
+        network = _Network()
+        nodes = [_Node(network, f'n-{at}', 'a') for at in range(2)]
+        nodes[0].meet(nodes)
+        transport = Mock(spec=asyncio.DatagramTransport)
+        transport.is_closing.return_value = True
+        nodes[0].telling.begin(transport)
+        nodes[0].telling.pass_on(b'told')
+        transport.sendto.assert_not_called()
