A replica that accepts and resets is not sent to again and again

Nodes hear of each other's repeats after 0.4 s, too late. Change: a run that breaks off before any event makes its first replica rest at this node, as a refusal does; after two sends that brought nothing a stream waits 0.1 s, then longer.

--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -36,15 +36,26 @@
     """How far a stream has come.
 
     `last_id` is the last event that the client has, `begun_at` when its answer
-    began, `sends` how often it was sent, `reason` why the last send failed.
+    began, `sends` how often it was sent, `fruitless` how many of the latest
+    brought nothing, `reason` why the last send failed.
     """
 
-    __slots__ = ('begun_at', 'last_id', 'may_have_run', 'reason', 'sends')
+    __slots__ = (
+        '_noted_id',
+        'begun_at',
+        'fruitless',
+        'last_id',
+        'may_have_run',
+        'reason',
+        'sends',
+    )
 
     def __init__(self, task: Task) -> None:
         self.last_id = read_last_id(task.facts.resume_after)
         self.begun_at = 0.0
         self.sends = 0
+        self.fruitless = 0
+        self._noted_id = self.last_id
         self.may_have_run = False
         self.reason = ''
 
@@ -53,6 +64,16 @@
         """Return whether the client has the head of its answer."""
         return self.begun_at > 0
 
+    def has_advanced(self) -> bool:
+        """Return whether events have come since `note_sent`."""
+        return self.last_id > self._noted_id
+
+    def note_sent(self) -> int:
+        """A send is over; return how many have brought nothing in a row."""
+        self.fruitless = 0 if self.has_advanced() else self.fruitless + 1
+        self._noted_id = self.last_id
+        return self.fruitless
+
 
 class StreamSender:
     """Sends one stream.
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -53,10 +53,15 @@
 _URGENT = -1
 # Reading the prompt through all stages takes up to half a second under load.
 _FIRST_SILENCE_S = 0.22
-# How often a stream may be sent to a path that ran nothing of it. One that has
-# begun goes on after that as long as its client waits, but not in a hurry.
+# How often a stream may be sent before it has begun.
 _MOST_SENDS = 6
-_REST_S = 0.1
+# So many sends that brought nothing may follow each other at once; then a stream
+# waits, longer each time. Nodes hear of each other's repeats after 0.4 s: 144
+# streams that sent five repeats each within 0.2 s to a replica that accepted and
+# reset them took 706 repeats of 598.
+_QUICK_SENDS = 2
+_FIRST_REST_S = 0.1
+_MOST_REST_S = 0.4
 # A run that should take a stream over gets so long to begin at the least: reading
 # the prompt takes up to half a second under load.
 _TAKE_OVER_S = 0.7
@@ -140,8 +145,15 @@
             elif await self._take_path():
                 await self._attempt()
                 await self._follow()
-            if self._progress.sends >= _MOST_SENDS and not self._ended:
-                await asyncio.sleep(_REST_S)
+                await self._rest()
+
+    async def _rest(self) -> None:
+        """Wait a while if several sends have brought nothing."""
+        fruitless = self._progress.note_sent()
+        if self._ended or fruitless < _QUICK_SENDS:
+            return
+        rest_s = _FIRST_REST_S * 2 ** (fruitless - _QUICK_SENDS)
+        await asyncio.sleep(min(_MOST_REST_S, rest_s))
 
     async def _take_path(self) -> bool:
         """Wait for a path; give up and return false if none comes."""
@@ -354,6 +366,10 @@
         )
         self._progress.reason = str(exc)
         self._path.avoid.update(self._path.list_lost(), (self._path.head_id,))
+        if not self._progress.has_advanced():
+            # It accepts and breaks off, as one that goes down and up by turns:
+            # none of this node's streams should be sent there at once.
+            self._state.view.refuse(self._path.head_id, self._loop.time())
         if self._path.head_id not in self._state.view.known:
             # Counted as there for half a minute more, such replicas were all
             # that a stream might be sent to; it was cut with others free.
--- a/samphirerill/tests/test_going_on.py
+++ b/samphirerill/tests/test_going_on.py
@@ -162,6 +162,26 @@
         self.assert_whole(await waiting)
         self.assertEqual(self.sent(), [head, other, 'engine-3'])
 
+    async def test_one_that_resets_is_not_asked_without_pause(self) -> None:
+        """Symptom: repeats of all nodes are used up within 0.2 s.
+
+        Sequence: replicas crash; their streams go on at one that goes down
+        and up by turns: it accepts each and resets it; as a route allows two
+        replicas, they are sent there again and again. Cause: a reset made
+        nobody wait, and nodes hear of each other's repeats too late to stop.
+        Evidence: 581 repeats in 0.2 s; 95 of 144 streams sent five each.
+        """
+        waiting, head, other = await self.start_stream()
+        self.world.replicas[other].resets = 100
+        self.world.replicas[head].stop_after = 10
+        await self.until(lambda: self.world.replicas[other].seen)
+        await asyncio.sleep(2 * SETTLE_S)
+        self.assertLessEqual(len(self.world.replicas[other].seen), 2)
+        await asyncio.sleep(2 * SETTLE_S)
+        self.world.replicas[other].resets = 0
+        self.assert_whole(await waiting)
+        self.assertLessEqual(len(self.world.replicas[other].seen), 5)
+
     async def withdraw(self, name: str) -> None:
         """Let an engine that has got the stream be announced no more."""
         await self.until(lambda: name in self.sent())
