--- a/samphirerill/relay/stream_guard.py
+++ b/samphirerill/relay/stream_guard.py
@@ -162,8 +162,11 @@
         through them any more. As long as it waits, a stream that finds no
         other way stays, as on one that leaves.
         """
-        way = await self._path.move()
-        self._moving = None
+        try:
+            way = await self._path.move()
+        finally:
+            if self._moving is asyncio.current_task():
+                self._moving = None
         if way is Way.MOVED or self._conn is not conn:
             return
         must_leave = way is Way.AGAIN or bool(self._path.list_lost())
