Logs and samphirerill explain tell why a stream leaves a run that goes on

Cause: with runs that take over, a stream that leaves no longer "breaks", and the reason of its leaving stood nowhere. Change: "stream leaves" gives it; explain reads it, and the run sent beside. Figures: the new test of explain fails without it; no behaviour of streams changes.

--- a/samphirerill/relay/stream_guard.py
+++ b/samphirerill/relay/stream_guard.py
@@ -50,7 +50,8 @@
         Returns whether the stream could be sent again.
     seek : callable
         Lets another run take over if the stream has begun, and returns whether
-        it has. One that has not begun loses nothing if it is sent again.
+        it has; takes the connection and the reason. A stream that has not begun
+        loses nothing if it is sent again.
     """
 
     def __init__(
@@ -59,7 +60,7 @@
         path: StreamPath,
         examiner: Examiner,
         may_resend: Callable[[], bool],
-        seek: Callable[[HttpConnection], bool],
+        seek: Callable[[HttpConnection, str], bool],
     ) -> None:
         self._task = task
         self._path = path
@@ -143,7 +144,7 @@
 
     def _leave_head(self, conn: HttpConnection) -> None:
         """Go on elsewhere if the first replica is gone or gives up its part."""
-        if self._seek(conn):
+        if self._seek(conn, f'{self._path.head_id} is lost'):
             return
         if self._path.is_head_dead() or self._can_go_elsewhere():
             conn.close()
@@ -172,7 +173,7 @@
         must_leave = way is Way.AGAIN or bool(self._path.list_lost())
         if not must_leave or not self._can_go_elsewhere():
             self._plan_leaving(conn)
-        elif not self._seek(conn):
+        elif not self._seek(conn, 'it could not be moved'):
             conn.close()
 
     async def _find_cause(self, since: float, silence_s: float) -> float:
@@ -225,5 +226,5 @@
     def _leave_silent(self, reason: str) -> None:
         """Let another run take over; raise if the stream has not begun."""
         conn = self._conn
-        if conn is None or not self._seek(conn):
+        if conn is None or not self._seek(conn, reason):
             raise SilentEndpointError(reason)
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -255,9 +255,10 @@
         finally:
             self._guard.end()
 
-    def _seek(self, conn: HttpConnection) -> bool:
+    def _seek(self, conn: HttpConnection, reason: str) -> bool:
         """Let another run take over; return whether the stream has begun."""
         if self._progress.has_begun and self._task.may_repeat:
+            self._log('stream leaves', reason=reason)
             if must_begin_here(self._path) and self._may_resend():
                 # No replica is sent a stream that it still runs.
                 conn.close()
--- a/samphirerill/reports/lateness.py
+++ b/samphirerill/reports/lateness.py
@@ -21,10 +21,15 @@
 # Log lines of one moment carry times that differ by so much.
 _SLACK_S = 0.002
 _SENT = 'stream sent'
+_SENT_BESIDE = 'stream sent beside'
 _MOVED = 'stream moved'
+_LEAVES = 'stream leaves'
 _BROKE = 'stream broke'
 _REFUSED = 'engine refused'
 _ENDED = 'stream ended'
+_ACTED = frozenset((_SENT, _SENT_BESIDE, _MOVED))
+# Words in the reason of a stream that leaves what is silent.
+_SILENT_WORDS = ('waits for', 'silent', 'does not answer')
 
 
 class Cause(enum.Enum):
@@ -115,7 +120,7 @@
     ]
     late = Lateness(request, _find_cause(within), pause_ms)
     decided = [line.at for line in within if line.event != _ENDED]
-    acted = [line.at for line in within if line.event in {_SENT, _MOVED}]
+    acted = [line.at for line in within if line.event in _ACTED]
     if decided:
         late.noticing_ms = max(0.0, decided[0] - since) * _MS_PER_S
         last = acted[-1] if acted else decided[-1]
@@ -125,12 +130,15 @@
 
 
 def _find_cause(lines: Sequence[Line]) -> Cause:
-    broke = [line for line in lines if line.event == _BROKE]
-    if broke:
-        reason = str(broke[-1].facts.get('reason', ''))
-        waits = 'waits for' in reason or 'silent' in reason
-        return Cause.SILENT if waits else Cause.BROKE
-    if any(line.event == _MOVED for line in lines):
+    left = [line for line in lines if line.event in {_BROKE, _LEAVES}]
+    if left:
+        reason = str(left[-1].facts.get('reason', ''))
+        if any(word in reason for word in _SILENT_WORDS):
+            return Cause.SILENT
+    events = {line.event for line in lines}
+    if _BROKE in events:
+        return Cause.BROKE
+    if events & {_MOVED, _LEAVES}:
         return Cause.MOVED
     if any(line.event == _REFUSED for line in lines):
         return Cause.REFUSED
--- a/samphirerill/tests/test_explain.py
+++ b/samphirerill/tests/test_explain.py
@@ -72,6 +72,25 @@
         )
         self.assertEqual(self.journal.skipped, 1)
 
+    def test_a_run_that_took_over_is_told_from_one_that_broke(self) -> None:
+        stories = {
+            'silent': ('one: does not answer', Cause.SILENT),
+            'lost': ('one is lost', Cause.MOVED),
+        }
+        for request, (reason, cause) in stories.items():
+            with self.subTest(request):
+                journal = Journal()
+                lines = (
+                    _line(1, 'stream sent', request=request, waited_ms=1),
+                    _line(2.1, 'stream leaves', request=request, reason=reason),
+                    _line(2.15, 'stream sent beside', request=request),
+                    _end(4, request, 300, 1700),
+                )
+                journal.read(f'edge-1 {line}' for line in lines)
+                late = list_late(journal, Aims())[0]
+                self.assertIs(late.cause, cause)
+                self.assertAlmostEqual(late.deciding_ms, 50, delta=1)
+
     def test_a_pause_is_cut_into_phases(self) -> None:
         late = {item.request: item for item in list_late(self.journal, Aims())}
         dead = late['dead']
--- a/samphirerill/tests/test_going_on.py
+++ b/samphirerill/tests/test_going_on.py
@@ -269,7 +269,7 @@
             cast('StreamPath', path),
             cast('Examiner', None),
             lambda: True,
-            lambda _: False,
+            lambda *_: False,
         )
         for _ in range(2):
             guard.begin(HttpConnection('127.0.0.1:1'))
