What nobody can serve is refused at once, with when the layers should be there

Cause: where the last holder of some layers is lost, new requests waited 1.4 s for a path as if for room, and were told to come back in 2.5 s whatever there was to load.

Change: while no live replica holds some layers and they can't be loaded within the request's patience, it is refused at once; Retry-After is what loading a part takes, counted from when the layers were missed. Streams that have begun wait.

Test first (refused in 1.4 s before, at once after).

--- a/samphirerill/fleet/explain.py
+++ b/samphirerill/fleet/explain.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from operator import attrgetter
 from typing import TYPE_CHECKING
 
+from samphirerill.fleet.model import format_layers
+from samphirerill.fleet.outage import find_gap, list_ranges
 from samphirerill.fleet.paths import has_room
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Sequence
 
     from samphirerill.fleet.load import LoadBook
-    from samphirerill.fleet.model import EngineSpec, LayerRange
+    from samphirerill.fleet.model import EngineSpec
     from samphirerill.fleet.paths import PathRequest
     from samphirerill.fleet.view import Known
 
@@ -28,31 +29,13 @@
         for found in usable
         if found.replica.replica_id not in wanted.avoid
     ]
-    gap = _find_gap(engine, _list_ranges(present))
-    if gap:
-        return f'nobody holds layers {gap}'
+    gap = find_gap(engine, list_ranges(present))
+    if gap is not None:
+        return f'nobody holds layers {format_layers(gap)}'
     roomy = [
         found for found in present if has_room(engine, found, book, wanted)
     ]
-    gap = _find_gap(engine, _list_ranges(roomy))
-    if gap:
-        return f'no room in layers {gap}'
+    gap = find_gap(engine, list_ranges(roomy))
+    if gap is not None:
+        return f'no room in layers {format_layers(gap)}'
     return 'no way between the parts that have room'
-
-
-def _list_ranges(known: Sequence[Known]) -> list[LayerRange]:
-    return [
-        found.replica.layers
-        for found in known
-        if found.replica.layers is not None
-    ]
-
-
-def _find_gap(engine: EngineSpec, ranges: Iterable[LayerRange]) -> str:
-    """Return the first layers that no range covers, as text."""
-    position = 0
-    for layers in sorted(ranges, key=attrgetter('first')):
-        if layers.first > position:
-            return f'{position}-{layers.first}'
-        position = max(position, layers.end)
-    return '' if position >= engine.layers else f'{position}-{engine.layers}'
--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -13,6 +13,7 @@
 
 from samphirerill.fleet.explain import explain_no_path
 from samphirerill.fleet.load import list_ids
+from samphirerill.fleet.outage import Outage
 from samphirerill.fleet.paths import choose_path
 from samphirerill.fleet.prediction import predict_transfer_ms
 
@@ -56,6 +57,10 @@
         self.wait_s = wait_s
 
 
+class OutageError(HopelessError):
+    """Nobody holds some layers; `wait_s` is when somebody should."""
+
+
 class Admission:
     """The queue of this node's streams.
 
@@ -69,6 +74,7 @@
         self._state = state
         self._loop = asyncio.get_running_loop()
         self._queue: list[_Ticket] = []
+        self._outages: dict[str, Outage] = {}
         self._gap_s = 0.0
         self._last_grant = 0.0
         self._is_pumping = False
@@ -125,6 +131,8 @@
             self._loop.create_future(),
         )
         self._refuse_hopeless(waiting, ticket, deadline)
+        if not wanted.is_urgent:
+            self._refuse_in_outage(ticket, deadline)
         return await self._wait(ticket, deadline)
 
     def hold(
@@ -194,6 +202,23 @@
         if waiting > _SHORT_QUEUE and expected_s > left_s:
             raise HopelessError(expected_s, self._explain(ticket))
 
+    def _refuse_in_outage(self, ticket: _Ticket, deadline: float) -> None:
+        """Refuse at once what no replicas can serve in its time.
+
+        A stream that has begun waits: it can't come back.
+        """
+        service, now = ticket.service, self._loop.time()
+        outage = self._outages.get(service)
+        if outage is None:
+            outage = Outage(ticket.engine)
+            self._outages[service] = outage
+        live = self._state.view.list_live(service, now)
+        if not outage.observe(live, now):
+            return
+        wait_s = outage.predict_wait_s(live, now)
+        if now + wait_s > deadline:
+            raise OutageError(wait_s, self._explain(ticket))
+
     def _explain(self, ticket: _Ticket) -> str:
         state = self._state
         usable = state.view.list_usable(ticket.service, self._loop.time())
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.node.logs import get_logger
-from samphirerill.relay.admission import HopelessError
+from samphirerill.relay.admission import HopelessError, OutageError
 from samphirerill.relay.answers import (
     filter_headers,
     is_success,
@@ -169,6 +169,9 @@
                 self._limit_admission(),
                 is_urgent=self._progress.has_begun,
             )
+        except OutageError as exc:
+            self._give_up(str(exc), exc.wait_s)
+            return False
         except HopelessError as exc:
             self._give_up(str(exc), max(_REPAIR_S, exc.wait_s))
             return False
--- a/samphirerill/tests/test_admission_edge.py
+++ b/samphirerill/tests/test_admission_edge.py
@@ -8,7 +8,7 @@
 from samphirerill.fleet.paths import PathRequest
 from samphirerill.platform.dialect import PlatformDialect
 from samphirerill.platform.settings import EdgeSettings
-from samphirerill.relay.admission import Admission, HopelessError
+from samphirerill.relay.admission import Admission, HopelessError, OutageError
 from samphirerill.relay.state import EdgeState
 from samphirerill.tests.fleets import ENGINE, build_replica
 
@@ -69,6 +69,33 @@
             await self.admit(1e9, _NEW, 0.05)
         self.assertIn('no room in layers', str(caught.exception))
 
+    async def test_what_nobody_can_serve_is_refused_at_once(self) -> None:
+        """Symptom: requests wait for 1.4 s and are refused twice.
+
+        Sequence: the only holder of the last layers is lost; loading them
+        elsewhere takes seconds; requests wait for a path as if for room, and
+        are told to come back before there is one. Cause: layers that nobody
+        holds were no reason of their own to refuse.
+        """
+        now = self.loop.time()
+        self.state.view.suspect('two', now + 9, now, votes=2)
+        with self.assertRaises(OutageError) as caught:
+            await self.admit(100, _NEW, 1.4)
+        self.assertLess(self.loop.time() - now, 0.1)
+        self.assertIn('nobody holds layers 40-80', str(caught.exception))
+        load_s = ENGINE.load_s / 2
+        self.assertGreater(caught.exception.wait_s, load_s)
+        self.assertLess(caught.exception.wait_s, load_s + 1)
+
+    async def test_one_that_has_begun_waits_for_the_layers(self) -> None:
+        now = self.loop.time()
+        self.state.view.suspect('two', now + 9, now, votes=2)
+        begun = self.admit(100, _URGENT, 2.0)
+        await asyncio.sleep(0.05)
+        self.state.view.trust('two')
+        self.state.notify()
+        self.assertTrue(await begun)
+
     async def test_one_that_gives_up_holds_nothing(self) -> None:
         waiting = self.admit(1e9, _NEW)
         await asyncio.sleep(0.01)
