--- a/samphirerill/platform/store.py
+++ b/samphirerill/platform/store.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from base64 import b64decode, b64encode
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
@@ -136,16 +137,23 @@
     ----------
     address : str
         ``IP:PORT`` of the service.
+
+    Attributes
+    ----------
+    calls : Counter
+        Calls made, by purpose; they are paid for, also those that fail.
     """
 
     def __init__(self, address: str) -> None:
         self._address = address
         self._idle: list[HttpConnection] = []
-        self.calls = 0
+        self.calls: Counter[str] = Counter()
 
     async def read(self, key: str) -> tuple[StoredItem | None, int]:
         """Return a key's item, or none, and the service's revision."""
-        status, body = await self._call('GET', '/kv-key', {'key': key})
+        status, body = await self._call(
+            'read key', 'GET', '/kv-key', {'key': key}
+        )
         if status == _NOT_FOUND:
             return None, 0
         found = _decode(body, _Found)
@@ -164,7 +172,7 @@
             query = {'prefix': prefix}
             if after:
                 query['after'] = after
-            _, body = await self._call('GET', '/kv-range', query)
+            _, body = await self._call('read all', 'GET', '/kv-range', query)
             page = _decode(body, _Range)
             found.extend(_build_item(item) for item in page.found)
             revision = revision or page.current_rev
@@ -186,7 +194,9 @@
             'waitMs': str(int(WATCH_WAIT_S * _MS)),
         }
         wait_s = WATCH_WAIT_S + _WATCH_SLACK_S
-        _, body = await self._call('GET', '/kv-watch', query, wait_s=wait_s)
+        _, body = await self._call(
+            'watch', 'GET', '/kv-watch', query, wait_s=wait_s
+        )
         found = _decode(body, _Events)
         return Changes(
             found.current_rev, [_build_event(item) for item in found.events]
@@ -225,7 +235,7 @@
             ],
             list(remove),
         )
-        status, body = await self._call('POST', '/kv-txn', {}, call)
+        status, body = await self._call('write', 'POST', '/kv-txn', {}, call)
         if status == _CONFLICT:
             raise ConditionFailedError('a key has another revision')
         if status == _NOT_FOUND:
@@ -235,18 +245,20 @@
     async def grant_lease(self, ttl_s: float) -> int:
         """Return a new lease."""
         call = {'ttlMs': int(ttl_s * _MS)}
-        _, body = await self._call('POST', '/kv-lease', {}, call)
+        _, body = await self._call('grant', 'POST', '/kv-lease', {}, call)
         return _decode(body, _Lease).lease
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; raise ``NoSuchLeaseError`` if it has ended."""
-        status, _ = await self._call('POST', f'/kv-keep/{lease}', {}, {})
+        status, _ = await self._call(
+            'renew', 'POST', f'/kv-keep/{lease}', {}, {}
+        )
         if status == _NOT_FOUND:
             raise NoSuchLeaseError(f'lease {lease} has ended')
 
     async def end_lease(self, lease: int) -> None:
         """End a lease; its keys go at once."""
-        await self._call('DELETE', f'/kv-lease-end/{lease}', {})
+        await self._call('end', 'DELETE', f'/kv-lease-end/{lease}', {})
 
     def change_address(self, address: str) -> None:
         """Make further calls to another address."""
@@ -261,6 +273,7 @@
 
     async def _call(
         self,
+        purpose: str,
         method: str,
         path: str,
         query: dict[str, str],
@@ -276,7 +289,7 @@
             body = json.encode(document)
         call = build_call(method.encode(), target.encode(), headers, body)
         deadline = asyncio.get_running_loop().time() + wait_s
-        self.calls += 1
+        self.calls[purpose] += 1
         status, answer = await self._exchange(call, deadline)
         if status == _GONE:
             raise HistoryGoneError('the service has dropped this history')
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -14,10 +14,11 @@
 from samphirerill.relay.front import Front
 from samphirerill.relay.health import Alarms, Examiner, Survey
 from samphirerill.relay.leadership import Leadership
-from samphirerill.relay.listeners import Page, PageHandler, listen
+from samphirerill.relay.listeners import listen
 from samphirerill.relay.members import Members
 from samphirerill.relay.news import NewsSource
-from samphirerill.relay.reload import Reloader
+from samphirerill.relay.node_pages import NodePages
+from samphirerill.relay.reload import Reloader, SettingsFile
 from samphirerill.relay.state import EdgeState
 from samphirerill.relay.store_health import StoreHealth
 
@@ -27,12 +28,9 @@
     from samphirerill.platform.settings import EdgeSettings
     from samphirerill.platform.store import PlatformStore
     from samphirerill.relay.dialect import Dialect
-    from samphirerill.relay.reload import SettingsFile
     from samphirerill.relay.server import CallerConnection
 
 _LOG = get_logger('edge')
-_OK = 200
-_UNAVAILABLE = 503
 _SWEEP_S = 0.25
 # The balancer asks once a second and needs two misses; until then it sends
 # new connections, which are served.
@@ -98,6 +96,9 @@
             news,
             news.log,
         )
+        self._about = NodePages(
+            self.state, self._admission, store, self._count_busy
+        )
         self._reloader = Reloader(self.state, store, source)
         self._connections: set[CallerConnection] = set()
         self._pages: set[CallerConnection] = set()
@@ -119,6 +120,7 @@
             (self._survey.run, 'survey'),
             (self._sweep, 'sweep'),
             (self._reloader.run, 'settings'),
+            (self._about.usage.run, 'usage'),
         ):
             self._start_task(self._keep_running(work, name), name)
         _LOG.info('started', extra={'node': self.state.settings.name})
@@ -135,6 +137,7 @@
         for conn in (*self._connections, *self._pages):
             conn.end()
         self._members.close()
+        self._about.usage.log()
         for task in tuple(self._tasks):
             task.cancel()
 
@@ -144,7 +147,7 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send new connections."""
-        return self.state.cfg is not None and not self.state.is_draining
+        return self.state.is_ready()
 
     def begin_drain(self) -> None:
         """Begin to end: no new connections, every request is finished."""
@@ -156,32 +159,19 @@
 
     async def _listen(self) -> None:
         settings = self.state.settings
-        pages = PageHandler({self.state.dialect.ready_path: self._get_ready})
-        metrics = PageHandler({b'/metrics': self._get_metrics})
         metrics_address = f'{settings.host}:{settings.metrics_port}'
         self._servers.extend(
             await asyncio.gather(
                 listen(settings.callers, self._front, self._connections),
-                listen(settings.readiness, pages, self._pages),
-                listen(metrics_address, metrics, self._pages),
+                listen(
+                    settings.readiness, self._about.build_ready(), self._pages
+                ),
+                listen(
+                    metrics_address, self._about.build_metrics(), self._pages
+                ),
             )
         )
 
-    def _get_ready(self) -> Page:
-        if self.is_ready():
-            return _OK, b'ready'
-        return _UNAVAILABLE, b'not ready'
-
-    def _get_metrics(self) -> Page:
-        state = self.state
-        gauges = dict(state.counters)
-        gauges['now.waiting'] = self._admission.count_waiting()
-        gauges['now.open'] = self._count_busy()
-        gauges['now.replicas'] = len(state.view.known)
-        gauges['now.version'] = state.version
-        gauges['replicas.false_deaths'] = state.view.false_deaths
-        return _OK, state.metrics.format_prometheus(gauges).encode()
-
     def _move_streams(self) -> None:
         """Replicas were lost: streams leave them now, not when they notice."""
         if self._losses == self.state.view.losses:
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -71,6 +71,10 @@
         """Return the version of the configuration in force; 0 for none."""
         return 0 if self.cfg is None else self.cfg.version
 
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send new connections."""
+        return self.cfg is not None and not self.is_draining
+
     def count_nodes(self) -> int:
         """Return how many nodes share the fleet, this one included.
 
