A data centre without a pipeline is planned from nothing, and loaded in turn

Cause: plans from nothing were made only if no replica held anything. A data centre whose replicas all start anew never served again either; a data centre with parts that don't fit each other was left as it is ("moves: 0" with 20 replicas and no pipeline).

Change: a data centre without a pipeline that can be mended is planned from nothing, its parts given to those that hold most of them. What repairs know of a data centre and what they do for stranded ones are modules of their own. Loads go one data centre after another where more would slow each other; a replica that is busy is asked again after 0.5 s, not each 0.2 s.

Tests first: three for stranded data centres and two for pacing failed.

--- a/samphirerill/fleet/migration.py
+++ b/samphirerill/fleet/migration.py
@@ -55,7 +55,7 @@
     if planned is None:
         return {}
     worth = predict_worth(engine, whole, doubles, aims)
-    moves = _assign(planned.pipelines, cards)
+    moves = assign_parts(planned.pipelines, cards)
     if planned.worth * (1 - _MOVE_COST * len(moves)) <= worth * _GAIN:
         return {}
     return moves
@@ -68,9 +68,20 @@
     )
 
 
-def _assign(pipelines: Sequence[Pipeline], cards: Sequence[Replica]) -> Moves:
+def assign_parts(
+    pipelines: Sequence[Pipeline], cards: Sequence[Replica]
+) -> Moves:
     """Return the moves that a plan needs.
 
+    Parameters
+    ----------
+    pipelines : sequence of Pipeline
+        What the plan wants.
+    cards : sequence of Replica
+        Those that it was made for.
+
+    Notes
+    -----
     Replicas of one kind are interchangeable: each part goes to the one that
     holds most of it already.
     """
--- a/samphirerill/fleet/repair.py
+++ b/samphirerill/fleet/repair.py
@@ -2,15 +2,14 @@
 
 Data centres are planned one by one. Whole pipelines stay as they are; one that
 lost a part is made whole, first by replicas that no pipeline needs. What is left
-doubles parts. Only a data centre without any whole pipeline takes replicas of
-others. A calm fleet changes over to a clearly better plan.
+doubles parts. A data centre without any whole pipeline is planned from nothing; only
+one that can't have a pipeline of its own takes replicas of others. A calm fleet changes over to a clearly better plan.
 
 Answers to: losses, releases and newcomers, several at once.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.chains import extract_chains
@@ -20,16 +19,20 @@
     predict_outage,
 )
 from samphirerill.fleet.mending import close_gaps, complete, cut_anew
-from samphirerill.fleet.migration import build_pipeline, plan_migration
+from samphirerill.fleet.migration import plan_migration
 from samphirerill.fleet.model import NO_LAYERS, LayerRange
-from samphirerill.fleet.planner import group_by_zone, plan_layers, plan_zone
-from samphirerill.fleet.prediction import predict_visit_ms
+from samphirerill.fleet.planner import group_by_zone, plan_layers
 from samphirerill.fleet.rates import (
-    Pipeline,
     count_most_layers,
-    get_kind,
     predict_rate,
 )
+from samphirerill.fleet.stranded import build_anew, mend_across
+from samphirerill.fleet.zone_state import (
+    by_id,
+    list_held,
+    list_used,
+    read_zone,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping, Sequence
@@ -37,6 +40,7 @@
     from samphirerill.fleet.chains import Chain
     from samphirerill.fleet.model import EngineSpec, Replica
     from samphirerill.fleet.worth import Aims
+    from samphirerill.fleet.zone_state import Zone
 
 # A slower pipeline is given up for a faster one only for this much more.
 _GAIN = 1.3
@@ -45,21 +49,6 @@
 Moves = dict[str, LayerRange]
 
 
-@dataclass(slots=True)
-class _Zone:
-    """One data centre: its pipelines, and what they don't need.
-
-    `whole` are pipelines that work, or will by `moves`; `broken` those to be
-    made whole.
-    """
-
-    cards: list[Replica]
-    whole: list[Pipeline] = field(default_factory=list)
-    broken: list[Chain] = field(default_factory=list)
-    spares: list[Replica] = field(default_factory=list)
-    moves: Moves = field(default_factory=dict)
-
-
 def plan_moves(
     engine: EngineSpec,
     present: Sequence[Replica],
@@ -94,12 +83,14 @@
         planned = plan_layers(engine, known, aims)
         return {} if planned is None else planned.list_ranges()
     zones = [
-        _read_zone(engine, cards, aims, settled, (had or {}).get(name, 0))
+        read_zone(engine, cards, aims, settled, (had or {}).get(name, 0))
         for name, cards in group_by_zone(known).items()
     ]
     for zone in zones:
         _mend_zone(engine, zone, aims)
-    _mend_across(engine, zones)
+        if not zone.whole:
+            build_anew(engine, zone, aims)
+    mend_across(engine, zones)
     moves = _drop_done(_join_moves(item.moves for item in zones), known)
     if moves:
         return moves
@@ -120,40 +111,7 @@
     }
 
 
-def _read_zone(
-    engine: EngineSpec,
-    cards: list[Replica],
-    aims: Aims,
-    settled: Collection[str],
-    had: int,
-) -> _Zone:
-    """Tell pipelines that lost a part from replicas that only double.
-
-    Newcomers are no reason for another pipeline: the replicas that they
-    replace are about to leave.
-    """
-    chains = extract_chains(engine, cards)
-    whole = [build_pipeline(chain) for chain in chains if not chain.gaps]
-    broken = [chain for chain in chains if chain.gaps]
-    if broken:
-        lasting = [item for item in cards if item.replica_id in settled]
-        planned = plan_zone(engine, lasting, aims)
-        wanted = 0 if planned is None else len(planned.pipelines)
-        broken.sort(key=lambda chain: _predict_pace(engine, chain))
-        broken = broken[: max(0, max(wanted, had) - len(whole))]
-    used = {
-        replica.replica_id
-        for pipeline in whole
-        for replica, _ in pipeline.parts
-    }
-    used.update(
-        stage.replica.replica_id for chain in broken for stage in chain.stages
-    )
-    spares = [item for item in cards if item.replica_id not in used]
-    return _Zone(cards, whole, broken, spares)
-
-
-def _mend_zone(engine: EngineSpec, zone: _Zone, aims: Aims) -> None:
+def _mend_zone(engine: EngineSpec, zone: Zone, aims: Aims) -> None:
     """Make broken pipelines whole, the fastest first."""
     for chain in tuple(zone.broken):
         if chain not in zone.broken:
@@ -165,7 +123,7 @@
 
 
 def _find_moves(
-    engine: EngineSpec, zone: _Zone, chain: Chain, aims: Aims
+    engine: EngineSpec, zone: Zone, chain: Chain, aims: Aims
 ) -> Moves | None:
     """Return the moves that make a pipeline whole, the gentlest that do."""
     return (
@@ -176,7 +134,7 @@
     )
 
 
-def _use_slower(engine: EngineSpec, zone: _Zone, chain: Chain) -> Moves | None:
+def _use_slower(engine: EngineSpec, zone: Zone, chain: Chain) -> Moves | None:
     """Close gaps with the parts of broken pipelines that are slower."""
     at = zone.broken.index(chain)
     slower = [
@@ -190,7 +148,7 @@
 
 
 def _sacrifice(
-    engine: EngineSpec, zone: _Zone, chain: Chain, aims: Aims
+    engine: EngineSpec, zone: Zone, chain: Chain, aims: Aims
 ) -> Moves | None:
     """Close gaps with the parts of a whole pipeline that is worth less."""
     slow = min(
@@ -205,7 +163,7 @@
     if moves is None:
         return None
     gained = predict_rate(
-        engine, complete(chain, moves, _by_id(zone)), aims.pause_ms
+        engine, complete(chain, moves, by_id(zone)), aims.pause_ms
     )
     if gained < predict_rate(engine, slow, aims.pause_ms) * _GAIN:
         return None
@@ -215,25 +173,25 @@
 
 def _is_worth_it(
     engine: EngineSpec,
-    zone: _Zone,
+    zone: Zone,
     chain: Chain,
     moves: Moves,
     aims: Aims,
 ) -> bool:
     """Return whether a pipeline is worth the doubles that it takes away."""
     gained = predict_rate(
-        engine, complete(chain, moves, _by_id(zone)), aims.pause_ms
+        engine, complete(chain, moves, by_id(zone)), aims.pause_ms
     )
     parts = list_parts(engine, zone.whole, aims.pause_ms)
-    doubles = _list_held(zone.spares)
+    doubles = list_held(zone.spares)
     before = predict_outage(parts, doubles)
     left = [item for item in zone.spares if item.replica_id not in moves]
-    return gained > predict_outage(parts, _list_held(left)) - before
+    return gained > predict_outage(parts, list_held(left)) - before
 
 
-def _accept(zone: _Zone, chain: Chain, moves: Moves) -> None:
+def _accept(zone: Zone, chain: Chain, moves: Moves) -> None:
     """Take moves as done."""
-    zone.whole.append(complete(chain, moves, _by_id(zone)))
+    zone.whole.append(complete(chain, moves, by_id(zone)))
     zone.broken.remove(chain)
     zone.broken = [
         other
@@ -241,60 +199,13 @@
         if not any(stage.replica.replica_id in moves for stage in other.stages)
     ]
     zone.moves.update(moves)
-    used = {
-        replica.replica_id
-        for pipeline in zone.whole
-        for replica, _ in pipeline.parts
-    }
-    used.update(
-        stage.replica.replica_id
-        for other in zone.broken
-        for stage in other.stages
-    )
+    used = list_used(zone)
     zone.spares = [item for item in zone.cards if item.replica_id not in used]
 
 
-def _mend_across(engine: EngineSpec, zones: list[_Zone]) -> None:
-    """Let data centres without a pipeline use what others don't need."""
-    stranded = [zone for zone in zones if not zone.whole]
-    if not stranded:
-        return
-    names = {card.data_centre for zone in stranded for card in zone.cards}
-    cards = [card for zone in stranded for card in zone.cards]
-    cards.extend(card for zone in zones if zone.whole for card in zone.spares)
-    chains = [
-        chain
-        for chain in extract_chains(engine, cards)
-        if any(stage.replica.data_centre in names for stage in chain.stages)
-    ]
-    if not chains:
-        return
-    if all(chain.gaps for chain in chains):
-        best = chains[0]
-        held = {stage.replica.replica_id for stage in best.stages}
-        free = [card for card in cards if card.replica_id not in held]
-        stranded[0].moves.update(close_gaps(engine, best, free) or {})
-    _reserve(zones, chains)
-
-
-def _reserve(zones: list[_Zone], chains: list[Chain]) -> None:
-    """Take away spares that a pipeline across data centres needs."""
-    used = {
-        stage.replica.replica_id
-        for chain in chains
-        if not chain.gaps
-        for stage in chain.stages
-    }
-    used.update(name for zone in zones for name in zone.moves)
-    for zone in zones:
-        zone.spares = [
-            card for card in zone.spares if card.replica_id not in used
-        ]
-
-
 def _double(
     engine: EngineSpec,
-    zone: _Zone,
+    zone: Zone,
     aims: Aims,
     settled: Collection[str],
 ) -> Moves:
@@ -307,7 +218,7 @@
 
 
 def _expect_leavers(
-    engine: EngineSpec, zone: _Zone, settled: Collection[str]
+    engine: EngineSpec, zone: Zone, settled: Collection[str]
 ) -> Moves:
     """Load a newcomer with what the only other one of its kind holds.
 
@@ -328,7 +239,7 @@
     return moves
 
 
-def _list_held_by(zone: _Zone, accelerator: str) -> list[LayerRange]:
+def _list_held_by(zone: Zone, accelerator: str) -> list[LayerRange]:
     """Return the parts of pipelines on accelerators of one kind."""
     return [
         stage.layers
@@ -338,13 +249,13 @@
     ]
 
 
-def _migrate(engine: EngineSpec, zones: list[_Zone], aims: Aims) -> Moves:
+def _migrate(engine: EngineSpec, zones: list[Zone], aims: Aims) -> Moves:
     """Return the moves of one data centre to a better plan."""
     for zone in zones:
         if not zone.whole:
             continue
         moves = plan_migration(
-            engine, zone.cards, zone.whole, _list_held(zone.spares), aims
+            engine, zone.cards, zone.whole, list_held(zone.spares), aims
         )
         if moves:
             return moves
@@ -363,24 +274,5 @@
     }
 
 
-def _predict_pace(engine: EngineSpec, chain: Chain) -> float:
-    """Return the milliseconds per layer that a chain takes."""
-    spent = sum(
-        predict_visit_ms(
-            engine, get_kind(engine, stage.replica), stage.layers.count, 1
-        )
-        for stage in chain.stages
-    )
-    return spent / max(1, engine.layers - chain.count_missing())
-
-
-def _list_held(replicas: Sequence[Replica]) -> list[LayerRange]:
-    return [item.layers for item in replicas if item.layers is not None]
-
-
-def _by_id(zone: _Zone) -> dict[str, Replica]:
-    return {item.replica_id: item for item in zone.cards}
-
-
 def _count(layers: LayerRange) -> int:
     return layers.count
--- a/samphirerill/relay/commander.py
+++ b/samphirerill/relay/commander.py
@@ -14,6 +14,7 @@
 
 from samphirerill.backends.store import StoreError
 from samphirerill.fleet.model import MS_PER_S, format_layers
+from samphirerill.fleet.pacing import WantedLayers, choose_orders
 from samphirerill.fleet.rates import DEFAULT_PAUSE_MS
 from samphirerill.fleet.repair import count_whole, plan_moves
 from samphirerill.fleet.timing import PlanTiming
@@ -41,19 +42,24 @@
 # A goal not reached by then is given up and planned anew. Layers that are
 # given up first wait for the streams that pass through them.
 _GOAL_S = 12.0
+# One that is busy is asked again after so long; a load takes seconds, and each
+# question costs a connection.
+_ASK_AGAIN_S = 0.5
 
 
 @dataclass(slots=True)
 class _Goal:
     """Layers that a replica should hold; given up at `until`.
 
-    `replica` is the start of it that the goal is for.
+    `replica` is the start of it that the goal is for; it is not asked again
+    before `ask_at`.
     """
 
     layers: LayerRange
     until: float
     replica: Replica
     is_accepted: bool = False
+    ask_at: float = 0.0
 
     def is_for(self, replica: Replica) -> bool:
         """Return whether this start of a replica was meant."""
@@ -256,18 +262,41 @@
         )
 
     async def _pursue(self, engine: EngineSpec, present: list[Replica]) -> None:
-        """Order what is wanted and not yet accepted."""
-        orders = []
-        for replica in present:
+        """Order what is wanted and not yet accepted, as far as it is time."""
+        now = self._loop.time()
+        held = [self._find_held(replica) for replica in present]
+        wanted = []
+        loading = 0
+        for replica in held:
             goal = self._goals.get(replica.replica_id)
-            if goal is not None and not goal.is_accepted:
-                orders.append(self._order(engine, replica, goal))
-        await asyncio.gather(*orders)
+            if goal is None:
+                continue
+            if goal.is_accepted:
+                loading += 1
+            elif goal.ask_at <= now:
+                wanted.append(WantedLayers(replica, goal.layers))
+        if any(item.layers is not None for item in held):
+            wanted = choose_orders(engine, wanted, loading)
+        # Before a fleet holds anything, nobody waits for its first pipeline.
+        await asyncio.gather(
+            *(
+                self._order(
+                    engine, item.replica, self._goals[item.replica.replica_id]
+                )
+                for item in wanted
+            )
+        )
+
+    def _find_held(self, replica: Replica) -> Replica:
+        """Return a replica with what it holds, not with what it should."""
+        found = self._state.view.known.get(replica.replica_id)
+        return replica if found is None else found.replica
 
     async def _order(
         self, engine: EngineSpec, replica: Replica, goal: _Goal
     ) -> None:
         """Order one replica; a replica never gets more than it can hold."""
+        goal.ask_at = self._loop.time() + _ASK_AGAIN_S
         kind = engine.accelerators.get(replica.accelerator)
         if kind is None or goal.layers.count * engine.layer_mb > kind.size_mb:
             _LOG.error('order refused', extra={'replica': replica.replica_id})
@@ -286,6 +315,8 @@
         )
         status = await send_order(self._state, replica, order)
         goal.is_accepted = status in ACCEPTED
+        if goal.is_accepted:
+            goal.until = self._loop.time() + _GOAL_S
         _LOG.info(
             'ordered',
             extra={
--- a/samphirerill/tests/test_fleet_plans.py
+++ b/samphirerill/tests/test_fleet_plans.py
@@ -9,7 +9,8 @@
 from unittest import TestCase
 
 from samphirerill.fleet.chains import extract_chains
-from samphirerill.fleet.model import Replica
+from samphirerill.fleet.model import LayerRange, Replica
+from samphirerill.fleet.pacing import WantedLayers, choose_orders
 from samphirerill.fleet.planner import Planned, plan_layers
 from samphirerill.fleet.policy import Policy
 from samphirerill.fleet.rates import (
@@ -17,7 +18,7 @@
     count_most_layers,
     predict_total_rate,
 )
-from samphirerill.fleet.repair import plan_moves
+from samphirerill.fleet.repair import count_whole, plan_moves
 from samphirerill.fleet.timing import PlanTiming
 from samphirerill.fleet.worth import Aims
 from samphirerill.tests.fleets import (
@@ -292,6 +293,105 @@
         return chain.stages[number].replica
 
 
+class TestStranded(PlanCase):
+    """Data centres in which no pipeline is left, or never was."""
+
+    def count_by_zone(self, replicas: list[Replica]) -> dict[str, int]:
+        """Return the whole pipelines of each data centre."""
+        return count_whole(ENGINE, replicas)
+
+    def test_a_fleet_that_was_half_known_is_planned_for_whole(self) -> None:
+        """Symptom: 37 replicas serve nearly nothing for a whole day.
+
+        Sequence: the first plan is made when 16 of them have announced
+        themselves; 13 load parts of a pipeline that crosses data centres; 21
+        more come and stay empty: no data centre has parts enough to be mended,
+        and nobody plans for empty replicas beside some that hold layers.
+        Cause: plans from nothing were made only if no replica held anything.
+        """
+        fleet = build_fleet(THREE_ZONES)
+        known = fleet[::3]
+        planned = plan_layers(ENGINE, known, _AIMS)
+        assert planned is not None
+        replicas = self.mend(place(fleet, planned.list_ranges()))
+        whole = self.count_by_zone(replicas)
+        self.assertTrue(all(whole.values()), whole)
+
+    def test_a_data_centre_that_came_back_empty_serves_again(self) -> None:
+        """Symptom: a data centre that lost all replicas never serves again.
+
+        Sequence: all of them start anew at one moment, with nothing loaded;
+        the other data centres work. Cause: there was no part of a pipeline
+        left that could have been mended.
+        """
+        fleet = self.mend(build_fleet(THREE_ZONES))
+        lost = [
+            replace(item, layers=None) if item.data_centre == 'b' else item
+            for item in fleet
+        ]
+        whole = self.count_by_zone(self.mend(lost))
+        self.assertTrue(all(whole.values()), whole)
+
+    def test_what_works_elsewhere_is_not_taken_apart_for_it(self) -> None:
+        fleet = self.mend(build_fleet(THREE_ZONES))
+        lost = [
+            replace(item, layers=None) if item.data_centre == 'b' else item
+            for item in fleet
+        ]
+        names = {item.replica_id for item in lost}
+        moves = plan_moves(ENGINE, lost, _AIMS, names, is_calm=False)
+        moved = {item.data_centre for item in lost if item.replica_id in moves}
+        self.assertEqual(moved, {'b'})
+
+
+class TestPacing(TestCase):
+    """Which loads come first when there are many."""
+
+    def want(
+        self, zone: str, count: int, layers: tuple[int, int] = (0, 10)
+    ) -> list[WantedLayers]:
+        """Return what empty replicas of a data centre should hold."""
+        return [
+            WantedLayers(
+                build_replica(f'{zone}-{number}', zone), LayerRange(*layers)
+            )
+            for number in range(count)
+        ]
+
+    def test_one_data_centre_after_another(self) -> None:
+        """Symptom: no data centre serves for eight seconds after a loss.
+
+        Sequence: three of them load four parts each at one moment, where three
+        loads at a time go at full speed; all are done late. Cause: everything
+        that was wanted was ordered at once.
+        """
+        engine = replace(ENGINE, loads_at_once=3)
+        wanted = [
+            *self.want('a', 4),
+            *self.want('b', 3, (0, 8)),
+            *self.want('c', 4),
+        ]
+        first = choose_orders(engine, wanted, 0)
+        self.assertEqual({item.replica.data_centre for item in first}, {'b'})
+        self.assertEqual(len(first), 3)
+        self.assertEqual(choose_orders(engine, wanted, 1), [])
+
+    def test_what_fits_beside_each_other_goes_at_once(self) -> None:
+        wanted = [*self.want('a', 3), *self.want('b', 3)]
+        self.assertEqual(len(choose_orders(ENGINE, wanted, 0)), 6)
+        free = replace(ENGINE, loads_at_once=0)
+        self.assertEqual(len(choose_orders(free, wanted * 9, 50)), 54)
+
+    def test_giving_up_layers_is_no_load(self) -> None:
+        held = build_replica('a-0', 'a', layers=(0, 20))
+        less = WantedLayers(held, LayerRange(5, 15))
+        self.assertEqual(less.count_new(), 0)
+        other = WantedLayers(held, LayerRange(15, 30))
+        self.assertEqual(other.count_new(), 10)
+        engine = replace(ENGINE, loads_at_once=3)
+        self.assertEqual(choose_orders(engine, [less], 3), [less])
+
+
 class TestTiming(TestCase):
     """When plans are made."""
 
