A word that is not taken begins no loss; an outage is counted from its own start

Found by reading: an old word that was still kept made each repeated word count as the first of a loss, also those that this node knows better than. A second outage of layers was counted from the first one, so that its requests waited in vain. And each word that nodes repeat several times a second looked through all streams of a node: it is done once for each word now (counted work: words x streams before, once a word after).

--- a/samphirerill/fleet/outage.py
+++ b/samphirerill/fleet/outage.py
@@ -26,6 +26,9 @@
 _PART_QUANTILE = 0.75
 # What takes longer than predicted may be over at any moment.
 _OVERDUE_S = 0.7
+# A service is looked at when a request finds no path. Not looked at for so long, it
+# was whole meanwhile, and this is another outage.
+_ANOTHER_S = 1.0
 
 
 class Outage:
@@ -34,20 +37,22 @@
     `began_at` is on the loop's clock, 0 for a service that is whole.
     """
 
-    __slots__ = ('_engine', 'began_at', 'gap')
+    __slots__ = ('_engine', '_seen_at', 'began_at', 'gap')
 
     def __init__(self, engine: EngineSpec) -> None:
         self.began_at = 0.0
         self.gap: LayerRange | None = None
         self._engine = engine
+        self._seen_at = 0.0
 
     def observe(self, live: Sequence[Known], now: float) -> bool:
         """Take the replicas that live; return whether layers are missing."""
         self.gap = find_gap(self._engine, list_ranges(live))
         if self.gap is None:
             self.began_at = 0.0
-        elif not self.began_at:
+        elif not self.began_at or now > self._seen_at + _ANOTHER_S:
             self.began_at = now
+        self._seen_at = now
         return self.gap is not None
 
     def predict_wait_s(self, live: Sequence[Known], now: float) -> float:
--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -235,13 +235,14 @@
         before = found.suspicion.count_votes(now)
         is_news = found.suspicion.take(word, now)
         self.losses += is_news
-        is_first = not before and bool(found.suspicion.words)
+        after = found.suspicion.count_votes(now)
+        is_first = not before and after > 0
         # Paths don't miss one that leaves, nor one that holds no layers.
         is_needed = (
             found.replica.layers is not None and replica_id not in self.leaving
         )
         if is_needed and (is_first or is_news):
-            is_sure = found.suspicion.count_votes(now) >= SURE_VOTES
+            is_sure = after >= SURE_VOTES
             self.loss_round.note_silence(replica_id, now, is_sure=is_sure)
         if word.is_own:
             self.own_version += is_news
--- a/samphirerill/relay/health/words.py
+++ b/samphirerill/relay/health/words.py
@@ -15,6 +15,8 @@
 _MS_PER_S = 1000
 # An event may have passed the replica so long before it came here.
 _SIGN_LAG_S = 0.015
+# Words of one node that differ by less are the same one, told again.
+_SAME_S = 0.05
 
 
 def take_words(state: EdgeState, names: ReplicaNames, told: Told) -> None:
@@ -56,9 +58,16 @@
         What is said.
     """
     now = asyncio.get_running_loop().time()
-    sign = find_last_sign(state.streams, replica_id)
-    if sign > word.since:
-        state.view.trust(replica_id, sign - _SIGN_LAG_S)
+    found = state.view.known.get(replica_id)
+    if found is None or word.since < found.suspicion.heard_at:
+        return False
+    before = found.suspicion.words.get(word.node)
+    if before is None or word.since > before.since + _SAME_S:
+        # Looked for once for each word: nodes repeat theirs several times a
+        # second, and to look through all streams each time would hold them up.
+        sign = find_last_sign(state.streams, replica_id)
+        if sign > word.since:
+            state.view.trust(replica_id, sign - _SIGN_LAG_S)
     return state.view.suspect(
         replica_id,
         word.until,
--- a/samphirerill/tests/test_admission_edge.py
+++ b/samphirerill/tests/test_admission_edge.py
@@ -5,6 +5,7 @@
 import asyncio
 from unittest import IsolatedAsyncioTestCase
 
+from samphirerill.fleet.outage import Outage
 from samphirerill.fleet.paths import PathRequest
 from samphirerill.platform.dialect import PlatformDialect
 from samphirerill.platform.settings import EdgeSettings
@@ -87,6 +88,21 @@
         self.assertGreater(caught.exception.wait_s, load_s)
         self.assertLess(caught.exception.wait_s, load_s + 1)
 
+    async def test_a_later_outage_is_counted_from_its_own_start(self) -> None:
+        """Symptom: requests of a second outage wait, and are refused twice.
+
+        Sequence: it begins a minute after the first one, in which no request
+        was without a path; its layers seem overdue. Cause: only a request
+        without a path looks whether layers are missing.
+        """
+        outage = Outage(ENGINE)
+        live = self.state.view.list_live('llm', self.loop.time())[:1]
+        self.assertTrue(outage.observe(live, 10.0))
+        self.assertTrue(outage.observe(live, 10.5))
+        self.assertEqual(outage.began_at, 10.0)
+        self.assertTrue(outage.observe(live, 70.0))
+        self.assertEqual(outage.began_at, 70.0)
+
     async def test_one_that_has_begun_waits_for_the_layers(self) -> None:
         now = self.loop.time()
         self.state.view.suspect('two', now + 9, now, votes=2)
--- a/samphirerill/tests/test_losses.py
+++ b/samphirerill/tests/test_losses.py
@@ -200,6 +200,23 @@
         replica.take(Word(1, 9, 1, 'b-1', 'b'), 2)
         self.assertEqual(replica.count_votes(2), SURE_VOTES)
 
+    def test_a_word_that_is_not_taken_begins_no_loss(self) -> None:
+        """Symptom: surveys go on while two nodes are cut off.
+
+        Sequence: they repeat that a replica is silent, which this node has
+        heard from since. Cause: an old word of it was still kept, and each
+        repeated one counted as the first.
+        """
+        view = FleetView()
+        for name in ('one', 'two'):
+            view.announce(build_replica(name, layers=(0, _LAYERS)), 1)
+            view.suspect(name, 2, 1, witness='n1', since=1)
+            view.known[name].suspicion.heard_at = 4.0
+        for name in ('one', 'two'):
+            view.suspect(name, 7, 5, witness='n2', since=3.9)
+        self.assertFalse(view.loss_round.is_recent(5))
+        self.assertFalse(view.loss_round.is_under_way(5))
+
     def test_a_false_death_is_counted(self) -> None:
         view = FleetView()
         view.announce(build_replica('one', layers=(0, _LAYERS)), 1)
