Loads are ordered at once again

What an engine does after "accepted" is not told to the commander, so it can't know how many loads run.

Ruled out: that the replicas refused (no refused or unanswered order in that time).

Plans from nothing for stranded data centres stay.

--- a/samphirerill/relay/commander.py
+++ b/samphirerill/relay/commander.py
@@ -14,7 +14,6 @@
 
 from samphirerill.backends.store import StoreError
 from samphirerill.fleet.model import MS_PER_S, format_layers
-from samphirerill.fleet.pacing import WantedLayers, choose_orders
 from samphirerill.fleet.rates import DEFAULT_PAUSE_MS
 from samphirerill.fleet.repair import count_whole, plan_moves
 from samphirerill.fleet.timing import PlanTiming
@@ -262,35 +261,15 @@
         )
 
     async def _pursue(self, engine: EngineSpec, present: list[Replica]) -> None:
-        """Order what is wanted and not yet accepted, as far as it is time."""
+        """Order what is wanted and not yet accepted."""
         now = self._loop.time()
-        held = [self._find_held(replica) for replica in present]
-        wanted = []
-        loading = 0
-        for replica in held:
+        orders = []
+        for replica in present:
             goal = self._goals.get(replica.replica_id)
-            if goal is None:
-                continue
-            if goal.is_accepted:
-                loading += 1
-            elif goal.ask_at <= now:
-                wanted.append(WantedLayers(replica, goal.layers))
-        if any(item.layers is not None for item in held):
-            wanted = choose_orders(engine, wanted, loading)
-        # Before a fleet holds anything, nobody waits for its first pipeline.
-        await asyncio.gather(
-            *(
-                self._order(
-                    engine, item.replica, self._goals[item.replica.replica_id]
-                )
-                for item in wanted
-            )
-        )
-
-    def _find_held(self, replica: Replica) -> Replica:
-        """Return a replica with what it holds, not with what it should."""
-        found = self._state.view.known.get(replica.replica_id)
-        return replica if found is None else found.replica
+            is_due = goal is not None and goal.ask_at <= now
+            if goal is not None and is_due and not goal.is_accepted:
+                orders.append(self._order(engine, replica, goal))
+        await asyncio.gather(*orders)
 
     async def _order(
         self, engine: EngineSpec, replica: Replica, goal: _Goal
