Alarms that overtake each other, come late or can't be true

Found by reading: an alarm was taken for old by its number alone; one that other nodes pass on may come after a later one that came straight, and the death that it told was lost at the commander. What a node tells to have heard was dated by when it told. An alarm could avoid a replica for hours, or vouch for it in the future.

Change: alarms are known by their exact numbers; what was heard carries its own time, less what a datagram may be on its way; words are bounded.

--- a/samphirerill/relay/health/alarms.py
+++ b/samphirerill/relay/health/alarms.py
@@ -9,11 +9,12 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from typing import TYPE_CHECKING, Protocol
 
 from msgspec import DecodeError, Struct, ValidationError, msgpack
 
-from samphirerill.fleet.suspicion import Word
+from samphirerill.fleet.suspicion import SURE_VOTES, Word
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.health.words import take_word
 from samphirerill.relay.messages import ReplicaNames, checksum_name
@@ -33,6 +34,13 @@
 _START_NUMBERS = 2_000_000_000
 # Words that are older were held up on their way; the sender has told anew.
 _OLDEST_MS = 1000
+# No node avoids a replica for longer by the word of another.
+_MOST_AVOIDED_MS = 4000
+# A datagram may have been so long on its way: what it tells is no later than that.
+_WAY_S = 0.05
+# Alarms of one sender that are known to have come; two nodes pass on each, and one
+# that is passed on may come after a later one that came straight.
+_MOST_SEEN = 32
 
 
 class Alarm(Struct, array_like=True):
@@ -85,8 +93,8 @@
         self._started = state.random.randrange(_START_NUMBERS)
         self._number = 0
         self._dead: set[str] = set()
-        # Of each sender, its start and its last alarm's number.
-        self._last: dict[str, tuple[int, int]] = {}
+        # Of each sender, the numbers of its start and of its latest alarms.
+        self._seen: dict[str, deque[tuple[int, int]]] = {}
 
     def begin(self, post: Post) -> None:
         """Tell by these ways from now on."""
@@ -128,7 +136,7 @@
         except (DecodeError, ValidationError) as exc:
             _LOG.warning('alarm is unreadable', extra={'error': str(exc)})
             return
-        if alarm.node == self._state.settings.name or self._is_old(alarm):
+        if alarm.node == self._state.settings.name or self._has_come(alarm):
             return
         if self._post is not None:
             self._post.pass_on_from(sender, data)
@@ -174,20 +182,22 @@
         )
         return MARK + msgpack.encode(alarm)
 
-    def _is_old(self, alarm: Alarm) -> bool:
-        """Return whether it came before; two nodes pass on each."""
-        last = self._last.get(alarm.node, (0, 0))
-        if alarm.started == last[0] and alarm.number <= last[1]:
+    def _has_come(self, alarm: Alarm) -> bool:
+        """Return whether an alarm came before."""
+        seen = self._seen.setdefault(alarm.node, deque(maxlen=_MOST_SEEN))
+        key = (alarm.started, alarm.number)
+        if key in seen:
             return True
-        self._last[alarm.node] = (alarm.started, alarm.number)
+        seen.append(key)
         return False
 
     def _take_heard(self, alarm: Alarm) -> None:
-        now = self._loop.time()
+        latest = self._loop.time() - _WAY_S
         for name, ago_ms in self._resolve(alarm.heard):
-            at = now - ago_ms / _MS_PER_S
-            self._state.view.loss_round.note_heard(name, at)
-            self._state.view.trust(name, at)
+            if 0 <= ago_ms <= _OLDEST_MS:
+                at = latest - ago_ms / _MS_PER_S
+                self._state.view.loss_round.note_heard(name, at + _WAY_S)
+                self._state.view.trust(name, at)
 
     def _take_dead(self, alarm: Alarm) -> None:
         now = self._loop.time()
@@ -195,9 +205,9 @@
             if not 0 <= ago_ms <= _OLDEST_MS or votes < 1:
                 continue
             word = Word(
-                now - ago_ms / _MS_PER_S,
-                now + left_ms / _MS_PER_S,
-                votes,
+                now - _WAY_S - ago_ms / _MS_PER_S,
+                now + min(left_ms, _MOST_AVOIDED_MS) / _MS_PER_S,
+                min(votes, SURE_VOTES),
                 alarm.node,
                 alarm.data_centre,
             )
--- a/samphirerill/relay/health/examiner.py
+++ b/samphirerill/relay/health/examiner.py
@@ -21,7 +21,7 @@
     Patience,
 )
 from samphirerill.relay.health.probing import Probe, Verdict, ask_once
-from samphirerill.relay.health.signs import list_proven
+from samphirerill.relay.health.signs import find_signs
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Sequence
@@ -137,14 +137,12 @@
         self._checks.add(task)
         task.add_done_callback(self._checks.discard)
 
-    def list_heard(self, since: float) -> set[str]:
-        """Return the replicas that have worked since a moment."""
-        heard = list_proven(self._state.streams, since)
-        heard.update(
-            name
-            for name, probe in self._latest.items()
-            if probe.at >= since and probe.verdict is not Verdict.IS_SILENT
-        )
+    def find_heard(self, since: float) -> dict[str, float]:
+        """Return the replicas that have worked since a moment, and when."""
+        heard = find_signs(self._state.streams, since)
+        for name, probe in self._latest.items():
+            if probe.at >= since and probe.verdict is not Verdict.IS_SILENT:
+                heard[name] = max(probe.at, heard.get(name, since))
         return heard
 
     def _is_dead(self, replica_id: str) -> bool:
@@ -229,21 +227,21 @@
         if not silent:
             return silent
         since = min(probes[name].at for name in silent) - LEAST_PROBE_S
-        return silent - list_proven(self._state.streams, since)
+        return silent - find_signs(self._state.streams, since).keys()
 
     async def _is_own_fault(
         self, silent: set[str], probes: dict[str, Probe]
     ) -> bool:
         """Return whether this node hears from nobody, asking more if need be."""
         since = min(probes[name].at for name in silent) - _FRESH_S
-        heard = self.list_heard(since) - silent
+        heard = self.find_heard(since).keys() - silent
         if not is_own_fault(silent, heard):
             return False
         missing = len(silent) - len(heard)
         wanted = min(_MOST_CONTROLS, _CONTROLS_FOR_ONE * missing)
         controls = self._choose_controls({*silent, *heard, *probes}, wanted)
         await self._probe_all(controls)
-        heard = self.list_heard(since) - silent
+        heard = self.find_heard(since).keys() - silent
         return is_own_fault(silent, heard)
 
     def _choose_controls(
--- a/samphirerill/relay/health/signs.py
+++ b/samphirerill/relay/health/signs.py
@@ -44,19 +44,31 @@
     since : float
         Events that came later than this prove their path.
     """
-    proven = list_proven(streams, since)
+    proven = find_signs(streams, since)
     return tuple(
         stage for stage in stages if stage.replica.replica_id not in proven
     )
 
 
-def list_proven(streams: Iterable[PassingStream], since: float) -> set[str]:
-    """Return the replicas that an event has come through since a moment."""
-    proven: set[str] = set()
+def find_signs(
+    streams: Iterable[PassingStream], since: float
+) -> dict[str, float]:
+    """Return when events last came through replicas, if after a moment.
+
+    Parameters
+    ----------
+    streams : iterable of PassingStream
+        Those of this node.
+    since : float
+        Earlier events don't count.
+    """
+    signs: dict[str, float] = {}
     for stream in streams:
-        if stream.last_event_at > since:
-            proven.update(list_ids(stream.stages))
-    return proven
+        at = stream.last_event_at
+        if at > since:
+            for name in list_ids(stream.stages):
+                signs[name] = max(at, signs.get(name, at))
+    return signs
 
 
 def find_last_sign(streams: Iterable[PassingStream], replica_id: str) -> float:
--- a/samphirerill/relay/health/survey.py
+++ b/samphirerill/relay/health/survey.py
@@ -82,7 +82,7 @@
             Those that did not answer.
         """
         loss = self._state.view.loss_round
-        heard = self._examiner.list_heard(loss.began_at)
+        heard = self._examiner.find_heard(loss.began_at)
         unheard = [
             replica
             for replica in replicas
@@ -124,7 +124,7 @@
 
     async def _ask_share(self) -> None:
         since = self._began_at
-        heard = self._examiner.list_heard(since)
+        heard = self._examiner.find_heard(since)
         share = self._list_share()
         unheard = [
             found.replica
@@ -147,14 +147,16 @@
         )
 
     def _report(self, share: Iterable[Known], since: float) -> None:
-        """Tell who commands which of the share have worked."""
-        now = self._loop.time()
-        heard = self._examiner.list_heard(since)
-        names = {found.replica.replica_id for found in share} & heard
+        """Tell who commands which of the share have worked, and when."""
         commander = self._find_commander()
         if commander == self._state.settings.name:
             return
-        self._alarms.report_heard(commander, dict.fromkeys(names, now))
+        names = {found.replica.replica_id for found in share}
+        heard = self._examiner.find_heard(since)
+        self._alarms.report_heard(
+            commander,
+            {name: at for name, at in heard.items() if name in names},
+        )
 
     def _list_share(self) -> list[Known]:
         """Return the replicas that this node asks after, but the leaving."""
@@ -199,7 +201,7 @@
         dead = await self._examiner.ask_after(
             [view.known[name].replica for name in mine]
         )
-        heard = self._examiner.list_heard(now) - dead
+        heard = self._examiner.find_heard(now)
         self._alarms.tell_heard(
-            {name: self._loop.time() for name in mine if name in heard}
+            {name: heard[name] for name in mine if name in heard.keys() - dead}
         )
