--- a/samphirerill/relay/cfg_texts.py
+++ b/samphirerill/relay/cfg_texts.py
@@ -23,16 +23,22 @@
 
 
 class CfgTexts:
-    """The text in force at a node, and some before it, by version."""
+    """The text in force at a node, and some before it, by version.
 
-    __slots__ = ('_texts',)
+    What is given is made once for each version that others have: the difference
+    of 290 KB takes 8 ms, and half a fleet asks for the same one.
+    """
+
+    __slots__ = ('_given', '_texts')
 
     def __init__(self) -> None:
         self._texts: dict[int, bytes] = {}
+        self._given: dict[int, bytes] = {}
 
     def note(self, version: int, text: bytes) -> None:
         """Keep the text of a version that is newer than the others."""
         self._texts[version] = text
+        self._given.clear()
         while len(self._texts) > _KEPT + 1:
             self._texts.pop(min(self._texts))
 
@@ -50,10 +56,13 @@
         """
         newest = self._texts[max(self._texts, default=0)]
         before = self._texts.get(after)
-        given = _Given(newest)
-        if before is not None:
-            given = _Given(b'', build_delta(before, newest))
-        return msgpack.encode(given)
+        if before is None:
+            return msgpack.encode(_Given(newest))
+        given = self._given.get(after)
+        if given is None:
+            given = msgpack.encode(_Given(b'', build_delta(before, newest)))
+            self._given[after] = given
+        return given
 
     def decode(self, encoded: bytes, own: int) -> bytes:
         """Return the text that another node gave to this one.
--- a/samphirerill/relay/peer_help.py
+++ b/samphirerill/relay/peer_help.py
@@ -144,13 +144,13 @@
         if not self._state.version:
             return _NOT_FOUND, b''
         after = read_revision(query)
-        if not self._state.cfg_texts.has(after):
-            if self._loop.time() < self._whole_at:
-                return _UNAVAILABLE, b''
-            given = self._state.cfg_texts.encode(after)
+        is_whole = not self._state.cfg_texts.has(after)
+        if is_whole and self._loop.time() < self._whole_at:
+            return _UNAVAILABLE, b''
+        given = self._state.cfg_texts.encode(after)
+        if is_whole:
             self._whole_at = self._loop.time() + len(given) / _WHOLE_BYTES_S
-            return _OK, given
-        return _OK, self._state.cfg_texts.encode(after)
+        return _OK, given
 
     def _give_replicas(self, query: bytes) -> Page:
         view = self._state.view
--- a/samphirerill/tests/test_cfg_texts.py
+++ b/samphirerill/tests/test_cfg_texts.py
@@ -90,6 +90,24 @@
         with self.assertRaises(DeltaError):
             self.taker.decode(self.giver.encode(5), 5)
 
+    def test_what_is_given_to_many_is_made_once(self) -> None:
+        """Symptom: a node stands still for 0.1 s after a new configuration.
+
+        Sequence: a dozen nodes that the store turned away ask it for the same
+        version; it compares 290 KB for each of them. Cause: the difference was
+        made for each who asked. Counted: 3 made before, 1 now.
+        """
+        made = patch(
+            'samphirerill.relay.cfg_texts.build_delta', wraps=build_delta
+        )
+        with made as build:
+            given = {self.giver.encode(5) for _ in range(3)}
+            self.assertEqual(build.call_count, 1)
+            self.giver.note(9, _build_text(9))
+            given.add(self.giver.encode(5))
+        self.assertEqual(build.call_count, 2)
+        self.assertEqual(len(given), 2)
+
     def test_few_versions_are_kept(self) -> None:
         for version in range(10, 40):
             self.giver.note(version, _build_text(version))
