Askers that are lost themselves leave no gap

A rack takes nodes as well as replicas. Who was to ask after some of the dead is gone with them; one word stays alone, and counts for its own node only. If a replica is dead by one word 0.12 s after a survey, the two nodes that follow its askers on the ring ask.

Test first: nine of 29 replicas and three of 21 nodes, the commander's among them, lost at one moment; all 18 nodes that are left know the whole loss within 0.5 s.

--- a/samphirerill/fleet/losses.py
+++ b/samphirerill/fleet/losses.py
@@ -70,25 +70,48 @@
         self._hashes = [place for place, _ in places]
         self._ring = [name for _, name in places]
 
-    def list_share(self, node: str, replica_ids: Iterable[str]) -> list[str]:
-        """Return the replicas that a node asks after."""
-        return [name for name in replica_ids if node in self.choose(name)]
-
-    def choose(self, replica_id: str) -> Sequence[str]:
-        """Return who asks after a replica.
-
-        A cut often separates whole data centres; those who ask are in two, if
-        there are two.
+    def list_share(
+        self, node: str, replica_ids: Iterable[str], turn: int = 0
+    ) -> list[str]:
+        """Return the replicas that a node asks after.
+
+        Parameters
+        ----------
+        node : str
+            Which node.
+        replica_ids : iterable of str
+            Of these replicas.
+        turn : int
+            0 for the first two askers of a replica; 1 for the two after them,
+            who ask in the place of askers that are lost themselves.
+        """
+        since = ASKERS * turn
+        return [
+            name
+            for name in replica_ids
+            if node in self.choose(name, since + ASKERS)[since:]
+        ]
+
+    def choose(self, replica_id: str, count: int = ASKERS) -> Sequence[str]:
+        """Return who asks after a replica, the first ones first.
+
+        A cut often separates whole data centres; the first two askers are in
+        two, if there are two.
         """
         following = self._list_following(replica_id)
         first = next(following, None)
         if first is None:
             return ()
-        home = self._nodes[first]
         if self._is_one_zone:
-            return (first, *islice(following, ASKERS - 1))
-        away = (name for name in following if self._nodes[name] != home)
-        return (first, *islice(away, ASKERS - 1))
+            return (first, *islice(following, count - 1))
+        home = self._nodes[first]
+        passed: list[str] = []
+        for name in following:
+            if self._nodes[name] != home:
+                rest = chain(passed, following)
+                return (first, name, *islice(rest, count - ASKERS))
+            passed.append(name)
+        return (first, *passed[: count - 1])
 
     def _list_following(self, replica_id: str) -> Iterator[str]:
         """Yield all nodes, each once, as they follow a replica."""
--- a/samphirerill/relay/health/survey.py
+++ b/samphirerill/relay/health/survey.py
@@ -24,6 +24,9 @@
 
 _LOG = get_logger('survey')
 _MS_PER_S = 1000
+# Askers have told what they found after so long; if a replica is dead by the word of
+# only one then, the other one may be lost with it, and the next two ask.
+_SECOND_TURN_S = 0.12
 # Each of the dead is asked by the same node at most so often.
 _ASK_DEAD_S = 1.2
 # One that is dead is asked again so long before its nodes would try it anew: a
@@ -106,6 +109,27 @@
             self._looked_at = dict(loss.doubted)
             self._begin(self._ask_doubted(fresh))
 
+    def _plan_second_turn(self) -> None:
+        """Let others ask too if one word stays alone."""
+        at = self._loop.time() + _SECOND_TURN_S
+        self._loop.call_at(at, lambda: self._begin(self._ask_in_place()))
+
+    async def _ask_in_place(self) -> None:
+        """Ask in the place of askers who may be lost themselves."""
+        now = self._loop.time()
+        view = self._state.view
+        alone = [
+            name
+            for name, found in view.known.items()
+            if found.suspicion.count_votes(now) == 1
+            and found.suspicion.get_own() is None
+            and found.replica.layers is not None
+        ]
+        mine = self._choose_mine(alone, turn=1) if alone else []
+        await self._examiner.ask_after(
+            [view.known[name].replica for name in mine]
+        )
+
     def _begin(self, work: Coroutine[None, None, None]) -> None:
         task = self._loop.create_task(work, name='survey')
         self._tasks.add(task)
@@ -133,6 +157,7 @@
             and found.suspicion.sure_until <= since
         ]
         dead = await self._examiner.ask_after(unheard)
+        self._plan_second_turn()
         self._report(share, since)
         if not unheard:
             return
@@ -168,12 +193,15 @@
         ]
         return [view.known[name] for name in self._choose_mine(present)]
 
-    def _choose_mine(self, replica_ids: Iterable[str]) -> list[str]:
+    def _choose_mine(
+        self, replica_ids: Iterable[str], turn: int = 0
+    ) -> list[str]:
         nodes = self._alarms.list_nodes()
         if nodes != self._nodes:
             self._nodes = nodes
             self._askers = Askers(nodes)
-        return self._askers.list_share(self._state.settings.name, replica_ids)
+        name = self._state.settings.name
+        return self._askers.list_share(name, replica_ids, turn)
 
     async def _ask_dead_again(self) -> None:
         """Ask those of the share of which this node's word is about to lapse.
--- a/samphirerill/tests/peers.py
+++ b/samphirerill/tests/peers.py
@@ -37,7 +37,7 @@
     def send(self, sender: str, data: bytes, host: str) -> None:
         """Deliver soon, as a network does."""
         node = self.nodes.get(host)
-        if node is None:
+        if node is None or sender not in self.nodes:
             return
         if node.zone != self.nodes[sender].zone:
             self.crossing[sender] += 1
--- a/samphirerill/tests/test_losses.py
+++ b/samphirerill/tests/test_losses.py
@@ -28,6 +28,8 @@
 _SERVICE = 'llm'
 _ANSWER_S = 0.004
 _KNOWN_S = 0.5
+# What a stream needs to fall silent and to ask, before others hear of it.
+_SILENCE_S = 0.14
 _LOST = 9
 _LAYERS = 80
 
@@ -39,6 +41,7 @@
         self.network = Network()
         self.dead: set[str] = set()
         self.deaf: set[str] = set()
+        self.lost_nodes: set[str] = set()
         self.asked = 0
         self.nodes = [
             Node(self.network, f'{zone}-{number}', zone)
@@ -72,6 +75,13 @@
         await asyncio.sleep(_ANSWER_S)
         return Probe(loop.time(), Verdict.LIVES)
 
+    def lose_nodes(self, *numbers: int) -> None:
+        """Nodes die: they neither hear nor say anything any more."""
+        for number in numbers:
+            node = self.nodes[number]
+            self.network.nodes.pop(node.host)
+            self.lost_nodes.add(node.name)
+
     async def fall_silent(self, node: Node, path: list[str]) -> None:
         """A stream of one node falls silent on a path."""
         stages = tuple(
@@ -88,7 +98,7 @@
         return sum(
             _list_present(node, now) == alive
             for node in self.nodes
-            if node.name not in self.deaf
+            if node.name not in self.deaf | self.lost_nodes
         )
 
     def _begin(self, node: Node) -> None:
@@ -139,6 +149,15 @@
     def test_the_largest_fleet_that_is_played_knows_it(self) -> None:
         self.play(195, 216)
 
+    def test_nodes_that_are_lost_at_the_same_moment_leave_no_gap(self) -> None:
+        """Symptom: some of the dead count as there until their entries lapse.
+
+        Sequence: a rack takes replicas and three nodes, the commander among
+        them; who was to ask after some of the replicas is gone, and one word
+        alone makes nobody dead for all. Cause: nobody asked in their place.
+        """
+        run_virtually(self._play_with_lost_nodes())
+
     def play(self, nodes: int, replicas: int) -> None:
         """All nodes know the whole loss within half a second."""
         run_virtually(self._play(nodes, replicas))
@@ -164,6 +183,19 @@
             self.assertEqual(fleet.find_knowing(), nodes)
         fleet.end()
 
+    async def _play_with_lost_nodes(self) -> None:
+        fleet = _Fleet(21, 29)
+        with patch(
+            'samphirerill.relay.health.examiner.ask_once', fleet.ask_once
+        ):
+            await asyncio.sleep(_KNOWN_S)
+            fleet.dead = {f'r{number}' for number in range(_LOST)}
+            fleet.lose_nodes(0, 5, 9)
+            await fleet.fall_silent(fleet.nodes[1], ['r0', 'r1', 'r20', 'r21'])
+            await asyncio.sleep(_KNOWN_S - _SILENCE_S)
+            self.assertEqual(fleet.find_knowing(), 18)
+        fleet.end()
+
 
 class TestHeldUpNodes(TestCase):
     """Nodes that hear nobody, and replicas that live."""
