A watcher that hears the store again says so at once

Found by reading the diff: for two seconds after its last failure a watcher went on saying that it does not hear the store, so that its listeners were deaf for that time after each outage. Test first: it failed.

--- a/samphirerill/relay/news.py
+++ b/samphirerill/relay/news.py
@@ -184,6 +184,7 @@
         if answers:
             self._put_off_s = 0.0
             self._ask_store_at = float('-inf')
+            self._turned_away_until = float('-inf')
             return
         now = self._loop.time()
         self._turned_away_until = now + _TURNED_AWAY_S
--- a/samphirerill/tests/test_news.py
+++ b/samphirerill/tests/test_news.py
@@ -201,6 +201,22 @@
         self.assertTrue(source.is_turned_away())
         self.assertIn(source.choose(), list_watchers(self.names)[1:])
 
+    async def test_a_watcher_that_hears_the_store_again_says_so_at_once(
+        self,
+    ) -> None:
+        """Symptom: nodes hear of nothing for two seconds after an outage.
+
+        Sequence: the store is back, and the watchers hear it; they go on
+        saying that they don't until two seconds after their last failure.
+        Cause: an answer of the store did not end that.
+        """
+        source = self.build_settled(list_watchers(self.names)[0])
+        source.note_store(answers=False)
+        source.note_store(answers=True)
+        self.assertFalse(source.is_turned_away())
+        self.assertEqual(source.choose(), '')
+        self.assertTrue(source.may_ask_store())
+
     async def test_a_deaf_watcher_is_found_out_by_others(self) -> None:
         self.source.note_others(known=15, own=12)
         self.assertTrue(self.source.choose())
