--- /dev/null
+++ b/samphirerill/tests/test_usage.py
@@ -0,0 +1,53 @@
+"""What a node says that it has used of the store and of endpoints."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, cast
+from unittest import IsolatedAsyncioTestCase
+from unittest.mock import Mock, patch
+
+from samphirerill.platform.store import PlatformStore
+from samphirerill.relay.listeners import listen
+from samphirerill.relay.usage import Usage
+from samphirerill.testing.platform_store import StandInStore
+
+if TYPE_CHECKING:
+    from samphirerill.relay.server import CallerConnection
+
+
+class TestUsage(IsolatedAsyncioTestCase):
+    """Counts by purpose, and lines that say only what is new."""
+
+    async def test_calls_to_the_store_are_told_apart(self) -> None:
+        connections: set[CallerConnection] = set()
+        server = await listen('127.0.0.1:0', StandInStore(), connections)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        store = PlatformStore(f'{host}:{port}')
+        self.addCleanup(store.close)
+        lease = await store.grant_lease(6)
+        await store.write({'samphirerill/nodes/n': b'x'}, {}, lease)
+        await store.renew_lease(lease)
+        await store.read_prefix('')
+        await store.end_lease(lease)
+        self.assertEqual(
+            store.calls,
+            {'grant': 1, 'write': 1, 'renew': 1, 'read all': 1, 'end': 1},
+        )
+
+    def test_a_line_tells_what_is_new(self) -> None:
+        store = Mock(spec=PlatformStore)
+        store.calls = Counter({'watch': 3})
+        state = Mock()
+        state.counters = Counter({'orders': 2})
+        usage = Usage(state, cast('PlatformStore', store))
+        with patch('samphirerill.relay.usage._LOG') as log:
+            usage.log()
+            usage.log()
+            store.calls['renew'] += 1
+            usage.log()
+        lines = [call.kwargs['extra']['counts'] for call in log.info.mock_calls]
+        self.assertEqual(
+            lines, [{'store.watch': 3, 'orders': 2}, {'store.renew': 1}]
+        )
