--- a/samphirerill/fleet/stranded.py
+++ b/samphirerill/fleet/stranded.py
@@ -24,9 +24,10 @@
 def build_anew(engine: EngineSpec, zone: Zone, aims: Aims) -> None:
     """Plan a data centre from nothing in which no pipeline can be mended.
 
-    Its replicas came back empty, or hold parts that don't fit together: there
-    is nothing to lose. Left to be mended, a data centre whose replicas had all
-    started anew never served again.
+    Its replicas came back empty, or hold parts that don't fit together; what
+    they hold serves at the most paths that cross to other data centres, which
+    pipes bind. Left to be mended, a data centre whose replicas had all started
+    anew never served again.
     """
     planned = plan_zone(engine, zone.cards, aims)
     if planned is None:
--- a/samphirerill/relay/health/alarms.py
+++ b/samphirerill/relay/health/alarms.py
@@ -64,10 +64,10 @@
     """Sends datagrams to other nodes."""
 
     def send_to_all(self, data: bytes) -> None:
-        """Send to every other node, also by others."""
+        """Send to every other node; in a large fleet some pass it on."""
 
     def send_to_node(self, name: str, data: bytes) -> None:
-        """Send to one node, if it is known."""
+        """Send to one node, if its address is known."""
 
     def pass_on_from(self, sender: str, data: bytes) -> None:
         """Pass on at home what came from another data centre."""
--- a/samphirerill/relay/health/survey.py
+++ b/samphirerill/relay/health/survey.py
@@ -66,6 +66,7 @@
         self._askers = Askers({})
         self._ask_again_at: dict[str, float] = {}
         self._began_at = float('-inf')
+        # Doubted replicas that this node has considered, with when they came.
         self._looked_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         state.listen(self._consider)
