--- a/samphirerill/fleet/zone_state.py
+++ b/samphirerill/fleet/zone_state.py
@@ -81,10 +81,12 @@
 
 
 def list_held(replicas: Sequence[Replica]) -> list[LayerRange]:
+    """Return what replicas hold, without those that hold nothing."""
     return [item.layers for item in replicas if item.layers is not None]
 
 
 def by_id(zone: Zone) -> dict[str, Replica]:
+    """Return the replicas of a data centre by their ids."""
     return {item.replica_id: item for item in zone.cards}
 
 
--- a/samphirerill/relay/health/examiner.py
+++ b/samphirerill/relay/health/examiner.py
@@ -36,6 +36,7 @@
 # living replicas were taken for dead within five seconds, with four one in ten
 # thousand would be.
 _QUESTIONS = 4
+# To one that is dead already: a lost packet only delays the news of its return.
 _QUESTIONS_TO_DEAD = 1
 # However long the node was held up, a question ends then.
 _LONGEST_ASK_S = 0.4
@@ -54,10 +55,10 @@
 # Engines say whom requests wait for with such a delay; a replica that has worked
 # since then is not the one.
 _STALLED_LAG_S = 0.3
-# Replicas elsewhere that a node asks to know whether it hears anybody. A data
-# centre that is lost leaves a path without any part that answers.
-# Three for each answer that is missing: where a third of the fleet is lost, two are
-# not enough in one of sixteen cases, three in one of 250.
+# Replicas elsewhere that a node asks to know whether it hears anybody: a data
+# centre that is lost leaves a path without any part that answers. Three for each
+# answer that is missing: where a third of the fleet is lost, two are not enough in
+# one of sixteen cases, three in one of 250.
 _CONTROLS_FOR_ONE = 3
 _MOST_CONTROLS = 12
 # Questions under way at once: each takes about a millisecond of a slow core.
