--- a/samphirerill/fleet/outage.py
+++ b/samphirerill/fleet/outage.py
@@ -37,23 +37,22 @@
     `began_at` is on the loop's clock, 0 for a service that is whole.
     """
 
-    __slots__ = ('_engine', '_seen_at', 'began_at', 'gap')
+    __slots__ = ('_engine', '_seen_at', 'began_at')
 
     def __init__(self, engine: EngineSpec) -> None:
         self.began_at = 0.0
-        self.gap: LayerRange | None = None
         self._engine = engine
         self._seen_at = 0.0
 
     def observe(self, live: Sequence[Known], now: float) -> bool:
         """Take the replicas that live; return whether layers are missing."""
-        self.gap = find_gap(self._engine, list_ranges(live))
-        if self.gap is None:
+        is_whole = find_gap(self._engine, list_ranges(live)) is None
+        if is_whole:
             self.began_at = 0.0
         elif not self.began_at or now > self._seen_at + _ANOTHER_S:
             self.began_at = now
         self._seen_at = now
-        return self.gap is not None
+        return not is_whole
 
     def predict_wait_s(self, live: Sequence[Known], now: float) -> float:
         """Return after how long the missing layers should be there."""
--- a/samphirerill/fleet/pipes.py
+++ b/samphirerill/fleet/pipes.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from samphirerill.fleet.model import MS_PER_S
+
 # Above this use, prompts wait for prompts and pauses triple; it also covers
 # the tokens, which cross beside the prompts.
 _USE = 0.65
@@ -18,7 +20,6 @@
 # two seconds, and it still has to be read. When a third of a fleet was lost, all
 # streams under way went over the same pipes, and hardly any came through in time.
 MOST_URGENT_BACKLOG_MS = 800.0
-_MS_PER_S = 1000
 Pair = frozenset[str]
 
 
@@ -40,7 +41,7 @@
     def backlog_ms(self, one: str, other: str, now: float) -> float:
         """Return how long a prompt would wait for those before it."""
         free_at = self._free_at.get(frozenset((one, other)), 0.0)
-        return max(0.0, free_at - now) * _MS_PER_S
+        return max(0.0, free_at - now) * MS_PER_S
 
     def is_open(
         self, one: str, other: str, now: float, *, is_urgent: bool = False
@@ -95,5 +96,5 @@
         self.near_sent[pair] = self.near_sent.get(pair, 0.0) + transfer_ms
 
     def _add(self, pair: Pair, transfer_ms: float, now: float) -> None:
-        spent_s = transfer_ms / _MS_PER_S / _USE
+        spent_s = transfer_ms / MS_PER_S / _USE
         self._free_at[pair] = max(now, self._free_at.get(pair, 0.0)) + spent_s
--- a/samphirerill/relay/change_log.py
+++ b/samphirerill/relay/change_log.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import zlib
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -16,6 +15,7 @@
     build_delta,
 )
 from samphirerill.platform.store import Changes, DeletedKey, StoredItem
+from samphirerill.relay.messages import checksum_name
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -208,7 +208,7 @@
         if not self._present or after > self.revision:
             return None
         rows.sort(key=_get_revision)
-        keys = [_checksum(key) for key in self._present]
+        keys = [checksum_name(key) for key in self._present]
         present = msgpack.encode(Present(self.revision, rows, keys))
         return present if len(present) <= _MOST_PRESENT_BYTES else None
 
@@ -218,7 +218,7 @@
         gone = [
             DeletedKey(key, present.revision)
             for key in self._present
-            if _checksum(key) not in keys
+            if checksum_name(key) not in keys
         ]
         written = list(self._build_events(present.rows))
         return Changes(present.revision, [*written, *gone])
@@ -275,9 +275,5 @@
     return len(text) >= _LARGE_BYTES
 
 
-def _checksum(key: str) -> int:
-    return zlib.crc32(key.encode())
-
-
 def _get_revision(row: Row) -> int:
     return row.revision
--- a/samphirerill/relay/health/alarms.py
+++ b/samphirerill/relay/health/alarms.py
@@ -14,10 +14,11 @@
 
 from msgspec import DecodeError, Struct, ValidationError, msgpack
 
-from samphirerill.fleet.suspicion import SURE_VOTES, Word
+from samphirerill.fleet.model import MS_PER_S
+from samphirerill.fleet.suspicion import SURE_VOTES
 from samphirerill.node.logs import get_logger
-from samphirerill.relay.health.words import take_word
-from samphirerill.relay.messages import ReplicaNames, checksum_name
+from samphirerill.relay.health.words import read_word, take_word
+from samphirerill.relay.messages import checksum_name
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -30,14 +31,12 @@
 _LOG = get_logger('alarms')
 # No other datagram begins so: it is no message of the encoding.
 MARK = b'\xc1'
-_MS_PER_S = 1000
-_START_NUMBERS = 2_000_000_000
 # Words that are older were held up on their way; the sender has told anew.
 _OLDEST_MS = 1000
 # No node avoids a replica for longer by the word of another.
 _MOST_AVOIDED_MS = 4000
 # A datagram may have been so long on its way: what it tells is no later than that.
-_WAY_S = 0.05
+_WAY_MS = 50
 # Alarms of one sender that are known to have come; two nodes pass on each, and one
 # that is passed on may come after a later one that came straight.
 _MOST_SEEN = 32
@@ -88,9 +87,7 @@
     def __init__(self, state: EdgeState) -> None:
         self._state = state
         self._loop = asyncio.get_running_loop()
-        self._names = ReplicaNames(state.view)
         self._post: Post | None = None
-        self._started = state.random.randrange(_START_NUMBERS)
         self._number = 0
         self._dead: set[str] = set()
         # Of each sender, the numbers of its start and of its latest alarms.
@@ -172,7 +169,7 @@
         alarm = Alarm(
             settings.name,
             settings.data_centre,
-            self._started,
+            self._state.start_number,
             self._number,
             dead,
             {
@@ -192,24 +189,22 @@
         return False
 
     def _take_heard(self, alarm: Alarm) -> None:
-        latest = self._loop.time() - _WAY_S
+        now = self._loop.time()
         for name, ago_ms in self._resolve(alarm.heard):
             if 0 <= ago_ms <= _OLDEST_MS:
-                at = latest - ago_ms / _MS_PER_S
-                self._state.view.loss_round.note_heard(name, at + _WAY_S)
-                self._state.view.trust(name, at)
+                at = now - ago_ms / MS_PER_S
+                self._state.view.loss_round.note_heard(name, at)
+                self._state.view.trust(name, at - _WAY_MS / MS_PER_S)
 
     def _take_dead(self, alarm: Alarm) -> None:
-        now = self._loop.time()
         for name, (ago_ms, left_ms, votes) in self._resolve(alarm.dead):
             if not 0 <= ago_ms <= _OLDEST_MS or votes < 1:
                 continue
-            word = Word(
-                now - _WAY_S - ago_ms / _MS_PER_S,
-                now + min(left_ms, _MOST_AVOIDED_MS) / _MS_PER_S,
+            word = read_word(
+                alarm,
+                ago_ms + _WAY_MS,
+                min(left_ms, _MOST_AVOIDED_MS),
                 min(votes, SURE_VOTES),
-                alarm.node,
-                alarm.data_centre,
             )
             if take_word(self._state, name, word):
                 _LOG.warning(
@@ -220,10 +215,10 @@
     def _resolve(self, said: Mapping[int, Said]) -> Iterable[tuple[str, Said]]:
         """Return what is said of the replicas that are known here."""
         for key, what in said.items():
-            name = self._names.get(key)
+            name = self._state.names.get(key)
             if name is not None:
                 yield name, what
 
 
 def _to_ms(seconds: float) -> int:
-    return max(0, round(seconds * _MS_PER_S))
+    return max(0, round(seconds * MS_PER_S))
--- a/samphirerill/relay/health/examiner.py
+++ b/samphirerill/relay/health/examiner.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from samphirerill.fleet.load import list_ids
 from samphirerill.fleet.losses import is_own_fault
 from samphirerill.fleet.suspicion import SURE_VOTES
 from samphirerill.node.logs import get_logger
@@ -106,7 +107,7 @@
             The parts of the path that may be at fault.
         """
         replicas = [stage.replica for stage in stages]
-        known = set(filter(self._is_dead, _list_ids(replicas)))
+        known = {name for name in list_ids(stages) if self._is_dead(name)}
         if known:
             # Why the path is silent is clear; asked all the same, each stream
             # of a lost part cost a question a moment until it found another.
@@ -316,9 +317,5 @@
     return None
 
 
-def _list_ids(replicas: Iterable[Replica]) -> list[str]:
-    return [replica.replica_id for replica in replicas]
-
-
 def _list_with(probes: dict[str, Probe], wanted: Verdict) -> set[str]:
     return {name for name, probe in probes.items() if probe.verdict is wanted}
--- a/samphirerill/relay/health/signs.py
+++ b/samphirerill/relay/health/signs.py
@@ -69,23 +69,3 @@
             for name in list_ids(stream.stages):
                 signs[name] = max(at, signs.get(name, at))
     return signs
-
-
-def find_last_sign(streams: Iterable[PassingStream], replica_id: str) -> float:
-    """Return when an event last came through a replica; minus infinity if none.
-
-    Parameters
-    ----------
-    streams : iterable of PassingStream
-        Those of this node.
-    replica_id : str
-        Which replica.
-    """
-    return max(
-        (
-            stream.last_event_at
-            for stream in streams
-            if replica_id in list_ids(stream.stages)
-        ),
-        default=float('-inf'),
-    )
--- a/samphirerill/relay/health/survey.py
+++ b/samphirerill/relay/health/survey.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.losses import Askers
+from samphirerill.fleet.model import MS_PER_S
 from samphirerill.node.logs import get_logger
 
 if TYPE_CHECKING:
@@ -23,7 +24,6 @@
     from samphirerill.relay.state import EdgeState
 
 _LOG = get_logger('survey')
-_MS_PER_S = 1000
 # Askers have told what they found after so long; if a replica is dead by the word of
 # only one then, the other one may be lost with it, and the next two ask.
 _SECOND_TURN_S = 0.12
@@ -115,6 +115,13 @@
         at = self._loop.time() + _SECOND_TURN_S
         self._loop.call_at(at, lambda: self._begin(self._ask_in_place()))
 
+    async def _ask(self, names: Iterable[str]) -> set[str]:
+        """Ask known replicas; return those that are dead."""
+        known = self._state.view.known
+        return await self._examiner.ask_after(
+            [known[name].replica for name in names]
+        )
+
     async def _ask_in_place(self) -> None:
         """Ask in the place of askers who may be lost themselves."""
         now = self._loop.time()
@@ -126,10 +133,8 @@
             and found.suspicion.get_own() is None
             and found.replica.layers is not None
         ]
-        mine = self._choose_mine(alone, turn=1) if alone else []
-        await self._examiner.ask_after(
-            [view.known[name].replica for name in mine]
-        )
+        if alone:
+            await self._ask(self._choose_mine(alone, turn=1))
 
     def _begin(self, work: Coroutine[None, None, None]) -> None:
         task = self._loop.create_task(work, name='survey')
@@ -139,13 +144,13 @@
     async def _ask_doubted(self, names: Iterable[str]) -> None:
         """Confirm one node's word, or not, if it is this node's turn to."""
         view = self._state.view
-        mine = [
-            view.known[name].replica
-            for name in self._choose_mine(names)
+        fresh = [
+            name
+            for name in names
             if name in view.known
             and view.known[name].suspicion.get_own() is None
         ]
-        await self._examiner.ask_after(mine)
+        await self._ask(self._choose_mine(fresh))
 
     async def _ask_share(self) -> None:
         since = self._began_at
@@ -168,7 +173,7 @@
                 'share': len(share),
                 'asked': len(unheard),
                 'dead': len(dead),
-                'ms': round((self._loop.time() - since) * _MS_PER_S),
+                'ms': round((self._loop.time() - since) * MS_PER_S),
             },
         )
 
@@ -227,9 +232,7 @@
             name: at for name, at in self._ask_again_at.items() if at > now
         }
         self._ask_again_at.update(dict.fromkeys(mine, now + _ASK_DEAD_S))
-        dead = await self._examiner.ask_after(
-            [view.known[name].replica for name in mine]
-        )
+        dead = await self._ask(mine)
         heard = self._examiner.find_heard(now)
         self._alarms.tell_heard(
             {name: heard[name] for name in mine if name in heard.keys() - dead}
--- a/samphirerill/relay/hearing.py
+++ b/samphirerill/relay/hearing.py
@@ -11,7 +11,7 @@
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.health.alarms import MARK
 from samphirerill.relay.health.words import take_words
-from samphirerill.relay.messages import ReplicaNames, Told, take_told
+from samphirerill.relay.messages import Told, take_told
 from samphirerill.relay.roster import Peer
 
 if TYPE_CHECKING:
@@ -65,7 +65,6 @@
         self._log = log
         self._help = helper
         self._loop = asyncio.get_running_loop()
-        self._names = ReplicaNames(state.view)
         self._transport: asyncio.DatagramTransport | None = None
         # Of each sender, its start and its last datagram's number.
         self._last: dict[str, tuple[int, int]] = {}
@@ -145,7 +144,7 @@
         self._take(told)
 
     def _take(self, told: Told) -> None:
-        take_told(self._state, self._names, told, self._loop.time())
-        take_words(self._state, self._names, told)
+        take_told(self._state, told, self._loop.time())
+        take_words(self._state, told)
         self._state.notify()
         self._news.note_others(told.revision, self._log.revision)
--- a/samphirerill/relay/messages.py
+++ b/samphirerill/relay/messages.py
@@ -14,6 +14,7 @@
 
 from samphirerill.fleet.budget import Use
 from samphirerill.fleet.load import Held
+from samphirerill.fleet.model import MS_PER_S
 
 if TYPE_CHECKING:
     from samphirerill.fleet.pipes import Pair
@@ -22,7 +23,6 @@
     from samphirerill.relay.state import EdgeState
 
 _TOKENS_UNIT = 16
-_MS_PER_S = 1000
 
 
 class Announced(Struct):
@@ -115,8 +115,8 @@
             until = max(word.until for word in words)
             votes = sum(word.votes for word in words)
             since = max(word.since for word in words)
-            told.avoided[key] = (int((until - now) * _MS_PER_S), votes)
-            told.silent[key] = max(0, int((now - since) * _MS_PER_S))
+            told.avoided[key] = (int((until - now) * MS_PER_S), votes)
+            told.silent[key] = max(0, int((now - since) * MS_PER_S))
     return told
 
 
@@ -126,7 +126,7 @@
     )
 
 
-def build_told(state: EdgeState, started: int, number: int, now: float) -> Told:
+def build_told(state: EdgeState, number: int, now: float) -> Told:
     """Return what this node has to tell."""
     held = {
         checksum_name(name): (part.requests, int(part.tokens) // _TOKENS_UNIT)
@@ -135,7 +135,7 @@
     words = list_words(state)
     return Told(
         node=state.settings.name,
-        started=started,
+        started=state.start_number,
         number=number,
         version=state.version,
         revision=state.view.revision,
@@ -165,11 +165,9 @@
     return pipes
 
 
-def take_told(
-    state: EdgeState, names: ReplicaNames, told: Told, now: float
-) -> None:
+def take_told(state: EdgeState, told: Told, now: float) -> None:
     """Let what another node tells count here."""
-    state.book.hear(told.node, _read_held(names, told), now, told.nodes)
+    state.book.hear(told.node, _read_held(state.names, told), now, told.nodes)
     _take_pipes(state, told, now)
     for service, counts in told.uses.items():
         budget = state.get_budget(service)
@@ -193,6 +191,6 @@
     return held
 
 
-def checksum_name(replica_id: str) -> int:
-    """Return how messages name a replica."""
-    return zlib.crc32(replica_id.encode())
+def checksum_name(name: str) -> int:
+    """Return the number that stands for a replica's id or a key in messages."""
+    return zlib.crc32(name.encode())
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -96,7 +96,7 @@
             news,
             news.log,
         )
-        self._about = NodePages(
+        self._node_pages = NodePages(
             self.state, self._admission, store, self._count_busy
         )
         self._reloader = Reloader(self.state, store, source)
@@ -120,7 +120,7 @@
             (self._survey.run, 'survey'),
             (self._sweep, 'sweep'),
             (self._reloader.run, 'settings'),
-            (self._about.usage.run, 'usage'),
+            (self._node_pages.usage.run, 'usage'),
         ):
             self._start_task(self._keep_running(work, name), name)
         _LOG.info('started', extra={'node': self.state.settings.name})
@@ -137,7 +137,7 @@
         for conn in (*self._connections, *self._pages):
             conn.end()
         self._members.close()
-        self._about.usage.log()
+        self._node_pages.usage.log()
         for task in tuple(self._tasks):
             task.cancel()
 
@@ -164,10 +164,14 @@
             await asyncio.gather(
                 listen(settings.callers, self._front, self._connections),
                 listen(
-                    settings.readiness, self._about.build_ready(), self._pages
+                    settings.readiness,
+                    self._node_pages.build_ready(),
+                    self._pages,
                 ),
                 listen(
-                    metrics_address, self._about.build_metrics(), self._pages
+                    metrics_address,
+                    self._node_pages.build_metrics(),
+                    self._pages,
                 ),
             )
         )
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -15,6 +15,7 @@
 from samphirerill.node.logs import get_logger
 from samphirerill.node.metrics import Metrics
 from samphirerill.relay.cfg_texts import CfgTexts
+from samphirerill.relay.messages import ReplicaNames
 from samphirerill.relay.pool import ConnectionPool
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
 _LOG = get_logger('state')
 # Until a node knows the others it takes an eighth of what all share.
 _LEAST_NODES = 8
+_START_NUMBERS = 2_000_000_000
 # Kept of the time for which a leaving replica serves, as news of it is late.
 _LEAVING_MARGIN_S = 0.3
 
@@ -50,6 +52,9 @@
         self.counters: Counter[str] = Counter()
         self.metrics = Metrics()
         self.view = FleetView()
+        self.names = ReplicaNames(self.view)
+        # Told with each datagram, so that those of the start before are known.
+        self.start_number = self.random.randrange(_START_NUMBERS)
         self.book = LoadBook()
         self.pipes = PipeUse()
         self.pool = ConnectionPool(self.counters)
--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -8,6 +8,7 @@
 
 from samphirerill.fleet.endings import find_end, is_lost
 from samphirerill.fleet.load import list_ids
+from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.moves import predict_pause_ms
 from samphirerill.fleet.paths import predict_gap_ms
 from samphirerill.node.logs import get_logger
@@ -24,7 +25,6 @@
     from samphirerill.relay.task import Task
 
 _LOG = get_logger('streams')
-_MS_PER_S = 1000
 # Of the time for which a leaving replica still serves a stream, the part that
 # passes before the stream moves: most streams end by themselves in it, and who
 # takes over has loaded the layers. The last moments are kept for the move.
@@ -190,7 +190,7 @@
             self._state.book,
             self._loop.time(),
         )
-        return gap_ms / _MS_PER_S
+        return gap_ms / MS_PER_S
 
     async def _admit(
         self, wanted: PathRequest, rank: int, deadline: float
--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -9,6 +9,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from samphirerill.fleet.model import MS_PER_S
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.answers import is_success, read_head
 from samphirerill.relay.errors import (
@@ -30,7 +31,6 @@
     from samphirerill.relay.task import Task
 
 _LOG = get_logger('streams')
-_MS_PER_S = 1000
 # Also the status of a path that waits for a part in vain.
 _BUSY = 503
 
@@ -155,8 +155,8 @@
             nodes=1 + self._state.book.count_peers(),
             after_event=progress.last_id,
             tokens=int(self._path.tokens),
-            gap_ms=round(self._path.predict_gap_s(stages) * _MS_PER_S),
-            waited_ms=round(waited_s * _MS_PER_S),
+            gap_ms=round(self._path.predict_gap_s(stages) * MS_PER_S),
+            waited_ms=round(waited_s * MS_PER_S),
         )
         conn.send(self._build_call(stages))
         return is_new_head
--- a/samphirerill/relay/stream_times.py
+++ b/samphirerill/relay/stream_times.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING, Any
 
+from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.smoothing import Smoothed
 
 if TYPE_CHECKING:
     from samphirerill.fleet.policy import Policy
     from samphirerill.node.metrics import Metrics
 
-_MS_PER_S = 1000
 _ENOUGH_EVENTS = 5
 # A gap longer than the mean by so many deviations is a silence. On calm days
 # one gap in some hundred is; four deviations would be passed by one in forty.
@@ -117,8 +117,8 @@
         spent_s = self.last_at - self._first_at
         return {
             'events': self._events,
-            'first_ms': round((self._first_at - self._arrived_at) * _MS_PER_S),
-            'gap_ms': round(spent_s * _MS_PER_S / max(1, self._events - 1)),
-            'most_gap_ms': round(self._most_gap_s * _MS_PER_S),
-            'most_gap_ago_ms': round((now - self._most_gap_at) * _MS_PER_S),
+            'first_ms': round((self._first_at - self._arrived_at) * MS_PER_S),
+            'gap_ms': round(spent_s * MS_PER_S / max(1, self._events - 1)),
+            'most_gap_ms': round(self._most_gap_s * MS_PER_S),
+            'most_gap_ago_ms': round((now - self._most_gap_at) * MS_PER_S),
         }
--- a/samphirerill/relay/telling.py
+++ b/samphirerill/relay/telling.py
@@ -31,7 +31,6 @@
 # Other data centres are told this often: bytes between them are paid for, and
 # streams rarely go there.
 _FAR_S = 0.25
-_START_NUMBERS = 2_000_000_000
 
 
 class Telling:
@@ -50,7 +49,6 @@
         self._roster = roster
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
-        self._started = state.random.randrange(_START_NUMBERS)
         self._number = 0
         self._told = (-1, -1)
         self._tell_at = 0.0
@@ -143,9 +141,7 @@
 
     def _build(self) -> Told:
         self._number += 1
-        return build_told(
-            self._state, self._started, self._number, self._loop.time()
-        )
+        return build_told(self._state, self._number, self._loop.time())
 
     def _send(self, data: bytes, addresses: Iterable[str]) -> None:
         # The port closes before the tasks that tell have ended; to send then
--- a/samphirerill/testing/clients.py
+++ b/samphirerill/testing/clients.py
@@ -1,4 +1,4 @@
-"""Callers and operators for the demo, the benches and the tests."""
+"""Callers and operators for the demo, for measurements and for tests."""
 
 from __future__ import annotations
 
--- a/samphirerill/testing/cluster.py
+++ b/samphirerill/testing/cluster.py
@@ -1,6 +1,6 @@
 """Start stand-ins and nodes as processes on loopback, and end them again.
 
-Used by the demo, the benches and the end-to-end tests. Only processes that
+Used by the demo, by measurements and by the end-to-end tests. Only processes that
 were started here are ended, by the handle they were started with.
 """
 
