Say in the log how far a run had come when it broke

'stream broke' told neither when the run was sent nor what it had brought; now run_ms and run_events do.

--- a/samphirerill/relay/stream_times.py
+++ b/samphirerill/relay/stream_times.py
@@ -26,6 +26,35 @@
 _AFTER_NOTICE_S = 0.15
 
 
+class RunTimes:
+    """When one run of a stream was sent, and how far it came.
+
+    `sent_at`, `first_at` and `last_at` are points on the loop's clock, the last
+    two of the run's first and latest event; 0 for none yet.
+    """
+
+    __slots__ = ('events', 'first_at', 'last_at', 'sent_at')
+
+    def __init__(self, sent_at: float) -> None:
+        self.sent_at = sent_at
+        self.events = 0
+        self.first_at = 0.0
+        self.last_at = 0.0
+
+    def note_events(self, count: int, now: float) -> None:
+        """Events of this run have come."""
+        self.events += count
+        self.first_at = self.first_at or now
+        self.last_at = now
+
+    def describe(self, now: float) -> dict[str, Any]:
+        """Return events and milliseconds since it was sent, for a log line."""
+        return {
+            'run_events': self.events,
+            'run_ms': round((now - self.sent_at) * MS_PER_S),
+        }
+
+
 class StreamTimes:
     """Points on the loop's clock.
 
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -32,7 +32,7 @@
 from samphirerill.relay.stream_guard import StreamGuard
 from samphirerill.relay.stream_path import StreamPath, describe_stages
 from samphirerill.relay.stream_sender import StreamProgress, StreamSender
-from samphirerill.relay.stream_times import StreamTimes
+from samphirerill.relay.stream_times import RunTimes, StreamTimes
 from samphirerill.relay.succession import Run, Succession
 
 if TYPE_CHECKING:
@@ -114,6 +114,7 @@
         )
         self._ended = False
         self._failure: tuple[Head, bytes] | None = None
+        self._run = RunTimes(0.0)
         self._succession = Succession(self._begin_beside, self._drop_run)
         self._guard = StreamGuard(
             task, self._path, examiner, self._may_resend, self._seek
@@ -249,6 +250,7 @@
     ) -> None:
         """Let a run be read to its end, under guard."""
         replica = self._path.stages[0].replica
+        self._run = RunTimes(self._loop.time())
         self._guard.begin(conn)
         try:
             await reading
@@ -356,7 +358,10 @@
 
     def _pass_on(self, splitter: EventSplitter, body: bytes) -> None:
         fresh = []
-        for event in splitter.feed(body):
+        events = splitter.feed(body)
+        if events:
+            self._run.note_events(len(events), self._loop.time())
+        for event in events:
             if event.number < 0 or event.number > self._progress.last_id:
                 self._progress.last_id = max(
                     self._progress.last_id, event.number
@@ -389,6 +394,7 @@
             path=describe_stages(self._path.stages),
             last_event=self._progress.last_id,
             reason=self._progress.reason,
+            **self._run.describe(self._loop.time()),
         )
 
     def _give_up(self, obstacle: str, wait_s: float) -> None:
