--- a/samphirerill/testing/platform_replicas.py
+++ b/samphirerill/testing/platform_replicas.py
@@ -103,7 +103,7 @@
             self.fails -= 1
             conn.answer(_FAILED, headers, b'failed')
         elif req.get(b'x-samphirerill-hop-count') is None:
-            await self.free.wait()
+            await self._wait_for_answer(req)
             body = b'plain ' + req.body + bytes(self.padding)
             conn.answer(_OK, headers, body)
         else:
@@ -124,7 +124,7 @@
             return
         first = int(req.get(b'last-event-id') or b'0') + 1
         for number in range(first, self.events + 1):
-            await self._wait_for_event()
+            await self._wait_for_event(req, number - first)
             if self.stop_after and number > self.stop_after:
                 # Half an event, then the end without a last chunk.
                 conn.write_body(b'id: %d\ndata: to' % number)
@@ -136,7 +136,12 @@
             conn.write_body(b'id: %d\ndata: token%d\n\n' % (number, number))
         conn.end_answer()
 
-    async def _wait_for_event(self) -> None:
+    async def _wait_for_answer(self, req: Request) -> None:
+        """Be at work on a plain request."""
+        await self.free.wait()
+
+    async def _wait_for_event(self, req: Request, done: int) -> None:
+        """Be at work on a stream's next event; so many are done."""
         await asyncio.sleep(self.gap_s)
         await self.free.wait()
         await self.goes_on.wait()
--- a/samphirerill/testing/platform_world.py
+++ b/samphirerill/testing/platform_world.py
@@ -27,63 +27,102 @@
 
 
 class PlatformWorld:
-    """The store, replicas and one node; `start` runs them."""
-
-    def __init__(self) -> None:
+    """The store, replicas and one node; `start` runs them.
+
+    Parameters
+    ----------
+    ports : tuple of int
+        Where nodes take datagrams and calls of other nodes, the same on each;
+        by default a node is alone.
+    """
+
+    def __init__(self, ports: tuple[int, int] = (0, 0)) -> None:
+        self._ports = ports
+        self._nodes: list[tuple[EdgeProcess, asyncio.Task[int]]] = []
         self.service = StandInStore()
         self.replicas: dict[str, StandInReplica] = {}
         self.addresses: dict[str, str] = {}
         self._connections: set[CallerConnection] = set()
+        self._replica_connections: dict[str, set[CallerConnection]] = {}
         self._servers: dict[str, asyncio.Server] = {}
-        self._store: PlatformStore | None = None
-        self._task: asyncio.Task[int] | None = None
+        self._stores: list[PlatformStore] = []
+        self._store_address = ''
         self.process: EdgeProcess | None = None
 
     async def start(self) -> None:
         """Start the store and the node."""
         server = await listen(_ANY_PORT, self.service, self._connections)
         self._servers[''] = server
-        address = f'{_HOST}:{server.sockets[0].getsockname()[1]}'
+        port = server.sockets[0].getsockname()[1]
+        self._store_address = f'{_HOST}:{port}'
+        self.process = self.start_node()
+
+    def start_node(self) -> EdgeProcess:
+        """Start one more node, at an address of its own."""
+        host = f'127.0.0.{1 + len(self._nodes)}'
+        exchange_port, peers_port = self._ports
         settings = EdgeSettings(
-            name='node-1',
+            name=f'node-{1 + len(self._nodes)}',
             data_centre='a',
-            host=_HOST,
-            callers=_ANY_PORT,
-            readiness=_ANY_PORT,
-            peers=_ANY_PORT,
-            store=address,
-            exchange_port=0,
+            host=host,
+            callers=f'{host}:0',
+            readiness=f'{host}:0',
+            peers=f'{host}:{peers_port}',
+            store=self._store_address,
+            exchange_port=exchange_port,
             metrics_port=0,
             finish_s=6,
         )
-        self._store = PlatformStore(address)
-        self.process = EdgeProcess(settings, PlatformDialect(), self._store)
-        self._task = asyncio.create_task(self.process.run())
+        store = PlatformStore(self._store_address)
+        self._stores.append(store)
+        process = EdgeProcess(settings, PlatformDialect(), store)
+        self._nodes.append((process, asyncio.create_task(process.run())))
+        return process
+
+    async def stop_node(self, process: EdgeProcess) -> None:
+        """End a node at once, as when it is killed."""
+        for known, task in self._nodes:
+            if known is process:
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+                process.close()
 
     async def stop(self) -> None:
-        """End the node and all stand-ins."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-        if self.process is not None:
-            self.process.close()
+        """End the nodes and all stand-ins."""
+        for process, _ in self._nodes:
+            await self.stop_node(process)
         for server in self._servers.values():
             server.close()
         for conn in tuple(self._connections):
             conn.cut()
-        if self._store is not None:
-            self._store.close()
+        for name in tuple(self._replica_connections):
+            self.end_replica(name)
+        for store in self._stores:
+            store.close()
         await asyncio.sleep(0.02)
 
     async def add(self, name: str, events: int = 5) -> StandInReplica:
         """Start a replica; it is announced by the test itself."""
         replica = StandInReplica(name, events)
-        server = await listen(_ANY_PORT, replica, self._connections)
+        await self.run_replica(replica)
+        return replica
+
+    async def run_replica(self, replica: StandInReplica) -> None:
+        """Let a replica listen."""
+        name = replica.replica_id
+        connections: set[CallerConnection] = set()
+        server = await listen(_ANY_PORT, replica, connections)
         self._servers[name] = server
+        self._replica_connections[name] = connections
         port = server.sockets[0].getsockname()[1]
         self.addresses[name] = f'{_HOST}:{port}'
         self.replicas[name] = replica
-        return replica
+
+    def end_replica(self, name: str) -> None:
+        """End a replica's process: nobody listens, all connections are cut."""
+        self._servers[name].close()
+        for conn in tuple(self._replica_connections.pop(name, ())):
+            conn.cut()
 
     def expect_process(self) -> EdgeProcess:
         """Return the node, ready or not."""
@@ -91,32 +130,44 @@
             raise RuntimeError('the node is not there: call start() first')
         return self.process
 
-    async def until_ready(self) -> EdgeProcess:
-        """Wait until the node takes requests; return it."""
+    async def until_ready(
+        self, process: EdgeProcess | None = None
+    ) -> EdgeProcess:
+        """Wait until a node, by default the first, takes requests."""
+        node = process or self.expect_process()
         async with asyncio.timeout(_PATIENCE_S):
-            while self.process is None or not self.process.is_ready():
+            while not node.is_ready():
                 await asyncio.sleep(_STEP_S)
-        return self.process
+        return node
 
-    async def until_known(self, count: int) -> None:
-        """Wait until the node knows so many replicas."""
-        process = await self.until_ready()
+    async def until_known(
+        self, count: int, process: EdgeProcess | None = None
+    ) -> None:
+        """Wait until a node, by default the first, knows so many replicas."""
+        process = await self.until_ready(process)
         async with asyncio.timeout(_PATIENCE_S):
             while len(process.state.view.known) != count:
                 await asyncio.sleep(_STEP_S)
 
-    async def connect(self) -> HttpConnection:
-        """Return a client's connection to the node."""
-        process = await self.until_ready()
-        conn = HttpConnection(f'{_HOST}:{process.get_port()}')
+    async def connect(
+        self, process: EdgeProcess | None = None
+    ) -> HttpConnection:
+        """Return a client's connection to a node, by default the first."""
+        node = await self.until_ready(process)
+        host = node.state.settings.host
+        conn = HttpConnection(f'{host}:{node.get_port()}')
         await conn.open()
         return conn
 
     async def ask(
-        self, target: bytes, headers: Headers, body: bytes = b''
+        self,
+        target: bytes,
+        headers: Headers,
+        body: bytes = b'',
+        process: EdgeProcess | None = None,
     ) -> tuple[int, bytes]:
         """Send one request; return the status and the whole body."""
-        conn = await self.connect()
+        conn = await self.connect(process)
         try:
             conn.send(build_call(b'POST', target, headers, body))
             deadline = asyncio.get_running_loop().time() + _PATIENCE_S
