--- /dev/null
+++ b/samphirerill/quarantine/records.py
@@ -0,0 +1,85 @@
+"""What is known against one request: which endpoints ended as it began there."""
+
+from __future__ import annotations
+
+from bisect import insort
+from dataclasses import dataclass, field
+from operator import attrgetter
+
+# Ends so close together have one cause, as when a rack loses power.
+_APART_S = 0.05
+# Two nodes that saw the same endpoint end differ by less.
+_SAME_S = 1.0
+# More of them change nothing.
+MOST_DEATHS = 8
+_NEVER = float('-inf')
+
+
+@dataclass(slots=True, frozen=True)
+class Death:
+    """An endpoint's process ended as it began to run a request.
+
+    Parameters
+    ----------
+    endpoint : str
+        Which start of which endpoint.
+    request_id : str
+        The client's name for the attempt; operators find it in the logs.
+    at : float
+        When, on the loop's clock.
+    """
+
+    endpoint: str
+    request_id: str
+    at: float
+
+    def is_same(self, other: Death) -> bool:
+        """Return whether both tell of one end of one endpoint."""
+        is_close = abs(self.at - other.at) < _SAME_S
+        return self.endpoint == other.endpoint and is_close
+
+
+@dataclass(slots=True)
+class Record:
+    """The ends that one request saw, in order of time.
+
+    A run that goes on, or comes to its end, shows that the request harms
+    nobody; ends before `survived_at` count for nothing.
+    """
+
+    deaths: list[Death] = field(default_factory=list)
+    survived_at: float = _NEVER
+
+    def add(self, death: Death) -> bool:
+        """Take an end; return whether it counts and was not known."""
+        if death.at <= self.survived_at or any(map(death.is_same, self.deaths)):
+            return False
+        if len(self.deaths) == MOST_DEATHS:
+            self.deaths.pop(0)
+        insort(self.deaths, death, key=attrgetter('at'))
+        return True
+
+    def note_survival(self, at: float) -> bool:
+        """Forget the ends before a moment; return whether there were any."""
+        self.survived_at = max(self.survived_at, at)
+        before = len(self.deaths)
+        self.deaths = [death for death in self.deaths if death.at > at]
+        return len(self.deaths) < before
+
+    def list_moments(self) -> list[Death]:
+        """Return the ends, one of each moment."""
+        moments: list[Death] = []
+        for death in self.deaths:
+            if not moments or death.at - moments[-1].at >= _APART_S:
+                moments.append(death)
+        return moments
+
+    def was_suspect(self, death: Death, enough: int) -> bool:
+        """Return whether the request saw an end after enough others."""
+        if len(self.deaths) <= enough:
+            return False
+        if not any(map(death.is_same, self.deaths)):
+            return False
+        before = death.at - _APART_S
+        earlier = [known.at < before for known in self.list_moments()]
+        return sum(earlier) >= enough
--- a/samphirerill/relay/front.py
+++ b/samphirerill/relay/front.py
@@ -28,6 +28,7 @@
     from samphirerill.relay.admission import Admission
     from samphirerill.relay.dialect import RequestFacts
     from samphirerill.relay.health.examiner import Examiner
+    from samphirerill.relay.quarantine import Witness
     from samphirerill.relay.server import CallerConnection, Request
     from samphirerill.relay.state import EdgeState
 
@@ -45,11 +46,18 @@
         The queue of streams.
     examiner : Examiner
         Asks silent replicas.
+    witness : Witness
+        Knows which requests end replicas.
     """
 
     def __init__(
-        self, state: EdgeState, admission: Admission, examiner: Examiner
+        self,
+        state: EdgeState,
+        admission: Admission,
+        examiner: Examiner,
+        witness: Witness,
     ) -> None:
+        self._witness = witness
         self._state = state
         self._admission = admission
         self._examiner = examiner
@@ -82,10 +90,15 @@
         engine = task.service.engine
         if engine is None or not engine.layers:
             if not self._is_too_late(self._state.requests_until, task):
-                await PlainExchange(self._state, task).run()
+                await PlainExchange(self._state, task, self._witness).run()
         elif not self._is_too_late(self._state.streams_until, task):
             await StreamExchange(
-                self._state, task, engine, self._admission, self._examiner
+                self._state,
+                task,
+                engine,
+                self._admission,
+                self._examiner,
+                self._witness,
             ).run()
 
     def _is_too_late(self, until: float, task: Task) -> bool:
--- a/samphirerill/relay/health/alarms.py
+++ b/samphirerill/relay/health/alarms.py
@@ -9,8 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from msgspec import DecodeError, Struct, ValidationError, msgpack
 
@@ -19,27 +18,26 @@
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.health.words import read_word, take_word
 from samphirerill.relay.messages import checksum_name
+from samphirerill.relay.post import Arrivals
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
     from typing import TypeVar
 
+    from samphirerill.relay.post import Post
     from samphirerill.relay.state import EdgeState
 
     Said = TypeVar('Said')
 
 _LOG = get_logger('alarms')
-# No other datagram begins so: it is no message of the encoding.
-MARK = b'\xc1'
+# No other datagram begins so: its first byte is no message of the encoding.
+MARK = b'\xc1A'
 # Words that are older were held up on their way; the sender has told anew.
 _OLDEST_MS = 1000
 # No node avoids a replica for longer by the word of another.
 _MOST_AVOIDED_MS = 4000
 # A datagram may have been so long on its way: what it tells is no later than that.
 _WAY_MS = 50
-# Alarms of one sender that are known to have come; two nodes pass on each, and one
-# that is passed on may come after a later one that came straight.
-_MOST_SEEN = 32
 
 
 class Alarm(Struct, array_like=True):
@@ -59,22 +57,6 @@
     heard: dict[int, int]
 
 
-class Post(Protocol):
-    """Sends datagrams to other nodes."""
-
-    def send_to_all(self, data: bytes) -> None:
-        """Send to every other node; in a large fleet some pass it on."""
-
-    def send_to_node(self, name: str, data: bytes) -> None:
-        """Send to one node, if its address is known."""
-
-    def pass_on_from(self, sender: str, data: bytes) -> None:
-        """Pass on at home what came from another data centre."""
-
-    def list_nodes(self) -> Mapping[str, str]:
-        """Return the data centres of all nodes, by name, with this one."""
-
-
 class Alarms:
     """Tells and hears alarms.
 
@@ -90,8 +72,7 @@
         self._post: Post | None = None
         self._number = 0
         self._dead: set[str] = set()
-        # Of each sender, the numbers of its start and of its latest alarms.
-        self._seen: dict[str, deque[tuple[int, int]]] = {}
+        self._arrivals = Arrivals()
 
     def begin(self, post: Post) -> None:
         """Tell by these ways from now on."""
@@ -181,12 +162,7 @@
 
     def _has_come(self, alarm: Alarm) -> bool:
         """Return whether an alarm came before."""
-        seen = self._seen.setdefault(alarm.node, deque(maxlen=_MOST_SEEN))
-        key = (alarm.started, alarm.number)
-        if key in seen:
-            return True
-        seen.append(key)
-        return False
+        return not self._arrivals.note(alarm.node, alarm.started, alarm.number)
 
     def _take_heard(self, alarm: Alarm) -> None:
         now = self._loop.time()
--- a/samphirerill/relay/health/examiner.py
+++ b/samphirerill/relay/health/examiner.py
@@ -121,9 +121,19 @@
             self._suspect_address(address)
         return diagnosis
 
-    async def ask_after(self, replicas: Sequence[Replica]) -> set[str]:
-        """Ask replicas whether they work; return those that are dead."""
-        probes = await self._probe_all(replicas)
+    async def ask_after(
+        self, replicas: Sequence[Replica], since: float = 0.0
+    ) -> set[str]:
+        """Ask replicas whether they work; return those that are dead.
+
+        Parameters
+        ----------
+        replicas : sequence of Replica
+            Whom to ask.
+        since : float
+            What was found before does not count.
+        """
+        probes = await self._probe_all(replicas, since)
         return await self._judge(replicas, probes)
 
     def check(self, replica: Replica) -> None:
@@ -152,14 +162,19 @@
         now = self._loop.time()
         return found is not None and found.suspicion.dead_until > now
 
-    async def _probe_all(self, replicas: Sequence[Replica]) -> list[Probe]:
-        return await asyncio.gather(*map(self._probe, replicas))
+    async def _probe_all(
+        self, replicas: Sequence[Replica], since: float = 0.0
+    ) -> list[Probe]:
+        return await asyncio.gather(
+            *(self._probe(replica, since) for replica in replicas)
+        )
 
-    async def _probe(self, replica: Replica) -> Probe:
+    async def _probe(self, replica: Replica, since: float = 0.0) -> Probe:
         """Return a fresh probe of a replica, a new one if there is none."""
         key = replica.replica_id
         latest = self._latest.get(key)
-        if latest is not None and latest.at + _FRESH_S > self._loop.time():
+        oldest = max(since, self._loop.time() - _FRESH_S)
+        if latest is not None and latest.at > oldest:
             return latest
         task = self._asking.get(key)
         if task is None:
--- a/samphirerill/relay/hearing.py
+++ b/samphirerill/relay/hearing.py
@@ -15,6 +15,8 @@
 from samphirerill.relay.roster import Peer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from samphirerill.relay.change_log import ChangeLog
     from samphirerill.relay.health.alarms import Alarms
     from samphirerill.relay.news import NewsSource
@@ -24,6 +26,7 @@
     from samphirerill.relay.telling import Telling
 
 _LOG = get_logger('members')
+_MARK_BYTES = 2
 
 
 class Hearing(asyncio.DatagramProtocol):
@@ -57,7 +60,8 @@
         helper: PeerHelp,
         alarms: Alarms,
     ) -> None:
-        self._alarms = alarms
+        self._takers: dict[bytes, Callable[[bytes, str], None]] = {}
+        self.listen_for(MARK, alarms.take)
         self._state = state
         self._roster = roster
         self._telling = telling
@@ -81,6 +85,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    def listen_for(
+        self, mark: bytes, take: Callable[[bytes, str], None]
+    ) -> None:
+        """Let something else take the datagrams that begin with a mark."""
+        self._takers[mark] = take
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Let others be told through the same port."""
         # The loop's own class does not say that it is one for datagrams.
@@ -89,8 +99,9 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Take what another node tells."""
-        if data.startswith(MARK):
-            self._alarms.take(data, f'{addr[0]}:{addr[1]}')
+        taker = self._takers.get(data[:_MARK_BYTES])
+        if taker is not None:
+            taker(data, f'{addr[0]}:{addr[1]}')
             return
         try:
             told = msgpack.decode(data, type=Told)
--- a/samphirerill/relay/members.py
+++ b/samphirerill/relay/members.py
@@ -31,6 +31,7 @@
     from samphirerill.relay.change_log import ChangeLog
     from samphirerill.relay.health.alarms import Alarms
     from samphirerill.relay.news import NewsSource
+    from samphirerill.relay.post import Talk
     from samphirerill.relay.server import CallerConnection
     from samphirerill.relay.state import EdgeState
     from samphirerill.relay.store_health import StoreHealth
@@ -100,6 +101,11 @@
         )
         await self._hearing.start()
 
+    def add_talk(self, talk: Talk) -> None:
+        """Let something else tell and hear by the same port."""
+        talk.begin(self._telling)
+        self._hearing.listen_for(talk.mark, talk.take)
+
     def close(self) -> None:
         """Close the ports for the other nodes."""
         self._hearing.close()
--- a/samphirerill/relay/node_pages.py
+++ b/samphirerill/relay/node_pages.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from msgspec import json
+
 from samphirerill.relay.listeners import PageHandler
 from samphirerill.relay.usage import Usage
 
@@ -13,6 +15,7 @@
     from samphirerill.platform.store import PlatformStore
     from samphirerill.relay.admission import Admission
     from samphirerill.relay.listeners import Page
+    from samphirerill.relay.quarantine import Keeper
     from samphirerill.relay.state import EdgeState
 
 _OK = 200
@@ -32,6 +35,8 @@
         Counts its calls.
     count_busy : callable
         Returns how many requests are under way.
+    keeper : Keeper
+        Knows which requests are held back.
     """
 
     def __init__(
@@ -40,7 +45,9 @@
         admission: Admission,
         store: PlatformStore,
         count_busy: Callable[[], int],
+        keeper: Keeper,
     ) -> None:
+        self._keeper = keeper
         self._state = state
         self._admission = admission
         self.usage = Usage(state, store)
@@ -52,13 +59,26 @@
 
     def build_metrics(self) -> PageHandler:
         """Return the page that metrics are read from."""
-        return PageHandler({b'/metrics': self._get_metrics})
+        return PageHandler(
+            {b'/metrics': self._get_metrics, b'/state': self._get_state}
+        )
 
     def _get_ready(self) -> Page:
         if self._state.is_ready():
             return _OK, b'ready'
         return _UNAVAILABLE, b'not ready'
 
+    def _get_state(self) -> Page:
+        state = self._state
+        dump = {
+            'node': state.settings.name,
+            'version': state.version,
+            'replicas': len(state.view.known),
+            'streams': len(state.streams),
+            'quarantine': self._keeper.describe(),
+        }
+        return _OK, json.encode(dump)
+
     def _get_metrics(self) -> Page:
         state = self._state
         gauges = {**state.counters, **self.usage.count()}
@@ -66,5 +86,6 @@
         gauges['now.open'] = self._count_busy()
         gauges['now.replicas'] = len(state.view.known)
         gauges['now.version'] = state.version
+        gauges['now.quarantine'] = len(state.quarantine)
         gauges['replicas.false_deaths'] = state.view.false_deaths
         return _OK, state.metrics.format_prometheus(gauges).encode()
--- a/samphirerill/relay/path_finder.py
+++ b/samphirerill/relay/path_finder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.paths import PathRequest
@@ -14,6 +15,11 @@
     from samphirerill.relay.state import EdgeState
     from samphirerill.relay.task import Task
 
+# Replicas that are looked at for a suspect: each look takes a millisecond.
+_MOST_APART = 3
+# A path may begin anywhere.
+NO_HEADS: frozenset[str] = frozenset()
+
 
 class PathFinder:
     """What one stream needs of a path, and which replicas it leaves out.
@@ -98,6 +104,21 @@
         avoid = self.avoid - heads
         return PathRequest(self.tokens, avoid, heads, is_urgent=is_urgent)
 
+    def find_apart(self, taken: Collection[str]) -> frozenset[str]:
+        """Return a replica to begin at where few others run; none if none is.
+
+        Parameters
+        ----------
+        taken : collection of str
+            Replicas that it must not begin at.
+        """
+        wanted = self.build_request(is_urgent=True)
+        for replica_id in self._list_quiet_heads(taken):
+            wanted.heads = frozenset((replica_id,))
+            if self.find(wanted):
+                return wanted.heads
+        return NO_HEADS
+
     def build_beside(self, head_id: str, lost: Collection[str]) -> PathRequest:
         """Return what a path must offer that begins elsewhere.
 
@@ -118,6 +139,20 @@
             self._task.service.name, self._engine, wanted
         )
 
+    def _list_quiet_heads(self, taken: Collection[str]) -> list[str]:
+        """Return the replicas with the first layer and the fewest requests."""
+        usable = self._state.view.list_usable(
+            self._task.service.name, asyncio.get_running_loop().time()
+        )
+        heads = [
+            found.replica.replica_id
+            for found in usable
+            if found.replica.layers is not None
+            and found.replica.layers.first == 0
+            and found.replica.replica_id not in taken
+        ]
+        return sorted(heads, key=self._state.book.requests)[:_MOST_APART]
+
     def _limit_heads(self) -> frozenset[str]:
         """Return the replicas that a path must begin with; empty for any.
 
@@ -130,7 +165,7 @@
             name for name in self.heads - self.ended if not view.has_ended(name)
         }
         if len(live) < self._task.route.max_attempts:
-            return frozenset()
+            return NO_HEADS
         return frozenset(live)
 
 
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -22,6 +22,7 @@
 from samphirerill.relay.connection import Head, build_call
 from samphirerill.relay.dialect import Attempt
 from samphirerill.relay.errors import (
+    BrokenAnswerError,
     ConnectError,
     EndpointError,
     NoConnectionLeftError,
@@ -40,6 +41,7 @@
 
     from samphirerill.fleet.view import Known
     from samphirerill.relay.connection import HttpConnection
+    from samphirerill.relay.quarantine import Witness
     from samphirerill.relay.state import EdgeState
     from samphirerill.relay.task import Task
 
@@ -83,11 +85,15 @@
         What this node knows.
     task : Task
         The request.
+    witness : Witness
+        Knows whether it may run; told of sends that break off.
     """
 
-    def __init__(self, state: EdgeState, task: Task) -> None:
+    def __init__(self, state: EdgeState, task: Task, witness: Witness) -> None:
         self._state = state
         self._task = task
+        self._witness = witness
+        self._held_until = 0.0
         self._loop = asyncio.get_running_loop()
         self._tried: set[str] = set()
         self._sends = 0
@@ -106,6 +112,7 @@
             self._tried.add(found.replica.replica_id)
             if self._is_final(outcome):
                 break
+            await self._witness.rest(self._task)
         self._finish(outcome)
 
     async def _choose(self) -> Known | None:
@@ -138,7 +145,8 @@
     def _may_send(self) -> bool:
         """Return whether another send is allowed."""
         now = self._loop.time()
-        if now >= self._task.deadline:
+        self._held_until = self._witness.find_end(self._task)
+        if self._held_until or now >= self._task.deadline:
             return False
         budget = self._state.get_budget(self._task.service.name)
         if not self._sends:
@@ -217,12 +225,15 @@
         if facts.is_not_run and not is_success(head.status):
             return _Outcome(is_not_run=True, reason='endpoint refused')
         self._may_have_run = True
+        self._witness.note_whole(self._task)
         return _Outcome(head, body)
 
     def _note_error(
         self, found: Known, exc: EndpointError, sent_at: float
     ) -> _Outcome:
         self._may_have_run = True
+        if isinstance(exc, BrokenAnswerError):
+            self._witness.note_break(self._task, found.replica)
         is_silent = isinstance(exc, SilentEndpointError)
         if is_silent and self._loop.time() - sent_at >= _SILENT_S:
             self._avoid(found, str(exc))
@@ -278,8 +289,12 @@
         if head is not None:
             conn.answer(head.status, filter_headers(head), outcome.body)
             return
-        timed_out = self._loop.time() >= self._task.deadline
-        refusal = Refusal(UNAVAILABLE, outcome.reason, _RETRY_S)
+        now = self._loop.time()
+        timed_out = now >= self._task.deadline
+        reason, retry_s = outcome.reason, _RETRY_S
+        if self._held_until:
+            reason, retry_s = 'it ends replicas', self._held_until - now
+        refusal = Refusal(UNAVAILABLE, reason, retry_s)
         if self._may_have_run:
             late = outcome.timed_out or timed_out
             refusal = Refusal(TIMED_OUT if late else FAILED, outcome.reason)
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -18,6 +18,7 @@
 from samphirerill.relay.members import Members
 from samphirerill.relay.news import NewsSource
 from samphirerill.relay.node_pages import NodePages
+from samphirerill.relay.quarantine import Keeper, Sharing, Witness
 from samphirerill.relay.reload import Reloader, SettingsFile
 from samphirerill.relay.state import EdgeState
 from samphirerill.relay.store_health import StoreHealth
@@ -76,11 +77,19 @@
         self._admission = Admission(self.state)
         alarms = Alarms(self.state)
         examiner = Examiner(self.state, alarms)
-        self._front = Front(self.state, self._admission, examiner)
+        keeper = Keeper(self.state)
+        self._sharing = Sharing(self.state, keeper)
+        self._front = Front(
+            self.state,
+            self._admission,
+            examiner,
+            Witness(self.state, examiner, keeper, self._sharing),
+        )
         news = NewsSource(settings.name)
         self._members = Members(
             self.state, store, health, news, news.log, alarms
         )
+        self._members.add_talk(self._sharing)
         leadership = Leadership(self.state, store)
         self._survey = Survey(
             self.state, examiner, alarms, lambda: leadership.holder
@@ -97,7 +106,7 @@
             news.log,
         )
         self._node_pages = NodePages(
-            self.state, self._admission, store, self._count_busy
+            self.state, self._admission, store, self._count_busy, keeper
         )
         self._reloader = Reloader(self.state, store, source)
         self._connections: set[CallerConnection] = set()
@@ -118,6 +127,7 @@
             (self._members.run, 'membership'),
             (self._commander.run, 'commander'),
             (self._survey.run, 'survey'),
+            (self._sharing.run, 'quarantine'),
             (self._sweep, 'sweep'),
             (self._reloader.run, 'settings'),
             (self._node_pages.usage.run, 'usage'),
@@ -145,6 +155,10 @@
         """Return the callers' port; the settings may leave it to the system."""
         return int(self._servers[0].sockets[0].getsockname()[1])
 
+    def get_metrics_port(self) -> int:
+        """Return where metrics and the state are read."""
+        return int(self._servers[2].sockets[0].getsockname()[1])
+
     def is_ready(self) -> bool:
         """Return whether the balancer should send new connections."""
         return self.state.is_ready()
--- /dev/null
+++ b/samphirerill/relay/quarantine/__init__.py
@@ -0,0 +1,7 @@
+"""Find the requests that end replicas, and tell the other nodes of them."""
+
+from samphirerill.relay.quarantine.keeper import Keeper
+from samphirerill.relay.quarantine.sharing import Sharing
+from samphirerill.relay.quarantine.witness import Witness
+
+__all__ = ('Keeper', 'Sharing', 'Witness')
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -14,6 +14,7 @@
 from samphirerill.fleet.view import FleetView
 from samphirerill.node.logs import get_logger
 from samphirerill.node.metrics import Metrics
+from samphirerill.quarantine import Quarantine
 from samphirerill.relay.cfg_texts import CfgTexts
 from samphirerill.relay.messages import ReplicaNames
 from samphirerill.relay.pool import ConnectionPool
@@ -62,6 +63,7 @@
         self.cfg_texts = CfgTexts()
         self.routes: RouteTable | None = None
         self.streams: set[StreamExchange] = set()
+        self.quarantine = Quarantine()
         self.is_draining = False
         # A node that ends takes no new streams or requests from then on.
         self.streams_until = float('inf')
--- /dev/null
+++ b/samphirerill/relay/stream_limits.py
@@ -0,0 +1,134 @@
+"""Whether a stream may be sent, and how long it may wait for that."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from samphirerill.relay.stream_call import find_patience_s
+
+if TYPE_CHECKING:
+    from samphirerill.relay.quarantine import Witness
+    from samphirerill.relay.state import EdgeState
+    from samphirerill.relay.stream_sender import StreamProgress
+    from samphirerill.relay.stream_times import StreamTimes
+    from samphirerill.relay.task import Task
+
+# Clients give a stream up after a gap of two seconds, also before its first
+# event; a request that has waited so long for a path is refused instead.
+_ADMISSION_S = 1.4
+# How often a stream may be sent before it has begun.
+_MOST_SENDS = 6
+# So many sends that brought nothing may follow each other at once; then a stream
+# waits, longer each time. Nodes hear of each other's repeats after 0.4 s: 144
+# streams that sent five repeats each within 0.2 s to a replica that accepted and
+# reset them took 706 repeats of 598.
+_QUICK_SENDS = 2
+_FIRST_REST_S = 0.1
+_MOST_REST_S = 0.4
+
+
+@dataclass(slots=True, frozen=True)
+class Obstacle:
+    """Why a stream may not be sent; `wait_s` is when it may, 0 if unknown."""
+
+    reason: str
+    wait_s: float = 0.0
+
+
+class StreamLimits:
+    """What one stream may still do.
+
+    Parameters
+    ----------
+    state : EdgeState
+        Budgets and nodes.
+    task : Task
+        The request.
+    progress : StreamProgress
+        How far it has come.
+    times : StreamTimes
+        When its events came.
+    witness : Witness
+        Knows whether it may run at all.
+    """
+
+    __slots__ = ('_loop', '_progress', '_state', '_task', '_times', '_witness')
+
+    def __init__(
+        self,
+        state: EdgeState,
+        task: Task,
+        progress: StreamProgress,
+        times: StreamTimes,
+        witness: Witness,
+    ) -> None:
+        self._state = state
+        self._task = task
+        self._progress = progress
+        self._times = times
+        self._witness = witness
+        self._loop = asyncio.get_running_loop()
+
+    def is_held(self) -> bool:
+        """Return whether the request ends replicas, and may not run."""
+        return self._witness.find_end(self._task) > 0
+
+    def take_send(self) -> Obstacle | None:
+        """Take a repeat for one more send; return why there is none, if so."""
+        now = self._loop.time()
+        held_until = self._witness.find_end(self._task)
+        if held_until:
+            return Obstacle('it ends replicas', held_until - now)
+        reason = self._find_end_reason(now)
+        if reason:
+            return Obstacle(reason)
+        budget = self._state.get_budget(self._task.service.name)
+        if not self._progress.sends:
+            budget.note_first(now)
+            return None
+        nodes = self._state.count_nodes()
+        if budget.spend(now, nodes, is_urgent=self._progress.has_begun):
+            return None
+        return Obstacle('no repeat is left')
+
+    def may_resend(self) -> bool:
+        """Return whether the stream could be sent again, if it were broken.
+
+        A path that may recover is better than one left for nothing.
+        """
+        budget = self._state.get_budget(self._task.service.name)
+        return budget.has_left(
+            self._loop.time(),
+            self._state.count_nodes(),
+            is_urgent=self._progress.has_begun,
+        )
+
+    def limit_admission(self) -> float:
+        """Return until when it may wait for a path."""
+        until = self._task.req.arrived_at + _ADMISSION_S
+        if self._progress.has_begun:
+            # A path may break before its first event.
+            since = max(self._progress.begun_at, self._times.last_at)
+            until = since + find_patience_s(self._task.route)
+        return min(self._task.deadline, until)
+
+    def choose_rest_s(self) -> float:
+        """Return how long it waits after a send, if several were in vain."""
+        fruitless = self._progress.note_sent()
+        if fruitless < _QUICK_SENDS:
+            return 0.0
+        doubled_s = _FIRST_REST_S * 2 ** (fruitless - _QUICK_SENDS)
+        return min(_MOST_REST_S, doubled_s)
+
+    def _find_end_reason(self, now: float) -> str:
+        """Return why it may not be sent any more, whatever is left."""
+        progress = self._progress
+        if now >= self._task.deadline:
+            return 'its time is over'
+        if progress.sends >= _MOST_SENDS and not progress.has_begun:
+            return f'sent {progress.sends} times'
+        if progress.sends and progress.may_have_run:
+            return '' if self._task.may_repeat else 'it may have run'
+        return ''
--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -14,13 +14,14 @@
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.health.signs import list_unproven
 from samphirerill.relay.orders import order_repath
-from samphirerill.relay.path_finder import PathFinder
+from samphirerill.relay.path_finder import NO_HEADS, PathFinder
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import EngineSpec, Stage
     from samphirerill.fleet.paths import PathRequest
     from samphirerill.relay.admission import Admission
     from samphirerill.relay.health.examiner import Diagnosis
+    from samphirerill.relay.quarantine import Witness
     from samphirerill.relay.state import EdgeState
     from samphirerill.relay.task import Task
 
@@ -36,7 +37,10 @@
 # replica just before this died may arrive most of a gap later.
 _PROOF_S = 0.015
 
-
+# How often a suspect looks for a replica without another one.
+_APART_STEP_S = 0.1
+# Longer than another suspect needs to show what it is; callers wait.
+_MOST_APART_S = 0.7
 # Streams that leave one by one wait for so much fewer others.
 _SPREAD_CROWD = 4
 
@@ -88,12 +92,47 @@
         return self.stages[0].replica.replica_id
 
     async def take(
-        self, rank: int, deadline: float, *, is_urgent: bool
+        self,
+        rank: int,
+        deadline: float,
+        *,
+        is_urgent: bool,
+        heads: frozenset[str] = NO_HEADS,
     ) -> None:
-        """Wait for a path with room; raise ``HopelessError`` if none comes."""
+        """Wait for a path with room; raise ``HopelessError`` if none comes.
+
+        Parameters
+        ----------
+        rank : int
+            Its priority, 0 first.
+        deadline : float
+            Until when it may wait.
+        is_urgent : bool
+            The stream has begun.
+        heads : frozenset of str
+            The replicas that it may begin at; empty for any.
+        """
         wanted = self.finder.build_request(is_urgent=is_urgent)
+        wanted.heads = wanted.heads or heads
         self.stages = await self._admit(wanted, rank, deadline)
 
+    async def find_apart(
+        self, witness: Witness, until: float
+    ) -> frozenset[str]:
+        """Return where a suspect may begin; empty for anywhere.
+
+        It may end the replica that it begins at: that should be one where few
+        others run, and no other suspect, or nobody could tell which it was.
+        """
+        last = min(until, self._loop.time() + _MOST_APART_S) - _APART_STEP_S
+        while witness.is_suspect(self._task):
+            taken = witness.list_trials()
+            heads = self.finder.find_apart(taken)
+            if heads or not taken or self._loop.time() >= last:
+                return heads
+            await asyncio.sleep(_APART_STEP_S)
+        return NO_HEADS
+
     async def take_beside(
         self, rank: int, deadline: float
     ) -> tuple[Stage, ...]:
--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -13,6 +13,7 @@
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.answers import is_success, read_head
 from samphirerill.relay.errors import (
+    BrokenAnswerError,
     ConnectError,
     EndpointError,
     NoConnectionLeftError,
@@ -26,6 +27,7 @@
     from samphirerill.relay.connection import Head, HttpConnection
     from samphirerill.relay.dialect import AnswerFacts
     from samphirerill.relay.health import Examiner
+    from samphirerill.relay.quarantine import Witness
     from samphirerill.relay.state import EdgeState
     from samphirerill.relay.stream_path import StreamPath
     from samphirerill.relay.task import Task
@@ -93,9 +95,19 @@
         Read and kept up to date.
     examiner : Examiner
         Asks replicas that others name as at fault.
+    witness : Witness
+        Knows whether the stream may run; told of runs that break off.
     """
 
-    __slots__ = ('_examiner', '_loop', '_path', '_progress', '_state', '_task')
+    __slots__ = (
+        '_examiner',
+        '_loop',
+        '_path',
+        '_progress',
+        '_state',
+        '_task',
+        '_witness',
+    )
 
     def __init__(
         self,
@@ -104,8 +116,10 @@
         path: StreamPath,
         progress: StreamProgress,
         examiner: Examiner,
+        witness: Witness,
     ) -> None:
         self._examiner = examiner
+        self._witness = witness
         self._state = state
         self._task = task
         self._path = path
@@ -115,7 +129,7 @@
     async def connect(self, replica: Replica) -> HttpConnection | None:
         """Return a connection; none if the replica can't be used now."""
         try:
-            return await self._state.pool.take(
+            conn = await self._state.pool.take(
                 replica,
                 fresh=not self._task.may_repeat,
                 most=self._state.count_connections(self._task.service),
@@ -126,6 +140,11 @@
                 self._state.view.refuse(replica.replica_id, self._loop.time())
         except ConnectError as exc:
             self._shun(replica.replica_id, str(exc))
+        else:
+            if not self._witness.find_end(self._task):
+                return conn
+            # It was found to end replicas while the connection was made.
+            self._state.pool.give_back(replica, conn)
         return None
 
     def send(
@@ -158,6 +177,7 @@
             gap_ms=round(self._path.predict_gap_s(stages) * MS_PER_S),
             waited_ms=round(waited_s * MS_PER_S),
         )
+        self._witness.note_send(self._task, stages[0].replica)
         conn.send(self._build_call(stages))
         return is_new_head
 
@@ -181,6 +201,8 @@
             head = await self._open(conn, stages, deadline)
         except EndpointError as exc:
             self._note_failed(stages[0].replica.replica_id, str(exc))
+            if isinstance(exc, BrokenAnswerError):
+                self._witness.note_break(self._task, stages[0].replica)
         finally:
             if head is None:
                 conn.close()
--- a/samphirerill/relay/stream_times.py
+++ b/samphirerill/relay/stream_times.py
@@ -12,6 +12,9 @@
     from samphirerill.node.metrics import Metrics
 
 _ENOUGH_EVENTS = 5
+# A run that has sent events for so long has begun, and its replica lives. Requests
+# that end replicas were seen to do so within 0.12 s of their first token.
+_BEGINNING_S = 0.5
 # A gap longer than the mean by so many deviations is a silence. On calm days
 # one gap in some hundred is; four deviations would be passed by one in forty.
 _DEVIATIONS = 6
@@ -29,17 +32,28 @@
 class RunTimes:
     """When one run of a stream was sent, and how far it came.
 
+    A request that ends its replica does so as it begins to run. By the times of
+    its events, and not by the clock, a node that was held up between an event
+    and the break does not take the one for the other.
+
     `sent_at`, `first_at` and `last_at` are points on the loop's clock, the last
     two of the run's first and latest event; 0 for none yet.
     """
 
-    __slots__ = ('events', 'first_at', 'last_at', 'sent_at')
+    __slots__ = ('events', 'first_at', 'last_at', 'note_at', 'sent_at')
 
     def __init__(self, sent_at: float) -> None:
         self.sent_at = sent_at
         self.events = 0
         self.first_at = 0.0
         self.last_at = 0.0
+        # When it is worth while to say again that the run goes on.
+        self.note_at = 0.0
+
+    @property
+    def has_survived(self) -> bool:
+        """Return whether it has gone on for longer than a beginning."""
+        return self.last_at - self.first_at >= _BEGINNING_S
 
     def note_events(self, count: int, now: float) -> None:
         """Events of this run have come."""
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -17,8 +17,13 @@
     is_success,
     read_body,
 )
-from samphirerill.relay.connection import Head, Part, Whole
-from samphirerill.relay.errors import EndpointError
+from samphirerill.relay.connection import (
+    Head,
+    HttpConnection,
+    Part,
+    Whole,
+)
+from samphirerill.relay.errors import BrokenAnswerError, EndpointError
 from samphirerill.relay.events import EventSplitter
 from samphirerill.relay.leaving import may_leave, must_begin_here
 from samphirerill.relay.refusals import (
@@ -28,40 +33,28 @@
     Refusal,
     refuse,
 )
-from samphirerill.relay.stream_call import find_patience_s
 from samphirerill.relay.stream_guard import StreamGuard
+from samphirerill.relay.stream_limits import StreamLimits
 from samphirerill.relay.stream_path import StreamPath, describe_stages
 from samphirerill.relay.stream_sender import StreamProgress, StreamSender
 from samphirerill.relay.stream_times import RunTimes, StreamTimes
 from samphirerill.relay.succession import Run, Succession
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Awaitable, Coroutine
 
     from samphirerill.fleet.model import EngineSpec, Stage
     from samphirerill.relay.admission import Admission
-    from samphirerill.relay.connection import HttpConnection
     from samphirerill.relay.health.examiner import Examiner
+    from samphirerill.relay.quarantine import Witness
     from samphirerill.relay.state import EdgeState
     from samphirerill.relay.task import Task
 
 _LOG = get_logger('streams')
-# Clients give a stream up after a gap of two seconds, also before its first
-# event; a request that has waited so long for a path is refused instead.
-_ADMISSION_S = 1.4
 # One that has begun is worth more: it goes before any new one.
 _URGENT = -1
 # Reading the prompt through all stages takes up to half a second under load.
 _FIRST_SILENCE_S = 0.22
-# How often a stream may be sent before it has begun.
-_MOST_SENDS = 6
-# So many sends that brought nothing may follow each other at once; then a stream
-# waits, longer each time. Nodes hear of each other's repeats after 0.4 s: 144
-# streams that sent five repeats each within 0.2 s to a replica that accepted and
-# reset them took 706 repeats of 598.
-_QUICK_SENDS = 2
-_FIRST_REST_S = 0.1
-_MOST_REST_S = 0.4
 # A run that should take a stream over gets so long to begin at the least: reading
 # the prompt takes up to half a second under load.
 _TAKE_OVER_S = 0.7
@@ -87,6 +80,8 @@
         Grants paths.
     examiner : Examiner
         Asks silent replicas.
+    witness : Witness
+        Told of runs that break off, and of those that go on.
     """
 
     def __init__(
@@ -96,9 +91,11 @@
         engine: EngineSpec,
         admission: Admission,
         examiner: Examiner,
+        witness: Witness,
     ) -> None:
         self._state = state
         self._task = task
+        self._witness = witness
         self._loop = asyncio.get_running_loop()
         self._admission = admission
         self._path = StreamPath(state, task, engine, admission)
@@ -110,14 +107,19 @@
         )
         self._progress = StreamProgress(task)
         self._sender = StreamSender(
-            state, task, self._path, self._progress, examiner
+            state, task, self._path, self._progress, examiner, witness
+        )
+        self._limits = StreamLimits(
+            state, task, self._progress, self._times, witness
         )
         self._ended = False
         self._failure: tuple[Head, bytes] | None = None
         self._run = RunTimes(0.0)
+        self._conn: HttpConnection | None = None
+        self._waiting: asyncio.Timeout | None = None
         self._succession = Succession(self._begin_beside, self._drop_run)
         self._guard = StreamGuard(
-            task, self._path, examiner, self._may_resend, self._seek
+            task, self._path, examiner, self._limits.may_resend, self._seek
         )
 
     @property
@@ -143,11 +145,24 @@
         """Leave replicas that are lost, without waiting for a silence."""
         self._guard.check_path()
 
+    def check_quarantine(self) -> None:
+        """End at once what may not run any more: it ends replicas.
+
+        A run that goes on shows the contrary, and is left alone.
+        """
+        if self._ended or not self._limits.is_held():
+            return
+        if self._waiting is not None:
+            self._waiting.reschedule(self._loop.time())
+        if self._conn is not None and not self._run.has_survived:
+            self._succession.cancel()
+            self._conn.close()
+
     async def _serve(self) -> None:
         while not self._ended:
-            obstacle = self._find_obstacle()
-            if obstacle:
-                self._give_up(obstacle, 0)
+            obstacle = self._limits.take_send()
+            if obstacle is not None:
+                self._give_up(obstacle.reason, obstacle.wait_s)
             elif await self._take_path():
                 await self._attempt()
                 await self._follow()
@@ -155,66 +170,50 @@
 
     async def _rest(self) -> None:
         """Wait a while if several sends have brought nothing."""
-        fruitless = self._progress.note_sent()
-        if self._ended or fruitless < _QUICK_SENDS:
+        rest_s = self._limits.choose_rest_s()
+        if self._ended:
             return
-        rest_s = _FIRST_REST_S * 2 ** (fruitless - _QUICK_SENDS)
-        await asyncio.sleep(min(_MOST_REST_S, rest_s))
+        if rest_s:
+            await self._wait(asyncio.sleep(rest_s))
+        if self._witness.is_suspect(self._task):
+            await self._wait(self._witness.rest(self._task))
 
     async def _take_path(self) -> bool:
         """Wait for a path; give up and return false if none comes."""
-        rank = _URGENT if self._progress.has_begun else self._task.priority
         try:
-            await self._path.take(
-                rank,
-                self._limit_admission(),
-                is_urgent=self._progress.has_begun,
-            )
+            return await self._wait(self._find_path())
         except OutageError as exc:
             self._give_up(str(exc), exc.wait_s)
-            return False
         except HopelessError as exc:
             self._give_up(str(exc), max(_REPAIR_S, exc.wait_s))
-            return False
-        return True
-
-    def _find_obstacle(self) -> str:
-        """Take a repeat for one more send; return why there is none, if so."""
-        now = self._loop.time()
-        if now >= self._task.deadline:
-            return 'its time is over'
-        if self._progress.sends >= _MOST_SENDS and not self._progress.has_begun:
-            return f'sent {self._progress.sends} times'
-        budget = self._state.get_budget(self._task.service.name)
-        if not self._progress.sends:
-            budget.note_first(now)
-            return ''
-        if self._progress.may_have_run and not self._task.may_repeat:
-            return 'it may have run'
-        nodes = self._state.count_nodes()
-        if budget.spend(now, nodes, is_urgent=self._progress.has_begun):
-            return ''
-        return 'no repeat is left'
-
-    def _may_resend(self) -> bool:
-        """Return whether the stream could be sent again, if it were broken.
-
-        A path that may recover is better than one left for nothing.
-        """
-        budget = self._state.get_budget(self._task.service.name)
-        return budget.has_left(
-            self._loop.time(),
-            self._state.count_nodes(),
-            is_urgent=self._progress.has_begun,
+        return False
+
+    async def _find_path(self) -> None:
+        has_begun = self._progress.has_begun
+        until = self._limits.limit_admission()
+        heads = await self._path.find_apart(self._witness, until)
+        await self._path.take(
+            _URGENT if has_begun else self._task.priority,
+            until,
+            is_urgent=has_begun,
+            heads=heads,
         )
 
-    def _limit_admission(self) -> float:
-        until = self._task.req.arrived_at + _ADMISSION_S
-        if self._progress.has_begun:
-            # A path may break before its first event.
-            since = max(self._progress.begun_at, self._times.last_at)
-            until = since + find_patience_s(self._task.route)
-        return min(self._task.deadline, until)
+    async def _wait(self, work: Awaitable[None]) -> bool:
+        """Wait for something; return false if the stream is held meanwhile.
+
+        Held back, it should get its answer now and not when its turn comes.
+        """
+        scope = asyncio.timeout(None)
+        self._waiting = scope
+        try:
+            async with scope:
+                await work
+        except TimeoutError:
+            return False
+        finally:
+            self._waiting = None
+        return True
 
     async def _attempt(self) -> None:
         """Send to the path once and pass on what comes."""
@@ -251,6 +250,7 @@
         """Let a run be read to its end, under guard."""
         replica = self._path.stages[0].replica
         self._run = RunTimes(self._loop.time())
+        self._conn = conn
         self._guard.begin(conn)
         try:
             await reading
@@ -263,13 +263,14 @@
         else:
             self._state.pool.give_back(replica, conn)
         finally:
+            self._conn = None
             self._guard.end()
 
     def _seek(self, conn: HttpConnection, reason: str) -> bool:
         """Let another run take over; return whether the stream has begun."""
         if self._progress.has_begun and self._task.may_repeat:
             self._log('stream leaves', reason=reason)
-            if must_begin_here(self._path) and self._may_resend():
+            if must_begin_here(self._path) and self._limits.may_resend():
                 # No replica is sent a stream that it still runs.
                 conn.close()
             else:
@@ -280,7 +281,7 @@
         """Begin another run beside the present one, if somebody takes it."""
         if not may_leave(self._path):
             return None
-        until = self._limit_admission()
+        until = self._limits.limit_admission()
         try:
             stages = await self._path.take_beside(_URGENT, until)
         except HopelessError as exc:
@@ -298,9 +299,9 @@
         self, stages: tuple[Stage, ...], until: float
     ) -> Run | None:
         """Take a repeat and send; none if there is no repeat or no answer."""
-        obstacle = self._find_obstacle()
-        if obstacle:
-            self._log('stream stays', reason=obstacle)
+        obstacle = self._limits.take_send()
+        if obstacle is not None:
+            self._log('stream stays', reason=obstacle.reason)
             return None
         return await self._sender.begin(
             stages, max(until, self._loop.time() + _TAKE_OVER_S)
@@ -349,6 +350,8 @@
             silence_s = self._times.find_silence_s(predicted_s)
             part = await self._guard.read(conn, silence_s, _read_part)
             if isinstance(part, Whole):
+                if self._run.events:
+                    self._witness.note_whole(self._task)
                 caller.write_body(splitter.rest)
                 caller.end_answer()
                 self._ended = True
@@ -361,6 +364,7 @@
         events = splitter.feed(body)
         if events:
             self._run.note_events(len(events), self._loop.time())
+            self._witness.note_progress(self._task, self._run)
         for event in events:
             if event.number < 0 or event.number > self._progress.last_id:
                 self._progress.last_id = max(
@@ -372,6 +376,9 @@
             self._task.conn.write_body(b''.join(fresh))
 
     def _note_break(self, exc: EndpointError) -> None:
+        if isinstance(exc, BrokenAnswerError):
+            head = self._path.stages[0].replica
+            self._witness.note_break(self._task, head, self._run)
         if self._succession.has_run:
             self._state.counters['streams.taken_over'] += 1
             return
--- a/samphirerill/relay/task.py
+++ b/samphirerill/relay/task.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.model import Repeat
+from samphirerill.quarantine.identity import digest_request
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import ClientAccount, FleetRoute, Service
@@ -31,6 +32,16 @@
     deadline: float
     client_deadline: float
     hides_key: bool
+    _identity: bytes = b''
+
+    @property
+    def identity(self) -> bytes:
+        """Return what makes this the same request as another attempt."""
+        if not self._identity:
+            self._identity = digest_request(
+                self.account_name, self.req.target, self.req.body
+            )
+        return self._identity
 
     @property
     def request_id(self) -> str:
--- a/samphirerill/tests/ending_engines.py
+++ b/samphirerill/tests/ending_engines.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from unittest import IsolatedAsyncioTestCase
 
+from msgspec import json
 from msgspec.structs import replace
 
 from samphirerill.relay.errors import EndpointError
@@ -27,9 +28,9 @@
 PLENTY = 4000
 CUT = 0
 EVENTS = 20
+OTHER_KEY = 'viti-key'
 _GAP_S = 0.02
 _ENGINES = 6
-_LAYERS = (0, 80)
 _BACK_AFTER_S = 0.4
 
 
@@ -44,12 +45,12 @@
         return exchange.getsockname()[1], peers.getsockname()[1]
 
 
-def build_headers(request_id: str) -> Headers:
-    """Return the headers of a stream."""
+def build_headers(request_id: str, key: str = KEY) -> Headers:
+    """Return the headers of a request."""
     return [
         (b'host', b'bridal.example'),
         (b'x-samphirerill-request-id', request_id.encode()),
-        (b'authorization', b'Bearer ' + KEY.encode()),
+        (b'authorization', b'Bearer ' + key.encode()),
         (b'x-samphirerill-token-count', b'800,80'),
     ]
 
@@ -61,6 +62,9 @@
     """
 
     target = b'/notes/x'
+    service = 'llm'
+    kind = 'vast'
+    layers: tuple[int, int] | None = (0, 80)
 
     async def asyncSetUp(self) -> None:
         self.loop = asyncio.get_running_loop()
@@ -78,19 +82,21 @@
         await self.prepare(self.nodes[0])
 
     def build_configuration(self) -> bytes:
-        """Return the configuration in force."""
-        return build_configuration()
+        """Return the configuration in force: two client accounts."""
+        document = json.decode(build_configuration())
+        document['tenants'].append({'name': 'viti', 'apiKeys': [OTHER_KEY]})
+        return json.encode(document)
 
     async def start_engine(self) -> None:
         """Start an engine under an id of its own."""
         name = f'engine-{len(self.world.replicas)}'
         engine = EndingReplica(name, MARK, self._note_marked, self._end)
-        engine.layers = _LAYERS
+        engine.layers = self.layers or (0, 0)
         engine.gap_s = _GAP_S
         engine.events = EVENTS
         await self.world.run_replica(engine)
         address = self.world.addresses[name]
-        entry = build_entry('llm', address, 'vast', _LAYERS)
+        entry = build_entry(self.service, address, self.kind, self.layers)
         await self.world.service.put(f'servers/{name}', entry)
 
     async def add_node(self) -> EdgeProcess:
@@ -111,13 +117,16 @@
         )
 
     async def ask(
-        self, node: EdgeProcess, request_id: str, body: bytes
+        self,
+        node: EdgeProcess,
+        request_id: str,
+        body: bytes,
+        key: str = KEY,
     ) -> tuple[int, bytes]:
         """Send a request; the status is 0 if its answer is cut."""
+        headers = build_headers(request_id, key)
         try:
-            return await self.world.ask(
-                self.target, build_headers(request_id), body, node
-            )
+            return await self.world.ask(self.target, headers, body, node)
         except EndpointError as exc:
             return CUT, str(exc).encode()
 
--- /dev/null
+++ b/samphirerill/tests/test_quarantine.py
@@ -0,0 +1,247 @@
+"""What decides that a request ends the endpoints that run it."""
+
+from __future__ import annotations
+
+from itertools import permutations
+from random import Random
+from unittest import TestCase
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from samphirerill.quarantine import Death, Quarantine, digest_request
+from samphirerill.quarantine.book import MOST_RECORDS, SETTLE_S
+from samphirerill.quarantine.messages import (
+    UnreadableEvidenceError,
+    build_told,
+    decode_told,
+    encode_told,
+    take_told,
+)
+
+_NOW = 1000.0
+_GUILTY = digest_request('suva', b'/notes/x', b'ends them')
+_INNOCENT = digest_request('suva', b'/notes/x', b'harmless')
+_SETTLED_S = SETTLE_S + 0.01
+_HOLD_S = 600.0
+
+
+def _see(
+    quarantine: Quarantine, request: bytes, *ends: tuple[str, float]
+) -> None:
+    """Let a request see endpoints end, each so many seconds from the start."""
+    for endpoint, after_s in ends:
+        death = Death(endpoint, f'r-{endpoint}', _NOW + after_s)
+        quarantine.note_death(request, death, _NOW + after_s)
+
+
+def _is_held(quarantine: Quarantine, request: bytes, after_s: float) -> bool:
+    quarantine.judge(_NOW + after_s)
+    return quarantine.find_end(request, _NOW + after_s) > 0
+
+
+class TestDecision(TestCase):
+    """Who is held back, and who is not."""
+
+    def setUp(self) -> None:
+        self.quarantine = Quarantine()
+
+    def test_three_ends_at_different_moments_are_enough(self) -> None:
+        _see(self.quarantine, _GUILTY, ('a', 0), ('b', 1))
+        self.assertFalse(_is_held(self.quarantine, _GUILTY, 2))
+        _see(self.quarantine, _GUILTY, ('c', 2))
+        self.assertTrue(_is_held(self.quarantine, _GUILTY, 2 + _SETTLED_S))
+
+    def test_ends_of_one_moment_are_one(self) -> None:
+        """Symptom: a body that runs on many replicas is refused to all.
+
+        Sequence: a rack loses power, and with it five replicas on which
+        copies of one body had just begun. Cause: each end counted.
+        """
+        ends = [(name, number / 1000) for number, name in enumerate('abcde')]
+        _see(self.quarantine, _INNOCENT, *ends)
+        self.assertFalse(_is_held(self.quarantine, _INNOCENT, 1))
+
+    def test_who_shares_all_ends_is_not_held_for_them(self) -> None:
+        """Symptom: a caller's harmless request is refused.
+
+        Sequence: it runs beside the guilty one at three ends, as both are sent
+        again to the same replicas. Cause: ends counted, whoever was there.
+        """
+        ends = (('a', 0), ('b', 0.3), ('c', 0.6))
+        _see(self.quarantine, _GUILTY, *ends)
+        _see(self.quarantine, _INNOCENT, *ends)
+        self.assertFalse(_is_held(self.quarantine, _INNOCENT, 1))
+        _see(self.quarantine, _GUILTY, ('d', 1))
+        self.assertTrue(_is_held(self.quarantine, _GUILTY, 2))
+        self.assertFalse(_is_held(self.quarantine, _INNOCENT, 2))
+
+    def test_an_end_that_has_not_settled_decides_nothing(self) -> None:
+        """Symptom: whoever is heard of first is held for what others did.
+
+        Sequence: a replica ends with two suspects; the guilty one's node tells
+        a few milliseconds later. Cause: judged before all were heard.
+        """
+        _see(self.quarantine, _INNOCENT, ('a', 0), ('b', 0.3), ('c', 0.6))
+        self.assertFalse(_is_held(self.quarantine, _INNOCENT, 0.62))
+        _see(self.quarantine, _GUILTY, ('a', 0), ('b', 0.3), ('c', 0.6))
+        self.assertFalse(_is_held(self.quarantine, _INNOCENT, 1))
+
+    def test_a_run_that_goes_on_refutes_what_was_before(self) -> None:
+        _see(self.quarantine, _INNOCENT, ('a', 0), ('b', 1))
+        self.assertTrue(self.quarantine.note_survival(_INNOCENT, _NOW + 2))
+        _see(self.quarantine, _INNOCENT, ('c', 3), ('d', 4))
+        self.assertFalse(_is_held(self.quarantine, _INNOCENT, 5))
+
+    def test_a_run_that_goes_on_releases(self) -> None:
+        """A body that many send is on many replicas that end by chance."""
+        _see(self.quarantine, _INNOCENT, ('a', 0), ('b', 1), ('c', 2))
+        self.assertTrue(_is_held(self.quarantine, _INNOCENT, 3))
+        self.quarantine.note_survival(_INNOCENT, _NOW + 3.1)
+        self.assertFalse(_is_held(self.quarantine, _INNOCENT, 3.2))
+
+    def test_where_all_end_by_turns_more_is_asked_for(self) -> None:
+        """Symptom: requests are refused on days of many losses.
+
+        Sequence: replicas go down and up by turns; now and then a request has
+        just begun at three of them, alone. Cause: three are no proof where
+        an endpoint ends each second.
+        """
+        for number in range(9):
+            passer = digest_request('viti', b'/notes/x', b'%d' % number)
+            _see(self.quarantine, passer, (f'other-{number}', number / 4))
+        _see(self.quarantine, _INNOCENT, ('a', 0.1), ('b', 1.1), ('c', 2.1))
+        self.assertFalse(_is_held(self.quarantine, _INNOCENT, 3))
+        _see(self.quarantine, _INNOCENT, ('d', 3.1), ('e', 4.1))
+        self.assertTrue(_is_held(self.quarantine, _INNOCENT, 5))
+
+    def test_the_order_in_which_evidence_comes_changes_nothing(self) -> None:
+        evidence = [
+            (_GUILTY, ('a', 0.0)),
+            (_GUILTY, ('b', 0.5)),
+            (_GUILTY, ('c', 1.0)),
+            (_INNOCENT, ('b', 0.5)),
+            (_INNOCENT, ('c', 1.0)),
+        ]
+        for order in permutations(evidence):
+            quarantine = Quarantine()
+            for request, end in order:
+                _see(quarantine, request, end)
+            self.assertTrue(_is_held(quarantine, _GUILTY, 2))
+            self.assertFalse(_is_held(quarantine, _INNOCENT, 2))
+
+
+class TestLapse(TestCase):
+    """Nothing is held for ever, and nothing grows for ever."""
+
+    def setUp(self) -> None:
+        self.quarantine = Quarantine()
+        _see(self.quarantine, _GUILTY, ('a', 0), ('b', 1), ('c', 2))
+
+    def test_it_lapses_and_one_more_end_doubles_it(self) -> None:
+        self.assertTrue(_is_held(self.quarantine, _GUILTY, _HOLD_S))
+        later_s = 2 + _HOLD_S + 1
+        self.assertFalse(_is_held(self.quarantine, _GUILTY, later_s))
+        _see(self.quarantine, _GUILTY, ('d', later_s))
+        held_s = later_s + 2 * _HOLD_S - 1
+        self.assertTrue(_is_held(self.quarantine, _GUILTY, held_s))
+
+    def test_old_evidence_is_forgotten(self) -> None:
+        self.quarantine.forget(_NOW + 3 * _HOLD_S)
+        self.assertEqual(len(self.quarantine), 0)
+
+    def test_a_flood_of_bodies_pushes_out_nothing_that_matters(self) -> None:
+        self.assertTrue(_is_held(self.quarantine, _GUILTY, 3))
+        for number in range(3 * MOST_RECORDS):
+            body = digest_request('viti', b'/notes/x', b'%d' % number)
+            _see(self.quarantine, body, (f'e-{number}', 4 + number / 1000))
+        self.assertEqual(len(self.quarantine), MOST_RECORDS)
+        self.assertTrue(_is_held(self.quarantine, _GUILTY, 8))
+
+
+class TestIdentity(TestCase):
+    """The same request whatever its id; never another account's."""
+
+    def test_account_path_and_body_tell_requests_apart(self) -> None:
+        parts = [
+            ('suva', b'/notes/x', b'gown'),
+            ('nadi', b'/notes/x', b'gown'),
+            ('suva', b'/notes/y', b'gown'),
+            ('suva', b'/notes/x', b'veil'),
+            ('suv', b'a/notes/x', b'gown'),
+            ('suva', b'/notes/xg', b'own'),
+        ]
+        digests = {digest_request(*part) for part in parts}
+        self.assertEqual(len(digests), len(parts))
+        self.assertEqual(digest_request(*parts[0]), digest_request(*parts[0]))
+
+
+class TestMessages(TestCase):
+    """What nodes tell each other."""
+
+    def setUp(self) -> None:
+        self.quarantine = Quarantine()
+        _see(self.quarantine, _GUILTY, ('a', 0), ('b', 1), ('c', 2))
+
+    def test_another_node_decides_the_same(self) -> None:
+        other = Quarantine()
+        text = self._encode(_NOW + 3)
+        # Another clock, and the same news twice.
+        for _ in range(2):
+            take_told(other, decode_told(text), 5000.0)
+        other.judge(5000.0)
+        self.assertAlmostEqual(
+            other.find_end(_GUILTY, 5000.0) - 5000.0, _HOLD_S - 1, places=2
+        )
+
+    def test_news_that_goes_round_lengthens_nothing(self) -> None:
+        """Symptom: a request is held back for ever.
+
+        Sequence: two nodes tell each other by turns, each some time on its
+        way. Cause: each took what it was told for a little longer than it was.
+        """
+        other = Quarantine()
+        for number in range(50):
+            now = _NOW + 3 + number
+            take_told(other, decode_told(self._encode(now)), now + 0.2)
+            record = other.get_record(_GUILTY)
+            assert record is not None
+            back = encode_told([build_told(_GUILTY, record, now + 0.2)])
+            take_told(self.quarantine, decode_told(back), now + 0.4)
+        self.quarantine.judge(_NOW + 60)
+        until = self.quarantine.find_end(_GUILTY, _NOW + 60)
+        self.assertAlmostEqual(until, _NOW + 2 + _HOLD_S, places=2)
+
+    def test_too_much_at_once_is_refused(self) -> None:
+        record = self.quarantine.get_record(_GUILTY)
+        assert record is not None
+        told = [build_told(_GUILTY, record, _NOW)] * 65
+        with self.assertRaises(UnreadableEvidenceError):
+            decode_told(encode_told(told))
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_taken_or_refused(self, text: bytes) -> None:
+        try:
+            told = decode_told(text)
+        except UnreadableEvidenceError:
+            return
+        take_told(self.quarantine, told, _NOW + 3)
+
+    def test_spoiled_messages_condemn_nobody(self) -> None:
+        text = self._encode(_NOW + 3)
+        chance = Random(1)  # noqa: S311
+        for _ in range(2000):
+            spoiled = bytearray(text)
+            spoiled[chance.randrange(len(text))] = chance.randrange(256)
+            other = Quarantine()
+            try:
+                take_told(other, decode_told(bytes(spoiled)), _NOW)
+            except UnreadableEvidenceError:
+                continue
+            other.judge(_NOW + 1)
+            self.assertEqual(other.find_end(_INNOCENT, _NOW + 1), 0)
+
+    def _encode(self, now: float) -> bytes:
+        record = self.quarantine.get_record(_GUILTY)
+        assert record is not None
+        return encode_told([build_told(_GUILTY, record, now)])
