The own interface holds back requests that end engines, too; what nodes tell is bounded

The decision core of node/ and core/ had the same gap: failures were counted for each request id and forgotten with it. It takes the same decisions from the same evidence (samphirerill/quarantine), told over the nodes' gossip; a break counts if a probe finds that nobody listens at the endpoint.

--- a/samphirerill/backends/peers.py
+++ b/samphirerill/backends/peers.py
@@ -66,6 +66,7 @@
     document: bytes = b''
     draining: bool = False
     leaving: list[str] = field(default_factory=list)
+    evidence: bytes = b''
 
 
 class PeerServer:
@@ -244,6 +245,7 @@
         document=word.document,
         draining=word.draining,
         leaving=word.leaving,
+        evidence=word.evidence,
     )
 
 
@@ -256,4 +258,5 @@
         wire.document,
         wire.draining,
         list(wire.leaving),
+        wire.evidence,
     )
--- a/samphirerill/core/events.py
+++ b/samphirerill/core/events.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from samphirerill.core.model import Configuration
     from samphirerill.core.prefixes import CacheNews
+    from samphirerill.quarantine.messages import ToldRecord
 
 
 @dataclass(slots=True)
@@ -29,6 +30,7 @@
     `key` is the caller's idempotency key or ''. `fingerprint` tells two
     bodies under one key apart. `tokens` estimates the tokens to generate.
     `prefixes` are digests of the prompt's prefixes, the longest last.
+    `identity` is what makes it the same request as another attempt.
     """
 
     request_id: str
@@ -39,6 +41,7 @@
     key: str = ''
     fingerprint: str = ''
     prefixes: tuple[str, ...] = ()
+    identity: bytes = b''
 
 
 @dataclass(slots=True)
@@ -133,10 +136,22 @@
 
 @dataclass(slots=True)
 class ProbeAnswered:
-    """An endpoint answered, or not, over a new connection."""
+    """An endpoint answered, or not, over a new connection.
+
+    `has_ended` is whether nobody listens there; one that is only silent may
+    live.
+    """
 
     endpoint: str
     alive: bool
+    has_ended: bool = False
+
+
+@dataclass(slots=True)
+class EvidenceTold:
+    """Another node told what it knows against requests."""
+
+    records: list[ToldRecord]
 
 
 @dataclass(slots=True)
--- a/samphirerill/core/on_attempts.py
+++ b/samphirerill/core/on_attempts.py
@@ -25,6 +25,12 @@
     TokenArrived,
 )
 from samphirerill.core.handling import handle
+from samphirerill.core.on_endings import (
+    note_break,
+    note_survival,
+    note_token,
+    refuse_held,
+)
 from samphirerill.core.placement import (
     choose_pipeline,
     observe_hops,
@@ -90,6 +96,7 @@
         return
     req.delivered += 1
     attempt.got_token = True
+    note_token(state, attempt, req, now)
     req.failures = 0
     _extend_progress(state, attempt, now)
     state.emit(
@@ -152,7 +159,11 @@
     drop_attempt(state, attempt)
     state.emit(CancelAttempt(attempt.attempt_id))
     _blame_stages(state, attempt, event, req, now)
+    note_break(state, attempt, req, now)
     state.counters['attempts.broke'] += 1
+    if refuse_held(state, req, now):
+        dispatch_pool(state, name_pool(req), now)
+        return
     retry_or_refuse(
         state, req, now, HTTPStatus.BAD_GATEWAY, 'attempt-broke', event.detail
     )
@@ -210,6 +221,7 @@
 def _finish_attempt(
     state: CoreState, attempt: AttemptState, req: RequestState, now: float
 ) -> None:
+    note_survival(state, req, now)
     drop_attempt(state, attempt)
     finish_request(state, req)
     state.emit(CancelAttempt(attempt.attempt_id))
--- /dev/null
+++ b/samphirerill/core/on_endings.py
@@ -0,0 +1,139 @@
+"""Requests that end the endpoints that run them.
+
+A broken attempt counts against its request if it had hardly begun and its endpoint's
+process has ended, as a probe finds that nobody listens there. What follows is
+decided by :mod:`samphirerill.quarantine`, from what all nodes know.
+"""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from samphirerill.core.commands import Outcome, ProbeEndpoint, Problem
+from samphirerill.core.ending import name_pool, refuse_request
+from samphirerill.core.events import EvidenceTold
+from samphirerill.core.handling import handle
+from samphirerill.core.starting import dispatch_pool
+from samphirerill.quarantine import Death
+from samphirerill.quarantine.book import BEGINNING_S, SETTLE_S
+from samphirerill.quarantine.messages import take_told
+
+if TYPE_CHECKING:
+    from samphirerill.core.events import ProbeAnswered
+    from samphirerill.core.state import AttemptState, CoreState, RequestState
+
+QUARANTINE_DETAIL = 'endpoints end when they run this request'
+# Wakes may come a moment early.
+_TICK_S = 0.005
+
+
+@handle.register(EvidenceTold)
+def on_evidence_told(event: EvidenceTold, state: CoreState, now: float) -> None:
+    """Take what another node knows against requests."""
+    if take_told(state.quarantine, event.records, now):
+        _judge_soon(state, now)
+
+
+def find_quarantine(
+    state: CoreState, identity: bytes, now: float
+) -> Problem | None:
+    """Return the refusal of a request that is held back, if it is."""
+    until = state.quarantine.find_end(identity, now)
+    if not until:
+        return None
+    return Problem(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        'quarantined',
+        QUARANTINE_DETAIL,
+        Outcome.NOT_RUN,
+        until - now,
+    )
+
+
+def note_break(
+    state: CoreState, attempt: AttemptState, req: RequestState, now: float
+) -> None:
+    """An attempt that was sent broke; ask whether its endpoints have ended."""
+    if not req.identity or not attempt.sent:
+        return
+    if _has_survived(attempt):
+        note_survival(state, req, now)
+        return
+    for stage in attempt.stages:
+        death = Death(stage.endpoint, req.request_id, now)
+        broken = state.broken.setdefault(stage.endpoint, {})
+        broken[req.identity] = death
+        state.emit(ProbeEndpoint(stage.endpoint, stage.address))
+
+
+def note_probe(state: CoreState, event: ProbeAnswered, now: float) -> None:
+    """An endpoint was asked: what broke off there counts, or not."""
+    broken = state.broken.pop(event.endpoint, {})
+    if not event.has_ended:
+        return
+    for identity, death in broken.items():
+        state.quarantine.note_death(identity, death, now)
+        _judge_soon(state, now)
+
+
+def note_token(
+    state: CoreState, attempt: AttemptState, req: RequestState, now: float
+) -> None:
+    """A token has come; who sends them for long enough is no suspect."""
+    attempt.first_token_at = attempt.first_token_at or now
+    attempt.last_token_at = now
+    if _has_survived(attempt):
+        note_survival(state, req, now)
+
+
+def note_survival(state: CoreState, req: RequestState, now: float) -> None:
+    """A run went on, or came to its end, and its endpoint lives."""
+    if state.quarantine.note_survival(req.identity, now):
+        state.counters['quarantine.refuted'] += 1
+        _judge_soon(state, now)
+
+
+def judge(state: CoreState, now: float) -> None:
+    """Decide who is held back; what they have begun or wait for is ended."""
+    for news in state.quarantine.judge(now):
+        kind = 'held' if news.until else 'released'
+        state.counters[f'quarantine.{kind}'] += 1
+        if news.until:
+            _end_requests(state, news.request, now)
+
+
+def refuse_held(state: CoreState, req: RequestState, now: float) -> bool:
+    """End a request that is held back; return whether it was."""
+    problem = find_quarantine(state, req.identity, now)
+    if problem is None:
+        return False
+    refuse_request(
+        state,
+        req,
+        problem.status,
+        problem.code,
+        problem.detail,
+        problem.retry_after_s,
+    )
+    return True
+
+
+def _end_requests(state: CoreState, identity: bytes, now: float) -> None:
+    concerned = [
+        req for req in state.requests.values() if req.identity == identity
+    ]
+    for req in concerned:
+        attempt = state.attempts.get(req.attempt_id)
+        if attempt is not None and _has_survived(attempt):
+            continue
+        refuse_held(state, req, now)
+        dispatch_pool(state, name_pool(req), now)
+
+
+def _has_survived(attempt: AttemptState) -> bool:
+    return attempt.last_token_at - attempt.first_token_at >= BEGINNING_S
+
+
+def _judge_soon(state: CoreState, now: float) -> None:
+    state.wake_at(now + SETTLE_S + _TICK_S, 'quarantine', '')
--- a/samphirerill/core/on_fleet.py
+++ b/samphirerill/core/on_fleet.py
@@ -15,6 +15,7 @@
 from samphirerill.core.handling import handle
 from samphirerill.core.on_attempts import suspect_endpoint
 from samphirerill.core.placement import GENTLE_S
+from samphirerill.core.on_endings import note_probe
 from samphirerill.core.starting import dispatch_all, dispatch_pool
 from samphirerill.core.state import EndpointState, Health
 from samphirerill.core.subsets import group_by_model
@@ -114,6 +115,7 @@
     event: ProbeAnswered, state: CoreState, now: float
 ) -> None:
     """Trust an endpoint again, or keep it suspect and ask again later."""
+    note_probe(state, event, now)
     found = state.endpoints.get(event.endpoint)
     if found is None or found.health is Health.LEAVING:
         return
--- a/samphirerill/core/on_requests.py
+++ b/samphirerill/core/on_requests.py
@@ -17,6 +17,7 @@
 )
 from samphirerill.core.handling import handle
 from samphirerill.core.model import choose_priority
+from samphirerill.core.on_endings import find_quarantine
 from samphirerill.core.starting import dispatch_pool, earn_retry, find_pool
 from samphirerill.core.state import Phase, RequestState
 
@@ -131,7 +132,8 @@
             'the deadline has passed',
             0,
         )
-    return _find_overload(event, state, now, route, account)
+    held = find_quarantine(state, event.identity, now)
+    return held or _find_overload(event, state, now, route, account)
 
 
 def _find_overload(
@@ -185,6 +187,7 @@
         fingerprint=event.fingerprint,
         arrived_at=now,
         prefixes=event.prefixes,
+        identity=event.identity,
     )
 
 
--- a/samphirerill/core/on_time.py
+++ b/samphirerill/core/on_time.py
@@ -11,6 +11,7 @@
 from samphirerill.core.events import AttemptBroke, TimePassed
 from samphirerill.core.handling import handle
 from samphirerill.core.on_attempts import on_attempt_broke
+from samphirerill.core.on_endings import judge
 from samphirerill.core.starting import dispatch_pool
 from samphirerill.core.state import Health, Phase
 
@@ -88,7 +89,13 @@
         state.emit(ProbeEndpoint(name, found.endpoint.address))
 
 
+def _check_quarantine(state: CoreState, name: str, now: float) -> None:
+    """Judge what has become known against requests."""
+    judge(state, now)
+
+
 _CHECKS = {
+    'quarantine': _check_quarantine,
     'queue': _check_queue,
     'request': _check_request,
     'attempt': _check_attempt,
--- a/samphirerill/core/queries.py
+++ b/samphirerill/core/queries.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from collections import Counter
+from itertools import islice
 from typing import TYPE_CHECKING, Any
 
 from samphirerill.core.placement import count_free
+from samphirerill.quarantine.messages import build_told
+from samphirerill.quarantine.records import describe_record
 
 if TYPE_CHECKING:
     from samphirerill.core.state import CoreState
+    from samphirerill.quarantine.messages import ToldRecord
 
 
 def describe_state(state: CoreState, now: float) -> dict[str, Any]:
@@ -27,6 +31,7 @@
             for name, budget in state.budgets.items()
         },
         'known_prefixes': state.prefixes.size(),
+        'quarantine': _describe_quarantine(state, now),
         'counters': dict(state.counters),
     }
 
@@ -41,6 +46,20 @@
     return sorted(state.leaving)
 
 
+def list_evidence(state: CoreState, now: float, most: int) -> list[ToldRecord]:
+    """Return what is known against requests, for other nodes."""
+    known = islice(state.quarantine.list_records(), most)
+    return [build_told(request, record, now) for request, record in known]
+
+
+def _describe_quarantine(state: CoreState, now: float) -> list[dict[str, Any]]:
+    return [
+        describe_record(record, state.quarantine.find_end(request, now), now)
+        for request, record in state.quarantine.list_records()
+        if record.deaths
+    ]
+
+
 def _count_phases(state: CoreState) -> dict[str, int]:
     return dict(Counter(req.phase.value for req in state.requests.values()))
 
--- a/samphirerill/core/router.py
+++ b/samphirerill/core/router.py
@@ -7,6 +7,7 @@
 from samphirerill.core import (
     on_attempts,
     on_claims,
+    on_endings,
     on_fleet,
     on_requests,
     on_time,
@@ -17,7 +18,14 @@
 if TYPE_CHECKING:
     from samphirerill.core.commands import Command
 
-HANDLER_MODULES = (on_attempts, on_claims, on_fleet, on_requests, on_time)
+HANDLER_MODULES = (
+    on_attempts,
+    on_claims,
+    on_endings,
+    on_fleet,
+    on_requests,
+    on_time,
+)
 
 
 class Router:
--- a/samphirerill/core/state.py
+++ b/samphirerill/core/state.py
@@ -18,9 +18,11 @@
 from samphirerill.core.commands import Command, Stage
 from samphirerill.core.model import Configuration, Endpoint
 from samphirerill.core.prefixes import PrefixMap
+from samphirerill.quarantine import Quarantine
 
 if TYPE_CHECKING:
     from samphirerill.core.model import Route
+    from samphirerill.quarantine import Death
 
 LONGEST_LAG_S = 30.0
 
@@ -61,6 +63,7 @@
     fingerprint: str
     arrived_at: float
     prefixes: tuple[str, ...] = ()
+    identity: bytes = b''
     phase: Phase = Phase.QUEUED
     claimed: bool = False
     delivered: int = 0
@@ -82,6 +85,8 @@
     progress_deadline: float
     sent: bool = False
     got_token: bool = False
+    first_token_at: float = 0
+    last_token_at: float = 0
 
 
 @dataclass(slots=True)
@@ -121,6 +126,7 @@
 
     __slots__ = (
         'attempts',
+        'broken',
         'budgets',
         'by_model',
         'configuration',
@@ -137,6 +143,7 @@
         'out',
         'pools',
         'prefixes',
+        'quarantine',
         'random',
         'requests',
         'running_by_account',
@@ -156,6 +163,9 @@
         self.leaving: dict[str, float] = {}
         self.link_ms: dict[tuple[str, str], float] = {}
         self.prefixes = PrefixMap()
+        self.quarantine = Quarantine()
+        # Of endpoints that are asked whether they live, what broke off there.
+        self.broken: dict[str, dict[bytes, Death]] = {}
         self.running_by_account: Counter[str] = Counter()
         self.counters: Counter[str] = Counter()
         self.deadlines: list[tuple[float, str, str]] = []
--- a/samphirerill/node/arrivals.py
+++ b/samphirerill/node/arrivals.py
@@ -15,6 +15,7 @@
 from samphirerill.edges.callers import MODELS
 from samphirerill.node.answers import read_prompt
 from samphirerill.node.sessions import Session
+from samphirerill.quarantine import digest_request
 
 if TYPE_CHECKING:
     import socket
@@ -80,6 +81,7 @@
                 key=caller.key,
                 fingerprint=_fingerprint(caller),
                 prefixes=session.prefixes,
+                identity=_identify(session),
             ),
         )
 
@@ -147,6 +149,14 @@
     return digest.hexdigest()
 
 
+def _identify(session: Session) -> bytes:
+    """Return what makes this the same request as another attempt."""
+    caller = session.caller
+    body = caller.payload or json.dumps(caller.body, sort_keys=True).encode()
+    target = f'{caller.route} {caller.target}'.encode()
+    return digest_request(session.account, target, body)
+
+
 def _refusal(
     status: int, code: str, detail: str, retry_after_s: float = 0
 ) -> Problem:
--- a/samphirerill/node/gossip.py
+++ b/samphirerill/node/gossip.py
@@ -23,11 +23,16 @@
 )
 from samphirerill.control.configuration_log import parse_change
 from samphirerill.control.evidence import FORGET_AFTER_S
-from samphirerill.core.events import VmListRead
-from samphirerill.core.queries import list_leaving
+from samphirerill.core.events import EvidenceTold, VmListRead
+from samphirerill.core.queries import list_evidence, list_leaving
 from samphirerill.edges.serving import ListenError
 from samphirerill.node.jitter import spread
 from samphirerill.node.logs import get_logger
+from samphirerill.quarantine.messages import (
+    UnreadableEvidenceError,
+    decode_told,
+    encode_told,
+)
 
 if TYPE_CHECKING:
     from samphirerill.control.claims import Batch, Verdict
@@ -38,6 +43,8 @@
 EVERY_S = 1.0
 PARTNERS = 2
 _KEPT_CHANNELS = 16
+# Records against requests in one word, about 1.5 KB.
+_MOST_EVIDENCE = 16
 _NEVER_S = 1e9
 _LOG = get_logger('peers')
 
@@ -157,14 +164,34 @@
             self._follower.install(word.version, json.loads(word.document))
         for change in word.changes:
             self._follower.offer(parse_change(json.loads(change)))
+        self._take_evidence(word)
         if word.leaving:
             self._node.apply(VmListRead(frozenset(), frozenset(word.leaving)))
 
+    def _take_evidence(self, word: Word) -> None:
+        if not word.evidence:
+            return
+        try:
+            records = decode_told(word.evidence)
+        except UnreadableEvidenceError as exc:
+            _LOG.warning(
+                'evidence is unreadable',
+                extra={'node': word.node, 'error': str(exc)},
+            )
+            return
+        self._node.apply(EvidenceTold(records))
+
     def _forget_silent(self, now: float) -> None:
         for name, view in tuple(self._heard.items()):
             if now - view.heard_at > FORGET_AFTER_S:
                 self._heard.pop(name)
 
+    def _encode_evidence(self, now: float) -> bytes:
+        state = self._node.router.state
+        state.quarantine.forget(now)
+        records = list_evidence(state, now, _MOST_EVIDENCE)
+        return encode_told(records) if records else b''
+
     def _build_word(self) -> Word:
         node = self._node
         now = node.loop.time()
@@ -175,4 +202,5 @@
             age_s,
             draining=node.router.state.draining,
             leaving=list_leaving(node.router.state),
+            evidence=self._encode_evidence(now),
         )
--- a/samphirerill/node/probes.py
+++ b/samphirerill/node/probes.py
@@ -23,8 +23,18 @@
 
 async def probe_endpoint(command: ProbeEndpoint, node: Node) -> None:
     """Tell the core whether an endpoint answers a new connection."""
-    answer = await fetch(command.address, '/health')
-    node.apply(ProbeAnswered(command.endpoint, answer is not None))
+    has_ended = False
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            await _fetch(command.address, '/health', None)
+    except ConnectionRefusedError:
+        has_ended = True
+        is_alive = False
+    except (OSError, EOFError, TimeoutError, ValueError):
+        is_alive = False
+    else:
+        is_alive = True
+    node.apply(ProbeAnswered(command.endpoint, is_alive, has_ended))
 
 
 async def poll_loads(node: Node) -> None:
--- a/samphirerill/quarantine/book.py
+++ b/samphirerill/quarantine/book.py
@@ -22,6 +22,9 @@
 
     from samphirerill.quarantine.records import Death
 
+# A run that has sent events for so long has begun, and its endpoint lives. Requests
+# that end endpoints were seen to do so within 0.12 s of their first token.
+BEGINNING_S = 0.5
 # One end may be anybody's; with two, a request runs where it harms few others.
 SUSPECT_DEATHS = 2
 # The third end decides, if there was no other suspect.
--- a/samphirerill/quarantine/records.py
+++ b/samphirerill/quarantine/records.py
@@ -5,6 +5,10 @@
 from bisect import insort
 from dataclasses import dataclass, field
 from operator import attrgetter
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 # Ends so close together have one cause, as when a rack loses power.
 _APART_S = 0.05
@@ -13,6 +17,7 @@
 # More of them change nothing.
 MOST_DEATHS = 8
 _NEVER = float('-inf')
+_MS_PER_S = 1000
 
 
 @dataclass(slots=True, frozen=True)
@@ -83,3 +88,36 @@
         before = death.at - _APART_S
         earlier = [known.at < before for known in self.list_moments()]
         return sum(earlier) >= enough
+
+
+def describe_record(record: Record, until: float, now: float) -> dict[str, Any]:
+    """Return a record for operators: by attempts, never by its digest.
+
+    Parameters
+    ----------
+    record : Record
+        With one end at the least.
+    until : float
+        Until when the request is held back; 0 if it is not.
+    now : float
+        On the loop's clock.
+    """
+    return {
+        'first_request': record.deaths[0].request_id,
+        'left_ms': max(0, round((until - now) * _MS_PER_S)) if until else 0,
+        'deaths': describe_deaths(record.deaths, now),
+    }
+
+
+def describe_deaths(
+    deaths: Iterable[Death], now: float
+) -> list[dict[str, Any]]:
+    """Return ends for operators, each with how long ago it was."""
+    return [
+        {
+            'endpoint': death.endpoint,
+            'request': death.request_id,
+            'ago_ms': round((now - death.at) * _MS_PER_S),
+        }
+        for death in deaths
+    ]
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -293,7 +293,8 @@
         timed_out = now >= self._task.deadline
         reason, retry_s = outcome.reason, _RETRY_S
         if self._held_until:
-            reason, retry_s = 'it ends replicas', self._held_until - now
+            reason = self._witness.explain(self._task)
+            retry_s = self._held_until - now
         refusal = Refusal(UNAVAILABLE, reason, retry_s)
         if self._may_have_run:
             late = outcome.timed_out or timed_out
--- a/samphirerill/relay/quarantine/keeper.py
+++ b/samphirerill/relay/quarantine/keeper.py
@@ -9,6 +9,7 @@
 from samphirerill.node.logs import get_logger
 from samphirerill.quarantine.book import SETTLE_S
 from samphirerill.quarantine.messages import take_told
+from samphirerill.quarantine.records import describe_deaths, describe_record
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -64,11 +65,7 @@
         now = self._loop.time()
         quarantine = self._state.quarantine
         return [
-            {
-                'first_request': record.deaths[0].request_id,
-                'left_ms': _to_left_ms(quarantine.find_end(request, now), now),
-                'deaths': _describe_deaths(record.deaths, now),
-            }
+            describe_record(record, quarantine.find_end(request, now), now)
             for request, record in quarantine.list_records()
             if record.deaths
         ]
@@ -96,29 +93,12 @@
         now = self._loop.time()
         facts = {
             'first_request': news.deaths[0].request_id,
-            'deaths': _describe_deaths(news.deaths, now),
+            'deaths': describe_deaths(news.deaths, now),
         }
         if news.until:
             self._state.counters['quarantine.held'] += 1
-            left_ms = _to_left_ms(news.until, now)
+            left_ms = round((news.until - now) * MS_PER_S)
             _LOG.warning('request held back', extra={**facts, 'ms': left_ms})
         else:
             self._state.counters['quarantine.released'] += 1
             _LOG.warning('request released', extra=facts)
-
-
-def _describe_deaths(
-    deaths: Iterable[Death], now: float
-) -> list[dict[str, Any]]:
-    return [
-        {
-            'replica': death.endpoint,
-            'request': death.request_id,
-            'ago_ms': round((now - death.at) * MS_PER_S),
-        }
-        for death in deaths
-    ]
-
-
-def _to_left_ms(until: float, now: float) -> int:
-    return max(0, round((until - now) * MS_PER_S))
--- a/samphirerill/relay/quarantine/sharing.py
+++ b/samphirerill/relay/quarantine/sharing.py
@@ -48,7 +48,10 @@
 class Evidence(Struct, array_like=True):
     """A datagram; `number` grows with each of one start of a node.
 
-    `trial` is the replica to which a suspect is sent at this moment.
+    `trial` is the replica to which a suspect is sent at this moment. `is_news`
+    is whether it should reach all nodes: what is told to a few again and again
+    would be passed on to a whole data centre each time, 48 KB a second for each
+    of 195 nodes.
     """
 
     node: str
@@ -56,6 +59,7 @@
     number: int
     records: bytes
     trial: str = ''
+    is_news: bool = True
 
 
 class Sharing:
@@ -111,7 +115,7 @@
         )
         if is_own or not is_new:
             return
-        if self._post is not None:
+        if self._post is not None and evidence.is_news:
             self._post.pass_on_from(sender, data)
         self._keeper.take_told(records)
         if evidence.trial:
@@ -145,7 +149,7 @@
         few = min(_PARTNERS, len(others))
         records = self._state.quarantine.list_records()
         known = (request for request, _ in islice(records, _MOST_AT_ONCE))
-        data = self._encode(list(self._build(known)))
+        data = self._encode(list(self._build(known)), is_news=False)
         for name in self._state.random.sample(others, few):
             self._post.send_to_node(name, data)
 
@@ -156,7 +160,13 @@
             if record is not None:
                 yield build_told(request, record, now)
 
-    def _encode(self, records: list[ToldRecord], trial: str = '') -> bytes:
+    def _encode(
+        self,
+        records: list[ToldRecord],
+        trial: str = '',
+        *,
+        is_news: bool = True,
+    ) -> bytes:
         self._number += 1
         self._state.counters['quarantine.told'] += 1
         evidence = Evidence(
@@ -165,5 +175,6 @@
             self._number,
             encode_told(records),
             trial,
+            is_news,
         )
         return MARK + msgpack.encode(evidence)
--- a/samphirerill/relay/quarantine/witness.py
+++ b/samphirerill/relay/quarantine/witness.py
@@ -89,6 +89,16 @@
             return 0.0
         return quarantine.find_end(task.identity, self._loop.time())
 
+    def explain(self, task: Task) -> str:
+        """Return why a request is held back, for the log.
+
+        By the attempt under which it was seen first, operators find the rest.
+        """
+        record = self._state.quarantine.get_record(task.identity)
+        if record is None or not record.deaths:
+            return 'it ended replicas'
+        return f'it ends replicas, first as {record.deaths[0].request_id}'
+
     def is_suspect(self, task: Task) -> bool:
         """Return whether a request has seen more than one replica end."""
         quarantine = self._state.quarantine
--- a/samphirerill/relay/stream_limits.py
+++ b/samphirerill/relay/stream_limits.py
@@ -80,10 +80,11 @@
         now = self._loop.time()
         held_until = self._witness.find_end(self._task)
         if held_until:
-            return Obstacle('it ends replicas', held_until - now)
-        reason = self._find_end_reason(now)
-        if reason:
-            return Obstacle(reason)
+            reason = self._witness.explain(self._task)
+            return Obstacle(reason, held_until - now)
+        over = self._find_end_reason(now)
+        if over:
+            return Obstacle(over)
         budget = self._state.get_budget(self._task.service.name)
         if not self._progress.sends:
             budget.note_first(now)
--- a/samphirerill/relay/stream_times.py
+++ b/samphirerill/relay/stream_times.py
@@ -6,15 +6,13 @@
 
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.smoothing import Smoothed
+from samphirerill.quarantine.book import BEGINNING_S
 
 if TYPE_CHECKING:
     from samphirerill.fleet.policy import Policy
     from samphirerill.node.metrics import Metrics
 
 _ENOUGH_EVENTS = 5
-# A run that has sent events for so long has begun, and its replica lives. Requests
-# that end replicas were seen to do so within 0.12 s of their first token.
-_BEGINNING_S = 0.5
 # A gap longer than the mean by so many deviations is a silence. On calm days
 # one gap in some hundred is; four deviations would be passed by one in forty.
 _DEVIATIONS = 6
@@ -53,7 +51,7 @@
     @property
     def has_survived(self) -> bool:
         """Return whether it has gone on for longer than a beginning."""
-        return self.last_at - self.first_at >= _BEGINNING_S
+        return self.last_at - self.first_at >= BEGINNING_S
 
     def note_events(self, count: int, now: float) -> None:
         """Events of this run have come."""
--- a/samphirerill/reports/explain.py
+++ b/samphirerill/reports/explain.py
@@ -21,6 +21,13 @@
 
 _EXIT_MISSING = 1
 _HIDDEN = frozenset(('time', 'level', 'part', 'event', 'request'))
+_EVIDENCE = frozenset(
+    (
+        'replica ended under requests',
+        'request held back',
+        'request released',
+    )
+)
 _WIDTHS = (9, 10, 10, 9)
 _HEADER = (
     f'{"cause":<32}{"streams":>8}{"late ms":>9}{"noticing":>10}'
@@ -124,11 +131,30 @@
         if since <= line.at <= until
         and str(line.facts.get('replica', ' ')) in paths
     ]
+    around += [
+        line for line in journal.others if _is_evidence(line, request, story)
+    ]
     for line in sorted([*story, *around], key=_get_time):
         _print(_format_line(line, since))
     return 0
 
 
+def _is_evidence(line: Line, request: str, story: list[Line]) -> bool:
+    """Return whether a line tells why the request is held back.
+
+    Such a line names attempts at the request, of which this may be one; the
+    refusal of this one names the first of them.
+    """
+    if line.event not in _EVIDENCE:
+        return False
+    first = str(line.facts.get('first_request', ''))
+    told = [str(fact) for fact in line.facts.values()]
+    reasons = [str(mine.facts.get('reason', '')) for mine in story]
+    return any(request in fact for fact in told) or (
+        bool(first) and any(reason.endswith(first) for reason in reasons)
+    )
+
+
 def _format_line(line: Line, since: float) -> str:
     facts = ' '.join(
         f'{name}={fact}'
--- a/samphirerill/testing/ending_fleet.py
+++ b/samphirerill/testing/ending_fleet.py
@@ -15,12 +15,15 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.quarantine import Death, Quarantine
-from samphirerill.quarantine.book import SETTLE_S, SUSPECT_DEATHS
+from samphirerill.quarantine.book import (
+    BEGINNING_S,
+    SETTLE_S,
+    SUSPECT_DEATHS,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-_BEGINNING_S = 0.5
 _RUN_S = (1.0, 4.0)
 # From the send to the first event.
 _READING_S = (0.03, 0.25)
@@ -177,9 +180,9 @@
             until - self._now,
             lambda: act(stream) if stream.sends == sends else None,
         )
-        if not stream.is_fatal and stream.left_s > _BEGINNING_S:
+        if not stream.is_fatal and stream.left_s > BEGINNING_S:
             self._after(
-                stream.begins_at + _BEGINNING_S - self._now,
+                stream.begins_at + BEGINNING_S - self._now,
                 lambda: self._go_on(stream) if stream.sends == sends else None,
             )
 
@@ -204,7 +207,7 @@
         self._after(_BACK_S, self._start_replica)
         for stream in broken:
             ran_s = self._now - stream.begins_at
-            if stream.is_fatal or ran_s < _BEGINNING_S:
+            if stream.is_fatal or ran_s < BEGINNING_S:
                 death = Death(name, f'r{stream.sends}', self._now)
                 self.quarantine.note_death(stream.request, death, self._now)
             else:
--- a/samphirerill/tests/test_explain.py
+++ b/samphirerill/tests/test_explain.py
@@ -51,6 +51,26 @@
 ]
 
 
+_HELD_LOG = [
+    _line(1, 'stream sent', request='first', path='one:0-80', waited_ms=1),
+    _line(2, 'replica ended under requests', requests=['first'], count=3),
+    _line(
+        5,
+        'request held back',
+        first_request='first',
+        deaths=[{'endpoint': 'one', 'request': 'first', 'ago_ms': 3000}],
+    ),
+    _line(
+        9,
+        'refused',
+        request='later',
+        status=503,
+        reason='it ends replicas, first as first',
+    ),
+    _line(9, 'refused', request='other', status=503, reason='no path'),
+]
+
+
 class TestExplain(TestCase):
     """Causes, phases, and one request's story."""
 
@@ -72,6 +92,26 @@
         )
         self.assertEqual(self.journal.skipped, 1)
 
+    def test_why_a_request_is_held_back_is_found_from_any_attempt(
+        self,
+    ) -> None:
+        expected = {
+            'first': ['stream sent', 'replica ended', 'request held back'],
+            'later': ['request held back', 'refused'],
+            'other': ['refused'],
+        }
+        with TemporaryDirectory() as folder:
+            log = Path(folder) / 'edge.log'
+            log.write_text('\n'.join(_HELD_LOG))
+            for request, events in expected.items():
+                out = io.StringIO()
+                with contextlib.redirect_stdout(out):
+                    main(['explain', str(log), '--request', request])
+                lines = out.getvalue().splitlines()
+                self.assertEqual(len(lines), len(events), lines)
+                for line, event in zip(lines, events, strict=True):
+                    self.assertIn(event, line)
+
     def test_a_run_that_took_over_is_told_from_one_that_broke(self) -> None:
         stories = {
             'silent': ('one: does not answer', Cause.SILENT),
--- a/samphirerill/tests/test_quarantine.py
+++ b/samphirerill/tests/test_quarantine.py
@@ -93,6 +93,12 @@
         _see(self.quarantine, _INNOCENT, ('c', 3), ('d', 4))
         self.assertFalse(_is_held(self.quarantine, _INNOCENT, 5))
 
+    def test_news_of_an_end_before_such_a_run_counts_for_nothing(self) -> None:
+        _see(self.quarantine, _INNOCENT, ('a', 0))
+        self.quarantine.note_survival(_INNOCENT, _NOW + 2)
+        _see(self.quarantine, _INNOCENT, ('b', 1), ('c', 1.5), ('d', 3))
+        self.assertEqual(self.quarantine.count_deaths(_INNOCENT), 1)
+
     def test_a_run_that_goes_on_releases(self) -> None:
         """A body that many send is on many replicas that end by chance."""
         _see(self.quarantine, _INNOCENT, ('a', 0), ('b', 1), ('c', 2))
@@ -158,6 +164,17 @@
         self.assertEqual(len(self.quarantine), MOST_RECORDS)
         self.assertTrue(_is_held(self.quarantine, _GUILTY, 8))
 
+    def test_a_flood_of_suspects_pushes_out_nothing_that_is_held(self) -> None:
+        """Many requests are aboard at four ends; nobody knows which it was."""
+        self.assertTrue(_is_held(self.quarantine, _GUILTY, 3))
+        ends = [(f'e-{number}', 10 + number) for number in range(4)]
+        for number in range(MOST_RECORDS + 5):
+            body = digest_request('viti', b'/notes/x', b'%d' % number)
+            _see(self.quarantine, body, *ends)
+        self.assertEqual(len(self.quarantine), MOST_RECORDS)
+        until = self.quarantine.find_end(_GUILTY, _NOW + 20)
+        self.assertGreater(until, 0)
+
 
 class TestIdentity(TestCase):
     """The same request whatever its id; never another account's."""
