A send that reaches nobody costs no repeat

Cause: a repeat was taken for each look for a path, also where the connection was refused and nothing arrived: 34 of 51 repeats of a window. First sends were counted anew with each refused connection, which let nodes send more than their share.

Change: a repeat that was taken and not sent is given back; a request is counted as one first send. The rests between sends in vain stay, so that a refused connection is not tried without pause.

--- a/samphirerill/fleet/budget.py
+++ b/samphirerill/fleet/budget.py
@@ -141,6 +141,11 @@
         self._repeats.append(now)
         return True
 
+    def give_back(self) -> None:
+        """A repeat that was taken was not sent after all."""
+        if self._repeats:
+            self._repeats.pop()
+
     def _may_borrow(self, now: float) -> bool:
         """Return whether the whole lasts if every stream were sent again."""
         others = self.others.sum_up(now)
--- a/samphirerill/relay/errors.py
+++ b/samphirerill/relay/errors.py
@@ -30,6 +30,10 @@
     """This node has its share of the endpoint's connections in use."""
 
 
+class HeldBackError(ConnectError):
+    """The request was found to end endpoints before it was sent."""
+
+
 class BrokenAnswerError(EndpointError):
     """The connection ended, or its bytes were no answer to this call."""
 
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -25,6 +25,7 @@
     BrokenAnswerError,
     ConnectError,
     EndpointError,
+    HeldBackError,
     NoConnectionLeftError,
     SilentEndpointError,
 )
@@ -39,6 +40,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from samphirerill.fleet.model import Replica
     from samphirerill.fleet.view import Known
     from samphirerill.relay.connection import HttpConnection
     from samphirerill.relay.quarantine import Witness
@@ -94,6 +96,8 @@
         self._task = task
         self._witness = witness
         self._held_until = 0.0
+        self._is_counted = False
+        self._has_repeat = False
         self._loop = asyncio.get_running_loop()
         self._tried: set[str] = set()
         self._sends = 0
@@ -106,10 +110,13 @@
         while connects < _MOST_CONNECTS and self._may_send():
             found = await self._choose()
             if found is None:
+                self._give_back_send()
                 break
             outcome = await self._send(found)
             connects += 1
             self._tried.add(found.replica.replica_id)
+            if not outcome.was_sent:
+                self._give_back_send()
             if self._is_final(outcome):
                 break
             await self._witness.rest(self._task)
@@ -149,12 +156,22 @@
         if self._held_until or now >= self._task.deadline:
             return False
         budget = self._state.get_budget(self._task.service.name)
+        self._has_repeat = False
         if not self._sends:
-            budget.note_first(now)
+            if not self._is_counted:
+                budget.note_first(now)
+            self._is_counted = True
             return True
         if self._sends >= self._task.route.max_attempts:
             return False
-        return budget.spend(now, self._state.count_nodes())
+        self._has_repeat = budget.spend(now, self._state.count_nodes())
+        return self._has_repeat
+
+    def _give_back_send(self) -> None:
+        """Nothing was sent: another request may have the repeat."""
+        if self._has_repeat:
+            self._has_repeat = False
+            self._state.get_budget(self._task.service.name).give_back()
 
     def _is_final(self, outcome: _Outcome) -> bool:
         if outcome.head is not None and outcome.head.status < _SERVER_ERROR:
@@ -192,12 +209,8 @@
     async def _exchange(self, found: Known) -> _Outcome:
         replica = found.replica
         try:
-            conn = await self._state.pool.take(
-                replica,
-                fresh=not self._task.may_repeat,
-                most=self._state.count_connections(self._task.service),
-            )
-        except NoConnectionLeftError as exc:
+            conn = await self._connect(replica)
+        except (NoConnectionLeftError, HeldBackError) as exc:
             return _Outcome(is_not_run=True, was_sent=False, reason=str(exc))
         except ConnectError as exc:
             self._avoid(found, str(exc))
@@ -215,6 +228,17 @@
         self._state.pool.give_back(replica, conn)
         return outcome
 
+    async def _connect(self, replica: Replica) -> HttpConnection:
+        conn = await self._state.pool.take(
+            replica,
+            fresh=not self._task.may_repeat,
+            most=self._state.count_connections(self._task.service),
+        )
+        if self._witness.find_end(self._task):
+            self._state.pool.give_back(replica, conn)
+            raise HeldBackError(self._witness.explain(self._task))
+        return conn
+
     async def _call(self, found: Known, conn: HttpConnection) -> _Outcome:
         deadline = self._limit_send()
         conn.send(self._build_call(found))
--- a/samphirerill/relay/stream_limits.py
+++ b/samphirerill/relay/stream_limits.py
@@ -54,7 +54,16 @@
         Knows whether it may run at all.
     """
 
-    __slots__ = ('_loop', '_progress', '_state', '_task', '_times', '_witness')
+    __slots__ = (
+        '_has_repeat',
+        '_is_counted',
+        '_loop',
+        '_progress',
+        '_state',
+        '_task',
+        '_times',
+        '_witness',
+    )
 
     def __init__(
         self,
@@ -70,6 +79,8 @@
         self._times = times
         self._witness = witness
         self._loop = asyncio.get_running_loop()
+        self._is_counted = False
+        self._has_repeat = False
 
     def is_held(self) -> bool:
         """Return whether the request ends replicas, and may not run."""
@@ -85,14 +96,18 @@
         over = self._find_end_reason(now)
         if over:
             return Obstacle(over)
-        budget = self._state.get_budget(self._task.service.name)
-        if not self._progress.sends:
-            budget.note_first(now)
-            return None
-        nodes = self._state.count_nodes()
-        if budget.spend(now, nodes, is_urgent=self._progress.has_begun):
-            return None
-        return Obstacle('no repeat is left')
+        return None if self._pay(now) else Obstacle('no repeat is left')
+
+    def give_back_send(self) -> None:
+        """Nothing was sent: no path came, or nobody took the connection.
+
+        Replicas that end together refuse connections for a moment, and streams
+        run into several of them; paid for, that left no repeat for the next
+        loss.
+        """
+        if self._has_repeat:
+            self._has_repeat = False
+            self._state.get_budget(self._task.service.name).give_back()
 
     def may_resend(self) -> bool:
         """Return whether the stream could be sent again, if it were broken.
@@ -123,6 +138,20 @@
         doubled_s = _FIRST_REST_S * 2 ** (fruitless - _QUICK_SENDS)
         return min(_MOST_REST_S, doubled_s)
 
+    def _pay(self, now: float) -> bool:
+        """Count a first send, or take a repeat; return whether one was left."""
+        budget = self._state.get_budget(self._task.service.name)
+        self._has_repeat = False
+        if not self._progress.sends:
+            if not self._is_counted:
+                budget.note_first(now)
+            self._is_counted = True
+            return True
+        self._has_repeat = budget.spend(
+            now, self._state.count_nodes(), is_urgent=self._progress.has_begun
+        )
+        return self._has_repeat
+
     def _find_end_reason(self, now: float) -> str:
         """Return why it may not be sent any more, whatever is left."""
         progress = self._progress
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -163,8 +163,14 @@
             obstacle = self._limits.take_send()
             if obstacle is not None:
                 self._give_up(obstacle.reason, obstacle.wait_s)
-            elif await self._take_path():
+                return
+            before = self._progress.sends
+            has_path = await self._take_path()
+            if has_path:
                 await self._attempt()
+            if self._progress.sends == before:
+                self._limits.give_back_send()
+            if has_path:
                 await self._follow()
                 await self._rest()
 
@@ -303,9 +309,13 @@
         if obstacle is not None:
             self._log('stream stays', reason=obstacle.reason)
             return None
-        return await self._sender.begin(
+        before = self._progress.sends
+        run = await self._sender.begin(
             stages, max(until, self._loop.time() + _TAKE_OVER_S)
         )
+        if self._progress.sends == before:
+            self._limits.give_back_send()
+        return run
 
     def _drop_run(self, run: Run) -> None:
         run.conn.close()
--- a/samphirerill/tests/ending_engines.py
+++ b/samphirerill/tests/ending_engines.py
@@ -64,12 +64,14 @@
     target = b'/notes/x'
     service = 'llm'
     kind = 'vast'
+    events = EVENTS
     layers: tuple[int, int] | None = (0, 80)
 
     async def asyncSetUp(self) -> None:
         self.loop = asyncio.get_running_loop()
         self.world = PlatformWorld(find_ports())
         self.ends: list[float] = []
+        self.ended: set[str] = set()
         self.sends: list[float] = []
         self.marked: list[tuple[int, bytes]] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -93,7 +95,7 @@
         engine = EndingReplica(name, MARK, self._note_marked, self._end)
         engine.layers = self.layers or (0, 0)
         engine.gap_s = _GAP_S
-        engine.events = EVENTS
+        engine.events = self.events
         await self.world.run_replica(engine)
         address = self.world.addresses[name]
         entry = build_entry(self.service, address, self.kind, self.layers)
@@ -141,11 +143,20 @@
         since = self.ends[2] + grace_s
         return sum(at > since for at in self.sends)
 
+    def list_running(self) -> set[str]:
+        """Return the engines that have not ended."""
+        return self.world.replicas.keys() - self.ended
+
+    def end_engine(self, name: str) -> None:
+        """End an engine; it is back soon, elsewhere and empty."""
+        self._end(name)
+
     def _note_marked(self) -> None:
         self.sends.append(self.loop.time())
 
     def _end(self, name: str) -> None:
         self.ends.append(self.loop.time())
+        self.ended.add(name)
         task = asyncio.create_task(self._come_back())
         self._tasks.add(task)
         self.world.end_replica(name)
