Single ends are told for five seconds; what sends take from the budget is one class

After each end of a replica some requests have seen just that one; each node told two others of them for twenty minutes. Now only suspects and requests that are held are told for as long as they are known, and a single end for five seconds, in case its news was lost: 24 nodes send nothing ten seconds after it.

Streams and plain requests counted first sends and gave repeats back in the same words; both use SendBudget.

--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -36,6 +36,7 @@
     Refusal,
     refuse,
 )
+from samphirerill.relay.send_budget import SendBudget
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -96,8 +97,7 @@
         self._task = task
         self._witness = witness
         self._held_until = 0.0
-        self._is_counted = False
-        self._has_repeat = False
+        self._budget = SendBudget(state, task)
         self._loop = asyncio.get_running_loop()
         self._tried: set[str] = set()
         self._sends = 0
@@ -110,13 +110,13 @@
         while connects < _MOST_CONNECTS and self._may_send():
             found = await self._choose()
             if found is None:
-                self._give_back_send()
+                self._budget.give_back()
                 break
             outcome = await self._send(found)
             connects += 1
             self._tried.add(found.replica.replica_id)
             if not outcome.was_sent:
-                self._give_back_send()
+                self._budget.give_back()
             if self._is_final(outcome):
                 break
             await self._witness.rest(self._task)
@@ -155,23 +155,9 @@
         self._held_until = self._witness.find_end(self._task)
         if self._held_until or now >= self._task.deadline:
             return False
-        budget = self._state.get_budget(self._task.service.name)
-        self._has_repeat = False
-        if not self._sends:
-            if not self._is_counted:
-                budget.note_first(now)
-            self._is_counted = True
-            return True
         if self._sends >= self._task.route.max_attempts:
             return False
-        self._has_repeat = budget.spend(now, self._state.count_nodes())
-        return self._has_repeat
-
-    def _give_back_send(self) -> None:
-        """Nothing was sent: another request may have the repeat."""
-        if self._has_repeat:
-            self._has_repeat = False
-            self._state.get_budget(self._task.service.name).give_back()
+        return self._budget.pay(now, self._sends)
 
     def _is_final(self, outcome: _Outcome) -> bool:
         if outcome.head is not None and outcome.head.status < _SERVER_ERROR:
--- a/samphirerill/relay/quarantine/sharing.py
+++ b/samphirerill/relay/quarantine/sharing.py
@@ -13,6 +13,7 @@
 from msgspec import DecodeError, Struct, ValidationError, msgpack
 
 from samphirerill.node.logs import get_logger
+from samphirerill.quarantine.book import SUSPECT_DEATHS
 from samphirerill.quarantine.messages import (
     UnreadableEvidenceError,
     build_told,
@@ -43,6 +44,8 @@
 # news hears it within a second or two, at 1 KB a second for each node.
 _EACH_S = 0.7
 _PARTNERS = 2
+# How long the news of a single end is told again.
+_NEWS_S = 5.0
 
 
 class Evidence(Struct, array_like=True):
@@ -147,12 +150,25 @@
         own = self._state.settings.name
         others = [name for name in self._post.list_nodes() if name != own]
         few = min(_PARTNERS, len(others))
-        records = self._state.quarantine.list_records()
-        known = (request for request, _ in islice(records, _MOST_AT_ONCE))
-        data = self._encode(list(self._build(known)), is_news=False)
+        matters = list(islice(self._list_what_matters(), _MOST_AT_ONCE))
+        if not matters:
+            return
+        data = self._encode(list(self._build(matters)), is_news=False)
         for name in self._state.random.sample(others, few):
             self._post.send_to_node(name, data)
 
+    def _list_what_matters(self) -> Iterator[bytes]:
+        """Yield suspects, and others as long as the news may have been lost.
+
+        After each end there are requests that saw just that one; told for as
+        long as they are known, they would cost bytes all day.
+        """
+        since = self._loop.time() - _NEWS_S
+        for request, record in self._state.quarantine.list_records():
+            is_suspect = len(record.deaths) >= SUSPECT_DEATHS
+            if record.deaths and (is_suspect or record.deaths[-1].at > since):
+                yield request
+
     def _build(self, requests: Iterable[bytes]) -> Iterator[ToldRecord]:
         now = self._loop.time()
         for request in requests:
--- a/samphirerill/relay/stream_limits.py
+++ b/samphirerill/relay/stream_limits.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from samphirerill.relay.send_budget import SendBudget
 from samphirerill.relay.stream_call import find_patience_s
 
 if TYPE_CHECKING:
@@ -55,8 +56,7 @@
     """
 
     __slots__ = (
-        '_has_repeat',
-        '_is_counted',
+        '_budget',
         '_loop',
         '_progress',
         '_state',
@@ -79,8 +79,7 @@
         self._times = times
         self._witness = witness
         self._loop = asyncio.get_running_loop()
-        self._is_counted = False
-        self._has_repeat = False
+        self._budget = SendBudget(state, task)
 
     def is_held(self) -> bool:
         """Return whether the request ends replicas, and may not run."""
@@ -96,18 +95,14 @@
         over = self._find_end_reason(now)
         if over:
             return Obstacle(over)
-        return None if self._pay(now) else Obstacle('no repeat is left')
+        sends, has_begun = self._progress.sends, self._progress.has_begun
+        if self._budget.pay(now, sends, is_urgent=has_begun):
+            return None
+        return Obstacle('no repeat is left')
 
     def give_back_send(self) -> None:
-        """Nothing was sent: no path came, or nobody took the connection.
-
-        Replicas that end together refuse connections for a moment, and streams
-        run into several of them; paid for, that left no repeat for the next
-        loss.
-        """
-        if self._has_repeat:
-            self._has_repeat = False
-            self._state.get_budget(self._task.service.name).give_back()
+        """Nothing was sent after all."""
+        self._budget.give_back()
 
     def may_resend(self) -> bool:
         """Return whether the stream could be sent again, if it were broken.
@@ -138,20 +133,6 @@
         doubled_s = _FIRST_REST_S * 2 ** (fruitless - _QUICK_SENDS)
         return min(_MOST_REST_S, doubled_s)
 
-    def _pay(self, now: float) -> bool:
-        """Count a first send, or take a repeat; return whether one was left."""
-        budget = self._state.get_budget(self._task.service.name)
-        self._has_repeat = False
-        if not self._progress.sends:
-            if not self._is_counted:
-                budget.note_first(now)
-            self._is_counted = True
-            return True
-        self._has_repeat = budget.spend(
-            now, self._state.count_nodes(), is_urgent=self._progress.has_begun
-        )
-        return self._has_repeat
-
     def _find_end_reason(self, now: float) -> str:
         """Return why it may not be sent any more, whatever is left."""
         progress = self._progress
--- a/samphirerill/tests/test_quarantine_sharing.py
+++ b/samphirerill/tests/test_quarantine_sharing.py
@@ -113,6 +113,10 @@
         """
         self.play(self._play_many())
 
+    def test_single_ends_are_not_told_all_day(self) -> None:
+        """After each end some requests have seen just that one."""
+        self.play(self._play_single())
+
     def play(self, work: Coroutine[None, None, None]) -> None:
         """Play on a clock of its own."""
         run_virtually(work)
@@ -155,6 +159,15 @@
         self.assertEqual(fleet.count_knowing(), 25, newcomer.name)
         fleet.end()
 
+    async def _play_single(self) -> None:
+        fleet = _Telling(24)
+        fleet.see_ends(fleet.nodes[0], _GUILTY, 'r1')
+        await asyncio.sleep(10)
+        fleet.sent_bytes = 0
+        await asyncio.sleep(5)
+        self.assertEqual(fleet.sent_bytes, 0)
+        fleet.end()
+
     async def _play_many(self) -> None:
         fleet = _Telling(_LARGE)
         fleet.see_ends(fleet.nodes[0], _GUILTY, *_ENDS)
