--- a/samphirerill/tests/ending_engines.py
+++ b/samphirerill/tests/ending_engines.py
@@ -101,6 +101,17 @@
         entry = build_entry(self.service, address, self.kind, self.layers)
         await self.world.service.put(f'servers/{name}', entry)
 
+    async def announce_leaving(self, name: str) -> None:
+        """Let an engine say that it leaves."""
+        entry = build_entry(
+            self.service,
+            self.world.addresses[name],
+            self.kind,
+            self.layers,
+            'draining',
+        )
+        await self.world.service.put(f'servers/{name}', entry)
+
     async def add_node(self) -> EdgeProcess:
         """Start one more node."""
         node = self.world.start_node()
--- a/samphirerill/tests/test_ending_requests.py
+++ b/samphirerill/tests/test_ending_requests.py
@@ -24,6 +24,7 @@
 
 from msgspec import json
 
+from samphirerill.quarantine import digest_request
 from samphirerill.relay.connection import HttpConnection, build_call
 from samphirerill.relay.pool import call_once
 from samphirerill.tests.ending_engines import (
@@ -242,3 +243,61 @@
             await self.add_node()
         await self.play(self.nodes)
         self.assert_spared()
+
+
+class TestNoEvidence(ReturningCase):
+    """Breaks that say nothing against a request."""
+
+    body = b'harmless'
+
+    async def test_engines_that_break_off_and_live(self) -> None:
+        """Some engines cut answers short; their processes go on."""
+        for engine in self.world.replicas.values():
+            engine.stop_after = 3
+        ask = self.ask(self.nodes[0], 'b1', self.body)
+        waiting = asyncio.create_task(ask)
+        await asyncio.sleep(_KNOWN_S)
+        for whole in self.world.replicas.values():
+            whole.stop_after = 0
+        status, _ = await waiting
+        self.assertEqual(status, _OK)
+        self.assert_nothing_held()
+
+    async def test_engines_that_leave_and_end(self) -> None:
+        """They have said that they leave; what they cut is no surprise."""
+        streams = [
+            asyncio.create_task(
+                self.ask(self.nodes[0], f'l{number}', self.body)
+            )
+            for number in range(6)
+        ]
+        await asyncio.sleep(0.1)
+        view = self.nodes[0].state.view
+        leaving = sorted(self.list_running())[:3]
+        for name in leaving:
+            await self.announce_leaving(name)
+        while not all(map(view.is_leaving, leaving)):
+            await asyncio.sleep(0.01)
+        for name in leaving:
+            self.end_engine(name)
+        await asyncio.gather(*streams)
+        self.assert_nothing_held()
+
+    async def test_an_engine_that_only_falls_silent(self) -> None:
+        """Its machine has lost power, or the way to it."""
+        ask = self.ask(self.nodes[0], 's1', self.body)
+        waiting = asyncio.create_task(ask)
+        await asyncio.sleep(0.1)
+        for engine in self.world.replicas.values():
+            engine.free.clear()
+        await asyncio.sleep(_SETTLED_S)
+        for silent in self.world.replicas.values():
+            silent.free.set()
+        await waiting
+        self.assert_nothing_held()
+
+    def assert_nothing_held(self) -> None:
+        """Nothing is known against the request."""
+        quarantine = self.nodes[0].state.quarantine
+        identity = digest_request('suva', self.target, self.body)
+        self.assertEqual(quarantine.count_deaths(identity), 0)
--- a/samphirerill/tests/test_quarantine_sharing.py
+++ b/samphirerill/tests/test_quarantine_sharing.py
@@ -113,6 +113,9 @@
         """
         self.play(self._play_many())
 
+    def test_what_is_no_evidence_is_passed_over(self) -> None:
+        self.play(self._play_garbage())
+
     def test_single_ends_are_not_told_all_day(self) -> None:
         """After each end some requests have seen just that one."""
         self.play(self._play_single())
@@ -159,6 +162,15 @@
         self.assertEqual(fleet.count_knowing(), 25, newcomer.name)
         fleet.end()
 
+    async def _play_garbage(self) -> None:
+        fleet = _Telling(3)
+        node = fleet.nodes[0]
+        for text in (b'', b'\x95', b'\x94\xa1n\x01\x01\xc4\x00', b'x' * 999):
+            datagram = fleet.sharings[node.name].mark + text
+            node.hearing.datagram_received(datagram, ('10.0.1.1', 1))
+        self.assertEqual(len(node.state.quarantine), 0)
+        fleet.end()
+
     async def _play_single(self) -> None:
         fleet = _Telling(24)
         fleet.see_ends(fleet.nodes[0], _GUILTY, 'r1')
