Held back while another run is looked for, a stream ends at once; old evidence of long holds counts

Read as a newcomer would: a stream whose run had broken and whose next run was being opened was not ended when its request was found to end replicas, as it had no connection of its own then. And evidence older than twenty minutes was refused, though six ends hold a request for over an hour: a node that started late would have run it.

--- a/samphirerill/quarantine/book.py
+++ b/samphirerill/quarantine/book.py
@@ -100,7 +100,7 @@
         now : float
             On the loop's clock.
         """
-        if death.at + _KEPT * _HOLD_S < now:
+        if death.at + _KEPT * _MOST_HOLD_S < now:
             return False
         record = self._records.get(request)
         if record is None:
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -154,8 +154,10 @@
             return
         if self._waiting is not None:
             self._waiting.reschedule(self._loop.time())
-        if self._conn is not None and not self._run.has_survived:
-            self._succession.cancel()
+        if self._run.has_survived:
+            return
+        self._succession.cancel()
+        if self._conn is not None:
             self._conn.close()
 
     async def _serve(self) -> None:
--- a/samphirerill/tests/test_quarantine.py
+++ b/samphirerill/tests/test_quarantine.py
@@ -152,6 +152,22 @@
         held_s = later_s + 2 * _HOLD_S - 1
         self.assertTrue(_is_held(self.quarantine, _GUILTY, held_s))
 
+    def test_a_long_hold_is_known_to_a_node_that_starts_late(self) -> None:
+        """Symptom: a node that starts runs what all others hold back.
+
+        Sequence: after six ends a request is held for over an hour; a node
+        starts half an hour later. Cause: evidence was too old to be taken
+        before the hold that it decides was over.
+        """
+        _see(self.quarantine, _GUILTY, ('d', 3), ('e', 4), ('f', 5))
+        record = self.quarantine.get_record(_GUILTY)
+        assert record is not None
+        later_s = 1800.0
+        told = [build_told(_GUILTY, record, _NOW + later_s)]
+        newcomer = Quarantine()
+        take_told(newcomer, told, _NOW + later_s)
+        self.assertTrue(_is_held(newcomer, _GUILTY, later_s))
+
     def test_old_evidence_is_forgotten(self) -> None:
         self.quarantine.forget(_NOW + 3 * _HOLD_S)
         self.assertEqual(len(self.quarantine), 0)
