--- a/samphirerill/tests/test_core_quarantine.py
+++ b/samphirerill/tests/test_core_quarantine.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from unittest import TestCase
+from typing import TYPE_CHECKING
+from unittest import IsolatedAsyncioTestCase, TestCase
 
+from samphirerill.backends.peers import PeerClients, PeerServer, Word
 from samphirerill.core.commands import (
     Command,
     OpenAttempt,
@@ -26,6 +28,9 @@
 from samphirerill.properties.world import build_document
 from samphirerill.quarantine import digest_request
 
+if TYPE_CHECKING:
+    from samphirerill.control.claims import Batch, Verdict
+
 _GUILTY = digest_request('coach', b'plans', b'ends them')
 _OTHER = digest_request('coach', b'plans', b'harmless')
 _SETTLED_S = 0.2
@@ -161,3 +166,27 @@
         self.assertEqual(refused.problem.code, 'quarantined')
         self.assertIs(refused.problem.outcome, Outcome.NOT_RUN)
         self.assertGreater(refused.problem.retry_after_s, 100)
+
+
+class TestWords(IsolatedAsyncioTestCase):
+    """Evidence goes with the words that nodes exchange."""
+
+    async def test_evidence_goes_both_ways(self) -> None:
+        heard: list[bytes] = []
+
+        def answer(word: Word) -> Word:
+            heard.append(word.evidence)
+            return Word('n2', 1, 0.0, evidence=b'answer')
+
+        async def collect(batch: Batch) -> list[Verdict]:
+            return []
+
+        server = PeerServer(answer, collect)
+        port = await server.start('127.0.0.1', 0)
+        clients = PeerClients(2)
+        word = Word('n1', 1, 0.0, evidence=b'question')
+        got = await clients.exchange(f'127.0.0.1:{port}', word)
+        await clients.close()
+        await server.stop()
+        self.assertEqual(heard, [b'question'])
+        self.assertEqual(got.unwrap().evidence, b'answer')
