--- a/samphirerill/core/on_endings.py
+++ b/samphirerill/core/on_endings.py
@@ -39,7 +39,7 @@
     state: CoreState, identity: bytes, now: float
 ) -> Problem | None:
     """Return the refusal of a request that is held back, if it is."""
-    until = state.quarantine.find_end(identity, now)
+    until = state.quarantine.find_held_until(identity, now)
     if not until:
         return None
     return Problem(
--- a/samphirerill/core/queries.py
+++ b/samphirerill/core/queries.py
@@ -54,7 +54,9 @@
 
 def _describe_quarantine(state: CoreState, now: float) -> list[dict[str, Any]]:
     return [
-        describe_record(record, state.quarantine.find_end(request, now), now)
+        describe_record(
+            record, state.quarantine.find_held_until(request, now), now
+        )
         for request, record in state.quarantine.list_records()
         if record.deaths
     ]
--- a/samphirerill/quarantine/book.py
+++ b/samphirerill/quarantine/book.py
@@ -22,8 +22,8 @@
 
     from samphirerill.quarantine.records import Death
 
-# A run that has sent events for so long has begun, and its endpoint lives. Requests
-# that end endpoints were seen to do so within 0.12 s of their first token.
+# A run that has sent events for so long has begun, and its endpoint lives: a request
+# that ends endpoints does so with its first tokens.
 BEGINNING_S = 0.5
 # One end may be anybody's; with two, a request runs where it harms few others.
 SUSPECT_DEATHS = 2
@@ -146,7 +146,7 @@
                 self._held[request] = _Verdict(until, tuple(moments))
         return list(self._list_changes(before))
 
-    def find_end(self, request: bytes, now: float) -> float:
+    def find_held_until(self, request: bytes, now: float) -> float:
         """Return until when a request is held back; 0 if it may run."""
         verdict = self._held.get(request)
         if verdict is None or verdict.until <= now:
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -152,7 +152,7 @@
     def _may_send(self) -> bool:
         """Return whether another send is allowed."""
         now = self._loop.time()
-        self._held_until = self._witness.find_end(self._task)
+        self._held_until = self._witness.find_held_until(self._task)
         if self._held_until or now >= self._task.deadline:
             return False
         if self._sends >= self._task.route.max_attempts:
@@ -220,7 +220,7 @@
             fresh=not self._task.may_repeat,
             most=self._state.count_connections(self._task.service),
         )
-        if self._witness.find_end(self._task):
+        if self._witness.find_held_until(self._task):
             self._state.pool.give_back(replica, conn)
             raise HeldBackError(self._witness.explain(self._task))
         return conn
--- a/samphirerill/relay/quarantine/keeper.py
+++ b/samphirerill/relay/quarantine/keeper.py
@@ -65,7 +65,9 @@
         now = self._loop.time()
         quarantine = self._state.quarantine
         return [
-            describe_record(record, quarantine.find_end(request, now), now)
+            describe_record(
+                record, quarantine.find_held_until(request, now), now
+            )
             for request, record in quarantine.list_records()
             if record.deaths
         ]
--- a/samphirerill/relay/quarantine/sharing.py
+++ b/samphirerill/relay/quarantine/sharing.py
@@ -53,8 +53,7 @@
 
     `trial` is the replica to which a suspect is sent at this moment. `is_news`
     is whether it should reach all nodes: what is told to a few again and again
-    would be passed on to a whole data centre each time, 48 KB a second for each
-    of 195 nodes.
+    would else be passed on to a whole data centre each time, and fill its links.
     """
 
     node: str
--- a/samphirerill/relay/quarantine/witness.py
+++ b/samphirerill/relay/quarantine/witness.py
@@ -82,12 +82,12 @@
         self._unclear: Counter[bytes] = Counter()
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def find_end(self, task: Task) -> float:
+    def find_held_until(self, task: Task) -> float:
         """Return until when a request is held back; 0 if it may run."""
         quarantine = self._state.quarantine
         if not len(quarantine):
             return 0.0
-        return quarantine.find_end(task.identity, self._loop.time())
+        return quarantine.find_held_until(task.identity, self._loop.time())
 
     def explain(self, task: Task) -> str:
         """Return why a request is held back, for the log.
--- a/samphirerill/relay/stream_limits.py
+++ b/samphirerill/relay/stream_limits.py
@@ -22,9 +22,8 @@
 # How often a stream may be sent before it has begun.
 _MOST_SENDS = 6
 # So many sends that brought nothing may follow each other at once; then a stream
-# waits, longer each time. Nodes hear of each other's repeats after 0.4 s: 144
-# streams that sent five repeats each within 0.2 s to a replica that accepted and
-# reset them took 706 repeats of 598.
+# waits, longer each time. Nodes hear of each other's repeats after 0.4 s; streams
+# that are reset again and again would use up those of all nodes sooner.
 _QUICK_SENDS = 2
 _FIRST_REST_S = 0.1
 _MOST_REST_S = 0.4
@@ -83,12 +82,12 @@
 
     def is_held(self) -> bool:
         """Return whether the request ends replicas, and may not run."""
-        return self._witness.find_end(self._task) > 0
+        return self._witness.find_held_until(self._task) > 0
 
     def take_send(self) -> Obstacle | None:
         """Take a repeat for one more send; return why there is none, if so."""
         now = self._loop.time()
-        held_until = self._witness.find_end(self._task)
+        held_until = self._witness.find_held_until(self._task)
         if held_until:
             reason = self._witness.explain(self._task)
             return Obstacle(reason, held_until - now)
--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -141,7 +141,7 @@
         except ConnectError as exc:
             self._shun(replica.replica_id, str(exc))
         else:
-            if not self._witness.find_end(self._task):
+            if not self._witness.find_held_until(self._task):
                 return conn
             # It was found to end replicas while the connection was made.
             self._state.pool.give_back(replica, conn)
--- a/samphirerill/testing/ending_fleet.py
+++ b/samphirerill/testing/ending_fleet.py
@@ -139,7 +139,7 @@
             self._end(name)
 
     def _send(self, stream: _Stream) -> None:
-        if self.quarantine.find_end(stream.request, self._now):
+        if self.quarantine.find_held_until(stream.request, self._now):
             return
         names = self._list_open(stream)
         if not names:
