Streams whose run broke off before its first event may use the kept repeats

Callers saw: of 24 streams, 8 and 1 refused with 502 at the second loss of engines within ten seconds, on a busy machine.

Cause: 40% of the repeats are kept for streams that have begun, so that requests that were refused, and can come back, do not use them up. A stream whose replica ended while it read the prompt counted like a refused one, though its only end is a failure; and it could not borrow what other nodes leave. On small nodes that is one or two repeats for all their streams.

The refusal's log line did not tell; it now names the obstacle.

Change: a request that ran and lost its run is as urgent as one that has begun; plain requests too, where nothing else ever used the kept part. One that was refused is not.

The new test holds all prompts back for 0.5 s, so that no load is needed; it failed before (8 of 24 streams refused).

--- a/samphirerill/fleet/budget.py
+++ b/samphirerill/fleet/budget.py
@@ -5,8 +5,8 @@
 number of nodes. When many endpoints fail at once, repeats stay that fraction
 of the load instead of doubling it.
 
-Nodes also tell each other what they use. A stream that has begun may take from
-what the others leave, as long as the whole would last even if every stream of
+Nodes also tell each other what they use. A request whose run broke off may take
+from what the others leave, as long as the whole would last even if every stream of
 all nodes were sent once more at this moment. Answers to: 78 nodes, each with
 four repeats of its own, where one endpoint lost cut 103 streams of a few nodes
 while 300 repeats were left.
@@ -20,7 +20,7 @@
 
 # Kept back from the agreed share: nodes learn of each other with a lag.
 _USE = 0.85
-# A client whose stream has begun has more to lose than one that was refused.
+# A client whose request ran has more to lose than one that was refused.
 _NEW_SHARE = 0.6
 
 
@@ -118,7 +118,7 @@
         nodes : int
             How many nodes share the slack.
         is_urgent : bool
-            The repeat goes on with an answer that has begun; for these the
+            The request ran and would fail without the repeat; for these the
             last part is kept.
         """
         self._forget(now)
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -102,6 +102,7 @@
         self._tried: set[str] = set()
         self._sends = 0
         self._may_have_run = False
+        self._has_lost_run = False
 
     async def run(self) -> None:
         """Answer the request."""
@@ -157,7 +158,7 @@
             return False
         if self._sends >= self._task.route.max_attempts:
             return False
-        return self._budget.pay(now, self._sends)
+        return self._budget.pay(now, self._sends, is_urgent=self._has_lost_run)
 
     def _is_final(self, outcome: _Outcome) -> bool:
         if outcome.head is not None and outcome.head.status < _SERVER_ERROR:
@@ -242,6 +243,7 @@
         self, found: Known, exc: EndpointError, sent_at: float
     ) -> _Outcome:
         self._may_have_run = True
+        self._has_lost_run = True
         if isinstance(exc, BrokenAnswerError):
             self._witness.note_break(self._task, found.replica)
         is_silent = isinstance(exc, SilentEndpointError)
--- a/samphirerill/relay/send_budget.py
+++ b/samphirerill/relay/send_budget.py
@@ -42,7 +42,7 @@
         sends : int
             How often the request has reached a replica.
         is_urgent : bool
-            Its answer has begun.
+            Its answer has begun, or a replica broke its run off.
         """
         budget = self._state.get_budget(self._task.service.name)
         self._has_repeat = False
--- a/samphirerill/relay/stream_limits.py
+++ b/samphirerill/relay/stream_limits.py
@@ -94,8 +94,8 @@
         over = self._find_end_reason(now)
         if over:
             return Obstacle(over)
-        sends, has_begun = self._progress.sends, self._progress.has_begun
-        if self._budget.pay(now, sends, is_urgent=has_begun):
+        is_urgent = self._is_urgent()
+        if self._budget.pay(now, self._progress.sends, is_urgent=is_urgent):
             return None
         return Obstacle('no repeat is left')
 
@@ -112,7 +112,7 @@
         return budget.has_left(
             self._loop.time(),
             self._state.count_nodes(),
-            is_urgent=self._progress.has_begun,
+            is_urgent=self._is_urgent(),
         )
 
     def limit_admission(self) -> float:
@@ -132,6 +132,14 @@
         doubled_s = _FIRST_REST_S * 2 ** (fruitless - _QUICK_SENDS)
         return min(_MOST_REST_S, doubled_s)
 
+    def _is_urgent(self) -> bool:
+        """Return whether it may use the repeats kept for running streams.
+
+        A stream that was refused can come back later. One whose run broke off
+        ends with a failure, whether or not its first event had come.
+        """
+        return self._progress.has_begun or self._progress.has_lost_run
+
     def _find_end_reason(self, now: float) -> str:
         """Return why it may not be sent any more, whatever is left."""
         progress = self._progress
--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -42,13 +42,15 @@
 
     `last_id` is the last event that the client has, `begun_at` when its answer
     began, `sends` how often it was sent, `fruitless` how many of the latest
-    brought nothing, `reason` why the last send failed.
+    brought nothing, `has_lost_run` whether a replica broke a run of it off,
+    `reason` why the last send failed.
     """
 
     __slots__ = (
         '_noted_id',
         'begun_at',
         'fruitless',
+        'has_lost_run',
         'last_id',
         'may_have_run',
         'reason',
@@ -62,6 +64,7 @@
         self.fruitless = 0
         self._noted_id = self.last_id
         self.may_have_run = False
+        self.has_lost_run = False
         self.reason = ''
 
     @property
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -394,9 +394,9 @@
         if self._succession.has_run:
             self._state.counters['streams.taken_over'] += 1
             return
-        self._progress.may_have_run = (
-            self._progress.may_have_run or exc.may_have_run
-        )
+        if exc.may_have_run:
+            self._progress.may_have_run = True
+            self._progress.has_lost_run = True
         self._progress.reason = str(exc)
         self._path.avoid.update(self._path.list_lost(), (self._path.head_id,))
         if not self._progress.has_advanced():
@@ -437,12 +437,13 @@
             caller.answer(head.status, filter_headers(head), body)
 
     def _build_refusal(self, obstacle: str, wait_s: float) -> Refusal:
+        reasons = filter(None, (self._progress.reason, obstacle))
+        reason = '; '.join(reasons)
         if not self._progress.may_have_run:
-            reason = self._progress.reason or obstacle
             return Refusal(UNAVAILABLE, reason, wait_s or _RETRY_S)
         if self._loop.time() >= self._task.deadline:
-            return Refusal(TIMED_OUT, self._progress.reason)
-        return Refusal(FAILED, self._progress.reason)
+            return Refusal(TIMED_OUT, reason)
+        return Refusal(FAILED, reason)
 
     def _note_start(self) -> None:
         self._state.streams.add(self)
--- a/samphirerill/tests/test_refused_connects.py
+++ b/samphirerill/tests/test_refused_connects.py
@@ -15,6 +15,8 @@
 # Eight nodes are taken for granted; this one has an eighth of it.
 _SLACK = 400
 _BEGUN_S = 0.3
+# No stream has an event when engines end.
+_READING_S = 0.5
 _BETWEEN_S = 2.5
 
 
@@ -43,6 +45,20 @@
         await asyncio.sleep(_BETWEEN_S)
         await self.lose_some('second')
 
+    async def test_streams_without_a_first_event_have_repeats_left(
+        self,
+    ) -> None:
+        """Streams lost while their prompts are read aren't refused with 502."""
+        state = self.nodes[0].state
+        state.change_settings(replace(state.settings, retry_slack=_SLACK))
+        for engine in self.world.replicas.values():
+            engine.begins_after_s = _READING_S
+        await self.lose_some('first')
+        await asyncio.sleep(_BETWEEN_S)
+        for engine in self.world.replicas.values():
+            engine.begins_after_s = _READING_S
+        await self.lose_some('second')
+
     async def lose_some(self, name: str) -> None:
         """Begin streams, end engines; all streams must be whole."""
         streams = [
