An engine is trusted again with its first event, not with the head of an answer

Callers saw: streams that had begun cut midway, though the second replica of their route worked again, beside other work on the machine.

Cause: a replica that breaks a stream off is left alone for a while that doubles each time. The head of an answer cleared that, and every suspicion against the whole path. An engine that accepts, begins to answer and breaks off was therefore sent the stream again every quarter of a second, while the other one, which had reset it before its head, waited twice and four times as long. Each of those sends took one of all nodes' repeats; with the last one the stream was cut.

On a calm machine the pauses of the two interleave so that the other one is asked in time.

Change: a path is trusted when the first event of a run has passed through it.

The new test failed before (one refusal counted after two breaks, two expected).

--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -354,8 +354,6 @@
         if not self._progress.has_begun:
             self._progress.begun_at = self._loop.time()
             caller.start_answer(head.status, filter_headers(head), None)
-        for stage in self._path.stages:
-            self._state.view.trust(stage.replica.replica_id)
         splitter = EventSplitter()
         predicted_s = self._path.predict_gap_s(self._path.stages)
         while not self._ended:
@@ -375,6 +373,8 @@
         fresh = []
         events = splitter.feed(body)
         if events:
+            if not self._run.events:
+                self._trust_path()
             self._run.note_events(len(events), self._loop.time())
             self._witness.note_progress(self._task, self._run)
         for event in events:
@@ -387,6 +387,14 @@
             self._times.note_event(self._loop.time())
             self._task.conn.write_body(b''.join(fresh))
 
+    def _trust_path(self) -> None:
+        """The first event has passed through all replicas of the path.
+
+        A head alone proves nothing: some engines begin an answer and break off.
+        """
+        for stage in self._path.stages:
+            self._state.view.trust(stage.replica.replica_id)
+
     def _note_break(self, exc: EndpointError) -> None:
         if isinstance(exc, BrokenAnswerError):
             head = self._path.stages[0].replica
