A stream that may go to no other replica begins where it failed least

Callers saw: streams cut midway after all repeats had gone to one engine that breaks them off, though the other one that the route allows would serve them.

Cause: where a route allows no more replicas, all that a stream was sent to count alike, however often each broke it off without an event; the nearest one with the least load is taken each time.

Change: sends that brought no event are counted by replica, for the stream alone; of those that have a path with room now, the ones with the lowest count go first. Where none has, the stream waits for any of them as before.

--- a/samphirerill/relay/path_finder.py
+++ b/samphirerill/relay/path_finder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.paths import PathRequest
@@ -25,8 +26,9 @@
     """What one stream needs of a path, and which replicas it leaves out.
 
     `avoid` are replicas that failed the stream, `heads` those that it was sent
-    to first, `ended` those of them that broke it off and are announced no more;
-    `tokens` is the memory that it will need.
+    to first, `ended` those of them that broke it off and are announced no more,
+    `vain` how often each was sent it and brought no event; `tokens` is the memory
+    that it will need.
 
     Parameters
     ----------
@@ -49,6 +51,7 @@
         'ended',
         'heads',
         'tokens',
+        'vain',
     )
 
     def __init__(
@@ -62,6 +65,7 @@
         self.avoid: set[str] = set()
         self.heads: set[str] = set()
         self.ended: set[str] = set()
+        self.vain: Counter[str] = Counter()
         self._state = state
         self._task = task
         self._engine = engine
@@ -104,6 +108,23 @@
         avoid = self.avoid - heads
         return PathRequest(self.tokens, avoid, heads, is_urgent=is_urgent)
 
+    def build_resend(self, *, is_urgent: bool) -> PathRequest:
+        """Return what a path must offer, at the heads that failed it least.
+
+        Without the count, a stream whose route allows no other replica goes
+        back to the nearest one, even if only the other one would serve it.
+        """
+        wanted = self.build_request(is_urgent=is_urgent)
+        allowed = wanted.heads
+        for count in sorted({self.vain[name] for name in allowed}):
+            wanted.heads = frozenset(
+                name for name in allowed if self.vain[name] == count
+            )
+            if self.find(wanted):
+                return wanted
+        wanted.heads = allowed
+        return wanted
+
     def find_apart(self, taken: Collection[str]) -> frozenset[str]:
         """Return a replica to begin at where few others run; none if none is.
 
--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -112,7 +112,7 @@
         heads : frozenset of str
             The replicas that it may begin at; empty for any.
         """
-        wanted = self.finder.build_request(is_urgent=is_urgent)
+        wanted = self.finder.build_resend(is_urgent=is_urgent)
         wanted.heads = wanted.heads or heads
         self.stages = await self._admit(wanted, rank, deadline)
 
