A node that was held up itself does not take its delay for others' silence

Callers saw: streams broken off and sent again, or ended for want of repeats, though their engines worked, on machines with little processor time.

Cause: timers that fire late counted as if the peer had had that time. When a process that stood still runs again, asyncio reads its sockets and fires its due timers in one pass: an answer that has been read in that pass is dropped by the timeout, a connection that was accepted long ago is given up as unreachable, and the questions that were to be asked of a silent engine are over before they are sent. The engine is then dead to the node, which ends all its streams there.

Evidence: test_refused_connects beside 14 busy processes, traced: no line for 3.1 s, then "engine-4 does not answer" with all of its twelve streams broken off at once; the engine was there. The same at 1.55 s for engine-5. 24 repeats went to that and were missing ten seconds later.

Change, where time is measured against a peer: - a connection is given up when its timer fires on time; a late timer adds what was lost, up to 0.3 s (relay/awake_timeout.py); - an answer that has been read is never a silence; - a round of questions in which the node lost as much as an answer may take is asked again, three times at the most (relay/health/questions.py, out of examiner.py, which had too many methods; tests that put another `ask_once` in its place name the new module).

--- a/samphirerill/relay/health/examiner.py
+++ b/samphirerill/relay/health/examiner.py
@@ -19,13 +19,13 @@
 from samphirerill.relay.health.patience import (
     LEAST_PROBE_S,
     AnswerTimes,
-    Patience,
 )
-from samphirerill.relay.health.probing import Probe, Verdict, ask_once
+from samphirerill.relay.health.probing import Probe, Verdict
+from samphirerill.relay.health.questions import ask_often
 from samphirerill.relay.health.signs import find_signs
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Sequence
+    from collections.abc import Collection, Sequence
 
     from samphirerill.fleet.model import Replica, Stage
     from samphirerill.relay.health.alarms import Alarms
@@ -39,8 +39,6 @@
 _QUESTIONS = 4
 # To one that is dead already: a lost packet only delays the news of its return.
 _QUESTIONS_TO_DEAD = 1
-# However long the node was held up, a question ends then.
-_LONGEST_ASK_S = 0.4
 # All streams of one path fall silent together; one probe serves them all.
 _FRESH_S = 0.15
 # A replica that others find at fault for its part is asked once in so long: one
@@ -188,29 +186,12 @@
             return await self._ask(replica)
 
     async def _ask(self, replica: Replica) -> Probe:
-        """Ask until one question is answered, a few at the most."""
+        """Ask a replica, and keep what came of it."""
         self._state.counters['reports.asked'] += 1
-        asked_at = self._loop.time()
-        clock = Patience(self._times)
-        last = asked_at + _LONGEST_ASK_S
-        asked: set[asyncio.Task[Probe]] = set()
-        probe: Probe | None = None
         # Of one that is dead already, only its return would be news.
         is_dead = self._is_dead(replica.replica_id)
         most = _QUESTIONS_TO_DEAD if is_dead else _QUESTIONS
-        while probe is None and len(asked) < most:
-            ask = ask_once(self._state, replica, last)
-            asked.add(self._loop.create_task(ask))
-            await clock.wait_to_ask_again(asked)
-            probe = _find_answer(asked)
-        while probe is None and await clock.wait_on(asked):
-            probe = _find_answer(asked)
-        for task in asked:
-            task.cancel()
-        if probe is None:
-            probe = Probe(self._loop.time(), Verdict.IS_SILENT)
-        else:
-            self._times.note(self._loop.time() - asked_at)
+        probe = await ask_often(self._state, replica, self._times, most)
         return self._keep(replica, probe)
 
     def _keep(self, replica: Replica, probe: Probe) -> Probe:
@@ -324,13 +305,5 @@
             self._state.notify()
 
 
-def _find_answer(asked: Iterable[asyncio.Task[Probe]]) -> Probe | None:
-    """Return what the first question that was answered brought, if any was."""
-    for task in asked:
-        if task.done() and task.result().verdict is not Verdict.IS_SILENT:
-            return task.result()
-    return None
-
-
 def _list_with(probes: dict[str, Probe], wanted: Verdict) -> set[str]:
     return {name for name, probe in probes.items() if probe.verdict is wanted}
--- a/samphirerill/relay/health/patience.py
+++ b/samphirerill/relay/health/patience.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.smoothing import Smoothed
+from samphirerill.relay.awake_timeout import HELD_UP_S
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -23,9 +24,6 @@
 _LEAST_AGAIN_S = 0.007
 _MOST_AGAIN_S = 0.02
 _AGAIN_DEVIATIONS = 2
-# A node that was held up itself sees the time pass before the answers that came
-# meanwhile: what a wait takes beyond this does not count against a replica.
-_HOLD_UP_S = 0.003
 
 
 class AnswerTimes:
@@ -60,14 +58,23 @@
     ----------
     times : AnswerTimes
         What is usual.
+
+    `until` is when waiting ends; `lost_s` is for how long the node was held up
+    meanwhile.
     """
 
-    __slots__ = ('_again_s', '_loop', 'until')
+    __slots__ = ('_again_s', '_began_at', '_loop', 'lost_s', 'until')
 
     def __init__(self, times: AnswerTimes) -> None:
         self._loop = asyncio.get_running_loop()
         self._again_s = times.choose_again()
-        self.until = self._loop.time() + times.choose_patience()
+        self._began_at = self._loop.time()
+        self.lost_s = 0.0
+        self.until = self._began_at + times.choose_patience()
+
+    def find_spent_s(self) -> float:
+        """Return how long has been waited."""
+        return self._loop.time() - self._began_at
 
     async def wait_to_ask_again(
         self, asked: Collection[asyncio.Task[object]]
@@ -96,5 +103,6 @@
         else:
             await asyncio.sleep(most_s)
         over_s = self._loop.time() - planned
-        if over_s > _HOLD_UP_S:
+        if over_s > HELD_UP_S:
             self.until += over_s + self._again_s
+            self.lost_s += over_s
