The own interface: a late timer is no silence of an endpoint

Callers saw: answers begun anew elsewhere, while the node or its VM was busy.

Cause: the same as in relay/: the core is told only that time has passed. After a pause of the node all attempts whose progress deadline fell into it were broken off as silent, before what their engines had sent was read, and also those whose call had not left the node.

--- a/samphirerill/core/events.py
+++ b/samphirerill/core/events.py
@@ -205,4 +205,9 @@
 
 @dataclass(slots=True)
 class TimePassed:
-    """A deadline that the core asked to be woken for may have come."""
+    """A deadline that the core asked to be woken for may have come.
+
+    `late_s` is for how long after that deadline the node did not run.
+    """
+
+    late_s: float = 0.0
