The own interface's probes don't count the node's delay against endpoints

Callers saw: nothing yet; the same class as the late timers of relay/, found by looking for it elsewhere.

Cause: a probe or load poll that ended while the node was held up counted as no answer, and the endpoint got no work for two seconds.

Evidence: a probe with the answer waiting in its socket, the loop held up for 0.6 s: no answer before, the answer now. awake_timeout.py moves to node/, which relay/ and the own interface share.

--- a/samphirerill/core/on_fleet.py
+++ b/samphirerill/core/on_fleet.py
@@ -14,8 +14,8 @@
 )
 from samphirerill.core.handling import handle
 from samphirerill.core.on_attempts import suspect_endpoint
-from samphirerill.core.placement import GENTLE_S
 from samphirerill.core.on_endings import note_probe
+from samphirerill.core.placement import GENTLE_S
 from samphirerill.core.starting import dispatch_all, dispatch_pool
 from samphirerill.core.state import EndpointState, Health
 from samphirerill.core.subsets import group_by_model
--- a/samphirerill/node/probes.py
+++ b/samphirerill/node/probes.py
@@ -8,6 +8,7 @@
 from samphirerill.backends.engine import report_load
 from samphirerill.core.events import ProbeAnswered
 from samphirerill.core.model import ENGINE
+from samphirerill.node.awake_timeout import awake_timeout_at
 
 if TYPE_CHECKING:
     from samphirerill.core.commands import ProbeEndpoint
@@ -25,8 +26,7 @@
     """Tell the core whether an endpoint answers a new connection."""
     has_ended = False
     try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
-            await _fetch(command.address, '/health', None)
+        await _fetch_in_time(command.address, '/health', None)
     except ConnectionRefusedError:
         has_ended = True
         is_alive = False
@@ -63,9 +63,7 @@
     With a `body` it is posted; without one the target is read.
     """
     try:
-        return await asyncio.wait_for(
-            _fetch(address, target, body), PROBE_TIMEOUT_S
-        )
+        return await _fetch_in_time(address, target, body)
     except (OSError, EOFError, TimeoutError, ValueError):
         return None
 
@@ -102,6 +100,14 @@
     return min(stale, key=lambda item: item.reported_at, default=None)
 
 
+async def _fetch_in_time(
+    address: str, target: str, body: bytes | None
+) -> bytes:
+    deadline = asyncio.get_running_loop().time() + PROBE_TIMEOUT_S
+    async with awake_timeout_at(deadline):
+        return await _fetch(address, target, body)
+
+
 async def _fetch(address: str, target: str, body: bytes | None) -> bytes:
     host, _, port = address.rpartition(':')
     reader, writer = await asyncio.open_connection(host, int(port))
--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -15,7 +15,7 @@
 
 from httptools import HttpParserError, HttpResponseParser
 
-from samphirerill.relay.awake_timeout import awake_timeout_at
+from samphirerill.node.awake_timeout import awake_timeout_at
 from samphirerill.relay.errors import (
     BrokenAnswerError,
     ConnectError,
--- a/samphirerill/relay/health/patience.py
+++ b/samphirerill/relay/health/patience.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.smoothing import Smoothed
-from samphirerill.relay.awake_timeout import HELD_UP_S
+from samphirerill.node.awake_timeout import HELD_UP_S
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/samphirerill/tests/test_held_up.py
+++ b/samphirerill/tests/test_held_up.py
@@ -13,6 +13,7 @@
 
 from msgspec import json
 
+from samphirerill.node.probes import fetch
 from samphirerill.relay.connection import (
     CONNECT_TIMEOUT_S,
     Head,
@@ -101,6 +102,16 @@
         self.assertTrue(conn.is_open())
 
 
+class TestOwnProbes(HeldUpCase):
+    """The own interface asks endpoints in the same way."""
+
+    async def test_an_answer_that_came_meanwhile_is_taken(self) -> None:
+        """Endpoints aren't suspected because the node was late to read."""
+        asking = asyncio.create_task(fetch(self.start_engine(), '/load'))
+        await self.hold_up()
+        self.assertEqual(await asking, json.encode(_REPORT))
+
+
 class TestQuestions(HeldUpCase):
     """A question that the node itself was too late to ask says nothing."""
 
--- a/samphirerill/tests/test_retry_choice.py
+++ b/samphirerill/tests/test_retry_choice.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-
 from typing import TYPE_CHECKING, cast
 from unittest import IsolatedAsyncioTestCase
 
