The own interface: what has run and is held back ends with 502, not 503

Callers saw status 503, which elsewhere promises that nothing ran, with the outcome "may have run"; docs/design/quarantine.md says 502, and relay/ does so.

Cause: the refusal of a request that is held back was built for new requests, and used for those that had run as well.

The test failed before (503 with may-have-run among what callers were told).

--- a/samphirerill/core/on_endings.py
+++ b/samphirerill/core/on_endings.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.core.commands import Outcome, ProbeEndpoint, Problem
-from samphirerill.core.ending import name_pool, refuse_request
+from samphirerill.core.ending import name_pool, refuse_request, tell_outcome
 from samphirerill.core.events import EvidenceTold
 from samphirerill.core.handling import handle
 from samphirerill.core.starting import dispatch_pool
@@ -108,10 +108,14 @@
     problem = find_quarantine(state, req.identity, now)
     if problem is None:
         return False
+    status = problem.status
+    if tell_outcome(req) is Outcome.MAY_HAVE_RUN:
+        # 503 would promise that nothing ran.
+        status = HTTPStatus.BAD_GATEWAY
     refuse_request(
         state,
         req,
-        problem.status,
+        status,
         problem.code,
         problem.detail,
         problem.retry_after_s,
--- a/samphirerill/tests/test_core_quarantine.py
+++ b/samphirerill/tests/test_core_quarantine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 from unittest import IsolatedAsyncioTestCase, TestCase
 
@@ -108,6 +109,29 @@
         self.now += _SETTLED_S
         self.assert_refused(self.apply(TimePassed()))
 
+    def test_one_that_has_run_is_not_refused_as_if_it_had_not(self) -> None:
+        """A 503, which promises that nothing ran, is true of each attempt."""
+        commands = [
+            command
+            for number in range(12)
+            for command in self.come(f'r{number}')
+        ]
+        problems = [
+            command.problem
+            for command in commands
+            if isinstance(command, RefuseRequest)
+        ]
+        told = {
+            (problem.status, problem.outcome)
+            for problem in problems
+            if problem.code == 'quarantined'
+        }
+        expected = {
+            (HTTPStatus.BAD_GATEWAY, Outcome.MAY_HAVE_RUN),
+            (HTTPStatus.SERVICE_UNAVAILABLE, Outcome.NOT_RUN),
+        }
+        self.assertEqual(told, expected)
+
     def come(
         self, name: str, *, has_ended: bool = True, tokens: int = 1
     ) -> list[Command]:
