A broken attempt asks each of its endpoints once

Where an engine names no stage at fault, each endpoint of a broken attempt was asked twice: to tell a dead endpoint from a dead path, and whether it had ended by the request. A loss of many engines doubled the probes.

The test failed before (['e4', 'e4'] asked, ['e4'] expected). One probe answers both.

--- a/samphirerill/core/on_attempts.py
+++ b/samphirerill/core/on_attempts.py
@@ -162,8 +162,10 @@
     req = state.requests[attempt.request_id]
     drop_attempt(state, attempt)
     state.emit(CancelAttempt(attempt.attempt_id))
-    _blame_stages(state, attempt, event, req, now)
-    note_break(state, attempt, req, now)
+    is_unclear = not _blame_stages(state, attempt, event, req, now)
+    may_have_ended = note_break(state, attempt, req, now)
+    if is_unclear or may_have_ended:
+        probe_stages(state, attempt)
     state.counters['attempts.broke'] += 1
     if refuse_held(state, req, now):
         dispatch_pool(state, name_pool(req), now)
@@ -210,16 +212,17 @@
     event: AttemptBroke,
     req: RequestState,
     now: float,
-) -> None:
+) -> bool:
+    """Leave out who failed; return whether the engine named the stage."""
     if 0 <= event.failed_stage < len(attempt.stages):
         name = attempt.stages[event.failed_stage].endpoint
         req.avoid.add(name)
         suspect_endpoint(state, name, now)
-        return
+        return True
     if not event.connected:
         suspect_endpoint(state, attempt.stages[0].endpoint, now)
     req.avoid.add(attempt.stages[0].endpoint)
-    probe_stages(state, attempt)
+    return False
 
 
 def _finish_attempt(
--- a/samphirerill/core/on_endings.py
+++ b/samphirerill/core/on_endings.py
@@ -10,7 +10,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from samphirerill.core.commands import Outcome, ProbeEndpoint, Problem
+from samphirerill.core.commands import Outcome, Problem
 from samphirerill.core.ending import name_pool, refuse_request, tell_outcome
 from samphirerill.core.events import EvidenceTold
 from samphirerill.core.handling import handle
@@ -53,18 +53,18 @@
 
 def note_break(
     state: CoreState, attempt: AttemptState, req: RequestState, now: float
-) -> None:
-    """An attempt that was sent broke; ask whether its endpoints have ended."""
+) -> bool:
+    """An attempt broke; return whether its endpoints may have ended by it."""
     if not req.identity or not attempt.sent:
-        return
+        return False
     if _has_survived(attempt):
         note_survival(state, req, now)
-        return
+        return False
     for stage in attempt.stages:
         death = Death(stage.endpoint, req.request_id, now)
         broken = state.broken.setdefault(stage.endpoint, {})
         broken[req.identity] = death
-        state.emit(ProbeEndpoint(stage.endpoint, stage.address))
+    return True
 
 
 def note_probe(state: CoreState, event: ProbeAnswered, now: float) -> None:
--- a/samphirerill/tests/test_core_quarantine.py
+++ b/samphirerill/tests/test_core_quarantine.py
@@ -11,6 +11,7 @@
     Command,
     OpenAttempt,
     Outcome,
+    ProbeEndpoint,
     RefuseRequest,
 )
 from samphirerill.core.events import (
@@ -132,6 +133,20 @@
         }
         self.assertEqual(told, expected)
 
+    def test_a_break_asks_each_endpoint_once(self) -> None:
+        """A loss of many engines does not double the probes."""
+        opened = self.ask('r', _GUILTY)[0]
+        assert isinstance(opened, OpenAttempt)
+        self.apply(AttemptSent(opened.attempt_id))
+        commands = self.apply(AttemptBroke(opened.attempt_id, 'it closed'))
+        asked = [
+            command.endpoint
+            for command in commands
+            if isinstance(command, ProbeEndpoint)
+        ]
+        stages = [stage.endpoint for stage in opened.stages]
+        self.assertEqual(asked, stages)
+
     def come(
         self, name: str, *, has_ended: bool = True, tokens: int = 1
     ) -> list[Command]:
