--- a/samphirerill/core/events.py
+++ b/samphirerill/core/events.py
@@ -207,7 +207,7 @@
 class TimePassed:
     """A deadline that the core asked to be woken for may have come.
 
-    `late_s` is for how long after that deadline the node did not run.
+    `lag_s` is how long after that deadline the node's timer fired.
     """
 
-    late_s: float = 0.0
+    lag_s: float = 0.0
--- a/samphirerill/core/links.py
+++ b/samphirerill/core/links.py
@@ -58,7 +58,7 @@
             return None
         return min(known.reports)
 
-    def keep(self, endpoints: Collection[str]) -> None:
+    def retain(self, endpoints: Collection[str]) -> None:
         """Forget the links of all other endpoints."""
         self._known = {
             link: known
--- a/samphirerill/core/on_attempts.py
+++ b/samphirerill/core/on_attempts.py
@@ -264,7 +264,7 @@
     hops_ms = event.hops_ms
     if not req.route.idempotent or max(hops_ms) < _MOVE_LEAST_MS:
         attempt.slow_index = -1
-        attempt.lost_ms = 0
+        attempt.excess_ms = 0
         return
     if 0 < req.tokens - req.delivered < _MOVE_LEAST_TOKENS:
         # Its prompt would be read once more for hardly anything; where one hop
@@ -281,8 +281,8 @@
     other_ms = predict_ms(state, other) if other else float('inf')
     if other_ms > _MOVE_GAIN * current_ms:
         return
-    _note_lost(attempt, event.index, current_ms - other_ms)
-    if attempt.lost_ms < _MOVE_COST_MS:
+    _add_excess(attempt, event.index, current_ms - other_ms)
+    if attempt.excess_ms < _MOVE_COST_MS:
         return
     drop_attempt(state, attempt)
     state.emit(CancelAttempt(attempt.attempt_id))
@@ -292,8 +292,8 @@
         wait_in_front(state, req, now)
 
 
-def _note_lost(attempt: AttemptState, index: int, excess_ms: float) -> None:
+def _add_excess(attempt: AttemptState, index: int, excess_ms: float) -> None:
     """Add what slow hops have cost since they were last found slow."""
     tokens = 1 if attempt.slow_index < 0 else index - attempt.slow_index
     attempt.slow_index = index
-    attempt.lost_ms += tokens * excess_ms
+    attempt.excess_ms += tokens * excess_ms
--- a/samphirerill/core/on_fleet.py
+++ b/samphirerill/core/on_fleet.py
@@ -50,7 +50,7 @@
         kept[name] = found
     state.endpoints = kept
     state.by_model = group_by_model(state.node, kept)
-    state.links.keep(kept)
+    state.links.retain(kept)
     dispatch_all(state, now)
 
 
--- a/samphirerill/core/on_time.py
+++ b/samphirerill/core/on_time.py
@@ -19,27 +19,27 @@
     from samphirerill.core.state import CoreState
 
 _LATE_RETRY_S = 1.0
-# A node that is woken later than this was held up.
-_HELD_UP_S = 0.1
-# However long it was held up, endpoints get so much time more.
-_MOST_GRACE_S = 0.3
+# A timer that fires later than this shows that the node's loop was blocked.
+_LEAST_LAG_S = 0.1
+# However long it was blocked, endpoints get so much time more.
+_MOST_EXTENSION_S = 0.3
 
 
 @handle.register(TimePassed)
 def on_time_passed(event: TimePassed, state: CoreState, now: float) -> None:
     """Act on every deadline that is due."""
-    if event.late_s > _HELD_UP_S:
-        _extend_attempts(state, now + min(event.late_s, _MOST_GRACE_S))
+    if event.lag_s > _LEAST_LAG_S:
+        _extend_attempts(state, now + min(event.lag_s, _MOST_EXTENSION_S))
     while state.deadlines and state.deadlines[0][0] <= now:
         _, kind, name = heapq.heappop(state.deadlines)
         _CHECKS[kind](state, name, now)
 
 
 def _extend_attempts(state: CoreState, until: float) -> None:
-    """Give endpoints time to be heard by a node that was held up.
+    """Give endpoints time to be heard by a node whose loop was blocked.
 
     What they sent meanwhile is not read yet, and calls that this node had begun
-    to send have not reached them; living endpoints were taken to be silent.
+    to send have not reached them.
     """
     for attempt in state.attempts.values():
         attempt.progress_deadline = max(attempt.progress_deadline, until)
--- a/samphirerill/core/state.py
+++ b/samphirerill/core/state.py
@@ -80,7 +80,7 @@
     """One try at a request over one pipeline or service.
 
     `slow_index` is the latest token that came over a slow hop, -1 if the hops
-    were as fast as elsewhere when they were last reported; `lost_ms` is what
+    were as fast as elsewhere when they were last reported; `excess_ms` is what
     slow hops have cost since they are slow.
     """
 
@@ -94,7 +94,7 @@
     first_token_at: float = 0
     last_token_at: float = 0
     slow_index: int = -1
-    lost_ms: float = 0
+    excess_ms: float = 0
 
 
 @dataclass(slots=True)
--- a/samphirerill/node/awake_timeout.py
+++ b/samphirerill/node/loop_lag.py
@@ -1,8 +1,8 @@
-"""A timeout that leaves out the time for which this process did not run.
+"""Timeouts that don't count the lag of this process's event loop.
 
-A process that is held up, by other work on its VM or by a long step of its own,
-finds its timers due before it has read what came meanwhile. Counted against a
-peer, that delay made living endpoints unreachable or dead.
+A loop that was blocked, by other work on its VM or by a long callback, fires its
+timers before it has acted on what arrived meanwhile. Counted against a peer, the
+lag makes endpoints unreachable or silent that are neither.
 """
 
 from __future__ import annotations
@@ -14,13 +14,13 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-# A timer that is later than this shows that the process was held up.
-HELD_UP_S = 0.003
-# However long it was held up, waiting goes on for so long at the most.
-MOST_GRACE_S = 0.3
+# A timer that fires later than this shows that the loop was blocked.
+LEAST_LAG_S = 0.003
+# However long the loop was blocked, a timeout is extended by no more.
+MOST_EXTENSION_S = 0.3
 
 
-class _AwakeTimer:
+class _LagAwareTimer:
     """Ends a scope at its deadline, later if the timer itself is late.
 
     Parameters
@@ -31,13 +31,14 @@
         On the loop's clock.
     """
 
-    __slots__ = ('_deadline', '_grace_s', '_handle', '_loop', '_scope')
+    __slots__ = ('_deadline', '_handle', '_latest', '_loop', '_scope')
 
     def __init__(self, scope: asyncio.Timeout, deadline: float) -> None:
         self._loop = asyncio.get_running_loop()
         self._scope = scope
         self._deadline = deadline
-        self._grace_s = MOST_GRACE_S
+        # Set by the first lag: when the scope ends, however often more lag comes.
+        self._latest = 0.0
         self._handle = self._loop.call_at(deadline, self._expire)
 
     def cancel(self) -> None:
@@ -46,25 +47,23 @@
 
     def _expire(self) -> None:
         now = self._loop.time()
-        late_s = now - self._deadline
-        if late_s <= HELD_UP_S or self._grace_s <= 0:
+        lag_s = now - self._deadline
+        self._latest = self._latest or now + MOST_EXTENSION_S
+        if lag_s <= LEAST_LAG_S or now >= self._latest:
             self._scope.reschedule(now)
             return
-        extra_s = min(late_s, self._grace_s)
-        self._grace_s -= extra_s
-        self._deadline = now + extra_s
+        self._deadline = min(now + lag_s, self._latest)
         self._handle = self._loop.call_at(self._deadline, self._expire)
 
 
 @asynccontextmanager
-async def awake_timeout_at(deadline: float) -> AsyncIterator[None]:
+async def lag_aware_timeout_at(deadline: float) -> AsyncIterator[None]:
     """Raise ``TimeoutError`` in the body at a deadline on the loop's clock.
 
-    Time that the process loses around the deadline is added, up to
-    `MOST_GRACE_S`.
+    The lag of the loop at the deadline is added, up to `MOST_EXTENSION_S`.
     """
     async with asyncio.timeout(None) as scope:
-        timer = _AwakeTimer(scope, deadline)
+        timer = _LagAwareTimer(scope, deadline)
         try:
             yield
         finally:
--- a/samphirerill/node/node.py
+++ b/samphirerill/node/node.py
@@ -114,7 +114,7 @@
         self._timer = self.loop.call_at(wake, self._on_timer)
 
     def _on_timer(self) -> None:
-        late_s = self.loop.time() - self._timer_at
+        lag_s = self.loop.time() - self._timer_at
         self._timer_at = float('inf')
         self._timer = None
-        self.apply(TimePassed(late_s))
+        self.apply(TimePassed(lag_s))
--- a/samphirerill/node/probes.py
+++ b/samphirerill/node/probes.py
@@ -8,7 +8,7 @@
 from samphirerill.backends.engine import report_load
 from samphirerill.core.events import ProbeAnswered
 from samphirerill.core.model import ENGINE
-from samphirerill.node.awake_timeout import awake_timeout_at
+from samphirerill.node.loop_lag import lag_aware_timeout_at
 
 if TYPE_CHECKING:
     from samphirerill.core.commands import ProbeEndpoint
@@ -104,7 +104,7 @@
     address: str, target: str, body: bytes | None
 ) -> bytes:
     deadline = asyncio.get_running_loop().time() + PROBE_TIMEOUT_S
-    async with awake_timeout_at(deadline):
+    async with lag_aware_timeout_at(deadline):
         return await _fetch(address, target, body)
 
 
--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -15,7 +15,7 @@
 
 from httptools import HttpParserError, HttpResponseParser
 
-from samphirerill.node.awake_timeout import awake_timeout_at
+from samphirerill.node.loop_lag import lag_aware_timeout_at
 from samphirerill.relay.errors import (
     BrokenAnswerError,
     ConnectError,
@@ -263,7 +263,7 @@
         host, _, port = self.address.rpartition(':')
         loop = asyncio.get_running_loop()
         try:
-            async with awake_timeout_at(until):
+            async with lag_aware_timeout_at(until):
                 await loop.create_connection(lambda: self, host, int(port))
         except ConnectionRefusedError as exc:
             raise NobodyListensError(f'{self.address}: {exc!r}') from exc
@@ -285,8 +285,8 @@
             async with asyncio.timeout_at(deadline):
                 await self._waiter
         except TimeoutError as exc:
-            # What came while this process was held up is read just before its
-            # timers fire; it is no silence.
+            # A loop that was blocked reads what has come just before its timers
+            # fire.
             if not self._parts:
                 raise SilentEndpointError(f'{self.address}: no answer') from exc
         finally:
--- a/samphirerill/relay/health/examiner.py
+++ b/samphirerill/relay/health/examiner.py
@@ -21,7 +21,7 @@
     AnswerTimes,
 )
 from samphirerill.relay.health.probing import Probe, Verdict
-from samphirerill.relay.health.questions import ask_often
+from samphirerill.relay.health.probe_retries import probe_with_retries
 from samphirerill.relay.health.signs import find_signs
 
 if TYPE_CHECKING:
@@ -191,7 +191,9 @@
         # Of one that is dead already, only its return would be news.
         is_dead = self._is_dead(replica.replica_id)
         most = _QUESTIONS_TO_DEAD if is_dead else _QUESTIONS
-        probe = await ask_often(self._state, replica, self._times, most)
+        probe = await probe_with_retries(
+            self._state, replica, self._times, most
+        )
         return self._keep(replica, probe)
 
     def _keep(self, replica: Replica, probe: Probe) -> Probe:
--- a/samphirerill/relay/health/patience.py
+++ b/samphirerill/relay/health/patience.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.smoothing import Smoothed
-from samphirerill.node.awake_timeout import HELD_UP_S
+from samphirerill.node.loop_lag import LEAST_LAG_S
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -59,17 +59,16 @@
     times : AnswerTimes
         What is usual.
 
-    `until` is when waiting ends; `lost_s` is for how long the node was held up
-    meanwhile.
+    `until` is when waiting ends; `lag_s` is the lag of the event loop meanwhile.
     """
 
-    __slots__ = ('_again_s', '_began_at', '_loop', 'lost_s', 'until')
+    __slots__ = ('_again_s', '_began_at', '_loop', 'lag_s', 'until')
 
     def __init__(self, times: AnswerTimes) -> None:
         self._loop = asyncio.get_running_loop()
         self._again_s = times.choose_again()
         self._began_at = self._loop.time()
-        self.lost_s = 0.0
+        self.lag_s = 0.0
         self.until = self._began_at + times.choose_patience()
 
     def find_spent_s(self) -> float:
@@ -103,6 +102,6 @@
         else:
             await asyncio.sleep(most_s)
         over_s = self._loop.time() - planned
-        if over_s > HELD_UP_S:
+        if over_s > LEAST_LAG_S:
             self.until += over_s + self._again_s
-            self.lost_s += over_s
+            self.lag_s += over_s
--- a/samphirerill/relay/health/questions.py
+++ b/samphirerill/relay/health/probe_retries.py
@@ -1,4 +1,4 @@
-"""Ask one replica until a question is answered, or the time for that is over."""
+"""Probe one replica several times, as packets may be lost."""
 
 from __future__ import annotations
 
@@ -15,18 +15,18 @@
     from samphirerill.relay.health.patience import AnswerTimes
     from samphirerill.relay.state import EdgeState
 
-# However long the node is held up, one round of questions ends then.
+# However long this process's loop lags, a round of probes ends then.
 _LONGEST_ROUND_S = 0.4
 _MOST_ROUNDS = 3
 
 
-async def ask_often(
+async def probe_with_retries(
     state: EdgeState, replica: Replica, times: AnswerTimes, most: int
 ) -> Probe:
     """Return the first answer, or that the replica is silent.
 
-    A round in which this node was held up itself is repeated: for most of its
-    time the replica was not asked at all.
+    A round during which the event loop lagged as long as answers take is
+    repeated: for most of its time the replica was not probed at all.
 
     Parameters
     ----------
@@ -37,18 +37,18 @@
     times : AnswerTimes
         How long answers usually take; kept up to date.
     most : int
-        Questions of one round.
+        Probes of one round.
     """
     rounds = 0
-    is_held_up = True
-    while is_held_up and rounds < _MOST_ROUNDS:
+    has_lagged = True
+    while has_lagged and rounds < _MOST_ROUNDS:
         rounds += 1
         clock = Patience(times)
         probe = await _ask_round(state, replica, clock, most)
         if probe is not None:
             times.note(clock.find_spent_s())
             return probe
-        is_held_up = clock.lost_s >= LEAST_PROBE_S
+        has_lagged = clock.lag_s >= LEAST_PROBE_S
     return Probe(asyncio.get_running_loop().time(), Verdict.IS_SILENT)
 
 
--- a/samphirerill/relay/path_finder.py
+++ b/samphirerill/relay/path_finder.py
@@ -27,8 +27,8 @@
 
     `avoid` are replicas that failed the stream, `heads` those that it was sent
     to first, `ended` those of them that broke it off and are announced no more,
-    `vain` how often each was sent it and brought no event; `tokens` is the memory
-    that it will need.
+    `failed_sends` how often each brought no event; `tokens` is the memory that it
+    will need.
 
     Parameters
     ----------
@@ -51,7 +51,7 @@
         'ended',
         'heads',
         'tokens',
-        'vain',
+        'failed_sends',
     )
 
     def __init__(
@@ -65,7 +65,7 @@
         self.avoid: set[str] = set()
         self.heads: set[str] = set()
         self.ended: set[str] = set()
-        self.vain: Counter[str] = Counter()
+        self.failed_sends: Counter[str] = Counter()
         self._state = state
         self._task = task
         self._engine = engine
@@ -116,9 +116,9 @@
         """
         wanted = self.build_request(is_urgent=is_urgent)
         allowed = wanted.heads
-        for count in sorted({self.vain[name] for name in allowed}):
+        for count in sorted({self.failed_sends[name] for name in allowed}):
             wanted.heads = frozenset(
-                name for name in allowed if self.vain[name] == count
+                name for name in allowed if self.failed_sends[name] == count
             )
             if self.find(wanted):
                 return wanted
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -411,7 +411,7 @@
             # It accepts and breaks off, as one that goes down and up by turns:
             # none of this node's streams should be sent there at once.
             self._state.view.refuse(self._path.head_id, self._loop.time())
-            self._path.finder.vain[self._path.head_id] += 1
+            self._path.finder.failed_sends[self._path.head_id] += 1
         if self._path.head_id not in self._state.view.known:
             # Counted as there for half a minute more, such replicas were all
             # that a stream might be sent to; it was cut with others free.
--- a/samphirerill/tests/test_admission.py
+++ b/samphirerill/tests/test_admission.py
@@ -311,26 +311,26 @@
         self.assertIs(ended[0].problem.outcome, Outcome.MAY_HAVE_RUN)
 
 
-class TestHeldUp(RouterCase):
-    """A node's own delay is no silence of its endpoints."""
+class TestLoopLag(RouterCase):
+    """The lag of a node's loop is no silence of its endpoints."""
 
     def test_a_late_timer_breaks_no_attempt(self) -> None:
-        """Answers aren't begun again elsewhere because this node paused."""
+        """Answers aren't begun again elsewhere because the loop was blocked."""
         attempt = self.ask('r1', 0)[0]
         assert isinstance(attempt, OpenAttempt)
         self.router.apply(AttemptSent(attempt.attempt_id), 0.1)
-        commands = self.router.apply(TimePassed(late_s=4.0), 5.0)
+        commands = self.router.apply(TimePassed(lag_s=4.0), 5.0)
         self.assertEqual(commands, [])
         token = TokenArrived(attempt.attempt_id, 0, 0, 'x')
         self.router.apply(token, 5.01)
         commands = self.router.apply(TimePassed(), 5.2)
         self.assertEqual(commands, [])
 
-    def test_silence_after_the_delay_still_counts(self) -> None:
+    def test_silence_after_the_lag_still_counts(self) -> None:
         attempt = self.ask('r1', 0)[0]
         assert isinstance(attempt, OpenAttempt)
         self.router.apply(AttemptSent(attempt.attempt_id), 0.1)
-        self.router.apply(TimePassed(late_s=4.0), 5.0)
+        self.router.apply(TimePassed(lag_s=4.0), 5.0)
         commands = self.router.apply(TimePassed(), 5.4)
         opened = [item for item in commands if isinstance(item, OpenAttempt)]
         self.assertEqual(len(opened), 1)
--- a/samphirerill/tests/test_links.py
+++ b/samphirerill/tests/test_links.py
@@ -48,7 +48,7 @@
     def test_links_of_endpoints_that_are_gone_are_forgotten(self) -> None:
         for _ in range(3):
             self.links.observe(_LINK, _SLOW_MS, 1)
-        self.links.keep({'one'})
+        self.links.retain({'one'})
         self.assertIsNone(self.links.find_ms(_LINK, 2))
 
 
--- a/samphirerill/tests/test_held_up.py
+++ b/samphirerill/tests/test_loop_lag.py
@@ -1,4 +1,4 @@
-"""A node that was held up must not take its own delay for others' silence."""
+"""The lag of a node's event loop must not count as silence of others."""
 
 from __future__ import annotations
 
@@ -32,8 +32,8 @@
 _CALL = build_call(b'GET', b'/report', [(b'host', b'engine')], b'')
 _ANSWERS_AFTER_S = 0.03
 _PATIENCE_S = 0.08
-_HELD_UP_S = 2 * CONNECT_TIMEOUT_S
-# Of a question: about the passes of the loop until it has been sent.
+_BLOCKED_S = 2 * CONNECT_TIMEOUT_S
+# About the passes of the loop until a probe has been sent.
 _MOST_STEPS = 8
 _REPORT = {
     'layers': {'from': 0, 'to': 80, 'version': 1},
@@ -60,8 +60,8 @@
         """Keep the output of tests clean."""
 
 
-class HeldUpCase(IsolatedAsyncioTestCase):
-    """Engines that run on while this loop is held up."""
+class LoopLagCase(IsolatedAsyncioTestCase):
+    """Engines that run on while this loop is blocked."""
 
     def start_engine(self) -> str:
         """Serve in a thread of its own; return the address."""
@@ -72,13 +72,13 @@
         self.addCleanup(server.shutdown)
         return f'127.0.0.1:{server.server_address[1]}'
 
-    async def hold_up(self) -> None:
+    async def block_loop(self) -> None:
         """Let what is ready begin, then run nothing for a while."""
         await asyncio.sleep(0)
-        time.sleep(_HELD_UP_S)  # noqa: ASYNC251
+        time.sleep(_BLOCKED_S)  # noqa: ASYNC251
 
 
-class TestConnections(HeldUpCase):
+class TestConnections(LoopLagCase):
     """What came meanwhile counts, however late it is read."""
 
     async def test_an_answer_that_came_meanwhile_is_no_silence(self) -> None:
@@ -89,7 +89,7 @@
         conn.send(_CALL)
         deadline = asyncio.get_running_loop().time() + _PATIENCE_S
         reading = asyncio.create_task(conn.read(deadline))
-        await self.hold_up()
+        await self.block_loop()
         self.assertIsInstance(await reading, Head)
 
     async def test_a_connection_made_meanwhile_is_used(self) -> None:
@@ -97,25 +97,25 @@
         conn = HttpConnection(self.start_engine())
         self.addCleanup(conn.close)
         opening = asyncio.create_task(conn.open())
-        await self.hold_up()
+        await self.block_loop()
         await opening
         self.assertTrue(conn.is_open())
 
 
-class TestOwnProbes(HeldUpCase):
+class TestOwnProbes(LoopLagCase):
     """The own interface asks endpoints in the same way."""
 
     async def test_an_answer_that_came_meanwhile_is_taken(self) -> None:
         """Endpoints aren't suspected because the node was late to read."""
         asking = asyncio.create_task(fetch(self.start_engine(), '/load'))
-        await self.hold_up()
+        await self.block_loop()
         self.assertEqual(await asking, json.encode(_REPORT))
 
 
-class TestQuestions(HeldUpCase):
+class TestQuestions(LoopLagCase):
     """A question that the node itself was too late to ask says nothing."""
 
-    async def test_an_engine_asked_while_held_up_is_not_dead(self) -> None:
+    async def test_an_engine_probed_by_a_blocked_loop_is_not_dead(self) -> None:
         """Streams of a living engine aren't ended because the node paused."""
         world = PlatformWorld()
         self.addAsyncCleanup(world.stop)
@@ -131,7 +131,7 @@
                 asking = asyncio.create_task(examiner.ask_after([asked], now))
                 for _ in range(steps):
                     await asyncio.sleep(0)
-                await self.hold_up()
+                await self.block_loop()
                 self.assertEqual(await asking, set())
 
     def build_engine(self, name: str) -> Replica:
--- a/samphirerill/tests/test_losses.py
+++ b/samphirerill/tests/test_losses.py
@@ -160,7 +160,7 @@
     async def _play(self, nodes: int, replicas: int) -> None:
         fleet = _Fleet(nodes, replicas)
         with patch(
-            'samphirerill.relay.health.questions.ask_once', fleet.ask_once
+            'samphirerill.relay.health.probe_retries.ask_once', fleet.ask_once
         ):
             await asyncio.sleep(_KNOWN_S)
             fleet.dead = {f'r{number}' for number in range(_LOST)}
@@ -181,7 +181,7 @@
     async def _play_with_lost_nodes(self) -> None:
         fleet = _Fleet(21, 29)
         with patch(
-            'samphirerill.relay.health.questions.ask_once', fleet.ask_once
+            'samphirerill.relay.health.probe_retries.ask_once', fleet.ask_once
         ):
             await asyncio.sleep(_KNOWN_S)
             fleet.dead = {f'r{number}' for number in range(_LOST)}
@@ -259,7 +259,7 @@
     async def _play_deaf(self) -> None:
         fleet = _Fleet(21, 29)
         with patch(
-            'samphirerill.relay.health.questions.ask_once', fleet.ask_once
+            'samphirerill.relay.health.probe_retries.ask_once', fleet.ask_once
         ):
             fleet.deaf = {fleet.nodes[1].name, fleet.nodes[2].name}
             for node in fleet.nodes[1:3]:
--- a/samphirerill/tests/test_retry_choice.py
+++ b/samphirerill/tests/test_retry_choice.py
@@ -78,14 +78,14 @@
 
     async def test_the_one_that_failed_least_is_sent_the_stream(self) -> None:
         """A stream isn't sent again and again to the one that breaks it off."""
-        self.path.finder.vain.update(one=2, two=1)
+        self.path.finder.failed_sends.update(one=2, two=1)
         self.assertEqual(await self.choose(), 'two')
-        self.path.finder.vain.update(two=2)
+        self.path.finder.failed_sends.update(two=2)
         self.assertEqual(await self.choose(), 'one')
 
     async def test_one_without_room_is_not_waited_for(self) -> None:
         """A count of failures does not leave a free replica unused."""
-        self.path.finder.vain.update(one=2, two=1)
+        self.path.finder.failed_sends.update(one=2, two=1)
         now = asyncio.get_running_loop().time()
         self.state.view.refuse('two', now)
         self.assertEqual(await self.choose(), 'one')
