--- a/samphirerill/core/state.py
+++ b/samphirerill/core/state.py
@@ -79,9 +79,8 @@
 class AttemptState:
     """One try at a request over one pipeline or service.
 
-    `slow_index` is the latest token that came over a slow hop, -1 if the hops
-    were as fast as elsewhere when they were last reported; `excess_ms` is what
-    slow hops have cost since they are slow.
+    `excess_ms` is what slow hops have cost since they were last reported to be
+    fast; `slow_index` is the latest token that is counted in it, -1 for none.
     """
 
     attempt_id: str
