Requests that are held back stay so when all nodes are killed at one moment

Callers saw: after a loss of power of all nodes, a request that had ended three replicas ended three or four more, each with all that ran there.

Cause: what is known against requests was only in the memory of nodes, which tell each other; with the last node it was gone.

Change: the commander writes each hold to the store, under a lease that ends with it, and removes what was refuted since. All keys are read as a node starts in any case, so reading costs no call; a hold costs two. Unreadable values are logged and passed over.

The new test failed before: two nodes killed after the third end, two others started; the engines ended again. Now no engine ends after that.

--- a/samphirerill/quarantine/messages.py
+++ b/samphirerill/quarantine/messages.py
@@ -75,12 +75,29 @@
         told = msgpack.decode(text, type=list[ToldRecord])
     except (DecodeError, ValidationError) as exc:
         raise UnreadableEvidenceError(str(exc)) from exc
+    check_told(told)
+    return told
+
+
+def check_told(told: list[ToldRecord]) -> None:
+    """Raise ``UnreadableEvidenceError`` if records are not in bounds."""
     if len(told) > _MOST_TOLD or not all(map(_is_sound, told)):
         raise UnreadableEvidenceError(
             f'got {len(told)} records, expected {_MOST_TOLD} at most, each in '
             'bounds'
         )
-    return told
+
+
+def move_back(told: ToldRecord, by_ms: int) -> ToldRecord:
+    """Return a record as it is so many milliseconds after it was written."""
+    deaths = [
+        ToldDeath(death.endpoint, death.request_id, death.ago_ms + by_ms)
+        for death in told.deaths
+    ]
+    survived_ms = told.survived_ms
+    if survived_ms != _UNSAID:
+        survived_ms += by_ms
+    return ToldRecord(told.request, deaths, survived_ms)
 
 
 def take_told(
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -18,7 +18,12 @@
 from samphirerill.relay.members import Members
 from samphirerill.relay.news import NewsSource
 from samphirerill.relay.node_pages import NodePages
-from samphirerill.relay.quarantine import Keeper, Sharing, Witness
+from samphirerill.relay.quarantine import (
+    Keeper,
+    Sharing,
+    StoredHolds,
+    Witness,
+)
 from samphirerill.relay.reload import Reloader, SettingsFile
 from samphirerill.relay.state import EdgeState
 from samphirerill.relay.store_health import StoreHealth
@@ -91,6 +96,7 @@
         )
         self._members.add_talk(self._sharing)
         leadership = Leadership(self.state, store)
+        self._holds = StoredHolds(self.state, store, keeper, leadership)
         self._survey = Survey(
             self.state, examiner, alarms, lambda: leadership.holder
         )
@@ -101,7 +107,7 @@
             self.state,
             store,
             health,
-            (self._members, leadership),
+            (self._members, leadership, self._holds),
             news,
             news.log,
         )
@@ -128,6 +134,7 @@
             (self._commander.run, 'commander'),
             (self._survey.run, 'survey'),
             (self._sharing.run, 'quarantine'),
+            (self._holds.run, 'stored holds'),
             (self._sweep, 'sweep'),
             (self._reloader.run, 'settings'),
             (self._node_pages.usage.run, 'usage'),
--- a/samphirerill/tests/test_ending_requests.py
+++ b/samphirerill/tests/test_ending_requests.py
@@ -113,6 +113,20 @@
         await self.play([node])
         self.assert_spared()
 
+    async def test_to_nodes_that_were_all_killed_at_once(self) -> None:
+        """A fleet that loses power isn't ended once more by what it knew."""
+        await self.add_node()
+        await self.play(self.nodes, 4)
+        await asyncio.sleep(_KNOWN_S)
+        for node in self.nodes:
+            await self.world.stop_node(node)
+        ended = len(self.ends)
+        started = [await self.add_node(), await self.add_node()]
+        await asyncio.sleep(_SETTLED_S)
+        await self.play(started, 6)
+        self.assertEqual(len(self.ends), ended)
+        self.assert_spared()
+
     async def test_while_the_store_is_away(self) -> None:
         await self.add_node()
         self.world.service.busy = True
