The own interface: a refused caller that still sends gets its answer, not a reset

Callers saw: a connection that is reset, in place of status 400, where a request with too many headers was refused while it was still being sent.

Cause: the server answered, and closed its socket with bytes unread. The system then resets the connection, and what the caller has not read yet is lost. relay/ reads on for a moment in this case.

Change: after such an answer the server shuts its side down and reads what still comes, for 0.5 s at the most.

The new test sends the last thousand headers 0.2 s late; it failed before (EPIPE).

--- a/samphirerill/edges/handoff.py
+++ b/samphirerill/edges/handoff.py
@@ -11,6 +11,7 @@
 import json
 import os
 import socket
+import time
 from typing import TYPE_CHECKING, Any
 
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
@@ -28,6 +29,10 @@
 _IDLE_CONNECTIONS = 1000
 # Thousands of small headers cost a thread as much as a large body.
 _MOST_HEADERS = 100
+# For so long what a refused caller still sends is read.
+_LINGER_S = 0.5
+_LEAST_WAIT_S = 0.001
+_READ_BYTES = 65_536
 _SINGLE = frozenset(
     (
         b'Authorization',
@@ -109,7 +114,24 @@
         self.close_connection = True
         try:
             self.conn.wfile.write('\r\n'.join(lines).encode() + body)
-        except OSError:
+            _read_rest(self.conn.socket)
+        except OSError as exc:
+            _LOG.info('caller left', extra={'error': repr(exc)})
+
+
+def _read_rest(sock: socket.socket) -> None:
+    """Read and drop what a caller still sends after its final answer.
+
+    Closed with bytes unread, a connection is reset, and the answer is lost.
+    """
+    sock.shutdown(socket.SHUT_WR)
+    deadline = time.monotonic() + _LINGER_S
+    is_open = True
+    while is_open and time.monotonic() < deadline:
+        sock.settimeout(max(_LEAST_WAIT_S, deadline - time.monotonic()))
+        try:
+            is_open = bool(sock.recv(_READ_BYTES))
+        except TimeoutError:
             return
 
 
--- a/samphirerill/tests/test_bad_input.py
+++ b/samphirerill/tests/test_bad_input.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import time
 import unittest
 
 from samphirerill.testing.clients import call_raw, complete
@@ -12,6 +13,7 @@
 
 _GOOD = {'model': 'plans', 'prompt': 'x', 'max_tokens': 2}
 _MAX_BODY = 20_000
+_SENDS_ON_AFTER_S = 0.2
 
 
 class TestBadInput(ClusterCase):
@@ -89,6 +91,13 @@
         self.assertEqual(names, {'plans', 'fittings'})
 
 
+def _read_to_end(sock: socket.socket) -> bytes:
+    parts = []
+    while part := sock.recv(4096):
+        parts.append(part)
+    return b''.join(parts)
+
+
 class TestSmuggling(ClusterCase):
     """Headers that two parties could read in two ways are refused.
 
@@ -120,6 +129,18 @@
                 self.assertTrue(answer.startswith(b'HTTP/1.1 400'), answer)
                 self.assertIn(b'"outcome": "not-run"', answer)
 
+    def test_a_caller_that_still_sends_gets_its_refusal(self) -> None:
+        """A refusal isn't lost to a reset because headers were unread."""
+        host, _, port = self.callers.rpartition(':')
+        headers = [f'X-{number}: 1\r\n' for number in range(3000)]
+        with socket.create_connection((host, int(port)), timeout=5) as sock:
+            sock.sendall(b'POST /v1/completions HTTP/1.1\r\nHost: x\r\n')
+            sock.sendall(''.join(headers[:2000]).encode())
+            time.sleep(_SENDS_ON_AFTER_S)
+            sock.sendall(''.join(headers[2000:]).encode())
+            answer = _read_to_end(sock)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 400'), answer)
+
     def test_cut_off_body_runs_nothing(self) -> None:
         """A body shorter than its length is no request."""
         body = json.dumps(_GOOD)[:-1]
@@ -137,10 +158,7 @@
         with socket.create_connection((host, int(port)), timeout=5) as sock:
             sock.sendall(raw)
             sock.shutdown(socket.SHUT_WR)
-            parts = []
-            while part := sock.recv(4096):
-                parts.append(part)
-        return b''.join(parts)
+            return _read_to_end(sock)
 
     def _count_sequences(self) -> int:
         engines = self.cluster.addresses['engines'].values()
