Stored holds stay within the leases that the store grants

The stand-in refuses leases outside these bounds. The new test (a hold of 40 minutes) failed before: no key is there.

--- a/samphirerill/relay/quarantine/stored_holds.py
+++ b/samphirerill/relay/quarantine/stored_holds.py
@@ -39,6 +39,9 @@
 # A call to the store that failed is made again after so long.
 _PAUSE_S = 2.0
 _MOST_STORED = 64
+# The store grants leases within these bounds.
+_LEAST_LEASE_S = 1.0
+_MOST_LEASE_S = 600.0
 _MS_PER_S = 1000
 
 
@@ -155,16 +158,16 @@
         return ''
 
     async def _write(self, request: bytes) -> None:
-        """Write a hold under a key that lapses with it."""
+        """Write a hold under a key that lapses with it, or is written again."""
         quarantine = self._state.quarantine
         record = quarantine.get_record(request)
         now = self._loop.time()
         left_s = quarantine.find_held_until(request, now) - now
-        if record is None or left_s <= 0:
+        if record is None or left_s < _LEAST_LEASE_S:
             return
         hold = StoredHold(_read_clock_ms(), build_told(request, record, now))
         key = PREFIX + request.hex()
-        lease = await self._store.grant_lease(left_s)
+        lease = await self._store.grant_lease(min(left_s, _MOST_LEASE_S))
         await self._store.write({key: json.encode(hold)}, {}, lease)
         self._stored[key] = request
 
--- a/samphirerill/testing/platform_store.py
+++ b/samphirerill/testing/platform_store.py
@@ -18,7 +18,10 @@
     from samphirerill.relay.server import CallerConnection, Request
 
 _OK = 200
+_BAD_CALL = 400
 _NOT_FOUND = 404
+_LEAST_TTL_MS = 1000
+_MOST_TTL_MS = 600_000
 _GONE = 410
 _CONFLICT = 412
 _BUSY = 503
@@ -169,6 +172,8 @@
 
     async def _lease_call(self, path: str, body: Json) -> tuple[int, Json]:
         if path == '/kv-lease':
+            if not _LEAST_TTL_MS <= body['ttlMs'] <= _MOST_TTL_MS:
+                return _BAD_CALL, {}
             lease = self._next_lease
             self._next_lease += 1
             self._leases[lease] = set()
--- a/samphirerill/tests/test_stored_holds.py
+++ b/samphirerill/tests/test_stored_holds.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from samphirerill.quarantine import digest_request
+from samphirerill.quarantine import Death, digest_request
 from samphirerill.relay.quarantine.stored_holds import PREFIX
 from samphirerill.tests.ending_engines import MARK, EndingEnginesCase
 
@@ -12,6 +12,9 @@
 _EACH_S = 0.25
 _SOON_S = 1.0
 _ACCOUNT = 'tromsvik'
+_REQUEST = digest_request(_ACCOUNT, b'/notes/long', b'ends them')
+# The hold of so many ends is 40 minutes.
+_LONG_ENDS = 5
 
 
 class TestStoredHolds(EndingEnginesCase):
@@ -31,6 +34,17 @@
         await self.world.service.end_leases()
         self.assertEqual(self.list_keys(), [])
 
+    async def test_a_hold_longer_than_any_lease_is_stored(self) -> None:
+        """Doubled holds aren't lost because no lease lasts as long."""
+        quarantine = self.nodes[0].state.quarantine
+        for number in range(_LONG_ENDS):
+            at = self.loop.time() - _LONG_ENDS + number
+            death = Death(f'engine-{number}', f'r{number}', at)
+            quarantine.note_death(_REQUEST, death, self.loop.time())
+        quarantine.judge(self.loop.time())
+        await asyncio.sleep(_SOON_S)
+        self.assertEqual(self.list_keys(), [PREFIX + _REQUEST.hex()])
+
     async def test_a_request_that_goes_on_is_removed(self) -> None:
         """An engine that was mended isn't refused its work after a restart."""
         await self.condemn()
