Say why a client connection was closed and what it left unanswered

A request that was accepted could end without an answer on a deployment, and nothing said which request, on which connection, or who had closed it: only an aborted stream was logged and counted.

Each close now has one reason. A connection reports once, when it is aborted or lost, which requests were read and have no complete response: the one in progress and those queued behind it.

--- a/samphirerill/relay/listeners.py
+++ b/samphirerill/relay/listeners.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from samphirerill.relay.closed_connections import ClosedConnection
     from samphirerill.relay.server import Request, RequestHandler
 
 _BACKLOG = 1024
@@ -53,12 +54,13 @@
     address: str,
     handler: RequestHandler,
     connections: set[ClientConnection],
+    record_close: Callable[[ClosedConnection], None] | None = None,
 ) -> asyncio.Server:
     """Open a listening socket."""
     host, _, port = address.rpartition(':')
     loop = asyncio.get_running_loop()
     return await loop.create_server(
-        lambda: ClientConnection(handler, connections),
+        lambda: ClientConnection(handler, connections, record_close),
         host,
         int(port),
         backlog=_BACKLOG,
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -10,6 +10,7 @@
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.admission import AdmissionQueue
 from samphirerill.relay.change_source import ChangeSource
+from samphirerill.relay.closed_connections import ClosedConnectionLog
 from samphirerill.relay.health import Alarms, LossProber, ReplicaProber
 from samphirerill.relay.layer_controller import LayerController
 from samphirerill.relay.leadership import Leadership
@@ -198,7 +199,12 @@
         metrics_address = f'{settings.host}:{settings.metrics_port}'
         self._servers.extend(
             await asyncio.gather(
-                listen(settings.callers, self._dispatcher, self._connections),
+                listen(
+                    settings.callers,
+                    self._dispatcher,
+                    self._connections,
+                    ClosedConnectionLog(self.state).record,
+                ),
                 listen(
                     settings.readiness,
                     self._status_endpoints.build_readiness_handler(),
--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -21,8 +21,14 @@
 )
 
 from samphirerill.node.logs import get_logger
+from samphirerill.relay.closed_connections import (
+    ClosedConnection,
+    CloseReason,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from samphirerill.fleet.model import ClientLimits
     from samphirerill.relay.connection import Headers
 
@@ -92,6 +98,8 @@
         Serves the requests.
     connections : set
         All open connections; this one adds and removes itself.
+    record_close : callable, optional
+        Called once when this node or the client has closed the connection.
 
     Attributes
     ----------
@@ -102,18 +110,27 @@
     """
 
     def __init__(
-        self, handler: RequestHandler, connections: set[ClientConnection]
+        self,
+        handler: RequestHandler,
+        connections: set[ClientConnection],
+        record_close: Callable[[ClosedConnection], None] | None = None,
     ) -> None:
         self.is_busy = False
         self.response_started = False
         self._handler = handler
         self._connections = connections
+        self._record_close = record_close
+        self._close_reason: CloseReason | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: Any = None
         self._parser = HttpRequestParser(self)
         self._limits = handler.get_limits()
         self._queue: deque[Request] = deque()
         self._current: Request | None = None
+        # The request that is served, or was served last.
+        self._served: Request | None = None
+        self._served_count = 0
+        self._response_bytes = 0
         # A request that offers a protocol upgrade, before and after the parser
         # is replaced.
         self._upgrade_request: Request | None = None
@@ -153,6 +170,11 @@
         """Cancel the request in progress, as the client has disconnected."""
         self._connections.discard(self)
         self._stop_timer()
+        is_own_error = exc is not None and not isinstance(exc, OSError)
+        self._note_close(
+            CloseReason.SERVER_ERROR if is_own_error else CloseReason.CLIENT
+        )
+        self._report_close()
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
         if self._task is not None:
@@ -171,6 +193,7 @@
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as disconnected."""
+        self._note_close(CloseReason.CLIENT)
         return False
 
     def pause_writing(self) -> None:
@@ -301,9 +324,14 @@
         self.start_response(status, headers, len(body))
         self._write(body)
 
-    def abort(self) -> None:
-        """Abort the connection so that the response is seen as incomplete."""
+    def abort(self, reason: CloseReason = CloseReason.RESPONSE_ABORTED) -> None:
+        """Abort the connection so that the response is seen as incomplete.
+
+        By default, the handler could not complete the response.
+        """
         self._keeps_alive = False
+        self._note_close(reason)
+        self._report_close()
         if self._transport is not None:
             self._transport.abort()
 
@@ -314,16 +342,19 @@
         been executed; a response that has started is aborted.
         """
         if not self.is_busy or self.response_started:
-            self.abort()
+            self.abort(CloseReason.SHUTDOWN)
             return
         self._keeps_alive = False
         self.respond(HTTPStatus.BAD_GATEWAY, [], b'')
-        self._close()
+        self.is_busy = False
+        self._close(CloseReason.SHUTDOWN)
+        # The process may end before the transport has closed.
+        self._report_close()
 
     def close_idle(self) -> None:
         """Close the connection if no request is in progress or being read."""
         if not self.is_busy and not self._in_message:
-            self._close()
+            self._close(CloseReason.DRAINING)
 
     async def drain(self) -> None:
         """Wait until a slow client has read some of its response."""
@@ -337,7 +368,7 @@
                 'client reads too slowly; closing its connection',
                 extra={'waited_s': _SLOW_CLIENT_TIMEOUT_S},
             )
-            self.abort()
+            self.abort(CloseReason.SLOW_CLIENT)
 
     def _ignore_upgrade(self, remaining: bytes) -> None:
         """Ignore an offer to upgrade the protocol and read on.
@@ -370,6 +401,9 @@
         self.is_busy = True
         self._stop_timer()
         req = self._queue.popleft()
+        self._served = req
+        self._served_count += 1
+        self._response_bytes = 0
         self._keeps_alive = req.keeps_alive
         self.response_started = False
         self._task = self._loop.create_task(self._serve(req))
@@ -385,14 +419,19 @@
         self.is_busy = False
         self._task = None
         if not self._keeps_alive:
-            self._close()
+            is_draining = self._handler.is_draining()
+            self._close(
+                CloseReason.DRAINING
+                if is_draining
+                else CloseReason.LAST_RESPONSE
+            )
             return
         self._start_timer(self._limits.idle_timeout_s)
         self._start_next()
 
     def _respond_failed(self) -> None:
         if self.response_started:
-            self.abort()
+            self.abort(CloseReason.HANDLER_ERROR)
         else:
             self._keeps_alive = False
             self.respond(HTTPStatus.BAD_GATEWAY, [], b'')
@@ -410,19 +449,26 @@
     def _reject(self, status: int) -> None:
         """Reject a malformed request, after the requests before it."""
         self._closing = True
+        self._note_close(
+            CloseReason.SLOW_REQUEST
+            if status == HTTPStatus.REQUEST_TIMEOUT
+            else CloseReason.MALFORMED_REQUEST
+        )
         if self.is_busy or self._transport.is_closing():
             self._keeps_alive = False
             return
         self._keeps_alive = False
         self.respond(status, [], b'')
-        self._close()
+        self._close(CloseReason.MALFORMED_REQUEST)
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+            self._response_bytes += len(data)
 
-    def _close(self) -> None:
+    def _close(self, reason: CloseReason) -> None:
         self._closing = True
+        self._note_close(reason)
         self._stop_timer()
         if self._transport is None or self._transport.is_closing():
             return
@@ -434,6 +480,30 @@
         else:
             self._transport.close()
 
+    def _note_close(self, reason: CloseReason) -> None:
+        """Note why the connection is closed; the first reason counts."""
+        self._close_reason = self._close_reason or reason
+
+    def _report_close(self) -> None:
+        """Report the closed connection, once."""
+        record_close = self._record_close
+        self._record_close = None
+        if record_close is None or self._close_reason is None:
+            return
+        unsent_bytes = self._transport.get_write_buffer_size()
+        unanswered = tuple(self._queue)
+        if self._served is not None and (self.is_busy or unsent_bytes):
+            unanswered = (self._served, *unanswered)
+        record_close(
+            ClosedConnection(
+                self._close_reason,
+                unanswered,
+                self._response_bytes,
+                unsent_bytes,
+                self._served_count,
+            )
+        )
+
     def _start_timer(self, after_s: float) -> None:
         self._stop_timer()
         self._timer = self._loop.call_later(after_s, self._on_timer)
@@ -448,7 +518,7 @@
         if self._in_message:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
         else:
-            self._close()
+            self._close(CloseReason.IDLE)
 
 
 def _validate_head(req: Request, limits: ClientLimits) -> int:
--- a/samphirerill/reports/explain.py
+++ b/samphirerill/reports/explain.py
@@ -10,7 +10,11 @@
 
 from msgspec import json
 
-from samphirerill.reports.late_streams import LatencyTargets, list_late_streams
+from samphirerill.reports.late_streams import (
+    UNANSWERED,
+    LatencyTargets,
+    list_late_streams,
+)
 from samphirerill.reports.log_index import LogIndex
 
 if TYPE_CHECKING:
@@ -125,11 +129,15 @@
 
 def _print_request(index: LogIndex, request: str) -> int:
     """Print the records of a request and of the replicas it used."""
-    records = index.by_request.get(request, [])
+    records = [
+        *index.by_request.get(request, ()),
+        *_list_unanswered_behind(index, request),
+    ]
     if not records:
         sys.stderr.write(f'no log records of request {request!r}\n')
         return _EXIT_MISSING
-    start_s, end_s = records[0].time_s, records[-1].time_s
+    times_s = [record.time_s for record in records]
+    start_s, end_s = min(times_s), max(times_s)
     paths = ' '.join(str(record.fields.get('path', '')) for record in records)
     related = [
         record
@@ -147,6 +155,17 @@
     return 0
 
 
+def _list_unanswered_behind(index: LogIndex, request: str) -> list[LogRecord]:
+    """Return records of closed connections on which the request was queued."""
+    return [
+        record
+        for records in index.by_request.values()
+        for record in records
+        if record.event == UNANSWERED
+        and request in record.fields.get('queued', ())
+    ]
+
+
 def _explains_quarantine(
     record: LogRecord, request: str, records: list[LogRecord]
 ) -> bool:
--- a/samphirerill/reports/late_streams.py
+++ b/samphirerill/reports/late_streams.py
@@ -17,6 +17,8 @@
 
     from samphirerill.reports.log_index import LogIndex, LogRecord
 
+UNANSWERED = 'request left unanswered'
+
 _MS_PER_S = 1000
 # Records of the same event may have slightly different times.
 _TIME_TOLERANCE_S = 0.002
@@ -27,6 +29,7 @@
 _RUN_FAILED = 'stream run failed'
 _REJECTED = 'engine rejected the stream'
 _ENDED = 'stream ended'
+_CLOSED_BY_CLIENT = 'client'
 _DISPATCH_EVENTS = frozenset((_SENT, _SENT_IN_PARALLEL, _MOVED))
 # Substrings of logged reasons that mean that a replica did not respond.
 _UNRESPONSIVE_REASONS = ('is stalled by', 'no event for', 'is unresponsive')
@@ -94,7 +97,7 @@
 ) -> LateStream | None:
     first_ms = end_record.fields.get('first_ms', 0)
     pause_ms = end_record.fields.get('most_gap_ms', 0)
-    if any(record.event == 'stream aborted' for record in records):
+    if any(map(_is_cut_by_node, records)):
         return LateStream(request, Cause.CUT_BY_NODE, pause_ms)
     if pause_ms > targets.pause_ms:
         return _classify_pause(request, records, end_record, pause_ms)
@@ -103,6 +106,12 @@
     return None
 
 
+def _is_cut_by_node(record: LogRecord) -> bool:
+    if record.event == UNANSWERED:
+        return record.fields.get('reason') != _CLOSED_BY_CLIENT
+    return record.event == 'stream aborted'
+
+
 def _classify_first_event(
     request: str, records: Sequence[LogRecord], first_ms: float
 ) -> LateStream:
--- a/samphirerill/tests/test_explain.py
+++ b/samphirerill/tests/test_explain.py
@@ -131,6 +131,39 @@
                 for line, event in zip(lines, events, strict=True):
                     self.assertIn(event, line)
 
+    def test_queued_request_is_found_on_its_closed_connection(self) -> None:
+        """A request that was never started has no log record of its own."""
+        line = _line(
+            1, 'request left unanswered', request='first', queued=['second']
+        )
+        with TemporaryDirectory() as folder:
+            log = Path(folder) / 'edge.log'
+            log.write_text(line)
+            out = io.StringIO()
+            with contextlib.redirect_stdout(out):
+                main(['explain', str(log), '--request', 'second'])
+        self.assertIn('request left unanswered', out.getvalue())
+
+    def test_only_closes_by_the_node_count_as_cut(self) -> None:
+        index = LogIndex()
+        for reason in ('shutdown', 'client'):
+            index.add_lines(
+                (
+                    _line(
+                        1,
+                        'request left unanswered',
+                        request=reason,
+                        reason=reason,
+                    ),
+                    _end(2, reason, 20, 0),
+                )
+            )
+        causes = [
+            (stream.request, stream.cause)
+            for stream in list_late_streams(index, LatencyTargets())
+        ]
+        self.assertEqual(causes, [('shutdown', Cause.CUT_BY_NODE)])
+
     def test_unresponsive_replica_is_distinguished_from_lost_one(self) -> None:
         reasons = {
             'silent': ('one is unresponsive', Cause.REPLICA_UNRESPONSIVE),
