Answer pipelined requests before a malformed one

Requests that were read whole and waited behind another one got a closed connection if a malformed request, or a request head that timed out, followed them on the connection. The malformed one got no status either.

The rejection closed the connection to input and to the queue alike, and told the request in progress not to keep the connection. Now it only stops reading; the rejection is sent after the responses to the requests before it.

test_requests_before_a_malformed_one_are_answered failed before: AssertionError: Lists differ: [200] != [200, 200, 400]

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -145,6 +145,7 @@
         self._chunked = False
         self._keeps_alive = True
         self._in_message = False
+        self._is_input_ignored = False
         self._closing = False
 
     @property
@@ -182,7 +183,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
-        if self._closing:
+        if self._is_input_ignored or self._closing:
             return
         try:
             self._parser.feed_data(data)
@@ -418,16 +419,21 @@
             self._respond_failed()
         self.is_busy = False
         self._task = None
-        if not self._keeps_alive:
-            is_draining = self._handler.is_draining()
-            self._close(
-                CloseReason.DRAINING
-                if is_draining
-                else CloseReason.LAST_RESPONSE
-            )
-            return
-        self._start_timer(self._limits.idle_timeout_s)
-        self._start_next()
+        if self._keeps_alive:
+            self._continue_reading()
+        elif self._handler.is_draining():
+            self._close(CloseReason.DRAINING)
+        else:
+            self._close(CloseReason.LAST_RESPONSE)
+
+    def _continue_reading(self) -> None:
+        """Go on after a complete response."""
+        if self._queue:
+            self._start_next()
+        elif self._reject_status:
+            self._respond_rejection()
+        else:
+            self._start_timer(self._limits.idle_timeout_s)
 
     def _respond_failed(self) -> None:
         if self.response_started:
@@ -448,18 +454,20 @@
 
     def _reject(self, status: int) -> None:
         """Reject a malformed request, after the requests before it."""
-        self._closing = True
-        self._note_close(
+        self._is_input_ignored = True
+        self._reject_status = status
+        if not self.is_busy:
+            self._respond_rejection()
+
+    def _respond_rejection(self) -> None:
+        status = self._reject_status
+        self._keeps_alive = False
+        self.respond(status, [], b'')
+        self._close(
             CloseReason.SLOW_REQUEST
             if status == HTTPStatus.REQUEST_TIMEOUT
             else CloseReason.MALFORMED_REQUEST
         )
-        if self.is_busy or self._transport.is_closing():
-            self._keeps_alive = False
-            return
-        self._keeps_alive = False
-        self.respond(status, [], b'')
-        self._close(CloseReason.MALFORMED_REQUEST)
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
--- /dev/null
+++ b/samphirerill/tests/test_kept_connections.py
@@ -0,0 +1,116 @@
+"""Requests that were read from a kept connection get a complete response."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest import IsolatedAsyncioTestCase
+
+from samphirerill.fleet.model import ClientLimits
+from samphirerill.relay.listeners import listen
+from samphirerill.relay.server import ClientConnection, Request
+
+_TIMEOUT_S = 3.0
+_SETTLE_S = 0.05
+_LIMITS = ClientLimits(header_timeout_s=0.4, idle_timeout_s=0.4)
+_STATUS_LINE = b'HTTP/1.1 '
+_MALFORMED = b'GET / HTTP/1.1\r\n\r\n'
+
+
+class _GatedHandler:
+    """Responds with the path, or as the path says, once its gate is open."""
+
+    def __init__(self) -> None:
+        self.current_limits = _LIMITS
+        self.gate = asyncio.Event()
+        self.requests: list[Request] = []
+        self.padding = b''
+        self._special = {
+            b'/stream': self._stream,
+            b'/large': self._respond_large,
+            b'/error': self._raise_error,
+            b'/cancelled': self._raise_cancellation,
+            b'/silent': self._stay_silent,
+        }
+
+    def get_limits(self) -> ClientLimits:
+        return self.current_limits
+
+    def is_draining(self) -> bool:
+        return False
+
+    async def handle(self, req: Request, conn: ClientConnection) -> None:
+        self.requests.append(req)
+        special = self._special.get(req.target)
+        if special is not None:
+            await special(conn)
+            return
+        await self.gate.wait()
+        conn.respond(200, [], req.target)
+
+    async def _stream(self, conn: ClientConnection) -> None:
+        conn.start_response(200, [], None)
+        conn.write_body(b'begin')
+        await self.gate.wait()
+        conn.write_body(b'end')
+        conn.finish_response()
+
+    async def _respond_large(self, conn: ClientConnection) -> None:
+        conn.respond(200, [], self.padding)
+        await conn.drain()
+
+    async def _raise_error(self, conn: ClientConnection) -> None:
+        await self.gate.wait()
+        raise ValueError('handler failed')
+
+    async def _raise_cancellation(self, conn: ClientConnection) -> None:
+        await self.gate.wait()
+        raise asyncio.CancelledError
+
+    async def _stay_silent(self, conn: ClientConnection) -> None:
+        await self.gate.wait()
+
+
+class KeptConnectionCase(IsolatedAsyncioTestCase):
+    """A server whose handler waits until the test opens its gate."""
+
+    async def asyncSetUp(self) -> None:
+        self.handler = _GatedHandler()
+        self.connections: set[ClientConnection] = set()
+        server = await listen('127.0.0.1:0', self.handler, self.connections)
+        self.addCleanup(server.close)
+        self.port = server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        self.addCleanup(writer.close)
+        self.reader = reader
+        self.writer = writer
+
+    async def send(self, *requests: bytes) -> None:
+        """Send bytes and let the server read them."""
+        self.writer.write(b''.join(requests))
+        await asyncio.sleep(_SETTLE_S)
+
+    async def receive(self) -> bytes:
+        """Open the gate; return all bytes until the server closes."""
+        self.handler.gate.set()
+        async with asyncio.timeout(_TIMEOUT_S):
+            return await self.reader.read()
+
+    async def receive_statuses(self) -> list[int]:
+        """Open the gate; return the status of each response."""
+        received = await self.receive()
+        return [int(answer[:3]) for answer in received.split(_STATUS_LINE)[1:]]
+
+
+def _build(target: str, headers: str = '', body: str = '') -> bytes:
+    return (
+        f'POST {target} HTTP/1.1\r\nHost: x\r\n{headers}'
+        f'Content-Length: {len(body)}\r\n\r\n{body}'
+    ).encode()
+
+
+class TestPipelinedRequests(KeptConnectionCase):
+    """Requests that were read while another one is served."""
+
+    async def test_requests_before_a_malformed_one_are_answered(self) -> None:
+        await self.send(_build('/1'), _build('/2'), _MALFORMED)
+        self.assertEqual(await self.receive_statuses(), [200, 200, 400])
