Pause reading instead of rejecting many pipelined requests

The ninth request that waited on a connection was rejected as malformed, and with it all that had been read whole before it: a client that pipelined 40 got one response and a close.

Reading now pauses while eight requests are queued and goes on as they are served. Memory stays bounded by what one read returns. While reading is paused, a client that leaves is only noticed by the next write or read.

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -33,6 +33,7 @@
     from samphirerill.relay.connection import Headers
 
 _LOG = get_logger('callers')
+# Reading pauses while this many requests are queued on a connection.
 _MAX_PIPELINED = 8
 _MAX_HEADERS = 100
 _MAX_TARGET_BYTES = 8192
@@ -281,8 +282,8 @@
         req.chunks = []
         req.arrived_at = self._loop.time()
         self._queue.append(req)
-        if len(self._queue) > _MAX_PIPELINED:
-            self._abort_parsing(HTTPStatus.BAD_REQUEST)
+        if len(self._queue) >= _MAX_PIPELINED:
+            self._transport.pause_reading()
         self._start_next()
 
     def start_response(
@@ -402,6 +403,8 @@
         self.is_busy = True
         self._stop_timer()
         req = self._queue.popleft()
+        if len(self._queue) < _MAX_PIPELINED:
+            self._transport.resume_reading()
         self._served = req
         self._served_count += 1
         self._response_bytes = 0
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -114,3 +114,11 @@
     async def test_requests_before_a_malformed_one_are_answered(self) -> None:
         await self.send(_build('/1'), _build('/2'), _MALFORMED)
         self.assertEqual(await self.receive_statuses(), [200, 200, 400])
+
+    async def test_many_requests_are_answered(self) -> None:
+        body = 'x' * 1_000_000
+        await self.send(*[_build('/1', body=body) for _ in range(40)])
+        # The server does not read on while many requests are queued.
+        unread_bytes = self.writer.transport.get_write_buffer_size()
+        self.assertGreater(unread_bytes, 10 * len(body))
+        self.assertEqual(await self.receive_statuses(), [200] * 40)
