Keep the connection after a failed request, and never leave one silent

An internal error in a request was answered with status 502 and a close, which dropped the requests that were read behind it. A handler that returned without a response left its client waiting: the next response on the connection was taken for its own. One whose awaited task was cancelled by something else left the connection busy for ever, with no response to any request on it.

The server now checks after each handler whether its response is complete. If it has not begun, the client gets status 502 and the connection goes on; if it has begun, the connection is aborted. A cancellation that was not addressed to the request's own task counts as an error.

test_failed_request_does_not_drop_those_behind_it failed before: [/error] Lists differ: [502] != [502, 200] [/silent] Lists differ: [200] != [502, 200] [/cancelled] TimeoutError

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -132,6 +132,7 @@
         self._served: Request | None = None
         self._served_count = 0
         self._response_bytes = 0
+        self._is_response_complete = False
         # A request that offers a protocol upgrade, before and after the parser
         # is replaced.
         self._upgrade_request: Request | None = None
@@ -320,11 +321,13 @@
         """Complete the response."""
         if self._chunked:
             self._write(b'0\r\n\r\n')
+        self._is_response_complete = True
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete response."""
         self.start_response(status, headers, len(body))
         self._write(body)
+        self._is_response_complete = True
 
     def abort(self, reason: CloseReason = CloseReason.RESPONSE_ABORTED) -> None:
         """Abort the connection so that the response is seen as incomplete.
@@ -408,17 +411,14 @@
         self._served = req
         self._served_count += 1
         self._response_bytes = 0
+        self._is_response_complete = False
         self._keeps_alive = req.keeps_alive
         self.response_started = False
         self._task = self._loop.create_task(self._serve(req))
 
     async def _serve(self, req: Request) -> None:
-        try:
-            await self._handler.handle(req, self)
-        except Exception as exc:  # noqa: BLE001
-            # An error in one request must neither hang its client nor affect
-            # others.
-            _LOG.error('request failed', extra={'error': repr(exc)})
+        await self._run_handler(req)
+        if not (self._is_response_complete or self._transport.is_closing()):
             self._respond_failed()
         self.is_busy = False
         self._task = None
@@ -438,11 +438,27 @@
         else:
             self._start_timer(self._limits.idle_timeout_s)
 
+    async def _run_handler(self, req: Request) -> None:
+        """Run the handler; its errors must not affect other requests."""
+        try:
+            await self._handler.handle(req, self)
+        except asyncio.CancelledError as exc:
+            if self._task is None or self._task.cancelling():
+                raise
+            # Not this task was cancelled, but something that it waited for.
+            _LOG.error('request failed', extra={'error': repr(exc)})
+        except Exception as exc:  # noqa: BLE001
+            _LOG.error('request failed', extra={'error': repr(exc)})
+
     def _respond_failed(self) -> None:
+        """Complete a response that the handler left incomplete."""
+        _LOG.error(
+            'response was not completed',
+            extra={'response_bytes': self._response_bytes},
+        )
         if self.response_started:
             self.abort(CloseReason.HANDLER_ERROR)
         else:
-            self._keeps_alive = False
             self.respond(HTTPStatus.BAD_GATEWAY, [], b'')
 
     def _count_header(self, size: int, limit: int) -> None:
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -122,3 +122,10 @@
         unread_bytes = self.writer.transport.get_write_buffer_size()
         self.assertGreater(unread_bytes, 10 * len(body))
         self.assertEqual(await self.receive_statuses(), [200] * 40)
+
+    async def test_failed_request_does_not_drop_those_behind_it(self) -> None:
+        for target in ('/error', '/silent', '/cancelled'):
+            with self.subTest(target):
+                await self.asyncSetUp()
+                await self.send(_build(target), _build('/2'))
+                self.assertEqual(await self.receive_statuses(), [502, 200])
