Send 100 Continue after the response in progress, not within it

A request with `Expect: 100-continue` that was pipelined behind a stream had its interim response written into the stream's chunks, which the client could then not decode: the stream was lost to it although it was complete.

The interim response now waits until the responses before it are complete, and is left out if the body has arrived meanwhile.

test_continue_is_not_sent_within_another_response failed before: AssertionError: b'100 Continue' unexpectedly found in b'HTTP/1.1 200 OK ... 5\r\nbegin\r\nHTTP/1.1 100 Continue\r\n\r\n3\r\nend\r\n0\r\n\r\n'

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -147,6 +147,7 @@
         self._chunked = False
         self._keeps_alive = True
         self._in_message = False
+        self._awaits_continue = False
         self._is_input_ignored = False
         self._closing = False
 
@@ -252,8 +253,10 @@
         status = _validate_head(req, self._limits)
         if status:
             self._abort_parsing(status)
-        if (req.get(b'expect') or b'').lower() == b'100-continue':
-            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        expected = (req.get(b'expect') or b'').lower()
+        self._awaits_continue = expected == b'100-continue'
+        if not self.is_busy:
+            self._send_continue()
         self._current = req
         if self._parser.should_upgrade():
             self._upgrade_request = req
@@ -277,6 +280,7 @@
         req = self._current
         self._current = None
         self._in_message = False
+        self._awaits_continue = False
         if req is None:
             return
         req.body = b''.join(req.chunks)
@@ -400,6 +404,15 @@
         if remaining:
             self.data_received(remaining)
 
+    def _send_continue(self) -> None:
+        """Send the interim response that a client may wait for.
+
+        It must not be sent within the response to an earlier request.
+        """
+        if self._awaits_continue:
+            self._awaits_continue = False
+            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
     def _start_next(self) -> None:
         if self.is_busy or not self._queue or self._closing:
             return
@@ -436,6 +449,7 @@
         elif self._reject_status:
             self._respond_rejection()
         else:
+            self._send_continue()
             self._start_timer(self._limits.idle_timeout_s)
 
     async def _run_handler(self, req: Request) -> None:
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -129,3 +129,17 @@
                 await self.asyncSetUp()
                 await self.send(_build(target), _build('/2'))
                 self.assertEqual(await self.receive_statuses(), [502, 200])
+
+    async def test_continue_is_not_sent_within_another_response(self) -> None:
+        """An interim response would corrupt the chunks of a stream."""
+        await self.send(_build('/stream'))
+        head = b'POST /2 HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n'
+        await self.send(head, b'Content-Length: 2\r\n\r\n')
+        self.handler.gate.set()
+        async with asyncio.timeout(_TIMEOUT_S):
+            stream = await self.reader.readuntil(b'\r\n0\r\n\r\n')
+            interim = await self.reader.readuntil(b'\r\n\r\n')
+        self.assertNotIn(b'100 Continue', stream)
+        self.assertIn(b'100 Continue', interim)
+        await self.send(b'ok')
+        self.assertEqual(await self.receive_statuses(), [200])
