Answer the requests around an offer to upgrade the protocol

After a request that offers an upgrade, the rest of the bytes was parsed by a nested call that nothing guarded: an offer with a transfer coding that the new parser rejects, or several hundred pipelined offers, ended in an exception in the protocol. asyncio then aborted the connection, with all requests that had been read from it.

Bytes are now parsed in a loop within the one place that handles parser errors.

Failed before: test_invalid_upgrade_does_not_drop_those_before_it: Lists differ: [] != [200, 200, 400] test_many_upgrade_requests_are_answered: Lists differ: [200, ... 200, 400] != [200] * 1200

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -189,9 +189,7 @@
         if self._is_input_ignored or self._closing:
             return
         try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade as exc:
-            self._ignore_upgrade(data[exc.args[0] :])
+            self._parse(data)
         except HttpParserError:
             self._reject(self._reject_status or HTTPStatus.BAD_REQUEST)
 
@@ -379,8 +377,18 @@
             )
             self.abort(CloseReason.SLOW_CLIENT)
 
-    def _ignore_upgrade(self, remaining: bytes) -> None:
-        """Ignore an offer to upgrade the protocol and read on.
+    def _parse(self, data: bytes) -> None:
+        while data:
+            try:
+                self._parser.feed_data(data)
+            except HttpParserUpgrade as exc:
+                data = data[exc.args[0] :]
+                self._ignore_upgrade()
+            else:
+                return
+
+    def _ignore_upgrade(self) -> None:
+        """Ignore an offer to upgrade the protocol.
 
         The parser stops at the head of such a request. A new parser gets the
         framing headers again, so that the body is read as a body and not as
@@ -389,8 +397,7 @@
         req = self._upgrade_request
         self._upgrade_request = None
         if req is None:
-            self._reject(HTTPStatus.BAD_REQUEST)
-            return
+            raise HttpParserError('upgrade without a request')
         framing = [
             b'%b: %b' % pair
             for pair in req.headers
@@ -401,8 +408,6 @@
         self._parser.feed_data(
             b'\r\n'.join((_REPLAY_REQUEST_LINE, *framing, b'', b''))
         )
-        if remaining:
-            self.data_received(remaining)
 
     def _send_continue(self) -> None:
         """Send the interim response that a client may wait for.
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -143,3 +143,17 @@
         self.assertIn(b'100 Continue', interim)
         await self.send(b'ok')
         self.assertEqual(await self.receive_statuses(), [200])
+
+    async def test_invalid_upgrade_does_not_drop_those_before_it(self) -> None:
+        upgrade = (
+            b'POST /3 HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\n'
+            b'Upgrade: h2c\r\nTransfer-Encoding: gzip\r\n\r\n'
+        )
+        await self.send(_build('/1'), _build('/2'), upgrade)
+        self.assertEqual(await self.receive_statuses(), [200, 200, 400])
+
+    async def test_many_upgrade_requests_are_answered(self) -> None:
+        """Parsing on after each offer must not use up the stack."""
+        offer = _build('/1', 'Connection: Upgrade\r\nUpgrade: h2c\r\n')
+        await self.send(offer * 1200)
+        self.assertEqual(await self.receive_statuses(), [200] * 1200)
