Drop the trailers of a chunked request

Trailers were appended to the headers of their request after its head had been validated. A client could add a second Host, or credentials, that the checks of the head did not see, and that were passed on to the endpoint.

Trailers still count towards the size of the headers.

test_trailers_do_not_become_headers failed before: AssertionError: Lists differ: [b'host', b'transfer-encoding', b'host', b'authorization'] != [b'host', b'transfer-encoding']

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -227,10 +227,12 @@
         self._count_header(len(url), _MAX_TARGET_BYTES)
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Parser callback: one header."""
+        """Parser callback: one header, or a trailer after the body."""
         if self._replayed_request is not None:
             return
-        self._headers.append((name.lower(), text.strip()))
+        # Trailers are dropped: they could add to the headers after validation.
+        if self._current is None:
+            self._headers.append((name.lower(), text.strip()))
         self._count_header(len(name) + len(text), self._limits.max_header_bytes)
         if len(self._headers) > _MAX_HEADERS:
             self._abort_parsing(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -157,3 +157,17 @@
         offer = _build('/1', 'Connection: Upgrade\r\nUpgrade: h2c\r\n')
         await self.send(offer * 1200)
         self.assertEqual(await self.receive_statuses(), [200] * 1200)
+
+
+class TestTrailers(KeptConnectionCase):
+    """Trailers of a chunked request."""
+
+    async def test_trailers_do_not_become_headers(self) -> None:
+        """A client could add headers after the head was validated."""
+        await self.send(
+            b'POST /1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n'
+            b'\r\n2\r\nhi\r\n0\r\nHost: y\r\nAuthorization: z\r\n\r\n'
+        )
+        self.assertEqual(await self.receive_statuses(), [200])
+        names = [name for name, _ in self.handler.requests[0].headers]
+        self.assertEqual(names, [b'host', b'transfer-encoding'])
