Apply the limits that are in force to connections that are open

A connection kept the limits of the moment at which it was opened, or the defaults if the node had no configuration then. After a configuration that allows larger bodies, requests on kept connections were still rejected with 413; after one that lengthens the idle time, the node closed connections that their clients rightly used again.

The limits are now read as each request begins. The idle time that a response tells is the one in force, and the idle timer keeps to what the client was told or to what is in force, whichever is longer.

Failed before: test_longer_idle_time_holds_for_open_connections: asyncio.exceptions.IncompleteReadError: 57 bytes read test_larger_body_is_accepted_on_open_connection: AssertionError: Lists differ: [200, 413] != [200, 200]

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -125,7 +125,11 @@
         self._loop = asyncio.get_running_loop()
         self._transport: Any = None
         self._parser = HttpRequestParser(self)
+        # The limits on the request that is being read.
         self._limits = handler.get_limits()
+        # The idle time that the client was told, and when it began.
+        self._idle_timeout_s = self._limits.idle_timeout_s
+        self._idle_since = 0.0
         self._queue: deque[Request] = deque()
         self._current: Request | None = None
         # The request that is served, or was served last.
@@ -168,7 +172,7 @@
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._connections.add(self)
-        self._start_timer(self._limits.idle_timeout_s)
+        self._start_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, as the client has disconnected."""
@@ -216,6 +220,7 @@
         self._headers = []
         self._header_bytes = 0
         self._in_message = True
+        self._limits = self._handler.get_limits()
         if not self.is_busy:
             self._start_timer(self._limits.header_timeout_s)
 
@@ -307,8 +312,8 @@
         else:
             lines.append(b'content-length: %d' % length)
         if self._keeps_alive:
-            idle_s = int(self._limits.idle_timeout_s)
-            lines.append(b'keep-alive: timeout=%d' % idle_s)
+            self._idle_timeout_s = self._handler.get_limits().idle_timeout_s
+            lines.append(b'keep-alive: timeout=%d' % int(self._idle_timeout_s))
         else:
             lines.append(b'connection: close')
         self._write(b'\r\n'.join((*lines, b'', b'')))
@@ -457,7 +462,7 @@
             self._respond_rejection()
         else:
             self._send_continue()
-            self._start_timer(self._limits.idle_timeout_s)
+            self._start_idle_timer()
 
     async def _run_handler(self, req: Request) -> None:
         """Run the handler; its errors must not affect other requests."""
@@ -552,6 +557,10 @@
             )
         )
 
+    def _start_idle_timer(self) -> None:
+        self._idle_since = self._loop.time()
+        self._start_timer(self._idle_timeout_s)
+
     def _start_timer(self, after_s: float) -> None:
         self._stop_timer()
         self._timer = self._loop.call_later(after_s, self._on_timer)
@@ -565,6 +574,13 @@
         """Handle an idle or header timeout."""
         if self._in_message:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
+            return
+        # Clients reuse connections within the idle time that is in force, which
+        # may have become longer than the one that they were told.
+        idle_timeout_s = self._handler.get_limits().idle_timeout_s
+        remaining_s = self._idle_since + idle_timeout_s - self._loop.time()
+        if remaining_s > 0:
+            self._start_timer(remaining_s)
         else:
             self._close(CloseReason.IDLE)
 
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from unittest import IsolatedAsyncioTestCase
 
 from samphirerill.fleet.model import ClientLimits
@@ -171,3 +172,25 @@
         self.assertEqual(await self.receive_statuses(), [200])
         names = [name for name, _ in self.handler.requests[0].headers]
         self.assertEqual(names, [b'host', b'transfer-encoding'])
+
+
+class TestLimits(KeptConnectionCase):
+    """Limits that change while a connection is kept."""
+
+    async def test_longer_idle_time_holds_for_open_connections(self) -> None:
+        self.handler.gate.set()
+        await self.send(_build('/1'))
+        self.handler.current_limits = replace(_LIMITS, idle_timeout_s=5)
+        await asyncio.sleep(1.5 * _LIMITS.idle_timeout_s)
+        await self.send(_build('/2'))
+        async with asyncio.timeout(_TIMEOUT_S):
+            answer = await self.reader.readuntil(b'/1')
+            answer += await self.reader.readuntil(b'/2')
+        self.assertEqual(answer.count(b'200 OK'), 2)
+
+    async def test_larger_body_is_accepted_on_open_connection(self) -> None:
+        await self.send(_build('/1'))
+        larger = _LIMITS.max_body_bytes + 1
+        self.handler.current_limits = replace(_LIMITS, max_body_bytes=larger)
+        await self.send(_build('/2', body='x' * larger))
+        self.assertEqual(await self.receive_statuses(), [200, 200])
