Don't disconnect a client that reads slowly but steadily

A client whose link is slow was disconnected in the middle of its response if the write buffer had not fallen from its high to its low mark within ten seconds, although it read all the time.

It is now disconnected only if it has read nothing for that long.

test_client_that_reads_slowly_gets_the_whole_response failed before: asyncio.exceptions.IncompleteReadError: 84835 bytes read on a total of 2000000 expected bytes test_client_that_does_not_read_is_disconnected passed before and passes.

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -38,7 +38,7 @@
 _MAX_HEADERS = 100
 _MAX_TARGET_BYTES = 8192
 _HIGH_WATER_BYTES = 131_072
-# How long a slow client may take to read some of the buffered response.
+# How long a slow client may go without reading any of the buffered response.
 _SLOW_CLIENT_TIMEOUT_S = 10.0
 # Lingering close: a client may still be sending, and closing at once would
 # reset the connection before it reads the error response.
@@ -372,17 +372,22 @@
 
     async def drain(self) -> None:
         """Wait until a slow client has read some of its response."""
-        if self._writable is None:
-            return
-        try:
-            async with asyncio.timeout(_SLOW_CLIENT_TIMEOUT_S):
-                await self._writable
-        except TimeoutError:
-            _LOG.info(
-                'client reads too slowly; closing its connection',
-                extra={'waited_s': _SLOW_CLIENT_TIMEOUT_S},
-            )
-            self.abort(CloseReason.SLOW_CLIENT)
+        writable = self._writable
+        while writable is not None and not writable.done():
+            unsent_bytes = self._transport.get_write_buffer_size()
+            await asyncio.wait((writable,), timeout=_SLOW_CLIENT_TIMEOUT_S)
+            if writable.done():
+                return
+            if self._transport.get_write_buffer_size() >= unsent_bytes:
+                self._abort_slow_client()
+                return
+
+    def _abort_slow_client(self) -> None:
+        _LOG.info(
+            'client reads too slowly; closing its connection',
+            extra={'waited_s': _SLOW_CLIENT_TIMEOUT_S},
+        )
+        self.abort(CloseReason.SLOW_CLIENT)
 
     def _parse(self, data: bytes) -> None:
         while data:
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import replace
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
 
 from samphirerill.fleet.model import ClientLimits
 from samphirerill.relay.listeners import listen
@@ -194,3 +195,32 @@
         self.handler.current_limits = replace(_LIMITS, max_body_bytes=larger)
         await self.send(_build('/2', body='x' * larger))
         self.assertEqual(await self.receive_statuses(), [200, 200])
+
+
+class TestSlowClients(KeptConnectionCase):
+    """Clients on slow links."""
+
+    async def test_client_that_reads_slowly_gets_the_whole_response(
+        self,
+    ) -> None:
+        self.handler.padding = bytes(24_000_000)
+        timeout = patch('samphirerill.relay.server._SLOW_CLIENT_TIMEOUT_S', 0.2)
+        timeout.start()
+        self.addCleanup(timeout.stop)
+        self.handler.gate.set()
+        await self.send(_build('/large'))
+        received = 0
+        while received < len(self.handler.padding):
+            received += len(await self.reader.readexactly(2_000_000))
+            await asyncio.sleep(_SETTLE_S)
+        self.assertGreaterEqual(received, len(self.handler.padding))
+
+    async def test_client_that_does_not_read_is_disconnected(self) -> None:
+        self.handler.padding = bytes(24_000_000)
+        timeout = patch('samphirerill.relay.server._SLOW_CLIENT_TIMEOUT_S', 0.2)
+        timeout.start()
+        self.addCleanup(timeout.stop)
+        await self.send(_build('/large'))
+        async with asyncio.timeout(_TIMEOUT_S):
+            while self.connections:
+                await asyncio.sleep(_SETTLE_S)
