Announce the close of a draining connection only after its last request

While a node drains, a response announced the close of its connection unless another request had been read whole. A request whose last bytes came after the response head was then read, queued and dropped at the close.

The close is now announced only if no further request has begun, and nothing more is read once it is announced: a client may repeat what it sent after that.

Failed before: test_request_that_is_being_sent_is_answered: Lists differ: [200] != [200, 200] test_request_after_an_announced_close_is_not_read: AssertionError: 1 != 0 (requests.unanswered.draining)

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -302,8 +302,9 @@
         """Write a response head; `length` is ``None`` for chunked encoding."""
         self.response_started = True
         self._chunked = length is None
-        if self._handler.is_draining() and not self._queue:
-            # Requests that were already read are served before the close.
+        has_next = self._in_message or bool(self._queue)
+        if self._handler.is_draining() and not has_next:
+            # Requests that were already begun are served before the close.
             self._keeps_alive = False
         lines = [b'HTTP/1.1 %d %b' % (status, _REASONS.get(status, b'Other'))]
         lines.extend(b'%b: %b' % pair for pair in headers)
@@ -316,6 +317,7 @@
             lines.append(b'keep-alive: timeout=%d' % int(self._idle_timeout_s))
         else:
             lines.append(b'connection: close')
+            self._is_input_ignored = True
         self._write(b'\r\n'.join((*lines, b'', b'')))
 
     def write_body(self, body: bytes) -> None:
--- /dev/null
+++ b/samphirerill/tests/test_draining_connections.py
@@ -0,0 +1,98 @@
+"""Client connections while a node shuts down."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest.mock import patch
+
+from msgspec import json
+
+from samphirerill.relay.connection import serialize_request
+from samphirerill.tests.platform_documents import build_configuration
+from samphirerill.tests.two_engines import (
+    RESPONSE_TIMEOUT_S,
+    SETTLE_S,
+    TwoEnginesCase,
+    build_headers,
+)
+
+_STATUS_LINE = b'HTTP/1.1 '
+_SHORT_FINISH_S = 1.3
+
+
+class DrainingCase(TwoEnginesCase):
+    """A node whose notice period is short."""
+
+    notice_s = SETTLE_S
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        notice = patch(
+            'samphirerill.relay.process._READINESS_NOTICE_S', self.notice_s
+        )
+        notice.start()
+        self.addCleanup(notice.stop)
+        self.plain_endpoint = self.harness.replicas['desk-1']
+        self.addCleanup(self.plain_endpoint.responding.set)
+
+    async def connect(
+        self, sent: bytes = b''
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection and send some bytes."""
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', self.process.get_port()
+        )
+        self.addCleanup(writer.close)
+        writer.write(sent)
+        return reader, writer
+
+    async def hold_request(
+        self, sent: bytes
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Send requests, of which the endpoint holds the first one."""
+        self.plain_endpoint.responding.clear()
+        connection = await self.connect(sent)
+        await self.wait_until(lambda: self.plain_endpoint.received_requests)
+        return connection
+
+    async def allow_long_requests(self) -> None:
+        """Lengthen the timeout of plain requests beyond the shutdown."""
+        document = json.decode(build_configuration(8))
+        document['routes'][1]['timeoutMs'] = 4000
+        await self.configure(json.encode(document))
+
+
+class TestDrainingConnections(DrainingCase):
+    """Connections on which requests are read while the node drains."""
+
+    async def test_request_that_is_being_sent_is_answered(self) -> None:
+        """A response must not announce a close within the next request."""
+        request = _build_request()
+        reader, writer = await self.hold_request(request + request[:40])
+        self.process.start_draining()
+        self.plain_endpoint.responding.set()
+        await asyncio.sleep(SETTLE_S)
+        writer.write(request[40:])
+        self.assertEqual(await _read_statuses(reader), [200, 200])
+
+    async def test_request_after_an_announced_close_is_not_read(self) -> None:
+        """A client may repeat what it sent after a response with a close."""
+        self.process.start_draining()
+        reader, writer = await self.connect(_build_request(b'/notes/x'))
+        await reader.readuntil(b'token1\n\n')
+        writer.write(_build_request())
+        await reader.read()
+        counters = self.process.state.counters
+        await self.wait_until(lambda: counters['connections.closed.draining'])
+        self.assertEqual(counters['requests.unanswered.draining'], 0)
+
+
+def _build_request(target: bytes = b'/pickup/x') -> bytes:
+    return serialize_request(b'POST', target, build_headers('r1'), b'')
+
+
+async def _read_statuses(reader: asyncio.StreamReader) -> list[int]:
+    """Return the statuses of all responses until the node closes."""
+    async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+        received = await reader.read()
+    return [int(answer[:3]) for answer in received.split(_STATUS_LINE)[1:]]
