Reject the requests that a node has not started when it ends

When a node ended, requests that it had read behind the one in progress got a closed connection. They were never started, so that status 503 is true and lets the client send them elsewhere at once. A client in the middle of sending a request now gets 408 instead of a reset.

Failed before: test_queued_requests_are_rejected_at_the_end: Lists differ: [] != [503, 503] test_client_that_is_sending_at_the_end_is_told: Lists differ: [] != [408]

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -354,16 +354,16 @@
     def shut_down(self) -> None:
         """Close the connection because the node ends.
 
-        A client without a response gets status 502, as its request may have
-        been executed; a response that has started is aborted.
+        A request in progress gets status 502, as it may have been executed; one
+        that was not started gets 503, and one that is being read 408. A response
+        that has started is aborted.
         """
-        if not self.is_busy or self.response_started:
+        if self.is_busy and self.response_started:
             self.abort(CloseReason.SHUTDOWN)
             return
-        self._keeps_alive = False
-        self.respond(HTTPStatus.BAD_GATEWAY, [], b'')
-        self.is_busy = False
-        self._close(CloseReason.SHUTDOWN)
+        if not self._closing:
+            self._respond_to_all()
+            self._close(CloseReason.SHUTDOWN)
         # The process may end before the transport has closed.
         self._report_close()
 
@@ -526,6 +526,22 @@
             self._transport.write(data)
             self._response_bytes += len(data)
 
+    def _respond_to_all(self) -> None:
+        """Respond to the requests that will not be served."""
+        if self.is_busy:
+            self.is_busy = False
+            self._respond_unserved(HTTPStatus.BAD_GATEWAY)
+        while self._queue:
+            self._queue.popleft()
+            self._respond_unserved(HTTPStatus.SERVICE_UNAVAILABLE)
+        if self._in_message:
+            self._in_message = False
+            self._respond_unserved(HTTPStatus.REQUEST_TIMEOUT)
+
+    def _respond_unserved(self, status: int) -> None:
+        self._keeps_alive = self._in_message or bool(self._queue)
+        self.respond(status, [], b'')
+
     def _close(self, reason: CloseReason) -> None:
         self._closing = True
         self._note_close(reason)
--- a/samphirerill/tests/test_draining_connections.py
+++ b/samphirerill/tests/test_draining_connections.py
@@ -86,6 +86,22 @@
         await self.wait_until(lambda: counters['connections.closed.draining'])
         self.assertEqual(counters['requests.unanswered.draining'], 0)
 
+    async def test_queued_requests_are_rejected_at_the_end(self) -> None:
+        """Requests that were never started must not end without an answer."""
+        self.change_settings(finish_s=_SHORT_FINISH_S)
+        await self.allow_long_requests()
+        reader, _ = await self.hold_request(3 * _build_request())
+        self.process.start_draining()
+        statuses = await _read_statuses(reader)
+        self.assertIn(statuses[0], (502, 504))
+        self.assertEqual(statuses[1:], [503, 503])
+
+    async def test_client_that_is_sending_at_the_end_is_told(self) -> None:
+        reader, _ = await self.connect(_build_request()[:40])
+        await asyncio.sleep(SETTLE_S)
+        self.process.start_draining()
+        self.assertEqual(await _read_statuses(reader), [408])
+
 
 def _build_request(target: bytes = b'/pickup/x') -> bytes:
     return serialize_request(b'POST', target, build_headers('r1'), b'')
