Let a new connection send its first request to a draining node

A draining node closed every connection without a request each 50 ms. One that a client had just opened was closed before its first request could arrive, which hits clients on long links most. The port stays open to the end for such clients, as the load balancer may have no other node to connect them to.

A connection that has not carried a request is now closed a second after it was opened at the earliest. The end of the node does not wait for it.

test_new_connection_may_send_its_first_request failed before: AssertionError: Lists differ: [] != [200]

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -40,6 +40,8 @@
 _HIGH_WATER_BYTES = 131_072
 # How long a slow client may go without reading any of the buffered response.
 _SLOW_CLIENT_TIMEOUT_S = 10.0
+# How long a draining node waits for the first request of a new connection.
+_FIRST_REQUEST_TIMEOUT_S = 1.0
 # Lingering close: a client may still be sending, and closing at once would
 # reset the connection before it reads the error response.
 _LINGER_S = 0.5
@@ -368,8 +370,14 @@
         self._report_close()
 
     def close_idle(self) -> None:
-        """Close the connection if no request is in progress or being read."""
-        if not self.is_busy and not self._in_message:
+        """Close the connection if no request is in progress or being read.
+
+        The first request of a new connection may be on its way.
+        """
+        if self.is_busy or self._in_message:
+            return
+        idle_s = self._loop.time() - self._idle_since
+        if self._served_count or idle_s >= _FIRST_REQUEST_TIMEOUT_S:
             self._close(CloseReason.DRAINING)
 
     async def drain(self) -> None:
--- a/samphirerill/tests/test_draining_connections.py
+++ b/samphirerill/tests/test_draining_connections.py
@@ -102,6 +102,18 @@
         self.process.start_draining()
         self.assertEqual(await _read_statuses(reader), [408])
 
+    async def test_new_connection_may_send_its_first_request(self) -> None:
+        """The load balancer may have no other node to connect to."""
+        await self.hold_request(_build_request())
+        self.process.start_draining()
+        await asyncio.sleep(2 * SETTLE_S)
+        reader, writer = await self.connect()
+        await asyncio.sleep(2 * SETTLE_S)
+        writer.write(_build_request())
+        await asyncio.sleep(SETTLE_S)
+        self.plain_endpoint.responding.set()
+        self.assertEqual(await _read_statuses(reader), [200])
+
 
 def _build_request(target: bytes = b'/pickup/x') -> bytes:
     return serialize_request(b'POST', target, build_headers('r1'), b'')
