--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -255,7 +255,7 @@
         finish_by = now + self.state.settings.finish_s - _EXIT_MARGIN_S
         self.state.accept_streams_until = finish_by - _EXPECTED_STREAM_S
         self.state.accept_requests_until = finish_by - _MAX_REQUEST_S
-        notice_ends_at = now + _READINESS_NOTICE_S
+        notice_ends_at = min(now + _READINESS_NOTICE_S, finish_by)
         await self._revoke_lease(self._layer_controller.stop())
         await asyncio.sleep(notice_ends_at - self._loop.time())
         self._close_idle()
--- a/samphirerill/tests/test_draining_connections.py
+++ b/samphirerill/tests/test_draining_connections.py
@@ -115,6 +115,20 @@
         self.assertEqual(await _read_statuses(reader), [200])
 
 
+class TestShortShutdown(DrainingCase):
+    """A node whose time to finish is shorter than its notice period."""
+
+    notice_s = 5 * _SHORT_FINISH_S
+
+    async def test_node_ends_before_it_is_killed(self) -> None:
+        """A node that is killed in its notice period answers nothing."""
+        self.change_settings(finish_s=_SHORT_FINISH_S)
+        reader, _ = await self.connect()
+        self.process.start_draining()
+        async with asyncio.timeout(2 * _SHORT_FINISH_S):
+            await reader.read()
+
+
 def _build_request(target: bytes = b'/pickup/x') -> bytes:
     return serialize_request(b'POST', target, build_headers('r1'), b'')
 
