Linger on each connection that is closed after a response

A connection whose response announced a close was closed as soon as the response had been handed to the system. If its client sent something meanwhile, as one that pipelines does, the system reset the connection and discarded the part of the response that it had not sent yet.

Such a connection now ends its sending side and goes on reading for up to half a second, or until the client closes, as it already did after an error.

test_last_response_survives_bytes_sent_after_it failed before, three times of three: ConnectionResetError: [Errno 104] Connection reset by peer

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -43,7 +43,7 @@
 # How long a draining node waits for the first request of a new connection.
 _FIRST_REQUEST_TIMEOUT_S = 1.0
 # Lingering close: a client may still be sending, and closing at once would
-# reset the connection before it reads the error response.
+# reset the connection before it reads the last response.
 _LINGER_S = 0.5
 # Headers that frame a body, and a request line to replay them to a parser.
 _FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
@@ -551,12 +551,14 @@
         self.respond(status, [], b'')
 
     def _close(self, reason: CloseReason) -> None:
+        if self._closing:
+            return
         self._closing = True
         self._note_close(reason)
         self._stop_timer()
         if self._transport is None or self._transport.is_closing():
             return
-        if self._transport.can_write_eof() and self._reject_status:
+        if self._transport.can_write_eof() and not self._keeps_alive:
             self._transport.write_eof()
             self._timer = self._loop.call_later(
                 _LINGER_S, self._transport.close
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -23,12 +23,14 @@
 
     def __init__(self) -> None:
         self.current_limits = _LIMITS
+        self.draining = False
         self.gate = asyncio.Event()
         self.requests: list[Request] = []
         self.padding = b''
         self._special = {
             b'/stream': self._stream,
             b'/large': self._respond_large,
+            b'/unsent': self._leave_unsent,
             b'/error': self._raise_error,
             b'/cancelled': self._raise_cancellation,
             b'/silent': self._stay_silent,
@@ -38,7 +40,7 @@
         return self.current_limits
 
     def is_draining(self) -> bool:
-        return False
+        return self.draining
 
     async def handle(self, req: Request, conn: ClientConnection) -> None:
         self.requests.append(req)
@@ -60,6 +62,9 @@
         conn.respond(200, [], self.padding)
         await conn.drain()
 
+    async def _leave_unsent(self, conn: ClientConnection) -> None:
+        conn.respond(200, [], self.padding)
+
     async def _raise_error(self, conn: ClientConnection) -> None:
         await self.gate.wait()
         raise ValueError('handler failed')
@@ -224,3 +229,12 @@
         async with asyncio.timeout(_TIMEOUT_S):
             while self.connections:
                 await asyncio.sleep(_SETTLE_S)
+
+    async def test_last_response_survives_bytes_sent_after_it(self) -> None:
+        """Closing with unread bytes resets the connection and its response."""
+        self.handler.padding = bytes(6_000_000)
+        self.handler.draining = True
+        await self.send(_build('/unsent'))
+        await self.send(_build('/2'))
+        received = await self.receive()
+        self.assertGreater(len(received), len(self.handler.padding))
