Measure the idle time of an upload from its last bytes

The idle timeout of a request body ran from the end of its head: an upload over a slow link was rejected with 408 however steadily it arrived. It now starts again with each part of the body.

test_slow_upload_is_read failed before: AssertionError: b'200' not found in b'HTTP/1.1 408 Request Timeout\r\n'

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -278,6 +278,8 @@
         req.chunks.append(body)
         if sum(map(len, req.chunks)) > self._limits.max_body_bytes:
             self._abort_parsing(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        if not self.is_busy:
+            self._start_timer(self._limits.idle_timeout_s)
 
     def on_message_complete(self) -> None:
         """Parser callback: the request is complete."""
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -238,3 +238,15 @@
         await self.send(_build('/2'))
         received = await self.receive()
         self.assertGreater(len(received), len(self.handler.padding))
+
+    async def test_slow_upload_is_read(self) -> None:
+        """The idle timeout is for clients that send nothing."""
+        self.handler.gate.set()
+        request = _build('/1', body='x' * 6)
+        await self.send(request[:-6])
+        for byte in request[-6:]:
+            await self.send(bytes((byte,)))
+            await asyncio.sleep(_LIMITS.idle_timeout_s / 3)
+        async with asyncio.timeout(_TIMEOUT_S):
+            head = await self.reader.readline()
+        self.assertIn(b'200', head)
