Go on with a shutdown if a lease can't be revoked

An unexpected error while a lease was revoked ended the task that shuts the node down. The node then stayed until it was killed, with the requests of its last seconds unanswered. Only a slow store and the store's own errors were handled.

test_error_while_the_lease_is_revoked_is_survived failed before: TimeoutError (the node did not end). The error was provoked by a patch; none was seen.

--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -286,6 +286,9 @@
                 'lease not revoked in time; it will expire',
                 extra={'waited_s': _REVOKE_TIMEOUT_S},
             )
+        except Exception as exc:  # noqa: BLE001
+            # The shutdown must go on, or the node would be killed.
+            _LOG.error('lease not revoked', extra={'error': repr(exc)})
 
     def _close_idle(self) -> None:
         for conn in tuple(self._connections):
--- a/samphirerill/tests/test_draining_connections.py
+++ b/samphirerill/tests/test_draining_connections.py
@@ -114,6 +114,19 @@
         self.plain_endpoint.responding.set()
         self.assertEqual(await _read_statuses(reader), [200])
 
+    async def test_error_while_the_lease_is_revoked_is_survived(self) -> None:
+        """A shutdown that stops halfway ends by a kill."""
+
+        async def leave(_: object) -> None:
+            raise ValueError('cannot leave')
+
+        reader, _ = await self.connect()
+        with patch('samphirerill.relay.membership.Membership.leave', leave):
+            self.process.start_draining()
+            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+                await reader.read()
+            await self.wait_until(self.process._ended.is_set)  # noqa: SLF001
+
 
 class TestShortShutdown(DrainingCase):
     """A node whose time to finish is shorter than its notice period."""
