Say why a half-closed connection counts as closed

Serving on after a client has closed its sending side was considered and dropped: until something is written, a client that has left looks the same, and its work would go on at the endpoints for nobody.

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -200,7 +200,11 @@
             self._reject(self._reject_status or HTTPStatus.BAD_REQUEST)
 
     def eof_received(self) -> bool:
-        """Treat a half-closed connection as disconnected."""
+        """Treat a half-closed connection as disconnected.
+
+        A closed connection looks the same until something is written to it, and
+        the work for a client that has left should stop at once.
+        """
         self._note_close(CloseReason.CLIENT)
         return False
 
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -250,3 +250,15 @@
         async with asyncio.timeout(_TIMEOUT_S):
             head = await self.reader.readline()
         self.assertIn(b'200', head)
+
+
+class TestHalfClosedConnections(KeptConnectionCase):
+    """Clients that close their sending side."""
+
+    async def test_work_for_a_client_that_closed_stops_at_once(self) -> None:
+        """A close can't be told from a half-close until something is sent."""
+        await self.send(_build('/1'))
+        self.writer.write_eof()
+        await asyncio.sleep(_SETTLE_S)
+        self.assertEqual(self.connections, set())
+        self.assertEqual(await self.receive(), b'')
