--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -33,14 +33,17 @@
     from samphirerill.relay.connection import Headers
 
 _LOG = get_logger('callers')
+# Reading pauses while this many requests are queued on a connection.
 _MAX_PIPELINED = 8
 _MAX_HEADERS = 100
 _MAX_TARGET_BYTES = 8192
 _HIGH_WATER_BYTES = 131_072
-# How long a slow client may take to read some of the buffered response.
+# How long a slow client may go without reading any of the buffered response.
 _SLOW_CLIENT_TIMEOUT_S = 10.0
+# How long a draining node waits for the first request of a new connection.
+_FIRST_REQUEST_TIMEOUT_S = 1.0
 # Lingering close: a client may still be sending, and closing at once would
-# reset the connection before it reads the error response.
+# reset the connection before it reads the last response.
 _LINGER_S = 0.5
 # Headers that frame a body, and a request line to replay them to a parser.
 _FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
@@ -124,13 +127,18 @@
         self._loop = asyncio.get_running_loop()
         self._transport: Any = None
         self._parser = HttpRequestParser(self)
+        # The limits on the request that is being read.
         self._limits = handler.get_limits()
+        # The idle time that the client was told, and when it began.
+        self._idle_timeout_s = self._limits.idle_timeout_s
+        self._idle_since = 0.0
         self._queue: deque[Request] = deque()
         self._current: Request | None = None
         # The request that is served, or was served last.
         self._served: Request | None = None
         self._served_count = 0
         self._response_bytes = 0
+        self._is_response_complete = False
         # A request that offers a protocol upgrade, before and after the parser
         # is replaced.
         self._upgrade_request: Request | None = None
@@ -145,6 +153,7 @@
         self._chunked = False
         self._keeps_alive = True
         self._in_message = False
+        self._awaits_continue = False
         self._is_input_ignored = False
         self._closing = False
 
@@ -165,7 +174,7 @@
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._connections.add(self)
-        self._start_timer(self._limits.idle_timeout_s)
+        self._start_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, as the client has disconnected."""
@@ -186,14 +195,16 @@
         if self._is_input_ignored or self._closing:
             return
         try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade as exc:
-            self._ignore_upgrade(data[exc.args[0] :])
+            self._parse(data)
         except HttpParserError:
             self._reject(self._reject_status or HTTPStatus.BAD_REQUEST)
 
     def eof_received(self) -> bool:
-        """Treat a half-closed connection as disconnected."""
+        """Treat a half-closed connection as disconnected.
+
+        A closed connection looks the same until something is written to it, and
+        the work for a client that has left should stop at once.
+        """
         self._note_close(CloseReason.CLIENT)
         return False
 
@@ -215,6 +226,7 @@
         self._headers = []
         self._header_bytes = 0
         self._in_message = True
+        self._limits = self._handler.get_limits()
         if not self.is_busy:
             self._start_timer(self._limits.header_timeout_s)
 
@@ -226,10 +238,12 @@
         self._count_header(len(url), _MAX_TARGET_BYTES)
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Parser callback: one header."""
+        """Parser callback: one header, or a trailer after the body."""
         if self._replayed_request is not None:
             return
-        self._headers.append((name.lower(), text.strip()))
+        # Trailers are dropped: they could add to the headers after validation.
+        if self._current is None:
+            self._headers.append((name.lower(), text.strip()))
         self._count_header(len(name) + len(text), self._limits.max_header_bytes)
         if len(self._headers) > _MAX_HEADERS:
             self._abort_parsing(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
@@ -250,8 +264,10 @@
         status = _validate_head(req, self._limits)
         if status:
             self._abort_parsing(status)
-        if (req.get(b'expect') or b'').lower() == b'100-continue':
-            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+        expected = (req.get(b'expect') or b'').lower()
+        self._awaits_continue = expected == b'100-continue'
+        if not self.is_busy:
+            self._send_continue()
         self._current = req
         if self._parser.should_upgrade():
             self._upgrade_request = req
@@ -266,6 +282,8 @@
         req.chunks.append(body)
         if sum(map(len, req.chunks)) > self._limits.max_body_bytes:
             self._abort_parsing(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        if not self.is_busy:
+            self._start_timer(self._limits.idle_timeout_s)
 
     def on_message_complete(self) -> None:
         """Parser callback: the request is complete."""
@@ -275,14 +293,15 @@
         req = self._current
         self._current = None
         self._in_message = False
+        self._awaits_continue = False
         if req is None:
             return
         req.body = b''.join(req.chunks)
         req.chunks = []
         req.arrived_at = self._loop.time()
         self._queue.append(req)
-        if len(self._queue) > _MAX_PIPELINED:
-            self._abort_parsing(HTTPStatus.BAD_REQUEST)
+        if len(self._queue) >= _MAX_PIPELINED:
+            self._transport.pause_reading()
         self._start_next()
 
     def start_response(
@@ -291,8 +310,9 @@
         """Write a response head; `length` is ``None`` for chunked encoding."""
         self.response_started = True
         self._chunked = length is None
-        if self._handler.is_draining() and not self._queue:
-            # Requests that were already read are served before the close.
+        has_next = self._in_message or bool(self._queue)
+        if self._handler.is_draining() and not has_next:
+            # Requests that were already begun are served before the close.
             self._keeps_alive = False
         lines = [b'HTTP/1.1 %d %b' % (status, _REASONS.get(status, b'Other'))]
         lines.extend(b'%b: %b' % pair for pair in headers)
@@ -301,10 +321,11 @@
         else:
             lines.append(b'content-length: %d' % length)
         if self._keeps_alive:
-            idle_s = int(self._limits.idle_timeout_s)
-            lines.append(b'keep-alive: timeout=%d' % idle_s)
+            self._idle_timeout_s = self._handler.get_limits().idle_timeout_s
+            lines.append(b'keep-alive: timeout=%d' % int(self._idle_timeout_s))
         else:
             lines.append(b'connection: close')
+            self._is_input_ignored = True
         self._write(b'\r\n'.join((*lines, b'', b'')))
 
     def write_body(self, body: bytes) -> None:
@@ -319,11 +340,13 @@
         """Complete the response."""
         if self._chunked:
             self._write(b'0\r\n\r\n')
+        self._is_response_complete = True
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete response."""
         self.start_response(status, headers, len(body))
         self._write(body)
+        self._is_response_complete = True
 
     def abort(self, reason: CloseReason = CloseReason.RESPONSE_ABORTED) -> None:
         """Abort the connection so that the response is seen as incomplete.
@@ -339,40 +362,61 @@
     def shut_down(self) -> None:
         """Close the connection because the node ends.
 
-        A client without a response gets status 502, as its request may have
-        been executed; a response that has started is aborted.
+        A request in progress gets status 502, as it may have been executed; one
+        that was not started gets 503, and one that is being read 408. A response
+        that has started is aborted.
         """
-        if not self.is_busy or self.response_started:
+        if self.is_busy and self.response_started:
             self.abort(CloseReason.SHUTDOWN)
             return
-        self._keeps_alive = False
-        self.respond(HTTPStatus.BAD_GATEWAY, [], b'')
-        self.is_busy = False
-        self._close(CloseReason.SHUTDOWN)
+        if not self._closing:
+            self._respond_to_all()
+            self._close(CloseReason.SHUTDOWN)
         # The process may end before the transport has closed.
         self._report_close()
 
     def close_idle(self) -> None:
-        """Close the connection if no request is in progress or being read."""
-        if not self.is_busy and not self._in_message:
+        """Close the connection if no request is in progress or being read.
+
+        The first request of a new connection may be on its way.
+        """
+        if self.is_busy or self._in_message:
+            return
+        idle_s = self._loop.time() - self._idle_since
+        if self._served_count or idle_s >= _FIRST_REQUEST_TIMEOUT_S:
             self._close(CloseReason.DRAINING)
 
     async def drain(self) -> None:
         """Wait until a slow client has read some of its response."""
-        if self._writable is None:
-            return
-        try:
-            async with asyncio.timeout(_SLOW_CLIENT_TIMEOUT_S):
-                await self._writable
-        except TimeoutError:
-            _LOG.info(
-                'client reads too slowly; closing its connection',
-                extra={'waited_s': _SLOW_CLIENT_TIMEOUT_S},
-            )
-            self.abort(CloseReason.SLOW_CLIENT)
+        writable = self._writable
+        while writable is not None and not writable.done():
+            unsent_bytes = self._transport.get_write_buffer_size()
+            await asyncio.wait((writable,), timeout=_SLOW_CLIENT_TIMEOUT_S)
+            if writable.done():
+                return
+            if self._transport.get_write_buffer_size() >= unsent_bytes:
+                self._abort_slow_client()
+                return
+
+    def _abort_slow_client(self) -> None:
+        _LOG.info(
+            'client reads too slowly; closing its connection',
+            extra={'waited_s': _SLOW_CLIENT_TIMEOUT_S},
+        )
+        self.abort(CloseReason.SLOW_CLIENT)
+
+    def _parse(self, data: bytes) -> None:
+        while data:
+            try:
+                self._parser.feed_data(data)
+            except HttpParserUpgrade as exc:
+                data = data[exc.args[0] :]
+                self._ignore_upgrade()
+            else:
+                return
 
-    def _ignore_upgrade(self, remaining: bytes) -> None:
-        """Ignore an offer to upgrade the protocol and read on.
+    def _ignore_upgrade(self) -> None:
+        """Ignore an offer to upgrade the protocol.
 
         The parser stops at the head of such a request. A new parser gets the
         framing headers again, so that the body is read as a body and not as
@@ -381,8 +425,7 @@
         req = self._upgrade_request
         self._upgrade_request = None
         if req is None:
-            self._reject(HTTPStatus.BAD_REQUEST)
-            return
+            raise HttpParserError('upgrade without a request')
         framing = [
             b'%b: %b' % pair
             for pair in req.headers
@@ -393,8 +436,15 @@
         self._parser.feed_data(
             b'\r\n'.join((_REPLAY_REQUEST_LINE, *framing, b'', b''))
         )
-        if remaining:
-            self.data_received(remaining)
+
+    def _send_continue(self) -> None:
+        """Send the interim response that a client may wait for.
+
+        It must not be sent within the response to an earlier request.
+        """
+        if self._awaits_continue:
+            self._awaits_continue = False
+            self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def _start_next(self) -> None:
         if self.is_busy or not self._queue or self._closing:
@@ -402,20 +452,19 @@
         self.is_busy = True
         self._stop_timer()
         req = self._queue.popleft()
+        if len(self._queue) < _MAX_PIPELINED:
+            self._transport.resume_reading()
         self._served = req
         self._served_count += 1
         self._response_bytes = 0
+        self._is_response_complete = False
         self._keeps_alive = req.keeps_alive
         self.response_started = False
         self._task = self._loop.create_task(self._serve(req))
 
     async def _serve(self, req: Request) -> None:
-        try:
-            await self._handler.handle(req, self)
-        except Exception as exc:  # noqa: BLE001
-            # An error in one request must neither hang its client nor affect
-            # others.
-            _LOG.error('request failed', extra={'error': repr(exc)})
+        await self._run_handler(req)
+        if not (self._is_response_complete or self._transport.is_closing()):
             self._respond_failed()
         self.is_busy = False
         self._task = None
@@ -433,13 +482,30 @@
         elif self._reject_status:
             self._respond_rejection()
         else:
-            self._start_timer(self._limits.idle_timeout_s)
+            self._send_continue()
+            self._start_idle_timer()
+
+    async def _run_handler(self, req: Request) -> None:
+        """Run the handler; its errors must not affect other requests."""
+        try:
+            await self._handler.handle(req, self)
+        except asyncio.CancelledError as exc:
+            if self._task is None or self._task.cancelling():
+                raise
+            # Not this task was cancelled, but something that it waited for.
+            _LOG.error('request failed', extra={'error': repr(exc)})
+        except Exception as exc:  # noqa: BLE001
+            _LOG.error('request failed', extra={'error': repr(exc)})
 
     def _respond_failed(self) -> None:
+        """Complete a response that the handler left incomplete."""
+        _LOG.error(
+            'response was not completed',
+            extra={'response_bytes': self._response_bytes},
+        )
         if self.response_started:
             self.abort(CloseReason.HANDLER_ERROR)
         else:
-            self._keeps_alive = False
             self.respond(HTTPStatus.BAD_GATEWAY, [], b'')
 
     def _count_header(self, size: int, limit: int) -> None:
@@ -474,13 +540,31 @@
             self._transport.write(data)
             self._response_bytes += len(data)
 
+    def _respond_to_all(self) -> None:
+        """Respond to the requests that will not be served."""
+        if self.is_busy:
+            self.is_busy = False
+            self._respond_unserved(HTTPStatus.BAD_GATEWAY)
+        while self._queue:
+            self._queue.popleft()
+            self._respond_unserved(HTTPStatus.SERVICE_UNAVAILABLE)
+        if self._in_message:
+            self._in_message = False
+            self._respond_unserved(HTTPStatus.REQUEST_TIMEOUT)
+
+    def _respond_unserved(self, status: int) -> None:
+        self._keeps_alive = self._in_message or bool(self._queue)
+        self.respond(status, [], b'')
+
     def _close(self, reason: CloseReason) -> None:
+        if self._closing:
+            return
         self._closing = True
         self._note_close(reason)
         self._stop_timer()
         if self._transport is None or self._transport.is_closing():
             return
-        if self._transport.can_write_eof() and self._reject_status:
+        if self._transport.can_write_eof() and not self._keeps_alive:
             self._transport.write_eof()
             self._timer = self._loop.call_later(
                 _LINGER_S, self._transport.close
@@ -512,6 +596,10 @@
             )
         )
 
+    def _start_idle_timer(self) -> None:
+        self._idle_since = self._loop.time()
+        self._start_timer(self._idle_timeout_s)
+
     def _start_timer(self, after_s: float) -> None:
         self._stop_timer()
         self._timer = self._loop.call_later(after_s, self._on_timer)
@@ -525,6 +613,13 @@
         """Handle an idle or header timeout."""
         if self._in_message:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
+            return
+        # Clients reuse connections within the idle time that is in force, which
+        # may have become longer than the one that they were told.
+        idle_timeout_s = self._handler.get_limits().idle_timeout_s
+        remaining_s = self._idle_since + idle_timeout_s - self._loop.time()
+        if remaining_s > 0:
+            self._start_timer(remaining_s)
         else:
             self._close(CloseReason.IDLE)
 
