Close a run for its own head only when it is silent and all is reserved

Callers saw streams that ended incomplete although their replica went on.

Cause: if a later stage seemed lost and every path started at the head of the present run, the run was closed after a mere look at the retry budget. Nothing was held: with one retry left all streams of the node closed their runs in one pass and one got the retry; the path's capacity could go to others; the head could reject the stream. Besides, the own close counted as a break of the head: it was excluded, paused and reported as crashed, so that with a route that allows two replicas no path was left at all, even with ample retries. The stage may be alive: a suspicion may be false, and a replica that is to release layers serves them until no stream uses them.

Now the search for a replacement does both ways. Beside the present run at another head as before; at the same head it reserves the path (the memory of the present run counts as free), a retry and a connection, looks again whether the run is silent, and closes it only then. An own close is no evidence against the head. A search that is cancelled while it connects returns its retry.

Weighed: to stay until the engine gives up (2.5 s; clients leave after 2 s); to close at once with all reserved (a false suspicion then ends a run that sends events, and the head may reject the stream); an order to reroute goes first as before and was rejected when we come here.

--- a/samphirerill/fleet/retry_budget.py
+++ b/samphirerill/fleet/retry_budget.py
@@ -15,6 +15,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from math import ceil
 from operator import attrgetter
 
 # Headroom, since nodes learn of each other's retries with a delay.
@@ -126,15 +127,19 @@
             unused.
         """
         self._drop_expired(now)
-        allowed = self._ratio * len(self._request_times) + self._slack / max(
-            1, nodes
-        )
+        allowed = self._compute_share(nodes)
         if not is_urgent:
             allowed *= _NON_URGENT_SHARE
         if len(self._retry_times) < allowed:
             return True
         return is_urgent and self._can_borrow(now)
 
+    def count_remaining(self, now: float, nodes: int) -> int:
+        """Return how many retries are left of this node's share."""
+        self._drop_expired(now)
+        left = self._compute_share(nodes) - len(self._retry_times)
+        return max(0, ceil(left))
+
     def get_usage(self, now: float) -> RetryUsage:
         """Return this node's usage."""
         self._drop_expired(now)
@@ -158,6 +163,11 @@
         if self._retry_times:
             self._retry_times.pop()
 
+    def _compute_share(self, nodes: int) -> float:
+        """Return how many retries this node may use without the others."""
+        earned = self._ratio * len(self._request_times)
+        return earned + self._slack / max(1, nodes)
+
     def _can_borrow(self, now: float) -> bool:
         """Return whether the global budget covers retrying all active streams."""
         others = self.peers.get_total(now)
--- a/samphirerill/relay/handover.py
+++ b/samphirerill/relay/handover.py
@@ -38,14 +38,15 @@
     Parameters
     ----------
     start_run : callable
-        Starts another run; returns none if no replica accepts it now.
+        Starts a replacement of the run on a connection; returns none if no
+        replica accepts it now.
     discard : callable
         Ends a run that is no longer needed.
     """
 
     def __init__(
         self,
-        start_run: Callable[[], Awaitable[StreamRun | None]],
+        start_run: Callable[[HttpConnection], Awaitable[StreamRun | None]],
         discard: Callable[[StreamRun], None],
     ) -> None:
         self._start_run = start_run
@@ -92,7 +93,7 @@
         task.add_done_callback(self._discard_result)
 
     async def _search(self, conn: HttpConnection) -> StreamRun | None:
-        run = await self._start_run()
+        run = await self._start_run(conn)
         if run is None:
             # The present run goes on, and another search may be started.
             self._task = None
--- a/samphirerill/relay/leaving_replicas.py
+++ b/samphirerill/relay/leaving_replicas.py
@@ -25,18 +25,10 @@
     This is the case if a later stage was lost and every path with capacity
     starts at the same first replica, which did not reroute the stream itself.
     """
-    lost_replicas = path.list_failed()
-    if (
-        not lost_replicas
-        or path.head_id in lost_replicas
-        or _has_path_with_other_head(path)
-    ):
+    if not path.has_lost_later_stage() or _has_path_with_other_head(path):
         return False
-    return bool(path.finder.find_alternative(lost_replicas))
+    return bool(path.find_resend())
 
 
 def _has_path_with_other_head(path: StreamPath) -> bool:
-    path_request = path.finder.build_parallel_request(
-        path.head_id, path.list_failed()
-    )
-    return bool(path.finder.find_path(path_request))
+    return bool(path.find_parallel(path.list_failed()))
--- a/samphirerill/relay/path_finder.py
+++ b/samphirerill/relay/path_finder.py
@@ -166,6 +166,31 @@
         path_request.excluded = {*path_request.excluded, *failed_ids, head_id}
         return path_request
 
+    def build_resend_request(
+        self,
+        head_id: str,
+        released_ids: Collection[str],
+        failed_ids: Collection[str],
+    ) -> PathRequest:
+        """Return the requirements on a path that replaces the present one.
+
+        Parameters
+        ----------
+        head_id : str
+            The head replica of the present path, which is kept.
+        released_ids : collection of str
+            Replicas whose memory the present run uses until then.
+        failed_ids : collection of str
+            Replicas to exclude.
+        """
+        return PathRequest(
+            self.tokens,
+            {*self.avoid, *failed_ids} - {head_id},
+            frozenset((head_id,)),
+            prefilled_on=frozenset(released_ids),
+            is_urgent=True,
+        )
+
     def find_path(self, path_request: PathRequest) -> tuple[Stage, ...]:
         """Return a path with free capacity; empty if there is none."""
         return self._admission.find_path(
--- a/samphirerill/relay/stream_limits.py
+++ b/samphirerill/relay/stream_limits.py
@@ -118,6 +118,13 @@
             is_urgent=self._is_urgent(),
         )
 
+    def count_retries_left(self) -> int:
+        """Return how many retries are left of this node's share."""
+        budget = self._state.get_retry_budget(self._context.service.name)
+        return budget.count_remaining(
+            self._loop.time(), self._state.count_nodes()
+        )
+
     def get_admission_deadline(self) -> float:
         """Return until when the stream may wait for a path."""
         until = self._context.req.arrived_at + _MAX_ADMISSION_WAIT_S
--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -17,6 +17,8 @@
 from samphirerill.relay.path_finder import ANY_HEAD, PathFinder
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from samphirerill.fleet.model import EngineSpec, Stage
     from samphirerill.fleet.paths import PathRequest
     from samphirerill.relay.admission import AdmissionQueue
@@ -169,14 +171,44 @@
         )
         return await self._admit(path_request, rank, deadline)
 
+    def acquire_resend(self) -> tuple[Stage, ...]:
+        """Reserve a path with the same head; return none if there is none."""
+        stages = self.find_resend()
+        if stages:
+            self._admission.reserve(self.engine, stages, self.tokens)
+        return stages
+
+    def find_parallel(self, excluded_ids: Collection[str]) -> tuple[Stage, ...]:
+        """Return a path with another head; empty if none has capacity now."""
+        path_request = self.finder.build_parallel_request(
+            self.head_id, excluded_ids
+        )
+        return self.finder.find_path(path_request)
+
+    def find_resend(self) -> tuple[Stage, ...]:
+        """Return a path with the same head to send the stream over again.
+
+        The memory that the present run uses becomes free for it.
+        """
+        path_request = self.finder.build_resend_request(
+            self.head_id, list_replica_ids(self.stages), self.list_failed()
+        )
+        return self.finder.find_path(path_request)
+
     def release(self) -> None:
         """Release the capacity of the path."""
-        self._admission.release(self.stages, self.tokens)
+        self.release_reserved(self.stages)
         self.stages = ()
 
+    def release_reserved(self, stages: tuple[Stage, ...]) -> None:
+        """Release the capacity of a path that was reserved for another run."""
+        self._admission.release(stages, self.tokens)
+
     def has_alternative(self) -> bool:
-        """Return whether a path over other replicas has capacity now."""
-        return bool(self.finder.find_alternative(self.list_failed()))
+        """Return whether a path without failed replicas has capacity now."""
+        if self.finder.find_alternative(self.list_failed()):
+            return True
+        return self.has_lost_later_stage() and bool(self.find_resend())
 
     async def replace_later_stages(self) -> MoveResult:
         """Replace the stages after the head, unless resending is faster."""
@@ -231,6 +263,11 @@
             if is_stage_lost(view, stage, now)
         }
 
+    def has_lost_later_stage(self) -> bool:
+        """Return whether a stage was lost, but not the head."""
+        failed_ids = self.list_failed()
+        return bool(failed_ids) and self.head_id not in failed_ids
+
     def is_head_dead(self) -> bool:
         """Return whether the head replica is gone or considered dead."""
         head = self._state.view.replicas.get(self.head_id)
--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -23,6 +23,8 @@
 from samphirerill.relay.stream_request import build_stream_call, parse_event_id
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from samphirerill.fleet.model import Replica, Stage
     from samphirerill.relay.connection import HttpConnection, ResponseHead
     from samphirerill.relay.health import ReplicaProber
@@ -44,8 +46,8 @@
     when the client got the response head, `attempts` how often the stream was
     sent, `fruitless_attempts` how many of the latest attempts returned no
     event, `may_have_run` whether an engine may have executed the stream,
-    `has_broken_run` whether a replica broke off a run, `reason` why the last
-    attempt failed.
+    `has_broken_run` whether a run ended early, `reason` why the last attempt
+    failed.
     """
 
     __slots__ = (
@@ -194,7 +196,10 @@
         return is_new_head
 
     async def start_parallel_run(
-        self, stages: tuple[Stage, ...], deadline: float
+        self,
+        stages: tuple[Stage, ...],
+        deadline: float,
+        confirm: Callable[[], bool] | None = None,
     ) -> StreamRun | None:
         """Send in parallel to the present run; return the run once started.
 
@@ -204,10 +209,15 @@
             The path.
         deadline : float
             The latest time for the first event.
+        confirm : callable, optional
+            Called when connected; returns whether to send.
         """
         conn = await self.connect(stages[0].replica)
         if conn is None:
             return None
+        if confirm is not None and not confirm():
+            self._state.pool.release(stages[0].replica, conn)
+            return None
         head = None
         try:
             head = await self._start_run(conn, stages, deadline)
--- a/samphirerill/relay/stream_times.py
+++ b/samphirerill/relay/stream_times.py
@@ -59,11 +59,16 @@
         self.first_at = self.first_at or now
         self.last_at = now
 
+    def get_silence_s(self, now: float) -> float:
+        """Return the time since the latest event, or since the run was sent."""
+        return now - max(self.sent_at, self.last_at)
+
     def describe(self, now: float) -> dict[str, Any]:
-        """Return log fields: events and milliseconds since the run was sent."""
+        """Return log fields: events, and the run's time and silence in ms."""
         return {
             'run_events': self.events,
             'run_ms': round((now - self.sent_at) * MS_PER_S),
+            'silent_ms': round(self.get_silence_s(now) * MS_PER_S),
         }
 
 
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -20,11 +20,7 @@
     ResponseHead,
 )
 from samphirerill.relay.errors import BrokenResponseError, EndpointError
-from samphirerill.relay.handover import Handover, StreamRun
-from samphirerill.relay.leaving_replicas import (
-    must_resend_to_head,
-    should_seek_path,
-)
+from samphirerill.relay.handover import Handover
 from samphirerill.relay.refusals import (
     FAILED,
     TIMED_OUT,
@@ -32,6 +28,7 @@
     Refusal,
     send_refusal,
 )
+from samphirerill.relay.replacement import STARTED_RANK, ReplacementStarter
 from samphirerill.relay.responses import (
     filter_headers,
     is_success,
@@ -55,13 +52,9 @@
     from samphirerill.relay.state import EdgeState
 
 _LOG = get_logger('streams')
-# Admission rank of started streams: ahead of all new ones.
-_STARTED_RANK = -1
 # Silence limit for the response head. A longer prefill, as under load, only
 # causes the path to be probed.
 _HEAD_SILENCE_S = 0.22
-# Least time that a replacement run is given to start, including the prefill.
-_MIN_HANDOVER_S = 0.7
 # Retry-After when nothing better is known.
 _DEFAULT_RETRY_S = 0.3
 # Least Retry-After when no path is free: the usual reason is a lost stage,
@@ -121,7 +114,17 @@
         self._run = RunTimes(0.0)
         self._conn: HttpConnection | None = None
         self._wait_scope: asyncio.Timeout | None = None
-        self._handover = Handover(self._start_parallel_run, self._discard_run)
+        self._closing_reason = ''
+        starter = ReplacementStarter(
+            context,
+            self._path,
+            self._limits,
+            self._sender,
+            self._progress,
+            self._get_silence_s,
+            self._close_run,
+        )
+        self._handover = Handover(starter.start, starter.discard)
         self._guard = StreamGuard(
             context,
             self._path,
@@ -212,7 +215,7 @@
         until = self._limits.get_admission_deadline()
         heads = await self._path.find_isolated_head(self._crash_detector, until)
         await self._path.acquire(
-            _STARTED_RANK if has_started else self._context.priority,
+            STARTED_RANK if has_started else self._context.priority,
             until,
             is_urgent=has_started,
             heads=heads,
@@ -270,6 +273,7 @@
         replica = self._path.stages[0].replica
         self._run = RunTimes(self._loop.time())
         self._conn = conn
+        self._closing_reason = ''
         self._guard.start(conn)
         try:
             await reading
@@ -289,51 +293,28 @@
         """Start a handover; return whether the stream has started."""
         if self._progress.has_started and self._context.is_retryable:
             self._log('stream handover started', reason=reason)
-            if must_resend_to_head(self._path) and self._limits.may_retry():
-                # The new run starts at the same head, which must not run the
-                # stream twice at a time.
-                conn.close()
-            else:
-                self._handover.start(conn)
+            self._handover.start(conn)
         return self._progress.has_started
 
-    async def _start_parallel_run(self) -> StreamRun | None:
-        """Start a parallel run, if a replica accepts it."""
-        if not should_seek_path(self._path):
-            return None
-        until = self._limits.get_admission_deadline()
-        try:
-            stages = await self._path.acquire_parallel(_STARTED_RANK, until)
-        except NoPathError as exc:
-            self._log('stream handover not possible', reason=str(exc))
-            return None
-        run = None
-        try:
-            run = await self._send_parallel_run(stages, until)
-        finally:
-            if run is None:
-                self._admission.release(stages, self._path.tokens)
-        return run
-
-    async def _send_parallel_run(
-        self, stages: tuple[Stage, ...], until: float
-    ) -> StreamRun | None:
-        """Reserve a retry and send; return none if either fails."""
-        denial = self._limits.acquire_attempt()
-        if denial is not None:
-            self._log('stream handover not possible', reason=denial.reason)
-            return None
-        attempts_before = self._progress.attempts
-        run = await self._sender.start_parallel_run(
-            stages, max(until, self._loop.time() + _MIN_HANDOVER_S)
+    def _close_run(self, conn: HttpConnection, reason: str) -> None:
+        """Close the present run, as its replacement is reserved."""
+        if self._conn is not conn:
+            return
+        self._closing_reason = reason
+        self._state.counters['streams.runs_closed'] += 1
+        self._log(
+            'stream run closed',
+            reason=reason,
+            path=format_path(self._path.stages),
+            last_event=self._progress.last_id,
+            retries_left=self._limits.count_retries_left(),
+            **self._run.describe(self._loop.time()),
         )
-        if self._progress.attempts == attempts_before:
-            self._limits.return_attempt()
-        return run
+        conn.close()
 
-    def _discard_run(self, run: StreamRun) -> None:
-        run.conn.close()
-        self._admission.release(run.stages, self._path.tokens)
+    def _get_silence_s(self) -> float:
+        """Return how long the present run has sent no event."""
+        return self._run.get_silence_s(self._loop.time())
 
     async def _read_response(
         self, conn: HttpConnection, *, is_new_head: bool
@@ -411,6 +392,9 @@
             self._state.view.note_alive(stage.replica.replica_id)
 
     def _handle_break(self, exc: EndpointError) -> None:
+        if self._closing_reason:
+            self._handle_closed_run()
+            return
         if isinstance(exc, BrokenResponseError):
             head = self._path.stages[0].replica
             self._crash_detector.record_failure(self._context, head, self._run)
@@ -440,6 +424,15 @@
             **self._run.describe(self._loop.time()),
         )
 
+    def _handle_closed_run(self) -> None:
+        """Record that this node has closed a run.
+
+        That is no evidence against its replica, which the next run may use.
+        """
+        self._progress.may_have_run = True
+        self._progress.has_broken_run = True
+        self._progress.reason = self._closing_reason
+
     def _fail(self, denial: str, wait_s: float) -> None:
         """Send an error, or abort a response that has started."""
         self._ended = True
