Log and count apart the runs that this node closes

`stream run closed` has the reason, whether a retry and a path were reserved for the next run, the silence before and the retries left. `stream aborted` says who ended the last run (`run_ended_by`), and those cut after an own close are counted as `streams.cut.run_closed_here` too. `samphirerill explain` lists them under a cause of their own.

Before: test_cut_after_own_close_is_counted_apart fails with "0 != 1" counted, test_cut_after_own_close_is_distinguished_from_a_break with an AttributeError of the missing cause.

--- a/samphirerill/relay/handover.py
+++ b/samphirerill/relay/handover.py
@@ -9,10 +9,12 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from samphirerill.node.logs import get_logger
+from samphirerill.relay.errors import EndpointError, EndpointTimeoutError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -23,6 +25,15 @@
 _LOG = get_logger('streams')
 
 
+class RunEnd(enum.Enum):
+    """Who ended the last run of a stream; the value is for logs."""
+
+    NO_RUN = 'no run'
+    REPLICA = 'replica'
+    NODE = 'node'
+    DEADLINE = 'deadline'
+
+
 @dataclass(slots=True)
 class StreamRun:
     """A run that has started; the capacity of its path is reserved."""
@@ -42,14 +53,18 @@
         replica accepts it now.
     discard : callable
         Ends a run that is no longer needed.
+    close_run : callable
+        Closes the present run; takes its connection and the reason.
     """
 
     def __init__(
         self,
         start_run: Callable[[HttpConnection], Awaitable[StreamRun | None]],
         discard: Callable[[StreamRun], None],
+        close_run: Callable[[HttpConnection, str], None],
     ) -> None:
         self._start_run = start_run
+        self._close_run = close_run
         self._discard = discard
         self._task: asyncio.Task[StreamRun | None] | None = None
 
@@ -98,7 +113,7 @@
             # The present run goes on, and another search may be started.
             self._task = None
             return None
-        conn.close()
+        self._close_run(conn, 'another run has taken over')
         return run
 
     def _discard_result(self, task: asyncio.Task[StreamRun | None]) -> None:
@@ -107,6 +122,27 @@
             self._discard(run)
 
 
+def find_run_end(
+    exc: EndpointError, *, is_closed_here: bool, is_overdue: bool
+) -> RunEnd:
+    """Return who ended a run that failed.
+
+    Parameters
+    ----------
+    exc : EndpointError
+        Why the run failed.
+    is_closed_here : bool
+        Whether this node has closed it.
+    is_overdue : bool
+        Whether the request's deadline has passed.
+    """
+    if is_closed_here:
+        return RunEnd.NODE
+    if not isinstance(exc, EndpointTimeoutError):
+        return RunEnd.REPLICA
+    return RunEnd.DEADLINE if is_overdue else RunEnd.NODE
+
+
 def _get_result(task: asyncio.Task[StreamRun | None]) -> StreamRun | None:
     """Return the result of a finished search."""
     if task.cancelled():
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -20,7 +20,7 @@
     ResponseHead,
 )
 from samphirerill.relay.errors import BrokenResponseError, EndpointError
-from samphirerill.relay.handover import Handover
+from samphirerill.relay.handover import Handover, RunEnd, find_run_end
 from samphirerill.relay.refusals import (
     FAILED,
     TIMED_OUT,
@@ -115,6 +115,7 @@
         self._conn: HttpConnection | None = None
         self._wait_scope: asyncio.Timeout | None = None
         self._closing_reason = ''
+        self._run_end = RunEnd.NO_RUN
         starter = ReplacementStarter(
             context,
             self._path,
@@ -124,7 +125,9 @@
             self._get_silence_s,
             self._close_run,
         )
-        self._handover = Handover(starter.start, starter.discard)
+        self._handover = Handover(
+            starter.start, starter.discard, self._close_run
+        )
         self._guard = StreamGuard(
             context,
             self._path,
@@ -170,7 +173,9 @@
             return
         self._handover.cancel()
         if self._conn is not None:
-            self._conn.close()
+            self._close_run(
+                self._conn, 'its request is quarantined', is_replaced=False
+            )
 
     async def _serve(self) -> None:
         while not self._ended:
@@ -296,8 +301,20 @@
             self._handover.start(conn)
         return self._progress.has_started
 
-    def _close_run(self, conn: HttpConnection, reason: str) -> None:
-        """Close the present run, as its replacement is reserved."""
+    def _close_run(
+        self, conn: HttpConnection, reason: str, *, is_replaced: bool = True
+    ) -> None:
+        """Close the present run.
+
+        Parameters
+        ----------
+        conn : HttpConnection
+            Its connection; nothing is closed if the run has ended.
+        reason : str
+            Why it is closed, for the log.
+        is_replaced : bool
+            Whether a retry and a path are reserved for the next run.
+        """
         if self._conn is not conn:
             return
         self._closing_reason = reason
@@ -307,6 +324,8 @@
             reason=reason,
             path=format_path(self._path.stages),
             last_event=self._progress.last_id,
+            has_retry=is_replaced,
+            has_path=is_replaced,
             retries_left=self._limits.count_retries_left(),
             **self._run.describe(self._loop.time()),
         )
@@ -340,6 +359,7 @@
             await read_body(conn, self._context.deadline),
         )
         self._progress.reason = f'engine responded with status {head.status}'
+        self._run_end = RunEnd.REPLICA
         self._path.avoid.add(self._path.head_id)
         if not self._context.is_retryable:
             self._fail('it may have run and is not retryable', 0)
@@ -392,15 +412,20 @@
             self._state.view.note_alive(stage.replica.replica_id)
 
     def _handle_break(self, exc: EndpointError) -> None:
-        if self._closing_reason:
-            self._handle_closed_run()
-            return
-        if isinstance(exc, BrokenResponseError):
+        self._run_end = find_run_end(
+            exc,
+            is_closed_here=bool(self._closing_reason),
+            is_overdue=self._loop.time() >= self._context.deadline,
+        )
+        if isinstance(exc, BrokenResponseError) and not self._closing_reason:
             head = self._path.stages[0].replica
             self._crash_detector.record_failure(self._context, head, self._run)
         if self._handover.has_replacement:
             self._state.counters['streams.taken_over'] += 1
             return
+        if self._closing_reason:
+            self._handle_closed_run()
+            return
         if exc.may_have_run:
             self._progress.may_have_run = True
             self._progress.has_broken_run = True
@@ -439,11 +464,15 @@
         client = self._context.conn
         if self._progress.has_started:
             self._state.counters['streams.cut'] += 1
+            if self._run_end is RunEnd.NODE:
+                self._state.counters['streams.cut.run_closed_here'] += 1
             self._log(
                 'stream aborted',
                 last_event=self._progress.last_id,
                 reason=self._progress.reason,
                 obstacle=denial,
+                run_ended_by=self._run_end.value,
+                retries_left=self._limits.count_retries_left(),
             )
             client.abort()
         elif self._error_response is None:
--- a/samphirerill/reports/late_streams.py
+++ b/samphirerill/reports/late_streams.py
@@ -26,6 +26,7 @@
 _HANDOVER_STARTED = 'stream handover started'
 _RUN_FAILED = 'stream run failed'
 _REJECTED = 'engine rejected the stream'
+_ABORTED = 'stream aborted'
 _ENDED = 'stream ended'
 _DISPATCH_EVENTS = frozenset((_SENT, _SENT_IN_PARALLEL, _MOVED))
 # Substrings of logged reasons that mean that a replica did not respond.
@@ -36,6 +37,7 @@
     """The cause of a late stream."""
 
     CUT_BY_NODE = 'cut by the node'
+    CUT_AFTER_OWN_CLOSE = 'cut, its run closed by the node'
     WAITED_FOR_PATH = 'waited for a path'
     CONNECTION_BROKEN = 'its first replica broke off'
     REPLICA_UNRESPONSIVE = 'a part fell silent'
@@ -94,8 +96,13 @@
 ) -> LateStream | None:
     first_ms = end_record.fields.get('first_ms', 0)
     pause_ms = end_record.fields.get('most_gap_ms', 0)
-    if any(record.event == 'stream aborted' for record in records):
-        return LateStream(request, Cause.CUT_BY_NODE, pause_ms)
+    abort_record = _find_last_record(records, _ABORTED)
+    if abort_record is not None:
+        has_closed_run = abort_record.fields.get('run_ended_by') == 'node'
+        cause = (
+            Cause.CUT_AFTER_OWN_CLOSE if has_closed_run else Cause.CUT_BY_NODE
+        )
+        return LateStream(request, cause, pause_ms)
     if pause_ms > targets.pause_ms:
         return _classify_pause(request, records, end_record, pause_ms)
     if first_ms > targets.first_event_ms:
--- a/samphirerill/tests/test_explain.py
+++ b/samphirerill/tests/test_explain.py
@@ -158,6 +158,22 @@
                 self.assertIs(late_stream.cause, cause)
                 self.assertAlmostEqual(late_stream.dispatch_ms, 50, delta=1)
 
+    def test_cut_after_own_close_is_distinguished_from_a_break(self) -> None:
+        ends = {
+            'node': Cause.CUT_AFTER_OWN_CLOSE,
+            'replica': Cause.CUT_BY_NODE,
+        }
+        for run_ended_by, cause in ends.items():
+            with self.subTest(run_ended_by):
+                index = LogIndex()
+                abort = _line(
+                    2, 'stream aborted', request='r', run_ended_by=run_ended_by
+                )
+                lines = (abort, _end(2.1, 'r', 300, 100))
+                index.add_lines(f'edge-1 {line}' for line in lines)
+                late_stream = list_late_streams(index, LatencyTargets())[0]
+                self.assertIs(late_stream.cause, cause)
+
     def test_pause_is_divided_into_phases(self) -> None:
         late = {
             late_stream.request: late_stream
--- a/samphirerill/tests/test_one_head.py
+++ b/samphirerill/tests/test_one_head.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from logbook import TestHandler
 from msgspec.structs import replace
 
 from samphirerill.relay.errors import EndpointError
@@ -202,3 +203,24 @@
         await wait_until(lambda: len(self.head.received_requests) == 2)
         self.head.refuses = False
         await self.assert_complete(streams)
+
+
+class TestRecords(OneHeadCase):
+    """What operators see of a run that this node closed."""
+
+    async def test_cut_after_own_close_is_counted_apart(self) -> None:
+        """Guard against taking a run closed here for one broken off."""
+        self.head.stall_after_event = _LAST_EVENT
+        streams, tail = await self.start_on_one_tail(1)
+        self.head.refuses = True
+        with TestHandler().applicationbound() as logs:
+            self.suspect(tail, _LONG_SUSPICION_S)
+            await asyncio.gather(*streams)
+        counters = self.state.counters
+        self.assertEqual(counters['streams.cut'], 1)
+        self.assertEqual(counters['streams.cut.run_closed_here'], 1)
+        fields = {record.message: dict(record.extra) for record in logs.records}
+        closing = fields['stream run closed']
+        self.assertTrue(closing['has_retry'] and closing['has_path'])
+        self.assertGreater(closing['silent_ms'], 0)
+        self.assertEqual(fields['stream aborted']['run_ended_by'], 'node')
