Reserve the retry before a run that has not started is closed

Callers got 502 for streams whose replica was about to answer: a run whose replica releases its layers, or whose later stage was not replaced, or that was silent, was closed after a look at the retry budget. With one retry left all streams of the node closed theirs, one was sent again, the others ended with "the retry budget is exhausted" (502, as the stream may have run; that status was and is true).

The retry is reserved before the close, the next attempt uses it, and it is returned if none follows. Without one the run goes on. A run whose head is found dead is left without one, as before. Its path is not reserved: a stream that has not started may wait for one in the queue.

The test of cancelled moves passes the guard its limits in place of a callable, and is as strict.

--- a/samphirerill/relay/stream_guard.py
+++ b/samphirerill/relay/stream_guard.py
@@ -22,6 +22,7 @@
     from samphirerill.relay.connection import HttpConnection
     from samphirerill.relay.health.prober import ReplicaProber
     from samphirerill.relay.request_context import RequestContext
+    from samphirerill.relay.stream_limits import StreamLimits
     from samphirerill.relay.stream_path import StreamPath
 
     Read = TypeVar('Read')
@@ -47,12 +48,15 @@
         The path of the stream.
     prober : ReplicaProber
         Probes the replicas of silent paths.
-    may_retry : callable
-        Returns whether another attempt is allowed.
+    limits : StreamLimits
+        Decides whether another attempt is allowed, and reserves it.
     start_handover : callable
         Starts a handover to another run if the stream has started, and returns
         whether it has; takes the connection and the reason. A stream that has
         not started loses nothing if it is sent again instead.
+    close_run : callable
+        Closes the run of a stream that has not started, which is then sent
+        again; takes the connection and the reason.
     """
 
     def __init__(
@@ -60,14 +64,16 @@
         context: RequestContext,
         path: StreamPath,
         prober: ReplicaProber,
-        may_retry: Callable[[], bool],
+        limits: StreamLimits,
         start_handover: Callable[[HttpConnection, str], bool],
+        close_run: Callable[[HttpConnection, str], None],
     ) -> None:
         self._context = context
         self._path = path
         self._prober = prober
-        self._may_retry = may_retry
+        self._limits = limits
         self._start_handover = start_handover
+        self._close_run = close_run
         self._loop = asyncio.get_running_loop()
         self._conn: HttpConnection | None = None
         self._reroute_task: asyncio.Task[None] | None = None
@@ -145,16 +151,20 @@
 
     def _leave_failed_head(self, conn: HttpConnection) -> None:
         """Leave a head replica that is gone or drops its layers."""
-        if self._start_handover(
-            conn,
-            f'{self._path.head_id} has failed or stopped serving its layers',
-        ):
+        reason = (
+            f'{self._path.head_id} has failed or stopped serving its layers'
+        )
+        if self._start_handover(conn, reason):
             return
-        if self._path.is_head_dead() or self._can_resend():
-            conn.close()
+        if self._path.is_head_dead() or self._reserve_resend():
+            self._close_run(conn, reason)
 
     def _can_resend(self) -> bool:
-        return self._may_retry() and self._path.has_alternative()
+        return self._limits.may_retry() and self._path.has_alternative()
+
+    def _reserve_resend(self) -> bool:
+        """Reserve a retry if there is another path; return whether it is."""
+        return self._path.has_alternative() and self._limits.reserve_attempt()
 
     def _start_reroute(self, conn: HttpConnection) -> None:
         if self._reroute_task is None:
@@ -180,8 +190,13 @@
         )
         if not must_leave or not self._can_resend():
             self._schedule_departure(conn)
-        elif not self._start_handover(conn, 'later stages were not replaced'):
-            conn.close()
+        else:
+            self._leave_later_stages(conn)
+
+    def _leave_later_stages(self, conn: HttpConnection) -> None:
+        reason = 'later stages were not replaced'
+        if not self._start_handover(conn, reason) and self._reserve_resend():
+            self._close_run(conn, reason)
 
     async def _diagnose_silence(self, since: float, silence_s: float) -> float:
         """Find out why the path is silent; return the next silence limit."""
@@ -208,7 +223,7 @@
         head_id = self._path.head_id
         diagnosis = await self._prober.diagnose_path(unconfirmed)
         if head_id in diagnosis.dead:
-            self._leave_path(f'{head_id} is unresponsive')
+            self._leave_path(f'{head_id} is unresponsive', is_head_dead=True)
             return
         if not self._context.is_retryable:
             return
@@ -236,8 +251,14 @@
         if waited_s >= _MAX_SILENCE_S and self._can_resend():
             self._leave_path(f'no event for {waited_s:.1f} s')
 
-    def _leave_path(self, reason: str) -> None:
-        """Start a handover; raise if the stream has not started."""
+    def _leave_path(self, reason: str, *, is_head_dead: bool = False) -> None:
+        """Start a handover; raise if the stream has not started.
+
+        A run that has not started stays if no retry can be reserved, unless its
+        head is dead.
+        """
         conn = self._conn
-        if conn is None or not self._start_handover(conn, reason):
+        if conn is not None and self._start_handover(conn, reason):
+            return
+        if is_head_dead or self._limits.reserve_attempt():
             raise EndpointTimeoutError(reason)
--- a/samphirerill/relay/stream_limits.py
+++ b/samphirerill/relay/stream_limits.py
@@ -53,6 +53,11 @@
         The times of its events.
     crash_detector : CrashDetector
         Knows whether the request is quarantined.
+
+    Attributes
+    ----------
+    has_reserved : bool
+        Whether the next attempt is reserved.
     """
 
     __slots__ = (
@@ -63,6 +68,7 @@
         '_context',
         '_times',
         '_crash_detector',
+        'has_reserved',
     )
 
     def __init__(
@@ -80,28 +86,43 @@
         self._crash_detector = crash_detector
         self._loop = asyncio.get_running_loop()
         self._budget = AttemptBudget(state, context)
+        self.has_reserved = False
 
     def is_quarantined(self) -> bool:
         """Return whether the request is quarantined for crashing replicas."""
         return self._crash_detector.find_held_until(self._context) > 0
 
+    def reserve_attempt(self) -> bool:
+        """Reserve the next attempt while the present run goes on.
+
+        `acquire_attempt` uses it. Returns whether it is reserved.
+        """
+        if not self.has_reserved:
+            self.has_reserved = self.acquire_attempt() is None
+        return self.has_reserved
+
     def acquire_attempt(self) -> AttemptDenial | None:
         """Reserve one attempt; return why it is denied, or none."""
-        now = self._loop.time()
-        quarantined_until = self._crash_detector.find_held_until(self._context)
-        if quarantined_until:
-            reason = self._crash_detector.describe_hold(self._context)
-            return AttemptDenial(reason, quarantined_until - now)
-        denial = self._find_final_denial(now)
-        if denial:
-            return AttemptDenial(denial)
-        is_urgent = self._is_urgent()
-        if self._budget.reserve(
-            now, self._progress.attempts, is_urgent=is_urgent
+        was_reserved = self.has_reserved
+        denial = self._find_denial()
+        if denial is not None:
+            self.return_reserved()
+            return denial
+        self.has_reserved = False
+        if was_reserved or self._budget.reserve(
+            self._loop.time(),
+            self._progress.attempts,
+            is_urgent=self._is_urgent(),
         ):
             return None
         return AttemptDenial('the retry budget is exhausted')
 
+    def return_reserved(self) -> None:
+        """Return an attempt that was reserved and is not needed."""
+        if self.has_reserved:
+            self.has_reserved = False
+            self._budget.refund()
+
     def return_attempt(self) -> None:
         """Return a reserved attempt for which nothing was sent."""
         self._budget.refund()
@@ -152,6 +173,16 @@
         """
         return self._progress.has_started or self._progress.has_broken_run
 
+    def _find_denial(self) -> AttemptDenial | None:
+        """Return why no further attempt is allowed, apart from the budget."""
+        now = self._loop.time()
+        quarantined_until = self._crash_detector.find_held_until(self._context)
+        if quarantined_until:
+            reason = self._crash_detector.describe_hold(self._context)
+            return AttemptDenial(reason, quarantined_until - now)
+        denial = self._find_final_denial(now)
+        return AttemptDenial(denial) if denial else None
+
     def _find_final_denial(self, now: float) -> str:
         """Return why no further attempt is possible; empty if one is."""
         progress = self._progress
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -132,8 +132,9 @@
             context,
             self._path,
             prober,
-            self._limits.may_retry,
+            self._limits,
             self._start_handover,
+            self._close_unstarted_run,
         )
 
     @property
@@ -174,7 +175,10 @@
         self._handover.cancel()
         if self._conn is not None:
             self._close_run(
-                self._conn, 'its request is quarantined', is_replaced=False
+                self._conn,
+                'its request is quarantined',
+                has_retry=False,
+                has_path=False,
             )
 
     async def _serve(self) -> None:
@@ -302,7 +306,12 @@
         return self._progress.has_started
 
     def _close_run(
-        self, conn: HttpConnection, reason: str, *, is_replaced: bool = True
+        self,
+        conn: HttpConnection,
+        reason: str,
+        *,
+        has_retry: bool = True,
+        has_path: bool = True,
     ) -> None:
         """Close the present run.
 
@@ -312,7 +321,7 @@
             Its connection; nothing is closed if the run has ended.
         reason : str
             Why it is closed, for the log.
-        is_replaced : bool
+        has_retry, has_path : bool
             Whether a retry and a path are reserved for the next run.
         """
         if self._conn is not conn:
@@ -324,13 +333,19 @@
             reason=reason,
             path=format_path(self._path.stages),
             last_event=self._progress.last_id,
-            has_retry=is_replaced,
-            has_path=is_replaced,
+            has_retry=has_retry,
+            has_path=has_path,
             retries_left=self._limits.count_retries_left(),
             **self._run.describe(self._loop.time()),
         )
         conn.close()
 
+    def _close_unstarted_run(self, conn: HttpConnection, reason: str) -> None:
+        """Close a run before its first event; the stream is sent again."""
+        self._close_run(
+            conn, reason, has_retry=self._limits.has_reserved, has_path=False
+        )
+
     def _get_silence_s(self) -> float:
         """Return how long the present run has sent no event."""
         return self._run.get_silence_s(self._loop.time())
@@ -498,6 +513,7 @@
         ).active_streams += 1
 
     def _unregister(self) -> None:
+        self._limits.return_reserved()
         self._state.streams.discard(self)
         self._state.get_retry_budget(
             self._context.service.name
--- a/samphirerill/tests/test_resending.py
+++ b/samphirerill/tests/test_resending.py
@@ -30,6 +30,7 @@
 if TYPE_CHECKING:
     from samphirerill.relay.health.prober import ReplicaProber
     from samphirerill.relay.request_context import RequestContext
+    from samphirerill.relay.stream_limits import StreamLimits
     from samphirerill.relay.stream_path import StreamPath
     from samphirerill.testing.platform_replicas import FakeReplica
 
@@ -265,8 +266,9 @@
             cast('RequestContext', _RetryableContext()),
             cast('StreamPath', path),
             cast('ReplicaProber', None),
-            lambda: True,
+            cast('StreamLimits', None),
             lambda *_: False,
+            lambda *_: None,
         )
         for _ in range(2):
             guard.start(HttpConnection('127.0.0.1:1'))
--- a/samphirerill/tests/test_working_runs.py
+++ b/samphirerill/tests/test_working_runs.py
@@ -24,6 +24,8 @@
 # A node assumes at least eight nodes, so it has a single retry.
 _SLACK_FOR_ONE_RETRY = 8
 _TOKENS_HEADER = 3
+_FULL_TOKENS = 1e9
+_LONG_PREFILL_S = 1.0
 
 
 class TestWorkingRuns(TwoEnginesCase):
@@ -164,6 +166,26 @@
         replica.responding.set()
 
 
+class TestUnstartedRuns(TwoEnginesCase):
+    """Runs that have not sent an event yet."""
+
+    async def test_head_drops_layers_with_one_retry_left(self) -> None:
+        """Each stream must reserve a retry before its run ends.
+
+        Otherwise, all of them see the last retry, and most are answered 502.
+        """
+        self.change_settings(retry_slack=_SLACK_FOR_ONE_RETRY, retry_ratio=0)
+        load_tracker = self.process.state.load_tracker
+        load_tracker.add_request(['engine-2'], _FULL_TOKENS)
+        self.harness.replicas['engine-1'].prefill_s = _LONG_PREFILL_S
+        streams = [self.start_request(b'/notes/x') for _ in range(4)]
+        await self.wait_until(lambda: len(self.list_used_engines()) == 4)
+        load_tracker.remove_request(['engine-2'], _FULL_TOKENS)
+        await self.drop_layers('engine-1')
+        for answer in await asyncio.gather(*streams):
+            self.assert_complete(answer)
+
+
 class TestLaterStages(LeavingCase):
     """Later stages of a path."""
 
