Keep a stream that may run only once on a silent replica

Callers got 502 for a stream of a route that is not resumable while its replica was at work: if the head did not answer a probe before the response had begun, the run was closed, although no other attempt is allowed. A replica's silence is no reason to end a response sooner, and the client does not send such a request again after a 502.

The check whether the request may be sent again now comes before that of a dead head, as for streams that have started.

Before: test_silence_of_non_resumable_stream fails with AssertionError: 502 != 200

--- a/samphirerill/relay/stream_guard.py
+++ b/samphirerill/relay/stream_guard.py
@@ -222,11 +222,11 @@
         """
         head_id = self._path.head_id
         diagnosis = await self._prober.diagnose_path(unconfirmed)
+        if not self._context.is_retryable:
+            return
         if head_id in diagnosis.dead:
             self._leave_path(f'{head_id} is unresponsive', is_head_dead=True)
             return
-        if not self._context.is_retryable:
-            return
         stalled_id = self._path.find_stalled_replica(
             diagnosis, self._context.request_id
         )
--- a/samphirerill/tests/test_working_runs.py
+++ b/samphirerill/tests/test_working_runs.py
@@ -185,6 +185,19 @@
         for answer in await asyncio.gather(*streams):
             self.assert_complete(answer)
 
+    async def test_silence_of_non_resumable_stream(self) -> None:
+        """A stream that may run only once must not leave a silent replica."""
+        await self.configure(build_configuration(8, resumable=False))
+        for name in ('engine-1', 'engine-2'):
+            self.harness.replicas[name].prefill_s = _LONG_PREFILL_S
+        stream = self.start_request(b'/notes/x')
+        await self.wait_until(self.list_used_engines)
+        replica = self.harness.replicas[self.list_used_engines()[0]]
+        replica.responding.clear()
+        await asyncio.sleep(_LONG_PREFILL_S)
+        replica.responding.set()
+        self.assert_complete(await stream)
+
 
 class TestLaterStages(LeavingCase):
     """Later stages of a path."""
