Let a started stream return to the only head that is left

Callers saw streams aborted with "no path in time" although the head that had broken them off went on working: a head that failed a run was excluded from the stream for good while its route allowed another one, so that in a fleet with a single head one break ended each stream.

A stream that has started and finds no path without the replicas that failed it is now also queued for those. Heads that the route does not allow stay excluded, and so do replicas that are suspected, paused or leaving.

Before: test_stream_resumes_at_the_only_head fails with AssertionError: Lists differ: [b'127.0.0.1:35801: connection closed'] != []

--- a/samphirerill/relay/path_finder.py
+++ b/samphirerill/relay/path_finder.py
@@ -120,7 +120,8 @@
 
         Without that order, a stream that may use no further head replica would
         be sent to the nearest one again and again, even if only the other one
-        can serve it.
+        can serve it. A stream that has started returns to a replica that
+        failed it rather than wait for another one.
         """
         path_request = self.build_request(is_urgent=is_urgent)
         allowed = path_request.first_replicas
@@ -131,6 +132,8 @@
             if self.find_path(path_request):
                 return path_request
         path_request.first_replicas = allowed
+        if is_urgent and not self.find_path(path_request):
+            path_request.excluded = ()
         return path_request
 
     def find_isolated_head(
--- a/samphirerill/tests/test_one_head.py
+++ b/samphirerill/tests/test_one_head.py
@@ -205,6 +205,17 @@
         await self.assert_complete(streams)
 
 
+class TestBrokenRuns(OneHeadCase):
+    """The head has broken off the run and works."""
+
+    async def test_stream_resumes_at_the_only_head(self) -> None:
+        """Guard against excluding the only head from a stream for good."""
+        self.head.close_after_event = _LAST_EVENT
+        streams, _ = await self.start_on_one_tail(1)
+        self.head.close_after_event = 0
+        await self.assert_complete(streams)
+
+
 class TestRecords(OneHeadCase):
     """What operators see of a run that this node closed."""
 
