--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -20,11 +20,7 @@
     ResponseHead,
 )
 from samphirerill.relay.errors import BrokenResponseError, EndpointError
-from samphirerill.relay.handover import Handover, StreamRun
-from samphirerill.relay.leaving_replicas import (
-    must_resend_to_head,
-    should_seek_path,
-)
+from samphirerill.relay.handover import Handover, RunEnd, find_run_end
 from samphirerill.relay.refusals import (
     FAILED,
     TIMED_OUT,
@@ -32,6 +28,7 @@
     Refusal,
     send_refusal,
 )
+from samphirerill.relay.replacement import STARTED_RANK, ReplacementStarter
 from samphirerill.relay.responses import (
     filter_headers,
     is_success,
@@ -55,13 +52,9 @@
     from samphirerill.relay.state import EdgeState
 
 _LOG = get_logger('streams')
-# Admission rank of started streams: ahead of all new ones.
-_STARTED_RANK = -1
 # Silence limit for the response head. A longer prefill, as under load, only
 # causes the path to be probed.
 _HEAD_SILENCE_S = 0.22
-# Least time that a replacement run is given to start, including the prefill.
-_MIN_HANDOVER_S = 0.7
 # Retry-After when nothing better is known.
 _DEFAULT_RETRY_S = 0.3
 # Least Retry-After when no path is free: the usual reason is a lost stage,
@@ -121,13 +114,27 @@
         self._run = RunTimes(0.0)
         self._conn: HttpConnection | None = None
         self._wait_scope: asyncio.Timeout | None = None
-        self._handover = Handover(self._start_parallel_run, self._discard_run)
+        self._closing_reason = ''
+        self._run_end = RunEnd.NO_RUN
+        starter = ReplacementStarter(
+            context,
+            self._path,
+            self._limits,
+            self._sender,
+            self._progress,
+            self._get_silence_s,
+            self._close_run,
+        )
+        self._handover = Handover(
+            starter.start, starter.discard, self._close_run
+        )
         self._guard = StreamGuard(
             context,
             self._path,
             prober,
-            self._limits.may_retry,
+            self._limits,
             self._start_handover,
+            self._close_unstarted_run,
         )
 
     @property
@@ -167,7 +174,12 @@
             return
         self._handover.cancel()
         if self._conn is not None:
-            self._conn.close()
+            self._close_run(
+                self._conn,
+                'its request is quarantined',
+                has_retry=False,
+                has_path=False,
+            )
 
     async def _serve(self) -> None:
         while not self._ended:
@@ -212,7 +224,7 @@
         until = self._limits.get_admission_deadline()
         heads = await self._path.find_isolated_head(self._crash_detector, until)
         await self._path.acquire(
-            _STARTED_RANK if has_started else self._context.priority,
+            STARTED_RANK if has_started else self._context.priority,
             until,
             is_urgent=has_started,
             heads=heads,
@@ -270,6 +282,7 @@
         replica = self._path.stages[0].replica
         self._run = RunTimes(self._loop.time())
         self._conn = conn
+        self._closing_reason = ''
         self._guard.start(conn)
         try:
             await reading
@@ -289,51 +302,53 @@
         """Start a handover; return whether the stream has started."""
         if self._progress.has_started and self._context.is_retryable:
             self._log('stream handover started', reason=reason)
-            if must_resend_to_head(self._path) and self._limits.may_retry():
-                # The new run starts at the same head, which must not run the
-                # stream twice at a time.
-                conn.close()
-            else:
-                self._handover.start(conn)
+            self._handover.start(conn)
         return self._progress.has_started
 
-    async def _start_parallel_run(self) -> StreamRun | None:
-        """Start a parallel run, if a replica accepts it."""
-        if not should_seek_path(self._path):
-            return None
-        until = self._limits.get_admission_deadline()
-        try:
-            stages = await self._path.acquire_parallel(_STARTED_RANK, until)
-        except NoPathError as exc:
-            self._log('stream handover not possible', reason=str(exc))
-            return None
-        run = None
-        try:
-            run = await self._send_parallel_run(stages, until)
-        finally:
-            if run is None:
-                self._admission.release(stages, self._path.tokens)
-        return run
-
-    async def _send_parallel_run(
-        self, stages: tuple[Stage, ...], until: float
-    ) -> StreamRun | None:
-        """Reserve a retry and send; return none if either fails."""
-        denial = self._limits.acquire_attempt()
-        if denial is not None:
-            self._log('stream handover not possible', reason=denial.reason)
-            return None
-        attempts_before = self._progress.attempts
-        run = await self._sender.start_parallel_run(
-            stages, max(until, self._loop.time() + _MIN_HANDOVER_S)
+    def _close_run(
+        self,
+        conn: HttpConnection,
+        reason: str,
+        *,
+        has_retry: bool = True,
+        has_path: bool = True,
+    ) -> None:
+        """Close the present run.
+
+        Parameters
+        ----------
+        conn : HttpConnection
+            Its connection; nothing is closed if the run has ended.
+        reason : str
+            Why it is closed, for the log.
+        has_retry, has_path : bool
+            Whether a retry and a path are reserved for the next run.
+        """
+        if self._conn is not conn:
+            return
+        self._closing_reason = reason
+        self._state.counters['streams.runs_closed'] += 1
+        self._log(
+            'stream run closed',
+            reason=reason,
+            path=format_path(self._path.stages),
+            last_event=self._progress.last_id,
+            has_retry=has_retry,
+            has_path=has_path,
+            retries_left=self._limits.count_retries_left(),
+            **self._run.describe(self._loop.time()),
+        )
+        conn.close()
+
+    def _close_unstarted_run(self, conn: HttpConnection, reason: str) -> None:
+        """Close a run before its first event; the stream is sent again."""
+        self._close_run(
+            conn, reason, has_retry=self._limits.has_reserved, has_path=False
         )
-        if self._progress.attempts == attempts_before:
-            self._limits.return_attempt()
-        return run
 
-    def _discard_run(self, run: StreamRun) -> None:
-        run.conn.close()
-        self._admission.release(run.stages, self._path.tokens)
+    def _get_silence_s(self) -> float:
+        """Return how long the present run has sent no event."""
+        return self._run.get_silence_s(self._loop.time())
 
     async def _read_response(
         self, conn: HttpConnection, *, is_new_head: bool
@@ -359,6 +374,7 @@
             await read_body(conn, self._context.deadline),
         )
         self._progress.reason = f'engine responded with status {head.status}'
+        self._run_end = RunEnd.REPLICA
         self._path.avoid.add(self._path.head_id)
         if not self._context.is_retryable:
             self._fail('it may have run and is not retryable', 0)
@@ -411,12 +427,20 @@
             self._state.view.note_alive(stage.replica.replica_id)
 
     def _handle_break(self, exc: EndpointError) -> None:
-        if isinstance(exc, BrokenResponseError):
+        self._run_end = find_run_end(
+            exc,
+            is_closed_here=bool(self._closing_reason),
+            is_overdue=self._loop.time() >= self._context.deadline,
+        )
+        if isinstance(exc, BrokenResponseError) and not self._closing_reason:
             head = self._path.stages[0].replica
             self._crash_detector.record_failure(self._context, head, self._run)
         if self._handover.has_replacement:
             self._state.counters['streams.taken_over'] += 1
             return
+        if self._closing_reason:
+            self._handle_closed_run()
+            return
         if exc.may_have_run:
             self._progress.may_have_run = True
             self._progress.has_broken_run = True
@@ -440,17 +464,30 @@
             **self._run.describe(self._loop.time()),
         )
 
+    def _handle_closed_run(self) -> None:
+        """Record that this node has closed a run.
+
+        That is no evidence against its replica, which the next run may use.
+        """
+        self._progress.may_have_run = True
+        self._progress.has_broken_run = True
+        self._progress.reason = self._closing_reason
+
     def _fail(self, denial: str, wait_s: float) -> None:
         """Send an error, or abort a response that has started."""
         self._ended = True
         client = self._context.conn
         if self._progress.has_started:
             self._state.counters['streams.cut'] += 1
+            if self._run_end is RunEnd.NODE:
+                self._state.counters['streams.cut.run_closed_here'] += 1
             self._log(
                 'stream aborted',
                 last_event=self._progress.last_id,
                 reason=self._progress.reason,
                 obstacle=denial,
+                run_ended_by=self._run_end.value,
+                retries_left=self._limits.count_retries_left(),
             )
             client.abort()
         elif self._error_response is None:
@@ -476,6 +513,7 @@
         ).active_streams += 1
 
     def _unregister(self) -> None:
+        self._limits.return_reserved()
         self._state.streams.discard(self)
         self._state.get_retry_budget(
             self._context.service.name
--- a/samphirerill/reports/late_streams.py
+++ b/samphirerill/reports/late_streams.py
@@ -28,6 +28,7 @@
 _HANDOVER_STARTED = 'stream handover started'
 _RUN_FAILED = 'stream run failed'
 _REJECTED = 'engine rejected the stream'
+_ABORTED = 'stream aborted'
 _ENDED = 'stream ended'
 _CLOSED_BY_CLIENT = 'client'
 _DISPATCH_EVENTS = frozenset((_SENT, _SENT_IN_PARALLEL, _MOVED))
@@ -39,6 +40,7 @@
     """The cause of a late stream."""
 
     CUT_BY_NODE = 'cut by the node'
+    CUT_AFTER_OWN_CLOSE = 'cut, its run closed by the node'
     WAITED_FOR_PATH = 'waited for a path'
     CONNECTION_BROKEN = 'its first replica broke off'
     REPLICA_UNRESPONSIVE = 'a part fell silent'
@@ -97,6 +99,13 @@
 ) -> LateStream | None:
     first_ms = end_record.fields.get('first_ms', 0)
     pause_ms = end_record.fields.get('most_gap_ms', 0)
+    abort_record = _find_last_record(records, _ABORTED)
+    if abort_record is not None:
+        has_closed_run = abort_record.fields.get('run_ended_by') == 'node'
+        cause = (
+            Cause.CUT_AFTER_OWN_CLOSE if has_closed_run else Cause.CUT_BY_NODE
+        )
+        return LateStream(request, cause, pause_ms)
     if any(map(_is_cut_by_node, records)):
         return LateStream(request, Cause.CUT_BY_NODE, pause_ms)
     if pause_ms > targets.pause_ms:
@@ -109,7 +118,7 @@
 def _is_cut_by_node(record: LogRecord) -> bool:
     if record.event == UNANSWERED:
         return record.fields.get('reason') != _CLOSED_BY_CLIENT
-    return record.event == 'stream aborted'
+    return record.event == _ABORTED
 
 
 def _classify_first_event(
