Reject streams that a node that shuts down can't finish

The length that the client estimates and the predicted time between two events of the path now tell how long a new stream takes; one that would outlast the node is rejected before it is sent, and its client retries at another node.

The first new test failed before: got 200 for a stream predicted to take 26 s from a node that ends in 5 s. The two times until which a node accepts requests are now computed from the one deadline.

--- a/samphirerill/fleet/prediction.py
+++ b/samphirerill/fleet/prediction.py
@@ -62,6 +62,7 @@
     return bits / (engine.pipe_mbps * _MBIT) * MS_PER_S
 
 
-def count_events(engine: EngineSpec) -> float:
-    """Return how many events a usual answer has."""
-    return max(1.0, engine.usual_answer / max(1, engine.stride))
+def count_events(engine: EngineSpec, answer_tokens: float = 0) -> float:
+    """Return how many events an answer has; by default a usual one."""
+    tokens = answer_tokens or engine.usual_answer
+    return max(1.0, tokens / max(1, engine.stride))
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -47,11 +47,6 @@
 # Reserved before SIGKILL for the process to exit.
 _EXIT_MARGIN_S = 0.6
 _REVOKE_TIMEOUT_S = 0.15
-# The expected duration of a stream. One that arrives when less time is left is
-# rejected, so that the client retries it at a node that can finish it.
-_EXPECTED_STREAM_S = 4.5
-# The longest that an endpoint takes for a plain request; used in the same way.
-_MAX_REQUEST_S = 1.2
 
 
 class EdgeProcess:
@@ -253,8 +248,7 @@
         """
         now = self._loop.time()
         finish_by = now + self.state.settings.finish_s - _EXIT_MARGIN_S
-        self.state.accept_streams_until = finish_by - _EXPECTED_STREAM_S
-        self.state.accept_requests_until = finish_by - _MAX_REQUEST_S
+        self.state.finish_by = finish_by
         notice_ends_at = now + _READINESS_NOTICE_S
         await self._revoke_lease(self._layer_controller.stop())
         await asyncio.sleep(notice_ends_at - self._loop.time())
--- a/samphirerill/relay/request_dispatcher.py
+++ b/samphirerill/relay/request_dispatcher.py
@@ -33,6 +33,11 @@
     from samphirerill.relay.state import EdgeState
 
 _LOG = get_logger('requests')
+# The expected duration of a stream. One that arrives at a node that ends sooner
+# is rejected, so that the client retries it at a node that can finish it.
+_EXPECTED_STREAM_S = 4.5
+# The longest that an endpoint takes for a plain request; used in the same way.
+_MAX_REQUEST_S = 1.2
 
 
 class RequestDispatcher:
@@ -89,15 +94,11 @@
     async def _serve(self, context: RequestContext) -> None:
         engine = context.service.engine
         if engine is None or not engine.layers:
-            if not self._reject_if_ending(
-                self._state.accept_requests_until, context
-            ):
+            if not self._reject_if_ending(_MAX_REQUEST_S, context):
                 await PlainExchange(
                     self._state, context, self._crash_detector
                 ).run()
-        elif not self._reject_if_ending(
-            self._state.accept_streams_until, context
-        ):
+        elif not self._reject_if_ending(_EXPECTED_STREAM_S, context):
             await StreamExchange(
                 self._state,
                 context,
@@ -107,9 +108,11 @@
                 self._crash_detector,
             ).run()
 
-    def _reject_if_ending(self, until: float, context: RequestContext) -> bool:
+    def _reject_if_ending(
+        self, expected_s: float, context: RequestContext
+    ) -> bool:
         """Reject a request if this node ends soon; return whether it did."""
-        if self._loop.time() < until:
+        if self._loop.time() + expected_s < self._state.finish_by:
             return False
         refusal = Refusal(UNAVAILABLE, 'the node is shutting down')
         send_refusal(self._state, context.conn, context.facts, refusal)
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -82,9 +82,9 @@
         Requests suspected of crashing replicas.
     is_draining : bool
         Whether the node is shutting down.
-    accept_streams_until, accept_requests_until : float
-        Until when a node that shuts down accepts streams and other requests,
-        on the loop's clock.
+    finish_by : float
+        When a node that shuts down aborts the requests that are still open, on
+        the loop's clock.
     peer_count : int
         The number of other nodes that are announced.
     retry_budgets : dict
@@ -113,8 +113,7 @@
         self.streams: set[StreamExchange] = set()
         self.quarantine = Quarantine()
         self.is_draining = False
-        self.accept_streams_until = float('inf')
-        self.accept_requests_until = float('inf')
+        self.finish_by = float('inf')
         self.peer_count = 0
         self._max_nodes_seen = _MIN_ASSUMED_NODES
         self.retry_budgets: dict[str, RetryBudget] = {}
--- a/samphirerill/relay/stream_limits.py
+++ b/samphirerill/relay/stream_limits.py
@@ -6,10 +6,15 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from samphirerill.fleet.prediction import count_events
 from samphirerill.relay.attempt_budget import AttemptBudget
-from samphirerill.relay.stream_request import get_stall_timeout_s
+from samphirerill.relay.stream_request import (
+    estimate_answer_tokens,
+    get_stall_timeout_s,
+)
 
 if TYPE_CHECKING:
+    from samphirerill.fleet.model import EngineSpec
     from samphirerill.relay.quarantine import CrashDetector
     from samphirerill.relay.request_context import RequestContext
     from samphirerill.relay.state import EdgeState
@@ -102,6 +107,32 @@
             return None
         return AttemptDenial('the retry budget is exhausted')
 
+    def find_shutdown_denial(
+        self, engine: EngineSpec, gap_s: float
+    ) -> AttemptDenial | None:
+        """Return why a new stream can't end before this node does, or none.
+
+        Its client can still retry it at another node; an answer that the end of
+        the node cuts off can only be resumed.
+
+        Parameters
+        ----------
+        engine : EngineSpec
+            Performance figures of the service's engine.
+        gap_s : float
+            The predicted time between two events.
+        """
+        if self._progress.attempts:
+            return None
+        answer_tokens = estimate_answer_tokens(engine, self._context.facts)
+        duration_s = count_events(engine, answer_tokens) * gap_s
+        if self._loop.time() + duration_s <= self._state.finish_by:
+            return None
+        return AttemptDenial(
+            'the node is shutting down and the stream is expected to take '
+            f'{duration_s:.1f} s'
+        )
+
     def return_attempt(self) -> None:
         """Return a reserved attempt for which nothing was sent."""
         self._budget.refund()
--- a/samphirerill/relay/stream_request.py
+++ b/samphirerill/relay/stream_request.py
@@ -9,7 +9,8 @@
 from samphirerill.relay.platform_adapter import Attempt
 
 if TYPE_CHECKING:
-    from samphirerill.fleet.model import FleetRoute, Stage
+    from samphirerill.fleet.model import EngineSpec, FleetRoute, Stage
+    from samphirerill.relay.platform_adapter import RequestMetadata
     from samphirerill.relay.request_context import RequestContext
     from samphirerill.relay.state import EdgeState
 
@@ -57,6 +58,12 @@
     )
 
 
+def estimate_answer_tokens(engine: EngineSpec, facts: RequestMetadata) -> float:
+    """Return how long the answer is expected to be, in tokens."""
+    expected = facts.expected_answer_tokens or engine.usual_answer
+    return min(facts.max_answer_tokens or expected, expected)
+
+
 def get_stall_timeout_s(route: FleetRoute) -> float:
     """Return how long a started stream may be without an event, in s."""
     longest = max(
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -176,7 +176,7 @@
                 self._fail(denial.reason, denial.wait_s)
                 return
             attempts_before = self._progress.attempts
-            has_path = await self._wait_for_path()
+            has_path = await self._wait_for_path() and self._may_use_path()
             if has_path:
                 await self._run_attempt()
             if self._progress.attempts == attempts_before:
@@ -207,6 +207,19 @@
             self._fail(str(exc), max(_MIN_REPAIR_RETRY_S, exc.wait_s))
         return False
 
+    def _may_use_path(self) -> bool:
+        """Reject a stream that would be cut off by the end of this node."""
+        if not self._state.is_draining:
+            return True
+        denial = self._limits.find_shutdown_denial(
+            self._path.engine, self._path.predict_gap_s(self._path.stages)
+        )
+        if denial is None:
+            return True
+        self._path.release()
+        self._fail(denial.reason, denial.wait_s)
+        return False
+
     async def _acquire_path(self) -> None:
         has_started = self._progress.has_started
         until = self._limits.get_admission_deadline()
--- a/samphirerill/tests/test_graceful_shutdown.py
+++ b/samphirerill/tests/test_graceful_shutdown.py
@@ -20,6 +20,9 @@
 )
 
 
+_UNAVAILABLE = 503
+
+
 class TestShutdown(TwoEnginesCase):
     """Requests during a graceful shutdown."""
 
@@ -128,6 +131,20 @@
             status, _ = await read_response(conn, deadline)
             self.assertEqual(status, OK)
 
+    async def test_stream_that_outlasts_the_node_is_rejected(self) -> None:
+        """A stream must not be accepted only to be cut off midway."""
+        self.process.start_draining()
+        await self.wait_until(lambda: self.process.state.is_draining)
+        status, reason = await self._request_stream(b'20000')
+        self.assertEqual(status, _UNAVAILABLE, reason)
+        self.assertEqual(self.list_used_engines(), [])
+
+    async def test_short_stream_is_served_while_draining(self) -> None:
+        """The estimated length decides, not the longest that is allowed."""
+        self.process.start_draining()
+        await self.wait_until(lambda: self.process.state.is_draining)
+        self.assert_complete(await self._request_stream(b'80'))
+
     async def test_stream_waiting_for_new_path_is_finished(self) -> None:
         waiting, head, other = await self.start_stream()
         now = asyncio.get_running_loop().time()
@@ -138,6 +155,14 @@
         self.process.start_draining()
         self.assert_complete(await waiting)
 
+    async def _request_stream(self, answer_tokens: bytes) -> tuple[int, bytes]:
+        headers = [
+            *build_headers('r1')[:-1],
+            (b'x-samphirerill-token-count', b'800,' + answer_tokens),
+            (b'x-samphirerill-length-hint', answer_tokens),
+        ]
+        return await self.request_with(b'/notes/x', headers)
+
 
 class TestAnnouncement(TwoEnginesCase):
     """The announcement of a node that has left."""
