--- a/samphirerill/reports/late_streams.py
+++ b/samphirerill/reports/late_streams.py
@@ -116,9 +116,10 @@
 
 
 def _is_cut_by_node(record: LogRecord) -> bool:
-    if record.event == UNANSWERED:
-        return record.fields.get('reason') != _CLOSED_BY_CLIENT
-    return record.event == _ABORTED
+    return (
+        record.event == UNANSWERED
+        and record.fields.get('reason') != _CLOSED_BY_CLIENT
+    )
 
 
 def _classify_first_event(
