Read a body of many chunks in linear time

For each chunk of a request body the sizes of all chunks before it were summed. A body of 40,000 chunks of one byte, far below the size limit, blocked the event loop for half a minute, and with it all other clients, probes and leases.

The size is now counted as chunks arrive. The timer for the next part of a body is started once for each read instead of once for each chunk.

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -60,7 +60,8 @@
 
     `arrived_at` is when the request was complete, on the loop's clock;
     `keeps_alive` is whether its connection stays open after the response;
-    `chunks` are the parts of the body that were read so far.
+    `chunks` are the parts of the body that were read so far, and `chunk_bytes`
+    is their size.
     """
 
     method: bytes
@@ -70,6 +71,7 @@
     body: bytes = b''
     keeps_alive: bool = True
     chunks: list[bytes] = field(default_factory=list)
+    chunk_bytes: int = 0
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
@@ -198,6 +200,9 @@
             self._parse(data)
         except HttpParserError:
             self._reject(self._reject_status or HTTPStatus.BAD_REQUEST)
+            return
+        if self._current is not None and not self.is_busy:
+            self._start_timer(self._limits.idle_timeout_s)
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as disconnected.
@@ -271,8 +276,6 @@
         self._current = req
         if self._parser.should_upgrade():
             self._upgrade_request = req
-        if not self.is_busy:
-            self._start_timer(self._limits.idle_timeout_s)
 
     def on_body(self, body: bytes) -> None:
         """Parser callback: bytes of the body."""
@@ -280,10 +283,9 @@
         if req is None:
             return
         req.chunks.append(body)
-        if sum(map(len, req.chunks)) > self._limits.max_body_bytes:
+        req.chunk_bytes += len(body)
+        if req.chunk_bytes > self._limits.max_body_bytes:
             self._abort_parsing(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        if not self.is_busy:
-            self._start_timer(self._limits.idle_timeout_s)
 
     def on_message_complete(self) -> None:
         """Parser callback: the request is complete."""
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -151,6 +151,20 @@
         await self.send(b'ok')
         self.assertEqual(await self.receive_statuses(), [200])
 
+    async def test_body_of_many_chunks_does_not_block_the_loop(self) -> None:
+        """Other clients wait while the body of one is read."""
+        started_at = asyncio.get_running_loop().time()
+        self.handler.gate.set()
+        await self.send(
+            b'POST /1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n'
+            b'\r\n',
+            b'1\r\nx\r\n' * 40_000,
+            b'0\r\n\r\n',
+        )
+        self.assertIn(b'200', await self.reader.readline())
+        spent_s = asyncio.get_running_loop().time() - started_at
+        self.assertLess(spent_s, _TIMEOUT_S)
+
     async def test_invalid_upgrade_does_not_drop_those_before_it(self) -> None:
         upgrade = (
             b'POST /3 HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\n'
