Serve the next pipelined request once earlier responses are being read

The requests of a client that pipelined and did not read were all served, and their responses piled up in memory: twelve requests for 4 MB each took 48 MB.

The next request on a connection now waits until its write buffer has drained. A draining node does not close a connection on which one waits.

test_responses_that_are_not_read_do_not_pile_up failed before: AssertionError: 12 not less than 6

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -222,6 +222,7 @@
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
         self._writable = None
+        self._start_next()
 
     def on_message_begin(self) -> None:
         """Parser callback: a request starts."""
@@ -382,7 +383,7 @@
 
         The first request of a new connection may be on its way.
         """
-        if self.is_busy or self._in_message:
+        if self.is_busy or self._in_message or self._queue:
             return
         idle_s = self._loop.time() - self._idle_since
         if self._served_count or idle_s >= _FIRST_REQUEST_TIMEOUT_S:
@@ -451,6 +452,9 @@
     def _start_next(self) -> None:
         if self.is_busy or not self._queue or self._closing:
             return
+        if self._writable is not None:
+            # `resume_writing` continues when earlier responses have been read.
+            return
         self.is_busy = True
         self._stop_timer()
         req = self._queue.popleft()
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -244,6 +244,13 @@
             while self.connections:
                 await asyncio.sleep(_SETTLE_S)
 
+    async def test_responses_that_are_not_read_do_not_pile_up(self) -> None:
+        self.handler.padding = bytes(4_000_000)
+        await self.send(_build('/unsent') * 12)
+        self.assertLess(len(self.handler.requests), 6)
+        self.handler.draining = True
+        self.assertEqual(await self.receive_statuses(), [200] * 12)
+
     async def test_last_response_survives_bytes_sent_after_it(self) -> None:
         """Closing with unread bytes resets the connection and its response."""
         self.handler.padding = bytes(6_000_000)
