Let clients receive their last responses before the node exits

A node exited in the moment in which it had told the remaining clients that it ends. The exit resets the connection of a client that is still sending, and the system may discard a response that it has not delivered yet.

The node now waits until its clients have closed, for 0.2 s at most, which the margin before the kill allows for.

test_node_waits_for_clients_that_get_their_last_response failed without the wait: AssertionError: True is not false

--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -47,6 +47,9 @@
 # Reserved before SIGKILL for the process to exit.
 _EXIT_MARGIN_S = 0.6
 _REVOKE_TIMEOUT_S = 0.15
+# How long clients have to receive their last responses before the exit resets
+# the connections of those that are still sending.
+_LAST_RESPONSES_S = 0.2
 # The expected duration of a stream. One that arrives when less time is left is
 # rejected, so that the client retries it at a node that can finish it.
 _EXPECTED_STREAM_S = 4.5
@@ -160,6 +163,7 @@
         gc.freeze()
         await self._ended.wait()
         self.close()
+        await self._wait_for_closes()
         _LOG.info('ended', extra={'node': self.state.settings.name})
         return 0
 
@@ -274,6 +278,12 @@
             await asyncio.sleep(_DRAIN_POLL_S)
             self._close_idle()
 
+    async def _wait_for_closes(self) -> None:
+        """Wait until the clients' connections are closed, but not for long."""
+        until = self._loop.time() + _LAST_RESPONSES_S
+        while self._connections and self._loop.time() < until:
+            await asyncio.sleep(_DRAIN_POLL_S)
+
     async def _revoke_lease(
         self, revocation: Coroutine[Any, Any, None]
     ) -> None:
--- a/samphirerill/tests/test_draining_connections.py
+++ b/samphirerill/tests/test_draining_connections.py
@@ -102,6 +102,23 @@
         self.process.start_draining()
         self.assertEqual(await _read_statuses(reader), [408])
 
+    async def test_node_waits_for_clients_that_get_their_last_response(
+        self,
+    ) -> None:
+        """Exiting resets the connection of a client that is still sending."""
+        wait = patch('samphirerill.relay.process._LAST_RESPONSES_S', 2)
+        wait.start()
+        self.addCleanup(wait.stop)
+        reader, writer = await self.connect(_build_request()[:40])
+        await asyncio.sleep(SETTLE_S)
+        self.process.start_draining()
+        self.assertEqual(await _read_statuses(reader), [408])
+        running = self.harness._nodes[0][1]  # noqa: SLF001
+        await asyncio.sleep(SETTLE_S)
+        self.assertFalse(running.done())
+        writer.close()
+        await self.wait_until(running.done)
+
     async def test_new_connection_may_send_its_first_request(self) -> None:
         """The load balancer may have no other node to connect to."""
         await self.hold_request(_build_request())
