--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -251,6 +251,14 @@
         self.handler.draining = True
         self.assertEqual(await self.receive_statuses(), [200] * 12)
 
+    async def test_rejection_waits_for_responses_that_are_not_read(
+        self,
+    ) -> None:
+        self.handler.padding = bytes(6_000_000)
+        await self.send(_build('/unsent'), _build('/2'))
+        await self.send(_MALFORMED)
+        self.assertEqual(await self.receive_statuses(), [200, 200, 400])
+
     async def test_last_response_survives_bytes_sent_after_it(self) -> None:
         """Closing with unread bytes resets the connection and its response."""
         self.handler.padding = bytes(6_000_000)
