--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -60,7 +60,8 @@
 
     `arrived_at` is when the request was complete, on the loop's clock;
     `keeps_alive` is whether its connection stays open after the response;
-    `chunks` are the parts of the body that were read so far.
+    `chunks` are the parts of the body that were read so far, and `chunk_bytes`
+    is their size.
     """
 
     method: bytes
@@ -70,6 +71,7 @@
     body: bytes = b''
     keeps_alive: bool = True
     chunks: list[bytes] = field(default_factory=list)
+    chunk_bytes: int = 0
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
@@ -198,6 +200,9 @@
             self._parse(data)
         except HttpParserError:
             self._reject(self._reject_status or HTTPStatus.BAD_REQUEST)
+            return
+        if self._current is not None and not self.is_busy:
+            self._start_timer(self._limits.idle_timeout_s)
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as disconnected.
@@ -217,6 +222,7 @@
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
         self._writable = None
+        self._start_next()
 
     def on_message_begin(self) -> None:
         """Parser callback: a request starts."""
@@ -271,8 +277,6 @@
         self._current = req
         if self._parser.should_upgrade():
             self._upgrade_request = req
-        if not self.is_busy:
-            self._start_timer(self._limits.idle_timeout_s)
 
     def on_body(self, body: bytes) -> None:
         """Parser callback: bytes of the body."""
@@ -280,10 +284,9 @@
         if req is None:
             return
         req.chunks.append(body)
-        if sum(map(len, req.chunks)) > self._limits.max_body_bytes:
+        req.chunk_bytes += len(body)
+        if req.chunk_bytes > self._limits.max_body_bytes:
             self._abort_parsing(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        if not self.is_busy:
-            self._start_timer(self._limits.idle_timeout_s)
 
     def on_message_complete(self) -> None:
         """Parser callback: the request is complete."""
@@ -380,7 +383,7 @@
 
         The first request of a new connection may be on its way.
         """
-        if self.is_busy or self._in_message:
+        if self.is_busy or self._in_message or self._queue:
             return
         idle_s = self._loop.time() - self._idle_since
         if self._served_count or idle_s >= _FIRST_REQUEST_TIMEOUT_S:
@@ -449,6 +452,9 @@
     def _start_next(self) -> None:
         if self.is_busy or not self._queue or self._closing:
             return
+        if self._writable is not None:
+            # `resume_writing` continues when earlier responses have been read.
+            return
         self.is_busy = True
         self._stop_timer()
         req = self._queue.popleft()
@@ -522,7 +528,7 @@
         """Reject a malformed request, after the requests before it."""
         self._is_input_ignored = True
         self._reject_status = status
-        if not self.is_busy:
+        if not (self.is_busy or self._queue):
             self._respond_rejection()
 
     def _respond_rejection(self) -> None:
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -151,6 +151,20 @@
         await self.send(b'ok')
         self.assertEqual(await self.receive_statuses(), [200])
 
+    async def test_body_of_many_chunks_does_not_block_the_loop(self) -> None:
+        """Other clients wait while the body of one is read."""
+        started_at = asyncio.get_running_loop().time()
+        self.handler.gate.set()
+        await self.send(
+            b'POST /1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n'
+            b'\r\n',
+            b'1\r\nx\r\n' * 40_000,
+            b'0\r\n\r\n',
+        )
+        self.assertIn(b'200', await self.reader.readline())
+        spent_s = asyncio.get_running_loop().time() - started_at
+        self.assertLess(spent_s, _TIMEOUT_S)
+
     async def test_invalid_upgrade_does_not_drop_those_before_it(self) -> None:
         upgrade = (
             b'POST /3 HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\n'
@@ -230,6 +244,21 @@
             while self.connections:
                 await asyncio.sleep(_SETTLE_S)
 
+    async def test_responses_that_are_not_read_do_not_pile_up(self) -> None:
+        self.handler.padding = bytes(4_000_000)
+        await self.send(_build('/unsent') * 12)
+        self.assertLess(len(self.handler.requests), 6)
+        self.handler.draining = True
+        self.assertEqual(await self.receive_statuses(), [200] * 12)
+
+    async def test_rejection_waits_for_responses_that_are_not_read(
+        self,
+    ) -> None:
+        self.handler.padding = bytes(6_000_000)
+        await self.send(_build('/unsent'), _build('/2'))
+        await self.send(_MALFORMED)
+        self.assertEqual(await self.receive_statuses(), [200, 200, 400])
+
     async def test_last_response_survives_bytes_sent_after_it(self) -> None:
         """Closing with unread bytes resets the connection and its response."""
         self.handler.padding = bytes(6_000_000)
