--- a/samphirerill/testing/platform_replicas.py
+++ b/samphirerill/testing/platform_replicas.py
@@ -51,6 +51,8 @@
         Number of requests to answer with status 500.
     cancelled : int
         Number of requests whose connection closed before the response ended.
+    in_progress : list of bytes
+        Ids of the requests that are being executed.
     """
 
     def __init__(self, replica_id: str, events: int = 5) -> None:
@@ -82,6 +84,7 @@
         # Number of bytes added to a plain response.
         self.padding_bytes = 0
         self.cancelled = 0
+        self.in_progress: list[bytes] = []
 
     def get_limits(self) -> ClientLimits:
         """Return the request limits of the server."""
@@ -103,11 +106,15 @@
             conn.respond(self.order_status, [], b'')
             return
         self.received_requests.append(req)
+        request_id = req.get(b'x-samphirerill-request-id') or b''
+        self.in_progress.append(request_id)
         try:
             await self._serve(req, conn)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        finally:
+            self.in_progress.remove(request_id)
 
     async def _serve(self, req: Request, conn: ClientConnection) -> None:
         headers = [
