Let a started stream wait for a retry while its client does

Callers saw streams aborted the moment their replica broke off when no retry was left, although each new request earns one, others are returned unsent, and their client would have waited two seconds: that is how long a stream waits for a path.

A stream that has started now asks again every 50 ms until the time at which it gives up waiting for a path. The budget and who may use which part of it are unchanged. A stream that has not started is refused at once, as its client can send it again.

Before: test_broken_stream_waits_for_a_retry fails with AssertionError: 0 != 200 : b'127.0.0.1:45823: connection closed'

--- a/samphirerill/relay/stream_limits.py
+++ b/samphirerill/relay/stream_limits.py
@@ -26,16 +26,23 @@
 # with a delay of 0.4 s, so streams that are reset repeatedly could otherwise
 # use up the shared retry budget.
 _IMMEDIATE_ATTEMPTS = 2
+# Interval at which a started stream without a run asks for a retry.
+_RETRY_POLL_S = 0.05
 _INITIAL_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 0.4
 
 
 @dataclass(slots=True, frozen=True)
 class AttemptDenial:
-    """Why an attempt is denied; `wait_s` is when one may succeed, 0 if unknown."""
+    """Why an attempt is denied.
+
+    `wait_s` is when one may succeed, 0 if unknown. `is_temporary` means that
+    one may be allowed at any time.
+    """
 
     reason: str
     wait_s: float = 0.0
+    is_temporary: bool = False
 
 
 class StreamLimits:
@@ -115,7 +122,22 @@
             is_urgent=self._is_urgent(),
         ):
             return None
-        return AttemptDenial('the retry budget is exhausted')
+        return AttemptDenial('the retry budget is exhausted', is_temporary=True)
+
+    async def wait_for_attempt(self) -> AttemptDenial | None:
+        """Reserve one attempt; a stream that has started waits for a retry.
+
+        New requests earn retries, and others are returned. Returns why the
+        attempt is denied, or none.
+        """
+        until = self.get_admission_deadline() - _RETRY_POLL_S
+        while True:
+            denial = self.acquire_attempt()
+            if denial is None or not denial.is_temporary:
+                return denial
+            if not self._progress.has_started or self._loop.time() >= until:
+                return denial
+            await asyncio.sleep(_RETRY_POLL_S)
 
     def return_reserved(self) -> None:
         """Return an attempt that was reserved and is not needed."""
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -183,7 +183,7 @@
 
     async def _serve(self) -> None:
         while not self._ended:
-            denial = self._limits.acquire_attempt()
+            denial = await self._limits.wait_for_attempt()
             if denial is not None:
                 self._fail(denial.reason, denial.wait_s)
                 return
--- a/samphirerill/tests/test_resending.py
+++ b/samphirerill/tests/test_resending.py
@@ -20,6 +20,7 @@
 from samphirerill.tests.fleet_builders import ENGINE, build_replica
 from samphirerill.tests.platform_documents import build_configuration
 from samphirerill.tests.two_engines import (
+    AMPLE_RETRIES,
     EVENTS,
     GAP_S,
     OK,
@@ -56,6 +57,20 @@
         self.process.state.view.note_refusal(other, now)
         self.assert_complete(await stream)
 
+    async def test_broken_stream_waits_for_a_retry(self) -> None:
+        """Guard against aborting a stream as no retry is left at the moment."""
+        self.change_settings(retry_slack=0, retry_ratio=0)
+        for replica in self.list_engines():
+            replica.close_after_event = 10
+        stream, head, other = await self.start_stream()
+        self.harness.replicas[other].close_after_event = 0
+        await self.wait_until(
+            lambda: not self.harness.replicas[head].in_progress
+        )
+        await asyncio.sleep(2 * SETTLE_S)
+        self.change_settings(retry_slack=AMPLE_RETRIES)
+        self.assert_complete(await stream)
+
     async def test_replica_that_rejected_briefly_is_asked_again(self) -> None:
         """Guard against never asking a replica again after one rejection."""
         for replica in self.list_engines():
