Compare a reroute only with a new run at another head

A stream that had better be sent again than rerouted stayed on its leaving or lost stage until that ended if no other head was left: the alternative that looked faster began at the stream's own head, which cannot run it again while the present run goes on, so that neither was done.

The pause of a reroute is now compared with a run at another head only; without one, the stream is rerouted.

Before: test_stream_is_rerouted_if_only_its_head_is_left fails with TimeoutError (no reroute order within 5 s)

--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -339,14 +339,14 @@
         cached_ids: frozenset[str],
         ending: set[str],
     ) -> bool:
-        """Return whether resending to another path is faster than rerouting.
+        """Return whether resending to another head is faster than rerouting.
 
         All streams of a failed stage are rerouted at the same time. Those of a
         leaving replica are spread out, but still overlap on the link.
         """
         if not ending or not self._state.settings.policy.cheaper_way:
             return False
-        other = self.finder.find_alternative(ending)
+        other = self.find_parallel(ending)
         concurrent = max(
             self._state.load_tracker.count_requests(replica_id)
             for replica_id in ending
--- a/samphirerill/tests/test_one_head.py
+++ b/samphirerill/tests/test_one_head.py
@@ -5,10 +5,14 @@
 import asyncio
 
 from logbook import TestHandler
+from msgspec import json
 from msgspec.structs import replace
 
 from samphirerill.relay.errors import EndpointError
-from samphirerill.tests.platform_documents import build_configuration
+from samphirerill.tests.platform_documents import (
+    build_announcement,
+    build_configuration,
+)
 from samphirerill.tests.test_leaving import LeavingCase
 from samphirerill.tests.two_engines import (
     AMPLE_RETRIES,
@@ -23,6 +27,7 @@
 _SLACK_FOR_ONE_RETRY = 8
 _FULL_TOKENS = 1e9
 _LAST_EVENT = 3
+_ACCEPTED = 202
 _REJECTED = 409
 _SHORT_SUSPICION_S = 0.3
 _LONG_SUSPICION_S = 4.0
@@ -216,6 +221,39 @@
         await self.assert_complete(streams)
 
 
+class TestRerouting(OneHeadCase):
+    """The head accepts reroute orders, but a new run would start sooner."""
+
+    async def test_stream_is_rerouted_if_only_its_head_is_left(self) -> None:
+        """Guard against preferring a new run that the own head cannot start.
+
+        The stream would stay on a leaving replica until that ends.
+        """
+        self.head.order_status = _ACCEPTED
+        streams, tail = await self.start_on_one_tail(1)
+        self.head.layers = (0, 80)
+        await self.announce('head')
+        await self.announce_elsewhere('tail-2')
+        replicas = self.state.view.replicas
+        await wait_until(lambda: replicas['tail-2'].replica.data_centre == 'b')
+        await self.announce(tail, 'draining')
+        await wait_until(self.count_reroute_orders)
+        await self.assert_complete(streams)
+
+    async def announce_elsewhere(self, name: str) -> None:
+        """Announce a replica in another data centre."""
+        entry = json.decode(
+            build_announcement(
+                'llm',
+                self.harness.addresses[name],
+                'vast',
+                self.harness.replicas[name].layers,
+            )
+        )
+        entry['zone'] = 'b'
+        await self.harness.store.put(f'servers/{name}', json.encode(entry))
+
+
 class TestRecords(OneHeadCase):
     """What operators see of a run that this node closed."""
 
