--- a/samphirerill/testing/soak/replicas.py
+++ b/samphirerill/testing/soak/replicas.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from msgspec import json
@@ -27,10 +28,13 @@
 _NOT_FOUND = 404
 _CONFLICT = 409
 _EVENT_INTERVAL_S = 0.015
-_SERVICE_TIME_S = 0.02
+_SERVICE_TIME_S = {'desk': 0.02, 'extra': 0.2}
 # How long an engine waits for a stage that is down before it drops the request.
 _STALL_TIMEOUT_S = 1.0
 _LAYER_LOAD_S = 0.01
+# First digits of the ids of requests with many events.
+_LONG_PREFIXES = '012'
+_LONG_FACTOR = 8
 # The platform's bound plus a margin for message delay on a loaded machine.
 _DRAIN_BOUND_S = 2.5
 _POLL_INTERVAL_S = 0.02
@@ -40,7 +44,13 @@
 
 def count_events(request_id: str) -> int:
     """Return the number of events in the response to a request."""
-    return 8 + int(request_id[-2:], 16) % 24
+    count = 8 + int(request_id[-2:], 16) % 24
+    return count * _LONG_FACTOR if is_long(request_id) else count
+
+
+def is_long(request_id: str) -> bool:
+    """Return whether the response to a request has many events."""
+    return request_id[0] in _LONG_PREFIXES
 
 
 class ReplicaRegistry:
@@ -55,6 +65,13 @@
         return self.by_address.get(address)
 
 
+@dataclass(slots=True)
+class _Run:
+    """A stream that an engine is running."""
+
+    pipeline: list[tuple[str, LayerRange]]
+
+
 class SoakReplica:
     """One instance of a replica, from its start to its end.
 
@@ -98,7 +115,8 @@
         self._connections: set[ClientConnection] = set()
         self._server: asyncio.Server | None = None
         self._busy_until = 0.0
-        self._pipelines: dict[str, list[tuple[str, LayerRange]]] = {}
+        # The latest run of each request.
+        self._runs: dict[str, _Run] = {}
 
     async def start(self) -> None:
         """Start listening and register."""
@@ -154,6 +172,7 @@
             await self._serve(req, conn)
 
     async def _serve(self, req: Request, conn: ClientConnection) -> None:
+        self._ground_truth.arrivals[_read_id(req)].add(self.address)
         expected = req.get(b'x-samphirerill-target-instance') or b''
         if expected != self.replica_id.encode():
             self._refuse(req, conn, _MISDIRECTED, self.address)
@@ -175,7 +194,7 @@
         self._ground_truth.record_run(
             request_id, self.replica_id, _read_account(req)
         )
-        await asyncio.sleep(_SERVICE_TIME_S)
+        await asyncio.sleep(_SERVICE_TIME_S[self.service])
         body = f'{request_id} {self.service}'.encode()
         conn.respond(_OK, self._build_headers(req), body)
 
@@ -190,7 +209,9 @@
         self._ground_truth.record_run(
             request_id, self.replica_id, _read_account(req)
         )
-        self._pipelines[request_id] = pipeline
+        run = _Run(pipeline)
+        self._runs[request_id] = run
+        self._record_path(request_id, pipeline)
         headers = [
             *self._build_headers(req),
             (b'content-type', b'text/event-stream'),
@@ -199,19 +220,28 @@
         try:
             for number in range(first, count_events(request_id) + 1):
                 await asyncio.sleep(_EVENT_INTERVAL_S)
-                if not await self._wait_for_stages(request_id):
+                if not await self._wait_for_stages(run):
+                    self._ground_truth.broken_off.add(request_id)
                     conn.abort()
                     return
                 event = f'id: {number}\ndata: {request_id}-{number}\n\n'
                 conn.write_body(event.encode())
             conn.finish_response()
         finally:
-            self._pipelines.pop(request_id, None)
+            if self._runs.get(request_id) is run:
+                self._runs.pop(request_id)
+
+    def _record_path(
+        self, request_id: str, pipeline: list[tuple[str, LayerRange]]
+    ) -> None:
+        self._ground_truth.arrivals[request_id].update(
+            address for address, _ in pipeline
+        )
 
-    async def _wait_for_stages(self, request_id: str) -> bool:
+    async def _wait_for_stages(self, run: _Run) -> bool:
         """Wait for missing stages; return whether all are up in time."""
         until = self._loop.time() + _STALL_TIMEOUT_S
-        while self._find_unavailable(self._pipelines[request_id]):
+        while self._find_unavailable(run.pipeline):
             if self._loop.time() >= until:
                 return False
             await asyncio.sleep(_POLL_INTERVAL_S)
@@ -245,18 +275,20 @@
 
     def _change_pipeline(self, order: dict[str, Any]) -> int:
         pipeline = _parse_pipeline(order['path'].encode())
-        if order['id'] not in self._pipelines:
+        run = self._runs.get(order['id'])
+        if run is None:
             return _NOT_FOUND
         if self._find_unavailable(pipeline):
             return _CONFLICT
-        self._pipelines[order['id']] = pipeline
+        run.pipeline = pipeline
+        self._record_path(order['id'], pipeline)
         return _ACCEPTED
 
     def _report(self) -> dict[str, Any]:
         stalled = [
             {'id': name, 'address': unavailable}
-            for name, pipeline in self._pipelines.items()
-            if (unavailable := self._find_unavailable(pipeline))
+            for name, run in self._runs.items()
+            if (unavailable := self._find_unavailable(run.pipeline))
         ]
         return {
             'layers': _encode_layers(self.layers),
--- a/samphirerill/testing/soak/seeds.py
+++ b/samphirerill/testing/soak/seeds.py
@@ -10,4 +10,14 @@
 # once. Cause unknown.
 CPU_CONTENTION = (678581, 678583)
 
+# A node closed a run that went on, to send the stream again from the same head,
+# and then found no path or no retry left. To be run with --planned --nodes 14
+# --seconds 25, and 20 nodes for 30 s.
+CLOSED_BEFORE_RESEND = (11202, 13201)
+
+# A node closed a run that had not started, as it suspected the replica, and then
+# passed on the response head that had already arrived. 20 nodes, 30 s.
+CLOSED_WITH_BUFFERED_HEAD = (13202,)
+
+PLANNED_REGRESSIONS = CLOSED_BEFORE_RESEND + CLOSED_WITH_BUFFERED_HEAD
 REGRESSIONS = EMPTY_RESUME + CPU_CONTENTION
