Failing tests: replicas that refuse with Retry-After are asked again within it

The fake replicas can refuse a number of requests with Retry-After, another status and the address of a later stage. The tests fail here, all seven, since nothing reads the header; times are seconds after the refusal, which asked for 1.2 s:

test_engines_get_no_streams_while_all_back_off: [0.322, 0.43, 0.431, ... 1.192] != [] at both test_engine_gets_no_streams_while_another_serves: [0.265, 0.315, 0.368, ... 1.088] != [] test_plain_replicas_get_no_requests_while_all_back_off: [0.205, 0.256, ... 1.185] != [] test_resumed_stream_waits_for_the_end_of_the_back_off: [0.419] != [] test_no_run_in_parallel_while_the_replica_backs_off: [0.302] != [] test_back_off_is_checked_after_the_wait_for_a_connection: [0.109] != [] test_plain_back_off_is_checked_after_the_wait: [0.057] != []

--- a/samphirerill/testing/platform_replicas.py
+++ b/samphirerill/testing/platform_replicas.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from msgspec import json
@@ -14,6 +15,7 @@
 from samphirerill.fleet.model import ClientLimits
 
 if TYPE_CHECKING:
+    from samphirerill.relay.connection import Headers
     from samphirerill.relay.server import ClientConnection, Request
 
 _OK = 200
@@ -22,6 +24,37 @@
 _SERVER_ERROR = 500
 
 
+@dataclass(slots=True)
+class RefusalSettings:
+    """How a fake replica refuses requests, as not executed.
+
+    Attributes
+    ----------
+    remaining : int
+        Number of requests that it refuses in any case.
+    status : int
+        HTTP status of a refusal.
+    retry_after : bytes, optional
+        Value of ``Retry-After``; not sent by default.
+    failed_address : bytes
+        Address of the later stage that is named as the cause.
+    """
+
+    remaining: int = 0
+    status: int = _UNAVAILABLE
+    retry_after: bytes | None = None
+    failed_address: bytes = b''
+
+    def build_headers(self) -> Headers:
+        """Return the headers of a refusal."""
+        headers = [(b'X-Samphirerill-Not-Executed', b'1')]
+        if self.retry_after is not None:
+            headers.append((b'Retry-After', self.retry_after))
+        if self.failed_address:
+            headers.append((b'At-Server', self.failed_address))
+        return headers
+
+
 class FakeReplica:
     """A fake replica.
 
@@ -47,6 +80,8 @@
         Close the connection after the response head.
     refuses : bool
         Refuse requests as not executed.
+    refusal : RefusalSettings
+        How many requests to refuse, and how.
     failures_left : int
         Number of requests to answer with status 500.
     cancelled : int
@@ -64,6 +99,7 @@
         self.stall_after_event = 0
         self.cut_after_head = False
         self.refuses = False
+        self.refusal = RefusalSettings()
         # Number of requests after which it refuses; 0 for no limit.
         self.max_requests = 0
         self.failures_left = 0
@@ -120,10 +156,9 @@
             self.resets_left -= 1
             conn.abort()
             return
-        is_limit_reached = 0 < self.max_requests < len(self.received_requests)
-        if self.refuses or is_limit_reached:
-            headers.append((b'X-Samphirerill-Not-Executed', b'1'))
-            conn.respond(_UNAVAILABLE, headers, b'')
+        if self._refuses_next():
+            headers.extend(self.refusal.build_headers())
+            conn.respond(self.refusal.status, headers, b'')
             return
         seal = f'seal-{self.replica_id}'.encode()
         headers.append((b'X-Samphirerill-Response-Seal', seal))
@@ -137,6 +172,13 @@
         else:
             await self._stream(req, conn, headers)
 
+    def _refuses_next(self) -> bool:
+        is_limit_reached = 0 < self.max_requests < len(self.received_requests)
+        if self.refusal.remaining:
+            self.refusal.remaining -= 1
+            return True
+        return self.refuses or is_limit_reached
+
     async def _stream(
         self,
         req: Request,
--- /dev/null
+++ b/samphirerill/tests/test_requested_back_off.py
@@ -0,0 +1,201 @@
+"""Replicas that refuse a request with ``Retry-After`` get none for that time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from msgspec import json
+
+from samphirerill.tests.platform_documents import build_configuration
+from samphirerill.tests.two_engines import (
+    EVENTS,
+    OK,
+    SETTLE_S,
+    TwoEnginesCase,
+)
+
+if TYPE_CHECKING:
+    from samphirerill.fleet.model import Replica
+    from samphirerill.relay.connection import HttpConnection
+
+_BACK_OFF_S = 1.2
+_RETRY_AFTER = b'1.2'
+_REQUEST_INTERVAL_S = 0.05
+_IN_FLIGHT_S = 0.2
+_ENGINES = ('engine-1', 'engine-2')
+_DESKS = ('desk-1', 'desk-2')
+
+
+class BackOffCase(TwoEnginesCase):
+    """Two engines and two plain replicas that can refuse with a delay."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.harness.add_replica('desk-2')
+        await self.announce('desk-2', 'desk', kind='')
+        await self.harness.wait_for_replica_count(4)
+        document = json.decode(build_configuration(8))
+        document['routes'][1]['maxAttempts'] = 2
+        await self.configure(json.encode(document))
+
+    def refuse_once(
+        self, *names: str, retry_after: bytes = _RETRY_AFTER
+    ) -> None:
+        """Let replicas refuse one request each with ``Retry-After``."""
+        for name in names:
+            refusal = self.harness.replicas[name].refusal
+            refusal.remaining = 1
+            refusal.retry_after = retry_after
+
+    def list_arrivals(self, name: str) -> list[float]:
+        """Return when a replica received its requests."""
+        received = self.harness.replicas[name].received_requests
+        return [req.arrived_at for req in received]
+
+    def list_arrivals_in_back_off(
+        self, name: str, in_flight_s: float
+    ) -> list[float]:
+        """Return when requests came between the refusal and its time's end."""
+        times = self.list_arrivals(name)
+        return [
+            round(at - times[0], 3)
+            for at in times[1:]
+            if times[0] + in_flight_s <= at < times[0] + _BACK_OFF_S
+        ]
+
+    async def send_series(
+        self, target: bytes, duration_s: float = _BACK_OFF_S
+    ) -> list[tuple[int, bytes]]:
+        """Send requests at a steady rate; return their answers."""
+        tasks = []
+        for number in range(round(duration_s / _REQUEST_INTERVAL_S)):
+            tasks.append(
+                asyncio.create_task(self.request(target, f'r{number}'))
+            )
+            await asyncio.sleep(_REQUEST_INTERVAL_S)
+        return await asyncio.gather(*tasks)
+
+    def assert_left_alone(self, *names: str, in_flight_s: float = 0) -> None:
+        """Check that replicas got no request while they backed off.
+
+        Requests of a series may be on their way when the refusal comes.
+        """
+        for name in names:
+            with self.subTest(name):
+                self.assertTrue(self.list_arrivals(name))
+                found = self.list_arrivals_in_back_off(name, in_flight_s)
+                self.assertEqual(found, [])
+
+
+class TestRequestedBackOff(BackOffCase):
+    """No request of any kind is sent to a replica that backs off."""
+
+    async def test_engines_get_no_streams_while_all_back_off(self) -> None:
+        """Guard against the short back-off when no other engine is left."""
+        self.refuse_once(*_ENGINES)
+        await self.send_series(b'/notes/x')
+        self.assert_left_alone(*_ENGINES, in_flight_s=_IN_FLIGHT_S)
+
+    async def test_engine_gets_no_streams_while_another_serves(self) -> None:
+        """Guard against sending to it again as soon as the other is busy."""
+        self.refuse_once('engine-1')
+        self.mark_dead('engine-2', 0.2)
+        answers = await self.send_series(b'/notes/x')
+        self.assert_left_alone('engine-1', in_flight_s=_IN_FLIGHT_S)
+        self.assertEqual({status for status, _ in answers}, {OK})
+
+    async def test_plain_replicas_get_no_requests_while_all_back_off(
+        self,
+    ) -> None:
+        """Guard against plain replicas being chosen for want of another."""
+        self.refuse_once(*_DESKS)
+        await self.send_series(b'/pickup/x')
+        self.assert_left_alone(*_DESKS, in_flight_s=_IN_FLIGHT_S)
+
+    async def test_resumed_stream_waits_for_the_end_of_the_back_off(
+        self,
+    ) -> None:
+        """Guard against resuming at an engine that backs off, or aborting."""
+        stream, head, other = await self.start_stream()
+        self.refuse_once(other)
+        self.harness.replicas[head].close_after_event = 10
+        await self.wait_until(lambda: self.list_arrivals(other))
+        self.crash(head)
+        self.assert_complete(await stream)
+        self.assert_left_alone(other)
+
+    async def test_no_run_in_parallel_while_the_replica_backs_off(
+        self,
+    ) -> None:
+        """Guard against parallel runs at an engine that backs off."""
+        self.harness.replicas['engine-1'].events = 2 * EVENTS
+        self.harness.replicas['engine-2'].events = 2 * EVENTS
+        self.change_settings(leaving_ms=3000)
+        stream, head, other = await self.start_stream()
+        self.refuse_once(other)
+        await self.drop_layers(head)
+        for _ in range(5):
+            self.mark_dead(head, 3)
+            await asyncio.sleep(2 * SETTLE_S)
+            self.process.state.view.note_alive(head)
+        self.assertEqual(await stream, (OK, self.build_events(2 * EVENTS)))
+        self.assert_left_alone(other)
+
+    async def test_back_off_is_checked_after_the_wait_for_a_connection(
+        self,
+    ) -> None:
+        """Guard against sending what was already waiting to be sent."""
+        gate = self.hold_first_connection()
+        self.mark_dead('engine-2', 5)
+        first = asyncio.create_task(self.request(b'/notes/x', 'first'))
+        await asyncio.sleep(SETTLE_S)
+        self.refuse_once('engine-1')
+        second = asyncio.create_task(self.request(b'/notes/x', 'second'))
+        await self.wait_until(lambda: self.list_arrivals('engine-1'))
+        await asyncio.sleep(SETTLE_S)
+        self.process.state.view.note_alive('engine-2')
+        self.process.state.notify_listeners()
+        gate.set()
+        for answer in await asyncio.gather(first, second):
+            self.assert_complete(answer)
+        self.assert_left_alone('engine-1')
+
+    async def test_plain_back_off_is_checked_after_the_wait(self) -> None:
+        """Guard against sending a plain request that waited to connect."""
+        gate = self.hold_first_connection()
+        self.mark_dead('desk-2', 5)
+        first = asyncio.create_task(self.request(b'/pickup/x', 'first'))
+        await asyncio.sleep(SETTLE_S)
+        self.refuse_once('desk-1')
+        second = asyncio.create_task(self.request(b'/pickup/x', 'second'))
+        await self.wait_until(lambda: self.list_arrivals('desk-1'))
+        await asyncio.sleep(SETTLE_S / 2)
+        gate.set()
+        for status, _ in await asyncio.gather(first, second):
+            self.assertEqual(status, OK)
+        self.assert_left_alone('desk-1')
+
+    def crash(self, name: str) -> None:
+        """End a replica and let the node know."""
+        self.harness.crash_replica(name)
+        self.mark_dead(name, 5)
+
+    def hold_first_connection(self) -> asyncio.Event:
+        """Delay the first connection until the returned event is set."""
+        gate = asyncio.Event()
+        pool = self.process.state.pool
+        acquire = pool.acquire
+        is_first = iter((True,))
+
+        async def acquire_late(
+            replica: Replica, *, fresh: bool = False, max_open: int = 0
+        ) -> HttpConnection:
+            must_wait = next(is_first, False)
+            conn = await acquire(replica, fresh=fresh, max_open=max_open)
+            if must_wait:
+                await gate.wait()
+            return conn
+
+        pool.acquire = acquire_late  # type: ignore[method-assign]
+        return gate
