Trailers of a response no longer count as its headers

A header in the trailer section of a chunked response was appended to the head of that response, so that it was read as a header if the whole response came in one piece, and not otherwise: the parser reports trailers by the same callback. The head now takes no more headers once its status is known.

The new test failed before: AssertionError: b'9' is not None.

--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -234,7 +234,9 @@
         """Parser callback: collect a header."""
         if self._head is None:
             self._head = ResponseHead(0)
-        self._head.headers.append((name.lower(), text.strip()))
+        # Trailers come later, and are not part of the head.
+        if not self._head.status:
+            self._head.headers.append((name.lower(), text.strip()))
 
     def on_headers_complete(self) -> None:
         """Parser callback: the head is complete."""
