Replicas that refuse with Retry-After get no requests for that time

What callers saw: a replica that answers 503 with Retry-After was asked again 0.25 s later, by streams, resumed streams, runs in parallel and requests that had waited for a connection; plain replicas at once. Each such send cost its request a few ms and a retry of the budget that all nodes share. With all replicas refusing, streams waited until their deadline and were told to come back at a time without relation to what the replicas had said.

Cause: nothing read the header; the back-off after a refusal is a constant that doubles.

Now ResponseMetadata has the parsed header, for 503 and 429 of the replica that was addressed. The time is stored as a deadline per process of a replica, with jitter on top, in the fleet view, and survives a withdrawn announcement. Path searches, the choice of a plain endpoint and control probes leave the replica out until then, and a send looks at it once more after the wait for a connection: it gives the connection and the reserved attempt back. The replica stays present for plans, outages and suspicions, isn't excluded for the request and gets no doubled back-off on top. If the 503 names a later stage, the head backs off, as it asked; the named stage is avoided and probed as before. Streams in progress go on, and may keep stages on such replicas when another one is replaced.

If no path or endpoint is left, a request waits when the first back-off ends in time, and is rejected at once with the true time otherwise, also out of the queue; a timer wakes the queue.

--- a/samphirerill/fleet/endpoints.py
+++ b/samphirerill/fleet/endpoints.py
@@ -31,13 +31,14 @@
 ) -> ReplicaState | None:
     """Return the best endpoint not yet tried, or ``None``.
 
-    Endpoints suspected dead are chosen only if no other is left. `may_call`
-    returns whether an endpoint, given by id, would accept a call now.
+    Endpoints suspected dead are chosen only if no other is left, those that
+    asked for a back-off never. `may_call` returns whether an endpoint, given by id, would accept a call now.
     """
     candidates = [
         state
         for state in view.list_service(service)
-        if state.replica.replica_id not in tried
+        if state.requested_backoff_until <= now
+        and state.replica.replica_id not in tried
         and may_call(state.replica.replica_id)
     ]
     trusted = [
@@ -49,6 +50,22 @@
     return min(pool, key=lambda state: _predict_wait(state, load_tracker))
 
 
+def find_backoff_end(
+    view: FleetView, service: str, tried: Collection[str], now: float
+) -> float:
+    """Return when the first requested back-off ends; 0 if none has to end.
+
+    The latter is the case if there is no endpoint, or one that has not asked.
+    """
+    ends = [
+        state.requested_backoff_until
+        for state in view.list_service(service)
+        if state.replica.replica_id not in tried
+    ]
+    first_end = min(ends, default=0.0)
+    return first_end if first_end > now else 0.0
+
+
 def _predict_wait(state: ReplicaState, load_tracker: LoadTracker) -> float:
     in_flight = 1 + load_tracker.count_requests(state.replica.replica_id)
     latency_s = max(_MIN_LATENCY_S, state.latency_s)
--- a/samphirerill/fleet/explain.py
+++ b/samphirerill/fleet/explain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.model import format_layers
@@ -17,6 +18,26 @@
     from samphirerill.fleet.view import ReplicaState
 
 
+# Replicas that are named in one explanation.
+_MAX_NAMED = 3
+
+
+def describe_backoffs(states: Sequence[ReplicaState], now: float) -> str:
+    """Return which replicas back off on request; empty if none does."""
+    backing_off = [
+        state for state in states if state.requested_backoff_until > now
+    ]
+    if not backing_off:
+        return ''
+    backing_off.sort(key=attrgetter('requested_backoff_until'))
+    named = ', '.join(
+        f'{state.replica.replica_id} for'
+        f' {state.requested_backoff_until - now:.2f} s'
+        for state in backing_off[:_MAX_NAMED]
+    )
+    return f'{len(backing_off)} replicas asked for a back-off: {named}'
+
+
 def explain_no_path(
     engine: EngineSpec,
     usable: Sequence[ReplicaState],
--- a/samphirerill/fleet/outage.py
+++ b/samphirerill/fleet/outage.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from operator import attrgetter
 from typing import TYPE_CHECKING
 
@@ -65,6 +66,38 @@
         )
 
 
+def find_coverage_time(
+    engine: EngineSpec, states: Sequence[ReplicaState], now: float
+) -> float:
+    """Return when replicas that back off on request let all layers be covered.
+
+    Returns
+    -------
+    float
+        `now` if no back-off has to end first; infinity if even all of the
+        replicas together lack some layers.
+    """
+    ends = sorted(
+        {max(now, state.requested_backoff_until) for state in states} | {now}
+    )
+    index = bisect_left(
+        ends,
+        True,
+        key=lambda end: (
+            find_gap(
+                engine,
+                list_ranges(
+                    state
+                    for state in states
+                    if state.requested_backoff_until <= end
+                ),
+            )
+            is None
+        ),
+    )
+    return ends[index] if index < len(ends) else float('inf')
+
+
 def list_ranges(states: Iterable[ReplicaState]) -> list[LayerRange]:
     """Return the layer ranges that replicas hold."""
     return [
--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.failure_detection import CorrelatedFailure
+from samphirerill.fleet.replica_notices import ReplicaNotices
 from samphirerill.fleet.stage_lifetime import releases_layers
 from samphirerill.fleet.suspicion import (
     CONFIRMING_VOTES,
@@ -44,8 +45,9 @@
 class ReplicaState:
     """An announced replica, and what this node has found out about it.
 
-    It gets no new work until `backoff_until` after refusals, and its missing
-    announcement may still return until `lapsed_until`. `slowness` above 1
+    It gets no new work until `backoff_until` after refusals, nor until
+    `requested_backoff_until` if it asked for that, and its missing announcement
+    may still return until `lapsed_until`. `slowness` above 1
     multiplies its predicted times. Streams may use layers that it is to release
     until `release_until`.
     """
@@ -53,6 +55,7 @@
     replica: Replica
     revision: int
     backoff_until: float = 0.0
+    requested_backoff_until: float = 0.0
     refusals: int = 0
     refused_at: float = float('-inf')
     lapsed_until: float = 0.0
@@ -84,6 +87,8 @@
     # Until when each draining replica serves its active streams; includes
     # replicas that are no longer announced.
     leaving_deadlines: dict[str, float] = field(default_factory=dict)
+    # What replicas have said in responses; outlives their announcements.
+    notices: ReplicaNotices = field(default_factory=ReplicaNotices)
     # The configured services; empty if not known yet. An entry of any other
     # service does not replace a replica at its address.
     services: frozenset[str] = frozenset()
@@ -123,6 +128,9 @@
                 self.loss_count += 1
                 state.release_until = leaving_deadline
             state.replica = replica
+            state.requested_backoff_until = self.notices.get_backoff_end(
+                replica
+            )
             state.revision = revision
             state.lapsed_until = 0.0
         if replica.is_leaving and replica_id not in self.leaving_deadlines:
@@ -203,6 +211,7 @@
         for replica_id in set(self.leaving_deadlines) - set(self.replicas):
             if self.leaving_deadlines[replica_id] + _DRAINING_RETENTION_S < now:
                 self.leaving_deadlines.pop(replica_id)
+        self.notices.remove_expired(now)
         return removed
 
     def add_silence_report(
@@ -354,6 +363,7 @@
             state
             for state in self.list_live(service, now)
             if state.backoff_until <= now
+            and state.requested_backoff_until <= now
         ]
 
     def find_by_address(self, address: str) -> ReplicaState | None:
@@ -385,7 +395,11 @@
         for replica_id in removed:
             self._remove(replica_id, self.replicas[replica_id].revision)
         self.loss_count += replica.replica_id in self.replicas
-        self.replicas[replica.replica_id] = ReplicaState(replica, revision)
+        self.replicas[replica.replica_id] = ReplicaState(
+            replica,
+            revision,
+            requested_backoff_until=self.notices.get_backoff_end(replica),
+        )
         self.membership_version += 1
 
     def _remove(self, replica_id: str, revision: int) -> None:
--- a/samphirerill/platform/http_adapter.py
+++ b/samphirerill/platform/http_adapter.py
@@ -8,6 +8,7 @@
 
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.platform import announcements, documents, wire_names
+from samphirerill.platform.retry_after import parse_retry_after
 from samphirerill.relay.platform_adapter import (
     RequestMetadata,
     ResponseMetadata,
@@ -132,6 +133,7 @@
         """Return the metadata of an endpoint's response."""
         encoding = (head.get(b'content-encoding') or b'identity').lower()
         is_other_replica = head.status == _MISDIRECTED
+        retry_after = head.get(b'retry-after')
         return ResponseMetadata(
             request_id=head.get(wire_names.REQUEST_ID) or b'',
             is_signed=bool(head.get(wire_names.RESPONSE_SIGNATURE)),
@@ -141,6 +143,12 @@
             failed_address=(head.get(wire_names.FAILED_REPLICA) or b'').decode(
                 'latin-1'
             ),
+            replica_id=(head.get(wire_names.REPLICA_ID) or b'').decode(
+                'latin-1'
+            ),
+            retry_after=None
+            if retry_after is None
+            else parse_retry_after(retry_after, head.get(b'date') or b''),
         )
 
     def decode_configuration(self, text: bytes) -> FleetConfiguration:
--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -12,15 +12,16 @@
 from itertools import pairwise
 from typing import TYPE_CHECKING
 
-from samphirerill.fleet.explain import explain_no_path
+from samphirerill.fleet.explain import describe_backoffs, explain_no_path
 from samphirerill.fleet.load import list_replica_ids
-from samphirerill.fleet.outage import Outage
+from samphirerill.fleet.outage import Outage, find_coverage_time
 from samphirerill.fleet.paths import choose_path
 from samphirerill.fleet.prediction import predict_transfer_ms
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import EngineSpec, Stage
     from samphirerill.fleet.paths import PathRequest
+    from samphirerill.fleet.view import ReplicaState
     from samphirerill.relay.state import EdgeState
 
 # Expected time from sending a request to its first event: prefill of a usual
@@ -41,11 +42,12 @@
     """A queued request; lower ranks are served first.
 
     `timely_until` is the latest time at which a path still allows the first
-    event to meet its latency objective.
+    event to meet its latency objective, `deadline` when it stops waiting.
     """
 
     rank: int
     timely_until: float
+    deadline: float
     service: str
     engine: EngineSpec
     path_request: PathRequest
@@ -64,6 +66,10 @@
     """No live replica holds some layers; `wait_s` estimates the recovery."""
 
 
+class BackOffError(NoPathError):
+    """Replicas asked for a back-off of `wait_s`, and no others have a path."""
+
+
 class AdmissionQueue:
     """The admission queue for the streams of this node.
 
@@ -81,6 +87,7 @@
         self._grant_interval_s = 0.0
         self._last_grant_at = 0.0
         self._is_grant_scheduled = False
+        self._handled_backoffs = 0
         state.add_listener(self._schedule_grants)
 
     def count_waiting(self) -> int:
@@ -128,6 +135,7 @@
         queued = _QueuedRequest(
             rank,
             first_event_due - _FIRST_EVENT_S,
+            deadline,
             service,
             engine,
             path_request,
@@ -136,6 +144,9 @@
         self._reject_if_queue_too_long(ahead_count, queued, deadline)
         if not path_request.is_urgent:
             self._reject_during_outage(queued, deadline)
+            error = _find_backoff_error(self._state, queued, self._loop.time())
+            if error is not None:
+                raise error
         return await self._wait_for_grant(queued, deadline)
 
     def reserve(
@@ -161,7 +172,7 @@
         path_request.links = state.link_usage
         path_request.data_centre = state.settings.data_centre
         path_request.policy = state.settings.policy
-        usable = state.view.list_usable(service, now)
+        usable = _list_usable(state, service, path_request, now)
         return choose_path(
             engine, usable, state.load_tracker, path_request, now
         )
@@ -176,7 +187,8 @@
         except TimeoutError as exc:
             self._abandon(queued)
             raise NoPathError(
-                self.predict_wait_s(), self._explain_no_path(queued)
+                self.predict_wait_s(),
+                _explain_no_path(self._state, queued, self._loop.time()),
             ) from exc
         except asyncio.CancelledError:
             self._abandon(queued)
@@ -196,7 +208,8 @@
     def _abandon(self, queued: _QueuedRequest) -> None:
         """Release a path that was granted while the request stopped waiting."""
         granted = queued.granted
-        if granted.done() and not granted.cancelled():
+        is_granted = granted.done() and not granted.cancelled()
+        if is_granted and granted.exception() is None:
             self.release(granted.result(), queued.path_request.tokens)
         granted.cancel()
 
@@ -207,7 +220,10 @@
         left_s = deadline - self._loop.time()
         expected_s = self._grant_interval_s * ahead_count
         if ahead_count > _MAX_UNCHECKED_QUEUE and expected_s > left_s:
-            raise NoPathError(expected_s, self._explain_no_path(queued))
+            raise NoPathError(
+                expected_s,
+                _explain_no_path(self._state, queued, self._loop.time()),
+            )
 
     def _reject_during_outage(
         self, queued: _QueuedRequest, deadline: float
@@ -226,14 +242,9 @@
             return
         wait_s = outage.predict_wait_s(live, now)
         if now + wait_s > deadline:
-            raise OutageError(wait_s, self._explain_no_path(queued))
-
-    def _explain_no_path(self, queued: _QueuedRequest) -> str:
-        state = self._state
-        usable = state.view.list_usable(queued.service, self._loop.time())
-        return explain_no_path(
-            queued.engine, usable, state.load_tracker, queued.path_request
-        )
+            raise OutageError(
+                wait_s, _explain_no_path(self._state, queued, self._loop.time())
+            )
 
     def _schedule_grants(self) -> None:
         if self._queue and not self._is_grant_scheduled:
@@ -253,6 +264,7 @@
         self._queue = [item for item in self._queue if not item.granted.done()]
         now = self._loop.time()
         self._queue.sort(key=lambda item: (item.rank, item.timely_until < now))
+        self._reject_backed_off()
         skipped = 0
         for queued in tuple(self._queue):
             stages = self._reserve_path(
@@ -267,6 +279,25 @@
             else:
                 skipped += 1
 
+    def _reject_backed_off(self) -> None:
+        """Reject queued requests whose replicas asked for a longer back-off.
+
+        The search is slow with many replicas, so it is repeated only after
+        another replica has asked.
+        """
+        notices = self._state.view.notices
+        if self._handled_backoffs == notices.backoff_count:
+            return
+        self._handled_backoffs = notices.backoff_count
+        now = self._loop.time()
+        for queued in tuple(self._queue):
+            if queued.path_request.is_urgent:
+                continue
+            error = _find_backoff_error(self._state, queued, now)
+            if error is not None:
+                self._queue.remove(queued)
+                queued.granted.set_exception(error)
+
     def _record_grant(self) -> None:
         now = self._loop.time()
         interval_s = min(1.0, now - self._last_grant_at)
@@ -298,3 +329,55 @@
                 self._state.link_usage.note_transfer(
                     source, destination, transfer_ms, now
                 )
+
+
+def _list_usable(
+    state: EdgeState, service: str, path_request: PathRequest, now: float
+) -> list[ReplicaState]:
+    """Return the replicas that a path may use.
+
+    A stream that is rerouted may keep its stages on replicas that asked for a
+    back-off, as it sends them no request.
+    """
+    usable = state.view.list_usable(service, now)
+    if not path_request.prefilled_on or not state.view.notices:
+        return usable
+    kept = [
+        known
+        for known in state.view.list_live(service, now)
+        if known.replica.replica_id in path_request.prefilled_on
+        and known.requested_backoff_until > now
+    ]
+    return [*usable, *kept]
+
+
+def _find_backoff_error(
+    state: EdgeState, queued: _QueuedRequest, now: float
+) -> BackOffError | None:
+    """Return why a request would wait in vain; none if it may be served."""
+    if not state.view.notices:
+        return None
+    candidates = [
+        known
+        for known in state.view.list_live(queued.service, now)
+        if known.replica.replica_id not in queued.path_request.excluded
+    ]
+    possible_at = find_coverage_time(queued.engine, candidates, now)
+    is_in_time = possible_at + _FIRST_EVENT_S <= queued.deadline
+    if is_in_time or possible_at in {now, float('inf')}:
+        return None
+    reason = _explain_no_path(state, queued, now)
+    return BackOffError(possible_at - now, reason)
+
+
+def _explain_no_path(
+    state: EdgeState, queued: _QueuedRequest, now: float
+) -> str:
+    reason = explain_no_path(
+        queued.engine,
+        state.view.list_usable(queued.service, now),
+        state.load_tracker,
+        queued.path_request,
+    )
+    live = state.view.list_live(queued.service, now)
+    return '; '.join(filter(None, (reason, describe_backoffs(live, now))))
--- /dev/null
+++ b/samphirerill/relay/endpoint_finder.py
@@ -0,0 +1,113 @@
+"""Find an endpoint of a plain service, waiting for one if that helps."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from samphirerill.fleet.endpoints import choose_endpoint, find_backoff_end
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from samphirerill.fleet.view import ReplicaState
+    from samphirerill.relay.request_context import RequestContext
+    from samphirerill.relay.state import EdgeState
+
+# Maximum wait for a connection while all are in use: as long as some responses
+# take, but too short to make a request late by itself.
+_CONNECTION_WAIT_S = 0.1
+_CONNECTION_POLL_S = 0.005
+# Upper bounds of the wait for endpoints that asked for a back-off: a time, and a
+# share of the time left. A request that would wait longer is rejected, with the
+# time after which to retry.
+_MAX_BACKOFF_WAIT_S = 1.4
+_MAX_BACKOFF_WAIT_SHARE = 0.33
+# Requests that waited are sent at random times within this after the back-off.
+_RELEASE_SPREAD_S = 0.05
+
+
+class EndpointFinder:
+    """Finds endpoints for one request.
+
+    Parameters
+    ----------
+    state : EdgeState
+        Shared state of this node.
+    context : RequestContext
+        The request.
+
+    Attributes
+    ----------
+    tried : set of str
+        Endpoints that are not tried again.
+    """
+
+    __slots__ = ('_context', '_loop', '_state', 'tried')
+
+    def __init__(self, state: EdgeState, context: RequestContext) -> None:
+        self.tried: set[str] = set()
+        self._state = state
+        self._context = context
+        self._loop = asyncio.get_running_loop()
+
+    async def wait_for_endpoint(self) -> ReplicaState | None:
+        """Return an endpoint, waiting for a connection or a back-off's end."""
+        endpoint = await self._wait_for_connection()
+        if endpoint is None and await self._wait_for_backoff():
+            endpoint = await self._wait_for_connection()
+        return endpoint
+
+    def find_backoff_end(self) -> float:
+        """Return when the first back-off ends; 0 if none has to end."""
+        return find_backoff_end(
+            self._state.view,
+            self._context.service.name,
+            self.tried,
+            self._loop.time(),
+        )
+
+    async def _wait_for_connection(self) -> ReplicaState | None:
+        """Return an endpoint, waiting while all connections are in use."""
+        until = self._loop.time() + _CONNECTION_WAIT_S
+        while True:
+            endpoint = self._find_endpoint(self._has_connection)
+            if endpoint is not None or self._loop.time() >= until:
+                return endpoint
+            if self._find_endpoint() is None:
+                return None
+            await asyncio.sleep(_CONNECTION_POLL_S)
+
+    async def _wait_for_backoff(self) -> bool:
+        """Wait until the first back-off ends; return false if it is too long."""
+        now = self._loop.time()
+        end = self.find_backoff_end()
+        max_wait_s = min(
+            _MAX_BACKOFF_WAIT_S,
+            _MAX_BACKOFF_WAIT_SHARE * (self._context.deadline - now),
+        )
+        if not end or end > now + max_wait_s:
+            return False
+        delay_s = self._state.random.uniform(0, _RELEASE_SPREAD_S)
+        await asyncio.sleep(end + delay_s - now)
+        return True
+
+    def _find_endpoint(
+        self, may_call: Callable[[str], bool] = bool
+    ) -> ReplicaState | None:
+        """Return an endpoint that may be called; none if there is none.
+
+        By default all may be called: `bool` is true for every replica id.
+        """
+        return choose_endpoint(
+            self._state.view,
+            self._state.load_tracker,
+            self._context.service.name,
+            self.tried,
+            self._loop.time(),
+            may_call,
+        )
+
+    def _has_connection(self, replica_id: str) -> bool:
+        max_open = self._state.get_connection_limit(self._context.service)
+        return self._state.pool.has_available(replica_id, max_open)
--- a/samphirerill/relay/errors.py
+++ b/samphirerill/relay/errors.py
@@ -31,6 +31,10 @@
     """All connections that this node may open to the endpoint are in use."""
 
 
+class BackOffRequestedError(ConnectError):
+    """The endpoint asked for a back-off while the connection was awaited."""
+
+
 class QuarantinedError(ConnectError):
     """The request was quarantined before it was sent."""
 
--- a/samphirerill/relay/health/prober.py
+++ b/samphirerill/relay/health/prober.py
@@ -264,6 +264,7 @@
             for name, replica_state in self._state.view.replicas.items()
             if name not in excluded
             and replica_state.suspicion.suspected_until <= now
+            and replica_state.requested_backoff_until <= now
             and replica_state.replica.layers is not None
         ]
         return self._state.random.sample(others, min(wanted, len(others)))
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -10,12 +10,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from samphirerill.fleet.endpoints import choose_endpoint
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.attempt_budget import AttemptBudget
 from samphirerill.relay.connection import ResponseHead, serialize_request
+from samphirerill.relay.endpoint_finder import EndpointFinder
 from samphirerill.relay.errors import (
+    BackOffRequestedError,
     BrokenResponseError,
     ConnectError,
     ConnectionLimitError,
@@ -39,8 +40,6 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from samphirerill.fleet.model import Replica
     from samphirerill.fleet.view import ReplicaState
     from samphirerill.relay.connection import HttpConnection
@@ -61,22 +60,23 @@
 # Endpoints to try, including those to which no connection could be opened.
 _MAX_CONNECTS = 4
 _DEFAULT_RETRY_S = 0.3
-# Maximum wait for a connection while all are in use: as long as some responses
-# take, but too short to make a request late by itself.
-_CONNECTION_WAIT_S = 0.1
-_CONNECTION_POLL_S = 0.005
 # Weight of the newest response in an endpoint's latency and failure rate.
 _SMOOTHING = 0.15
 
 
 @dataclass(slots=True)
 class _Outcome:
-    """The result of one attempt; `head` is set if there is a response."""
+    """The result of one attempt; `head` is set if there is a response.
+
+    `may_return` is whether the endpoint may be tried again, as it only asked
+    for a back-off.
+    """
 
     head: ResponseHead | None = None
     body: bytes = b''
     is_not_run: bool = False
     was_sent: bool = True
+    may_return: bool = False
     timed_out: bool = False
     reason: str = ''
 
@@ -107,7 +107,7 @@
         self._quarantined_until = 0.0
         self._budget = AttemptBudget(state, context)
         self._loop = asyncio.get_running_loop()
-        self._tried: set[str] = set()
+        self._finder = EndpointFinder(state, context)
         self._attempts = 0
         self._may_have_run = False
         self._has_broken_run = False
@@ -117,51 +117,17 @@
         outcome = _Outcome(is_not_run=True, reason='no endpoint is available')
         connects = 0
         while connects < _MAX_CONNECTS and self._may_send():
-            endpoint = await self._wait_for_endpoint()
+            endpoint = await self._finder.wait_for_endpoint()
             if endpoint is None:
                 self._budget.refund()
                 break
             outcome = await self._send(endpoint)
             connects += 1
-            self._tried.add(endpoint.replica.replica_id)
-            if not outcome.was_sent:
-                self._budget.refund()
             if self._is_final(outcome):
                 break
             await self._crash_detector.delay_retry(self._context)
         self._respond(outcome)
 
-    async def _wait_for_endpoint(self) -> ReplicaState | None:
-        """Return an endpoint, waiting while all connections are in use."""
-        until = self._loop.time() + _CONNECTION_WAIT_S
-        while True:
-            endpoint = self._find_endpoint(self._has_connection)
-            if endpoint is not None or self._loop.time() >= until:
-                return endpoint
-            if self._find_endpoint() is None:
-                return None
-            await asyncio.sleep(_CONNECTION_POLL_S)
-
-    def _find_endpoint(
-        self, may_call: Callable[[str], bool] = bool
-    ) -> ReplicaState | None:
-        """Return an endpoint that may be called; none if there is none.
-
-        By default all may be called: `bool` is true for every replica id.
-        """
-        return choose_endpoint(
-            self._state.view,
-            self._state.load_tracker,
-            self._context.service.name,
-            self._tried,
-            self._loop.time(),
-            may_call,
-        )
-
-    def _has_connection(self, replica_id: str) -> bool:
-        max_open = self._state.get_connection_limit(self._context.service)
-        return self._state.pool.has_available(replica_id, max_open)
-
     def _may_send(self) -> bool:
         """Return whether another attempt is allowed, and reserve it."""
         now = self._loop.time()
@@ -195,6 +161,10 @@
             self._state.notify_listeners()
         duration_s = self._loop.time() - started_at
         self._record_outcome(endpoint, outcome, duration_s)
+        if not outcome.may_return:
+            self._finder.tried.add(replica.replica_id)
+        if not outcome.was_sent:
+            self._budget.refund()
         _LOG.info(
             'request sent',
             extra={
@@ -213,8 +183,17 @@
         replica = endpoint.replica
         try:
             conn = await self._connect(replica)
-        except (ConnectionLimitError, QuarantinedError) as exc:
-            return _Outcome(is_not_run=True, was_sent=False, reason=str(exc))
+        except (
+            BackOffRequestedError,
+            ConnectionLimitError,
+            QuarantinedError,
+        ) as exc:
+            return _Outcome(
+                is_not_run=True,
+                was_sent=False,
+                may_return=isinstance(exc, BackOffRequestedError),
+                reason=str(exc),
+            )
         except ConnectError as exc:
             self._avoid(endpoint, str(exc))
             return _Outcome(is_not_run=True, was_sent=False, reason=str(exc))
@@ -242,8 +221,18 @@
             raise QuarantinedError(
                 self._crash_detector.describe_hold(self._context)
             )
+        if self._is_backing_off(replica):
+            self._state.pool.release(replica, conn)
+            self._state.counters['sends.withheld'] += 1
+            raise BackOffRequestedError(
+                f'{replica.replica_id} asked for a back-off'
+            )
         return conn
 
+    def _is_backing_off(self, replica: Replica) -> bool:
+        until = self._state.view.notices.get_backoff_end(replica)
+        return until > self._loop.time()
+
     async def _call(
         self, endpoint: ReplicaState, conn: HttpConnection
     ) -> _Outcome:
@@ -252,10 +241,15 @@
         head, facts = await read_head(
             conn, self._state.adapter, self._context.facts.request_id, deadline
         )
+        self._state.response_notices.handle(
+            endpoint.replica, head.status, facts
+        )
         body = await read_body(conn, deadline)
         if facts.is_not_run and not is_success(head.status):
             return _Outcome(
-                is_not_run=True, reason='endpoint rejected the request'
+                is_not_run=True,
+                may_return=self._is_backing_off(endpoint.replica),
+                reason='endpoint rejected the request',
             )
         self._may_have_run = True
         self._crash_detector.record_completion(self._context)
@@ -316,7 +310,7 @@
         self, endpoint: ReplicaState, outcome: _Outcome, duration_s: float
     ) -> None:
         failed = outcome.head is None or outcome.head.status >= _SERVER_ERROR
-        if outcome.was_sent:
+        if outcome.was_sent and not outcome.may_return:
             endpoint.failures += _SMOOTHING * (
                 float(failed) - endpoint.failures
             )
@@ -326,21 +320,30 @@
 
     def _respond(self, outcome: _Outcome) -> None:
         conn = self._context.conn
-        facts = self._context.facts
         head = outcome.head
         if head is not None:
             conn.respond(head.status, filter_headers(head), outcome.body)
             return
+        send_refusal(
+            self._state, conn, self._context.facts, self._build_refusal(outcome)
+        )
+
+    def _build_refusal(self, outcome: _Outcome) -> Refusal:
         now = self._loop.time()
-        timed_out = now >= self._context.deadline
-        reason, retry_s = outcome.reason, _DEFAULT_RETRY_S
-        if self._quarantined_until:
-            reason = self._crash_detector.describe_hold(self._context)
-            retry_s = self._quarantined_until - now
-        refusal = Refusal(UNAVAILABLE, reason, retry_s)
         if self._may_have_run:
-            is_timeout = outcome.timed_out or timed_out
-            refusal = Refusal(
-                TIMED_OUT if is_timeout else FAILED, outcome.reason
+            is_timeout = outcome.timed_out or now >= self._context.deadline
+            return Refusal(TIMED_OUT if is_timeout else FAILED, outcome.reason)
+        if self._quarantined_until:
+            return Refusal(
+                UNAVAILABLE,
+                self._crash_detector.describe_hold(self._context),
+                self._quarantined_until - now,
+            )
+        backoff_end = self._finder.find_backoff_end()
+        if backoff_end:
+            return Refusal(
+                UNAVAILABLE,
+                f'{outcome.reason}; all endpoints asked for a back-off',
+                backoff_end - now,
             )
-        send_refusal(self._state, conn, facts, refusal)
+        return Refusal(UNAVAILABLE, outcome.reason, _DEFAULT_RETRY_S)
--- a/samphirerill/relay/platform_adapter.py
+++ b/samphirerill/relay/platform_adapter.py
@@ -83,6 +83,17 @@
     resume_after: bytes = b''
 
 
+@dataclass(slots=True, frozen=True)
+class RetryAfter:
+    """A ``Retry-After`` header: `text` as received, which may be shortened.
+
+    `delay_s` is the time that it asks for; none if it is invalid.
+    """
+
+    text: str
+    delay_s: float | None
+
+
 @dataclass(slots=True)
 class ResponseMetadata:
     """Metadata in the headers of an endpoint's response.
@@ -101,6 +112,10 @@
         Whether the body has a content encoding, such as gzip.
     failed_address : str
         The address of the replica on the path that failed; empty if unknown.
+    replica_id : str
+        The replica that responded; empty if it did not say.
+    retry_after : RetryAfter, optional
+        The time for which it wants no requests, if it named one.
     """
 
     request_id: bytes = b''
@@ -108,6 +123,8 @@
     is_not_run: bool = False
     is_encoded: bool = False
     failed_address: str = ''
+    replica_id: str = ''
+    retry_after: RetryAfter | None = None
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/samphirerill/relay/response_notices.py
@@ -0,0 +1,131 @@
+"""Act on what replicas say about themselves in the headers of responses.
+
+A replica that refuses a request may ask for a back-off with ``Retry-After``.
+This node then sends it nothing for that time; streams in progress go on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from samphirerill.fleet.model import MS_PER_S
+from samphirerill.fleet.replica_notices import note_requested_backoff
+from samphirerill.node.logs import get_logger
+
+if TYPE_CHECKING:
+    from samphirerill.fleet.model import Replica
+    from samphirerill.relay.platform_adapter import (
+        ResponseMetadata,
+        RetryAfter,
+    )
+    from samphirerill.relay.state import EdgeState
+
+_LOG = get_logger('notices')
+_BACKOFF_STATUSES = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+)
+# Longer times are shortened to this; the replica can ask again.
+_MAX_BACKOFF_S = 60.0
+# Longer times are taken for an error of the replica and ignored.
+_MAX_PLAUSIBLE_BACKOFF_S = 86_400.0
+# Random share of the time that is added, up to a limit, so that the nodes do
+# not come back to a replica all at once.
+_JITTER_SHARE = 0.1
+_MAX_JITTER_S = 0.3
+# Responses of requests in flight together extend a back-off by less; only a
+# longer extension is logged.
+_MIN_LOGGED_EXTENSION_S = 0.5
+# Invalid values that are remembered, so that each is logged only once.
+_MAX_LOGGED_VALUES = 256
+
+
+class ResponseNotices:
+    """Records what replicas say about themselves, and wakes what waits for them.
+
+    Parameters
+    ----------
+    state : EdgeState
+        Holds the view of the fleet.
+    """
+
+    __slots__ = ('_logged_values', '_state', '_wake_timers')
+
+    def __init__(self, state: EdgeState) -> None:
+        self._state = state
+        self._logged_values: set[tuple[str, str]] = set()
+        self._wake_timers: dict[str, asyncio.TimerHandle] = {}
+
+    def handle(
+        self, replica: Replica, status: int, metadata: ResponseMetadata
+    ) -> None:
+        """Handle a response to a request that was sent to a replica.
+
+        A response that names another replica comes from another process at the
+        same address and says nothing about this one.
+        """
+        if metadata.replica_id not in ('', replica.replica_id):
+            return
+        if metadata.retry_after is not None and status in _BACKOFF_STATUSES:
+            self._handle_retry_after(replica, metadata.retry_after)
+
+    def _handle_retry_after(
+        self, replica: Replica, retry_after: RetryAfter
+    ) -> None:
+        delay_s = retry_after.delay_s
+        if delay_s is None or delay_s > _MAX_PLAUSIBLE_BACKOFF_S:
+            self._log_invalid(replica.replica_id, retry_after.text)
+        elif delay_s:
+            self._back_off(replica, retry_after.text, delay_s)
+
+    def _back_off(self, replica: Replica, text: str, delay_s: float) -> None:
+        state = self._state
+        now = asyncio.get_running_loop().time()
+        accepted_s = min(_MAX_BACKOFF_S, delay_s)
+        jitter_s = state.random.uniform(
+            0, min(_MAX_JITTER_S, _JITTER_SHARE * accepted_s)
+        )
+        until = now + accepted_s + jitter_s
+        previous = max(now, state.view.notices.get_backoff_end(replica))
+        note_requested_backoff(state.view, replica, until)
+        state.view.note_alive(replica.replica_id, now)
+        state.counters['replicas.backoff_requested'] += 1
+        if until > previous + _MIN_LOGGED_EXTENSION_S or previous == now:
+            _LOG.info(
+                'replica asked for a back-off',
+                extra={
+                    'replica': replica.replica_id,
+                    'received': text,
+                    'for_ms': round((until - now) * MS_PER_S),
+                },
+            )
+        self._schedule_wake(replica, until)
+
+    def _schedule_wake(self, replica: Replica, until: float) -> None:
+        """Wake waiting requests once the back-off has ended."""
+        if replica.replica_id not in self._wake_timers:
+            self._wake_timers[replica.replica_id] = (
+                asyncio.get_running_loop().call_at(until, self._wake, replica)
+            )
+
+    def _wake(self, replica: Replica) -> None:
+        self._wake_timers.pop(replica.replica_id, None)
+        until = self._state.view.notices.get_backoff_end(replica)
+        if until > asyncio.get_running_loop().time():
+            self._schedule_wake(replica, until)
+        else:
+            self._state.notify_listeners()
+
+    def _log_invalid(self, replica_id: str, text: str) -> None:
+        """Log an invalid value, once for each replica and value."""
+        self._state.counters['replicas.invalid_retry_after'] += 1
+        if (replica_id, text) in self._logged_values:
+            return
+        if len(self._logged_values) >= _MAX_LOGGED_VALUES:
+            self._logged_values.clear()
+        self._logged_values.add((replica_id, text))
+        _LOG.warning(
+            'Retry-After of a replica is invalid and ignored',
+            extra={'replica': replica_id, 'received': text},
+        )
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -18,6 +18,7 @@
 from samphirerill.relay.configuration_history import ConfigurationHistory
 from samphirerill.relay.node_status import ReplicaIdIndex
 from samphirerill.relay.pool import ConnectionPool
+from samphirerill.relay.response_notices import ResponseNotices
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -112,6 +113,7 @@
         self.routes: RouteTable | None = None
         self.streams: set[StreamExchange] = set()
         self.quarantine = Quarantine()
+        self._response_notices = ResponseNotices(self)
         self.is_draining = False
         self.accept_streams_until = float('inf')
         self.accept_requests_until = float('inf')
@@ -125,6 +127,11 @@
         """Return the version of the current configuration; 0 for none."""
         return 0 if self.cfg is None else self.cfg.version
 
+    @property
+    def response_notices(self) -> ResponseNotices:
+        """Return the handler of what replicas say in responses."""
+        return self._response_notices
+
     def is_ready(self) -> bool:
         """Return whether the load balancer should send new connections."""
         return self.cfg is not None and not self.is_draining
--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -134,8 +134,9 @@
         self._progress = progress
         self._loop = asyncio.get_running_loop()
 
-    async def connect(self, replica: Replica) -> HttpConnection | None:
-        """Return a connection, or none if the replica is unavailable now."""
+    async def connect(self, stages: tuple[Stage, ...]) -> HttpConnection | None:
+        """Return a connection for a path, or none if it is unavailable now."""
+        replica = stages[0].replica
         try:
             conn = await self._state.pool.acquire(
                 replica,
@@ -153,9 +154,8 @@
         except ConnectError as exc:
             self._record_refusal(replica.replica_id, str(exc))
         else:
-            if not self._crash_detector.find_held_until(self._context):
+            if self._may_still_send(stages):
                 return conn
-            # The request was quarantined while connecting.
             self._state.pool.release(replica, conn)
         return None
 
@@ -205,7 +205,7 @@
         deadline : float
             The latest time for the first event.
         """
-        conn = await self.connect(stages[0].replica)
+        conn = await self.connect(stages)
         if conn is None:
             return None
         head = None
@@ -227,9 +227,9 @@
     async def read_head(
         self, conn: HttpConnection, deadline: float
     ) -> tuple[ResponseHead, ResponseMetadata]:
-        """Return the head of the response to this stream."""
-        return await read_head(
-            conn, self._state.adapter, self._context.facts.request_id, deadline
+        """Return the head of the response over the present path."""
+        return await self._read_head_of(
+            self._path.stages[0].replica, conn, deadline
         )
 
     def handle_rejection(
@@ -250,15 +250,18 @@
             else None
         )
         replica_id = head_id if faulty is None else faulty.replica.replica_id
+        reason = f'engine rejected the stream with status {head.status}'
+        if self._is_backing_off(replica_id):
+            # It is alive and named the time itself.
+            self._log_refusal(replica_id, reason)
+            return
         if (
             faulty is not None
             and replica_id != head_id
             and head.status == _UNAVAILABLE
         ):
             self._prober.probe_in_background(faulty.replica)
-        self._record_refusal(
-            replica_id, f'engine rejected the stream with status {head.status}'
-        )
+        self._record_refusal(replica_id, reason)
 
     async def _start_run(
         self,
@@ -273,7 +276,9 @@
         """
         head_id = stages[0].replica.replica_id
         is_new_head = self.send(conn, stages, 'stream sent in parallel')
-        head, metadata = await self.read_head(conn, deadline)
+        head, metadata = await self._read_head_of(
+            stages[0].replica, conn, deadline
+        )
         if metadata.is_not_run:
             self.handle_rejection(
                 head_id, head, metadata.failed_address, is_new_head=is_new_head
@@ -287,6 +292,39 @@
         await conn.wait_for_part(deadline)
         return head
 
+    async def _read_head_of(
+        self, replica: Replica, conn: HttpConnection, deadline: float
+    ) -> tuple[ResponseHead, ResponseMetadata]:
+        head, metadata = await read_head(
+            conn, self._state.adapter, self._context.facts.request_id, deadline
+        )
+        self._state.response_notices.handle(replica, head.status, metadata)
+        return head, metadata
+
+    def _may_still_send(self, stages: tuple[Stage, ...]) -> bool:
+        """Return whether the stream may be sent after the wait to connect.
+
+        Meanwhile its request may have been quarantined, or a replica of the
+        path may have asked for a back-off.
+        """
+        if self._crash_detector.find_held_until(self._context):
+            return False
+        for stage in stages:
+            replica_id = stage.replica.replica_id
+            if self._is_backing_off(replica_id):
+                self._progress.reason = f'{replica_id} asked for a back-off'
+                self._state.counters['sends.withheld'] += 1
+                self._log('stream not sent', reason=self._progress.reason)
+                return False
+        return True
+
+    def _is_backing_off(self, replica_id: str) -> bool:
+        known = self._state.view.replicas.get(replica_id)
+        return (
+            known is not None
+            and known.requested_backoff_until > self._loop.time()
+        )
+
     def _build_call(self, stages: tuple[Stage, ...]) -> bytes:
         """Return the HTTP request, resuming after the last event passed on.
 
@@ -309,6 +347,10 @@
         """Record that a replica refused, so that it is not tried again at once."""
         self._exclude_for_now(replica_id, reason)
         self._state.view.note_refusal(replica_id, self._loop.time())
+        self._log_refusal(replica_id, reason)
+
+    def _log_refusal(self, replica_id: str, reason: str) -> None:
+        self._progress.reason = reason
         self._state.counters['streams.refused'] += 1
         self._log(
             'engine rejected the stream', replica=replica_id, reason=reason
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -12,7 +12,11 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.node.logs import get_logger
-from samphirerill.relay.admission import NoPathError, OutageError
+from samphirerill.relay.admission import (
+    BackOffError,
+    NoPathError,
+    OutageError,
+)
 from samphirerill.relay.connection import (
     BodyChunk,
     EndOfResponse,
@@ -201,7 +205,7 @@
         """Wait for a path; fail the stream and return false if none comes."""
         try:
             return await self._wait_unless_quarantined(self._acquire_path())
-        except OutageError as exc:
+        except (OutageError, BackOffError) as exc:
             self._fail(str(exc), exc.wait_s)
         except NoPathError as exc:
             self._fail(str(exc), max(_MIN_REPAIR_RETRY_S, exc.wait_s))
@@ -243,7 +247,7 @@
 
     async def _send_once(self) -> None:
         stages = self._path.stages
-        conn = await self._sender.connect(stages[0].replica)
+        conn = await self._sender.connect(stages)
         if conn is None:
             return
         is_new_head = self._sender.send(conn, stages, 'stream sent')
