--- a/samphirerill/testing/platform_replicas.py
+++ b/samphirerill/testing/platform_replicas.py
@@ -82,6 +82,8 @@
         Refuse requests as not executed.
     refusal : RefusalSettings
         How many requests to refuse, and how.
+    reports_leaving : bool
+        Say in each response that it is leaving.
     failures_left : int
         Number of requests to answer with status 500.
     cancelled : int
@@ -100,10 +102,10 @@
         self.cut_after_head = False
         self.refuses = False
         self.refusal = RefusalSettings()
+        self.reports_leaving = False
         # Number of requests after which it refuses; 0 for no limit.
         self.max_requests = 0
         self.failures_left = 0
-        self.answers_other_first = False
         # While cleared, the replica sends neither events nor responses.
         self.responding = asyncio.Event()
         self.responding.set()
@@ -152,6 +154,8 @@
                 req.get(b'x-samphirerill-request-id') or b'',
             ),
         ]
+        if self.reports_leaving:
+            headers.append((b'Server-Leaving', b'1'))
         if self.resets_left:
             self.resets_left -= 1
             conn.abort()
--- a/samphirerill/tests/platform_documents.py
+++ b/samphirerill/tests/platform_documents.py
@@ -84,6 +84,7 @@
     kind: str = '',
     layers: tuple[int, int] | None = None,
     state: str = 'ready',
+    started_ms: int = 0,
 ) -> bytes:
     """Return a replica's announcement."""
     announcement: dict[str, Any] = {
@@ -94,6 +95,8 @@
         'state': state,
         'kind': kind,
     }
+    if started_ms:
+        announcement['born'] = started_ms
     if layers is not None:
         announcement['layers'] = {
             'from': layers[0],
--- a/samphirerill/tests/test_requested_back_off.py
+++ b/samphirerill/tests/test_requested_back_off.py
@@ -93,6 +93,25 @@
         state.view.replicas[name].backoff_until = now + for_s
         state.notify_listeners()
 
+    def hold_first_connection(self) -> asyncio.Event:
+        """Delay the first connection until the returned event is set."""
+        gate = asyncio.Event()
+        pool = self.process.state.pool
+        acquire = pool.acquire
+        is_first = iter((True,))
+
+        async def acquire_late(
+            replica: Replica, *, fresh: bool = False, max_open: int = 0
+        ) -> HttpConnection:
+            must_wait = next(is_first, False)
+            conn = await acquire(replica, fresh=fresh, max_open=max_open)
+            if must_wait:
+                await gate.wait()
+            return conn
+
+        pool.acquire = acquire_late  # type: ignore[method-assign]
+        return gate
+
     def assert_left_alone(self, *names: str, in_flight_s: float = 0) -> None:
         """Check that replicas got no request while they backed off.
 
@@ -316,22 +335,3 @@
         """End a replica and let the node know."""
         self.harness.crash_replica(name)
         self.mark_dead(name, 5)
-
-    def hold_first_connection(self) -> asyncio.Event:
-        """Delay the first connection until the returned event is set."""
-        gate = asyncio.Event()
-        pool = self.process.state.pool
-        acquire = pool.acquire
-        is_first = iter((True,))
-
-        async def acquire_late(
-            replica: Replica, *, fresh: bool = False, max_open: int = 0
-        ) -> HttpConnection:
-            must_wait = next(is_first, False)
-            conn = await acquire(replica, fresh=fresh, max_open=max_open)
-            if must_wait:
-                await gate.wait()
-            return conn
-
-        pool.acquire = acquire_late  # type: ignore[method-assign]
-        return gate
