Replicas that say in a response that they leave get no new work

What callers saw: a replica that shuts down is sent requests as long as its entry says ready, though each of its answers says that it leaves; each such request is refused or broken off at the end and costs a retry.

Cause: nothing read the header; only the entry in the store counted.

The header counts now with any status of a response that is this request's own and came from the replica that was addressed; 421, and responses that name another replica, come from another process at the same address. The replica is then leaving as if its entry said so: no new work, its streams stay, and the loss is counted, so that the leader plans without it at once. Sends look at it once more after the wait for a connection. Without a start time a new process at the same address looks the same, so there the notice lapses 60 s after the replica was due to end. A replica that has only said so, and whose entry is then withdrawn, still serves its streams for the usual time.

In TestLeavingIncarnations, the memory of the view is checked without a node.

--- a/samphirerill/fleet/replica_notices.py
+++ b/samphirerill/fleet/replica_notices.py
@@ -10,13 +10,13 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from samphirerill.fleet.model import Replica
-    from samphirerill.fleet.view import FleetView
+    from samphirerill.fleet.view import FleetView, ReplicaState
 
 # About five times the number of replicas in a large fleet.
 _MAX_NOTICES = 4096
+# Replicas may run for many seconds after they stopped serving their streams.
+_UNKNOWN_START_RETENTION_S = 60.0
 # Responses of requests in flight together extend a back-off by less.
 _MIN_EXTENSION_S = 0.1
 
@@ -31,10 +31,25 @@
         The replica as announced when it sent the response.
     backoff_until : float
         Until when it wants no requests from this node.
+    leaving_deadline : float
+        Until when it serves its active streams, if it is leaving; else 0.
     """
 
     replica: Replica
     backoff_until: float = 0.0
+    leaving_deadline: float = 0.0
+
+    def is_in_force(self, now: float) -> bool:
+        """Return whether the notice still matters.
+
+        A process that is leaving never returns. Without its start time, another
+        one at the same address looks the same, so that its notice lapses.
+        """
+        if self.backoff_until > now:
+            return True
+        if not self.leaving_deadline or self.replica.started_ms:
+            return self.leaving_deadline > 0
+        return self.leaving_deadline + _UNKNOWN_START_RETENTION_S > now
 
     def is_from(self, replica: Replica) -> bool:
         """Return whether it comes from the same process as `replica`.
@@ -53,12 +68,15 @@
     ----------
     backoff_count : int
         How many back-offs have begun or were extended.
+    last_backoff_end : float
+        When the last of them ends.
     """
 
-    __slots__ = ('_notices', 'backoff_count')
+    __slots__ = ('_notices', 'backoff_count', 'last_backoff_end')
 
     def __init__(self) -> None:
         self.backoff_count = 0
+        self.last_backoff_end = 0.0
         self._notices: dict[str, ReplicaNotice] = {}
 
     def __len__(self) -> int:
@@ -75,12 +93,17 @@
         notice = self.find(replica)
         return 0.0 if notice is None else notice.backoff_until
 
-    def list_active(self, now: float) -> Iterable[ReplicaNotice]:
+    def get_leaving_deadline(self, replica: Replica) -> float:
+        """Return until when a leaving replica serves; 0 if it did not say so."""
+        notice = self.find(replica)
+        return 0.0 if notice is None else notice.leaving_deadline
+
+    def list_in_force(self, now: float) -> list[ReplicaNotice]:
         """Return the notices that are in force."""
         return [
             notice
             for notice in self._notices.values()
-            if notice.backoff_until > now
+            if notice.is_in_force(now)
         ]
 
     def extend_backoff(self, replica: Replica, until: float) -> None:
@@ -88,11 +111,22 @@
         notice = self._ensure(replica)
         self.backoff_count += until > notice.backoff_until + _MIN_EXTENSION_S
         notice.backoff_until = max(notice.backoff_until, until)
+        self.last_backoff_end = max(self.last_backoff_end, until)
+
+    def mark_leaving(self, replica: Replica, deadline: float) -> None:
+        """Record that a replica is leaving; the first deadline is kept."""
+        notice = self._ensure(replica)
+        notice.leaving_deadline = notice.leaving_deadline or deadline
 
-    def remove_expired(self, now: float) -> None:
-        """Remove notices that are no longer in force."""
-        active = self.list_active(now)
-        self._notices = {notice.replica.replica_id: notice for notice in active}
+    def remove_expired(self, now: float) -> list[Replica]:
+        """Remove notices out of force; return the replicas that were leaving."""
+        expired = [
+            notice.replica
+            for notice in self._notices.values()
+            if not notice.is_in_force(now)
+        ]
+        removed = [self._notices.pop(replica.replica_id) for replica in expired]
+        return [item.replica for item in removed if item.leaving_deadline]
 
     def _ensure(self, replica: Replica) -> ReplicaNotice:
         """Return the notice of this process, a new one if there is none."""
@@ -113,12 +147,52 @@
     response of an earlier process is ignored.
     """
     state = view.replicas.get(replica.replica_id)
-    if state is not None and state.replica.is_different_process(
-        replica.started_ms
-    ):
+    if _is_replaced(state, replica):
         return
     view.notices.extend_backoff(replica, until)
     if state is not None:
         state.requested_backoff_until = view.notices.get_backoff_end(
             state.replica
         )
+
+
+def note_leaving(view: FleetView, replica: Replica, deadline: float) -> bool:
+    """Record that a replica says that it is leaving; return whether it is news.
+
+    It gets no new work from now on, as if its announcement said so. A response
+    of an earlier process is ignored.
+
+    Parameters
+    ----------
+    view : FleetView
+        The fleet.
+    replica : Replica
+        The replica that the response came from.
+    deadline : float
+        Until when it serves its active streams.
+    """
+    state = view.replicas.get(replica.replica_id)
+    if _is_replaced(state, replica):
+        return False
+    is_news = not view.notices.get_leaving_deadline(replica)
+    view.notices.mark_leaving(replica, deadline)
+    if state is not None and not view.is_leaving(replica.replica_id):
+        view.leaving_deadlines[replica.replica_id] = deadline
+        view.loss_count += 1
+    return is_news
+
+
+def explain_withheld(view: FleetView, replica: Replica, now: float) -> str:
+    """Return why a replica gets no new work; empty if it may get some."""
+    if view.is_leaving(replica.replica_id):
+        return f'{replica.replica_id} is leaving'
+    if view.notices.get_backoff_end(replica) > now:
+        return f'{replica.replica_id} asked for a back-off'
+    return ''
+
+
+def _is_replaced(state: ReplicaState | None, replica: Replica) -> bool:
+    """Return whether a replica has been started again since."""
+    return state is not None and state.replica.is_different_process(
+        replica.started_ms
+    )
--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -119,8 +119,6 @@
         is_new = state is None or replica.is_different_process(
             state.replica.started_ms
         )
-        if is_new and not replica.is_leaving:
-            self.leaving_deadlines.pop(replica_id, None)
         if state is None or is_new:
             self._register(replica, revision)
         else:
@@ -133,9 +131,7 @@
             )
             state.revision = revision
             state.lapsed_until = 0.0
-        if replica.is_leaving and replica_id not in self.leaving_deadlines:
-            self.leaving_deadlines[replica_id] = leaving_deadline
-            self.loss_count += 1
+        _update_leaving(self, replica, leaving_deadline, is_new=is_new)
         return True
 
     def remove_announcement(
@@ -158,7 +154,7 @@
             return; 0 if it is gone for sure.
         leaving_deadline : float
             Until when it serves its active streams. Some replicas drain without
-            announcing it; one that was suspected dead, or has announced that it
+            announcing it, or only say so in responses; one that was suspected dead, or has announced that it
             drains, serves nothing any more.
         """
         state = self.replicas.get(replica_id)
@@ -167,10 +163,11 @@
         if grace_until and replica_id not in self.leaving_deadlines:
             state.lapsed_until = state.lapsed_until or grace_until
             return
-        may_serve = (
-            replica_id not in self.leaving_deadlines
-            and not state.suspicion.suspected_until
+        has_announced = state.replica.is_leaving or (
+            replica_id in self.leaving_deadlines
+            and not self.notices.get_leaving_deadline(state.replica)
         )
+        may_serve = not has_announced and not state.suspicion.suspected_until
         self._remove(replica_id, revision)
         if may_serve and leaving_deadline:
             self.leaving_deadlines[replica_id] = leaving_deadline
@@ -211,7 +208,10 @@
         for replica_id in set(self.leaving_deadlines) - set(self.replicas):
             if self.leaving_deadlines[replica_id] + _DRAINING_RETENTION_S < now:
                 self.leaving_deadlines.pop(replica_id)
-        self.notices.remove_expired(now)
+        for replica in self.notices.remove_expired(now):
+            state = self.replicas.get(replica.replica_id)
+            if state is not None and not state.replica.is_leaving:
+                self.leaving_deadlines.pop(replica.replica_id, None)
         return removed
 
     def add_silence_report(
@@ -410,3 +410,20 @@
         self.loss_count += 1
         while len(self._tombstones) > _MAX_TOMBSTONES:
             self._tombstones.pop(next(iter(self._tombstones)))
+
+
+def _update_leaving(
+    view: FleetView, replica: Replica, deadline: float, *, is_new: bool
+) -> None:
+    """Update whether a replica is leaving.
+
+    What it has said itself is newer than its announcement.
+    """
+    replica_id = replica.replica_id
+    said_deadline = view.notices.get_leaving_deadline(replica)
+    if replica.is_leaving or said_deadline:
+        if replica_id not in view.leaving_deadlines:
+            view.leaving_deadlines[replica_id] = said_deadline or deadline
+            view.loss_count += 1
+    elif is_new:
+        view.leaving_deadlines.pop(replica_id, None)
--- a/samphirerill/platform/http_adapter.py
+++ b/samphirerill/platform/http_adapter.py
@@ -146,6 +146,7 @@
             replica_id=(head.get(wire_names.REPLICA_ID) or b'').decode(
                 'latin-1'
             ),
+            is_leaving=head.get(wire_names.LEAVING) == b'1',
             retry_after=None
             if retry_after is None
             else parse_retry_after(retry_after, head.get(b'date') or b''),
--- a/samphirerill/platform/wire_names.py
+++ b/samphirerill/platform/wire_names.py
@@ -20,6 +20,8 @@
 PATH = b'x-samphirerill-hop-count'
 # The address of the replica on the path that caused a 421 or 503 response.
 FAILED_REPLICA = b'at-server'
+# "1" in every response of a replica that is leaving.
+LEAVING = b'server-leaving'
 RESUME_AFTER = b'last-event-id'
 READY_PATH = '/ready'
 STATUS_PATH = '/report'
--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -340,7 +340,7 @@
     back-off, as it sends them no request.
     """
     usable = state.view.list_usable(service, now)
-    if not path_request.prefilled_on or not state.view.notices:
+    if not path_request.prefilled_on:
         return usable
     kept = [
         known
@@ -355,7 +355,7 @@
     state: EdgeState, queued: _QueuedRequest, now: float
 ) -> BackOffError | None:
     """Return why a request would wait in vain; none if it may be served."""
-    if not state.view.notices:
+    if state.view.notices.last_backoff_end <= now:
         return None
     candidates = [
         known
--- a/samphirerill/relay/errors.py
+++ b/samphirerill/relay/errors.py
@@ -31,8 +31,8 @@
     """All connections that this node may open to the endpoint are in use."""
 
 
-class BackOffRequestedError(ConnectError):
-    """The endpoint asked for a back-off while the connection was awaited."""
+class SendWithheldError(ConnectError):
+    """The endpoint wants no new work, as it said while connecting to it."""
 
 
 class QuarantinedError(ConnectError):
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -11,12 +11,13 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.model import MS_PER_S
+from samphirerill.fleet.replica_notices import explain_withheld
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.attempt_budget import AttemptBudget
 from samphirerill.relay.connection import ResponseHead, serialize_request
 from samphirerill.relay.endpoint_finder import EndpointFinder
 from samphirerill.relay.errors import (
-    BackOffRequestedError,
+    SendWithheldError,
     BrokenResponseError,
     ConnectError,
     ConnectionLimitError,
@@ -68,8 +69,8 @@
 class _Outcome:
     """The result of one attempt; `head` is set if there is a response.
 
-    `may_return` is whether the endpoint may be tried again, as it only asked
-    for a back-off.
+    `may_return` is whether the endpoint may be tried again, as it has only
+    asked for a back-off.
     """
 
     head: ResponseHead | None = None
@@ -184,14 +185,14 @@
         try:
             conn = await self._connect(replica)
         except (
-            BackOffRequestedError,
+            SendWithheldError,
             ConnectionLimitError,
             QuarantinedError,
         ) as exc:
             return _Outcome(
                 is_not_run=True,
                 was_sent=False,
-                may_return=isinstance(exc, BackOffRequestedError),
+                may_return=isinstance(exc, SendWithheldError),
                 reason=str(exc),
             )
         except ConnectError as exc:
@@ -221,12 +222,13 @@
             raise QuarantinedError(
                 self._crash_detector.describe_hold(self._context)
             )
-        if self._is_backing_off(replica):
+        obstacle = explain_withheld(
+            self._state.view, replica, self._loop.time()
+        )
+        if obstacle:
             self._state.pool.release(replica, conn)
             self._state.counters['sends.withheld'] += 1
-            raise BackOffRequestedError(
-                f'{replica.replica_id} asked for a back-off'
-            )
+            raise SendWithheldError(obstacle)
         return conn
 
     def _is_backing_off(self, replica: Replica) -> bool:
--- a/samphirerill/relay/platform_adapter.py
+++ b/samphirerill/relay/platform_adapter.py
@@ -114,6 +114,8 @@
         The address of the replica on the path that failed; empty if unknown.
     replica_id : str
         The replica that responded; empty if it did not say.
+    is_leaving : bool
+        Whether it says that it is leaving.
     retry_after : RetryAfter, optional
         The time for which it wants no requests, if it named one.
     """
@@ -124,6 +126,7 @@
     is_encoded: bool = False
     failed_address: str = ''
     replica_id: str = ''
+    is_leaving: bool = False
     retry_after: RetryAfter | None = None
 
 
--- a/samphirerill/relay/response_notices.py
+++ b/samphirerill/relay/response_notices.py
@@ -1,7 +1,9 @@
 """Act on what replicas say about themselves in the headers of responses.
 
 A replica that refuses a request may ask for a back-off with ``Retry-After``.
-This node then sends it nothing for that time; streams in progress go on.
+This node then sends it nothing for that time; streams in progress go on. A
+replica may also say that it is leaving, before its announcement does, and then
+gets no new work.
 """
 
 from __future__ import annotations
@@ -11,7 +13,10 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.model import MS_PER_S
-from samphirerill.fleet.replica_notices import note_requested_backoff
+from samphirerill.fleet.replica_notices import (
+    note_leaving,
+    note_requested_backoff,
+)
 from samphirerill.node.logs import get_logger
 
 if TYPE_CHECKING:
@@ -62,14 +67,36 @@
     ) -> None:
         """Handle a response to a request that was sent to a replica.
 
-        A response that names another replica comes from another process at the
+        A response that names another replica, or has status 421, comes from another process at the
         same address and says nothing about this one.
         """
-        if metadata.replica_id not in ('', replica.replica_id):
+        if (
+            status == HTTPStatus.MISDIRECTED_REQUEST
+            or metadata.replica_id not in {'', replica.replica_id}
+        ):
             return
+        if metadata.is_leaving:
+            self._mark_leaving(replica, status)
         if metadata.retry_after is not None and status in _BACKOFF_STATUSES:
             self._handle_retry_after(replica, metadata.retry_after)
 
+    def _mark_leaving(self, replica: Replica, status: int) -> None:
+        state = self._state
+        loop = asyncio.get_running_loop()
+        deadline = state.compute_leaving_deadline(loop.time())
+        if not note_leaving(state.view, replica, deadline):
+            return
+        state.counters['replicas.reported_leaving'] += 1
+        _LOG.info(
+            'replica says that it is leaving',
+            extra={
+                'replica': replica.replica_id,
+                'status': status,
+                'streams_until_ms': round((deadline - loop.time()) * MS_PER_S),
+            },
+        )
+        loop.call_soon(state.notify_listeners)
+
     def _handle_retry_after(
         self, replica: Replica, retry_after: RetryAfter
     ) -> None:
--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.model import MS_PER_S
+from samphirerill.fleet.replica_notices import explain_withheld
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.errors import (
     BrokenResponseError,
@@ -305,14 +306,15 @@
         """Return whether the stream may be sent after the wait to connect.
 
         Meanwhile its request may have been quarantined, or a replica of the
-        path may have asked for a back-off.
+        path may have said that it wants no new work.
         """
         if self._crash_detector.find_held_until(self._context):
             return False
+        now = self._loop.time()
         for stage in stages:
-            replica_id = stage.replica.replica_id
-            if self._is_backing_off(replica_id):
-                self._progress.reason = f'{replica_id} asked for a back-off'
+            obstacle = explain_withheld(self._state.view, stage.replica, now)
+            if obstacle:
+                self._progress.reason = obstacle
                 self._state.counters['sends.withheld'] += 1
                 self._log('stream not sent', reason=self._progress.reason)
                 return False
--- a/samphirerill/tests/test_leaving_responses.py
+++ b/samphirerill/tests/test_leaving_responses.py
@@ -3,8 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
+from unittest import TestCase
 
+from samphirerill.fleet.model import LayerRange, Stage
+from samphirerill.fleet.replica_notices import note_leaving
+from samphirerill.fleet.stage_lifetime import is_stage_lost
+from samphirerill.fleet.view import FleetView
+from samphirerill.tests.fleet_builders import build_replica
 from samphirerill.tests.platform_documents import build_announcement
 from samphirerill.tests.test_requested_back_off import BackOffCase
 from samphirerill.tests.two_engines import OK, SETTLE_S, build_headers
@@ -159,3 +166,81 @@
         )
         await self.harness.store.put('servers/engine-1', entry)
         await asyncio.sleep(4 * SETTLE_S)
+
+
+class TestLeavingIncarnations(TestCase):
+    """Only the process that said so is leaving."""
+
+    def setUp(self) -> None:
+        self.view = FleetView()
+        self.replica = replace(
+            build_replica('one', layers=_LAYERS), started_ms=5
+        )
+        self.stage = Stage(self.replica, LayerRange(*_LAYERS))
+        self.view.apply_announcement(self.replica, 1)
+        self.assertTrue(note_leaving(self.view, self.replica, 10.0))
+
+    def is_usable(self) -> bool:
+        """Return whether the replica may get new work."""
+        return bool(self.view.list_usable('llm', 1))
+
+    def test_loss_is_counted_once(self) -> None:
+        """Guard against a new plan for each response."""
+        losses = self.view.loss_count
+        self.assertFalse(note_leaving(self.view, self.replica, 12.0))
+        self.assertEqual(self.view.loss_count, losses)
+        self.assertEqual(self.view.leaving_deadlines, {'one': 10.0})
+
+    def test_streams_stay_after_a_withdrawal_without_notice(self) -> None:
+        """Guard against streams that are torn off a replica that serves."""
+        self.view.remove_announcement('one', 2, 0, leaving_deadline=12.0)
+        self.assertFalse(is_stage_lost(self.view, self.stage, 11))
+        self.assertFalse(self.view.has_stopped('one'))
+
+    def test_announced_leaving_replica_is_lost_once_withdrawn(self) -> None:
+        leaving = replace(self.replica, is_leaving=True)
+        self.view.apply_announcement(leaving, 2, leaving_deadline=11.0)
+        self.view.remove_announcement('one', 3, 0, leaving_deadline=12.0)
+        self.assertTrue(is_stage_lost(self.view, self.stage, 4))
+
+    def test_snapshots_and_new_entries_do_not_undo_it(self) -> None:
+        """Guard against an entry that still says ready."""
+        self.view.apply_announcement(self.replica, 2)
+        self.view.apply_snapshot([(self.replica, 3)], 3, 0)
+        self.view.remove_announcement('one', 4, 0)
+        self.view.remove_lapsed(500)
+        self.view.apply_announcement(self.replica, 5)
+        self.assertFalse(self.is_usable())
+
+    def test_new_process_gets_work(self) -> None:
+        """Guard against a restarted replica that stays out."""
+        self.view.apply_announcement(replace(self.replica, started_ms=6), 2)
+        self.assertTrue(self.is_usable())
+        self.assertFalse(note_leaving(self.view, self.replica, 12.0))
+        self.assertTrue(self.is_usable())
+
+    def test_new_address_without_start_time_gets_work(self) -> None:
+        self.view.remove_announcement('one', 2, 0, leaving_deadline=12.0)
+        moved = replace(self.replica, started_ms=0, address='10.0.0.9:1')
+        self.view.apply_announcement(moved, 3)
+        self.assertTrue(self.is_usable())
+
+    def test_notice_without_start_time_lapses(self) -> None:
+        """Guard against a replica id that is out for good."""
+        view = FleetView()
+        replica = replace(self.replica, started_ms=0)
+        view.apply_announcement(replica, 1)
+        note_leaving(view, replica, 10.0)
+        view.remove_lapsed(40)
+        self.assertEqual(view.list_usable('llm', 40), [])
+        view.remove_lapsed(80)
+        self.assertEqual(len(view.list_usable('llm', 80)), 1)
+
+    def test_response_after_the_withdrawal_counts(self) -> None:
+        """Guard against work for a replica that is announced again."""
+        view = FleetView()
+        view.apply_announcement(self.replica, 1)
+        view.remove_announcement('one', 2, 0)
+        note_leaving(view, self.replica, 10.0)
+        view.apply_announcement(self.replica, 3)
+        self.assertEqual(view.list_usable('llm', 1), [])
--- a/samphirerill/tests/test_retry_after.py
+++ b/samphirerill/tests/test_retry_after.py
@@ -136,6 +136,24 @@
         self.respond(status=200)
         self.assertEqual(self.get_left_s(), 0)
 
+    async def test_leaving_of_other_processes_does_not_count(self) -> None:
+        """Guard against taking out a replica because of its successor."""
+        leaving = (b'server-leaving', b'1')
+        other = (b'x-samphirerill-instance-id', b'two')
+        self.respond(status=421, headers=(leaving,))
+        self.respond(status=200, headers=(leaving, other))
+        self.respond(status=200, headers=((b'server-leaving', b'0'),))
+        self.assertFalse(self.view.is_leaving('one'))
+        self.respond(status=200, headers=(leaving,))
+        self.assertTrue(self.view.is_leaving('one'))
+
+    async def test_leaving_is_logged_once(self) -> None:
+        """Guard against one log line for each response."""
+        with patch('samphirerill.relay.response_notices._LOG') as log:
+            for _ in range(100):
+                self.respond(status=200, headers=((b'server-leaving', b'1'),))
+        self.assertEqual(log.info.call_count, 1)
+
     async def test_too_many_requests_counts(self) -> None:
         self.respond(status=429)
         self.assertGreater(self.get_left_s(), 1.9)
