Operators see which endpoints want no new work, since when and why

The new tests failed before: test_request_shows_which_replicas_were_left_out, as explain took only what was logged while the request was served; test_operators_see_who_is_left_out_and_why, as the dump had no notices.

--- a/samphirerill/relay/endpoint_finder.py
+++ b/samphirerill/relay/endpoint_finder.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.endpoints import choose_endpoint, find_backoff_end
+from samphirerill.fleet.explain import describe_backoffs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -67,6 +68,11 @@
             self._loop.time(),
         )
 
+    def describe_backoffs(self) -> str:
+        """Return which endpoints back off on request; empty if none does."""
+        states = self._state.view.list_service(self._context.service.name)
+        return describe_backoffs(states, self._loop.time())
+
     async def _wait_for_connection(self) -> ReplicaState | None:
         """Return an endpoint, waiting while all connections are in use."""
         until = self._loop.time() + _CONNECTION_WAIT_S
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -345,7 +345,7 @@
         if backoff_end:
             return Refusal(
                 UNAVAILABLE,
-                f'{outcome.reason}; all endpoints asked for a back-off',
+                f'{outcome.reason}; {self._finder.describe_backoffs()}',
                 backoff_end - now,
             )
         return Refusal(UNAVAILABLE, outcome.reason, _DEFAULT_RETRY_S)
--- a/samphirerill/relay/response_notices.py
+++ b/samphirerill/relay/response_notices.py
@@ -80,6 +80,24 @@
         if metadata.retry_after is not None and status in _BACKOFF_STATUSES:
             self._handle_retry_after(replica, metadata.retry_after)
 
+    def describe(self) -> list[dict[str, object]]:
+        """Return the replicas that get no new work, for operators."""
+        now = asyncio.get_running_loop().time()
+        view = self._state.view
+        return [
+            {
+                'replica': notice.replica.replica_id,
+                'started_ms': notice.replica.started_ms,
+                'left_ms': max(
+                    0, round((notice.backoff_until - now) * MS_PER_S)
+                ),
+                'is_leaving': notice.leaving_deadline > 0,
+            }
+            for notice in view.notices.list_in_force(now)
+            if notice.backoff_until > now
+            or notice.replica.replica_id in view.replicas
+        ]
+
     def _mark_leaving(self, replica: Replica, status: int) -> None:
         state = self._state
         loop = asyncio.get_running_loop()
--- a/samphirerill/relay/status_endpoints.py
+++ b/samphirerill/relay/status_endpoints.py
@@ -82,6 +82,7 @@
             'version': state.version,
             'replicas': len(state.view.replicas),
             'streams': len(state.streams),
+            'notices': state.response_notices.describe(),
             'quarantine': self._quarantine_manager.describe(),
         }
         return _OK, json.encode(dump)
@@ -94,5 +95,6 @@
         gauges['now.replicas'] = len(state.view.replicas)
         gauges['now.version'] = state.version
         gauges['now.quarantine'] = len(state.quarantine)
+        gauges['now.notices'] = len(state.response_notices.describe())
         gauges['replicas.false_deaths'] = state.view.false_suspicions
         return _OK, state.metrics.format_prometheus(gauges).encode()
--- a/samphirerill/reports/explain.py
+++ b/samphirerill/reports/explain.py
@@ -28,6 +28,12 @@
         'request released from quarantine',
     )
 )
+# What replicas said about themselves.
+_BACKOFF_EVENT = 'replica asked for a back-off'
+_LEAVING_EVENT = 'replica says that it is leaving'
+# Fields of a request's records that name replicas.
+_NAMING_FIELDS = ('path', 'endpoint', 'reason')
+_MS_PER_S = 1000
 _TIME_WIDTHS = (9, 10, 10, 9)
 _HEADER = (
     f'{"cause":<32}{"streams":>8}{"delay ms":>9}{"detection":>10}'
@@ -130,17 +136,25 @@
         sys.stderr.write(f'no log records of request {request!r}\n')
         return _EXIT_MISSING
     start_s, end_s = records[0].time_s, records[-1].time_s
-    paths = ' '.join(str(record.fields.get('path', '')) for record in records)
+    used = ' '.join(
+        str(record.fields.get(name, ''))
+        for record in records
+        for name in _NAMING_FIELDS
+    )
     related = [
         record
         for record in index.without_request
         if start_s <= record.time_s <= end_s
-        and str(record.fields.get('replica', ' ')) in paths
+        and str(record.fields.get('replica', ' ')) in used
     ]
     related += [
         record
         for record in index.without_request
         if _explains_quarantine(record, request, records)
+        or (
+            record.time_s < start_s
+            and _explains_detour(record, start_s, records)
+        )
     ]
     for record in sorted([*records, *related], key=_get_time):
         _print_line(_format_record(record, start_s))
@@ -166,6 +180,30 @@
     )
 
 
+def _explains_detour(
+    record: LogRecord, start_s: float, records: list[LogRecord]
+) -> bool:
+    """Return whether a record says why a replica got no new work.
+
+    That is the case if a replica that the request used, or was kept off, was
+    leaving or in a back-off when the request came.
+    """
+    until_s = record.time_s
+    if record.event == _LEAVING_EVENT:
+        until_s = float('inf')
+    elif record.event == _BACKOFF_EVENT:
+        until_s += record.fields.get('for_ms', 0) / _MS_PER_S
+    else:
+        return False
+    named = ' '.join(
+        str(own.fields.get(name, ''))
+        for own in records
+        for name in _NAMING_FIELDS
+    )
+    words = named.replace(':', ' ').replace(',', ' ').split()
+    return start_s <= until_s and record.fields.get('replica') in words
+
+
 def _format_record(record: LogRecord, start_s: float) -> str:
     fields = ' '.join(
         f'{name}={field_value}'
--- a/samphirerill/tests/test_explain.py
+++ b/samphirerill/tests/test_explain.py
@@ -131,6 +131,37 @@
                 for line, event in zip(lines, events, strict=True):
                     self.assertIn(event, line)
 
+    def test_request_shows_which_replicas_were_left_out(self) -> None:
+        """Guard against a refusal whose cause was logged before it."""
+        log = (
+            _line(1, 'replica asked for a back-off', replica='r1', for_ms=500),
+            _line(2, 'replica asked for a back-off', replica='r1', for_ms=3000),
+            _line(2, 'replica asked for a back-off', replica='r12', for_ms=9e3),
+            _line(3, 'replica says that it is leaving', replica='r2'),
+            _line(
+                4,
+                'refused',
+                request='late',
+                reason='1 replicas asked for a back-off: r1 for 1.00 s',
+            ),
+            _line(4, 'stream sent', request='next', path='r2:0-80'),
+        )
+        expected = {
+            'late': ['back-off', 'refused'],
+            'next': ['leaving', 'sent'],
+        }
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / 'node.log'
+            path.write_text('\n'.join(log))
+            for request, events in expected.items():
+                out = io.StringIO()
+                with contextlib.redirect_stdout(out):
+                    main(['explain', str(path), '--request', request])
+                lines = out.getvalue().splitlines()
+                self.assertEqual(len(lines), len(events), lines)
+                for line, event in zip(lines, events, strict=True):
+                    self.assertIn(event, line)
+
     def test_unresponsive_replica_is_distinguished_from_lost_one(self) -> None:
         reasons = {
             'silent': ('one is unresponsive', Cause.REPLICA_UNRESPONSIVE),
--- a/samphirerill/tests/test_requested_back_off.py
+++ b/samphirerill/tests/test_requested_back_off.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from msgspec import json
 
@@ -14,6 +15,7 @@
     serialize_request,
 )
 from samphirerill.relay.platform_adapter import ResponseMetadata, RetryAfter
+from samphirerill.relay.pool import call_once
 from samphirerill.tests.platform_documents import build_configuration
 from samphirerill.tests.test_leaving import LeavingCase
 from samphirerill.tests.two_engines import (
@@ -181,6 +183,26 @@
         self.process.state.notify_listeners()
         await waiting
 
+    async def test_operators_see_who_is_left_out_and_why(self) -> None:
+        """Guard against refusals whose cause is visible nowhere."""
+        self.refuse_once(*_ENGINES, retry_after=b'4')
+        with patch('samphirerill.relay.refusals._LOG') as log:
+            await self.request(b'/notes/x')
+        reason = log.info.call_args.kwargs['extra']['reason']
+        self.assertIn('2 replicas asked for a back-off: engine-', reason)
+        host = self.process.state.settings.host
+        port = self.process.get_metrics_port()
+        until = asyncio.get_running_loop().time() + 2
+        _, text = await call_once(
+            f'{host}:{port}', b'GET', b'/state', b'', until
+        )
+        notices = json.decode(text)['notices']
+        self.assertEqual({item['replica'] for item in notices}, set(_ENGINES))
+        for item in notices:
+            self.assertGreater(item['left_ms'], 3000)
+        counters = self.process.state.counters
+        self.assertEqual(counters['replicas.backoff_requested'], 2)
+
     async def test_other_replicas_serve_without_delay(self) -> None:
         self.refuse_once('engine-1', 'desk-1', retry_after=b'4')
         for number in range(4):
