Nodes prefer replicas that asked no other node for a back-off

A replica that refuses with Retry-After was sent one more request by each further node, each of which cost a few ms and a retry of the budget that all nodes share. Alarms now also carry the back-offs that a node was asked for, with the start of the process; those of 30 ms go into one. The other nodes prefer other replicas until then. They still use that one if no path or endpoint is left: it may have turned one node away for its share of the load. Older nodes ignore the new field, and their alarms lack it.

--- a/samphirerill/fleet/endpoints.py
+++ b/samphirerill/fleet/endpoints.py
@@ -8,6 +8,8 @@
 
 from typing import TYPE_CHECKING
 
+from samphirerill.fleet.replica_notices import prefer_unreported
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
@@ -32,7 +34,8 @@
     """Return the best endpoint not yet tried, or ``None``.
 
     Endpoints suspected dead are chosen only if no other is left, those that
-    asked for a back-off never. `may_call` returns whether an endpoint, given by id, would accept a call now.
+    asked for a back-off never, those that asked another node for one only if
+    the others are suspected. `may_call` returns whether an endpoint, given by id, would accept a call now.
     """
     candidates = [
         state
@@ -44,7 +47,7 @@
     trusted = [
         state for state in candidates if state.suspicion.suspected_until <= now
     ]
-    pool = trusted or candidates
+    pool = prefer_unreported(trusted, now) or trusted or candidates
     if not pool:
         return None
     return min(pool, key=lambda state: _predict_wait(state, load_tracker))
--- a/samphirerill/fleet/replica_notices.py
+++ b/samphirerill/fleet/replica_notices.py
@@ -13,6 +13,8 @@
     from samphirerill.fleet.model import Replica
     from samphirerill.fleet.view import FleetView, ReplicaState
 
+# Longer back-offs are shortened to this; the replica can ask again.
+MAX_BACKOFF_S = 60.0
 # About five times the number of replicas in a large fleet.
 _MAX_NOTICES = 4096
 # Replicas may run for many seconds after they stopped serving their streams.
@@ -156,6 +158,27 @@
         )
 
 
+def note_reported_backoff(
+    view: FleetView, replica_id: str, started_ms: int, until: float
+) -> None:
+    """Record until when a replica wants no requests from another node.
+
+    It may have turned that node away for its share of the load, so that this
+    one prefers other replicas and still uses it if there is no other.
+    """
+    state = view.replicas.get(replica_id)
+    if state is None or state.replica.is_different_process(started_ms):
+        return
+    state.reported_backoff_until = max(state.reported_backoff_until, until)
+
+
+def prefer_unreported(
+    states: list[ReplicaState], now: float
+) -> list[ReplicaState]:
+    """Return the replicas that no other node has reported a back-off of."""
+    return [state for state in states if state.reported_backoff_until <= now]
+
+
 def note_leaving(view: FleetView, replica: Replica, deadline: float) -> bool:
     """Record that a replica says that it is leaving; return whether it is news.
 
--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -46,8 +46,9 @@
     """An announced replica, and what this node has found out about it.
 
     It gets no new work until `backoff_until` after refusals, nor until
-    `requested_backoff_until` if it asked for that, and its missing announcement
-    may still return until `lapsed_until`. `slowness` above 1
+    `requested_backoff_until` if it asked this node for that; others are
+    preferred until `reported_backoff_until` if it asked another node. Its
+    missing announcement may still return until `lapsed_until`. `slowness` above 1
     multiplies its predicted times. Streams may use layers that it is to release
     until `release_until`.
     """
@@ -56,6 +57,7 @@
     revision: int
     backoff_until: float = 0.0
     requested_backoff_until: float = 0.0
+    reported_backoff_until: float = 0.0
     refusals: int = 0
     refused_at: float = float('-inf')
     lapsed_until: float = 0.0
--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -17,6 +17,7 @@
 from samphirerill.fleet.outage import Outage, find_coverage_time
 from samphirerill.fleet.paths import choose_path
 from samphirerill.fleet.prediction import predict_transfer_ms
+from samphirerill.fleet.replica_notices import prefer_unreported
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import EngineSpec, Stage
@@ -173,6 +174,12 @@
         path_request.data_centre = state.settings.data_centre
         path_request.policy = state.settings.policy
         usable = _list_usable(state, service, path_request, now)
+        preferred = prefer_unreported(usable, now)
+        stages = choose_path(
+            engine, preferred, state.load_tracker, path_request, now
+        )
+        if stages or len(preferred) == len(usable):
+            return stages
         return choose_path(
             engine, usable, state.load_tracker, path_request, now
         )
--- a/samphirerill/relay/health/alarms.py
+++ b/samphirerill/relay/health/alarms.py
@@ -1,4 +1,4 @@
-"""Broadcast at once which replicas do not answer, or answer after all.
+"""Broadcast at once which replicas do not answer, or want no requests.
 
 Status datagrams are sent up to half a second late in a large fleet. An alarm is
 a separate datagram that is sent immediately, so that other nodes do not send
@@ -13,6 +13,10 @@
 from msgspec import DecodeError, Struct, ValidationError, msgpack
 
 from samphirerill.fleet.model import MS_PER_S
+from samphirerill.fleet.replica_notices import (
+    MAX_BACKOFF_S,
+    note_reported_backoff,
+)
 from samphirerill.fleet.suspicion import CONFIRMING_VOTES
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.datagrams import DatagramDeduplicator
@@ -26,6 +30,7 @@
     from collections.abc import Iterable, Mapping
     from typing import TypeVar
 
+    from samphirerill.fleet.model import Replica
     from samphirerill.relay.datagrams import DatagramSender
     from samphirerill.relay.state import EdgeState
 
@@ -38,6 +43,9 @@
 _MAX_AGE_MS = 1000
 # Bounds how long another node's suspicion counts here.
 _MAX_SUSPECTED_MS = 4000
+# Back-offs that begin within this go into one alarm, up to a number.
+_BACKOFF_BATCH_S = 0.03
+_MAX_BACKOFFS = 64
 # Upper bound of transit time, as clocks of nodes are not compared.
 _MAX_TRANSIT_MS = 50
 
@@ -49,7 +57,9 @@
     with each alarm of that run. `suspected` maps replicas to how many
     milliseconds ago they were found unresponsive, for how many more they are
     avoided, and the votes of the suspicion. `alive` maps replicas that have
-    answered to how many milliseconds ago.
+    answered to how many milliseconds ago. `backoffs` maps replicas that asked
+    this node for a back-off to how many more milliseconds it lasts, and to the
+    start of their process.
     """
 
     node: str
@@ -58,6 +68,7 @@
     sequence: int
     suspected: dict[int, tuple[int, int, int]]
     alive: dict[int, int]
+    backoffs: dict[int, tuple[int, int]] = {}
 
 
 class Alarms:
@@ -75,6 +86,8 @@
         self._datagram_sender: DatagramSender | None = None
         self._sequence = 0
         self._suspected: set[str] = set()
+        self._backoffs: dict[str, Replica] = {}
+        state.response_notices.bind(self.broadcast_backoff)
         self._deduplicator = DatagramDeduplicator()
 
     def bind(self, datagram_sender: DatagramSender) -> None:
@@ -98,6 +111,13 @@
             self._loop.call_soon(self._send_suspected)
         self._suspected.add(replica_id)
 
+    def broadcast_backoff(self, replica: Replica) -> None:
+        """Report to all nodes that a replica asked this one for a back-off."""
+        if not self._backoffs:
+            self._loop.call_later(_BACKOFF_BATCH_S, self._send_backoffs)
+        if len(self._backoffs) < _MAX_BACKOFFS:
+            self._backoffs[replica.replica_id] = replica
+
     def broadcast_alive(self, alive: Mapping[str, float]) -> None:
         """Report to all nodes that suspected replicas work.
 
@@ -127,6 +147,7 @@
             self._datagram_sender.forward_from(sender, data)
         self._apply_alive(alarm)
         self._apply_suspected(alarm)
+        self._apply_backoffs(alarm)
         self._state.notify_listeners()
 
     def _send_suspected(self) -> None:
@@ -150,10 +171,26 @@
             self._state.counters['alarms.sent'] += 1
             self._datagram_sender.send_to_all(self._encode(suspected, {}))
 
+    def _send_backoffs(self) -> None:
+        now = self._loop.time()
+        notices = self._state.view.notices
+        backoffs = {
+            checksum_name(replica_id): (
+                _to_ms(notices.get_backoff_end(replica) - now),
+                replica.started_ms,
+            )
+            for replica_id, replica in self._backoffs.items()
+        }
+        self._backoffs.clear()
+        if self._datagram_sender is not None:
+            self._state.counters['alarms.sent'] += 1
+            self._datagram_sender.send_to_all(self._encode({}, {}, backoffs))
+
     def _encode(
         self,
         suspected: dict[int, tuple[int, int, int]],
         alive: Mapping[str, float],
+        backoffs: dict[int, tuple[int, int]] | None = None,
     ) -> bytes:
         self._sequence += 1
         now = self._loop.time()
@@ -168,6 +205,7 @@
                 checksum_name(name): _to_ms(now - at)
                 for name, at in alive.items()
             },
+            backoffs or {},
         )
         return TYPE_PREFIX + msgpack.encode(alarm)
 
@@ -206,6 +244,14 @@
                     },
                 )
 
+    def _apply_backoffs(self, alarm: Alarm) -> None:
+        now = self._loop.time()
+        for name, (left_ms, started_ms) in self._resolve(alarm.backoffs):
+            left_s = min(MAX_BACKOFF_S, left_ms / MS_PER_S)
+            note_reported_backoff(
+                self._state.view, name, started_ms, now + left_s
+            )
+
     def _resolve(
         self, findings: Mapping[int, Finding]
     ) -> Iterable[tuple[str, Finding]]:
--- a/samphirerill/relay/response_notices.py
+++ b/samphirerill/relay/response_notices.py
@@ -14,12 +14,15 @@
 
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.replica_notices import (
+    MAX_BACKOFF_S,
     note_leaving,
     note_requested_backoff,
 )
 from samphirerill.node.logs import get_logger
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from samphirerill.fleet.model import Replica
     from samphirerill.relay.platform_adapter import (
         ResponseMetadata,
@@ -31,8 +34,6 @@
 _BACKOFF_STATUSES = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 )
-# Longer times are shortened to this; the replica can ask again.
-_MAX_BACKOFF_S = 60.0
 # Longer times are taken for an error of the replica and ignored.
 _MAX_PLAUSIBLE_BACKOFF_S = 86_400.0
 # Random share of the time that is added, up to a limit, so that the nodes do
@@ -40,8 +41,8 @@
 _JITTER_SHARE = 0.1
 _MAX_JITTER_S = 0.3
 # Responses of requests in flight together extend a back-off by less; only a
-# longer extension is logged.
-_MIN_LOGGED_EXTENSION_S = 0.5
+# longer extension is logged and reported to other nodes.
+_MIN_EXTENSION_S = 0.5
 # Invalid values that are remembered, so that each is logged only once.
 _MAX_LOGGED_VALUES = 256
 
@@ -55,13 +56,18 @@
         Holds the view of the fleet.
     """
 
-    __slots__ = ('_logged_values', '_state', '_wake_timers')
+    __slots__ = ('_broadcast', '_logged_values', '_state', '_wake_timers')
 
     def __init__(self, state: EdgeState) -> None:
         self._state = state
         self._logged_values: set[tuple[str, str]] = set()
+        self._broadcast: Callable[[Replica], None] | None = None
         self._wake_timers: dict[str, asyncio.TimerHandle] = {}
 
+    def bind(self, broadcast: Callable[[Replica], None]) -> None:
+        """Tell the other nodes of new back-offs by this from now on."""
+        self._broadcast = broadcast
+
     def handle(
         self, replica: Replica, status: int, metadata: ResponseMetadata
     ) -> None:
@@ -127,7 +133,7 @@
     def _back_off(self, replica: Replica, text: str, delay_s: float) -> None:
         state = self._state
         now = asyncio.get_running_loop().time()
-        accepted_s = min(_MAX_BACKOFF_S, delay_s)
+        accepted_s = min(MAX_BACKOFF_S, delay_s)
         jitter_s = state.random.uniform(
             0, min(_MAX_JITTER_S, _JITTER_SHARE * accepted_s)
         )
@@ -136,7 +142,9 @@
         note_requested_backoff(state.view, replica, until)
         state.view.note_alive(replica.replica_id, now)
         state.counters['replicas.backoff_requested'] += 1
-        if until > previous + _MIN_LOGGED_EXTENSION_S or previous == now:
+        if until > previous + _MIN_EXTENSION_S or previous == now:
+            if self._broadcast is not None:
+                self._broadcast(replica)
             _LOG.info(
                 'replica asked for a back-off',
                 extra={
