Nodes report to each other which replicas say that they leave

A replica that says in a response that it leaves was known as leaving to the node that got the response. The leader, which may send nothing to a replica of another data centre, went on to plan with it until its entry said so. Alarms now carry such replicas with the start of their process, and each node acts as if it had got the response.

Failed before: test_leaving_is_known_to_all_nodes, Lists differ: [ReplicaState(...)] != [].

--- a/samphirerill/relay/health/alarms.py
+++ b/samphirerill/relay/health/alarms.py
@@ -15,6 +15,7 @@
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.replica_notices import (
     MAX_BACKOFF_S,
+    note_leaving,
     note_reported_backoff,
 )
 from samphirerill.fleet.suspicion import CONFIRMING_VOTES
@@ -43,9 +44,9 @@
 _MAX_AGE_MS = 1000
 # Bounds how long another node's suspicion counts here.
 _MAX_SUSPECTED_MS = 4000
-# Back-offs that begin within this go into one alarm, up to a number.
-_BACKOFF_BATCH_S = 0.03
-_MAX_BACKOFFS = 64
+# What replicas say of themselves within this goes into one alarm, up to a number.
+_NOTICE_BATCH_S = 0.03
+_MAX_NOTICES = 64
 # Upper bound of transit time, as clocks of nodes are not compared.
 _MAX_TRANSIT_MS = 50
 
@@ -59,7 +60,8 @@
     avoided, and the votes of the suspicion. `alive` maps replicas that have
     answered to how many milliseconds ago. `backoffs` maps replicas that asked
     this node for a back-off to how many more milliseconds it lasts, and to the
-    start of their process.
+    start of their process; `leaving` maps those that said that they are leaving
+    to the latter.
     """
 
     node: str
@@ -69,6 +71,7 @@
     suspected: dict[int, tuple[int, int, int]]
     alive: dict[int, int]
     backoffs: dict[int, tuple[int, int]] = {}
+    leaving: dict[int, int] = {}
 
 
 class Alarms:
@@ -86,8 +89,8 @@
         self._datagram_sender: DatagramSender | None = None
         self._sequence = 0
         self._suspected: set[str] = set()
-        self._backoffs: dict[str, Replica] = {}
-        state.response_notices.bind(self.broadcast_backoff)
+        self._noticed: dict[str, Replica] = {}
+        state.response_notices.bind(self.broadcast_notice)
         self._deduplicator = DatagramDeduplicator()
 
     def bind(self, datagram_sender: DatagramSender) -> None:
@@ -111,12 +114,12 @@
             self._loop.call_soon(self._send_suspected)
         self._suspected.add(replica_id)
 
-    def broadcast_backoff(self, replica: Replica) -> None:
-        """Report to all nodes that a replica asked this one for a back-off."""
-        if not self._backoffs:
-            self._loop.call_later(_BACKOFF_BATCH_S, self._send_backoffs)
-        if len(self._backoffs) < _MAX_BACKOFFS:
-            self._backoffs[replica.replica_id] = replica
+    def broadcast_notice(self, replica: Replica) -> None:
+        """Report to all nodes what a replica has said about itself."""
+        if not self._noticed:
+            self._loop.call_later(_NOTICE_BATCH_S, self._send_notices)
+        if len(self._noticed) < _MAX_NOTICES:
+            self._noticed[replica.replica_id] = replica
 
     def broadcast_alive(self, alive: Mapping[str, float]) -> None:
         """Report to all nodes that suspected replicas work.
@@ -127,12 +130,14 @@
             When each was last known to work.
         """
         if alive and self._datagram_sender is not None:
-            self._datagram_sender.send_to_all(self._encode({}, alive))
+            self._datagram_sender.send_to_all(_encode(self._build({}, alive)))
 
     def send_alive(self, node: str, alive: Mapping[str, float]) -> None:
         """Report to one node which replicas work."""
         if alive and node and self._datagram_sender is not None:
-            self._datagram_sender.send_to_node(node, self._encode({}, alive))
+            self._datagram_sender.send_to_node(
+                node, _encode(self._build({}, alive))
+            )
 
     def handle_datagram(self, data: bytes, sender: str) -> None:
         """Apply an alarm of another node."""
@@ -148,6 +153,7 @@
         self._apply_alive(alarm)
         self._apply_suspected(alarm)
         self._apply_backoffs(alarm)
+        self._apply_leaving(alarm)
         self._state.notify_listeners()
 
     def _send_suspected(self) -> None:
@@ -169,33 +175,39 @@
         self._suspected.clear()
         if suspected and self._datagram_sender is not None:
             self._state.counters['alarms.sent'] += 1
-            self._datagram_sender.send_to_all(self._encode(suspected, {}))
+            self._datagram_sender.send_to_all(
+                _encode(self._build(suspected, {}))
+            )
 
-    def _send_backoffs(self) -> None:
+    def _send_notices(self) -> None:
         now = self._loop.time()
         notices = self._state.view.notices
-        backoffs = {
-            checksum_name(replica_id): (
-                _to_ms(notices.get_backoff_end(replica) - now),
-                replica.started_ms,
-            )
-            for replica_id, replica in self._backoffs.items()
-        }
-        self._backoffs.clear()
+        backoffs = {}
+        leaving = {}
+        for replica in self._noticed.values():
+            key = checksum_name(replica.replica_id)
+            left_ms = _to_ms(notices.get_backoff_end(replica) - now)
+            if left_ms:
+                backoffs[key] = (left_ms, replica.started_ms)
+            if notices.get_leaving_deadline(replica):
+                leaving[key] = replica.started_ms
+        self._noticed.clear()
         if self._datagram_sender is not None:
             self._state.counters['alarms.sent'] += 1
-            self._datagram_sender.send_to_all(self._encode({}, {}, backoffs))
+            alarm = self._build({}, {})
+            alarm.backoffs = backoffs
+            alarm.leaving = leaving
+            self._datagram_sender.send_to_all(_encode(alarm))
 
-    def _encode(
+    def _build(
         self,
         suspected: dict[int, tuple[int, int, int]],
         alive: Mapping[str, float],
-        backoffs: dict[int, tuple[int, int]] | None = None,
-    ) -> bytes:
+    ) -> Alarm:
         self._sequence += 1
         now = self._loop.time()
         settings = self._state.settings
-        alarm = Alarm(
+        return Alarm(
             settings.name,
             settings.data_centre,
             self._state.incarnation,
@@ -205,9 +217,7 @@
                 checksum_name(name): _to_ms(now - at)
                 for name, at in alive.items()
             },
-            backoffs or {},
         )
-        return TYPE_PREFIX + msgpack.encode(alarm)
 
     def _is_duplicate(self, alarm: Alarm) -> bool:
         """Return whether an alarm was received before."""
@@ -252,6 +262,22 @@
                 self._state.view, name, started_ms, now + left_s
             )
 
+    def _apply_leaving(self, alarm: Alarm) -> None:
+        state = self._state
+        deadline = state.compute_leaving_deadline(self._loop.time())
+        for name, started_ms in self._resolve(alarm.leaving):
+            known = state.view.replicas.get(name)
+            if known is None or known.replica.is_different_process(started_ms):
+                continue
+            if note_leaving(state.view, known.replica, deadline):
+                _LOG.info(
+                    'replica says that it is leaving',
+                    extra={
+                        'replica': name,
+                        'reason': f'reported by {alarm.node}',
+                    },
+                )
+
     def _resolve(
         self, findings: Mapping[int, Finding]
     ) -> Iterable[tuple[str, Finding]]:
@@ -262,5 +288,9 @@
                 yield name, finding
 
 
+def _encode(alarm: Alarm) -> bytes:
+    return TYPE_PREFIX + msgpack.encode(alarm)
+
+
 def _to_ms(seconds: float) -> int:
     return max(0, round(seconds * MS_PER_S))
--- a/samphirerill/relay/response_notices.py
+++ b/samphirerill/relay/response_notices.py
@@ -65,7 +65,7 @@
         self._wake_timers: dict[str, asyncio.TimerHandle] = {}
 
     def bind(self, broadcast: Callable[[Replica], None]) -> None:
-        """Tell the other nodes of new back-offs by this from now on."""
+        """Tell the other nodes what replicas say by this from now on."""
         self._broadcast = broadcast
 
     def handle(
@@ -111,6 +111,8 @@
         if not note_leaving(state.view, replica, deadline):
             return
         state.counters['replicas.reported_leaving'] += 1
+        if self._broadcast is not None:
+            self._broadcast(replica)
         _LOG.info(
             'replica says that it is leaving',
             extra={
--- a/samphirerill/tests/test_reported_back_off.py
+++ b/samphirerill/tests/test_reported_back_off.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from samphirerill.fleet.model import Replica
 
+_OK = 200
 _UNAVAILABLE = 503
 _STARTED_MS = 5
 _SETTLE_S = 0.1
@@ -123,11 +124,34 @@
     async def test_alarms_of_other_versions_are_understood(self) -> None:
         """Guard against nodes that ignore each other during an update."""
         self.deliver()
-        self.deliver({}, 'a later field')
+        self.deliver({}, {}, 'a later field')
         decoded = msgpack.decode(
             msgpack.encode(('a-0', 'a', 7, 1, {}, {})), type=Alarm
         )
-        self.assertEqual(decoded.backoffs, {})
+        self.assertEqual((decoded.backoffs, decoded.leaving), ({}, {}))
+
+    async def test_leaving_is_known_to_all_nodes(self) -> None:
+        """Guard against a leader that plans with a replica that is leaving."""
+        losses = self.view.loss_count
+        for name in ('one', 'two'):
+            self.nodes[0].state.response_notices.handle(
+                self.build_engine(name), _OK, ResponseMetadata(is_leaving=True)
+            )
+        await asyncio.sleep(_SETTLE_S)
+        for node in self.nodes:
+            view = node.state.view
+            self.assertEqual(view.list_unconfirmed('llm', self.now), [])
+        self.assertEqual(self.view.loss_count, losses + 2)
+        self.assertEqual(self.nodes[0].state.counters['alarms.sent'], 1)
+        self.assertEqual(self.nodes[1].state.counters['alarms.sent'], 0)
+
+    async def test_leaving_of_previous_process_is_ignored(self) -> None:
+        """Guard against taking out a restarted replica."""
+        engine = replace(self.build_engine('one'), started_ms=_STARTED_MS + 1)
+        self.view.apply_announcement(engine, 2)
+        self.deliver({}, {checksum_name('one'): _STARTED_MS})
+        self.assertFalse(self.view.is_leaving('one'))
+        self.assertFalse(self.view.is_leaving('two'))
 
     async def test_back_offs_are_reported_together(self) -> None:
         """Guard against a datagram for each refused request."""
