--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -17,6 +17,7 @@
 from samphirerill.fleet.outage import Outage, find_coverage_time
 from samphirerill.fleet.paths import choose_path
 from samphirerill.fleet.prediction import predict_transfer_ms
+from samphirerill.fleet.replica_notices import prefer_unreported
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import EngineSpec, Stage
@@ -173,6 +174,12 @@
         path_request.data_centre = state.settings.data_centre
         path_request.policy = state.settings.policy
         usable = _list_usable(state, service, path_request, now)
+        preferred = prefer_unreported(usable, now)
+        stages = choose_path(
+            engine, preferred, state.load_tracker, path_request, now
+        )
+        if stages or len(preferred) == len(usable):
+            return stages
         return choose_path(
             engine, usable, state.load_tracker, path_request, now
         )
@@ -340,7 +347,7 @@
     back-off, as it sends them no request.
     """
     usable = state.view.list_usable(service, now)
-    if not path_request.prefilled_on or not state.view.notices:
+    if not path_request.prefilled_on:
         return usable
     kept = [
         known
@@ -355,7 +362,7 @@
     state: EdgeState, queued: _QueuedRequest, now: float
 ) -> BackOffError | None:
     """Return why a request would wait in vain; none if it may be served."""
-    if not state.view.notices:
+    if state.view.notices.last_backoff_end <= now:
         return None
     candidates = [
         known
--- a/samphirerill/relay/health/alarms.py
+++ b/samphirerill/relay/health/alarms.py
@@ -1,4 +1,4 @@
-"""Broadcast at once which replicas do not answer, or answer after all.
+"""Broadcast at once which replicas do not answer, or want no requests.
 
 Status datagrams are sent up to half a second late in a large fleet. An alarm is
 a separate datagram that is sent immediately, so that other nodes do not send
@@ -13,6 +13,11 @@
 from msgspec import DecodeError, Struct, ValidationError, msgpack
 
 from samphirerill.fleet.model import MS_PER_S
+from samphirerill.fleet.replica_notices import (
+    MAX_BACKOFF_S,
+    note_leaving,
+    note_reported_backoff,
+)
 from samphirerill.fleet.suspicion import CONFIRMING_VOTES
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.datagrams import DatagramDeduplicator
@@ -26,6 +31,7 @@
     from collections.abc import Iterable, Mapping
     from typing import TypeVar
 
+    from samphirerill.fleet.model import Replica
     from samphirerill.relay.datagrams import DatagramSender
     from samphirerill.relay.state import EdgeState
 
@@ -38,6 +44,9 @@
 _MAX_AGE_MS = 1000
 # Bounds how long another node's suspicion counts here.
 _MAX_SUSPECTED_MS = 4000
+# What replicas say of themselves within this goes into one alarm, up to a number.
+_NOTICE_BATCH_S = 0.03
+_MAX_NOTICES = 64
 # Upper bound of transit time, as clocks of nodes are not compared.
 _MAX_TRANSIT_MS = 50
 
@@ -49,7 +58,10 @@
     with each alarm of that run. `suspected` maps replicas to how many
     milliseconds ago they were found unresponsive, for how many more they are
     avoided, and the votes of the suspicion. `alive` maps replicas that have
-    answered to how many milliseconds ago.
+    answered to how many milliseconds ago. `backoffs` maps replicas that asked
+    this node for a back-off to how many more milliseconds it lasts, and to the
+    start of their process; `leaving` maps those that said that they are leaving
+    to the latter.
     """
 
     node: str
@@ -58,6 +70,8 @@
     sequence: int
     suspected: dict[int, tuple[int, int, int]]
     alive: dict[int, int]
+    backoffs: dict[int, tuple[int, int]] = {}
+    leaving: dict[int, int] = {}
 
 
 class Alarms:
@@ -75,6 +89,8 @@
         self._datagram_sender: DatagramSender | None = None
         self._sequence = 0
         self._suspected: set[str] = set()
+        self._noticed: dict[str, Replica] = {}
+        state.response_notices.bind(self.broadcast_notice)
         self._deduplicator = DatagramDeduplicator()
 
     def bind(self, datagram_sender: DatagramSender) -> None:
@@ -98,6 +114,13 @@
             self._loop.call_soon(self._send_suspected)
         self._suspected.add(replica_id)
 
+    def broadcast_notice(self, replica: Replica) -> None:
+        """Report to all nodes what a replica has said about itself."""
+        if not self._noticed:
+            self._loop.call_later(_NOTICE_BATCH_S, self._send_notices)
+        if len(self._noticed) < _MAX_NOTICES:
+            self._noticed[replica.replica_id] = replica
+
     def broadcast_alive(self, alive: Mapping[str, float]) -> None:
         """Report to all nodes that suspected replicas work.
 
@@ -107,12 +130,14 @@
             When each was last known to work.
         """
         if alive and self._datagram_sender is not None:
-            self._datagram_sender.send_to_all(self._encode({}, alive))
+            self._datagram_sender.send_to_all(_encode(self._build({}, alive)))
 
     def send_alive(self, node: str, alive: Mapping[str, float]) -> None:
         """Report to one node which replicas work."""
         if alive and node and self._datagram_sender is not None:
-            self._datagram_sender.send_to_node(node, self._encode({}, alive))
+            self._datagram_sender.send_to_node(
+                node, _encode(self._build({}, alive))
+            )
 
     def handle_datagram(self, data: bytes, sender: str) -> None:
         """Apply an alarm of another node."""
@@ -127,6 +152,8 @@
             self._datagram_sender.forward_from(sender, data)
         self._apply_alive(alarm)
         self._apply_suspected(alarm)
+        self._apply_backoffs(alarm)
+        self._apply_leaving(alarm)
         self._state.notify_listeners()
 
     def _send_suspected(self) -> None:
@@ -148,17 +175,39 @@
         self._suspected.clear()
         if suspected and self._datagram_sender is not None:
             self._state.counters['alarms.sent'] += 1
-            self._datagram_sender.send_to_all(self._encode(suspected, {}))
+            self._datagram_sender.send_to_all(
+                _encode(self._build(suspected, {}))
+            )
+
+    def _send_notices(self) -> None:
+        now = self._loop.time()
+        notices = self._state.view.notices
+        backoffs = {}
+        leaving = {}
+        for replica in self._noticed.values():
+            key = checksum_name(replica.replica_id)
+            left_ms = _to_ms(notices.get_backoff_end(replica) - now)
+            if left_ms:
+                backoffs[key] = (left_ms, replica.started_ms)
+            if notices.get_leaving_deadline(replica):
+                leaving[key] = replica.started_ms
+        self._noticed.clear()
+        if self._datagram_sender is not None:
+            self._state.counters['alarms.sent'] += 1
+            alarm = self._build({}, {})
+            alarm.backoffs = backoffs
+            alarm.leaving = leaving
+            self._datagram_sender.send_to_all(_encode(alarm))
 
-    def _encode(
+    def _build(
         self,
         suspected: dict[int, tuple[int, int, int]],
         alive: Mapping[str, float],
-    ) -> bytes:
+    ) -> Alarm:
         self._sequence += 1
         now = self._loop.time()
         settings = self._state.settings
-        alarm = Alarm(
+        return Alarm(
             settings.name,
             settings.data_centre,
             self._state.incarnation,
@@ -169,7 +218,6 @@
                 for name, at in alive.items()
             },
         )
-        return TYPE_PREFIX + msgpack.encode(alarm)
 
     def _is_duplicate(self, alarm: Alarm) -> bool:
         """Return whether an alarm was received before."""
@@ -206,6 +254,30 @@
                     },
                 )
 
+    def _apply_backoffs(self, alarm: Alarm) -> None:
+        now = self._loop.time()
+        for name, (left_ms, started_ms) in self._resolve(alarm.backoffs):
+            left_s = min(MAX_BACKOFF_S, left_ms / MS_PER_S)
+            note_reported_backoff(
+                self._state.view, name, started_ms, now + left_s
+            )
+
+    def _apply_leaving(self, alarm: Alarm) -> None:
+        state = self._state
+        deadline = state.compute_leaving_deadline(self._loop.time())
+        for name, started_ms in self._resolve(alarm.leaving):
+            known = state.view.replicas.get(name)
+            if known is None or known.replica.is_different_process(started_ms):
+                continue
+            if note_leaving(state.view, known.replica, deadline):
+                _LOG.info(
+                    'replica says that it is leaving',
+                    extra={
+                        'replica': name,
+                        'reason': f'reported by {alarm.node}',
+                    },
+                )
+
     def _resolve(
         self, findings: Mapping[int, Finding]
     ) -> Iterable[tuple[str, Finding]]:
@@ -216,5 +288,9 @@
                 yield name, finding
 
 
+def _encode(alarm: Alarm) -> bytes:
+    return TYPE_PREFIX + msgpack.encode(alarm)
+
+
 def _to_ms(seconds: float) -> int:
     return max(0, round(seconds * MS_PER_S))
--- a/samphirerill/relay/response_notices.py
+++ b/samphirerill/relay/response_notices.py
@@ -1,7 +1,9 @@
 """Act on what replicas say about themselves in the headers of responses.
 
 A replica that refuses a request may ask for a back-off with ``Retry-After``.
-This node then sends it nothing for that time; streams in progress go on.
+This node then sends it nothing for that time; streams in progress go on. A
+replica may also say that it is leaving, before its announcement does, and then
+gets no new work.
 """
 
 from __future__ import annotations
@@ -11,10 +13,16 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.model import MS_PER_S
-from samphirerill.fleet.replica_notices import note_requested_backoff
+from samphirerill.fleet.replica_notices import (
+    MAX_BACKOFF_S,
+    note_leaving,
+    note_requested_backoff,
+)
 from samphirerill.node.logs import get_logger
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from samphirerill.fleet.model import Replica
     from samphirerill.relay.platform_adapter import (
         ResponseMetadata,
@@ -26,8 +34,6 @@
 _BACKOFF_STATUSES = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 )
-# Longer times are shortened to this; the replica can ask again.
-_MAX_BACKOFF_S = 60.0
 # Longer times are taken for an error of the replica and ignored.
 _MAX_PLAUSIBLE_BACKOFF_S = 86_400.0
 # Random share of the time that is added, up to a limit, so that the nodes do
@@ -35,8 +41,8 @@
 _JITTER_SHARE = 0.1
 _MAX_JITTER_S = 0.3
 # Responses of requests in flight together extend a back-off by less; only a
-# longer extension is logged.
-_MIN_LOGGED_EXTENSION_S = 0.5
+# longer extension is logged and reported to other nodes.
+_MIN_EXTENSION_S = 0.5
 # Invalid values that are remembered, so that each is logged only once.
 _MAX_LOGGED_VALUES = 256
 
@@ -50,26 +56,73 @@
         Holds the view of the fleet.
     """
 
-    __slots__ = ('_logged_values', '_state', '_wake_timers')
+    __slots__ = ('_broadcast', '_logged_values', '_state', '_wake_timers')
 
     def __init__(self, state: EdgeState) -> None:
         self._state = state
         self._logged_values: set[tuple[str, str]] = set()
+        self._broadcast: Callable[[Replica], None] | None = None
         self._wake_timers: dict[str, asyncio.TimerHandle] = {}
 
+    def bind(self, broadcast: Callable[[Replica], None]) -> None:
+        """Tell the other nodes what replicas say by this from now on."""
+        self._broadcast = broadcast
+
     def handle(
         self, replica: Replica, status: int, metadata: ResponseMetadata
     ) -> None:
         """Handle a response to a request that was sent to a replica.
 
-        A response that names another replica comes from another process at the
+        A response that names another replica, or has status 421, comes from another process at the
         same address and says nothing about this one.
         """
-        if metadata.replica_id not in ('', replica.replica_id):
+        if (
+            status == HTTPStatus.MISDIRECTED_REQUEST
+            or metadata.replica_id not in {'', replica.replica_id}
+        ):
             return
+        if metadata.is_leaving:
+            self._mark_leaving(replica, status)
         if metadata.retry_after is not None and status in _BACKOFF_STATUSES:
             self._handle_retry_after(replica, metadata.retry_after)
 
+    def describe(self) -> list[dict[str, object]]:
+        """Return the replicas that get no new work, for operators."""
+        now = asyncio.get_running_loop().time()
+        view = self._state.view
+        return [
+            {
+                'replica': notice.replica.replica_id,
+                'started_ms': notice.replica.started_ms,
+                'left_ms': max(
+                    0, round((notice.backoff_until - now) * MS_PER_S)
+                ),
+                'is_leaving': notice.leaving_deadline > 0,
+            }
+            for notice in view.notices.list_in_force(now)
+            if notice.backoff_until > now
+            or notice.replica.replica_id in view.replicas
+        ]
+
+    def _mark_leaving(self, replica: Replica, status: int) -> None:
+        state = self._state
+        loop = asyncio.get_running_loop()
+        deadline = state.compute_leaving_deadline(loop.time())
+        if not note_leaving(state.view, replica, deadline):
+            return
+        state.counters['replicas.reported_leaving'] += 1
+        if self._broadcast is not None:
+            self._broadcast(replica)
+        _LOG.info(
+            'replica says that it is leaving',
+            extra={
+                'replica': replica.replica_id,
+                'status': status,
+                'streams_until_ms': round((deadline - loop.time()) * MS_PER_S),
+            },
+        )
+        loop.call_soon(state.notify_listeners)
+
     def _handle_retry_after(
         self, replica: Replica, retry_after: RetryAfter
     ) -> None:
@@ -82,7 +135,7 @@
     def _back_off(self, replica: Replica, text: str, delay_s: float) -> None:
         state = self._state
         now = asyncio.get_running_loop().time()
-        accepted_s = min(_MAX_BACKOFF_S, delay_s)
+        accepted_s = min(MAX_BACKOFF_S, delay_s)
         jitter_s = state.random.uniform(
             0, min(_MAX_JITTER_S, _JITTER_SHARE * accepted_s)
         )
@@ -91,7 +144,9 @@
         note_requested_backoff(state.view, replica, until)
         state.view.note_alive(replica.replica_id, now)
         state.counters['replicas.backoff_requested'] += 1
-        if until > previous + _MIN_LOGGED_EXTENSION_S or previous == now:
+        if until > previous + _MIN_EXTENSION_S or previous == now:
+            if self._broadcast is not None:
+                self._broadcast(replica)
             _LOG.info(
                 'replica asked for a back-off',
                 extra={
