Stop the request that a node gives up when it ends

Since a connection lingers after its last response, a request that had been answered with 502 at the end of the node ran on for up to half a second: its endpoint worked for nobody, and its handler tried to write a second response.

test_request_that_was_given_up_is_stopped failed before: AssertionError: 0 != 1 (requests cancelled at the endpoint)

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -548,7 +548,8 @@
 
     def _respond_to_all(self) -> None:
         """Respond to the requests that will not be served."""
-        if self.is_busy:
+        if self._task is not None:
+            self._task.cancel()
             self.is_busy = False
             self._respond_unserved(HTTPStatus.BAD_GATEWAY)
         while self._queue:
--- a/samphirerill/tests/test_draining_connections.py
+++ b/samphirerill/tests/test_draining_connections.py
@@ -96,6 +96,15 @@
         self.assertIn(statuses[0], (502, 504))
         self.assertEqual(statuses[1:], [503, 503])
 
+    async def test_request_that_was_given_up_is_stopped(self) -> None:
+        """An endpoint must not work on after its client got an error."""
+        reader, _ = await self.hold_request(_build_request())
+        self.process.close()
+        await asyncio.sleep(SETTLE_S)
+        self.assertEqual(self.plain_endpoint.cancelled, 1)
+        self.plain_endpoint.responding.set()
+        self.assertEqual(await _read_statuses(reader), [502])
+
     async def test_client_that_is_sending_at_the_end_is_told(self) -> None:
         reader, _ = await self.connect(_build_request()[:40])
         await asyncio.sleep(SETTLE_S)
