Let a stream keep its slot at its head when it is rerouted

Streams stayed on a lost stage, and were aborted when their head gave up, while their head had no free slot: the search for new later stages counted the stream's own slot as taken by another one, although its memory already counted as its own.

Before: test_stream_keeps_its_slot_when_rerouted fails with AssertionError: Tuples differ: () != ('head', 'last')

--- a/samphirerill/fleet/paths.py
+++ b/samphirerill/fleet/paths.py
@@ -75,7 +75,7 @@
 
     `first_replicas` limits the replicas that may run the first stage; empty
     means any. `first_stage_end` is where the first stage must end; 0 means
-    anywhere. Replicas in `prefilled_on` already hold the tokens. An urgent
+    anywhere. Replicas in `prefilled_on` already run the request. An urgent
     request, whose stream has begun, may use the reserved memory and links with
     a longer queue. `data_centre` is the data centre of the requesting node.
     """
@@ -212,6 +212,9 @@
             return False
         if replica.held.first or not replica.held.end:
             return False
+        if replica.replica_id in self._request.prefilled_on:
+            # The stream keeps the slot that it has there.
+            return True
         return (
             self._load_tracker.count_requests(replica.replica_id)
             < self._engine.slots
--- a/samphirerill/tests/test_fleet_paths.py
+++ b/samphirerill/tests/test_fleet_paths.py
@@ -120,6 +120,27 @@
         self.assertEqual(list_replica_ids(stages), names)
         self.assertEqual(stages[0].layers, LayerRange(0, 20))
 
+    def test_stream_keeps_its_slot_when_rerouted(self) -> None:
+        """A stream must not count against itself at a head without free slots.
+
+        It would stay on a lost stage while its head is busy.
+        """
+        known = build_states(
+            [
+                build_replica('head', 'a', 'large', (0, 40)),
+                build_replica('last', 'a', 'large', (40, 80)),
+            ]
+        )
+        load_tracker = LoadTracker()
+        for _ in range(ENGINE.slots):
+            load_tracker.add_request(['head'], 1)
+        head = frozenset(('head',))
+        moved = PathRequest(900, first_replicas=head, prefilled_on=head)
+        stages = choose_path(ENGINE, known, load_tracker, moved, 0)
+        self.assertEqual(list_replica_ids(stages), ('head', 'last'))
+        new = PathRequest(900, first_replicas=head)
+        self.assertEqual(choose_path(ENGINE, known, load_tracker, new, 0), ())
+
     def test_memory_use_of_other_nodes_counts(self) -> None:
         """Nodes that ignore each other's requests overfill a replica's memory."""
         known = build_states([build_replica('one', 'a', 'large', (0, 40))])
