Own interface: keep a silent stream that cannot be sent again

Callers of the own interface lost streams whose engine only paused: after 0.5 s without a token the attempt was cancelled, also when no retry was left or the request may run only once, and the request ended with an error though the engine went on.

Such an attempt now stays. Its stages are probed at each deadline; it ends when one is found dead, is replaced as soon as there is a retry, and goes on to the request's deadline otherwise (`attempts.kept`). Plain services keep their timeout. Weighed: to end it as before, as a connection may have stalled for good; the caller then loses for sure what it may get, and its deadline bounds the wait.

Before, in test_admission.TestSilence: test_stream_without_retries_outlasts_a_silence, test_stream_that_may_run_once_outlasts_a_silence: AssertionError: Items in the first set but not the second (RefuseRequest, CancelAttempt) test_silent_stream_is_replaced_once_there_is_a_retry, test_stream_without_retries_leaves_a_dead_endpoint: 0 != 1

--- a/samphirerill/core/budget.py
+++ b/samphirerill/core/budget.py
@@ -23,9 +23,13 @@
         """Add the fraction of a retry that a first attempt earns."""
         self.balance = min(self.max_balance, self.balance + self.ratio)
 
+    def has_retry(self) -> bool:
+        """Return whether a retry is available."""
+        return self.balance >= 1
+
     def try_withdraw(self) -> bool:
         """Withdraw one retry; return whether one was available."""
-        if self.balance < 1:
+        if not self.has_retry():
             return False
         self.balance -= 1
         return True
--- a/samphirerill/core/on_attempts.py
+++ b/samphirerill/core/on_attempts.py
@@ -104,7 +104,7 @@
     attempt.has_token = True
     record_token(state, attempt, req, now)
     req.failures = 0
-    _extend_progress(state, attempt, now)
+    extend_progress(state, attempt, now)
     state.emit(
         DeliverToken(req.request_id, event.index, event.text, event.finish),
     )
@@ -122,7 +122,7 @@
     """Extend the progress deadline of an engine that reports progress."""
     attempt = state.attempts.get(event.attempt_id)
     if attempt is not None:
-        _extend_progress(state, attempt, now)
+        extend_progress(state, attempt, now)
 
 
 @handle.register(AttemptRefused)
@@ -215,6 +215,22 @@
         state.emit(ProbeEndpoint(stage.endpoint, stage.address))
 
 
+def extend_progress(
+    state: CoreState, attempt: AttemptState, now: float
+) -> None:
+    """Extend the time that an attempt has for its next progress."""
+    limits = state.configuration.limits
+    timeout_s = limits.first_token_timeout_s
+    if attempt.has_token:
+        timeout_s = limits.progress_timeout_s
+    previous_deadline = attempt.progress_deadline
+    attempt.progress_deadline = now + timeout_s
+    if attempt.progress_deadline < previous_deadline:
+        state.schedule_wake(
+            attempt.progress_deadline, 'attempt', attempt.attempt_id
+        )
+
+
 def _exclude_failed_stage(
     state: CoreState,
     attempt: AttemptState,
@@ -244,21 +260,6 @@
     dispatch_queue(state, get_queue_name(req), now)
 
 
-def _extend_progress(
-    state: CoreState, attempt: AttemptState, now: float
-) -> None:
-    limits = state.configuration.limits
-    timeout_s = limits.first_token_timeout_s
-    if attempt.has_token:
-        timeout_s = limits.progress_timeout_s
-    previous_deadline = attempt.progress_deadline
-    attempt.progress_deadline = now + timeout_s
-    if attempt.progress_deadline < previous_deadline:
-        state.schedule_wake(
-            attempt.progress_deadline, 'attempt', attempt.attempt_id
-        )
-
-
 def _migrate_from_slow_link(
     state: CoreState,
     attempt: AttemptState,
--- a/samphirerill/core/on_deadlines.py
+++ b/samphirerill/core/on_deadlines.py
@@ -8,15 +8,20 @@
 
 from samphirerill.core.commands import ProbeEndpoint
 from samphirerill.core.completion import get_queue_name, refuse_request
+from samphirerill.core.configuration import SERVICE_ROUTE
 from samphirerill.core.events import AttemptFailed, TimerFired
 from samphirerill.core.handling import handle
-from samphirerill.core.on_attempts import on_attempt_failed
+from samphirerill.core.on_attempts import (
+    extend_progress,
+    on_attempt_failed,
+    probe_stages,
+)
 from samphirerill.core.on_crashes import evaluate_quarantine
-from samphirerill.core.scheduling import dispatch_queue
+from samphirerill.core.scheduling import dispatch_queue, has_retry
 from samphirerill.core.state import Health, Phase
 
 if TYPE_CHECKING:
-    from samphirerill.core.state import CoreState
+    from samphirerill.core.state import AttemptState, CoreState, RequestState
 
 _QUEUE_TIMEOUT_RETRY_S = 1.0
 # A timer that fires later than this means a blocked event loop.
@@ -81,7 +86,8 @@
     """Fail an attempt that has shown no progress.
 
     A connection may go silent without an error; without the progress deadline,
-    the client would wait until its own timeout.
+    the client would wait until its own timeout. A stream that cannot be sent
+    again stays while no probe has found one of its endpoints dead.
     """
     attempt = state.attempts.get(name)
     if attempt is None:
@@ -89,15 +95,34 @@
     if attempt.progress_deadline > now:
         state.schedule_wake(attempt.progress_deadline, 'attempt', name)
         return
+    req = state.requests[attempt.request_id]
+    if not _can_replace(state, req, now) and _may_recover(state, attempt):
+        state.counters['attempts.kept'] += 1
+        probe_stages(state, attempt)
+        extend_progress(state, attempt, now)
+        state.schedule_wake(attempt.progress_deadline, 'attempt', name)
+        return
     state.counters['attempts.silent'] += 1
-    state.requests[attempt.request_id].avoid.update(
-        stage.endpoint for stage in attempt.stages
-    )
+    req.avoid.update(stage.endpoint for stage in attempt.stages)
     on_attempt_failed(
         AttemptFailed(name, 'the endpoint went silent'), state, now
     )
 
 
+def _can_replace(state: CoreState, req: RequestState, now: float) -> bool:
+    """Return whether another attempt may follow a silent one."""
+    return req.route.kind == SERVICE_ROUTE or has_retry(state, req, now)
+
+
+def _may_recover(state: CoreState, attempt: AttemptState) -> bool:
+    """Return whether no endpoint of an attempt is known to be dead."""
+    replicas = [state.endpoints.get(stage.endpoint) for stage in attempt.stages]
+    return all(
+        replica is not None and replica.health is not Health.SUSPECT
+        for replica in replicas
+    )
+
+
 def _check_endpoint(state: CoreState, name: str, now: float) -> None:
     """Probe a suspect endpoint again."""
     replica = state.endpoints.get(name)
--- a/samphirerill/core/scheduling.py
+++ b/samphirerill/core/scheduling.py
@@ -130,6 +130,17 @@
         requeue_at_front(state, req, now)
 
 
+def has_retry(state: CoreState, req: RequestState, now: float) -> bool:
+    """Return whether `retry_or_refuse` would send a failed request again."""
+    limits = state.configuration.limits
+    return (
+        now < req.deadline
+        and _may_retry(req)
+        and req.failures + 1 < limits.max_attempts
+        and _get_budget(state, req).has_retry()
+    )
+
+
 def requeue_at_front(state: CoreState, req: RequestState, now: float) -> None:
     """Queue a request that already ran ahead of those that have not."""
     req.phase = Phase.QUEUED
--- a/samphirerill/tests/test_admission.py
+++ b/samphirerill/tests/test_admission.py
@@ -9,9 +9,11 @@
 from samphirerill.core.admission import NORMAL_INTERVAL, FairQueue, QueueEntry
 from samphirerill.core.commands import (
     Command,
+    DeliverToken,
     FinishAnswer,
     OpenAttempt,
     Outcome,
+    ProbeEndpoint,
     RefuseRequest,
 )
 from samphirerill.core.configuration import HIGH, NORMAL, build_configuration
@@ -327,5 +329,70 @@
         self.assertEqual(len(opened), 1)
 
 
+class TestSilence(RouterCase):
+    """A silent attempt that no other one can replace."""
+
+    def test_stream_without_retries_outlasts_a_silence(self) -> None:
+        """Guard against ending streams whose endpoints only pause."""
+        attempt = self._start_stream('plans')
+        self._use_up_retries('plans')
+        commands = self.router.apply(TimerFired(), 1.0)
+        self._assert_probed(commands)
+        self._probe(attempt, 1.1, is_alive=True)
+        self._assert_probed(self.router.apply(TimerFired(), 1.6))
+        token = TokenArrived(attempt.attempt_id, 0, 1, 'y', 'stop')
+        commands = self.router.apply(token, 1.7)
+        self.assertIsInstance(commands[0], DeliverToken)
+
+    def test_stream_that_may_run_once_outlasts_a_silence(self) -> None:
+        """Guard against ending a run that may not be repeated."""
+        self._start_stream('once')
+        self._assert_probed(self.router.apply(TimerFired(), 1.0))
+
+    def test_stream_without_retries_leaves_a_dead_endpoint(self) -> None:
+        """Guard against callers who wait for a dead endpoint."""
+        attempt = self._start_stream('plans')
+        self._use_up_retries('plans')
+        self.router.apply(TimerFired(), 1.0)
+        self._probe(attempt, 1.1, is_alive=False)
+        commands = self.router.apply(TimerFired(), 1.6)
+        refusals = [
+            item for item in commands if isinstance(item, RefuseRequest)
+        ]
+        self.assertEqual(len(refusals), 1)
+        self.assertIs(refusals[0].problem.outcome, Outcome.MAY_HAVE_RUN)
+
+    def test_silent_stream_is_replaced_once_there_is_a_retry(self) -> None:
+        """Guard against a stream that stays silent though it may be resent."""
+        self._start_stream('plans')
+        self._use_up_retries('plans')
+        self.router.apply(TimerFired(), 1.0)
+        self.router.state.budgets['plans'].balance = 1
+        commands = self.router.apply(TimerFired(), 1.6)
+        opened = [item for item in commands if isinstance(item, OpenAttempt)]
+        self.assertEqual(len(opened), 1)
+
+    def _start_stream(self, route: str) -> OpenAttempt:
+        attempt = self.ask('r1', 0, route=route)[0]
+        assert isinstance(attempt, OpenAttempt)
+        self.router.apply(AttemptSent(attempt.attempt_id), 0.1)
+        self.router.apply(TokenArrived(attempt.attempt_id, 0, 0, 'x'), 0.2)
+        return attempt
+
+    def _use_up_retries(self, route: str) -> None:
+        self.router.state.budgets[route].balance = 0
+
+    def _probe(
+        self, attempt: OpenAttempt, now: float, *, is_alive: bool
+    ) -> None:
+        for stage in attempt.stages:
+            event = ProbeFinished(stage.endpoint, alive=is_alive)
+            self.router.apply(event, now)
+
+    def _assert_probed(self, commands: list[Command]) -> None:
+        kinds = {type(command) for command in commands}
+        self.assertEqual(kinds, {ProbeEndpoint})
+
+
 if __name__ == '__main__':
     unittest.main()
