Own interface: reserve a retry before a stream is migrated

A stream on a slow link was cancelled there and started elsewhere without a retry of its own: if the other engine rejected it and the budget was used up, a working stream ended with an error for the sake of speed.

A migration reserves a retry, which a rejected or failed start uses and the first token returns; without one the stream stays where it is. A request that ends returns it too.

Before: test_stream_without_a_retry_is_not_migrated fails with AssertionError: Lists differ: [OpenAttempt(...)] != [] The other two new tests pass before as well; they guard the reservation.

--- a/samphirerill/core/budget.py
+++ b/samphirerill/core/budget.py
@@ -23,6 +23,10 @@
         """Add the fraction of a retry that a first attempt earns."""
         self.balance = min(self.max_balance, self.balance + self.ratio)
 
+    def refund(self) -> None:
+        """Return a retry that was withdrawn and is not needed."""
+        self.balance = min(self.max_balance, self.balance + 1)
+
     def has_retry(self) -> bool:
         """Return whether a retry is available."""
         return self.balance >= 1
--- a/samphirerill/core/completion.py
+++ b/samphirerill/core/completion.py
@@ -66,9 +66,17 @@
     if attempt is not None:
         remove_attempt(state, attempt)
         state.emit(CancelAttempt(attempt.attempt_id))
+    return_retry(state, req)
     state.requests.pop(req.request_id, None)
 
 
+def return_retry(state: CoreState, req: RequestState) -> None:
+    """Return the retry that is reserved for a request, if there is one."""
+    if req.holds_retry:
+        req.holds_retry = False
+        state.budgets[req.route.name].refund()
+
+
 def remove_attempt(state: CoreState, attempt: AttemptState) -> None:
     """Remove an attempt and free the slots it used at its endpoints."""
     state.attempts.pop(attempt.attempt_id, None)
--- a/samphirerill/core/on_attempts.py
+++ b/samphirerill/core/on_attempts.py
@@ -15,6 +15,7 @@
     finish_request,
     get_queue_name,
     remove_attempt,
+    return_retry,
 )
 from samphirerill.core.events import (
     AttemptFailed,
@@ -40,6 +41,7 @@
 from samphirerill.core.scheduling import (
     dispatch_queue,
     requeue_at_front,
+    reserve_retry,
     retry_or_refuse,
     start_attempt,
 )
@@ -104,6 +106,7 @@
     attempt.has_token = True
     record_token(state, attempt, req, now)
     req.failures = 0
+    return_retry(state, req)
     extend_progress(state, attempt, now)
     state.emit(
         DeliverToken(req.request_id, event.index, event.text, event.finish),
@@ -271,7 +274,8 @@
 
     If only new requests avoided a degraded link, long streams that already use
     it would stay slow to their end. A hop that is only briefly slow, because
-    its target is busy, costs less than a migration.
+    its target is busy, costs less than a migration. The new attempt may be
+    rejected, so a retry is reserved until its first token.
     """
     hops_ms = event.hops_ms
     if not req.route.idempotent or max(hops_ms) < _MIN_SLOW_HOP_MS:
@@ -297,7 +301,7 @@
     if alternative_ms > _MAX_MIGRATION_RATIO * current_ms:
         return
     _add_excess_ms(attempt, event.index, current_ms - alternative_ms)
-    if attempt.excess_ms < _MIGRATION_COST_MS:
+    if attempt.excess_ms < _MIGRATION_COST_MS or not reserve_retry(state, req):
         return
     remove_attempt(state, attempt)
     state.emit(CancelAttempt(attempt.attempt_id))
--- a/samphirerill/core/scheduling.py
+++ b/samphirerill/core/scheduling.py
@@ -137,10 +137,16 @@
         now < req.deadline
         and _may_retry(req)
         and req.failures + 1 < limits.max_attempts
-        and _get_budget(state, req).has_retry()
+        and (req.holds_retry or _get_budget(state, req).has_retry())
     )
 
 
+def reserve_retry(state: CoreState, req: RequestState) -> bool:
+    """Reserve a retry that `retry_or_refuse` uses; return whether it is."""
+    req.holds_retry = req.holds_retry or _get_budget(state, req).try_withdraw()
+    return req.holds_retry
+
+
 def requeue_at_front(state: CoreState, req: RequestState, now: float) -> None:
     """Queue a request that already ran ahead of those that have not."""
     req.phase = Phase.QUEUED
@@ -219,6 +225,9 @@
 
 
 def _withdraw_retry(state: CoreState, req: RequestState) -> bool:
+    if req.holds_retry:
+        req.holds_retry = False
+        return True
     return _get_budget(state, req).try_withdraw()
 
 
--- a/samphirerill/core/state.py
+++ b/samphirerill/core/state.py
@@ -50,7 +50,7 @@
 
     `delivered` is the index of the next token to deliver. `ambiguous_attempts`
     counts attempts that may have run; `failures` counts those that failed
-    since the last token.
+    since the last token. `holds_retry` means that a retry is reserved for it.
     """
 
     request_id: str
@@ -71,6 +71,7 @@
     attempts: int = 0
     failures: int = 0
     ambiguous_attempts: int = 0
+    holds_retry: bool = False
     attempt_id: str = ''
     avoid: set[str] = field(default_factory=set)
 
--- a/samphirerill/tests/test_admission.py
+++ b/samphirerill/tests/test_admission.py
@@ -20,6 +20,7 @@
 from samphirerill.core.events import (
     AttemptFailed,
     AttemptProgressed,
+    AttemptRefused,
     AttemptSent,
     ConfigurationAccepted,
     NodeCountReported,
@@ -258,6 +259,42 @@
             [item for item in commands if isinstance(item, OpenAttempt)], []
         )
 
+    def test_migrated_stream_that_is_rejected_has_a_retry(self) -> None:
+        """Guard against ending a run for one that its engine may reject."""
+        migrated = self._migrate(retries=1)[0]
+        rejection = AttemptRefused(migrated.attempt_id, 'busy')
+        commands = self.router.apply(rejection, 0.3)
+        opened = [item for item in commands if isinstance(item, OpenAttempt)]
+        self.assertEqual(len(opened), 1)
+        self.assertEqual(self.router.state.budgets['plans'].balance, 0)
+
+    def test_stream_without_a_retry_is_not_migrated(self) -> None:
+        """Guard against ending a working run that could not be sent again."""
+        self.assertEqual(self._migrate(retries=0), [])
+
+    def test_retry_of_a_migrated_stream_is_returned(self) -> None:
+        """Guard against migrations that use up retries without need."""
+        migrated = self._migrate(retries=1)[0]
+        self.router.apply(AttemptSent(migrated.attempt_id), 0.3)
+        token = TokenArrived(migrated.attempt_id, migrated.epoch, 1, 'y')
+        self.router.apply(token, 0.4)
+        self.assertEqual(self.router.state.budgets['plans'].balance, 1)
+
+    def _migrate(self, retries: int) -> list[OpenAttempt]:
+        """Report a slow hop; return the attempts that this opens."""
+        opened = next(
+            item
+            for number in range(20)
+            for item in self.ask(f'r{number}', 0)
+            if isinstance(item, OpenAttempt) and len(item.stages) > 1
+        )
+        self.router.state.budgets['plans'].balance = retries
+        self.router.apply(AttemptSent(opened.attempt_id), 0.1)
+        hops = tuple(400.0 for _ in opened.stages)
+        slow = TokenArrived(opened.attempt_id, 0, 0, 'x', '', hops)
+        commands = self.router.apply(slow, 0.2)
+        return [item for item in commands if isinstance(item, OpenAttempt)]
+
 
 class TestLongAnswers(RouterCase):
     """A long answer survives more failures than one attempt may have."""
