Keep a run whose events are unread when it would be closed as silent

After a delay of this node a run looks silent although its events have arrived and are only not read yet; with an idle connection at hand it could be closed for another one at the same head before the reader had its turn.

Before: test_run_with_unread_events_is_kept fails with AssertionError: Lists differ: [<HttpConnection object>] != [] The other two tests of the module pass before; they guard the checks of the silence before and after the connection is opened.

--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -172,6 +172,10 @@
         """Expect another response: the last one was to an earlier request."""
         self._awaits_response = True
 
+    def has_unread(self) -> bool:
+        """Return whether there is a part to read."""
+        return bool(self._parts)
+
     def is_open(self) -> bool:
         """Return whether requests can be sent."""
         return self._transport is not None and not self._transport.is_closing()
--- a/samphirerill/relay/replacement.py
+++ b/samphirerill/relay/replacement.py
@@ -159,8 +159,11 @@
                 self._limits.return_attempt()
 
     def _close_silent_run(self, conn: HttpConnection) -> bool:
-        """Close the present run; return false if it sends events again."""
-        if self._is_silent():
+        """Close the present run; return false if it sends events again.
+
+        Events may be unread after a delay of this node.
+        """
+        if self._is_silent() and not conn.has_unread():
             self._close_run(conn, 'its first replica runs the stream again')
             return True
         self._log_obstacle(_STILL_SENDING)
