--- a/samphirerill/tests/test_admission.py
+++ b/samphirerill/tests/test_admission.py
@@ -9,15 +9,18 @@
 from samphirerill.core.admission import NORMAL_INTERVAL, FairQueue, QueueEntry
 from samphirerill.core.commands import (
     Command,
+    DeliverToken,
     FinishAnswer,
     OpenAttempt,
     Outcome,
+    ProbeEndpoint,
     RefuseRequest,
 )
 from samphirerill.core.configuration import HIGH, NORMAL, build_configuration
 from samphirerill.core.events import (
     AttemptFailed,
     AttemptProgressed,
+    AttemptRefused,
     AttemptSent,
     ConfigurationAccepted,
     NodeCountReported,
@@ -256,6 +259,42 @@
             [item for item in commands if isinstance(item, OpenAttempt)], []
         )
 
+    def test_migrated_stream_that_is_rejected_has_a_retry(self) -> None:
+        """Guard against ending a run for one that its engine may reject."""
+        migrated = self._migrate(retries=1)[0]
+        rejection = AttemptRefused(migrated.attempt_id, 'busy')
+        commands = self.router.apply(rejection, 0.3)
+        opened = [item for item in commands if isinstance(item, OpenAttempt)]
+        self.assertEqual(len(opened), 1)
+        self.assertEqual(self.router.state.budgets['plans'].balance, 0)
+
+    def test_stream_without_a_retry_is_not_migrated(self) -> None:
+        """Guard against ending a working run that could not be sent again."""
+        self.assertEqual(self._migrate(retries=0), [])
+
+    def test_retry_of_a_migrated_stream_is_returned(self) -> None:
+        """Guard against migrations that use up retries without need."""
+        migrated = self._migrate(retries=1)[0]
+        self.router.apply(AttemptSent(migrated.attempt_id), 0.3)
+        token = TokenArrived(migrated.attempt_id, migrated.epoch, 1, 'y')
+        self.router.apply(token, 0.4)
+        self.assertEqual(self.router.state.budgets['plans'].balance, 1)
+
+    def _migrate(self, retries: int) -> list[OpenAttempt]:
+        """Report a slow hop; return the attempts that this opens."""
+        opened = next(
+            item
+            for number in range(20)
+            for item in self.ask(f'r{number}', 0)
+            if isinstance(item, OpenAttempt) and len(item.stages) > 1
+        )
+        self.router.state.budgets['plans'].balance = retries
+        self.router.apply(AttemptSent(opened.attempt_id), 0.1)
+        hops = tuple(400.0 for _ in opened.stages)
+        slow = TokenArrived(opened.attempt_id, 0, 0, 'x', '', hops)
+        commands = self.router.apply(slow, 0.2)
+        return [item for item in commands if isinstance(item, OpenAttempt)]
+
 
 class TestLongAnswers(RouterCase):
     """A long answer survives more failures than one attempt may have."""
@@ -327,5 +366,70 @@
         self.assertEqual(len(opened), 1)
 
 
+class TestSilence(RouterCase):
+    """A silent attempt that no other one can replace."""
+
+    def test_stream_without_retries_outlasts_a_silence(self) -> None:
+        """Guard against ending streams whose endpoints only pause."""
+        attempt = self._start_stream('plans')
+        self._use_up_retries('plans')
+        commands = self.router.apply(TimerFired(), 1.0)
+        self._assert_probed(commands)
+        self._probe(attempt, 1.1, is_alive=True)
+        self._assert_probed(self.router.apply(TimerFired(), 1.6))
+        token = TokenArrived(attempt.attempt_id, 0, 1, 'y', 'stop')
+        commands = self.router.apply(token, 1.7)
+        self.assertIsInstance(commands[0], DeliverToken)
+
+    def test_stream_that_may_run_once_outlasts_a_silence(self) -> None:
+        """Guard against ending a run that may not be repeated."""
+        self._start_stream('once')
+        self._assert_probed(self.router.apply(TimerFired(), 1.0))
+
+    def test_stream_without_retries_leaves_a_dead_endpoint(self) -> None:
+        """Guard against callers who wait for a dead endpoint."""
+        attempt = self._start_stream('plans')
+        self._use_up_retries('plans')
+        self.router.apply(TimerFired(), 1.0)
+        self._probe(attempt, 1.1, is_alive=False)
+        commands = self.router.apply(TimerFired(), 1.6)
+        refusals = [
+            item for item in commands if isinstance(item, RefuseRequest)
+        ]
+        self.assertEqual(len(refusals), 1)
+        self.assertIs(refusals[0].problem.outcome, Outcome.MAY_HAVE_RUN)
+
+    def test_silent_stream_is_replaced_once_there_is_a_retry(self) -> None:
+        """Guard against a stream that stays silent though it may be resent."""
+        self._start_stream('plans')
+        self._use_up_retries('plans')
+        self.router.apply(TimerFired(), 1.0)
+        self.router.state.budgets['plans'].balance = 1
+        commands = self.router.apply(TimerFired(), 1.6)
+        opened = [item for item in commands if isinstance(item, OpenAttempt)]
+        self.assertEqual(len(opened), 1)
+
+    def _start_stream(self, route: str) -> OpenAttempt:
+        attempt = self.ask('r1', 0, route=route)[0]
+        assert isinstance(attempt, OpenAttempt)
+        self.router.apply(AttemptSent(attempt.attempt_id), 0.1)
+        self.router.apply(TokenArrived(attempt.attempt_id, 0, 0, 'x'), 0.2)
+        return attempt
+
+    def _use_up_retries(self, route: str) -> None:
+        self.router.state.budgets[route].balance = 0
+
+    def _probe(
+        self, attempt: OpenAttempt, now: float, *, is_alive: bool
+    ) -> None:
+        for stage in attempt.stages:
+            event = ProbeFinished(stage.endpoint, alive=is_alive)
+            self.router.apply(event, now)
+
+    def _assert_probed(self, commands: list[Command]) -> None:
+        kinds = {type(command) for command in commands}
+        self.assertEqual(kinds, {ProbeEndpoint})
+
+
 if __name__ == '__main__':
     unittest.main()
