Late Retry-After of a replaced process, and heads that back off

A refusal of a process that has been replaced marked its successor as alive and was logged, counted and reported. Streams that may only use heads that back off for long waited until their deadline. Both new tests failed before: list_live gave the suspected successor, and the request was granted no path within its 1.4 s.

--- a/samphirerill/fleet/replica_notices.py
+++ b/samphirerill/fleet/replica_notices.py
@@ -142,20 +142,21 @@
 
 def note_requested_backoff(
     view: FleetView, replica: Replica, until: float
-) -> None:
+) -> bool:
     """Record until when a replica wants no requests from this node.
 
     Unlike after a refusal without that, the replica names the time itself. A
-    response of an earlier process is ignored.
+    response of an earlier process is ignored; return false then.
     """
     state = view.replicas.get(replica.replica_id)
     if _is_replaced(state, replica):
-        return
+        return False
     view.notices.extend_backoff(replica, until)
     if state is not None:
         state.requested_backoff_until = view.notices.get_backoff_end(
             state.replica
         )
+    return True
 
 
 def note_reported_backoff(
--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -20,7 +20,7 @@
 from samphirerill.fleet.replica_notices import prefer_unreported
 
 if TYPE_CHECKING:
-    from samphirerill.fleet.model import EngineSpec, Stage
+    from samphirerill.fleet.model import EngineSpec, Replica, Stage
     from samphirerill.fleet.paths import PathRequest
     from samphirerill.fleet.view import ReplicaState
     from samphirerill.relay.state import EdgeState
@@ -367,7 +367,7 @@
     candidates = [
         known
         for known in state.view.list_live(queued.service, now)
-        if known.replica.replica_id not in queued.path_request.excluded
+        if _is_candidate(known.replica, queued.path_request)
     ]
     possible_at = find_coverage_time(queued.engine, candidates, now)
     is_in_time = possible_at + _FIRST_EVENT_S <= queued.deadline
@@ -377,6 +377,14 @@
     return BackOffError(possible_at - now, reason)
 
 
+def _is_candidate(replica: Replica, path_request: PathRequest) -> bool:
+    """Return whether a path may use a replica, as far as that is required."""
+    if replica.replica_id in path_request.excluded:
+        return False
+    heads = path_request.first_replicas
+    return not heads or replica.held.first > 0 or replica.replica_id in heads
+
+
 def _explain_no_path(
     state: EdgeState, queued: _QueuedRequest, now: float
 ) -> str:
--- a/samphirerill/relay/response_notices.py
+++ b/samphirerill/relay/response_notices.py
@@ -141,7 +141,8 @@
         )
         until = now + accepted_s + jitter_s
         previous = max(now, state.view.notices.get_backoff_end(replica))
-        note_requested_backoff(state.view, replica, until)
+        if not note_requested_backoff(state.view, replica, until):
+            return
         state.view.note_alive(replica.replica_id, now)
         state.counters['replicas.backoff_requested'] += 1
         if until > previous + _MIN_EXTENSION_S or previous == now:
--- a/samphirerill/tests/test_admission_edge.py
+++ b/samphirerill/tests/test_admission_edge.py
@@ -7,10 +7,12 @@
 
 from samphirerill.fleet.outage import Outage
 from samphirerill.fleet.paths import PathRequest
+from samphirerill.fleet.replica_notices import note_requested_backoff
 from samphirerill.platform.http_adapter import HttpPlatformAdapter
 from samphirerill.platform.settings import EdgeSettings
 from samphirerill.relay.admission import (
     AdmissionQueue,
+    BackOffError,
     NoPathError,
     OutageError,
 )
@@ -113,6 +115,23 @@
         self.state.notify_listeners()
         self.assertTrue(await started)
 
+    async def test_request_is_rejected_if_its_heads_back_off(self) -> None:
+        """Guard against a wait in vain for a path with another head."""
+        view = self.state.view
+        view.apply_announcement(
+            build_replica('three', 'a', 'large', (0, 40)), 1
+        )
+        now = self.loop.time()
+        note_requested_backoff(view, view.replicas['one'].replica, now + 9)
+        path_request = PathRequest(100, first_replicas=frozenset(('one',)))
+        with self.assertRaises(BackOffError) as caught:
+            await self.admission.admit(
+                'llm', ENGINE, path_request, _NEW_RANK, now + 1.4, now + 0.7
+            )
+        self.assertLess(self.loop.time() - now, 0.1)
+        self.assertAlmostEqual(caught.exception.wait_s, 9, delta=0.1)
+        self.assertTrue(await self.admit(100, _NEW_RANK))
+
     async def test_cancelled_wait_reserves_nothing(self) -> None:
         waiting = self.admit(1e9, _NEW_RANK)
         await asyncio.sleep(0.01)
--- a/samphirerill/tests/test_retry_after.py
+++ b/samphirerill/tests/test_retry_after.py
@@ -175,6 +175,18 @@
                 self.respond()
         self.assertEqual(log.info.call_count, 1)
 
+    async def test_late_response_says_nothing_about_a_new_process(
+        self,
+    ) -> None:
+        """Guard against taking a silent new process for a living one."""
+        restarted = replace(self.replica, started_ms=6)
+        self.view.apply_announcement(restarted, 2)
+        now = asyncio.get_running_loop().time()
+        self.view.add_silence_report('one', now + 9, now)
+        self.respond()
+        self.assertEqual(self.view.list_live('llm', now), [])
+        self.assertEqual(self.state.counters['replicas.backoff_requested'], 0)
+
     async def test_waiting_requests_are_woken_at_the_end(self) -> None:
         """Guard against requests that wait until something else happens."""
         woken = asyncio.Event()
