Notices without a start time lapse after 30 s, as withdrawn replicas do

The retention of withdrawn replicas that keep serving is 30 s; a leaving process whose start is unknown was kept out for 60.

--- a/samphirerill/fleet/outage.py
+++ b/samphirerill/fleet/outage.py
@@ -78,24 +78,21 @@
         replicas together lack some layers.
     """
     ends = sorted(
-        {max(now, state.requested_backoff_until) for state in states} | {now}
+        {now, *(max(now, state.requested_backoff_until) for state in states)}
     )
-    index = bisect_left(
-        ends,
-        True,
-        key=lambda end: (
-            find_gap(
-                engine,
-                list_ranges(
-                    state
-                    for state in states
-                    if state.requested_backoff_until <= end
-                ),
-            )
-            is None
-        ),
+    # Replicas only return as time goes on, so that layers stay covered.
+    first = bisect_left(
+        ends, True, key=lambda end: _is_covered(engine, states, end)
     )
-    return ends[index] if index < len(ends) else float('inf')
+    return ends[first] if first < len(ends) else float('inf')
+
+
+def _is_covered(
+    engine: EngineSpec, states: Sequence[ReplicaState], at: float
+) -> bool:
+    """Return whether replicas whose back-off has ended hold all layers."""
+    present = [state for state in states if state.requested_backoff_until <= at]
+    return find_gap(engine, list_ranges(present)) is None
 
 
 def list_ranges(states: Iterable[ReplicaState]) -> list[LayerRange]:
--- a/samphirerill/fleet/replica_notices.py
+++ b/samphirerill/fleet/replica_notices.py
@@ -18,7 +18,7 @@
 # About five times the number of replicas in a large fleet.
 _MAX_NOTICES = 4096
 # Replicas may run for many seconds after they stopped serving their streams.
-_UNKNOWN_START_RETENTION_S = 60.0
+_UNKNOWN_START_RETENTION_S = 30.0
 # Responses of requests in flight together extend a back-off by less.
 _MIN_EXTENSION_S = 0.1
 
--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -156,8 +156,8 @@
             return; 0 if it is gone for sure.
         leaving_deadline : float
             Until when it serves its active streams. Some replicas drain without
-            announcing it, or only say so in responses; one that was suspected dead, or has announced that it
-            drains, serves nothing any more.
+            announcing it, or only say so in responses; one that was suspected
+            dead, or has announced that it drains, serves nothing any more.
         """
         state = self.replicas.get(replica_id)
         if state is None or revision < state.revision:
