--- a/samphirerill/fleet/replica_notices.py
+++ b/samphirerill/fleet/replica_notices.py
@@ -18,7 +18,7 @@
 # About five times the number of replicas in a large fleet.
 _MAX_NOTICES = 4096
 # Replicas may run for many seconds after they stopped serving their streams.
-_UNKNOWN_START_RETENTION_S = 60.0
+_UNKNOWN_START_RETENTION_S = 30.0
 # Responses of requests in flight together extend a back-off by less.
 _MIN_EXTENSION_S = 0.1
 
@@ -142,20 +142,21 @@
 
 def note_requested_backoff(
     view: FleetView, replica: Replica, until: float
-) -> None:
+) -> bool:
     """Record until when a replica wants no requests from this node.
 
     Unlike after a refusal without that, the replica names the time itself. A
-    response of an earlier process is ignored.
+    response of an earlier process is ignored; return false then.
     """
     state = view.replicas.get(replica.replica_id)
     if _is_replaced(state, replica):
-        return
+        return False
     view.notices.extend_backoff(replica, until)
     if state is not None:
         state.requested_backoff_until = view.notices.get_backoff_end(
             state.replica
         )
+    return True
 
 
 def note_reported_backoff(
