--- a/samphirerill/testing/soak/replicas.py
+++ b/samphirerill/testing/soak/replicas.py
@@ -13,7 +13,7 @@
 
 from msgspec import json
 
-from samphirerill.fleet.model import ClientLimits, LayerRange
+from samphirerill.fleet.model import NO_LAYERS, ClientLimits, LayerRange
 from samphirerill.relay.listeners import listen
 
 if TYPE_CHECKING:
@@ -64,6 +64,13 @@
         """Return the replica at an address, if any."""
         return self.by_address.get(address)
 
+    def is_in_use(self, address: str) -> bool:
+        """Return whether streams pass through the replica at an address."""
+        return any(
+            replica.runs_through(address)
+            for replica in self.by_address.values()
+        )
+
 
 @dataclass(slots=True)
 class _Run:
@@ -103,10 +110,16 @@
         self.service = service
         self.address = address
         self.kind = kind
-        self.layers = LayerRange(0, 0)
+        self.layers = NO_LAYERS
         self.is_stopped = False
         self.is_leaving = False
         self.leaving_since = float('inf')
+        # Whether its registry entry and its responses show that it is leaving.
+        self.announces_leaving = False
+        self.says_leaving = False
+        self._back_off_until = 0.0
+        # Sent instead of the remaining time.
+        self._retry_after = b''
         self.orders = 0
         self._listen_address = listen_address
         self._replicas = replicas
@@ -114,7 +127,10 @@
         self._loop = asyncio.get_running_loop()
         self._connections: set[ClientConnection] = set()
         self._server: asyncio.Server | None = None
-        self._busy_until = 0.0
+        self._is_busy = False
+        # Given up, but kept for the streams that pass through them.
+        self._released = NO_LAYERS
+        self._tasks: set[asyncio.Task[None]] = set()
         # The latest run of each request.
         self._runs: dict[str, _Run] = {}
 
@@ -130,6 +146,8 @@
         self.is_stopped = True
         if self._server is not None:
             self._server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
         for conn in tuple(self._connections):
             conn.abort()
         if self._replicas.find(self.address) is self:
@@ -142,7 +160,7 @@
             'address': self.address,
             'zone': 'a',
             'slots': 8,
-            'state': 'draining' if self.is_leaving else 'ready',
+            'state': 'draining' if self.announces_leaving else 'ready',
             'kind': self.kind,
         }
         if self.kind and self.layers.count:
@@ -157,10 +175,34 @@
         """Return whether connections are closed after each response."""
         return self.is_leaving
 
+    def ask_for_rest(self, back_off_s: float, retry_after: bytes) -> None:
+        """Refuse requests for a time, as an overloaded replica does.
+
+        Parameters
+        ----------
+        back_off_s : float
+            How long it refuses.
+        retry_after : bytes
+            The value that it sends; empty to send the remaining time.
+        """
+        self._back_off_until = self._loop.time() + back_off_s
+        self._retry_after = retry_after
+
     def holds(self, layers: LayerRange) -> bool:
         """Return whether the replica has loaded these layers."""
-        loaded = self.layers
-        return loaded.first <= layers.first and layers.end <= loaded.end
+        return _covers(self.layers, layers)
+
+    def keeps(self, layers: LayerRange) -> bool:
+        """Return whether streams in progress can use these layers."""
+        return self.holds(layers) or _covers(self._released, layers)
+
+    def runs_through(self, address: str) -> bool:
+        """Return whether a stream that it runs passes through a replica."""
+        return any(
+            address == stage_address
+            for run in self._runs.values()
+            for stage_address, _ in run.pipeline
+        )
 
     async def handle(self, req: Request, conn: ClientConnection) -> None:
         """Handle one request."""
@@ -172,12 +214,19 @@
             await self._serve(req, conn)
 
     async def _serve(self, req: Request, conn: ClientConnection) -> None:
+        now = self._loop.time()
         self._ground_truth.arrivals[_read_id(req)].add(self.address)
         expected = req.get(b'x-samphirerill-target-instance') or b''
         if expected != self.replica_id.encode():
             self._refuse(req, conn, _MISDIRECTED, self.address)
             return
         self._check_draining(req)
+        self._ground_truth.notice_checks.check_arrival(
+            _read_id(req), self.replica_id, self.address, now
+        )
+        if now < self._back_off_until:
+            self._refuse_for_rest(req, conn)
+            return
         if not self.kind:
             await self._answer_plain(req, conn)
             return
@@ -241,17 +290,26 @@
     async def _wait_for_stages(self, run: _Run) -> bool:
         """Wait for missing stages; return whether all are up in time."""
         until = self._loop.time() + _STALL_TIMEOUT_S
-        while self._find_unavailable(run.pipeline):
+        while self._find_unavailable(run.pipeline, run):
             if self._loop.time() >= until:
                 return False
             await asyncio.sleep(_POLL_INTERVAL_S)
         return True
 
-    def _find_unavailable(self, pipeline: list[tuple[str, LayerRange]]) -> str:
-        """Return the address of an unavailable stage, or an empty string."""
+    def _find_unavailable(
+        self, pipeline: list[tuple[str, LayerRange]], run: _Run | None = None
+    ) -> str:
+        """Return the address of an unavailable stage, or an empty string.
+
+        A `run` may go on to use the stages that it uses.
+        """
         for address, layers in pipeline:
             stage = self._replicas.find(address)
-            if stage is None or not stage.holds(layers):
+            if stage is None:
+                return address
+            is_used = run is not None and (address, layers) in run.pipeline
+            serves = stage.keeps if is_used else stage.holds
+            if not serves(layers):
                 return address
         return ''
 
@@ -262,23 +320,34 @@
         if expected is not None and expected != self.orders:
             return _CONFLICT
         self.orders += 1
+        if self.layers.count:
+            self._released = self.layers
+        self.layers = NO_LAYERS
+        self._is_busy = True
         layers = LayerRange(order['from'], order['to'])
-        self.layers = LayerRange(0, 0)
-        load_s = layers.count * _LAYER_LOAD_S
-        self._busy_until = self._loop.time() + load_s
-        self._loop.call_later(load_s, self._finish_load, layers, self.orders)
+        task = self._loop.create_task(self._load(layers, self.orders))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         return _ACCEPTED
 
-    def _finish_load(self, layers: LayerRange, number: int) -> None:
+    async def _load(self, layers: LayerRange, number: int) -> None:
+        """Load layers once no stream uses those that were given up."""
+        while self._replicas.is_in_use(self.address):
+            await asyncio.sleep(_POLL_INTERVAL_S)
+        if number != self.orders:
+            return
+        self._released = NO_LAYERS
+        await asyncio.sleep(layers.count * _LAYER_LOAD_S)
         if number == self.orders:
             self.layers = layers
+            self._is_busy = False
 
     def _change_pipeline(self, order: dict[str, Any]) -> int:
         pipeline = _parse_pipeline(order['path'].encode())
         run = self._runs.get(order['id'])
         if run is None:
             return _NOT_FOUND
-        if self._find_unavailable(pipeline):
+        if self._find_unavailable(pipeline, run):
             return _CONFLICT
         run.pipeline = pipeline
         self._record_path(order['id'], pipeline)
@@ -288,35 +357,61 @@
         stalled = [
             {'id': name, 'address': unavailable}
             for name, run in self._runs.items()
-            if (unavailable := self._find_unavailable(run.pipeline))
+            if (unavailable := self._find_unavailable(run.pipeline, run))
         ]
         return {
             'layers': _encode_layers(self.layers),
-            'busy': self._loop.time() < self._busy_until,
+            'busy': self._is_busy,
             'sequence': self.orders,
             'stalled': stalled,
         }
 
+    def _refuse_for_rest(self, req: Request, conn: ClientConnection) -> None:
+        now = self._loop.time()
+        remaining_s = self._back_off_until - now
+        self._ground_truth.counts['replica.back_off'] += 1
+        if self._retry_after:
+            retry_after = self._retry_after
+        else:
+            retry_after = f'{remaining_s:.3f}'.encode()
+            self._ground_truth.notice_checks.record_back_off(
+                _read_id(req), self.replica_id, now, self._back_off_until
+            )
+        self._refuse(
+            req, conn, _UNAVAILABLE, self.address, (b'retry-after', retry_after)
+        )
+
     def _refuse(
         self,
         req: Request,
         conn: ClientConnection,
         status: int,
         failed_address: str,
+        *more: tuple[bytes, bytes],
     ) -> None:
         headers = [
-            (_REQUEST_ID_HEADER, req.get(_REQUEST_ID_HEADER) or b''),
+            *self._build_common_headers(req),
             (b'x-samphirerill-not-executed', b'1'),
             (b'at-server', failed_address.encode()),
+            *more,
         ]
         conn.respond(status, headers, b'')
 
     def _build_headers(self, req: Request) -> list[tuple[bytes, bytes]]:
         return [
-            (_REQUEST_ID_HEADER, req.get(_REQUEST_ID_HEADER) or b''),
+            *self._build_common_headers(req),
             (b'x-samphirerill-response-seal', self.replica_id.encode()),
         ]
 
+    def _build_common_headers(self, req: Request) -> list[tuple[bytes, bytes]]:
+        headers = [(_REQUEST_ID_HEADER, req.get(_REQUEST_ID_HEADER) or b'')]
+        if self.says_leaving:
+            headers.append((b'server-leaving', b'1'))
+            self._ground_truth.notice_checks.record_leaving_answer(
+                _read_id(req), self.replica_id
+            )
+        return headers
+
     def _check_draining(self, req: Request) -> None:
         """Check that a draining replica gets no new request after the bound."""
         delay_s = self._loop.time() - self.leaving_since
@@ -352,6 +447,10 @@
     return pipeline
 
 
+def _covers(held: LayerRange, layers: LayerRange) -> bool:
+    return held.first <= layers.first and layers.end <= held.end
+
+
 def _encode_layers(layers: LayerRange) -> dict[str, int]:
     return {'from': layers.first, 'to': layers.end, 'version': 1}
 
