Give endpoints of the own interface the rest that they ask for

What callers saw: an engine or plain service that answers 503 with Retry-After got the next request a few milliseconds later, and load polls beside. Each such request came back as a refusal and cost its caller a retry; with all first stages resting, requests used up their attempts within milliseconds and failed though the rest was a second and a half.

Cause: nothing read the header. A refusal only made the same request avoid the endpoint, as a last resort not even that.

Now the calls, probes, load polls and orders emit EndpointAskedForRest before the outcome of the request. While it lasts: - placement has no path, service or last resort that uses the endpoint; attempts that were chosen before and not sent are placed anew when the event arrives, which is the moment of sending, as each attempt opens a connection of its own; - requests that no other endpoint can serve wait if the rest ends before their queue deadline, else they are refused at once and told when the first endpoint is back; a stream that has started waits; - a retry is withdrawn only if it can be sent in time, and refunded if nothing was sent for it; - no polls and orders; one probe at most, for streams that broke. An answer that asks for rest shows a living endpoint: no suspicion, no probe, no evidence against the request. A process counts as new if it has another address, or if its address refused a connection. What ran is decided as before: only an engine that states "ran": false has run nothing, and a service's 503 is its answer. The own 503 of a call that has ended, trailers and a second answer on a connection count for nothing.

--- a/samphirerill/backends/endpoint_call.py
+++ b/samphirerill/backends/endpoint_call.py
@@ -14,6 +14,7 @@
 
 from httptools import HttpParserError, HttpResponseParser
 
+from samphirerill.backends.endpoint_headers import emit_endpoint_events
 from samphirerill.core.events import AttemptFailed, AttemptSent
 
 if TYPE_CHECKING:
@@ -36,6 +37,8 @@
     ----------
     attempt_id : str
         Identifies the attempt in every event.
+    stage : Stage
+        The endpoint that is called.
     request : bytes
         The serialized HTTP request.
     sink : EventSink
@@ -43,9 +46,11 @@
     """
 
     def __init__(
-        self, attempt_id: str, request: bytes, sink: EventSink
+        self, attempt_id: str, stage: Stage, request: bytes, sink: EventSink
     ) -> None:
         self.attempt_id = attempt_id
+        self.stage = stage
+        self.has_asked_for_rest = False
         self.status = 0
         self.headers: list[tuple[str, str]] = []
         self._request = request
@@ -55,9 +60,9 @@
         self._closed = False
         self._paused = False
 
-    async def open(self, address: str) -> None:
+    async def open(self) -> None:
         """Connect and send; emits an event if the connection fails."""
-        host, _, port = address.rpartition(':')
+        host, _, port = self.stage.address.rpartition(':')
         loop = asyncio.get_running_loop()
         try:
             await asyncio.wait_for(
@@ -113,8 +118,17 @@
         self.headers.append(header)
 
     def on_headers_complete(self) -> None:
-        """Store the response status."""
+        """Store the status and emit what the headers say of the endpoint."""
         self.status = self._parser.get_status_code()
+        if self._closed:
+            return
+        self.has_asked_for_rest = emit_endpoint_events(
+            self.stage.endpoint,
+            self.stage.address,
+            self.status,
+            self.headers,
+            self._sink,
+        )
 
     @abstractmethod
     def on_body(self, body: bytes) -> None:
@@ -129,12 +143,19 @@
             self._sink.apply(event)
 
     def _fail(
-        self, detail: str, *, connected: bool = True, stage: int = -1
+        self,
+        detail: str,
+        *,
+        connected: bool = True,
+        stage: int = -1,
+        is_alive: bool = False,
     ) -> None:
         """Emit ``AttemptFailed`` once and close the connection."""
         if self._closed:
             return
-        event = AttemptFailed(self.attempt_id, detail, stage, connected)
+        event = AttemptFailed(
+            self.attempt_id, detail, stage, connected, is_alive
+        )
         self._sink.apply(event)
         self.close()
 
--- /dev/null
+++ b/samphirerill/backends/endpoint_headers.py
@@ -0,0 +1,80 @@
+"""What an endpoint says of itself in the headers of its answers.
+
+``Retry-After`` with status 503 or 429 asks this node for rest: in seconds, with
+fractions allowed, or until an HTTP date.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import time
+from email.utils import parsedate_to_datetime
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from samphirerill.core.endpoint_events import (
+    EndpointAskedForRest,
+    RetryAfterIgnored,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from samphirerill.backends.endpoint_call import EventSink
+
+Headers = list[tuple[str, str]]
+
+_RETRY_AFTER = 'retry-after'
+_REST_STATUSES = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+)
+_SECONDS = re.compile(r'[0-9]{1,32}(\.[0-9]{1,32})?')
+_MAX_LOGGED_CHARACTERS = 40
+
+
+def emit_endpoint_events(
+    endpoint: str, address: str, status: int, headers: Headers, sink: EventSink
+) -> bool:
+    """Emit what an answer's headers say; return whether it asks for rest.
+
+    Parameters
+    ----------
+    endpoint, address : str
+        Where the request was sent.
+    status : int
+        The status of the answer.
+    headers : list of tuple
+        The headers of the answer, without trailers.
+    sink : EventSink
+        Receives the events.
+    """
+    if status not in _REST_STATUSES:
+        return False
+    texts = [text for name, text in headers if name.lower() == _RETRY_AFTER]
+    if not texts:
+        return False
+    received = ', '.join(texts)[:_MAX_LOGGED_CHARACTERS]
+    rest_s = _find_longest(map(parse_retry_after_s, texts))
+    if rest_s is None:
+        sink.apply(RetryAfterIgnored(endpoint, address, received))
+        return False
+    until = asyncio.get_running_loop().time() + rest_s
+    sink.apply(EndpointAskedForRest(endpoint, address, until, received))
+    return True
+
+
+def parse_retry_after_s(text: str) -> float | None:
+    """Return the seconds that a ``Retry-After`` asks for, None if invalid."""
+    stripped = text.strip()
+    if _SECONDS.fullmatch(stripped):
+        return float(stripped)
+    try:
+        return max(0, parsedate_to_datetime(stripped).timestamp() - time.time())
+    except (ValueError, OverflowError):
+        return None
+
+
+def _find_longest(rests: Iterable[float | None]) -> float | None:
+    valid = [seconds for seconds in rests if seconds is not None]
+    return max(valid, default=None)
--- a/samphirerill/backends/engine_call.py
+++ b/samphirerill/backends/engine_call.py
@@ -99,8 +99,7 @@
         sink: EventSink,
         on_layer_trace: Callable[[int, list[list[Any]]], None] | None = None,
     ) -> None:
-        super().__init__(command.attempt_id, request, sink)
-        self._first_endpoint = command.stages[0].endpoint
+        super().__init__(command.attempt_id, command.stages[0], request, sink)
         self._on_layer_trace = on_layer_trace
         self._buffer = b''
 
@@ -110,7 +109,7 @@
         self._emit(AttemptProgressed(self.attempt_id))
         for name, text in self.headers:
             if name.lower() == _LOAD_HEADER:
-                emit_load_report(self._first_endpoint, text, self._sink)
+                emit_load_report(self.stage.endpoint, text, self._sink)
 
     def on_body(self, body: bytes) -> None:
         """Parse the server-sent events that are complete."""
@@ -167,10 +166,10 @@
         try:
             rejection = _REJECTION_DECODER.decode(self._buffer)
         except DecodeError:
-            self._fail(f'the engine answered status {self.status}')
-            return
+            rejection = _Rejection()
         if rejection.ran:
-            self._fail(f'the engine answered status {self.status}')
+            detail = f'the engine answered status {self.status}'
+            self._fail(detail, is_alive=self.has_asked_for_rest)
             return
         self._emit(AttemptRefused(self.attempt_id, rejection.reason))
         self.close()
--- a/samphirerill/backends/service_call.py
+++ b/samphirerill/backends/service_call.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from samphirerill.backends.endpoint_call import EventSink
+    from samphirerill.core.commands import Stage
 
 MAX_RESPONSE_BYTES = 4_194_304
 _HOP_BY_HOP = frozenset(
@@ -34,9 +35,9 @@
     """
 
     def __init__(
-        self, attempt_id: str, request: bytes, sink: EventSink
+        self, attempt_id: str, stage: Stage, request: bytes, sink: EventSink
     ) -> None:
-        super().__init__(attempt_id, request, sink)
+        super().__init__(attempt_id, stage, request, sink)
         self.body = b''
 
     def on_body(self, body: bytes) -> None:
--- /dev/null
+++ b/samphirerill/core/availability.py
@@ -0,0 +1,106 @@
+"""When a route can be served again whose endpoints asked for rest."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from samphirerill.core.commands import Outcome, Problem
+from samphirerill.core.configuration import SERVICE_ROUTE
+from samphirerill.core.state import Health
+
+if TYPE_CHECKING:
+    from samphirerill.core.configuration import Route
+    from samphirerill.core.state import CoreState, EndpointState
+
+RESTING_CODE = 'endpoints-resting'
+RESTING_DETAIL = 'the endpoints of this route asked for rest'
+# Time that a queued request needs after a rest to start before its deadline.
+_MIN_START_S = 0.1
+# Clients return spread over this time, or this share of their wait if longer.
+_MIN_RETURN_SPREAD_S = 1.0
+_RETURN_SPREAD = 0.1
+
+
+def find_rest_end(state: CoreState, route: Route, now: float) -> float:
+    """Return when rests no longer prevent a route's requests, or 0.
+
+    It is 0 if the route could be served without the resting endpoints, or not
+    even with them.
+    """
+    if not state.rests:
+        return 0
+    candidates = [
+        (state.rests.get_until(replica.endpoint.address, now), replica)
+        for replica in _list_candidates(state, route)
+        if replica.health is not Health.LEAVING
+    ]
+    for until in sorted({until for until, _ in candidates} | {0}):
+        available = [item for end, item in candidates if end <= until]
+        if _can_serve(state, route, available):
+            return until
+    return 0
+
+
+def is_too_late(rest_end: float, deadline: float) -> bool:
+    """Return whether a rest prevents a start before a deadline."""
+    return bool(rest_end) and rest_end + _MIN_START_S > deadline
+
+
+def compute_retry_after_s(
+    state: CoreState, rest_end: float, now: float
+) -> float:
+    """Return a time after a rest, random so that clients spread out."""
+    wait_s = rest_end - now
+    spread_s = max(_MIN_RETURN_SPREAD_S, _RETURN_SPREAD * wait_s)
+    return wait_s + state.random.uniform(0, spread_s)
+
+
+def find_rest_problem(
+    state: CoreState, route: Route, queue_deadline: float, now: float
+) -> Problem | None:
+    """Return the refusal of a new request that rests would outlast."""
+    rest_end = find_rest_end(state, route, now)
+    if not is_too_late(rest_end, queue_deadline):
+        return None
+    return Problem(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        RESTING_CODE,
+        RESTING_DETAIL,
+        Outcome.NOT_RUN,
+        compute_retry_after_s(state, rest_end, now),
+    )
+
+
+def _list_candidates(state: CoreState, route: Route) -> list[EndpointState]:
+    if route.kind == SERVICE_ROUTE:
+        names = route.endpoints
+        return [state.endpoints[at] for at in names if at in state.endpoints]
+    return state.by_model.get(route.model, [])
+
+
+def _can_serve(
+    state: CoreState, route: Route, replicas: list[EndpointState]
+) -> bool:
+    if route.kind == SERVICE_ROUTE:
+        return bool(replicas)
+    model = state.configuration.models.get(route.model)
+    return model is not None and _covers(replicas, model.layers)
+
+
+def _covers(replicas: list[EndpointState], layers: int) -> bool:
+    """Return whether replicas hold each of a model's layers."""
+    position = 0
+    while position < layers:
+        reached = max(
+            (
+                replica.endpoint.last + 1
+                for replica in replicas
+                if replica.endpoint.first <= position
+            ),
+            default=position,
+        )
+        if reached <= position:
+            return False
+        position = reached
+    return True
--- a/samphirerill/core/budget.py
+++ b/samphirerill/core/budget.py
@@ -23,6 +23,10 @@
         """Add the fraction of a retry that a first attempt earns."""
         self.balance = min(self.max_balance, self.balance + self.ratio)
 
+    def refund(self) -> None:
+        """Return a retry for which nothing was sent."""
+        self.balance = min(self.max_balance, self.balance + 1)
+
     def try_withdraw(self) -> bool:
         """Withdraw one retry; return whether one was available."""
         if self.balance < 1:
--- a/samphirerill/core/commands.py
+++ b/samphirerill/core/commands.py
@@ -131,6 +131,15 @@
     address: str
 
 
+@dataclass(slots=True)
+class LogEndpoint:
+    """Write a decision on an endpoint to the log."""
+
+    message: str
+    endpoint: str
+    details: dict[str, object]
+
+
 Command = (
     OpenAttempt
     | CancelAttempt
@@ -142,4 +151,5 @@
     | WriteClaim
     | SettleClaim
     | ProbeEndpoint
+    | LogEndpoint
 )
--- a/samphirerill/core/completion.py
+++ b/samphirerill/core/completion.py
@@ -66,6 +66,9 @@
     if attempt is not None:
         remove_attempt(state, attempt)
         state.emit(CancelAttempt(attempt.attempt_id))
+    budget = state.budgets.get(req.route.name)
+    if req.has_unspent_retry and budget is not None:
+        budget.refund()
     state.requests.pop(req.request_id, None)
 
 
--- /dev/null
+++ b/samphirerill/core/endpoint_events.py
@@ -0,0 +1,30 @@
+"""Events about what endpoints say of themselves in their answers.
+
+They are emitted before the outcome of the request that was answered.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class EndpointAskedForRest:
+    """An endpoint answered that it wants nothing from this node for a while.
+
+    `received` is the beginning of what the answer said.
+    """
+
+    endpoint: str
+    address: str
+    until: float
+    received: str = ''
+
+
+@dataclass(slots=True)
+class RetryAfterIgnored:
+    """An endpoint asked for rest with an invalid value."""
+
+    endpoint: str
+    address: str
+    received: str
--- a/samphirerill/core/events.py
+++ b/samphirerill/core/events.py
@@ -92,12 +92,15 @@
 
     `failed_stage` is the position of the pipeline stage that failed according
     to the engine, or -1. `connected` is false if no connection could be made.
+    `is_alive` is whether the endpoint answered that it cannot run the attempt
+    now, so that it needs no probe.
     """
 
     attempt_id: str
     detail: str
     failed_stage: int = -1
     connected: bool = True
+    is_alive: bool = False
 
 
 @dataclass(slots=True)
--- a/samphirerill/core/on_attempts.py
+++ b/samphirerill/core/on_attempts.py
@@ -69,7 +69,9 @@
     if attempt is None or attempt.sent:
         return
     attempt.sent = True
-    state.requests[attempt.request_id].ambiguous_attempts += 1
+    req = state.requests[attempt.request_id]
+    req.ambiguous_attempts += 1
+    req.has_unspent_retry = False
 
 
 @handle.register(TokenArrived)
@@ -169,12 +171,12 @@
     req = state.requests[attempt.request_id]
     remove_attempt(state, attempt)
     state.emit(CancelAttempt(attempt.attempt_id))
-    is_stage_unknown = not _exclude_failed_stage(
-        state, attempt, event, req, now
-    )
-    may_have_crashed = record_failure(state, attempt, req, now)
-    if is_stage_unknown or may_have_crashed:
-        probe_stages(state, attempt)
+    # A connection that failed has spent its retry.
+    req.has_unspent_retry = False
+    if event.is_alive:
+        req.avoid.add(attempt.stages[0].endpoint)
+    else:
+        _search_failed_stage(state, attempt, event, req, now)
     state.counters['attempts.broke'] += 1
     if refuse_quarantined(state, req, now):
         dispatch_queue(state, get_queue_name(req), now)
@@ -209,10 +211,31 @@
     state.schedule_wake(replica.next_probe_at, 'endpoint', name)
 
 
-def probe_stages(state: CoreState, attempt: AttemptState) -> None:
-    """Probe all stages, to distinguish a failed endpoint from a failed link."""
+def probe_stages(state: CoreState, attempt: AttemptState, now: float) -> None:
+    """Probe all stages, to distinguish a failed endpoint from a failed link.
+
+    One that was already probed during its rest is probed when it ends.
+    """
     for stage in attempt.stages:
-        state.emit(ProbeEndpoint(stage.endpoint, stage.address))
+        if state.rests.try_probe(stage.address, now):
+            state.emit(ProbeEndpoint(stage.endpoint, stage.address))
+        else:
+            mark_suspect(state, stage.endpoint, now)
+
+
+def _search_failed_stage(
+    state: CoreState,
+    attempt: AttemptState,
+    event: AttemptFailed,
+    req: RequestState,
+    now: float,
+) -> None:
+    is_stage_unknown = not _exclude_failed_stage(
+        state, attempt, event, req, now
+    )
+    may_have_crashed = record_failure(state, attempt, req, now)
+    if is_stage_unknown or may_have_crashed:
+        probe_stages(state, attempt, now)
 
 
 def _exclude_failed_stage(
--- a/samphirerill/core/on_deadlines.py
+++ b/samphirerill/core/on_deadlines.py
@@ -6,13 +6,20 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from samphirerill.core.availability import (
+    compute_retry_after_s,
+    find_rest_end,
+)
 from samphirerill.core.commands import ProbeEndpoint
 from samphirerill.core.completion import get_queue_name, refuse_request
 from samphirerill.core.events import AttemptFailed, TimerFired
 from samphirerill.core.handling import handle
 from samphirerill.core.on_attempts import on_attempt_failed
 from samphirerill.core.on_crashes import evaluate_quarantine
-from samphirerill.core.scheduling import dispatch_queue
+from samphirerill.core.scheduling import (
+    dispatch_all_queues,
+    dispatch_queue,
+)
 from samphirerill.core.state import Health, Phase
 
 if TYPE_CHECKING:
@@ -52,13 +59,17 @@
         return
     if req.queue_deadline > now:
         return
+    retry_after_s = _QUEUE_TIMEOUT_RETRY_S
+    rest_end = find_rest_end(state, req.route, now)
+    if rest_end:
+        retry_after_s = compute_retry_after_s(state, rest_end, now)
     refuse_request(
         state,
         req,
         HTTPStatus.SERVICE_UNAVAILABLE,
         'overloaded',
         'no room came in time',
-        _QUEUE_TIMEOUT_RETRY_S,
+        retry_after_s,
     )
 
 
@@ -103,10 +114,21 @@
     replica = state.endpoints.get(name)
     if replica is None or replica.health is not Health.SUSPECT:
         return
-    if replica.next_probe_at <= now:
+    rest_end = state.rests.get_until(replica.endpoint.address, now)
+    if rest_end:
+        replica.next_probe_at = rest_end
+        state.schedule_wake(rest_end, 'endpoint', name)
+    elif replica.next_probe_at <= now:
         state.emit(ProbeEndpoint(name, replica.endpoint.address))
 
 
+def _check_rest(state: CoreState, address: str, now: float) -> None:
+    """Use an endpoint again whose rest has ended."""
+    if not state.rests.get_until(address, now):
+        state.rests.remove(address)
+        dispatch_all_queues(state, now)
+
+
 def _check_quarantine(state: CoreState, name: str, now: float) -> None:
     """Re-evaluate the quarantine."""
     evaluate_quarantine(state, now)
@@ -116,6 +138,7 @@
     'quarantine': _check_quarantine,
     'queue': _check_queue,
     'request': _check_request,
+    'rest': _check_rest,
     'attempt': _check_attempt,
     'endpoint': _check_endpoint,
 }
--- a/samphirerill/core/on_fleet.py
+++ b/samphirerill/core/on_fleet.py
@@ -114,7 +114,12 @@
     """Use an endpoint again, or keep it suspect and probe again later."""
     record_probe(state, event, now)
     replica = state.endpoints.get(event.endpoint)
-    if replica is None or replica.health is Health.LEAVING:
+    if replica is None:
+        return
+    if event.is_refused:
+        # Whatever listens there later is another process.
+        state.rests.remove(replica.endpoint.address)
+    if replica.health is Health.LEAVING:
         return
     if not event.alive:
         mark_suspect(state, event.endpoint, now)
--- a/samphirerill/core/on_requests.py
+++ b/samphirerill/core/on_requests.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.core.admission import QueueEntry
+from samphirerill.core.availability import find_rest_problem
 from samphirerill.core.commands import Outcome, Problem, RefuseRequest
 from samphirerill.core.completion import (
     determine_outcome,
@@ -169,9 +170,13 @@
             'the queue is full',
             _QUEUE_FULL_RETRY_S,
         )
+    queue_deadline = _compute_queue_deadline(event, route, now)
+    problem = find_rest_problem(state, route, queue_deadline, now)
+    if problem is not None:
+        return problem
     ahead = queue.estimate_ahead(account.name, choose_priority(route, account))
     wait_s = ahead * queue.dequeue_interval_s
-    if length and now + wait_s > _compute_queue_deadline(event, route, now):
+    if length and now + wait_s > queue_deadline:
         detail = f'about {wait_s:.1f} s of work wait ahead of this request'
         return _build_refusal(
             HTTPStatus.SERVICE_UNAVAILABLE,
--- a/samphirerill/core/queries.py
+++ b/samphirerill/core/queries.py
@@ -68,6 +68,11 @@
     return dict(Counter(req.phase.value for req in state.requests.values()))
 
 
+def _get_rest_s(state: CoreState, address: str, now: float) -> float:
+    """Return the remaining seconds of a rest, or 0."""
+    return round(max(0, state.rests.get_until(address, now) - now), 3)
+
+
 def _describe_endpoints(state: CoreState, now: float) -> dict[str, Any]:
     return {
         name: {
@@ -76,6 +81,7 @@
             'reported_running': replica.running,
             'reported_waiting': replica.waiting,
             'free': count_free_slots(state, replica),
+            'rest_s': _get_rest_s(state, replica.endpoint.address, now),
         }
         for name, replica in state.endpoints.items()
     }
--- a/samphirerill/core/router.py
+++ b/samphirerill/core/router.py
@@ -11,6 +11,7 @@
     on_deadlines,
     on_fleet,
     on_requests,
+    on_rests,
 )
 from samphirerill.core.handling import handle
 from samphirerill.core.state import CoreState
@@ -24,6 +25,7 @@
     on_crashes,
     on_fleet,
     on_requests,
+    on_rests,
     on_deadlines,
 )
 
--- a/samphirerill/core/scheduling.py
+++ b/samphirerill/core/scheduling.py
@@ -7,12 +7,27 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.core.admission import FairQueue, QueueEntry
+from samphirerill.core.availability import (
+    RESTING_CODE,
+    RESTING_DETAIL,
+    compute_retry_after_s,
+    find_rest_end,
+    is_too_late,
+)
 from samphirerill.core.budget import RetryBudget
-from samphirerill.core.commands import OpenAttempt, Stage, WriteClaim
+from samphirerill.core.commands import (
+    CancelAttempt,
+    OpenAttempt,
+    Outcome,
+    Stage,
+    WriteClaim,
+)
 from samphirerill.core.completion import (
+    determine_outcome,
     get_queue_name,
     refuse_request,
     release_account_slot,
+    remove_attempt,
 )
 from samphirerill.core.configuration import SERVICE_ROUTE
 from samphirerill.core.placement import choose_pipeline, choose_service
@@ -120,10 +135,13 @@
     if not _may_retry(req):
         refuse_request(state, req, status, code, detail)
         return
-    limits = state.configuration.limits
+    rest_end = find_rest_end(state, req.route, now)
     req.failures += 1
-    if req.failures >= limits.max_attempts or not _withdraw_retry(state, req):
-        refuse_request(state, req, status, code, detail, _RETRY_AFTER_S)
+    if _is_hopeless(req, rest_end, now) or not _withdraw_retry(state, req):
+        retry_after_s = _RETRY_AFTER_S
+        if rest_end:
+            retry_after_s = compute_retry_after_s(state, rest_end, now)
+        refuse_request(state, req, status, code, detail, retry_after_s)
         return
     state.counters['retries'] += 1
     if not start_attempt(state, req, now):
@@ -134,12 +152,45 @@
     """Queue a request that already ran ahead of those that have not."""
     req.phase = Phase.QUEUED
     release_account_slot(state, req)
-    req.queue_deadline = min(req.deadline, now + req.route.queue_timeout_s)
+    req.queue_deadline = _compute_queue_deadline(req, now)
     state.schedule_wake(req.queue_deadline, 'queue', req.request_id)
     entry = QueueEntry(req.request_id, req.account, req.priority, 0)
     get_queue(state, get_queue_name(req)).add(entry, at_front=True)
 
 
+def withdraw_attempts(state: CoreState, address: str, now: float) -> None:
+    """Place the requests anew whose attempts would use an address.
+
+    Only attempts of which nothing was sent are withdrawn.
+    """
+    for attempt in tuple(state.attempts.values()):
+        addresses = {stage.address for stage in attempt.stages}
+        if attempt.sent or address not in addresses:
+            continue
+        req = state.requests[attempt.request_id]
+        remove_attempt(state, attempt)
+        state.emit(CancelAttempt(attempt.attempt_id))
+        state.counters['attempts.withdrawn'] += 1
+        if not start_attempt(state, req, now):
+            requeue_at_front(state, req, now)
+
+
+def refuse_hopeless(state: CoreState, now: float) -> None:
+    """Refuse queued requests whose deadline passes before a rest ends.
+
+    A stream that has started waits, as any change may still save it.
+    """
+    rest_ends: dict[str, float] = {}
+    for req in tuple(state.requests.values()):
+        if req.phase is not Phase.QUEUED or req.delivered:
+            continue
+        name = req.route.name
+        if name not in rest_ends:
+            rest_ends[name] = find_rest_end(state, req.route, now)
+        if is_too_late(rest_ends[name], req.queue_deadline):
+            _refuse_resting(state, req, rest_ends[name], now)
+
+
 def deposit_retry(state: CoreState, req: RequestState) -> None:
     """Deposit a first attempt in its route's retry budget."""
     _get_budget(state, req).deposit()
@@ -201,6 +252,30 @@
     return min(req.deadline, now + limits.answer_timeout_s)
 
 
+def _refuse_resting(
+    state: CoreState, req: RequestState, rest_end: float, now: float
+) -> None:
+    # A 503 would state that nothing ran.
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    if determine_outcome(req) is Outcome.MAY_HAVE_RUN:
+        status = HTTPStatus.BAD_GATEWAY
+    retry_after_s = compute_retry_after_s(state, rest_end, now)
+    refuse_request(
+        state, req, status, RESTING_CODE, RESTING_DETAIL, retry_after_s
+    )
+
+
+def _is_hopeless(req: RequestState, rest_end: float, now: float) -> bool:
+    """Return whether a retry could not start in time because of a rest."""
+    if req.delivered:
+        return False
+    return is_too_late(rest_end, _compute_queue_deadline(req, now))
+
+
+def _compute_queue_deadline(req: RequestState, now: float) -> float:
+    return min(req.deadline, now + req.route.queue_timeout_s)
+
+
 def _may_retry(req: RequestState) -> bool:
     if req.route.idempotent:
         return True
@@ -208,7 +283,11 @@
 
 
 def _withdraw_retry(state: CoreState, req: RequestState) -> bool:
-    return _get_budget(state, req).try_withdraw()
+    """Withdraw a retry unless the request has failed too often."""
+    if req.failures >= state.configuration.limits.max_attempts:
+        return False
+    req.has_unspent_retry = _get_budget(state, req).try_withdraw()
+    return req.has_unspent_retry
 
 
 def _get_budget(state: CoreState, req: RequestState) -> RetryBudget:
--- a/samphirerill/core/state.py
+++ b/samphirerill/core/state.py
@@ -19,6 +19,7 @@
 from samphirerill.core.configuration import Configuration, Endpoint
 from samphirerill.core.links import LinkLatencies
 from samphirerill.core.prefixes import PrefixIndex
+from samphirerill.core.rests import Rests
 from samphirerill.quarantine import Quarantine
 
 if TYPE_CHECKING:
@@ -50,7 +51,8 @@
 
     `delivered` is the index of the next token to deliver. `ambiguous_attempts`
     counts attempts that may have run; `failures` counts those that failed
-    since the last token.
+    since the last token. `has_unspent_retry` is whether a retry was withdrawn
+    from the budget and nothing has been sent for it yet.
     """
 
     request_id: str
@@ -71,6 +73,7 @@
     attempts: int = 0
     failures: int = 0
     ambiguous_attempts: int = 0
+    has_unspent_retry: bool = False
     attempt_id: str = ''
     avoid: set[str] = field(default_factory=set)
 
@@ -153,6 +156,7 @@
         'quarantine',
         'random',
         'requests',
+        'rests',
         'running_by_account',
         'suspected_crashes',
         'suspension_reason',
@@ -171,6 +175,7 @@
         self.leaving: dict[str, float] = {}
         self.links = LinkLatencies()
         self.prefixes = PrefixIndex()
+        self.rests = Rests()
         self.quarantine = Quarantine()
         # By endpoint being probed, the requests whose attempts failed there.
         self.suspected_crashes: dict[str, dict[bytes, Crash]] = {}
--- a/samphirerill/node/command_execution.py
+++ b/samphirerill/node/command_execution.py
@@ -5,7 +5,6 @@
 import hashlib
 from base64 import b64decode, b64encode
 from functools import singledispatch
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 from samphirerill.backends.endpoint_call import build_request
@@ -17,18 +16,19 @@
     DeliverServiceResponse,
     DeliverToken,
     FinishAnswer,
+    LogEndpoint,
     OpenAttempt,
     Outcome,
     ProbeEndpoint,
-    Problem,
     RefuseRequest,
     ReplayAnswer,
     SettleClaim,
     WriteClaim,
 )
 from samphirerill.node.health_checks import probe_endpoint
+from samphirerill.node.logs import get_logger
 from samphirerill.node.metrics import FIRST_TOKEN, RESPONSE_TIME, TOKEN_INTERVAL
-from samphirerill.node.responses import StoredResponse
+from samphirerill.node.responses import ANSWER_NOT_KEPT, StoredResponse
 
 if TYPE_CHECKING:
     from samphirerill.backends.endpoint_call import EndpointCall
@@ -36,6 +36,7 @@
     from samphirerill.node.sessions import Session
 
 _SALT_LENGTH = 16
+_LOG = get_logger('endpoints')
 
 
 @singledispatch
@@ -55,8 +56,7 @@
     session.on_backpressure = lambda slow: (
         call.pause() if slow else call.resume()
     )
-    coroutine = call.open(command.stages[0].address)
-    node.start_task(coroutine, f'attempt {command.attempt_id}')
+    node.start_task(call.open(), f'attempt {command.attempt_id}')
 
 
 @execute.register(CancelAttempt)
@@ -135,15 +135,7 @@
             Outcome.ANSWERED,
         )
     else:
-        session.send_problem(
-            Problem(
-                HTTPStatus.CONFLICT,
-                'already-answered',
-                'the first request with this Idempotency-Key was answered; '
-                'its answer was too large to keep',
-                Outcome.ANSWERED,
-            ),
-        )
+        session.send_problem(ANSWER_NOT_KEPT)
 
 
 @execute.register(WriteClaim)
@@ -167,6 +159,14 @@
     node.start_task(coroutine, f'probe {command.endpoint}')
 
 
+@execute.register(LogEndpoint)
+def execute_log_endpoint(command: LogEndpoint, node: Node) -> None:
+    """Write a decision on an endpoint to the log."""
+    _LOG.info(
+        command.message, extra={'endpoint': command.endpoint, **command.details}
+    )
+
+
 def derive_cache_salt(account: str) -> str:
     """Return the salt that isolates an account in engines' prefix caches."""
     return hashlib.sha256(f'cache/{account}'.encode()).hexdigest()[
@@ -179,7 +179,8 @@
 ) -> EndpointCall:
     if command.is_service:
         request = _build_service_request(command, session)
-        return ServiceCall(command.attempt_id, request, node)
+        stage = command.stages[0]
+        return ServiceCall(command.attempt_id, stage, request, node)
     request = build_engine_request(
         command,
         {
--- a/samphirerill/node/engine_controller.py
+++ b/samphirerill/node/engine_controller.py
@@ -25,7 +25,7 @@
     Order,
     plan_orders,
 )
-from samphirerill.node.health_checks import try_fetch
+from samphirerill.node.health_checks import try_fetch_from
 from samphirerill.node.jitter import add_jitter
 from samphirerill.node.logs import get_logger
 
@@ -158,7 +158,9 @@
 
     async def _send_orders(self, term: LeaderTerm) -> None:
         polled = self._choose_engines_to_poll()
-        responses = await asyncio.gather(*map(_fetch_status, polled))
+        responses = await asyncio.gather(
+            *(_fetch_status(endpoint, self._node) for endpoint in polled)
+        )
         status_by_name = dict(
             zip([endpoint.name for endpoint in polled], responses, strict=True)
         )
@@ -167,7 +169,10 @@
             if status is not None:
                 self._statuses[name] = status
         polled = [
-            item for item in polled if status_by_name[item.name] is not None
+            item
+            for item in polled
+            if status_by_name[item.name] is not None
+            and not self._is_resting(item)
         ]
         limits = self._node.router.state.configuration.limits
         now = self._node.loop.time()
@@ -191,7 +196,13 @@
                 'role': desired.role,
             }
         )
-        response = await try_fetch(order.address, '/orders', body.encode())
+        response = await try_fetch_from(
+            order.endpoint,
+            order.address,
+            '/orders',
+            self._node,
+            body.encode(),
+        )
         _LOG.info(
             'order sent',
             extra={
@@ -204,11 +215,16 @@
     def _choose_engines_to_poll(self) -> list[Endpoint]:
         """Return the engines to poll: loading ones, then the least recent.
 
-        Their number is limited, because polling all engines of a large
-        deployment every second would cost too much CPU time.
+        Resting ones get neither polls nor orders. The number is limited,
+        because polling all engines of a large deployment every second would
+        cost too much CPU time.
         """
         order = {name: at for at, name in enumerate(self._statuses)}
-        polled = self._list_controlled()
+        polled = [
+            endpoint
+            for endpoint in self._list_controlled()
+            if not self._is_resting(endpoint)
+        ]
         polled.sort(
             key=lambda endpoint: (
                 not self._is_loading(endpoint.name),
@@ -217,6 +233,11 @@
         )
         return polled[:_MAX_POLLS]
 
+    def _is_resting(self, endpoint: Endpoint) -> bool:
+        now = self._node.loop.time()
+        rests = self._node.router.state.rests
+        return bool(rests.get_until(endpoint.address, now))
+
     def _is_loading(self, name: str) -> bool:
         status = self._statuses.get(name)
         return status is not None and status.is_loading
@@ -230,8 +251,10 @@
         ]
 
 
-async def _fetch_status(endpoint: Endpoint) -> EngineStatus | None:
-    body = await try_fetch(endpoint.address, '/status')
+async def _fetch_status(endpoint: Endpoint, node: Node) -> EngineStatus | None:
+    body = await try_fetch_from(
+        endpoint.name, endpoint.address, '/status', node
+    )
     if body is None:
         return None
     try:
--- a/samphirerill/node/health_checks.py
+++ b/samphirerill/node/health_checks.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from samphirerill.backends.endpoint_headers import emit_endpoint_events
 from samphirerill.backends.engine_call import emit_load_report
 from samphirerill.core.configuration import ENGINE
 from samphirerill.core.events import ProbeFinished
 from samphirerill.node.loop_lag import lag_aware_timeout_at
 
 if TYPE_CHECKING:
+    from samphirerill.backends.endpoint_headers import Headers
     from samphirerill.core.commands import ProbeEndpoint
+    from samphirerill.core.configuration import Endpoint
     from samphirerill.core.state import EndpointState
     from samphirerill.node.node import Node
 
@@ -20,13 +24,23 @@
 LOAD_REPORT_TTL_S = 1.0
 _IDLE_INTERVAL_S = 0.25
 _MAX_BODY_BYTES = 65_536
+_STATUS_DIGITS = 3
+
+
+@dataclass(slots=True, frozen=True)
+class _Answer:
+    """An endpoint's answer to a health check, load poll or order."""
+
+    status: int
+    headers: Headers
+    body: bytes
 
 
 async def probe_endpoint(command: ProbeEndpoint, node: Node) -> None:
     """Check an endpoint over a new connection and report to the core."""
     is_refused = False
     try:
-        await _fetch_with_timeout(command.address, '/health', None)
+        answer = await _fetch_with_timeout(command.address, '/health', None)
     except ConnectionRefusedError:
         is_refused = True
         is_alive = False
@@ -34,6 +48,7 @@
         is_alive = False
     else:
         is_alive = True
+        _emit_headers(command.endpoint, command.address, answer, node)
     node.apply(ProbeFinished(command.endpoint, is_alive, is_refused))
 
 
@@ -50,9 +65,7 @@
             await asyncio.sleep(_IDLE_INTERVAL_S)
             continue
         endpoint_state.reported_at = node.loop.time()
-        coroutine = _poll_load(
-            endpoint_state.endpoint.name, endpoint_state.endpoint.address, node
-        )
+        coroutine = _poll_load(endpoint_state.endpoint, node)
         node.start_task(coroutine, 'load poll')
         await asyncio.sleep(1 / LOAD_POLLS_PER_S)
 
@@ -64,10 +77,23 @@
 
     Sends a POST request if there is a `body`, else a GET request.
     """
-    try:
-        return await _fetch_with_timeout(address, target, body)
-    except (OSError, EOFError, TimeoutError, ValueError):
+    answer = await _try_fetch_answer(address, target, body)
+    return None if answer is None else answer.body
+
+
+async def try_fetch_from(
+    name: str,
+    address: str,
+    target: str,
+    node: Node,
+    body: bytes | None = None,
+) -> bytes | None:
+    """Do the same, and pass on what the answer says of its endpoint."""
+    answer = await _try_fetch_answer(address, target, body)
+    if answer is None:
         return None
+    _emit_headers(name, address, answer, node)
+    return answer.body
 
 
 def build_fetch_request(
@@ -84,50 +110,85 @@
     return head.encode() + (body or b'')
 
 
-async def _poll_load(name: str, address: str, node: Node) -> None:
+async def _poll_load(endpoint: Endpoint, node: Node) -> None:
+    name = endpoint.name
     last_event = node.router.state.prefixes.get_last_event(name)
-    body = await try_fetch(address, f'/load?cache_after={last_event}')
+    target = f'/load?cache_after={last_event}'
+    body = await try_fetch_from(name, endpoint.address, target, node)
     if body is None:
         node.apply(ProbeFinished(name, alive=False))
     else:
         emit_load_report(name, body, node)
 
 
+def _emit_headers(
+    endpoint: str, address: str, answer: _Answer, node: Node
+) -> None:
+    emit_endpoint_events(endpoint, address, answer.status, answer.headers, node)
+
+
 def _find_stalest(node: Node) -> EndpointState | None:
-    stale_before = node.loop.time() - LOAD_REPORT_TTL_S
+    """Return the engine whose report is the oldest; resting ones are skipped."""
+    now = node.loop.time()
+    stale_before = now - LOAD_REPORT_TTL_S
+    rests = node.router.state.rests
     stale_states = [
         endpoint_state
         for replicas in node.router.state.by_model.values()
         for endpoint_state in replicas
         if endpoint_state.endpoint.kind == ENGINE
         and endpoint_state.reported_at < stale_before
+        and not rests.get_until(endpoint_state.endpoint.address, now)
     ]
     return min(stale_states, key=lambda item: item.reported_at, default=None)
 
 
+async def _try_fetch_answer(
+    address: str, target: str, body: bytes | None
+) -> _Answer | None:
+    try:
+        return await _fetch_with_timeout(address, target, body)
+    except (OSError, EOFError, TimeoutError, ValueError):
+        return None
+
+
 async def _fetch_with_timeout(
     address: str, target: str, body: bytes | None
-) -> bytes:
+) -> _Answer:
     deadline = asyncio.get_running_loop().time() + PROBE_TIMEOUT_S
     async with lag_aware_timeout_at(deadline):
         return await _fetch(address, target, body)
 
 
-async def _fetch(address: str, target: str, body: bytes | None) -> bytes:
+async def _fetch(address: str, target: str, body: bytes | None) -> _Answer:
     host, _, port = address.rpartition(':')
     reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(build_fetch_request(target, address, body))
     try:
         head = await reader.readuntil(b'\r\n\r\n')
-        return await reader.readexactly(_parse_content_length(head))
+        status_line, *lines = head.decode('latin-1').split('\r\n')
+        headers = _parse_headers(lines)
+        body = await reader.readexactly(_parse_content_length(headers))
+        return _Answer(_parse_status(status_line), headers, body)
     finally:
         writer.close()
 
 
-def _parse_content_length(head: bytes) -> int:
-    for line in head.split(b'\r\n'):
-        name, _, text = line.partition(b':')
-        if name.lower() == b'content-length':
+def _parse_status(status_line: str) -> int:
+    """Return the status; 0, which says nothing, if there is none."""
+    _, _, text = status_line.partition(' ')
+    digits = text[:_STATUS_DIGITS]
+    return int(digits) if digits.isdecimal() else 0
+
+
+def _parse_headers(lines: list[str]) -> Headers:
+    pairs = (line.partition(':') for line in lines)
+    return [(name, text.strip()) for name, _, text in pairs]
+
+
+def _parse_content_length(headers: Headers) -> int:
+    for name, text in headers:
+        if name.lower() == 'content-length':
             length = int(text)
             if length <= _MAX_BODY_BYTES:
                 return length
--- a/samphirerill/node/responses.py
+++ b/samphirerill/node/responses.py
@@ -6,14 +6,18 @@
 import time
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-from samphirerill.core.commands import Outcome
-
-if TYPE_CHECKING:
-    from samphirerill.core.commands import Problem
+from samphirerill.core.commands import Outcome, Problem
 
 OUTCOME_HEADER = 'Samphirerill-Outcome'
+ANSWER_NOT_KEPT = Problem(
+    HTTPStatus.CONFLICT,
+    'already-answered',
+    'the first request with this Idempotency-Key was answered; '
+    'its answer was too large to keep',
+    Outcome.ANSWERED,
+)
 _PROBLEM_TYPE_PREFIX = 'https://samphirerill.example/problems/'
 
 
--- a/samphirerill/properties/router_machine.py
+++ b/samphirerill/properties/router_machine.py
@@ -106,6 +106,30 @@
         failed = events.AttemptFailed(attempt_id, 'died', stage, attempt.sent)
         self.simulation.apply(attempt.node, failed)
 
+    @precondition(lambda self: self.simulation.list_open())
+    @rule(
+        pick=_PICKS,
+        seconds=st.sampled_from((0.3, 3.0, 20.0, 1e20)),
+        ran=st.booleans(),
+    )
+    def ask_for_rest(self, pick: int, seconds: float, ran: bool) -> None:
+        """Answer an attempt with a refusal that asks for rest."""
+        attempt_id = self._pick_open(pick)
+        attempt = self.simulation.attempts[attempt_id]
+        if attempt.ran:
+            return
+        if not attempt.sent:
+            self.simulation.send(attempt_id)
+        if ran:
+            self.simulation.run(attempt_id)
+        self.simulation.ask_for_rest(attempt_id, seconds)
+        answer: object = events.AttemptRefused(attempt_id, 'full')
+        if ran:
+            answer = events.AttemptFailed(attempt_id, '503', is_alive=True)
+        else:
+            attempt.refused = True
+        self.simulation.apply(attempt.node, answer)
+
     @precondition(lambda self: self.simulation.list_sent())
     @rule(pick=_PICKS, index=st.integers(0, TOKENS), epoch=st.integers(0, 2))
     def late_or_crossed(self, pick: int, index: int, epoch: int) -> None:
--- a/samphirerill/properties/simulation.py
+++ b/samphirerill/properties/simulation.py
@@ -23,8 +23,11 @@
 )
 from samphirerill.core import commands as core_commands
 from samphirerill.core import events
+from samphirerill.core.availability import RESTING_CODE
 from samphirerill.core.commands import Outcome
 from samphirerill.core.configuration import Configuration, build_configuration
+from samphirerill.core.endpoint_events import EndpointAskedForRest
+from samphirerill.core.rests import MAX_REST_S
 from samphirerill.core.router import Router
 from samphirerill.properties.oracle import check_coverage, expect
 
@@ -152,6 +155,8 @@
         self.version = 0
         self.configuration = Configuration(version=0)
         self.request_count = 0
+        # When the rests end that endpoints asked of a node, by address.
+        self.rests: dict[tuple[int, str], float] = {}
 
     def configure(self, kinds: tuple[int, ...]) -> None:
         """Create a configuration version and deliver it to every node."""
@@ -227,6 +232,11 @@
                 self.won_claims.pop(request_id, None)
         self.probes = [probe for probe in self.probes if probe[0] != node]
         self.restart_counts[node] += 1
+        self.rests = {
+            place: until
+            for place, until in self.rests.items()
+            if place[0] != node
+        }
         self.routers[node] = Router(
             self.get_process_id(node), seed=self.restart_counts[node]
         )
@@ -243,6 +253,7 @@
     def send(self, attempt_id: str) -> None:
         """Mark an attempt as sent; from now on it may be executed."""
         attempt = self.attempts[attempt_id]
+        self._check_stages(attempt.node, attempt.command.stages)
         attempt.sent = True
         self.apply(attempt.node, events.AttemptSent(attempt_id))
 
@@ -276,6 +287,17 @@
         )
         self.apply(attempt.node, token)
 
+    def ask_for_rest(self, attempt_id: str, seconds: float) -> None:
+        """Let the first stage of an attempt ask its node for rest."""
+        attempt = self.attempts[attempt_id]
+        stage = attempt.command.stages[0]
+        place = (attempt.node, stage.address)
+        until = self.now + seconds
+        bounded = min(until, self.now + MAX_REST_S)
+        self.rests[place] = max(bounded, self.rests.get(place, 0))
+        event = EndpointAskedForRest(stage.endpoint, stage.address, until)
+        self.apply(attempt.node, event)
+
     def list_open(self) -> list[str]:
         """Return the attempts that are open at their node."""
         return [
@@ -397,6 +419,7 @@
                 stage.endpoint not in self.leaving_endpoints,
                 f'new attempt at leaving endpoint {stage.endpoint}',
             )
+        self._check_stages(node, command.stages)
         if not command.is_service:
             check_coverage(command.stages, LAYERS)
             expect(
@@ -407,6 +430,31 @@
             node, command, next_token=command.resume_at
         )
 
+    def _check_stages(
+        self, node: int, stages: tuple[core_commands.Stage, ...]
+    ) -> None:
+        """Check that no stage asked the node for rest that goes on."""
+        for stage in stages:
+            expect(
+                self.rests.get((node, stage.address), 0) <= self.now,
+                f'sent to resting endpoint {stage.endpoint}',
+            )
+
+    def _check_return(
+        self, request: RequestRecord, problem: core_commands.Problem
+    ) -> None:
+        """Check that a client returns when a rest has ended, not before."""
+        ends = [
+            until
+            for (node, _), until in self.rests.items()
+            if node == request.node and until > self.now
+        ]
+        expect(bool(ends), f'no endpoint rests: {problem}')
+        expect(
+            self.now + problem.retry_after_s >= min(ends),
+            f'clients return before the end of a rest: {problem}',
+        )
+
     def _deliver_token(self, request_id: str, index: int) -> None:
         request = self.requests[request_id]
         expect(
@@ -433,6 +481,8 @@
     ) -> None:
         request = self.requests[request_id]
         request.outcomes.append(problem.outcome.value)
+        if problem.code == RESTING_CODE:
+            self._check_return(request, problem)
         if problem.outcome is not Outcome.NOT_RUN:
             return
         ran = any(
--- a/samphirerill/testing/engine.py
+++ b/samphirerill/testing/engine.py
@@ -73,7 +73,9 @@
     `frozen`: accept connections and never respond; `refuse`: refuse requests
     as not executed, with this reason; `crossed`: label tokens with another
     attempt's id; `repeat`: send each token twice; `die_after`: crash after
-    that many more tokens; `link_ms`: additional latency of received frames.
+    that many more tokens; `link_ms`: additional latency of received frames;
+    `retry_after`: answer requests with status 503 and this ``Retry-After``;
+    `is_ambiguous`: such an answer does not state that nothing ran.
     """
 
     frozen: bool = False
@@ -82,6 +84,8 @@
     repeat: bool = False
     die_after: int = -1
     link_ms: float = 0
+    retry_after: str | None = None
+    is_ambiguous: bool = False
 
 
 @dataclass(slots=True)
@@ -167,7 +171,10 @@
         """Handle one HTTP request."""
         if request.path == '/control':
             await self._apply_control(request)
-        elif self.faults.frozen:
+            return
+        if request.path != '/stats':
+            self.counts['received'] += 1
+        if self.faults.frozen:
             self.counts['ignored'] += 1
         elif request.path.startswith('/v1/'):
             self._start_sequence(request)
@@ -189,6 +196,9 @@
         request.connection.answer_json({'ok': True})
 
     def _start_sequence(self, request: Request) -> None:
+        if self.faults.retry_after is not None:
+            self._ask_for_rest(request, self.faults.retry_after)
+            return
         if self.faults.refuse:
             refusal = {'ran': False, 'reason': self.faults.refuse}
             request.connection.answer_json(refusal, 503)
@@ -211,6 +221,12 @@
         if sequence in self._waiting:
             self._spawn(self._send_keep_alives(sequence))
 
+    def _ask_for_rest(self, request: Request, retry_after: str) -> None:
+        self.counts['asked_for_rest'] += 1
+        refusal = {} if self.faults.is_ambiguous else {'ran': False}
+        headers = {'Retry-After': retry_after}
+        request.connection.answer_json(refusal, 503, headers)
+
     def _admit(self) -> None:
         while self._waiting and self.running() < self.slots:
             sequence = self._waiting.pop(0)
--- a/samphirerill/testing/httpd.py
+++ b/samphirerill/testing/httpd.py
@@ -100,10 +100,16 @@
         if not self.closed:
             self.transport.write(head + body)
 
-    def answer_json(self, document: Any, status: int = 200) -> None:
+    def answer_json(
+        self,
+        document: Any,
+        status: int = 200,
+        headers: dict[str, str] | None = None,
+    ) -> None:
         """Send a complete JSON response."""
         body = json.dumps(document).encode()
-        self.answer(status, body, {'Content-Type': 'application/json'})
+        content_type = {'Content-Type': 'application/json'}
+        self.answer(status, body, {**content_type, **(headers or {})})
 
     def start_chunks(self, headers: dict[str, str] | None = None) -> None:
         """Send the head of a chunked response."""
--- a/samphirerill/testing/services.py
+++ b/samphirerill/testing/services.py
@@ -34,12 +34,14 @@
     Requests are identified by the ``Idempotency-Key`` header, otherwise by the
     body. ``POST /control`` sets ``fault``: ``silent`` executes a request
     without responding, ``cut`` closes the connection halfway through the
-    response; it also sets ``delay_s``.
+    response; it also sets ``delay_s``, and ``retry_after``, with which
+    requests are answered with status 503 and this ``Retry-After``.
     """
 
     def __init__(self) -> None:
         self.executions: Counter[str] = Counter()
         self.fault = ''
+        self.retry_after: str | None = None
         self.delay_s = 0.0
 
     async def handle(self, request: Request) -> None:
@@ -48,6 +50,7 @@
             changes = request.read_json()
             self.fault = changes.get('fault', self.fault)
             self.delay_s = changes.get('delay_s', self.delay_s)
+            self.retry_after = changes.get('retry_after', self.retry_after)
             request.connection.answer_json({'ok': True})
         elif request.path == '/stats':
             request.connection.answer_json(dict(self.executions))
@@ -59,6 +62,10 @@
     async def _execute(self, request: Request) -> None:
         name = request.headers.get('idempotency-key', '')
         self.executions[name or request.body.decode('latin-1')] += 1
+        if self.retry_after is not None:
+            headers = {'Retry-After': self.retry_after}
+            request.connection.answer_json({}, 503, headers)
+            return
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         if self.fault == 'silent':
