Round Retry-After up

What callers saw: a refusal that knew of 2.4 s said Retry-After: 2, and one of less than half a second said 0 if it came from the HTTP server itself. A client that does as it is told returns while nothing is free and is refused again.

Cause: both places rounded to the nearest second, the document to the nearest tenth. One function rounds up now.

The tests failed before: 'Retry-After: 3\r\n' not found in ... 'Retry-After: 2\r\n' 2.4 not greater than or equal to 2.44

--- a/samphirerill/edges/http_server.py
+++ b/samphirerill/edges/http_server.py
@@ -10,7 +10,11 @@
 
 from samphirerill.core.commands import Outcome, Problem
 from samphirerill.edges.handoff import HandoffServer
-from samphirerill.node.responses import OUTCOME_HEADER, build_problem_document
+from samphirerill.node.responses import (
+    OUTCOME_HEADER,
+    build_problem_document,
+    format_retry_after,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -103,7 +107,7 @@
     response.headers['Content-Type'] = _PROBLEM_MEDIA_TYPE
     response.headers[OUTCOME_HEADER] = problem.outcome.value
     if problem.retry_after_s:
-        response.headers['Retry-After'] = str(round(problem.retry_after_s))
+        response.headers['Retry-After'] = format_retry_after(problem)
     return json.dumps(build_problem_document(problem, '')).encode()
 
 
--- a/samphirerill/node/responses.py
+++ b/samphirerill/node/responses.py
@@ -6,6 +6,7 @@
 import time
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from math import ceil
 from typing import Any
 
 from samphirerill.core.commands import Outcome, Problem
@@ -18,6 +19,7 @@
     'its answer was too large to keep',
     Outcome.ANSWERED,
 )
+_TENTHS_PER_S = 10
 _PROBLEM_TYPE_PREFIX = 'https://samphirerill.example/problems/'
 
 
@@ -125,10 +127,16 @@
         'request': request_id,
     }
     if problem.retry_after_s:
-        document['retry_after_s'] = round(problem.retry_after_s, 1)
+        tenths = ceil(problem.retry_after_s * _TENTHS_PER_S)
+        document['retry_after_s'] = tenths / _TENTHS_PER_S
     return document
 
 
+def format_retry_after(problem: Problem) -> str:
+    """Return whole seconds, rounded up so that no client returns early."""
+    return str(ceil(problem.retry_after_s))
+
+
 def format_status_line(status: int) -> str:
     """Return the status line of a response."""
     try:
--- a/samphirerill/node/sessions.py
+++ b/samphirerill/node/sessions.py
@@ -19,6 +19,7 @@
     build_completion,
     build_final_chunk,
     build_problem_document,
+    format_retry_after,
     format_status_line,
 )
 
@@ -156,8 +157,7 @@
             return
         headers = [('Content-Type', 'application/problem+json')]
         if problem.retry_after_s:
-            seconds = max(1, round(problem.retry_after_s))
-            headers.append(('Retry-After', str(seconds)))
+            headers.append(('Retry-After', format_retry_after(problem)))
         body = json.dumps(document).encode()
         self.send_response(problem.status, headers, body, problem.outcome)
 
