Give no new work to endpoints of the own interface that say they leave

What callers saw: an engine or service whose answers say Server-Leaving: 1 went on getting new requests until the VM list said so, up to half a minute later, or until it was gone; requests that reached it in its last moments were refused or cut. The header of a plain service also passed through to clients, as if this node were leaving.

Cause: nothing read the header; only an engine's refusal with the reason "leaving" counted.

Now calls, probes, load polls and orders emit EndpointLeaving for any status, before the outcome of the request. The core records the address: health leaving, no path, service, resume or last resort, and attempts that were not sent yet are placed anew. Streams go on. An endpoint that answers with an error and says that it leaves is alive: no suspicion, no evidence against the request. The header is hop-by-hop in both directions.

Neither the VM list nor a removal from the configuration and its return ends a departure; another process at the address does. It counts as one if it has another address, or answers a probe without the header after a failed probe or a time out of the configuration, or three probes in a row, as a process may restart between two. Other nodes aren't told: each is told by the endpoint itself, and a mark that nodes pass on by name would outlive the process.

--- a/samphirerill/backends/endpoint_call.py
+++ b/samphirerill/backends/endpoint_call.py
@@ -50,7 +50,7 @@
     ) -> None:
         self.attempt_id = attempt_id
         self.stage = stage
-        self.has_asked_for_rest = False
+        self.wants_no_requests = False
         self.status = 0
         self.headers: list[tuple[str, str]] = []
         self._request = request
@@ -122,7 +122,7 @@
         self.status = self._parser.get_status_code()
         if self._closed:
             return
-        self.has_asked_for_rest = emit_endpoint_events(
+        self.wants_no_requests = emit_endpoint_events(
             self.stage.endpoint,
             self.stage.address,
             self.status,
--- a/samphirerill/backends/endpoint_headers.py
+++ b/samphirerill/backends/endpoint_headers.py
@@ -1,7 +1,8 @@
 """What an endpoint says of itself in the headers of its answers.
 
 ``Retry-After`` with status 503 or 429 asks this node for rest: in seconds, with
-fractions allowed, or until an HTTP date.
+fractions allowed, or until an HTTP date. ``Server-Leaving: 1``, with any
+status, says that this process of the endpoint leaves.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 
 from samphirerill.core.endpoint_events import (
     EndpointAskedForRest,
+    EndpointLeaving,
     RetryAfterIgnored,
 )
 
@@ -25,6 +27,8 @@
 
 Headers = list[tuple[str, str]]
 
+LEAVING_HEADER = 'server-leaving'
+_LEAVING_TEXT = '1'
 _RETRY_AFTER = 'retry-after'
 _REST_STATUSES = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
@@ -36,7 +40,9 @@
 def emit_endpoint_events(
     endpoint: str, address: str, status: int, headers: Headers, sink: EventSink
 ) -> bool:
-    """Emit what an answer's headers say; return whether it asks for rest.
+    """Emit what an answer's headers say.
+
+    Returns whether the endpoint wants no new requests.
 
     Parameters
     ----------
@@ -49,16 +55,17 @@
     sink : EventSink
         Receives the events.
     """
-    if status not in _REST_STATUSES:
-        return False
-    texts = [text for name, text in headers if name.lower() == _RETRY_AFTER]
-    if not texts:
-        return False
+    is_leaving = _LEAVING_TEXT in _list_texts(headers, LEAVING_HEADER)
+    if is_leaving:
+        sink.apply(EndpointLeaving(endpoint, address))
+    texts = _list_texts(headers, _RETRY_AFTER)
+    if status not in _REST_STATUSES or not texts:
+        return is_leaving
     received = ', '.join(texts)[:_MAX_LOGGED_CHARACTERS]
     rest_s = _find_longest(map(parse_retry_after_s, texts))
     if rest_s is None:
         sink.apply(RetryAfterIgnored(endpoint, address, received))
-        return False
+        return is_leaving
     until = asyncio.get_running_loop().time() + rest_s
     sink.apply(EndpointAskedForRest(endpoint, address, until, received))
     return True
@@ -75,6 +82,10 @@
         return None
 
 
+def _list_texts(headers: Headers, wanted: str) -> list[str]:
+    return [text.strip() for name, text in headers if name.lower() == wanted]
+
+
 def _find_longest(rests: Iterable[float | None]) -> float | None:
     valid = [seconds for seconds in rests if seconds is not None]
     return max(valid, default=None)
--- a/samphirerill/backends/engine_call.py
+++ b/samphirerill/backends/engine_call.py
@@ -169,7 +169,7 @@
             rejection = _Rejection()
         if rejection.ran:
             detail = f'the engine answered status {self.status}'
-            self._fail(detail, is_alive=self.has_asked_for_rest)
+            self._fail(detail, is_alive=self.wants_no_requests)
             return
         self._emit(AttemptRefused(self.attempt_id, rejection.reason))
         self.close()
--- a/samphirerill/backends/service_call.py
+++ b/samphirerill/backends/service_call.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.backends.endpoint_call import EndpointCall
+from samphirerill.backends.endpoint_headers import LEAVING_HEADER
 from samphirerill.core.events import ServiceAnswered
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
         'trailer',
         'transfer-encoding',
         'upgrade',
+        LEAVING_HEADER,
     )
 )
 
--- a/samphirerill/core/endpoint_events.py
+++ b/samphirerill/core/endpoint_events.py
@@ -28,3 +28,11 @@
     endpoint: str
     address: str
     received: str
+
+
+@dataclass(slots=True)
+class EndpointLeaving:
+    """An endpoint answered that its process leaves."""
+
+    endpoint: str
+    address: str
--- a/samphirerill/core/on_deadlines.py
+++ b/samphirerill/core/on_deadlines.py
@@ -110,9 +110,12 @@
 
 
 def _check_endpoint(state: CoreState, name: str, now: float) -> None:
-    """Probe a suspect endpoint again."""
+    """Probe a suspect or departing endpoint again."""
     replica = state.endpoints.get(name)
-    if replica is None or replica.health is not Health.SUSPECT:
+    if replica is None:
+        return
+    is_departing = state.departures.is_leaving(replica.endpoint.address)
+    if replica.health is not Health.SUSPECT and not is_departing:
         return
     rest_end = state.rests.get_until(replica.endpoint.address, now)
     if rest_end:
--- a/samphirerill/core/on_fleet.py
+++ b/samphirerill/core/on_fleet.py
@@ -15,6 +15,7 @@
 from samphirerill.core.handling import handle
 from samphirerill.core.on_attempts import mark_suspect
 from samphirerill.core.on_crashes import record_probe
+from samphirerill.core.on_departures import follow_departure, mark_departing
 from samphirerill.core.placement import SLOW_START_S
 from samphirerill.core.scheduling import dispatch_all_queues, dispatch_queue
 from samphirerill.core.state import EndpointState, Health
@@ -46,9 +47,12 @@
         replica = state.endpoints.get(name)
         if replica is None or replica.endpoint.address != endpoint.address:
             slow_start_until = now if is_first else now + SLOW_START_S
-            replica = _build_endpoint_state(state, endpoint, slow_start_until)
+            replica = _build_endpoint_state(
+                state, endpoint, slow_start_until, now
+            )
         replica.endpoint = endpoint
         replicas[name] = replica
+    _note_removed(state, replicas)
     state.endpoints = replicas
     state.by_model = group_by_model(state.node, replicas)
     state.links.retain(replicas)
@@ -74,13 +78,19 @@
 
 
 def _mark_live(state: CoreState, name: str) -> None:
+    """Use an endpoint again unless its process itself said that it leaves."""
     replica = state.endpoints.get(name)
-    if replica is not None:
+    if replica is None:
+        return
+    if not state.departures.is_leaving(replica.endpoint.address):
         replica.health = Health.LIVE
 
 
 def _build_endpoint_state(
-    state: CoreState, endpoint: Endpoint, slow_start_until: float
+    state: CoreState,
+    endpoint: Endpoint,
+    slow_start_until: float,
+    now: float,
 ) -> EndpointState:
     """Return the state of a newly configured endpoint.
 
@@ -90,9 +100,20 @@
     replica = EndpointState(endpoint, slow_start_until=slow_start_until)
     if endpoint.name in state.leaving:
         replica.health = Health.LEAVING
+    if state.departures.is_leaving(endpoint.address):
+        mark_departing(state, replica, now)
     return replica
 
 
+def _note_removed(state: CoreState, replicas: dict[str, EndpointState]) -> None:
+    """Note the addresses that the next configuration no longer contains."""
+    kept = {replica.endpoint.address for replica in replicas.values()}
+    for replica in state.endpoints.values():
+        address = replica.endpoint.address
+        if address not in kept:
+            state.departures.note_out_of_sight(address)
+
+
 @handle.register(LoadReported)
 def on_load_reported(event: LoadReported, state: CoreState, now: float) -> None:
     """Record an endpoint's load and what this node had in flight."""
@@ -119,6 +140,9 @@
     if event.is_refused:
         # Whatever listens there later is another process.
         state.rests.remove(replica.endpoint.address)
+    if state.departures.is_leaving(replica.endpoint.address):
+        follow_departure(state, event, replica, now)
+        return
     if replica.health is Health.LEAVING:
         return
     if not event.alive:
--- a/samphirerill/core/queries.py
+++ b/samphirerill/core/queries.py
@@ -81,6 +81,9 @@
             'reported_running': replica.running,
             'reported_waiting': replica.waiting,
             'free': count_free_slots(state, replica),
+            'says_leaving': state.departures.is_leaving(
+                replica.endpoint.address
+            ),
             'rest_s': _get_rest_s(state, replica.endpoint.address, now),
         }
         for name, replica in state.endpoints.items()
--- a/samphirerill/core/router.py
+++ b/samphirerill/core/router.py
@@ -9,6 +9,7 @@
     on_claims,
     on_crashes,
     on_deadlines,
+    on_departures,
     on_fleet,
     on_requests,
     on_rests,
@@ -26,6 +27,7 @@
     on_fleet,
     on_requests,
     on_rests,
+    on_departures,
     on_deadlines,
 )
 
--- a/samphirerill/core/state.py
+++ b/samphirerill/core/state.py
@@ -17,6 +17,7 @@
 from samphirerill.core.budget import RetryBudget
 from samphirerill.core.commands import Command, Stage
 from samphirerill.core.configuration import Configuration, Endpoint
+from samphirerill.core.departures import Departures
 from samphirerill.core.links import LinkLatencies
 from samphirerill.core.prefixes import PrefixIndex
 from samphirerill.core.rests import Rests
@@ -143,6 +144,7 @@
         'configuration',
         'counters',
         'deadlines',
+        'departures',
         'draining',
         'endpoints',
         'last_attempt_number',
@@ -176,6 +178,7 @@
         self.links = LinkLatencies()
         self.prefixes = PrefixIndex()
         self.rests = Rests()
+        self.departures = Departures()
         self.quarantine = Quarantine()
         # By endpoint being probed, the requests whose attempts failed there.
         self.suspected_crashes: dict[str, dict[bytes, Crash]] = {}
--- a/samphirerill/node/engine_controller.py
+++ b/samphirerill/node/engine_controller.py
@@ -172,7 +172,7 @@
             item
             for item in polled
             if status_by_name[item.name] is not None
-            and not self._is_resting(item)
+            and self._accepts_orders(item)
         ]
         limits = self._node.router.state.configuration.limits
         now = self._node.loop.time()
@@ -215,7 +215,7 @@
     def _choose_engines_to_poll(self) -> list[Endpoint]:
         """Return the engines to poll: loading ones, then the least recent.
 
-        Resting ones get neither polls nor orders. The number is limited,
+        Resting and leaving ones get neither polls nor orders. The number is limited,
         because polling all engines of a large deployment every second would
         cost too much CPU time.
         """
@@ -223,7 +223,7 @@
         polled = [
             endpoint
             for endpoint in self._list_controlled()
-            if not self._is_resting(endpoint)
+            if self._accepts_orders(endpoint)
         ]
         polled.sort(
             key=lambda endpoint: (
@@ -233,10 +233,12 @@
         )
         return polled[:_MAX_POLLS]
 
-    def _is_resting(self, endpoint: Endpoint) -> bool:
+    def _accepts_orders(self, endpoint: Endpoint) -> bool:
+        state = self._node.router.state
+        if state.departures.is_leaving(endpoint.address):
+            return False
         now = self._node.loop.time()
-        rests = self._node.router.state.rests
-        return bool(rests.get_until(endpoint.address, now))
+        return not state.rests.get_until(endpoint.address, now)
 
     def _is_loading(self, name: str) -> bool:
         status = self._statuses.get(name)
--- a/samphirerill/node/health_checks.py
+++ b/samphirerill/node/health_checks.py
@@ -128,16 +128,21 @@
 
 
 def _find_stalest(node: Node) -> EndpointState | None:
-    """Return the engine whose report is the oldest; resting ones are skipped."""
+    """Return the engine whose report is the oldest.
+
+    Engines that want nothing, or leave, are skipped.
+    """
     now = node.loop.time()
     stale_before = now - LOAD_REPORT_TTL_S
     rests = node.router.state.rests
+    departures = node.router.state.departures
     stale_states = [
         endpoint_state
         for replicas in node.router.state.by_model.values()
         for endpoint_state in replicas
         if endpoint_state.endpoint.kind == ENGINE
         and endpoint_state.reported_at < stale_before
+        and not departures.is_leaving(endpoint_state.endpoint.address)
         and not rests.get_until(endpoint_state.endpoint.address, now)
     ]
     return min(stale_states, key=lambda item: item.reported_at, default=None)
--- a/samphirerill/properties/router_machine.py
+++ b/samphirerill/properties/router_machine.py
@@ -130,6 +130,18 @@
             attempt.refused = True
         self.simulation.apply(attempt.node, answer)
 
+    @precondition(lambda self: self.simulation.list_open())
+    @rule(pick=_PICKS, kind=st.sampled_from(('depart', 'depart', 'restart')))
+    def replace_process(self, pick: int, kind: str) -> None:
+        """Let a process say that it leaves, or start another one."""
+        attempt_id = self._pick_open(pick)
+        if kind == 'restart':
+            self.simulation.restart_endpoint(attempt_id)
+            return
+        if not self.simulation.attempts[attempt_id].sent:
+            self.simulation.send(attempt_id)
+        self.simulation.depart(attempt_id)
+
     @precondition(lambda self: self.simulation.list_sent())
     @rule(pick=_PICKS, index=st.integers(0, TOKENS), epoch=st.integers(0, 2))
     def late_or_crossed(self, pick: int, index: int, epoch: int) -> None:
--- a/samphirerill/properties/simulation.py
+++ b/samphirerill/properties/simulation.py
@@ -26,7 +26,10 @@
 from samphirerill.core.availability import RESTING_CODE
 from samphirerill.core.commands import Outcome
 from samphirerill.core.configuration import Configuration, build_configuration
-from samphirerill.core.endpoint_events import EndpointAskedForRest
+from samphirerill.core.endpoint_events import (
+    EndpointAskedForRest,
+    EndpointLeaving,
+)
 from samphirerill.core.rests import MAX_REST_S
 from samphirerill.core.router import Router
 from samphirerill.properties.oracle import check_coverage, expect
@@ -148,7 +151,7 @@
         self.pending_claims: dict[str, PendingClaim] = {}
         self.won_claims: dict[str, Claim] = {}
         self.unsaved_settlements: list[Settlement] = []
-        self.probes: list[tuple[int, str]] = []
+        self.probes: list[tuple[int, str, str]] = []
         self.executions: Counter[str] = Counter()
         self.leaving_endpoints: set[str] = set()
         self.killed_processes: set[str] = set()
@@ -157,6 +160,11 @@
         self.request_count = 0
         # When the rests end that endpoints asked of a node, by address.
         self.rests: dict[tuple[int, str], float] = {}
+        # Numbers of the processes that ran at an address.
+        self.processes: Counter[str] = Counter()
+        self.departing: set[tuple[str, int]] = set()
+        # Which nodes were told by a process that it leaves.
+        self.told: set[tuple[int, str, int]] = set()
 
     def configure(self, kinds: tuple[int, ...]) -> None:
         """Create a configuration version and deliver it to every node."""
@@ -237,6 +245,7 @@
             for place, until in self.rests.items()
             if place[0] != node
         }
+        self.told = {place for place in self.told if place[0] != node}
         self.routers[node] = Router(
             self.get_process_id(node), seed=self.restart_counts[node]
         )
@@ -275,6 +284,8 @@
         if not attempt.sent:
             self.send(attempt_id)
             return
+        if not attempt.ran:
+            self.answer(attempt_id)
         self.run(attempt_id)
         if attempt.command.is_service:
             self.apply(attempt.node, events.ServiceAnswered(attempt_id, 200))
@@ -290,14 +301,43 @@
     def ask_for_rest(self, attempt_id: str, seconds: float) -> None:
         """Let the first stage of an attempt ask its node for rest."""
         attempt = self.attempts[attempt_id]
-        stage = attempt.command.stages[0]
+        stage = self._get_head(attempt_id)
         place = (attempt.node, stage.address)
         until = self.now + seconds
         bounded = min(until, self.now + MAX_REST_S)
         self.rests[place] = max(bounded, self.rests.get(place, 0))
+        self.answer(attempt_id)
         event = EndpointAskedForRest(stage.endpoint, stage.address, until)
         self.apply(attempt.node, event)
 
+    def depart(self, attempt_id: str) -> None:
+        """Let the first stage of an attempt leave and say so."""
+        address = self._get_head(attempt_id).address
+        self.departing.add((address, self.processes[address]))
+        self.answer(attempt_id)
+
+    def answer(self, attempt_id: str) -> None:
+        """Deliver what the answer to an attempt says of its endpoint."""
+        attempt = self.attempts[attempt_id]
+        stage = self._get_head(attempt_id)
+        self._say_leaving(attempt.node, stage.endpoint, stage.address)
+
+    def restart_endpoint(self, attempt_id: str) -> None:
+        """Replace the process of an attempt's first stage by another one."""
+        address = self._get_head(attempt_id).address
+        self.processes[address] += 1
+        self.rests = {
+            place: until
+            for place, until in self.rests.items()
+            if place[1] != address
+        }
+        for name in self.list_open():
+            attempt = self.attempts[name]
+            used = {stage.address for stage in attempt.command.stages}
+            if attempt.sent and address in used:
+                failed = events.AttemptFailed(name, 'it closed')
+                self.apply(attempt.node, failed)
+
     def list_open(self) -> list[str]:
         """Return the attempts that are open at their node."""
         return [
@@ -335,7 +375,9 @@
     def answer_probes(self, *, alive: bool) -> None:
         """Answer every outstanding probe."""
         probes, self.probes = self.probes, []
-        for node, endpoint in probes:
+        for node, endpoint, address in probes:
+            if alive:
+                self._say_leaving(node, endpoint, address)
             self.apply(node, events.ProbeFinished(endpoint, alive))
 
     def commit_claim(self, request_id: str, *, lose_reply: bool) -> None:
@@ -395,8 +437,17 @@
                 self.pending_claims[request_id] = PendingClaim(node, claim)
             case core_commands.SettleClaim(request_id, outcome):
                 self._settle_claim(request_id, outcome)
-            case core_commands.ProbeEndpoint(endpoint):
-                self.probes.append((node, endpoint))
+            case core_commands.ProbeEndpoint(endpoint, address):
+                self.probes.append((node, endpoint, address))
+
+    def _get_head(self, attempt_id: str) -> core_commands.Stage:
+        return self.attempts[attempt_id].command.stages[0]
+
+    def _say_leaving(self, node: int, endpoint: str, address: str) -> None:
+        process = (address, self.processes[address])
+        if process in self.departing:
+            self.told.add((node, *process))
+            self.apply(node, EndpointLeaving(endpoint, address))
 
     def _settle_claim(self, request_id: str, outcome: Outcome) -> None:
         claim = self.won_claims.pop(request_id)
@@ -433,12 +484,17 @@
     def _check_stages(
         self, node: int, stages: tuple[core_commands.Stage, ...]
     ) -> None:
-        """Check that no stage asked the node for rest that goes on."""
+        """Check that no stage rests, or told the node that it leaves."""
         for stage in stages:
             expect(
                 self.rests.get((node, stage.address), 0) <= self.now,
                 f'sent to resting endpoint {stage.endpoint}',
             )
+            process = (stage.address, self.processes[stage.address])
+            expect(
+                (node, *process) not in self.told,
+                f'sent to departing endpoint {stage.endpoint}',
+            )
 
     def _check_return(
         self, request: RequestRecord, problem: core_commands.Problem
--- a/samphirerill/testing/engine.py
+++ b/samphirerill/testing/engine.py
@@ -21,7 +21,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from samphirerill.testing.httpd import Connection
+from samphirerill.testing.httpd import LEAVING_HEADERS, Connection
 from samphirerill.testing.order_handler import OrderHandler
 from samphirerill.testing.prefix_cache import PrefixCache
 from samphirerill.testing.stages import (
@@ -75,7 +75,8 @@
     attempt's id; `repeat`: send each token twice; `die_after`: crash after
     that many more tokens; `link_ms`: additional latency of received frames;
     `retry_after`: answer requests with status 503 and this ``Retry-After``;
-    `is_ambiguous`: such an answer does not state that nothing ran.
+    `is_ambiguous`: such an answer does not state that nothing ran; `leaving`:
+    all answers say that this process leaves.
     """
 
     frozen: bool = False
@@ -86,6 +87,7 @@
     link_ms: float = 0
     retry_after: str | None = None
     is_ambiguous: bool = False
+    leaving: bool = False
 
 
 @dataclass(slots=True)
@@ -174,6 +176,8 @@
             return
         if request.path != '/stats':
             self.counts['received'] += 1
+        if self.faults.leaving:
+            request.connection.common_headers = LEAVING_HEADERS
         if self.faults.frozen:
             self.counts['ignored'] += 1
         elif request.path.startswith('/v1/'):
--- a/samphirerill/testing/httpd.py
+++ b/samphirerill/testing/httpd.py
@@ -13,6 +13,8 @@
 
 from httptools import HttpParserError, HttpRequestParser
 
+LEAVING_HEADERS = {'Server-Leaving': '1'}
+
 
 @dataclass(slots=True)
 class Request:
@@ -39,10 +41,16 @@
     ----------
     handler : callable
         Awaited with each request; responds through the connection's methods.
+
+    Attributes
+    ----------
+    common_headers : dict of str
+        Headers of all responses.
     """
 
     def __init__(self, handler: Handler) -> None:
         self.handler = handler
+        self.common_headers: dict[str, str] = {}
         self.transport: Any = None
         self.closed = False
         self.on_close: Callable[[], None] | None = None
@@ -95,6 +103,7 @@
     ) -> None:
         """Send a complete response."""
         lines = [f'HTTP/1.1 {status} Status', f'Content-Length: {len(body)}']
+        lines.extend(_format_headers(self.common_headers))
         lines.extend(_format_headers(headers))
         head = '\r\n'.join([*lines, '', '']).encode()
         if not self.closed:
@@ -114,6 +123,7 @@
     def start_chunks(self, headers: dict[str, str] | None = None) -> None:
         """Send the head of a chunked response."""
         lines = ['HTTP/1.1 200 OK', 'Transfer-Encoding: chunked']
+        lines.extend(_format_headers(self.common_headers))
         lines.extend(_format_headers(headers))
         if not self.closed:
             self.transport.write('\r\n'.join([*lines, '', '']).encode())
--- a/samphirerill/testing/services.py
+++ b/samphirerill/testing/services.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
-from samphirerill.testing.httpd import Connection
+from samphirerill.testing.httpd import LEAVING_HEADERS, Connection
 
 if TYPE_CHECKING:
     from samphirerill.testing.httpd import Request
@@ -35,22 +35,27 @@
     body. ``POST /control`` sets ``fault``: ``silent`` executes a request
     without responding, ``cut`` closes the connection halfway through the
     response; it also sets ``delay_s``, and ``retry_after``, with which
-    requests are answered with status 503 and this ``Retry-After``.
+    requests are answered with status 503 and this ``Retry-After``, and
+    ``leaving``: all answers say that this process leaves.
     """
 
     def __init__(self) -> None:
         self.executions: Counter[str] = Counter()
         self.fault = ''
         self.retry_after: str | None = None
+        self.leaving = False
         self.delay_s = 0.0
 
     async def handle(self, request: Request) -> None:
         """Handle one request, with the fault that is set."""
+        if self.leaving:
+            request.connection.common_headers = LEAVING_HEADERS
         if request.path == '/control':
             changes = request.read_json()
             self.fault = changes.get('fault', self.fault)
             self.delay_s = changes.get('delay_s', self.delay_s)
             self.retry_after = changes.get('retry_after', self.retry_after)
+            self.leaving = changes.get('leaving', self.leaving)
             request.connection.answer_json({'ok': True})
         elif request.path == '/stats':
             request.connection.answer_json(dict(self.executions))
--- a/samphirerill/tests/test_endpoint_headers.py
+++ b/samphirerill/tests/test_endpoint_headers.py
@@ -13,16 +13,24 @@
 from samphirerill.core.commands import OpenAttempt, Stage
 from samphirerill.core.endpoint_events import (
     EndpointAskedForRest,
+    EndpointLeaving,
     RetryAfterIgnored,
 )
-from samphirerill.core.events import AttemptFailed, AttemptRefused
+from samphirerill.core.events import (
+    AttemptFailed,
+    AttemptRefused,
+    ServiceAnswered,
+)
 
 _STAGE = Stage('e0', '10.0.0.0:1', 0, 5)
 _OPENED = OpenAttempt('a1', 'r1', 0, (_STAGE,), 0, is_service=False)
 _REST = b'HTTP/1.1 503 Busy\r\nRetry-After: 2.5\r\nContent-Length: %d\r\n\r\n%b'
 _TRAILERS = (
     b'HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n'
-    b'2\r\nno\r\n0\r\nRetry-After: 9\r\n\r\n'
+    b'2\r\nno\r\n0\r\nRetry-After: 9\r\nServer-Leaving: 1\r\n\r\n'
+)
+_LEAVING = (
+    b'HTTP/1.1 %d Status\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n'
 )
 _NOT_RUN = b'{"ran": false}'
 
@@ -114,6 +122,7 @@
         """Guards against trailers that are read as headers."""
         kinds = self.receive(self.build_service_call(), _TRAILERS)
         self.assertNotIn(EndpointAskedForRest, kinds)
+        self.assertNotIn(EndpointLeaving, kinds)
 
     async def test_cancelled_call_says_nothing(self) -> None:
         """Guards against events of a call that the core has closed."""
@@ -121,6 +130,24 @@
         call.close()
         self.assertEqual(self.receive(call, _REST % (0, b'')), [])
 
+    async def test_any_answer_says_that_its_process_leaves(self) -> None:
+        """Guards against reading the header of refusals only."""
+        for status in (200, 204, 404, 500, 503):
+            self.events.clear()
+            answer = _LEAVING % status
+            kinds = self.receive(self.build_service_call(), answer)
+            self.assertLess(
+                kinds.index(EndpointLeaving), kinds.index(ServiceAnswered)
+            )
+
+    async def test_other_values_say_nothing(self) -> None:
+        """Guards against a header that denies it."""
+        for text in (b'0', b'', b'no', b'11'):
+            self.events.clear()
+            answer = (_LEAVING % 200).replace(b': 1', b': %b' % text)
+            kinds = self.receive(self.build_service_call(), answer)
+            self.assertNotIn(EndpointLeaving, kinds)
+
     async def test_only_refusals_ask_for_rest(self) -> None:
         """Guards against a rest by a redirect or a success."""
         answer = (_REST % (0, b'')).replace(b'503', b'200')
