Refuse a request at once if a rest began while its key was claimed

What callers saw: a request with an idempotency key whose endpoints all asked for rest while the claim was being written waited in the queue until its deadline, though the rest was known to last longer.

Cause: requests are refused when they arrive, when an attempt fails and when a rest begins; one that is being claimed is none of these and was queued after its claim without a look at the rests. The queue looks itself now, for whoever returns a request to it.

The test failed before: IndexError: list index out of range (no refusal among the commands).

--- a/samphirerill/core/scheduling.py
+++ b/samphirerill/core/scheduling.py
@@ -149,13 +149,19 @@
 
 
 def requeue_at_front(state: CoreState, req: RequestState, now: float) -> None:
-    """Queue a request that already ran ahead of those that have not."""
+    """Queue a request that already ran ahead of those that have not.
+
+    It is refused instead if a rest outlasts its queue deadline.
+    """
     req.phase = Phase.QUEUED
     release_account_slot(state, req)
     req.queue_deadline = _compute_queue_deadline(req, now)
     state.schedule_wake(req.queue_deadline, 'queue', req.request_id)
     entry = QueueEntry(req.request_id, req.account, req.priority, 0)
     get_queue(state, get_queue_name(req)).add(entry, at_front=True)
+    rest_end = find_rest_end(state, req.route, now)
+    if _is_hopeless(req, rest_end, now):
+        _refuse_resting(state, req, rest_end, now)
 
 
 def withdraw_attempts(state: CoreState, address: str, now: float) -> None:
--- a/samphirerill/tests/test_rest_decisions.py
+++ b/samphirerill/tests/test_rest_decisions.py
@@ -14,6 +14,8 @@
     Outcome,
     ProbeEndpoint,
     RefuseRequest,
+    SettleClaim,
+    WriteClaim,
 )
 from samphirerill.core.configuration import build_configuration
 from samphirerill.core.endpoint_events import (
@@ -24,6 +26,7 @@
     AttemptFailed,
     AttemptRefused,
     AttemptSent,
+    ClaimAcquired,
     ConfigurationAccepted,
     ProbeFinished,
     RequestArrived,
@@ -246,6 +249,20 @@
         ]
         self.assertEqual(len(find_all(commands, RefuseRequest)), 1)
 
+    def test_request_is_refused_if_a_rest_began_during_its_claim(self) -> None:
+        """Guards against a wait until the deadline, and a claim that stays."""
+        arrived = RequestArrived(
+            'r1', 'tromsvik', 'notices', self.now + 100, key='k1'
+        )
+        self.assertEqual(len(find_all(self.apply(arrived), WriteClaim)), 1)
+        for name in _SERVICES:
+            self.rest(name, _LONG_REST_S)
+        commands = self.apply(ClaimAcquired('r1'))
+        problem = find_all(commands, RefuseRequest)[0].problem
+        self.assertIs(problem.outcome, Outcome.NOT_RUN)
+        settled = find_all(commands, SettleClaim)
+        self.assertEqual([item.outcome for item in settled], [Outcome.NOT_RUN])
+
     def test_no_retry_is_spent_without_an_endpoint(self) -> None:
         """Guards against a budget that refusals of one endpoint use up."""
         opened = self.send('r1', 'lookups')
