Oracle: a node may not know yet that a resting process was replaced

The simulation forgot the rest with the process. The node can't have learned of the replacement: nothing refused a connection and nothing else is sent during a rest, so the case is allowed.

For the time that clients are told, the oracle now keeps the rests that were asked of the node, until the node itself restarts. The check of each send is as before: a send to a process that rests or told the node that it leaves is a violation.

--- a/samphirerill/properties/simulation.py
+++ b/samphirerill/properties/simulation.py
@@ -128,6 +128,12 @@
     }
 
 
+def _remove_node(
+    rests: dict[tuple[int, str], float], node: int
+) -> dict[tuple[int, str], float]:
+    return {place: until for place, until in rests.items() if place[0] != node}
+
+
 class Simulation:
     """Routers of several nodes with simulated endpoints and a store.
 
@@ -160,6 +166,8 @@
         self.request_count = 0
         # When the rests end that endpoints asked of a node, by address.
         self.rests: dict[tuple[int, str], float] = {}
+        # The same, with those of processes that have been replaced.
+        self.asked_rests: dict[tuple[int, str], float] = {}
         # Numbers of the processes that ran at an address.
         self.processes: Counter[str] = Counter()
         self.departing: set[tuple[str, int]] = set()
@@ -240,11 +248,8 @@
                 self.won_claims.pop(request_id, None)
         self.probes = [probe for probe in self.probes if probe[0] != node]
         self.restart_counts[node] += 1
-        self.rests = {
-            place: until
-            for place, until in self.rests.items()
-            if place[0] != node
-        }
+        self.rests = _remove_node(self.rests, node)
+        self.asked_rests = _remove_node(self.asked_rests, node)
         self.told = {place for place in self.told if place[0] != node}
         self.routers[node] = Router(
             self.get_process_id(node), seed=self.restart_counts[node]
@@ -306,6 +311,8 @@
         until = self.now + seconds
         bounded = min(until, self.now + MAX_REST_S)
         self.rests[place] = max(bounded, self.rests.get(place, 0))
+        asked = self.asked_rests.get(place, 0)
+        self.asked_rests[place] = max(bounded, asked)
         self.answer(attempt_id)
         event = EndpointAskedForRest(stage.endpoint, stage.address, until)
         self.apply(attempt.node, event)
@@ -499,10 +506,13 @@
     def _check_return(
         self, request: RequestRecord, problem: core_commands.Problem
     ) -> None:
-        """Check that a client returns when a rest has ended, not before."""
+        """Check that a client returns when a rest has ended, not before.
+
+        The node may not have learned yet that a process has been replaced.
+        """
         ends = [
             until
-            for (node, _), until in self.rests.items()
+            for (node, _), until in self.asked_rests.items()
             if node == request.node and until > self.now
         ]
         expect(bool(ends), f'no endpoint rests: {problem}')
