--- a/samphirerill/core/budget.py
+++ b/samphirerill/core/budget.py
@@ -24,7 +24,7 @@
         self.balance = min(self.max_balance, self.balance + self.ratio)
 
     def refund(self) -> None:
-        """Return a retry that was withdrawn and is not needed."""
+        """Return a retry that was withdrawn and for which nothing was sent."""
         self.balance = min(self.max_balance, self.balance + 1)
 
     def has_retry(self) -> bool:
--- a/samphirerill/core/completion.py
+++ b/samphirerill/core/completion.py
@@ -71,10 +71,11 @@
 
 
 def return_retry(state: CoreState, req: RequestState) -> None:
-    """Return the retry that is reserved for a request, if there is one."""
-    if req.holds_retry:
-        req.holds_retry = False
+    """Return the retries that a request has withdrawn and not used."""
+    for _ in range(req.holds_retry + req.has_unspent_retry):
         state.budgets[req.route.name].refund()
+    req.holds_retry = False
+    req.has_unspent_retry = False
 
 
 def remove_attempt(state: CoreState, attempt: AttemptState) -> None:
--- a/samphirerill/core/on_deadlines.py
+++ b/samphirerill/core/on_deadlines.py
@@ -6,6 +6,10 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from samphirerill.core.availability import (
+    compute_retry_after_s,
+    find_rest_end,
+)
 from samphirerill.core.commands import ProbeEndpoint
 from samphirerill.core.completion import get_queue_name, refuse_request
 from samphirerill.core.configuration import SERVICE_ROUTE
@@ -14,10 +18,13 @@
 from samphirerill.core.on_attempts import (
     extend_progress,
     on_attempt_failed,
-    probe_stages,
 )
 from samphirerill.core.on_crashes import evaluate_quarantine
-from samphirerill.core.scheduling import dispatch_queue, has_retry
+from samphirerill.core.retries import has_retry
+from samphirerill.core.scheduling import (
+    dispatch_all_queues,
+    dispatch_queue,
+)
 from samphirerill.core.state import Health, Phase
 
 if TYPE_CHECKING:
@@ -57,13 +64,17 @@
         return
     if req.queue_deadline > now:
         return
+    retry_after_s = _QUEUE_TIMEOUT_RETRY_S
+    rest_end = find_rest_end(state, req.route, now)
+    if rest_end:
+        retry_after_s = compute_retry_after_s(state, rest_end, now)
     refuse_request(
         state,
         req,
         HTTPStatus.SERVICE_UNAVAILABLE,
         'overloaded',
         'no room came in time',
-        _QUEUE_TIMEOUT_RETRY_S,
+        retry_after_s,
     )
 
 
@@ -98,7 +109,7 @@
     req = state.requests[attempt.request_id]
     if not _can_replace(state, req, now) and _may_recover(state, attempt):
         state.counters['attempts.kept'] += 1
-        probe_stages(state, attempt)
+        _probe_silent_stages(state, attempt, now)
         extend_progress(state, attempt, now)
         state.schedule_wake(attempt.progress_deadline, 'attempt', name)
         return
@@ -109,6 +120,15 @@
     )
 
 
+def _probe_silent_stages(
+    state: CoreState, attempt: AttemptState, now: float
+) -> None:
+    """Probe the stages; one that rests is alive and is probed once."""
+    for stage in attempt.stages:
+        if state.rests.try_probe(stage.address, now):
+            state.emit(ProbeEndpoint(stage.endpoint, stage.address))
+
+
 def _can_replace(state: CoreState, req: RequestState, now: float) -> bool:
     """Return whether another attempt may follow a silent one."""
     return req.route.kind == SERVICE_ROUTE or has_retry(state, req, now)
@@ -124,14 +144,28 @@
 
 
 def _check_endpoint(state: CoreState, name: str, now: float) -> None:
-    """Probe a suspect endpoint again."""
+    """Probe a suspect or departing endpoint again."""
     replica = state.endpoints.get(name)
-    if replica is None or replica.health is not Health.SUSPECT:
+    if replica is None:
         return
-    if replica.next_probe_at <= now:
+    is_departing = state.departures.is_leaving(replica.endpoint.address)
+    if replica.health is not Health.SUSPECT and not is_departing:
+        return
+    rest_end = state.rests.get_until(replica.endpoint.address, now)
+    if rest_end:
+        replica.next_probe_at = rest_end
+        state.schedule_wake(rest_end, 'endpoint', name)
+    elif replica.next_probe_at <= now:
         state.emit(ProbeEndpoint(name, replica.endpoint.address))
 
 
+def _check_rest(state: CoreState, address: str, now: float) -> None:
+    """Use an endpoint again whose rest has ended."""
+    if not state.rests.get_until(address, now):
+        state.rests.remove(address)
+        dispatch_all_queues(state, now)
+
+
 def _check_quarantine(state: CoreState, name: str, now: float) -> None:
     """Re-evaluate the quarantine."""
     evaluate_quarantine(state, now)
@@ -141,6 +175,7 @@
     'quarantine': _check_quarantine,
     'queue': _check_queue,
     'request': _check_request,
+    'rest': _check_rest,
     'attempt': _check_attempt,
     'endpoint': _check_endpoint,
 }
--- a/samphirerill/core/router.py
+++ b/samphirerill/core/router.py
@@ -9,8 +9,10 @@
     on_claims,
     on_crashes,
     on_deadlines,
+    on_departures,
     on_fleet,
     on_requests,
+    on_rests,
 )
 from samphirerill.core.handling import handle
 from samphirerill.core.state import CoreState
@@ -24,6 +26,8 @@
     on_crashes,
     on_fleet,
     on_requests,
+    on_rests,
+    on_departures,
     on_deadlines,
 )
 
--- a/samphirerill/core/state.py
+++ b/samphirerill/core/state.py
@@ -17,8 +17,10 @@
 from samphirerill.core.budget import RetryBudget
 from samphirerill.core.commands import Command, Stage
 from samphirerill.core.configuration import Configuration, Endpoint
+from samphirerill.core.departures import Departures
 from samphirerill.core.links import LinkLatencies
 from samphirerill.core.prefixes import PrefixIndex
+from samphirerill.core.rests import Rests
 from samphirerill.quarantine import Quarantine
 
 if TYPE_CHECKING:
@@ -50,7 +52,9 @@
 
     `delivered` is the index of the next token to deliver. `ambiguous_attempts`
     counts attempts that may have run; `failures` counts those that failed
-    since the last token. `holds_retry` means that a retry is reserved for it.
+    since the last token. `holds_retry` means that a retry is reserved for the
+    case that the attempt fails, `has_unspent_retry` that one was withdrawn and
+    nothing has been sent for it yet.
     """
 
     request_id: str
@@ -72,6 +76,7 @@
     failures: int = 0
     ambiguous_attempts: int = 0
     holds_retry: bool = False
+    has_unspent_retry: bool = False
     attempt_id: str = ''
     avoid: set[str] = field(default_factory=set)
 
@@ -141,6 +146,7 @@
         'configuration',
         'counters',
         'deadlines',
+        'departures',
         'draining',
         'endpoints',
         'last_attempt_number',
@@ -154,6 +160,7 @@
         'quarantine',
         'random',
         'requests',
+        'rests',
         'running_by_account',
         'suspected_crashes',
         'suspension_reason',
@@ -172,6 +179,8 @@
         self.leaving: dict[str, float] = {}
         self.links = LinkLatencies()
         self.prefixes = PrefixIndex()
+        self.rests = Rests()
+        self.departures = Departures()
         self.quarantine = Quarantine()
         # By endpoint being probed, the requests whose attempts failed there.
         self.suspected_crashes: dict[str, dict[bytes, Crash]] = {}
--- a/samphirerill/properties/simulation.py
+++ b/samphirerill/properties/simulation.py
@@ -23,8 +23,14 @@
 )
 from samphirerill.core import commands as core_commands
 from samphirerill.core import events
+from samphirerill.core.availability import RESTING_CODE
 from samphirerill.core.commands import Outcome
 from samphirerill.core.configuration import Configuration, build_configuration
+from samphirerill.core.endpoint_events import (
+    EndpointAskedForRest,
+    EndpointLeaving,
+)
+from samphirerill.core.rests import MAX_REST_S
 from samphirerill.core.router import Router
 from samphirerill.properties.oracle import check_coverage, expect
 
@@ -122,6 +128,12 @@
     }
 
 
+def _remove_node(
+    rests: dict[tuple[int, str], float], node: int
+) -> dict[tuple[int, str], float]:
+    return {place: until for place, until in rests.items() if place[0] != node}
+
+
 class Simulation:
     """Routers of several nodes with simulated endpoints and a store.
 
@@ -145,13 +157,22 @@
         self.pending_claims: dict[str, PendingClaim] = {}
         self.won_claims: dict[str, Claim] = {}
         self.unsaved_settlements: list[Settlement] = []
-        self.probes: list[tuple[int, str]] = []
+        self.probes: list[tuple[int, str, str]] = []
         self.executions: Counter[str] = Counter()
         self.leaving_endpoints: set[str] = set()
         self.killed_processes: set[str] = set()
         self.version = 0
         self.configuration = Configuration(version=0)
         self.request_count = 0
+        # When the rests end that endpoints asked of a node, by address.
+        self.rests: dict[tuple[int, str], float] = {}
+        # The same, with those of processes that have been replaced.
+        self.asked_rests: dict[tuple[int, str], float] = {}
+        # Numbers of the processes that ran at an address.
+        self.processes: Counter[str] = Counter()
+        self.departing: set[tuple[str, int]] = set()
+        # Which nodes were told by a process that it leaves.
+        self.told: set[tuple[int, str, int]] = set()
 
     def configure(self, kinds: tuple[int, ...]) -> None:
         """Create a configuration version and deliver it to every node."""
@@ -227,6 +248,9 @@
                 self.won_claims.pop(request_id, None)
         self.probes = [probe for probe in self.probes if probe[0] != node]
         self.restart_counts[node] += 1
+        self.rests = _remove_node(self.rests, node)
+        self.asked_rests = _remove_node(self.asked_rests, node)
+        self.told = {place for place in self.told if place[0] != node}
         self.routers[node] = Router(
             self.get_process_id(node), seed=self.restart_counts[node]
         )
@@ -243,6 +267,7 @@
     def send(self, attempt_id: str) -> None:
         """Mark an attempt as sent; from now on it may be executed."""
         attempt = self.attempts[attempt_id]
+        self._check_stages(attempt.node, attempt.command.stages)
         attempt.sent = True
         self.apply(attempt.node, events.AttemptSent(attempt_id))
 
@@ -264,6 +289,8 @@
         if not attempt.sent:
             self.send(attempt_id)
             return
+        if not attempt.ran:
+            self.answer(attempt_id)
         self.run(attempt_id)
         if attempt.command.is_service:
             self.apply(attempt.node, events.ServiceAnswered(attempt_id, 200))
@@ -276,6 +303,48 @@
         )
         self.apply(attempt.node, token)
 
+    def ask_for_rest(self, attempt_id: str, seconds: float) -> None:
+        """Let the first stage of an attempt ask its node for rest."""
+        attempt = self.attempts[attempt_id]
+        stage = self._get_head(attempt_id)
+        place = (attempt.node, stage.address)
+        until = self.now + seconds
+        bounded = min(until, self.now + MAX_REST_S)
+        self.rests[place] = max(bounded, self.rests.get(place, 0))
+        asked = self.asked_rests.get(place, 0)
+        self.asked_rests[place] = max(bounded, asked)
+        self.answer(attempt_id)
+        event = EndpointAskedForRest(stage.endpoint, stage.address, until)
+        self.apply(attempt.node, event)
+
+    def depart(self, attempt_id: str) -> None:
+        """Let the first stage of an attempt leave and say so."""
+        address = self._get_head(attempt_id).address
+        self.departing.add((address, self.processes[address]))
+        self.answer(attempt_id)
+
+    def answer(self, attempt_id: str) -> None:
+        """Deliver what the answer to an attempt says of its endpoint."""
+        attempt = self.attempts[attempt_id]
+        stage = self._get_head(attempt_id)
+        self._say_leaving(attempt.node, stage.endpoint, stage.address)
+
+    def restart_endpoint(self, attempt_id: str) -> None:
+        """Replace the process of an attempt's first stage by another one."""
+        address = self._get_head(attempt_id).address
+        self.processes[address] += 1
+        self.rests = {
+            place: until
+            for place, until in self.rests.items()
+            if place[1] != address
+        }
+        for name in self.list_open():
+            attempt = self.attempts[name]
+            used = {stage.address for stage in attempt.command.stages}
+            if attempt.sent and address in used:
+                failed = events.AttemptFailed(name, 'it closed')
+                self.apply(attempt.node, failed)
+
     def list_open(self) -> list[str]:
         """Return the attempts that are open at their node."""
         return [
@@ -313,7 +382,9 @@
     def answer_probes(self, *, alive: bool) -> None:
         """Answer every outstanding probe."""
         probes, self.probes = self.probes, []
-        for node, endpoint in probes:
+        for node, endpoint, address in probes:
+            if alive:
+                self._say_leaving(node, endpoint, address)
             self.apply(node, events.ProbeFinished(endpoint, alive))
 
     def commit_claim(self, request_id: str, *, lose_reply: bool) -> None:
@@ -373,8 +444,17 @@
                 self.pending_claims[request_id] = PendingClaim(node, claim)
             case core_commands.SettleClaim(request_id, outcome):
                 self._settle_claim(request_id, outcome)
-            case core_commands.ProbeEndpoint(endpoint):
-                self.probes.append((node, endpoint))
+            case core_commands.ProbeEndpoint(endpoint, address):
+                self.probes.append((node, endpoint, address))
+
+    def _get_head(self, attempt_id: str) -> core_commands.Stage:
+        return self.attempts[attempt_id].command.stages[0]
+
+    def _say_leaving(self, node: int, endpoint: str, address: str) -> None:
+        process = (address, self.processes[address])
+        if process in self.departing:
+            self.told.add((node, *process))
+            self.apply(node, EndpointLeaving(endpoint, address))
 
     def _settle_claim(self, request_id: str, outcome: Outcome) -> None:
         claim = self.won_claims.pop(request_id)
@@ -397,6 +477,7 @@
                 stage.endpoint not in self.leaving_endpoints,
                 f'new attempt at leaving endpoint {stage.endpoint}',
             )
+        self._check_stages(node, command.stages)
         if not command.is_service:
             check_coverage(command.stages, LAYERS)
             expect(
@@ -407,6 +488,39 @@
             node, command, next_token=command.resume_at
         )
 
+    def _check_stages(
+        self, node: int, stages: tuple[core_commands.Stage, ...]
+    ) -> None:
+        """Check that no stage rests, or told the node that it leaves."""
+        for stage in stages:
+            expect(
+                self.rests.get((node, stage.address), 0) <= self.now,
+                f'sent to resting endpoint {stage.endpoint}',
+            )
+            process = (stage.address, self.processes[stage.address])
+            expect(
+                (node, *process) not in self.told,
+                f'sent to departing endpoint {stage.endpoint}',
+            )
+
+    def _check_return(
+        self, request: RequestRecord, problem: core_commands.Problem
+    ) -> None:
+        """Check that a client returns when a rest has ended, not before.
+
+        The node may not have learned yet that a process has been replaced.
+        """
+        ends = [
+            until
+            for (node, _), until in self.asked_rests.items()
+            if node == request.node and until > self.now
+        ]
+        expect(bool(ends), f'no endpoint rests: {problem}')
+        expect(
+            self.now + problem.retry_after_s >= min(ends),
+            f'clients return before the end of a rest: {problem}',
+        )
+
     def _deliver_token(self, request_id: str, index: int) -> None:
         request = self.requests[request_id]
         expect(
@@ -433,6 +547,8 @@
     ) -> None:
         request = self.requests[request_id]
         request.outcomes.append(problem.outcome.value)
+        if problem.code == RESTING_CODE:
+            self._check_return(request, problem)
         if problem.outcome is not Outcome.NOT_RUN:
             return
         ran = any(
