Free a run's own connection when its head has no other for the next run

A stream on a dead later stage stood still until its client gave up if the only head allows this node a single connection: the present run held it, and the next one waited for it. The head was paused for all streams besides.

If all connections to the head are in use, the silent run is closed before the next one connects; both happen without the loop in between, so that no other stream takes the connection. Retry and path are reserved as before.

Before: test_head_with_one_connection fails with [b'127.0.0.1:42249: no response within the deadline'] != []

--- a/samphirerill/relay/replacement.py
+++ b/samphirerill/relay/replacement.py
@@ -151,13 +151,30 @@
         attempts_before = self._progress.attempts
         deadline = max(until, self._loop.time() + _MIN_HANDOVER_S)
         try:
-            return await self._sender.start_parallel_run(
-                stages, deadline, confirm
-            )
+            return await self._start_run(stages, deadline, confirm)
         finally:
             if self._progress.attempts == attempts_before:
                 self._limits.return_attempt()
 
+    async def _start_run(
+        self,
+        stages: tuple[Stage, ...],
+        deadline: float,
+        confirm: Callable[[], bool] | None,
+    ) -> StreamRun | None:
+        """Connect, ask for the confirmation and send.
+
+        If all connections to the head are in use, the present run has to free
+        its own first.
+        """
+        if confirm is not None and not self._sender.can_connect(
+            stages[0].replica
+        ):
+            if not confirm():
+                return None
+            confirm = None
+        return await self._sender.start_parallel_run(stages, deadline, confirm)
+
     def _close_silent_run(self, conn: HttpConnection) -> bool:
         """Close the present run; return false if it sends events again.
 
--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -136,6 +136,11 @@
         self._progress = progress
         self._loop = asyncio.get_running_loop()
 
+    def can_connect(self, replica: Replica) -> bool:
+        """Return whether this node may open or reuse a connection now."""
+        limit = self._state.get_connection_limit(self._context.service)
+        return self._state.pool.has_available(replica.replica_id, limit)
+
     async def connect(self, replica: Replica) -> HttpConnection | None:
         """Return a connection, or none if the replica is unavailable now."""
         try:
--- a/samphirerill/tests/test_one_head.py
+++ b/samphirerill/tests/test_one_head.py
@@ -24,7 +24,8 @@
 
 _STREAMS = 4
 # A node assumes at least eight nodes, so it has a single retry.
-_SLACK_FOR_ONE_RETRY = 8
+_ASSUMED_NODES = 8
+_SLACK_FOR_ONE_RETRY = _ASSUMED_NODES
 _FULL_TOKENS = 1e9
 _LAST_EVENT = 3
 _ACCEPTED = 202
@@ -189,6 +190,16 @@
         self.suspect(tail, _LONG_SUSPICION_S)
         await self.assert_complete(streams)
 
+    async def test_head_with_one_connection(self) -> None:
+        """Guard against waiting for a connection that the run itself holds."""
+        document = json.decode(build_configuration(8))
+        document['services'][0]['maxConnections'] = _ASSUMED_NODES
+        await self.harness.store.put('op/config', json.encode(document))
+        await wait_until(lambda: self.state.version == 8)
+        streams, tail = await self.stall_stream()
+        self.suspect(tail, _LONG_SUSPICION_S)
+        await self.assert_complete(streams)
+
     async def test_tail_with_room_appears_later(self) -> None:
         """Guard against a search that ignores the own head once it waits."""
         streams, tail = await self.stall_stream()
--- a/samphirerill/tests/test_replacement.py
+++ b/samphirerill/tests/test_replacement.py
@@ -77,6 +77,9 @@
     def __init__(self, while_connecting: Callable[[], None]) -> None:
         self._while_connecting = while_connecting
 
+    def can_connect(self, replica: object) -> bool:
+        return True
+
     async def start_parallel_run(
         self,
         stages: tuple[Stage, ...],
