--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -137,6 +137,11 @@
         self._progress = progress
         self._loop = asyncio.get_running_loop()
 
+    def can_connect(self, replica: Replica) -> bool:
+        """Return whether this node may open or reuse a connection now."""
+        limit = self._state.get_connection_limit(self._context.service)
+        return self._state.pool.has_available(replica.replica_id, limit)
+
     async def connect(self, stages: tuple[Stage, ...]) -> HttpConnection | None:
         """Return a connection for a path, or none if it is unavailable now."""
         replica = stages[0].replica
