--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -25,6 +25,7 @@
     ClosedConnection,
     CloseReason,
 )
+from samphirerill.relay.request_validation import validate_head
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -48,7 +49,6 @@
 # Headers that frame a body, and a request line to replay them to a parser.
 _FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 _REPLAY_REQUEST_LINE = b'POST / HTTP/1.1'
-_UNIQUE_HEADERS = frozenset((b'host', b'content-length', b'transfer-encoding'))
 _REASONS = {
     status.value: status.phrase.encode('latin-1') for status in HTTPStatus
 }
@@ -267,7 +267,7 @@
             self._loop.time(),
             keeps_alive=self._parser.should_keep_alive(),
         )
-        status = _validate_head(req, self._limits)
+        status = validate_head(req, self._limits)
         if status:
             self._abort_parsing(status)
         expected = (req.get(b'expect') or b'').lower()
@@ -629,25 +629,3 @@
             self._start_timer(remaining_s)
         else:
             self._close(CloseReason.IDLE)
-
-
-def _validate_head(req: Request, limits: ClientLimits) -> int:
-    """Return the status to reject a request head with, or 0."""
-    length = req.get(b'content-length') or b'0'
-    if _is_ambiguous(req) or not length.isdigit():
-        return HTTPStatus.BAD_REQUEST
-    if req.method == b'CONNECT':
-        return HTTPStatus.METHOD_NOT_ALLOWED
-    if not req.target.startswith(b'/') or not req.target.isascii():
-        return HTTPStatus.BAD_REQUEST
-    if int(length) > limits.max_body_bytes:
-        return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-    return 0
-
-
-def _is_ambiguous(req: Request) -> bool:
-    """Return whether two parsers could read the head differently."""
-    names = [name for name, _ in req.headers if name in _UNIQUE_HEADERS]
-    if len(names) != len(set(names)) or b'host' not in names:
-        return True
-    return b'content-length' in names and b'transfer-encoding' in names
