Notice a change of the settings file while the node starts

The version of the settings file was noted after the settings had been read. A change in between was taken for known: the node kept the old settings until the file changed again.

test_change_while_the_node_starts_is_noticed failed before: AttributeError: 'NoneType' object has no attribute 'finish_s' (no change seen)

--- a/samphirerill/platform/start.py
+++ b/samphirerill/platform/start.py
@@ -30,9 +30,10 @@
         variable `SETTINGS_VARIABLE`.
     """
     path = path or os.environ[SETTINGS_VARIABLE]
+    # Created first, so that it notices a change after the settings are read.
+    settings_file = SettingsFile(path, load_edge_settings)
     settings = load_edge_settings(path)
     start_logging(LogSettings(form='json'), LogSink(sys.stdout.fileno()))
-    settings_file = SettingsFile(path, load_edge_settings)
     return asyncio.run(_run(settings, settings_file))
 
 
--- a/samphirerill/tests/test_edge_settings.py
+++ b/samphirerill/tests/test_edge_settings.py
@@ -8,11 +8,13 @@
 from tempfile import TemporaryDirectory
 from typing import Any
 from unittest import IsolatedAsyncioTestCase, TestCase
+from unittest.mock import Mock, patch
 
 from msgspec import json
 
 from samphirerill.platform.http_adapter import HttpPlatformAdapter
 from samphirerill.platform.settings import EdgeSettings, load_edge_settings
+from samphirerill.platform.start import run_edge
 from samphirerill.platform.store import PlatformStore
 from samphirerill.relay.settings_reload import SettingsFile, SettingsReloader
 from samphirerill.relay.state import EdgeState
@@ -121,6 +123,26 @@
             while self.state.settings.finish_s != 5:
                 await asyncio.sleep(0.02)
 
+    async def test_change_while_the_node_starts_is_noticed(self) -> None:
+        """A change between the first read and the first poll is not lost."""
+
+        def load(path: str) -> EdgeSettings:
+            settings = load_edge_settings(path)
+            self.write({'finish_s': 5})
+            return settings
+
+        start = 'samphirerill.platform.start'
+        with (
+            patch(f'{start}.load_edge_settings', load),
+            patch(f'{start}.start_logging'),
+            patch(f'{start}.LogSink'),
+            patch(f'{start}.asyncio.run'),
+            patch(f'{start}._run', new_callable=Mock) as run,
+        ):
+            run_edge(str(self.path))
+        settings_file = run.call_args.args[1]
+        self.assertEqual(settings_file.read_if_changed().finish_s, 5)
+
     async def test_invalid_file_changes_nothing(self) -> None:
         before = self.state.settings
         for text in ('', '{"name": ', '{"finish_s": "soon"}'):
