Test that a cancelled search returns the retry it has reserved

A search for a replacement that was cancelled while it connected kept its retry, although nothing was sent: each client that left in that moment cost all streams one.

--- a/samphirerill/tests/test_replacement.py
+++ b/samphirerill/tests/test_replacement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, cast
 from unittest import IsolatedAsyncioTestCase
 
@@ -74,7 +75,7 @@
 class _Sender:
     """Connects and asks whether to send, but no replica accepts the stream."""
 
-    def __init__(self, while_connecting: Callable[[], None]) -> None:
+    def __init__(self, while_connecting: Callable[[], object]) -> None:
         self._while_connecting = while_connecting
 
     def can_connect(self, replica: object) -> bool:
@@ -87,6 +88,7 @@
         confirm: Callable[[], bool],
     ) -> None:
         self._while_connecting()
+        await asyncio.sleep(0)
         confirm()
 
 
@@ -129,13 +131,20 @@
         )
         self.assert_kept()
 
+    async def test_cancelled_search_returns_what_it_reserved(self) -> None:
+        """Guard against losing a retry with each search that is cancelled."""
+        search = asyncio.create_task(self.start(lambda: search.cancel()))
+        with self.assertRaises(asyncio.CancelledError):
+            await search
+        self.assert_kept()
+
     def assert_kept(self) -> None:
         """Check that the run goes on and that nothing stays reserved."""
         self.assertEqual(self.closed, [])
         self.assertEqual(self.path.reserved, 0)
         self.assertEqual(self.limits.retries, 1)
 
-    async def start(self, while_connecting: Callable[[], None]) -> None:
+    async def start(self, while_connecting: Callable[[], object]) -> None:
         """Look for a replacement."""
         starter = ReplacementStarter(
             cast('RequestContext', _Context()),
