Reroute streams of a head that is leaving or paused after a refusal

Streams stayed on a lost stage, and were cut by their head seconds later, if the head had rejected a new stream just before or was draining: such a replica gets no new work, and the search for new later stages took the stream that it already runs for new work.

The replicas that a rerouted stream keeps are now searched too unless they are suspected, also when they are leaving or paused; those that end are excluded as before. A run that is sent again is new work and does not use them.

Before, each with no order sent: test_stream_of_a_paused_head_is_rerouted: AssertionError: 0 != 4 test_stream_of_a_leaving_head_is_rerouted: AssertionError: 0 != 4

--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from samphirerill.fleet.model import EngineSpec, Stage
     from samphirerill.fleet.paths import PathRequest
+    from samphirerill.fleet.view import FleetView, ReplicaState
     from samphirerill.relay.state import EdgeState
 
 # Expected time from sending a request to its first event: prefill of a usual
@@ -162,6 +163,7 @@
         path_request.data_centre = state.settings.data_centre
         path_request.policy = state.settings.policy
         usable = state.view.list_usable(service, now)
+        usable.extend(_list_kept(state.view, path_request, usable, now))
         return choose_path(
             engine, usable, state.load_tracker, path_request, now
         )
@@ -298,3 +300,25 @@
                 self._state.link_usage.note_transfer(
                     source, destination, transfer_ms, now
                 )
+
+
+def _list_kept(
+    view: FleetView,
+    path_request: PathRequest,
+    usable: list[ReplicaState],
+    now: float,
+) -> list[ReplicaState]:
+    """Return the replicas that a rerouted stream keeps without new work.
+
+    A replica that is leaving, or paused after a refusal, still runs the streams
+    that it has.
+    """
+    if not path_request.first_stage_end:
+        return []
+    usable_ids = {state.replica.replica_id for state in usable}
+    kept = map(view.replicas.get, path_request.prefilled_on - usable_ids)
+    return [
+        state
+        for state in kept
+        if state is not None and state.suspicion.suspected_until <= now
+    ]
--- a/samphirerill/tests/test_one_head.py
+++ b/samphirerill/tests/test_one_head.py
@@ -28,6 +28,8 @@
 _SLACK_FOR_ONE_RETRY = _ASSUMED_NODES
 _FULL_TOKENS = 1e9
 _LAST_EVENT = 3
+_REFUSALS = 8
+_LONG_LEAVING_MS = 3000
 _ACCEPTED = 202
 _REJECTED = 409
 _SHORT_SUSPICION_S = 0.3
@@ -251,6 +253,31 @@
         await wait_until(self.count_reroute_orders)
         await self.assert_complete(streams)
 
+    async def test_stream_of_a_paused_head_is_rerouted(self) -> None:
+        """Guard against leaving streams on a lost stage as their head is full.
+
+        A head that rejects new streams is paused, and still runs its own.
+        """
+        self.head.order_status = _ACCEPTED
+        streams, tail = await self.start_on_one_tail()
+        now = asyncio.get_running_loop().time()
+        for _ in range(_REFUSALS):
+            self.state.view.note_refusal('head', now)
+        self.suspect(tail, _LONG_SUSPICION_S)
+        await self.assert_complete(streams)
+        self.assertEqual(self.count_reroute_orders(), _STREAMS)
+
+    async def test_stream_of_a_leaving_head_is_rerouted(self) -> None:
+        """Guard against leaving streams on a lost stage as their head leaves."""
+        self.head.order_status = _ACCEPTED
+        self.change_settings(leaving_ms=_LONG_LEAVING_MS)
+        streams, tail = await self.start_on_one_tail()
+        await self.announce('head', 'draining')
+        await wait_until(lambda: self.state.view.is_leaving('head'))
+        self.suspect(tail, _LONG_SUSPICION_S)
+        await self.assert_complete(streams)
+        self.assertEqual(self.count_reroute_orders(), _STREAMS)
+
     async def announce_elsewhere(self, name: str) -> None:
         """Announce a replica in another data centre."""
         entry = json.decode(
