--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from samphirerill.fleet.model import EngineSpec, Replica, Stage
     from samphirerill.fleet.paths import PathRequest
-    from samphirerill.fleet.view import ReplicaState
+    from samphirerill.fleet.view import FleetView, ReplicaState
     from samphirerill.relay.state import EdgeState
 
 # Expected time from sending a request to its first event: prefill of a usual
@@ -341,21 +341,31 @@
 def _list_usable(
     state: EdgeState, service: str, path_request: PathRequest, now: float
 ) -> list[ReplicaState]:
-    """Return the replicas that a path may use.
+    """Return the replicas that a path may use."""
+    usable = state.view.list_usable(service, now)
+    return [*usable, *_list_kept(state.view, path_request, usable, now)]
+
+
+def _list_kept(
+    view: FleetView,
+    path_request: PathRequest,
+    usable: list[ReplicaState],
+    now: float,
+) -> list[ReplicaState]:
+    """Return the replicas that a rerouted stream keeps without new work.
 
-    A stream that is rerouted may keep its stages on replicas that asked for a
-    back-off, as it sends them no request.
+    A replica that is leaving, paused after a refusal or asked for a back-off
+    still runs the streams that it has.
     """
-    usable = state.view.list_usable(service, now)
-    if not path_request.prefilled_on:
-        return usable
-    kept = [
-        known
-        for known in state.view.list_live(service, now)
-        if known.replica.replica_id in path_request.prefilled_on
-        and known.requested_backoff_until > now
+    if not path_request.first_stage_end:
+        return []
+    usable_ids = {state.replica.replica_id for state in usable}
+    kept = map(view.replicas.get, path_request.prefilled_on - usable_ids)
+    return [
+        state
+        for state in kept
+        if state is not None and state.suspicion.suspected_until <= now
     ]
-    return [*usable, *kept]
 
 
 def _find_backoff_error(
