Plain requests wait again if an endpoint asks again when its time is over

A plain request that waited for the end of a back-off was rejected if another one got there first and was refused with a new time, however short. It now waits as long as the end lies within the bound that was set when it began to wait, a third of its time left.

Failed before: test_request_waits_again_if_the_endpoint_asks_again, unexpectedly None.

--- a/samphirerill/relay/endpoint_finder.py
+++ b/samphirerill/relay/endpoint_finder.py
@@ -54,8 +54,14 @@
 
     async def wait_for_endpoint(self) -> ReplicaState | None:
         """Return an endpoint, waiting for a connection or a back-off's end."""
+        now = self._loop.time()
+        latest = now + min(
+            _MAX_BACKOFF_WAIT_S,
+            _MAX_BACKOFF_WAIT_SHARE * (self._context.deadline - now),
+        )
         endpoint = await self._wait_for_connection()
-        if endpoint is None and await self._wait_for_backoff():
+        # An endpoint that is back may ask again before this request is sent.
+        while endpoint is None and await self._wait_for_backoff(latest):
             endpoint = await self._wait_for_connection()
         return endpoint
 
@@ -84,18 +90,13 @@
                 return None
             await asyncio.sleep(_CONNECTION_POLL_S)
 
-    async def _wait_for_backoff(self) -> bool:
-        """Wait until the first back-off ends; return false if it is too long."""
-        now = self._loop.time()
+    async def _wait_for_backoff(self, latest: float) -> bool:
+        """Wait until the first back-off ends; return false if that is too late."""
         end = self.find_backoff_end()
-        max_wait_s = min(
-            _MAX_BACKOFF_WAIT_S,
-            _MAX_BACKOFF_WAIT_SHARE * (self._context.deadline - now),
-        )
-        if not end or end > now + max_wait_s:
+        if not end or end > latest:
             return False
         delay_s = self._state.random.uniform(0, _RELEASE_SPREAD_S)
-        await asyncio.sleep(end + delay_s - now)
+        await asyncio.sleep(end + delay_s - self._loop.time())
         return True
 
     def _find_endpoint(
--- a/samphirerill/tests/test_requested_back_off.py
+++ b/samphirerill/tests/test_requested_back_off.py
@@ -48,7 +48,7 @@
         await self.announce('desk-2', 'desk', kind='')
         await self.harness.wait_for_replica_count(4)
         document = json.decode(build_configuration(8))
-        document['routes'][1]['maxAttempts'] = 2
+        document['routes'][1].update(maxAttempts=2, timeoutMs=3000)
         await self.configure(json.encode(document))
 
     def refuse_once(
--- a/samphirerill/tests/test_retry_after.py
+++ b/samphirerill/tests/test_retry_after.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 from email.utils import formatdate
 from time import time
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, cast
 from unittest import IsolatedAsyncioTestCase, TestCase
 from unittest.mock import patch
 
@@ -15,10 +17,15 @@
 from samphirerill.platform.retry_after import parse_retry_after
 from samphirerill.platform.settings import EdgeSettings
 from samphirerill.relay.connection import ResponseHead
+from samphirerill.relay.endpoint_finder import EndpointFinder
 from samphirerill.relay.platform_adapter import ResponseMetadata, RetryAfter
 from samphirerill.relay.state import EdgeState
 from samphirerill.tests.fleet_builders import build_replica
 
+if TYPE_CHECKING:
+    from samphirerill.fleet.view import ReplicaState
+    from samphirerill.relay.request_context import RequestContext
+
 _UNAVAILABLE = 503
 _INVALID = (
     b'soon',
@@ -196,6 +203,36 @@
         self.assertEqual(self.get_left_s(), 0)
 
 
+class TestWaiting(NoticesCase):
+    """Plain requests that wait for the end of a back-off."""
+
+    async def find_endpoint(self, timeout_s: float) -> ReplicaState | None:
+        """Return the endpoint that a request with a deadline would get."""
+        now = asyncio.get_running_loop().time()
+        service = SimpleNamespace(name='llm', max_connections=0)
+        context = SimpleNamespace(service=service, deadline=now + timeout_s)
+        finder = EndpointFinder(self.state, cast('RequestContext', context))
+        return await finder.wait_for_endpoint()
+
+    async def test_request_waits_again_if_the_endpoint_asks_again(
+        self,
+    ) -> None:
+        """Guard against rejections since another request came back first."""
+        loop = asyncio.get_running_loop()
+        self.respond(b'0.1')
+        loop.call_later(0.08, self.respond, b'0.3')
+        since = loop.time()
+        self.assertIsNotNone(await self.find_endpoint(4))
+        self.assertGreaterEqual(loop.time(), since + 0.38)
+
+    async def test_request_is_not_held_for_most_of_its_time(self) -> None:
+        """Guard against a wait that leaves no time for the response."""
+        self.respond(b'0.5')
+        since = asyncio.get_running_loop().time()
+        self.assertIsNone(await self.find_endpoint(1))
+        self.assertLess(asyncio.get_running_loop().time(), since + 0.2)
+
+
 class TestIncarnations(TestCase):
     """A back-off belongs to one process of a replica."""
 
