Don't take a connection for idle while a request waits on it

A request that had been read, behind a response that its client still had to read, was closed with its connection as the idle time ended: the start of the next request waits until earlier responses are being read, and the idle timer went on meanwhile.

Such a connection is now only closed if its client reads nothing for ten seconds, like one in the middle of a response.

test_request_outlasts_the_idle_time_behind_a_slow_client failed before: AssertionError: Lists differ: [200] != [200, 200].

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -152,6 +152,8 @@
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Future[None] | None = None
+        # Buffered bytes of responses that a queued request waits for.
+        self._unread_bytes = 0
         self._chunked = False
         self._keeps_alive = True
         self._in_message = False
@@ -401,6 +403,18 @@
                 self._abort_slow_client()
                 return
 
+    def _watch_unread_responses(self) -> None:
+        """Give a client time to read what keeps its next request waiting."""
+        self._unread_bytes = self._transport.get_write_buffer_size()
+        self._start_timer(_SLOW_CLIENT_TIMEOUT_S)
+
+    def _check_unread_responses(self) -> None:
+        """Disconnect a client that has read nothing for too long."""
+        if self._transport.get_write_buffer_size() < self._unread_bytes:
+            self._watch_unread_responses()
+        else:
+            self._abort_slow_client()
+
     def _abort_slow_client(self) -> None:
         _LOG.info(
             'client reads too slowly; closing its connection',
@@ -454,6 +468,7 @@
             return
         if self._writable is not None:
             # `resume_writing` continues when earlier responses have been read.
+            self._watch_unread_responses()
             return
         self.is_busy = True
         self._stop_timer()
@@ -617,7 +632,10 @@
             self._timer = None
 
     def _on_timer(self) -> None:
-        """Handle an idle or header timeout."""
+        """Handle an idle or header timeout, or a client that reads slowly."""
+        if self._queue:
+            self._check_unread_responses()
+            return
         if self._in_message:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
             return
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -259,6 +259,17 @@
         await self.send(_MALFORMED)
         self.assertEqual(await self.receive_statuses(), [200, 200, 400])
 
+    async def test_request_outlasts_the_idle_time_behind_a_slow_client(
+        self,
+    ) -> None:
+        """A connection with a request that was read is not idle."""
+        self.handler.padding = bytes(6_000_000)
+        await self.send(_build('/unsent'))
+        await asyncio.sleep(_SETTLE_S)
+        await self.send(_build('/2'))
+        await asyncio.sleep(1.5 * _LIMITS.idle_timeout_s)
+        self.assertEqual(await self.receive_statuses(), [200, 200])
+
     async def test_last_response_survives_bytes_sent_after_it(self) -> None:
         """Closing with unread bytes resets the connection and its response."""
         self.handler.padding = bytes(6_000_000)
