Soak: a request that a node has read whole must be answered

Callers on kept connections saw requests end without an answer while a node was shut down or reloaded its settings. The soak could not see that: every fault anywhere within 5 s excused every failure, a failure on a reused connection was excused if no replica had run the request, and clients neither pipelined nor sent to nodes that drain.

Faults now name the nodes and replicas that they affect. A request that a replica got, or that a node read while it was not shutting down, must end with a complete response unless a fault affected that node or that path, its replica broke off, or its timeout was reached. Planned work, the store, and other replicas excuse nothing.

Draining over half of a service's replicas now counts as a fault for the check that all requests succeed, but excuses no unanswered request.

--- a/samphirerill/testing/soak/clients.py
+++ b/samphirerill/testing/soak/clients.py
@@ -4,95 +4,76 @@
 
 import asyncio
 from dataclasses import dataclass
+from random import Random
 from typing import TYPE_CHECKING
 
-from samphirerill.relay.connection import (
-    BodyChunk,
-    HttpConnection,
-    ResponseHead,
-    serialize_request,
-)
-from samphirerill.relay.errors import EndpointError
-from samphirerill.relay.pool import call_once
+from samphirerill.relay.errors import EndpointError, EndpointTimeoutError
 from samphirerill.relay.server_sent_events import EventParser
-from samphirerill.testing.soak.environment import HOST, KEYS
-from samphirerill.testing.soak.replicas import count_events
+from samphirerill.testing.soak.environment import (
+    DROPPED_KINDS,
+    KEYS,
+    STREAMS,
+    get_timeout_s,
+)
+from samphirerill.testing.soak.exchange import (
+    Exchange,
+    Outcome,
+    PipeliningConnection,
+    build_request,
+    read_response,
+)
+from samphirerill.testing.soak.replicas import count_events, is_long
+from samphirerill.testing.soak.unanswered import UnansweredCheck
 
 if TYPE_CHECKING:
-    from random import Random
-
+    from samphirerill.testing.soak.balancer import LoadBalancer
     from samphirerill.testing.soak.environment import SoakEnvironment
     from samphirerill.testing.soak.nodes import SoakNode
+    from samphirerill.testing.soak.settings import SoakSettings
 
 KINDS = frozenset(('notes', 'look', 'book'))
-_REQUEST_MIX = ('notes', 'notes', 'look', 'book')
+_REQUEST_MIX = ('notes', 'notes', 'look', 'book') * 2 + ('brief', 'extra')
 _OK = 200
+_UNAVAILABLE = 503
 _ID_BITS = 64
-_NOT_FOUND = 404
-_UNAUTHORIZED = 401
 _NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
+# A request on a route that may be dropped is answered, or refused.
+_DROPPED_STATUSES = frozenset((404, 503))
 _REQUEST_TIMEOUT_S = 9.0
-_MAX_PAUSE_S = 0.05
-_REUSE_SHARE = 0.6
+_CLIENTS_PER_NODE = 5
+_PIPELINING_SHARE = 0.1
+_MAX_BURST = 4
 # Requests may fail because of a fault for this long after the fault ended.
 _FAULT_GRACE_S = 5.0
-_PROPAGATION_S = 2.5
-_REVERT_GRACE_S = 0.4
-_PROBE_INTERVAL_S = 0.1
-_CHECK_INTERVAL_S = 0.3
-_CHECK_TIMEOUT_S = 0.5
-_FAILED_CHECKS_MAX = 2
-
 
-@dataclass(slots=True)
-class _Response:
-    """A client's response; `status` is 0 if no response head arrived."""
 
-    status: int = 0
-    request_id: bytes = b''
-    body: bytes = b''
-    is_complete: bool = False
+@dataclass(slots=True, frozen=True)
+class ClientHabits:
+    """How a client uses its connections.
 
+    Parameters
+    ----------
+    reuse_share : float
+        Share of the requests that are sent on the open connection.
+    max_pause_s : float
+        Longest pause between two requests.
+    follows_readiness : bool
+        Whether it connects only to nodes that are ready, unless none is.
+    """
 
-class LoadBalancer:
-    """Polls the nodes' readiness, like the platform's load balancer."""
+    reuse_share: float
+    max_pause_s: float
+    follows_readiness: bool = True
 
-    def __init__(self, environment: SoakEnvironment) -> None:
-        self._environment = environment
-        self._failed_checks: dict[str, int] = {}
 
-    async def run(self) -> None:
-        """Poll until cancelled."""
-        while True:
-            await asyncio.gather(
-                *map(self._check_ready, self._environment.nodes)
-            )
-            await asyncio.sleep(_CHECK_INTERVAL_S)
-
-    def list_ready(self) -> list[SoakNode]:
-        """Return the nodes in rotation, or all nodes if none is ready."""
-        nodes = self._environment.nodes
-        ready = [
-            node
-            for node in nodes
-            if self._failed_checks.get(node.name, _FAILED_CHECKS_MAX)
-            < _FAILED_CHECKS_MAX
-        ]
-        return ready or nodes
-
-    async def _check_ready(self, node: SoakNode) -> None:
-        deadline = asyncio.get_running_loop().time() + _CHECK_TIMEOUT_S
-        try:
-            status, _ = await call_once(
-                node.readiness, b'GET', b'/ready', b'', deadline
-            )
-        except EndpointError:
-            # No answer counts as a failed check.
-            status = 0
-        failed_checks = (
-            0 if status == _OK else self._failed_checks.get(node.name, 0) + 1
-        )
-        self._failed_checks[node.name] = failed_checks
+# Some keep a connection until the node closes it, or connect to any node, as
+# the load balancer does when few nodes are ready.
+_HABITS = (
+    ClientHabits(0.6, 0.05),
+    ClientHabits(1.0, 0.05),
+    ClientHabits(1.0, 4.0),
+    ClientHabits(0.3, 0.1, follows_readiness=False),
+)
 
 
 class Client:
@@ -106,6 +87,10 @@
         Selects the nodes to connect to.
     random : Random
         Seeded random generator.
+    settings : SoakSettings
+        Whether planned maintenance may leave too few replicas.
+    habits : ClientHabits
+        How it uses its connections.
     """
 
     def __init__(
@@ -113,74 +98,142 @@
         environment: SoakEnvironment,
         balancer: LoadBalancer,
         random: Random,
+        settings: SoakSettings,
+        habits: ClientHabits,
     ) -> None:
         self._environment = environment
         self._ground_truth = environment.ground_truth
         self._balancer = balancer
         self._random = random
+        self._settings = settings
         self._loop = asyncio.get_running_loop()
-        self._conn: HttpConnection | None = None
-        self._is_reused = False
+        self._habits = habits
+        self._unanswered_check = UnansweredCheck(environment.ground_truth)
+        self._conn: PipeliningConnection | None = None
+        self._node: SoakNode | None = None
 
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
-            kind = self._random.choice(_REQUEST_MIX)
-            await self._send_request(kind)
-            await asyncio.sleep(_MAX_PAUSE_S * self._random.random())
-
-    async def _send_request(self, kind: str) -> None:
-        request_id = f'{self._random.getrandbits(_ID_BITS):016x}'
+            await self._send_burst()
+            pause_s = self._habits.max_pause_s * self._random.random()
+            await asyncio.sleep(pause_s)
+
+    async def _send_burst(self) -> None:
+        """Send one request, or several at once on the same connection."""
+        size = 1
+        if self._random.random() < _PIPELINING_SHARE:
+            size = self._random.randrange(2, _MAX_BURST + 1)
+        exchanges = [
+            self._create_exchange(position, size) for position in range(size)
+        ]
+        try:
+            await self._exchange(exchanges)
+        except EndpointError as exc:
+            # Each exchange has recorded how it ended.
+            self._close_connection()
+            for exchange in exchanges:
+                exchange.error = str(exc)
+        for exchange in exchanges:
+            self._check_exchange(exchange)
+
+    def _create_exchange(self, position: int, size: int) -> Exchange:
+        kind = self._random.choice(_REQUEST_MIX)
+        request_id = self._create_request_id()
+        while size > 1 and is_long(request_id):
+            # Those behind it would reach their timeout.
+            request_id = self._create_request_id()
         account = self._random.choice(tuple(KEYS))
         self._ground_truth.accounts[request_id] = account
         if kind == 'book':
             self._ground_truth.non_idempotent.add(request_id)
-        since = self._loop.time()
-        response = await self._exchange(kind, request_id, account)
-        self._ground_truth.counts[f'{kind}.{response.status}'] += 1
-        self._check_response(kind, request_id, response, since)
-
-    async def _exchange(
-        self, kind: str, request_id: str, account: str
-    ) -> _Response:
-        response = _Response()
-        try:
-            conn = await self._get_connection()
-            conn.send(_build_request(f'/{kind}/x', request_id, account))
-            await _read_response(
-                conn, response, self._loop.time() + _REQUEST_TIMEOUT_S
+        return Exchange(kind, request_id, account, queued_behind=position)
+
+    def _create_request_id(self) -> str:
+        return f'{self._random.getrandbits(_ID_BITS):016x}'
+
+    async def _exchange(self, exchanges: list[Exchange]) -> None:
+        for exchange in exchanges:
+            exchange.sent_at = self._loop.time()
+        is_reused = self._choose_reuse()
+        conn = await self._get_connection(is_reused=is_reused)
+        if self._node is None:
+            raise TypeError('got a connection without a node')
+        for exchange in exchanges:
+            exchange.start(self._node, self._loop.time(), is_reused=is_reused)
+            conn.send(
+                build_request(
+                    f'/{exchange.kind}/x', exchange.request_id, exchange.account
+                )
             )
-        except EndpointError:
-            # `_check_response` checks how much of the response arrived.
+        await self._read_responses(conn, exchanges)
+
+    async def _read_responses(
+        self, conn: PipeliningConnection, exchanges: list[Exchange]
+    ) -> None:
+        unread = Outcome.BEHIND_CUT
+        remaining = list(exchanges)
+        try:
+            while remaining:
+                await self._read_one(conn, remaining.pop(0))
+                if not conn.is_reusable:
+                    unread = Outcome.CLOSE_ANNOUNCED
+                    break
+        finally:
+            for exchange in remaining:
+                exchange.end(unread, self._loop.time())
+        if not conn.is_usable(self._loop.time()):
             self._close_connection()
-        else:
-            if not conn.is_usable(self._loop.time()):
-                self._close_connection()
-        return response
 
-    async def _get_connection(self) -> HttpConnection:
-        now = self._loop.time()
-        conn = self._conn
-        keep_alive = conn is not None and self._random.random() < _REUSE_SHARE
-        self._is_reused = (
-            keep_alive and conn is not None and conn.is_usable(now)
+    async def _read_one(
+        self, conn: PipeliningConnection, exchange: Exchange
+    ) -> None:
+        deadline = exchange.sent_at + _REQUEST_TIMEOUT_S
+        outcome = Outcome.CUT
+        try:
+            await read_response(conn, exchange.response, deadline)
+            outcome = Outcome.ANSWERED
+        except EndpointTimeoutError:
+            outcome = Outcome.TIMED_OUT
+            raise
+        finally:
+            exchange.end(outcome, self._loop.time())
+
+    def _choose_reuse(self) -> bool:
+        """Return whether to send on the open connection."""
+        return (
+            self._conn is not None
+            and self._random.random() < self._habits.reuse_share
+            and self._conn.is_usable(self._loop.time())
         )
-        if conn is not None and self._is_reused:
-            return conn
+
+    async def _get_connection(self, *, is_reused: bool) -> PipeliningConnection:
+        if self._conn is not None and is_reused:
+            return self._conn
         self._close_connection()
-        node = self._random.choice(self._balancer.list_ready())
-        self._conn = HttpConnection(node.callers)
+        self._node = self._random.choice(self._list_candidates())
+        self._conn = PipeliningConnection(self._node.callers)
         await self._conn.open()
         return self._conn
 
+    def _list_candidates(self) -> list[SoakNode]:
+        if self._habits.follows_readiness:
+            return self._balancer.list_ready()
+        return self._environment.nodes
+
     def _close_connection(self) -> None:
         if self._conn is not None:
             self._conn.close()
         self._conn = None
 
-    def _check_response(
-        self, kind: str, request_id: str, response: _Response, since: float
-    ) -> None:
+    def _check_exchange(self, exchange: Exchange) -> None:
+        request_id = exchange.request_id
+        response = exchange.response
+        self._ground_truth.counts[f'{exchange.kind}.{response.status}'] += 1
+        if exchange.outcome is not Outcome.ANSWERED:
+            outcome = exchange.outcome.name.lower()
+            self._ground_truth.counts[f'outcome.{outcome}'] += 1
+            self._ground_truth.log(self._loop.time(), exchange.describe())
         if response.status in _NOT_EXECUTED_STATUSES:
             self._ground_truth.record_refusal(request_id)
         if response.request_id not in (b'', request_id.encode()):
@@ -188,29 +241,65 @@
                 f'{request_id}: got the response to {response.request_id!r}'
             )
         if response.status == _OK:
-            self._check_body(kind, request_id, response)
-        now = self._loop.time()
-        is_success = response.status == _OK and response.is_complete
-        if self._raced_with_close(request_id, response):
+            self._check_body(exchange)
+        self._unanswered_check.check(exchange)
+        self._check_success(exchange)
+
+    def _check_success(self, exchange: Exchange) -> None:
+        response = exchange.response
+        if exchange.is_success or self._may_fail(exchange):
             return
-        if not is_success and self._ground_truth.is_fault_free(
-            since - _FAULT_GRACE_S, now
+        if self._ground_truth.is_fault_free(
+            exchange.sent_at - _FAULT_GRACE_S, self._loop.time()
         ):
             self._ground_truth.record_violation(
-                f'{request_id}: {kind} got status {response.status}, '
-                f'complete: {response.is_complete}, with no fault nearby'
+                f'{exchange.request_id}: {exchange.kind} got status '
+                f'{response.status}, complete: {response.is_complete}, with no '
+                'fault nearby'
             )
 
-    def _raced_with_close(self, request_id: str, response: _Response) -> bool:
+    def _may_fail(self, exchange: Exchange) -> bool:
+        """Return whether a request may fail without any fault."""
+        status = exchange.response.status
+        if exchange.kind in DROPPED_KINDS and status in _DROPPED_STATUSES:
+            return True
+        if status == _UNAVAILABLE and not self._settings.injects_faults:
+            # Several replicas drain at once.
+            return True
+        if exchange.queued_behind:
+            # It may not have been read, or its time was used up by those before.
+            waited_s = self._loop.time() - exchange.sent_at
+            return exchange.outcome is not Outcome.ANSWERED or (
+                waited_s >= get_timeout_s(exchange.kind)
+            )
+        if not self._habits.follows_readiness and self._is_shutting_down():
+            return exchange.outcome is Outcome.UNSENT or (
+                status == _UNAVAILABLE
+            )
+        return self._raced_with_close(exchange)
+
+    def _is_shutting_down(self) -> bool:
+        """Return whether the client's node is planned to be down or starting."""
+        now = self._loop.time()
+        return self._node is not None and self._node.was_terminating(
+            now - _FAULT_GRACE_S, now
+        )
+
+    def _raced_with_close(self, exchange: Exchange) -> bool:
         """Return whether the node closed a reused connection before the send."""
-        was_executed = bool(self._ground_truth.runs.get(request_id))
-        return self._is_reused and not response.status and not was_executed
+        was_executed = bool(self._ground_truth.runs.get(exchange.request_id))
+        return (
+            exchange.is_reused
+            and not exchange.response.status
+            and not was_executed
+        )
 
-    def _check_body(
-        self, kind: str, request_id: str, response: _Response
-    ) -> None:
-        if kind != 'notes':
-            expected = f'{request_id} desk'.encode()
+    def _check_body(self, exchange: Exchange) -> None:
+        request_id = exchange.request_id
+        response = exchange.response
+        if exchange.kind not in STREAMS:
+            service = 'extra' if exchange.kind == 'extra' else 'desk'
+            expected = f'{request_id} {service}'.encode()
             if response.is_complete and response.body != expected:
                 self._ground_truth.record_violation(
                     f'{request_id}: got body {response.body!r}'
@@ -231,94 +320,20 @@
             )
 
 
-class VersionProbe:
-    """Checks which configuration version individual nodes serve with."""
-
-    def __init__(self, environment: SoakEnvironment, random: Random) -> None:
-        self._environment = environment
-        self._ground_truth = environment.ground_truth
-        self._random = random
-        self._loop = asyncio.get_running_loop()
-        # Newest version seen and when, by node name and process start.
-        self._newest_seen: dict[tuple[str, int], tuple[int, float]] = {}
-
-    async def run(self) -> None:
-        """Probe until cancelled."""
-        while True:
-            node = self._random.choice(self._environment.nodes)
-            newest = self._environment.version
-            await self._probe(node, max(1, newest - self._random.randrange(2)))
-            await asyncio.sleep(_PROBE_INTERVAL_S)
-
-    async def _probe(self, node: SoakNode, version: int) -> None:
-        key = (node.name, node.start_count)
-        request_id = f'{self._random.getrandbits(_ID_BITS):016x}'
-        self._ground_truth.accounts[request_id] = 'suva'
-        since = self._loop.time()
-        conn = HttpConnection(node.callers)
-        response = _Response()
-        try:
-            await conn.open()
-            conn.send(_build_request(f'/v{version}/', request_id, 'suva'))
-            await _read_response(conn, response, since + _REQUEST_TIMEOUT_S)
-        except EndpointError:
-            # Missing responses are checked by the clients, not here.
-            return
-        finally:
-            conn.close()
-        if key == (node.name, node.start_count):
-            self._check_version(key, version, response.status, since)
-
-    def _check_version(
-        self, key: tuple[str, int], version: int, status: int, since: float
-    ) -> None:
-        newest_seen, seen_at = self._newest_seen.get(key, (0, 0.0))
-        if status == _OK and version > newest_seen:
-            self._newest_seen[key] = (version, self._loop.time())
-        is_older = version < newest_seen and since > seen_at + _REVERT_GRACE_S
-        if status == _OK and is_older:
-            self._ground_truth.record_violation(
-                f'{key}: reverted to configuration {version}'
-            )
-        committed_at = self._environment.committed_at[version]
-        is_due = (
-            version == self._environment.version
-            and since > committed_at + _PROPAGATION_S
+def create_clients(
+    environment: SoakEnvironment,
+    balancer: LoadBalancer,
+    random: Random,
+    settings: SoakSettings,
+) -> list[Client]:
+    """Return the clients of a run, with all habits in turn."""
+    return [
+        Client(
+            environment,
+            balancer,
+            Random(random.random()),
+            settings,
+            _HABITS[index % len(_HABITS)],
         )
-        is_rejected = status in (_NOT_FOUND, _UNAUTHORIZED)
-        if (
-            is_due
-            and is_rejected
-            and self._ground_truth.is_fault_free(committed_at, since)
-        ):
-            self._ground_truth.record_violation(
-                f'{key}: configuration {version} is not in force'
-            )
-
-
-def _build_request(target: str, request_id: str, account: str) -> bytes:
-    headers = [
-        (b'host', HOST.encode()),
-        (b'x-samphirerill-request-id', request_id.encode()),
-        (b'authorization', f'Bearer {KEYS[account]}'.encode()),
-        (b'x-samphirerill-token-count', b'20,20'),
-        (b'x-samphirerill-deadline-ms', b'8000'),
+        for index in range(_CLIENTS_PER_NODE * settings.nodes)
     ]
-    return serialize_request(b'POST', target.encode(), headers, b'{}')
-
-
-async def _read_response(
-    conn: HttpConnection, response: _Response, deadline: float
-) -> None:
-    """Read a response into `response`, keeping what arrived on an error."""
-    head = await conn.read(deadline)
-    if not isinstance(head, ResponseHead):
-        raise TypeError(f'got {head!r}, expected a response head')
-    response.status = head.status
-    response.request_id = head.get(b'x-samphirerill-request-id') or b''
-    while True:
-        part = await conn.read(deadline)
-        if not isinstance(part, BodyChunk):
-            response.is_complete = True
-            return
-        response.body += part.body
--- a/samphirerill/testing/soak/command.py
+++ b/samphirerill/testing/soak/command.py
@@ -11,6 +11,7 @@
     import argparse
 
 _FAULT_DURATION_S = 14.0
+_NODE_COUNT = 5
 _SEED_COUNT = 10
 _SEED_RANGE = 1_000_000
 
@@ -38,6 +39,18 @@
         metavar='S',
         help='duration of fault injection for each seed (%(default)s)',
     )
+    parser.add_argument(
+        '--nodes',
+        type=int,
+        default=_NODE_COUNT,
+        metavar='N',
+        help='number of router nodes (%(default)s)',
+    )
+    parser.add_argument(
+        '--planned',
+        action='store_true',
+        help='inject no faults; run planned maintenance in close succession',
+    )
     parser.add_argument(
         '--regressions',
         action='store_true',
@@ -56,6 +69,7 @@
     """Run the selected seeds; return 1 if any violated a guarantee."""
     # Imported here so that other commands do not load the test code.
     from samphirerill.testing.soak.run import run_seeds
+    from samphirerill.testing.soak.settings import SoakSettings
 
     seeds = list(REGRESSIONS)
     if not options.regressions:
@@ -63,5 +77,8 @@
         if first < 0:
             first = time.time_ns() % _SEED_RANGE
         seeds = list(range(first, first + options.count))
-    failed = run_seeds(iter(seeds), options.seconds, options.keep)
+    settings = SoakSettings(
+        options.seconds, options.nodes, injects_faults=not options.planned
+    )
+    failed = run_seeds(iter(seeds), settings, options.keep)
     return int(failed > 0)
--- a/samphirerill/testing/soak/environment.py
+++ b/samphirerill/testing/soak/environment.py
@@ -7,6 +7,7 @@
 
 from msgspec import json
 
+from samphirerill.fleet.model import MS_PER_S
 from samphirerill.relay.listeners import listen
 from samphirerill.testing.platform_store import FakePlatformStore
 from samphirerill.testing.soak.ground_truth import GroundTruth
@@ -25,6 +26,22 @@
 
 HOST = 'soak.example'
 KEYS = {'suva': 'key-suva', 'nadi': 'key-nadi'}
+# Kinds of requests whose route or service some configurations drop.
+DROPPED_KINDS = frozenset(('brief', 'extra'))
+STREAMS = frozenset(('notes', 'brief'))
+_BRIEF_DROPPED_EVERY = 2
+_EXTRA_DROPPED_EVERY = 3
+_PLAIN_TIMEOUT_MS = 2000
+_STREAM: dict[str, Any] = {
+    'host': HOST,
+    'kind': 'streaming',
+    'service': 'llm',
+    'timeoutMs': 8000,
+    'sloMs': 500,
+    'maxAttempts': 3,
+    'resumable': True,
+    'gapTargetMs': 200,
+}
 _STORE_HOST = '127.0.0.2'
 _FIRST_NODE_OCTET = 11
 _FIRST_REPLICA_OCTET = 41
@@ -78,8 +95,9 @@
         Directory of the nodes' settings and logs.
     port : int
         First of six consecutive free ports.
-    nodes, engines, services : int
-        The number of nodes, engines and plain services.
+    nodes, engines, services, extras : int
+        The number of nodes, engines, plain replicas, and plain replicas of a
+        service that some configurations drop.
     """
 
     def __init__(
@@ -89,6 +107,7 @@
         nodes: int = 5,
         engines: int = 6,
         services: int = 2,
+        extras: int = 1,
     ) -> None:
         self.ground_truth = GroundTruth()
         self.service = FakePlatformStore()
@@ -115,6 +134,10 @@
             ReplicaSlot(engines + index, port, 'desk', '')
             for index in range(services)
         )
+        self.slots.extend(
+            ReplicaSlot(engines + services + index, port, 'extra', '')
+            for index in range(extras)
+        )
         self._replicas = ReplicaRegistry(self.ground_truth)
         self._loop = asyncio.get_running_loop()
         self._connections: set[ClientConnection] = set()
@@ -238,42 +261,46 @@
             await self.service.put(key, entry)
 
 
+def get_timeout_s(kind: str) -> float:
+    """Return the timeout of the route for a kind of request."""
+    timeout_ms = _STREAM['timeoutMs'] if kind in STREAMS else _PLAIN_TIMEOUT_MS
+    return timeout_ms / MS_PER_S
+
+
 def _build_configuration(version: int) -> dict[str, Any]:
-    plain = {'host': HOST, 'service': 'desk', 'timeoutMs': 2000}
+    routes = [
+        {**_STREAM, 'name': 'notes', 'prefix': '/notes/'},
+        _build_plain_route('look', 'desk'),
+        _build_plain_route('book', 'desk', 'non_idempotent'),
+        _build_plain_route(f'v{version}', 'desk'),
+    ]
+    services: list[dict[str, Any]] = [
+        {'name': 'llm', 'engine': _ENGINE},
+        {'name': 'desk', 'maxConnections': 200},
+    ]
+    if version % _BRIEF_DROPPED_EVERY:
+        routes.append({**_STREAM, 'name': 'brief', 'prefix': '/brief/'})
+    if version % _EXTRA_DROPPED_EVERY:
+        routes.append(_build_plain_route('extra', 'extra'))
+        services.append({'name': 'extra', 'maxConnections': 200})
     return {
         'version': version,
-        'routes': [
-            {
-                'name': 'notes',
-                'host': HOST,
-                'prefix': '/notes/',
-                'kind': 'streaming',
-                'service': 'llm',
-                'timeoutMs': 8000,
-                'sloMs': 500,
-                'maxAttempts': 3,
-                'resumable': True,
-                'gapTargetMs': 200,
-            },
-            {**plain, 'name': 'look', 'prefix': '/look/', 'kind': 'idempotent'},
-            {
-                **plain,
-                'name': 'book',
-                'prefix': '/book/',
-                'kind': 'non_idempotent',
-            },
-            {
-                **plain,
-                'name': f'v{version}',
-                'prefix': f'/v{version}/',
-                'kind': 'idempotent',
-            },
-        ],
-        'services': [
-            {'name': 'llm', 'engine': _ENGINE},
-            {'name': 'desk', 'maxConnections': 200},
-        ],
+        'routes': routes,
+        'services': services,
         'tenants': [
             {'name': name, 'apiKeys': [key]} for name, key in KEYS.items()
         ],
     }
+
+
+def _build_plain_route(
+    name: str, service: str, kind: str = 'idempotent'
+) -> dict[str, Any]:
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': f'/{name}/',
+        'kind': kind,
+        'service': service,
+        'timeoutMs': _PLAIN_TIMEOUT_MS,
+    }
--- a/samphirerill/testing/soak/faults.py
+++ b/samphirerill/testing/soak/faults.py
@@ -23,6 +23,8 @@
         SoakEnvironment,
     )
     from samphirerill.testing.soak.nodes import SoakNode
+    from samphirerill.testing.soak.proxy import LoopbackProxy
+    from samphirerill.testing.soak.settings import SoakSettings
 
 _MAX_FAULT_S = 2.5
 _MIN_FAULT_S = 0.2
@@ -32,6 +34,13 @@
 _FAULT_SHARE = 0.7
 _SIGHUP_SHARE = 0.5
 _SERIES_GAP_S = 0.3
+# Mean time between two actions if there is only planned maintenance.
+_PLANNED_INTERVAL_S = 0.25
+_NODES_PER_RESTART = 4
+_MAX_SIGHUPS = 5
+_STARTUP_S = 4.0
+# Some runs have few retries to share.
+_RETRY_SLACKS = (60, 60, 6)
 # At the end of each cycle no fault starts, so that planned maintenance is also
 # tested without faults.
 _CYCLE_S = 14.0
@@ -49,10 +58,19 @@
         The system under test.
     random : Random
         Seeded random generator.
+    settings : SoakSettings
+        Whether faults are injected, or only planned maintenance.
     """
 
-    def __init__(self, environment: SoakEnvironment, random: Random) -> None:
+    def __init__(
+        self,
+        environment: SoakEnvironment,
+        random: Random,
+        settings: SoakSettings,
+    ) -> None:
         self._environment = environment
+        self._settings = settings
+        self._retry_slack = random.choice(_RETRY_SLACKS)
         self._ground_truth = environment.ground_truth
         self._random = random
         self._loop = asyncio.get_running_loop()
@@ -76,6 +94,7 @@
         self._maintenance: tuple[Callable[[], Awaitable[None]], ...] = (
             self._restart_node,
             self._rewrite_settings,
+            self._reload_settings,
             self._configure,
             self._configure,
             self._drain_replica,
@@ -84,11 +103,17 @@
     async def run(self, until: float) -> None:
         """Start actions until a loop time, then wait for them to finish."""
         started_at = self._loop.time()
+        injects_faults = self._settings.injects_faults
+        mean_s = _MEAN_INTERVAL_S if injects_faults else _PLANNED_INTERVAL_S
+        for node in self._environment.nodes:
+            node.write_settings(retry_slack=self._retry_slack)
         while self._loop.time() < until:
-            await asyncio.sleep(self._random.expovariate(1 / _MEAN_INTERVAL_S))
+            await asyncio.sleep(self._random.expovariate(1 / mean_s))
             passed_s = (self._loop.time() - started_at) % _CYCLE_S
             is_fault_free_phase = passed_s > _CYCLE_S - _FAULT_FREE_S
-            self._start_action(is_fault_free_phase=is_fault_free_phase)
+            self._start_action(
+                is_fault_free_phase=is_fault_free_phase or not injects_faults
+            )
         await asyncio.gather(*self._tasks)
         self._environment.clear_faults()
 
@@ -112,15 +137,28 @@
             await asyncio.sleep(_SERIES_GAP_S * self._random.random())
 
     @asynccontextmanager
-    async def _fault(self, name: str) -> AsyncIterator[None]:
-        """Record a fault as active for the duration of the block."""
-        fault = Fault(name, self._loop.time())
+    async def _fault(self, name: str, *targets: str) -> AsyncIterator[None]:
+        """Record a fault as active for the duration of the block.
+
+        Parameters
+        ----------
+        name : str
+            Kind of fault.
+        targets : str
+            Names of the nodes and addresses of the replicas that it affects.
+        """
+        fault = Fault(name, self._loop.time(), targets=frozenset(targets))
         self._ground_truth.faults.append(fault)
         self._ground_truth.counts[f'fault.{name}'] += 1
+        self._log(f'{name}: {targets} begins')
         try:
             yield
         finally:
             fault.until = self._loop.time()
+            self._log(f'{name}: {targets} ends')
+
+    def _log(self, description: str) -> None:
+        self._ground_truth.log(self._loop.time(), description)
 
     async def _wait_random(self) -> None:
         range_s = _MAX_FAULT_S - _MIN_FAULT_S
@@ -135,6 +173,12 @@
         ]
         return self._random.choice(free) if free else None
 
+    def _choose_store_proxy(self) -> tuple[str, LoopbackProxy]:
+        """Return a node's name and its proxy to the store."""
+        return self._random.choice(
+            tuple(self._environment.store_proxies.items())
+        )
+
     def _choose_slot(self) -> ReplicaSlot | None:
         """Return a random running replica without an action in progress."""
         free = [
@@ -144,10 +188,11 @@
         ]
         return self._random.choice(free) if free else None
 
-    def _is_any_node_reserved(self) -> bool:
-        return any(
-            node.name in self._reserved for node in self._environment.nodes
-        )
+    def _has_enough_nodes(self) -> bool:
+        """Return whether one more node may be taken out of service."""
+        nodes = self._environment.nodes
+        reserved = sum(node.name in self._reserved for node in nodes)
+        return reserved < max(1, len(nodes) // _NODES_PER_RESTART)
 
     @asynccontextmanager
     async def _reserve(self, name: str) -> AsyncIterator[None]:
@@ -162,13 +207,17 @@
         node = self._choose_node()
         if node is None:
             return
-        async with self._reserve(node.name), self._fault('node killed'):
+        async with (
+            self._reserve(node.name),
+            self._fault('node killed', node.name),
+        ):
             node.kill()
             await self._wait_random()
             node.start()
 
     async def _kill_all_nodes(self) -> None:
-        async with self._fault('all nodes killed'):
+        names = [node.name for node in self._environment.nodes]
+        async with self._fault('all nodes killed', *names):
             for node in self._environment.nodes:
                 node.kill()
             await self._wait_random()
@@ -179,25 +228,24 @@
         node = self._choose_node()
         if node is None:
             return
-        async with self._reserve(node.name), self._fault('node paused'):
+        async with (
+            self._reserve(node.name),
+            self._fault('node paused', node.name),
+        ):
             node.send_signal(signal.SIGSTOP)
             await self._wait_random()
             node.send_signal(signal.SIGCONT)
 
     async def _partition_node(self) -> None:
-        proxy = self._random.choice(
-            tuple(self._environment.store_proxies.values())
-        )
-        async with self._fault('node cut from the store'):
+        name, proxy = self._choose_store_proxy()
+        async with self._fault('node cut from the store', name):
             proxy.is_stalled = True
             await self._wait_random()
             proxy.clear_faults()
 
     async def _drop_responses(self) -> None:
-        proxy = self._random.choice(
-            tuple(self._environment.store_proxies.values())
-        )
-        async with self._fault('answers of the store lost on the way'):
+        name, proxy = self._choose_store_proxy()
+        async with self._fault('answers of the store lost on the way', name):
             proxy.drops_responses = True
             await self._wait_random()
             proxy.clear_faults()
@@ -236,7 +284,10 @@
         slot = self._choose_slot()
         if slot is None:
             return
-        async with self._reserve(slot.address), self._fault('replica crashed'):
+        async with (
+            self._reserve(slot.address),
+            self._fault('replica crashed', slot.address),
+        ):
             self._environment.crash_replica(slot)
             await self._wait_random()
             await self._environment.start_replica(slot)
@@ -245,7 +296,10 @@
         slot = self._choose_slot()
         if slot is None:
             return
-        async with self._reserve(slot.address), self._fault('replica silent'):
+        async with (
+            self._reserve(slot.address),
+            self._fault('replica silent', slot.address),
+        ):
             slot.proxy.is_stalled = True
             await self._wait_random()
             slot.proxy.clear_faults()
@@ -254,7 +308,10 @@
         slot = self._choose_slot()
         if slot is None:
             return
-        async with self._reserve(slot.address), self._fault('replica delayed'):
+        async with (
+            self._reserve(slot.address),
+            self._fault('replica delayed', slot.address),
+        ):
             slot.proxy.delay_s = _DELAY_S
             await self._wait_random()
             slot.proxy.clear_faults()
@@ -263,20 +320,21 @@
         slot = self._choose_slot()
         if slot is None:
             return
-        async with self._fault('connections to a replica reset'):
+        async with self._fault('connections to a replica reset', slot.address):
             slot.proxy.reset()
             await self._wait_random()
 
     async def _restart_node(self) -> None:
         """Restart a node gracefully, as a rolling release does.
 
-        One node at a time, so that others can take its requests.
+        Few nodes at a time, so that others can take its requests.
         """
         node = self._choose_node()
-        if node is None or self._is_any_node_reserved():
+        if node is None or not self._has_enough_nodes():
             return
         async with self._reserve(node.name):
             self._ground_truth.counts['planned.rolled'] += 1
+            self._log(f'{node.name}: SIGTERM')
             node.send_signal(signal.SIGTERM)
             code = await node.wait_for_exit()
             if code is None:
@@ -291,13 +349,31 @@
         if node is None:
             return
         self._ground_truth.counts['planned.settings'] += 1
-        node.write_settings(retry_slack=self._random.randrange(40, 80))
+        node.write_settings(retry_slack=self._choose_retry_slack())
         if self._random.random() < _SIGHUP_SHARE:
             node.send_signal(signal.SIGHUP)
 
+    async def _reload_settings(self) -> None:
+        """Send signals in series, also to a node that is shutting down."""
+        node = self._random.choice(self._environment.nodes)
+        for _ in range(self._random.randrange(1, _MAX_SIGHUPS + 1)):
+            if node.started_at + _STARTUP_S > self._loop.time():
+                # Its signal handlers may not be installed yet.
+                return
+            self._ground_truth.counts['planned.reloaded'] += 1
+            self._log(f'{node.name}: SIGHUP')
+            node.write_settings(retry_slack=self._choose_retry_slack())
+            node.send_signal(signal.SIGHUP)
+            await asyncio.sleep(_SERIES_GAP_S * self._random.random())
+
+    def _choose_retry_slack(self) -> int:
+        third = self._retry_slack // 3
+        return self._random.randint(2 * third, 4 * third)
+
     async def _configure(self) -> None:
         self._ground_truth.counts['planned.configured'] += 1
         await self._environment.configure()
+        self._log(f'configuration {self._environment.version}')
 
     async def _drain_replica(self) -> None:
         slot = self._choose_slot()
@@ -305,9 +381,32 @@
             return
         async with self._reserve(slot.address):
             self._ground_truth.counts['planned.left'] += 1
-            await self._environment.drain_replica(slot)
-            await asyncio.sleep(_DRAIN_S)
+            self._log(f'{slot.address}: drains')
+            if self._leaves_enough(slot):
+                await self._drain(slot)
+            else:
+                # Refusals for lack of replicas are truthful.
+                async with self._fault('few replicas of a service left'):
+                    await self._drain(slot)
             # Requests that are still running end with the replica.
-            async with self._fault('replica gone'):
+            async with self._fault('replica gone', slot.address):
                 self._environment.crash_replica(slot)
                 await self._environment.start_replica(slot)
+
+    async def _drain(self, slot: ReplicaSlot) -> None:
+        await self._environment.drain_replica(slot)
+        await asyncio.sleep(_DRAIN_S)
+
+    def _leaves_enough(self, leaving: ReplicaSlot) -> bool:
+        """Return whether half of a service's replicas stay in service."""
+        slots = [
+            slot
+            for slot in self._environment.slots
+            if slot.service == leaving.service
+        ]
+        staying = [
+            slot
+            for slot in slots
+            if slot.replica is not None and slot.address not in self._reserved
+        ]
+        return len(staying) >= len(slots) / 2
--- a/samphirerill/testing/soak/ground_truth.py
+++ b/samphirerill/testing/soak/ground_truth.py
@@ -8,15 +8,24 @@
 
 from collections import defaultdict
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
 
 
 @dataclass(slots=True)
 class Fault:
-    """An injected fault; `until` is ``inf`` while it is active."""
+    """An injected fault; `until` is ``inf`` while it is active.
+
+    `targets` are the names of the nodes and the addresses of the replicas whose
+    process or connections it affects; a fault of the store has none.
+    """
 
     name: str
     since: float
     until: float = float('inf')
+    targets: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
@@ -24,7 +33,10 @@
     """Executions, refusals, injected faults and violated guarantees.
 
     `runs` maps a request to the replicas that executed it. `refused` contains
-    the requests whose client was told that they were not executed.
+    the requests whose client was told that they were not executed. `arrivals`
+    maps a request to the addresses of the replicas that it reached, on any stage
+    of its path; `broken_off` contains the requests that a replica broke off.
+    `events` is the log of the run, with times on the loop's clock.
     """
 
     runs: dict[str, list[str]] = field(
@@ -32,10 +44,15 @@
     )
     accounts: dict[str, str] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
+    arrivals: dict[str, set[str]] = field(
+        default_factory=lambda: defaultdict(set)
+    )
+    broken_off: set[str] = field(default_factory=set)
     non_idempotent: set[str] = field(default_factory=set)
     violations: list[str] = field(default_factory=list)
     faults: list[Fault] = field(default_factory=list)
     counts: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    events: list[tuple[float, str]] = field(default_factory=list)
 
     def record_run(
         self, request_id: str, replica_id: str, account: str
@@ -66,6 +83,10 @@
         if self.runs.get(request_id):
             self.record_violation(f'{request_id}: "not executed", but it was')
 
+    def log(self, now: float, description: str) -> None:
+        """Add an event to the log of the run."""
+        self.events.append((now, description))
+
     def record_violation(self, description: str) -> None:
         """Add a description of a violated guarantee."""
         self.violations.append(description)
@@ -76,3 +97,14 @@
             fault.since <= until and fault.until >= since
             for fault in self.faults
         )
+
+    def is_untouched(
+        self, targets: Collection[str], since: float, until: float
+    ) -> bool:
+        """Return whether no fault affected nodes or replicas in an interval."""
+        return not any(
+            fault.since <= until
+            and fault.until >= since
+            and not fault.targets.isdisjoint(targets)
+            for fault in self.faults
+        )
--- a/samphirerill/testing/soak/nodes.py
+++ b/samphirerill/testing/soak/nodes.py
@@ -5,6 +5,7 @@
 import asyncio
 import subprocess
 import sys
+from signal import SIGTERM
 from typing import TYPE_CHECKING, Any
 
 from msgspec import json
@@ -13,7 +14,7 @@
     from pathlib import Path
     from signal import Signals
 
-_EXIT_TIMEOUT_S = 10.0
+EXIT_TIMEOUT_S = 10.0
 _POLL_INTERVAL_S = 0.05
 
 
@@ -39,6 +40,9 @@
         self.store = f'{host}:{port + 5}'
         # Number of process starts; distinguishes a restarted node.
         self.start_count = 0
+        self.started_at = 0.0
+        # When it was asked to terminate, on the loop's clock.
+        self.terminations: list[float] = []
         self.settings: dict[str, Any] = {
             'name': name,
             'data_centre': 'a',
@@ -65,6 +69,7 @@
         if self.is_running():
             return
         self.start_count += 1
+        self.started_at = asyncio.get_running_loop().time()
         command = (
             sys.executable,
             '-m',
@@ -84,8 +89,18 @@
 
     def send_signal(self, number: Signals) -> None:
         """Send a signal to the process if it is running."""
-        if self._process is not None and self.is_running():
-            self._process.send_signal(number)
+        if self._process is None or not self.is_running():
+            return
+        if number == SIGTERM:
+            self.terminations.append(asyncio.get_running_loop().time())
+        self._process.send_signal(number)
+
+    def was_terminating(self, since: float, until: float) -> bool:
+        """Return whether a planned shutdown overlapped an interval."""
+        return any(
+            terminated_at <= until and terminated_at + EXIT_TIMEOUT_S >= since
+            for terminated_at in self.terminations
+        )
 
     async def wait_for_exit(self) -> int | None:
         """Wait for the process to exit.
@@ -95,7 +110,7 @@
         int or None
             The exit code, or None if the process did not exit in time.
         """
-        deadline = asyncio.get_running_loop().time() + _EXIT_TIMEOUT_S
+        deadline = asyncio.get_running_loop().time() + EXIT_TIMEOUT_S
         while self.is_running():
             if asyncio.get_running_loop().time() >= deadline:
                 return None
--- a/samphirerill/testing/soak/replicas.py
+++ b/samphirerill/testing/soak/replicas.py
@@ -27,10 +27,13 @@
 _NOT_FOUND = 404
 _CONFLICT = 409
 _EVENT_INTERVAL_S = 0.015
-_SERVICE_TIME_S = 0.02
+_SERVICE_TIME_S = {'desk': 0.02, 'extra': 0.2}
 # How long an engine waits for a stage that is down before it drops the request.
 _STALL_TIMEOUT_S = 1.0
 _LAYER_LOAD_S = 0.01
+# First digits of the ids of requests with many events.
+_LONG_PREFIXES = '012'
+_LONG_FACTOR = 8
 # The platform's bound plus a margin for message delay on a loaded machine.
 _DRAIN_BOUND_S = 2.5
 _POLL_INTERVAL_S = 0.02
@@ -40,7 +43,13 @@
 
 def count_events(request_id: str) -> int:
     """Return the number of events in the response to a request."""
-    return 8 + int(request_id[-2:], 16) % 24
+    count = 8 + int(request_id[-2:], 16) % 24
+    return count * _LONG_FACTOR if is_long(request_id) else count
+
+
+def is_long(request_id: str) -> bool:
+    """Return whether the response to a request has many events."""
+    return request_id[0] in _LONG_PREFIXES
 
 
 class ReplicaRegistry:
@@ -154,6 +163,7 @@
             await self._serve(req, conn)
 
     async def _serve(self, req: Request, conn: ClientConnection) -> None:
+        self._ground_truth.arrivals[_read_id(req)].add(self.address)
         expected = req.get(b'x-samphirerill-target-instance') or b''
         if expected != self.replica_id.encode():
             self._refuse(req, conn, _MISDIRECTED, self.address)
@@ -175,7 +185,7 @@
         self._ground_truth.record_run(
             request_id, self.replica_id, _read_account(req)
         )
-        await asyncio.sleep(_SERVICE_TIME_S)
+        await asyncio.sleep(_SERVICE_TIME_S[self.service])
         body = f'{request_id} {self.service}'.encode()
         conn.respond(_OK, self._build_headers(req), body)
 
@@ -190,7 +200,7 @@
         self._ground_truth.record_run(
             request_id, self.replica_id, _read_account(req)
         )
-        self._pipelines[request_id] = pipeline
+        self._set_pipeline(request_id, pipeline)
         headers = [
             *self._build_headers(req),
             (b'content-type', b'text/event-stream'),
@@ -200,6 +210,7 @@
             for number in range(first, count_events(request_id) + 1):
                 await asyncio.sleep(_EVENT_INTERVAL_S)
                 if not await self._wait_for_stages(request_id):
+                    self._ground_truth.broken_off.add(request_id)
                     conn.abort()
                     return
                 event = f'id: {number}\ndata: {request_id}-{number}\n\n'
@@ -208,6 +219,14 @@
         finally:
             self._pipelines.pop(request_id, None)
 
+    def _set_pipeline(
+        self, request_id: str, pipeline: list[tuple[str, LayerRange]]
+    ) -> None:
+        self._pipelines[request_id] = pipeline
+        self._ground_truth.arrivals[request_id].update(
+            address for address, _ in pipeline
+        )
+
     async def _wait_for_stages(self, request_id: str) -> bool:
         """Wait for missing stages; return whether all are up in time."""
         until = self._loop.time() + _STALL_TIMEOUT_S
@@ -249,7 +268,7 @@
             return _NOT_FOUND
         if self._find_unavailable(pipeline):
             return _CONFLICT
-        self._pipelines[order['id']] = pipeline
+        self._set_pipeline(order['id'], pipeline)
         return _ACCEPTED
 
     def _report(self) -> dict[str, Any]:
--- a/samphirerill/testing/soak/run.py
+++ b/samphirerill/testing/soak/run.py
@@ -5,26 +5,27 @@
 import asyncio
 import socket
 import sys
+import time
 from collections import Counter
 from dataclasses import dataclass, field
+from datetime import UTC, datetime
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
 from typing import TYPE_CHECKING
 
-from samphirerill.testing.soak.clients import (
-    KINDS,
-    Client,
-    LoadBalancer,
-    VersionProbe,
-)
+from samphirerill.fleet.model import MS_PER_S
+from samphirerill.testing.soak.balancer import LoadBalancer
+from samphirerill.testing.soak.clients import KINDS, create_clients
 from samphirerill.testing.soak.environment import SoakEnvironment
 from samphirerill.testing.soak.faults import FaultInjector
+from samphirerill.testing.soak.version_probe import VersionProbe
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-_CLIENT_COUNT = 10
+    from samphirerill.testing.soak.settings import SoakSettings
+
 _STARTUP_S = 4.0
 # Time allowed for recovery after the last fault.
 _RECOVERY_S = 6.0
@@ -32,6 +33,9 @@
 _PORTS = range(21_000, 28_000, 10)
 _PORT_COUNT = 6
 _MAX_SHOWN = 12
+_LAG_INTERVAL_S = 0.05
+_MIN_LOGGED_LAG_MS = 100
+_LOG_NAME = 'soak.log'
 
 
 @dataclass(slots=True)
@@ -56,20 +60,20 @@
         return '\n'.join(lines)
 
 
-def run_seed(seed: int, length_s: float, folder: Path) -> SoakReport:
+def run_seed(seed: int, settings: SoakSettings, folder: Path) -> SoakReport:
     """Run one seed; the nodes' settings and logs are written to `folder`."""
-    return asyncio.run(_run(seed, length_s, folder))
+    return asyncio.run(_run(seed, settings, folder))
 
 
-def run_seeds(seeds: Iterator[int], length_s: float, keep: str) -> int:
+def run_seeds(seeds: Iterator[int], settings: SoakSettings, keep: str) -> int:
     """Run seeds in turn; return how many violated a guarantee.
 
     Parameters
     ----------
     seeds : iterator of int
         The seeds to run.
-    length_s : float
-        Duration of fault injection for each seed.
+    settings : SoakSettings
+        What is run for each seed.
     keep : str
         Directory in which the logs of each seed are kept; empty to discard
         them.
@@ -79,20 +83,21 @@
         with TemporaryDirectory() as scratch:
             folder = Path(keep) / f'seed-{seed}' if keep else Path(scratch)
             folder.mkdir(parents=True, exist_ok=True)
-            report = run_seed(seed, length_s, folder)
+            report = run_seed(seed, settings, folder)
         failed += bool(report.violations)
         sys.stdout.write(f'{report.format()}\n')
         sys.stdout.flush()
     return failed
 
 
-async def _run(seed: int, length_s: float, folder: Path) -> SoakReport:
+async def _run(seed: int, settings: SoakSettings, folder: Path) -> SoakReport:
     random = Random(seed)
-    environment = SoakEnvironment(folder, _find_ports(random))
+    environment = SoakEnvironment(folder, _find_ports(random), settings.nodes)
     try:
-        await _run_workload(environment, random, length_s)
+        await _run_workload(environment, random, settings)
     finally:
         await environment.stop()
+        _write_log(environment, folder)
     return SoakReport(
         seed,
         environment.ground_truth.violations,
@@ -100,22 +105,31 @@
     )
 
 
+def _write_log(environment: SoakEnvironment, folder: Path) -> None:
+    """Write the events of the run beside the nodes' logs."""
+    started_at = time.time() - asyncio.get_running_loop().time()
+    lines = []
+    for at, description in environment.ground_truth.events:
+        moment = datetime.fromtimestamp(started_at + at, UTC)
+        lines.append(f'{moment.isoformat()} {description}\n')
+    (folder / _LOG_NAME).write_text(''.join(lines))
+
+
 async def _run_workload(
-    environment: SoakEnvironment, random: Random, length_s: float
+    environment: SoakEnvironment, random: Random, settings: SoakSettings
 ) -> None:
     """Run clients while faults are injected, then check recovery."""
     await environment.start()
     balancer = LoadBalancer(environment)
     tasks = [asyncio.create_task(balancer.run())]
     await asyncio.sleep(_STARTUP_S)
-    checkers: list[Client | VersionProbe] = [
-        Client(environment, balancer, Random(random.random()))
-        for _ in range(_CLIENT_COUNT)
-    ]
-    checkers.append(VersionProbe(environment, Random(random.random())))
-    tasks.extend(asyncio.create_task(item.run()) for item in checkers)
-    until = asyncio.get_running_loop().time() + length_s
-    await FaultInjector(environment, random).run(until)
+    probe = VersionProbe(environment, Random(random.random()))
+    clients = create_clients(environment, balancer, random, settings)
+    tasks.append(asyncio.create_task(probe.run()))
+    tasks.append(asyncio.create_task(_measure_lag(environment)))
+    tasks.extend(asyncio.create_task(client.run()) for client in clients)
+    until = asyncio.get_running_loop().time() + settings.length_s
+    await FaultInjector(environment, random, settings).run(until)
     await _check_recovery(environment)
     await _cancel_tasks(tasks)
 
@@ -135,6 +149,21 @@
         )
 
 
+async def _measure_lag(environment: SoakEnvironment) -> None:
+    """Log when this process, with all replicas and clients, was held up."""
+    loop = asyncio.get_running_loop()
+    counts = environment.ground_truth.counts
+    while True:
+        due_at = loop.time() + _LAG_INTERVAL_S
+        await asyncio.sleep(_LAG_INTERVAL_S)
+        lag_ms = int((loop.time() - due_at) * MS_PER_S)
+        counts['lag_ms'] = max(counts['lag_ms'], lag_ms)
+        if lag_ms > _MIN_LOGGED_LAG_MS:
+            environment.ground_truth.log(
+                loop.time(), f'soak process held up for {lag_ms} ms'
+            )
+
+
 def _count_statuses(environment: SoakEnvironment) -> Counter[str]:
     """Return the number of requests by status."""
     statuses: Counter[str] = Counter()
--- /dev/null
+++ b/samphirerill/testing/soak/settings.py
@@ -0,0 +1,25 @@
+"""Settings of a soak run."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class SoakSettings:
+    """What is run for each seed.
+
+    Parameters
+    ----------
+    length_s : float
+        Duration of fault injection.
+    nodes : int
+        The number of router nodes.
+    injects_faults : bool
+        Whether faults are injected; otherwise only planned maintenance runs,
+        several actions at once.
+    """
+
+    length_s: float = 14.0
+    nodes: int = 5
+    injects_faults: bool = True
--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -6,8 +6,12 @@
 from tempfile import TemporaryDirectory
 from unittest import TestCase
 
+from samphirerill.testing.soak.exchange import Exchange, Outcome
 from samphirerill.testing.soak.ground_truth import Fault, GroundTruth
+from samphirerill.testing.soak.nodes import SoakNode
 from samphirerill.testing.soak.run import run_seed
+from samphirerill.testing.soak.settings import SoakSettings
+from samphirerill.testing.soak.unanswered import UnansweredCheck
 
 _SEED = 7
 _FAULT_DURATION_S = 8.0
@@ -18,7 +22,8 @@
 
     def test_no_guarantee_is_violated(self) -> None:
         with TemporaryDirectory() as folder:
-            report = run_seed(_SEED, _FAULT_DURATION_S, Path(folder))
+            settings = SoakSettings(_FAULT_DURATION_S)
+            report = run_seed(_SEED, settings, Path(folder))
         self.assertEqual(report.violations, [])
         self.assertGreater(report.counts['notes.200'], 0)
 
@@ -51,3 +56,75 @@
         self.assertTrue(self.ground_truth.is_fault_free(1, 9))
         self.assertFalse(self.ground_truth.is_fault_free(11, 13))
         self.assertTrue(self.ground_truth.is_fault_free(13, 20))
+
+
+class TestUnansweredCheck(TestCase):
+    """Requests that were read whole and ended without an answer are found."""
+
+    def setUp(self) -> None:
+        self.ground_truth = GroundTruth()
+        self.ground_truth.arrivals['r1'] = {'head', 'tail'}
+        self.node = SoakNode('node-0', '127.0.0.11', 21_000, Path())
+        self.exchange = Exchange('notes', 'r1', 'suva')
+        self.exchange.start(self.node, 10.0, is_reused=True)
+        self.exchange.end(Outcome.CUT, 10.1)
+
+    def assert_violations(self, count: int) -> None:
+        UnansweredCheck(self.ground_truth).check(self.exchange)
+        self.assertEqual(len(self.ground_truth.violations), count)
+
+    def test_stream_cut_on_a_sound_path(self) -> None:
+        self.assert_violations(1)
+
+    def test_stream_cut_by_a_node_that_shuts_down(self) -> None:
+        self.node.terminations.append(9.0)
+        self.assert_violations(1)
+
+    def test_stream_cut_beside_faults_of_others(self) -> None:
+        targets = frozenset(('node-1', 'other'))
+        self.ground_truth.faults.append(Fault('x', 9, 11, targets))
+        self.ground_truth.faults.append(Fault('store busy', 9, 11))
+        self.assert_violations(1)
+
+    def test_stream_cut_beside_a_fault_of_its_path(self) -> None:
+        targets = frozenset(('tail',))
+        self.ground_truth.faults.append(Fault('x', 9, 11, targets))
+        self.assert_violations(0)
+
+    def test_stream_cut_after_its_replica_broke_it_off(self) -> None:
+        self.ground_truth.broken_off.add('r1')
+        self.assert_violations(0)
+
+    def test_stream_cut_at_its_timeout(self) -> None:
+        self.exchange.end(Outcome.CUT, 18.0)
+        self.assert_violations(0)
+
+    def test_request_not_answered_at_all(self) -> None:
+        self.exchange.end(Outcome.TIMED_OUT, 19.0)
+        self.assert_violations(1)
+
+    def test_request_that_crosses_the_close_of_a_draining_node(self) -> None:
+        self.ground_truth.arrivals.clear()
+        self.node.terminations.append(9.0)
+        self.assert_violations(0)
+
+    def test_request_that_a_draining_node_must_have_read(self) -> None:
+        self.ground_truth.arrivals.clear()
+        self.node.terminations.append(9.0)
+        self.exchange.end(Outcome.CUT, 11.0)
+        self.assert_violations(1)
+
+    def test_unread_request_cut_by_a_calm_node(self) -> None:
+        self.ground_truth.arrivals.clear()
+        self.assert_violations(1)
+
+    def test_pipelined_request_passed_on_before_an_announced_close(
+        self,
+    ) -> None:
+        self.exchange.end(Outcome.CLOSE_ANNOUNCED, 10.1)
+        self.assert_violations(1)
+
+    def test_pipelined_request_behind_an_announced_close(self) -> None:
+        self.ground_truth.arrivals.clear()
+        self.exchange.end(Outcome.CLOSE_ANNOUNCED, 10.1)
+        self.assert_violations(0)
