Soak: a fake engine keeps a run when an earlier one of its request ends

Streams were broken off by the fake engine although nothing had failed. It kept the path of a stream by request, so when an earlier run of the request on the same engine ended, it dropped the path of the later one too, and that run ended with an internal error. Paths are now kept by run; an order to reroute changes the latest one.

The test failed before with

BrokenResponseError: 127.0.0.61:20911: connection closed

--- a/samphirerill/testing/soak/replicas.py
+++ b/samphirerill/testing/soak/replicas.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from msgspec import json
@@ -64,6 +65,13 @@
         return self.by_address.get(address)
 
 
+@dataclass(slots=True)
+class _Run:
+    """A stream that an engine is running."""
+
+    pipeline: list[tuple[str, LayerRange]]
+
+
 class SoakReplica:
     """One instance of a replica, from its start to its end.
 
@@ -107,7 +115,8 @@
         self._connections: set[ClientConnection] = set()
         self._server: asyncio.Server | None = None
         self._busy_until = 0.0
-        self._pipelines: dict[str, list[tuple[str, LayerRange]]] = {}
+        # The latest run of each request.
+        self._runs: dict[str, _Run] = {}
 
     async def start(self) -> None:
         """Start listening and register."""
@@ -200,7 +209,9 @@
         self._ground_truth.record_run(
             request_id, self.replica_id, _read_account(req)
         )
-        self._set_pipeline(request_id, pipeline)
+        run = _Run(pipeline)
+        self._runs[request_id] = run
+        self._record_path(request_id, pipeline)
         headers = [
             *self._build_headers(req),
             (b'content-type', b'text/event-stream'),
@@ -209,7 +220,7 @@
         try:
             for number in range(first, count_events(request_id) + 1):
                 await asyncio.sleep(_EVENT_INTERVAL_S)
-                if not await self._wait_for_stages(request_id):
+                if not await self._wait_for_stages(run):
                     self._ground_truth.broken_off.add(request_id)
                     conn.abort()
                     return
@@ -217,20 +228,20 @@
                 conn.write_body(event.encode())
             conn.finish_response()
         finally:
-            self._pipelines.pop(request_id, None)
+            if self._runs.get(request_id) is run:
+                self._runs.pop(request_id)
 
-    def _set_pipeline(
+    def _record_path(
         self, request_id: str, pipeline: list[tuple[str, LayerRange]]
     ) -> None:
-        self._pipelines[request_id] = pipeline
         self._ground_truth.arrivals[request_id].update(
             address for address, _ in pipeline
         )
 
-    async def _wait_for_stages(self, request_id: str) -> bool:
+    async def _wait_for_stages(self, run: _Run) -> bool:
         """Wait for missing stages; return whether all are up in time."""
         until = self._loop.time() + _STALL_TIMEOUT_S
-        while self._find_unavailable(self._pipelines[request_id]):
+        while self._find_unavailable(run.pipeline):
             if self._loop.time() >= until:
                 return False
             await asyncio.sleep(_POLL_INTERVAL_S)
@@ -264,18 +275,20 @@
 
     def _change_pipeline(self, order: dict[str, Any]) -> int:
         pipeline = _parse_pipeline(order['path'].encode())
-        if order['id'] not in self._pipelines:
+        run = self._runs.get(order['id'])
+        if run is None:
             return _NOT_FOUND
         if self._find_unavailable(pipeline):
             return _CONFLICT
-        self._set_pipeline(order['id'], pipeline)
+        run.pipeline = pipeline
+        self._record_path(order['id'], pipeline)
         return _ACCEPTED
 
     def _report(self) -> dict[str, Any]:
         stalled = [
             {'id': name, 'address': unavailable}
-            for name, pipeline in self._pipelines.items()
-            if (unavailable := self._find_unavailable(pipeline))
+            for name, run in self._runs.items()
+            if (unavailable := self._find_unavailable(run.pipeline))
         ]
         return {
             'layers': _encode_layers(self.layers),
--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -2,19 +2,33 @@
 
 from __future__ import annotations
 
+import asyncio
+from http import HTTPStatus
 from pathlib import Path
 from tempfile import TemporaryDirectory
-from unittest import TestCase
+from unittest import IsolatedAsyncioTestCase, TestCase
 
+from samphirerill.fleet.model import LayerRange
+from samphirerill.relay.connection import HttpConnection, serialize_request
+from samphirerill.relay.pool import read_response
 from samphirerill.testing.soak.exchange import Exchange, Outcome
 from samphirerill.testing.soak.ground_truth import Fault, GroundTruth
 from samphirerill.testing.soak.nodes import SoakNode
+from samphirerill.testing.soak.replicas import (
+    LAYERS,
+    ReplicaRegistry,
+    SoakReplica,
+    count_events,
+)
 from samphirerill.testing.soak.run import run_seed
 from samphirerill.testing.soak.settings import SoakSettings
 from samphirerill.testing.soak.unanswered import UnansweredCheck
 
 _SEED = 7
 _FAULT_DURATION_S = 8.0
+_REQUEST_ID = '9000000000000009'
+_ENGINE_ADDRESS = '127.0.0.61:20911'
+_STREAM_TIMEOUT_S = 5.0
 
 
 class TestSoak(TestCase):
@@ -128,3 +142,48 @@
         self.ground_truth.arrivals.clear()
         self.exchange.end(Outcome.CLOSE_ANNOUNCED, 10.1)
         self.assert_violations(0)
+
+
+class TestSoakEngine(IsolatedAsyncioTestCase):
+    """The fake engine breaks off no run for a reason of its own."""
+
+    async def asyncSetUp(self) -> None:
+        self.ground_truth = GroundTruth()
+        self.ground_truth.accounts[_REQUEST_ID] = 'suva'
+        self.replica = SoakReplica(
+            ReplicaRegistry(self.ground_truth),
+            'r1',
+            'llm',
+            _ENGINE_ADDRESS,
+            _ENGINE_ADDRESS,
+            'half',
+        )
+        self.replica.layers = LayerRange(0, LAYERS)
+        await self.replica.start()
+        self.addCleanup(self.replica.stop)
+
+    async def test_earlier_run_of_the_same_request_ends(self) -> None:
+        earlier = await self._send_stream()
+        later = await self._send_stream()
+        earlier.close()
+        deadline = asyncio.get_running_loop().time() + _STREAM_TIMEOUT_S
+        status, body = await read_response(later, deadline)
+        self.assertEqual(status, HTTPStatus.OK)
+        self.assertEqual(body.count(b'data:'), count_events(_REQUEST_ID))
+
+    async def _send_stream(self) -> HttpConnection:
+        conn = HttpConnection(_ENGINE_ADDRESS)
+        await conn.open()
+        self.addCleanup(conn.close)
+        headers = [
+            (b'host', b'x'),
+            (b'x-samphirerill-request-id', _REQUEST_ID.encode()),
+            (b'x-samphirerill-tenant', b'suva'),
+            (b'x-samphirerill-target-instance', b'r1'),
+            (
+                b'x-samphirerill-hop-count',
+                f'{_ENGINE_ADDRESS}=0-{LAYERS}'.encode(),
+            ),
+        ]
+        conn.send(serialize_request(b'POST', b'/notes/x', headers, b'{}'))
+        return conn
