--- a/samphirerill/testing/soak/command.py
+++ b/samphirerill/testing/soak/command.py
@@ -5,7 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from samphirerill.testing.soak.seeds import REGRESSIONS
+from samphirerill.testing.soak.seeds import PLANNED_REGRESSIONS, REGRESSIONS
 
 if TYPE_CHECKING:
     import argparse
@@ -54,7 +54,7 @@
     parser.add_argument(
         '--regressions',
         action='store_true',
-        help='run the regression seeds instead',
+        help='run the regression seeds instead; others with --planned',
     )
     parser.add_argument(
         '--keep',
@@ -71,7 +71,7 @@
     from samphirerill.testing.soak.run import run_seeds
     from samphirerill.testing.soak.settings import SoakSettings
 
-    seeds = list(REGRESSIONS)
+    seeds = list(PLANNED_REGRESSIONS if options.planned else REGRESSIONS)
     if not options.regressions:
         first = options.first
         if first < 0:
--- a/samphirerill/testing/soak/run.py
+++ b/samphirerill/testing/soak/run.py
@@ -19,6 +19,7 @@
 from samphirerill.testing.soak.clients import KINDS, create_clients
 from samphirerill.testing.soak.environment import SoakEnvironment
 from samphirerill.testing.soak.faults import FaultInjector
+from samphirerill.testing.soak.ground_truth import Fault
 from samphirerill.testing.soak.version_probe import VersionProbe
 
 if TYPE_CHECKING:
@@ -162,6 +163,10 @@
             environment.ground_truth.log(
                 loop.time(), f'soak process held up for {lag_ms} ms'
             )
+            # All replicas were silent, which excuses no unanswered request.
+            environment.ground_truth.faults.append(
+                Fault('replicas held up', due_at, loop.time())
+            )
 
 
 def _count_statuses(environment: SoakEnvironment) -> Counter[str]:
