Soak: keep seed 13201

Each was sent once; its node logged "later stages were not replaced" and closed the run 0.5 and 2 ms later, then found no retry left or no path. Two requests that had not started were answered 502 in the same way 8 s after the last planned change ("not recovered: 354 requests succeeded, 2 failed").

--- a/samphirerill/testing/soak/seeds.py
+++ b/samphirerill/testing/soak/seeds.py
@@ -10,9 +10,10 @@
 # once. Cause unknown.
 CPU_CONTENTION = (678581, 678583)
 
-# To be run with --planned --nodes 14 --seconds 25: a node closed a run that went
-# on, to send the stream again from the same head, and then found no path.
-CLOSED_BEFORE_RESEND = (11202,)
+# A node closed a run that went on, to send the stream again from the same head,
+# and then found no path or no retry left. To be run with --planned --nodes 14
+# --seconds 25, and 20 nodes for 30 s.
+CLOSED_BEFORE_RESEND = (11202, 13201)
 
 PLANNED_REGRESSIONS = CLOSED_BEFORE_RESEND
 REGRESSIONS = EMPTY_RESUME + CPU_CONTENTION
