--- a/samphirerill/testing/soak/clients.py
+++ b/samphirerill/testing/soak/clients.py
@@ -134,6 +134,8 @@
             self._close_connection()
             for exchange in exchanges:
                 exchange.error = str(exc)
+                if exchange.outcome is Outcome.UNSENT:
+                    exchange.end(Outcome.UNSENT, self._loop.time())
         for exchange in exchanges:
             self._check_exchange(exchange)
 
