--- a/samphirerill/testing/soak/balancer.py
+++ b/samphirerill/testing/soak/balancer.py
@@ -33,17 +33,22 @@
             )
             await asyncio.sleep(_CHECK_INTERVAL_S)
 
+    async def wait_until_ready(self, timeout_s: float) -> None:
+        """Wait until all nodes are ready; raise ``TimeoutError`` if one isn't."""
+        async with asyncio.timeout(timeout_s):
+            while any(map(self._is_unready, self._environment.nodes)):
+                await asyncio.sleep(_CHECK_INTERVAL_S)
+
     def list_ready(self) -> list[SoakNode]:
         """Return the nodes in rotation, or all nodes if none is ready."""
         nodes = self._environment.nodes
-        ready = [
-            node
-            for node in nodes
-            if self._failed_checks.get(node.name, _FAILED_CHECKS_MAX)
-            < _FAILED_CHECKS_MAX
-        ]
+        ready = [node for node in nodes if not self._is_unready(node)]
         return ready or nodes
 
+    def _is_unready(self, node: SoakNode) -> bool:
+        failed_checks = self._failed_checks.get(node.name, _FAILED_CHECKS_MAX)
+        return failed_checks >= _FAILED_CHECKS_MAX
+
     async def _check_ready(self, node: SoakNode) -> None:
         deadline = asyncio.get_running_loop().time() + _CHECK_TIMEOUT_S
         try:
--- a/samphirerill/testing/soak/run.py
+++ b/samphirerill/testing/soak/run.py
@@ -28,6 +28,8 @@
     from samphirerill.testing.soak.settings import SoakSettings
 
 _STARTUP_S = 4.0
+# On a loaded machine.
+_MAX_STARTUP_S = 30.0
 # Time allowed for recovery after the last fault.
 _RECOVERY_S = 6.0
 _RECOVERY_CHECK_S = 2.0
@@ -116,6 +118,12 @@
     (folder / _LOG_NAME).write_text(''.join(lines))
 
 
+async def _wait_for_startup(balancer: LoadBalancer) -> None:
+    """Wait until engines have loaded their layers and nodes are ready."""
+    await asyncio.sleep(_STARTUP_S)
+    await balancer.wait_until_ready(_MAX_STARTUP_S)
+
+
 async def _run_workload(
     environment: SoakEnvironment, random: Random, settings: SoakSettings
 ) -> None:
@@ -123,7 +131,7 @@
     await environment.start()
     balancer = LoadBalancer(environment)
     tasks = [asyncio.create_task(balancer.run())]
-    await asyncio.sleep(_STARTUP_S)
+    await _wait_for_startup(balancer)
     probe = VersionProbe(environment, Random(random.random()))
     clients = create_clients(environment, balancer, random, settings)
     tasks.append(asyncio.create_task(probe.run()))
