Emulator: engines that ask for a pause and engines that say they leave

A scenario may let an engine refuse a share of the streams for a time, and end an engine as planned: its responses say that it is leaving, its announcement follows at once, later or never. Paths are chosen by the same code as in a node; a refusal is noted in the view as a node does today. Two counts show what nodes send in vain: streams that reach an engine within its back-off, and streams that reach one long after a response said that it leaves.

--- a/samphirerill/emulator/client_traffic.py
+++ b/samphirerill/emulator/client_traffic.py
@@ -49,8 +49,9 @@
 
     `in_time` and `late` streams were completed; `refused` ones found no path,
     and `cut` ones lost theirs and found no other in time. `moved` counts the
-    changes of path. `first` is the time to the first event, `gap` the time
-    between two events, and `longest` the longest gap of each completed stream.
+    changes of path, and `turned_away` the sends that an engine refused. `first`
+    is the time to the first event, `gap` the time between two events, and
+    `longest` the longest gap of each completed stream.
     """
 
     asked: int = 0
@@ -59,6 +60,7 @@
     refused: int = 0
     cut: int = 0
     moved: int = 0
+    turned_away: int = 0
     first: HdrHistogram = field(default_factory=_build_histogram)
     gap: HdrHistogram = field(default_factory=_build_histogram)
     longest: HdrHistogram = field(default_factory=_build_histogram)
@@ -72,6 +74,7 @@
             'refused': self.refused,
             'cut': self.cut,
             'moved': self.moved,
+            'turned_away': self.turned_away,
         }
         for name in ('first', 'gap', 'longest'):
             for quantile in (50, 95, 99):
@@ -203,13 +206,23 @@
         self._stages = self._generator.reserve_path(
             self._tokens, is_urgent=is_started
         )
-        if self._stages:
+        if self._stages and self._is_refused():
+            self._release_path()
+            self._event_loop.call_later(_RETRY_INTERVAL_S, self.find_path)
+        elif self._stages:
             self._send_prompt()
         elif self._event_loop.now <= self._get_path_deadline():
             self._event_loop.call_later(_RETRY_INTERVAL_S, self.find_path)
         else:
             self._finish('cut' if is_started else 'refused')
 
+    def _is_refused(self) -> bool:
+        """Return whether the first stage refuses the stream."""
+        head = self._stages[0].replica
+        is_refused = self._fleet.refuses_stream(head.replica_id)
+        self._generator.metrics.turned_away += is_refused
+        return is_refused
+
     def _get_path_deadline(self) -> float:
         """Return until when the stream may wait for a path."""
         if self._sent_events:
@@ -275,6 +288,8 @@
         else:
             self._first_event_s = now - self._arrived_at
             metrics.first.record_value(int(self._first_event_s * _US_PER_S) + 1)
+        head = self._stages[0].replica
+        self._fleet.engines[head.replica_id].leaving.record_response(now)
         self._last_event_at = now
         self._sent_events += 1
         self._remaining_events -= 1
@@ -289,7 +304,8 @@
             return
         now = self._event_loop.now
         view = self._fleet.view
-        if any(is_stage_lost(view, stage, now) for stage in self._stages):
+        is_lost = any(is_stage_lost(view, stage, now) for stage in self._stages)
+        if is_lost or self._has_replica_left():
             self._generator.metrics.moved += 1
             self._epoch += 1
             self._release_path()
@@ -299,6 +315,13 @@
                 _CHECK_INTERVAL_S, partial(self._check_path, epoch)
             )
 
+    def _has_replica_left(self) -> bool:
+        """Return whether a replica of the path has closed its connections."""
+        return any(
+            self._fleet.engines[stage.replica.replica_id].has_left
+            for stage in self._stages
+        )
+
     def _finish(self, outcome: str) -> None:
         self._remaining_events = 0
         self._release_path()
--- a/samphirerill/emulator/engine.py
+++ b/samphirerill/emulator/engine.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from random import Random
 
     from samphirerill.emulator.event_loop import EventLoop
     from samphirerill.fleet.model import Accelerator, EngineSpec, LayerRange
@@ -23,6 +24,12 @@
 _BITS_PER_BYTE = 8
 
 
+# Streams that are already on their way after a refusal.
+_BACK_OFF_SLACK_S = 0.5
+# A leaving engine must get no new stream from then on.
+_LEAVING_BOUND_S = 2.0
+
+
 @dataclass(slots=True)
 class StageTask:
     """Work of one stage: decoding for one event, or a prefill chunk.
@@ -36,10 +43,63 @@
     on_done: Callable[[], None]
 
 
+@dataclass(slots=True)
+class RestPeriod:
+    """Time in which an engine refuses a share of the new streams.
+
+    `asked_at` is when it first refused one; `early_sends` counts those that
+    were sent to it although they could have been kept from it, in all periods.
+    """
+
+    until: float = 0.0
+    share: float = 0.0
+    asked_at: float = float('inf')
+    early_sends: int = 0
+
+    def start(self, until: float, share: float) -> None:
+        """Start another period."""
+        self.until = until
+        self.share = share
+        self.asked_at = float('inf')
+
+    def refuses(self, now: float, random: Random) -> bool:
+        """Return whether a new stream is refused."""
+        if now >= self.until:
+            return False
+        self.early_sends += now > self.asked_at + _BACK_OFF_SLACK_S
+        if random.random() >= self.share:
+            return False
+        self.asked_at = min(self.asked_at, now)
+        return True
+
+
+@dataclass(slots=True)
+class LeavingNotice:
+    """What an engine says about its end.
+
+    `passed_on_at` is when a response first said so; `late_sends` counts the new
+    streams that were sent to it long after.
+    """
+
+    is_given: bool = False
+    passed_on_at: float = float('inf')
+    late_sends: int = 0
+
+    def record_send(self, now: float) -> None:
+        """Record a new stream."""
+        self.late_sends += now > self.passed_on_at + _LEAVING_BOUND_S
+
+    def record_response(self, now: float) -> None:
+        """Record that a response is passed on to a client."""
+        if self.is_given:
+            self.passed_on_at = min(self.passed_on_at, now)
+
+
 class EmulatedEngine:
     """Queues and passes of one engine.
 
     `slowdown` multiplies the duration of every pass; `busy_s` adds them up.
+    `has_left` is whether it has ended as planned, which closes its connections.
 
     Parameters
     ----------
@@ -58,6 +118,9 @@
         accelerator: Accelerator,
     ) -> None:
         self.is_crashed = False
+        self.has_left = False
+        self.rest = RestPeriod()
+        self.leaving = LeavingNotice()
         self.slowdown = 1.0
         self.busy_s = 0.0
         self._event_loop = event_loop
--- a/samphirerill/emulator/fleet.py
+++ b/samphirerill/emulator/fleet.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 from functools import partial
+from random import Random
 from typing import TYPE_CHECKING
 
 from samphirerill.emulator.engine import EmulatedEngine, EmulatedLinks
@@ -26,6 +27,8 @@
 # Delay from a crash to its detection, and how long nodes avoid the replica.
 _DETECTION_DELAY_S = 0.1
 _SUSPICION_S = 4.0
+# How long a replica that announces its end serves its streams, as nodes expect.
+_LEAVING_S = 2.0
 # Delay until a change is in the fleet view of every node.
 _ANNOUNCEMENT_DELAY_S = 0.02
 
@@ -58,6 +61,8 @@
         self.engines: dict[str, EmulatedEngine] = {}
         self.load_count = 0
         self._event_loop = event_loop
+        # Apart from the traffic, which stays the same.
+        self._random = Random(0)
         self.plan_targets = plan_targets
         self._replicas: dict[str, Replica] = {}
         self._target_layers: dict[str, LayerRange] = {}
@@ -92,6 +97,31 @@
         if for_s:
             self._event_loop.call_later(for_s, partial(self._restart, name))
 
+    def start_rest(self, name: str, for_s: float, share: float) -> None:
+        """Let a replica refuse a share of the new streams for a time."""
+        self.engines[name].rest.start(self._event_loop.now + for_s, share)
+
+    def refuses_stream(self, name: str) -> bool:
+        """Return whether a replica refuses a new stream, which nodes note."""
+        now = self._event_loop.now
+        engine = self.engines[name]
+        engine.leaving.record_send(now)
+        if not engine.rest.refuses(now, self._random):
+            return False
+        self.view.note_refusal(name, now)
+        return True
+
+    def start_departure(
+        self, name: str, serves_s: float, announced_after_s: float | None
+    ) -> None:
+        """Let a replica say that it is leaving, and end it later."""
+        self.engines[name].leaving.is_given = True
+        if announced_after_s is not None and announced_after_s < serves_s:
+            self._event_loop.call_later(
+                announced_after_s, partial(self._announce_departure, name)
+            )
+        self._event_loop.call_later(serves_s, partial(self._depart, name))
+
     def list_replicas(self) -> list[Replica]:
         """Return all replicas with the layers that they hold."""
         return list(self._replicas.values())
@@ -114,10 +144,25 @@
             )
         )
 
-    def _announce(self, replica: Replica) -> None:
+    def _announce(
+        self, replica: Replica, leaving_deadline: float = 0.0
+    ) -> None:
         self._revision += 1
         self._replicas[replica.replica_id] = replica
-        self.view.apply_announcement(replica, self._revision)
+        self.view.apply_announcement(replica, self._revision, leaving_deadline)
+
+    def _announce_departure(self, name: str) -> None:
+        replica = replace(self._replicas[name], is_leaving=True)
+        self._announce(replica, self._event_loop.now + _LEAVING_S)
+
+    def _depart(self, name: str) -> None:
+        """End a replica, which closes its connections."""
+        self.engines[name].crash()
+        self.engines[name].has_left = True
+        self._target_layers.pop(name, None)
+        self._replicas.pop(name)
+        self._revision += 1
+        self.view.remove_announcement(name, self._revision, grace_until=0.0)
 
     def _set_layers(self, name: str, layers: LayerRange | None) -> None:
         self._announce(replace(self._replicas[name], layers=layers))
@@ -129,6 +174,8 @@
         )
 
     def _restart(self, name: str) -> None:
+        if self.engines[name].has_left:
+            return
         self.engines[name].restart()
         self._set_layers(name, None)
         self.view.note_alive(name)
--- a/samphirerill/emulator/scenario.py
+++ b/samphirerill/emulator/scenario.py
@@ -1,4 +1,4 @@
-"""Scenario files: a fleet, its traffic, and the crashes to simulate."""
+"""Scenario files: a fleet, its traffic, and what happens to replicas."""
 
 from __future__ import annotations
 
@@ -68,6 +68,32 @@
     for_s: float = 0
 
 
+class Rest(Struct, frozen=True, forbid_unknown_fields=True):
+    """Time, `at` in seconds, in which a replica asks to be left alone.
+
+    It refuses a `share` of the streams that are sent to it as the first stage,
+    with the rest of that time as the back-off that it asks for.
+    """
+
+    at: float
+    replica: str
+    for_s: float
+    share: float = 1
+
+
+class Departure(Struct, frozen=True, forbid_unknown_fields=True):
+    """Planned end of a replica, `serves_s` seconds after `at`.
+
+    From `at` on it says in its responses that it is leaving. Its announcement
+    says so after `announced_after_s`, or never if that is null.
+    """
+
+    at: float
+    replica: str
+    serves_s: float = 5
+    announced_after_s: float | None = 0
+
+
 class Scenario(Struct, frozen=True, forbid_unknown_fields=True):
     """Input of one run.
 
@@ -82,6 +108,8 @@
     traffic: Traffic
     length_s: float = 30
     crashes: list[Crash] = []
+    rests: list[Rest] = []
+    departures: list[Departure] = []
     placement: dict[str, tuple[int, int]] | None = None
     policy: Policy = Policy()
 
--- a/samphirerill/emulator/simulation.py
+++ b/samphirerill/emulator/simulation.py
@@ -21,20 +21,58 @@
     generator = TrafficGenerator(
         event_loop, fleet, scenario.traffic, Random(seed)
     )
-    for crash in scenario.crashes:
-        event_loop.call_at(
-            crash.at, partial(fleet.crash_replica, crash.replica, crash.for_s)
-        )
+    _schedule_events(scenario, fleet, event_loop)
     generator.start()
     event_loop.run(scenario.length_s)
     metrics = generator.metrics.describe()
     metrics['loads'] = fleet.load_count
+    engines = fleet.engines.values()
+    metrics['early_sends'] = sum(engine.rest.early_sends for engine in engines)
+    metrics['late_sends'] = sum(engine.leaving.late_sends for engine in engines)
     for pair, link in fleet.links.by_pair.items():
         link_name = '-'.join(sorted(pair))
         metrics[f'pipe.{link_name}'] = round(link.busy_s / scenario.length_s, 3)
     return metrics
 
 
+def _count_unwanted_sends(fleet: EmulatedFleet) -> dict[str, int]:
+    """Return the sends that replicas had asked not to get.
+
+    `early_sends` came before a back-off had ended, `late_sends` long after a
+    response had said that the replica is leaving.
+    """
+    engines = fleet.engines.values()
+    return {
+        'early_sends': sum(engine.rest.early_sends for engine in engines),
+        'late_sends': sum(engine.leaving.late_sends for engine in engines),
+    }
+
+
+def _schedule_events(
+    scenario: Scenario, fleet: EmulatedFleet, event_loop: EventLoop
+) -> None:
+    """Schedule what happens to replicas."""
+    for crash in scenario.crashes:
+        event_loop.call_at(
+            crash.at, partial(fleet.crash_replica, crash.replica, crash.for_s)
+        )
+    for rest in scenario.rests:
+        event_loop.call_at(
+            rest.at,
+            partial(fleet.start_rest, rest.replica, rest.for_s, rest.share),
+        )
+    for departure in scenario.departures:
+        event_loop.call_at(
+            departure.at,
+            partial(
+                fleet.start_departure,
+                departure.replica,
+                departure.serves_s,
+                departure.announced_after_s,
+            ),
+        )
+
+
 def build_fleet(scenario: Scenario, event_loop: EventLoop) -> EmulatedFleet:
     """Return the fleet of a scenario with its initial layers placed."""
     fleet = EmulatedFleet(
--- a/samphirerill/tests/test_emulator.py
+++ b/samphirerill/tests/test_emulator.py
@@ -4,16 +4,29 @@
 
 from dataclasses import replace
 from pathlib import Path
+from random import Random
 from tempfile import TemporaryDirectory
 from unittest import TestCase
 
 from msgspec import structs
 
 from samphirerill.emulator.ablation import ablate
-from samphirerill.emulator.engine import EmulatedEngine, EmulatedLink, StageTask
+from samphirerill.emulator.engine import (
+    EmulatedEngine,
+    EmulatedLink,
+    LeavingNotice,
+    RestPeriod,
+    StageTask,
+)
 from samphirerill.emulator.event_loop import EventLoop
 from samphirerill.emulator.lab import describe_plan
-from samphirerill.emulator.scenario import Crash, Scenario, load_scenario
+from samphirerill.emulator.scenario import (
+    Crash,
+    Departure,
+    Rest,
+    Scenario,
+    load_scenario,
+)
 from samphirerill.emulator.simulation import run_scenario
 from samphirerill.fleet.model import LayerRange
 from samphirerill.fleet.policy import Policy
@@ -72,6 +85,35 @@
         self.assertEqual(self.done, [])
 
 
+class TestReplicaNotices(TestCase):
+    """Engines that ask for a pause, or say that they are leaving."""
+
+    def test_sends_before_the_end_of_a_back_off_are_counted(self) -> None:
+        rest = RestPeriod()
+        rest.start(until=3.0, share=1.0)
+        refused = [rest.refuses(at, Random(1)) for at in (1, 1.4, 2, 2.9, 3)]
+        self.assertEqual(refused, [True, True, True, True, False])
+        self.assertEqual(rest.early_sends, 2)
+
+    def test_share_of_the_streams_is_refused(self) -> None:
+        rest = RestPeriod()
+        rest.start(until=3.0, share=0.3)
+        random = Random(1)
+        refused = sum(rest.refuses(1.0, random) for _ in range(1000))
+        self.assertAlmostEqual(refused, 300, delta=50)
+
+    def test_sends_long_after_a_leaving_response_are_counted(self) -> None:
+        notice = LeavingNotice()
+        notice.record_response(1.0)
+        notice.record_send(9.0)
+        notice.is_given = True
+        for at in (10.0, 11.0):
+            notice.record_response(at)
+        for at in (11.9, 12.1):
+            notice.record_send(at)
+        self.assertEqual(notice.late_sends, 1)
+
+
 class TestLinks(TestCase):
     """Queueing of transfers on a link."""
 
@@ -107,6 +149,29 @@
         self.assertEqual(metrics['cut'], 0)
         self.assertGreater(metrics['loads'], 0)
 
+    def test_streams_avoid_an_engine_that_refuses(self) -> None:
+        rest = Rest(at=1, replica='a-large-0', for_s=2)
+        metrics = run_scenario(structs.replace(self.scenario, rests=[rest]), 1)
+        self.assertGreater(metrics['turned_away'], 0)
+        self.assertEqual(metrics['refused'] + metrics['cut'], 0)
+
+    def test_no_stream_is_cut_by_an_announced_departure(self) -> None:
+        departure = Departure(at=1, replica='a-large-0', serves_s=3)
+        metrics = run_scenario(
+            structs.replace(self.scenario, departures=[departure]), 1
+        )
+        self.assertGreater(metrics['moved'], 0)
+        self.assertEqual(metrics['late_sends'] + metrics['cut'], 0)
+
+    def test_no_stream_is_cut_by_an_unannounced_departure(self) -> None:
+        departure = Departure(
+            at=1, replica='a-large-0', serves_s=3, announced_after_s=None
+        )
+        metrics = run_scenario(
+            structs.replace(self.scenario, departures=[departure]), 1
+        )
+        self.assertEqual(metrics['cut'], 0)
+
     def test_lean_plans_and_spread_reduce_late_streams(self) -> None:
         """Guards against too many late streams after crashes.
 
