Soak: a node that shuts down may refuse requests on kept connections

The client had kept the connection over a pause and could not know; the refusal is true and the client sends again elsewhere. Refusals on a new connection to a node in rotation are still violations.

--- a/samphirerill/testing/soak/clients.py
+++ b/samphirerill/testing/soak/clients.py
@@ -274,17 +274,25 @@
             return exchange.outcome is not Outcome.ANSWERED or (
                 waited_s >= get_timeout_s(exchange.kind)
             )
-        if not self._habits.follows_readiness and self._is_shutting_down():
-            return exchange.outcome is Outcome.UNSENT or (
-                status == _UNAVAILABLE
-            )
-        return self._raced_with_close(exchange)
+        return self._may_be_turned_away(exchange) or self._raced_with_close(
+            exchange
+        )
 
-    def _is_shutting_down(self) -> bool:
-        """Return whether the client's node is planned to be down or starting."""
+    def _may_be_turned_away(self, exchange: Exchange) -> bool:
+        """Return whether the node was shutting down, which the client ignored.
+
+        A client that follows readiness learns of it only when it connects.
+        """
         now = self._loop.time()
-        return self._node is not None and self._node.was_terminating(
+        if self._node is None or not self._node.was_terminating(
             now - _FAULT_GRACE_S, now
+        ):
+            return False
+        if exchange.outcome is Outcome.UNSENT:
+            return not self._habits.follows_readiness
+        is_refused = exchange.response.status == _UNAVAILABLE
+        return is_refused and (
+            exchange.is_reused or not self._habits.follows_readiness
         )
 
     def _raced_with_close(self, exchange: Exchange) -> bool:
