Soak: engines keep released layers while a stream uses them

When a node ordered an engine to hold other layers, the fake engine dropped the old ones at once, and every stream through it was broken off after a stall of 1 s. An engine of the platform accepts nothing new on such layers and waits for the streams that pass through them. The fake does so now: streams in progress go on, also after other stages are replaced, and the new layers are loaded when the last one has ended.

The test failed before:

BrokenResponseError: 127.0.0.61:20911: connection closed

--- a/samphirerill/testing/soak/replicas.py
+++ b/samphirerill/testing/soak/replicas.py
@@ -13,7 +13,7 @@
 
 from msgspec import json
 
-from samphirerill.fleet.model import ClientLimits, LayerRange
+from samphirerill.fleet.model import NO_LAYERS, ClientLimits, LayerRange
 from samphirerill.relay.listeners import listen
 
 if TYPE_CHECKING:
@@ -64,6 +64,13 @@
         """Return the replica at an address, if any."""
         return self.by_address.get(address)
 
+    def is_in_use(self, address: str) -> bool:
+        """Return whether streams pass through the replica at an address."""
+        return any(
+            replica.runs_through(address)
+            for replica in self.by_address.values()
+        )
+
 
 @dataclass(slots=True)
 class _Run:
@@ -103,7 +110,7 @@
         self.service = service
         self.address = address
         self.kind = kind
-        self.layers = LayerRange(0, 0)
+        self.layers = NO_LAYERS
         self.is_stopped = False
         self.is_leaving = False
         self.leaving_since = float('inf')
@@ -114,7 +121,10 @@
         self._loop = asyncio.get_running_loop()
         self._connections: set[ClientConnection] = set()
         self._server: asyncio.Server | None = None
-        self._busy_until = 0.0
+        self._is_busy = False
+        # Given up, but kept for the streams that pass through them.
+        self._released = NO_LAYERS
+        self._tasks: set[asyncio.Task[None]] = set()
         # The latest run of each request.
         self._runs: dict[str, _Run] = {}
 
@@ -130,6 +140,8 @@
         self.is_stopped = True
         if self._server is not None:
             self._server.close()
+        for task in tuple(self._tasks):
+            task.cancel()
         for conn in tuple(self._connections):
             conn.abort()
         if self._replicas.find(self.address) is self:
@@ -159,8 +171,19 @@
 
     def holds(self, layers: LayerRange) -> bool:
         """Return whether the replica has loaded these layers."""
-        loaded = self.layers
-        return loaded.first <= layers.first and layers.end <= loaded.end
+        return _covers(self.layers, layers)
+
+    def keeps(self, layers: LayerRange) -> bool:
+        """Return whether streams in progress can use these layers."""
+        return self.holds(layers) or _covers(self._released, layers)
+
+    def runs_through(self, address: str) -> bool:
+        """Return whether a stream that it runs passes through a replica."""
+        return any(
+            address == stage_address
+            for run in self._runs.values()
+            for stage_address, _ in run.pipeline
+        )
 
     async def handle(self, req: Request, conn: ClientConnection) -> None:
         """Handle one request."""
@@ -241,17 +264,26 @@
     async def _wait_for_stages(self, run: _Run) -> bool:
         """Wait for missing stages; return whether all are up in time."""
         until = self._loop.time() + _STALL_TIMEOUT_S
-        while self._find_unavailable(run.pipeline):
+        while self._find_unavailable(run.pipeline, run):
             if self._loop.time() >= until:
                 return False
             await asyncio.sleep(_POLL_INTERVAL_S)
         return True
 
-    def _find_unavailable(self, pipeline: list[tuple[str, LayerRange]]) -> str:
-        """Return the address of an unavailable stage, or an empty string."""
+    def _find_unavailable(
+        self, pipeline: list[tuple[str, LayerRange]], run: _Run | None = None
+    ) -> str:
+        """Return the address of an unavailable stage, or an empty string.
+
+        A `run` may go on to use the stages that it uses.
+        """
         for address, layers in pipeline:
             stage = self._replicas.find(address)
-            if stage is None or not stage.holds(layers):
+            if stage is None:
+                return address
+            is_used = run is not None and (address, layers) in run.pipeline
+            serves = stage.keeps if is_used else stage.holds
+            if not serves(layers):
                 return address
         return ''
 
@@ -262,23 +294,34 @@
         if expected is not None and expected != self.orders:
             return _CONFLICT
         self.orders += 1
+        if self.layers.count:
+            self._released = self.layers
+        self.layers = NO_LAYERS
+        self._is_busy = True
         layers = LayerRange(order['from'], order['to'])
-        self.layers = LayerRange(0, 0)
-        load_s = layers.count * _LAYER_LOAD_S
-        self._busy_until = self._loop.time() + load_s
-        self._loop.call_later(load_s, self._finish_load, layers, self.orders)
+        task = self._loop.create_task(self._load(layers, self.orders))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         return _ACCEPTED
 
-    def _finish_load(self, layers: LayerRange, number: int) -> None:
+    async def _load(self, layers: LayerRange, number: int) -> None:
+        """Load layers once no stream uses those that were given up."""
+        while self._replicas.is_in_use(self.address):
+            await asyncio.sleep(_POLL_INTERVAL_S)
+        if number != self.orders:
+            return
+        self._released = NO_LAYERS
+        await asyncio.sleep(layers.count * _LAYER_LOAD_S)
         if number == self.orders:
             self.layers = layers
+            self._is_busy = False
 
     def _change_pipeline(self, order: dict[str, Any]) -> int:
         pipeline = _parse_pipeline(order['path'].encode())
         run = self._runs.get(order['id'])
         if run is None:
             return _NOT_FOUND
-        if self._find_unavailable(pipeline):
+        if self._find_unavailable(pipeline, run):
             return _CONFLICT
         run.pipeline = pipeline
         self._record_path(order['id'], pipeline)
@@ -288,11 +331,11 @@
         stalled = [
             {'id': name, 'address': unavailable}
             for name, run in self._runs.items()
-            if (unavailable := self._find_unavailable(run.pipeline))
+            if (unavailable := self._find_unavailable(run.pipeline, run))
         ]
         return {
             'layers': _encode_layers(self.layers),
-            'busy': self._loop.time() < self._busy_until,
+            'busy': self._is_busy,
             'sequence': self.orders,
             'stalled': stalled,
         }
@@ -352,6 +395,10 @@
     return pipeline
 
 
+def _covers(held: LayerRange, layers: LayerRange) -> bool:
+    return held.first <= layers.first and layers.end <= held.end
+
+
 def _encode_layers(layers: LayerRange) -> dict[str, int]:
     return {'from': layers.first, 'to': layers.end, 'version': 1}
 
--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -10,7 +10,7 @@
 
 from samphirerill.fleet.model import LayerRange
 from samphirerill.relay.connection import HttpConnection, serialize_request
-from samphirerill.relay.pool import read_response
+from samphirerill.relay.pool import call_once, read_response
 from samphirerill.testing.soak.exchange import Exchange, Outcome
 from samphirerill.testing.soak.ground_truth import Fault, GroundTruth
 from samphirerill.testing.soak.nodes import SoakNode
@@ -171,6 +171,22 @@
         self.assertEqual(status, HTTPStatus.OK)
         self.assertEqual(body.count(b'data:'), count_events(_REQUEST_ID))
 
+    async def test_layers_are_given_up_while_a_stream_uses_them(self) -> None:
+        conn = await self._send_stream()
+        deadline = asyncio.get_running_loop().time() + _STREAM_TIMEOUT_S
+        await conn.wait_for_part(deadline)
+        status, _ = await call_once(
+            _ENGINE_ADDRESS,
+            b'POST',
+            b'/order',
+            b'{"operation": "place", "from": 0, "to": 40}',
+            deadline,
+        )
+        self.assertEqual(status, HTTPStatus.ACCEPTED)
+        self.assertFalse(self.replica.layers.count)
+        _, body = await read_response(conn, deadline)
+        self.assertEqual(body.count(b'data:'), count_events(_REQUEST_ID))
+
     async def _send_stream(self) -> HttpConnection:
         conn = HttpConnection(_ENGINE_ADDRESS)
         await conn.open()
