Soak: a new connection to a node that shuts down may be closed unread

Only clients that ignore readiness are excused, and only in the success check; a request that was read must be answered as before.

--- a/samphirerill/testing/soak/clients.py
+++ b/samphirerill/testing/soak/clients.py
@@ -283,10 +283,7 @@
 
         A client that follows readiness learns of it only when it connects.
         """
-        now = self._loop.time()
-        if self._node is None or not self._node.was_terminating(
-            now - _FAULT_GRACE_S, now
-        ):
+        if not self._was_shutting_down():
             return False
         if exchange.outcome is Outcome.UNSENT:
             return not self._habits.follows_readiness
@@ -296,12 +293,24 @@
         )
 
     def _raced_with_close(self, exchange: Exchange) -> bool:
-        """Return whether the node closed a reused connection before the send."""
+        """Return whether the node closed the connection before the send.
+
+        A new connection may be closed too, if the client has chosen a node that
+        is shutting down.
+        """
         was_executed = bool(self._ground_truth.runs.get(exchange.request_id))
-        return (
-            exchange.is_reused
-            and not exchange.response.status
-            and not was_executed
+        if exchange.response.status or was_executed:
+            return False
+        return exchange.is_reused or (
+            exchange.outcome is Outcome.CUT
+            and not self._habits.follows_readiness
+            and self._was_shutting_down()
+        )
+
+    def _was_shutting_down(self) -> bool:
+        now = self._loop.time()
+        return self._node is not None and self._node.was_terminating(
+            now - _FAULT_GRACE_S, now
         )
 
     def _check_body(self, exchange: Exchange) -> None:
