--- a/samphirerill/testing/soak/environment.py
+++ b/samphirerill/testing/soak/environment.py
@@ -32,6 +32,7 @@
 _BRIEF_DROPPED_EVERY = 2
 _EXTRA_DROPPED_EVERY = 3
 _PLAIN_TIMEOUT_MS = 2000
+_PLAIN_ATTEMPTS = 2
 _STREAM: dict[str, Any] = {
     'host': HOST,
     'kind': 'streaming',
@@ -303,4 +304,5 @@
         'kind': kind,
         'service': service,
         'timeoutMs': _PLAIN_TIMEOUT_MS,
+        'maxAttempts': _PLAIN_ATTEMPTS,
     }
