--- a/samphirerill/testing/soak/clients.py
+++ b/samphirerill/testing/soak/clients.py
@@ -248,16 +248,13 @@
         self._check_success(exchange)
 
     def _check_success(self, exchange: Exchange) -> None:
-        response = exchange.response
         if exchange.is_success or self._may_fail(exchange):
             return
         if self._ground_truth.is_fault_free(
             exchange.sent_at - _FAULT_GRACE_S, self._loop.time()
         ):
             self._ground_truth.record_violation(
-                f'{exchange.request_id}: {exchange.kind} got status '
-                f'{response.status}, complete: {response.is_complete}, with no '
-                'fault nearby'
+                f'failed with no fault nearby: {exchange.describe()}'
             )
 
     def _may_fail(self, exchange: Exchange) -> bool:
