--- a/samphirerill/testing/soak/clients.py
+++ b/samphirerill/testing/soak/clients.py
@@ -265,15 +265,15 @@
         if status == _UNAVAILABLE and not self._settings.injects_faults:
             # Several replicas drain at once.
             return True
+        if self._may_be_turned_away(exchange):
+            return True
         if exchange.queued_behind:
             # It may not have been read, or its time was used up by those before.
             waited_s = self._loop.time() - exchange.sent_at
             return exchange.outcome is not Outcome.ANSWERED or (
                 waited_s >= get_timeout_s(exchange.kind)
             )
-        return self._may_be_turned_away(exchange) or self._raced_with_close(
-            exchange
-        )
+        return self._raced_with_close(exchange)
 
     def _may_be_turned_away(self, exchange: Exchange) -> bool:
         """Return whether the node was shutting down, which the client ignored.
