--- a/samphirerill/testing/soak/clients.py
+++ b/samphirerill/testing/soak/clients.py
@@ -257,16 +257,13 @@
         self._check_success(exchange)
 
     def _check_success(self, exchange: Exchange) -> None:
-        response = exchange.response
         if exchange.is_success or self._may_fail(exchange):
             return
         if self._ground_truth.is_fault_free(
             exchange.sent_at - _FAULT_GRACE_S, self._loop.time()
         ):
             self._ground_truth.record_violation(
-                f'{exchange.request_id}: {exchange.kind} got status '
-                f'{response.status}, complete: {response.is_complete}, with no '
-                'fault nearby'
+                f'failed with no fault nearby: {exchange.describe()}'
             )
 
     def _may_fail(self, exchange: Exchange) -> bool:
@@ -277,25 +274,22 @@
         if status == _UNAVAILABLE and not self._settings.injects_faults:
             # Several replicas drain at once.
             return True
+        if self._may_be_turned_away(exchange):
+            return True
         if exchange.queued_behind:
             # It may not have been read, or its time was used up by those before.
             waited_s = self._loop.time() - exchange.sent_at
             return exchange.outcome is not Outcome.ANSWERED or (
                 waited_s >= get_timeout_s(exchange.kind)
             )
-        return self._may_be_turned_away(exchange) or self._raced_with_close(
-            exchange
-        )
+        return self._raced_with_close(exchange)
 
     def _may_be_turned_away(self, exchange: Exchange) -> bool:
         """Return whether the node was shutting down, which the client ignored.
 
         A client that follows readiness learns of it only when it connects.
         """
-        now = self._loop.time()
-        if self._node is None or not self._node.was_terminating(
-            now - _FAULT_GRACE_S, now
-        ):
+        if not self._was_shutting_down():
             return False
         if exchange.outcome is Outcome.UNSENT:
             return not self._habits.follows_readiness
@@ -305,12 +299,24 @@
         )
 
     def _raced_with_close(self, exchange: Exchange) -> bool:
-        """Return whether the node closed a reused connection before the send."""
+        """Return whether the node closed the connection before the send.
+
+        A new connection may be closed too, if the client has chosen a node that
+        is shutting down.
+        """
         was_executed = bool(self._ground_truth.runs.get(exchange.request_id))
-        return (
-            exchange.is_reused
-            and not exchange.response.status
-            and not was_executed
+        if exchange.response.status or was_executed:
+            return False
+        return exchange.is_reused or (
+            exchange.outcome is Outcome.CUT
+            and not self._habits.follows_readiness
+            and self._was_shutting_down()
+        )
+
+    def _was_shutting_down(self) -> bool:
+        now = self._loop.time()
+        return self._node is not None and self._node.was_terminating(
+            now - _FAULT_GRACE_S, now
         )
 
     def _check_body(self, exchange: Exchange) -> None:
--- a/samphirerill/testing/soak/exchange.py
+++ b/samphirerill/testing/soak/exchange.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from samphirerill.testing.soak.nodes import SoakNode
 
+_OK = 200
 _DEADLINE_MS = 8000
 
 
@@ -96,7 +97,7 @@
     @property
     def is_success(self) -> bool:
         """Return whether a complete response with status 200 arrived."""
-        return self.response.status == 200 and self.response.is_complete  # noqa: PLR2004
+        return self.response.status == _OK and self.response.is_complete
 
 
 class PipeliningConnection(HttpConnection):
