--- a/samphirerill/testing/soak/seeds.py
+++ b/samphirerill/testing/soak/seeds.py
@@ -17,7 +17,7 @@
 
 # A node closed a run that had not started, as it suspected the replica, and then
 # passed on the response head that had already arrived. 20 nodes, 30 s.
-CLOSED_WITH_BUFFERED_HEAD = (13202,)
+CLOSED_WITH_BUFFERED_HEAD = (13202, 13203)
 
 PLANNED_REGRESSIONS = CLOSED_BEFORE_RESEND + CLOSED_WITH_BUFFERED_HEAD
 REGRESSIONS = EMPTY_RESUME + CPU_CONTENTION
