Soak: replicas ask for a pause and say in responses that they leave

Neither was checked: nodes went on sending to replicas that had refused with a Retry-After, and to replicas whose responses said that they were leaving while their entry was still ready.

Fake replicas now refuse for up to 3 s at times and send the remaining time, with a fraction, or a value that makes no sense, and say in all responses that they leave, before or instead of the change of their entry. Checked is that no more than two requests of a node reach a replica between half a second after such a refusal and the end of the time, and that no request that was sent over 2 s after a node had passed on such a response reaches that process. Which node sent a request is known from the client. Restarted, killed, paused and cut nodes are excused.

--- a/samphirerill/testing/soak/clients.py
+++ b/samphirerill/testing/soak/clients.py
@@ -20,7 +20,8 @@
     Outcome,
     PipeliningConnection,
     build_request,
-    read_response,
+    read_body,
+    read_head,
 )
 from samphirerill.testing.soak.replicas import count_events, is_long
 from samphirerill.testing.soak.unanswered import UnansweredCheck
@@ -162,7 +163,11 @@
         if self._node is None:
             raise TypeError('got a connection without a node')
         for exchange in exchanges:
-            exchange.start(self._node, self._loop.time(), is_reused=is_reused)
+            now = self._loop.time()
+            exchange.start(self._node, now, is_reused=is_reused)
+            self._ground_truth.notice_checks.record_send(
+                exchange.request_id, self._node, now
+            )
             conn.send(
                 build_request(
                     f'/{exchange.kind}/x', exchange.request_id, exchange.account
@@ -193,7 +198,11 @@
         deadline = exchange.sent_at + _REQUEST_TIMEOUT_S
         outcome = Outcome.CUT
         try:
-            await read_response(conn, exchange.response, deadline)
+            await read_head(conn, exchange.response, deadline)
+            self._ground_truth.notice_checks.record_response(
+                exchange, self._loop.time()
+            )
+            await read_body(conn, exchange.response, deadline)
             outcome = Outcome.ANSWERED
         except EndpointTimeoutError:
             outcome = Outcome.TIMED_OUT
--- a/samphirerill/testing/soak/environment.py
+++ b/samphirerill/testing/soak/environment.py
@@ -215,13 +215,20 @@
         slot.proxy.reset()
         self._schedule_entry_removal(replica.replica_id)
 
-    async def drain_replica(self, slot: ReplicaSlot) -> None:
+    async def announce_drain(self, slot: ReplicaSlot) -> None:
         """Mark a replica as draining in the service registry."""
         if slot.replica is not None:
             slot.replica.is_leaving = True
+            slot.replica.announces_leaving = True
             await self._publish_entry(slot)
             slot.replica.leaving_since = self._loop.time()
 
+    def start_saying_leaving(self, slot: ReplicaSlot) -> None:
+        """Make a replica say in its responses that it is leaving."""
+        if slot.replica is not None:
+            slot.replica.is_leaving = True
+            slot.replica.says_leaving = True
+
     def clear_faults(self) -> None:
         """Clear all faults except stopped processes and replicas."""
         self.service.is_unavailable = False
--- a/samphirerill/testing/soak/exchange.py
+++ b/samphirerill/testing/soak/exchange.py
@@ -39,10 +39,14 @@
 
 @dataclass(slots=True)
 class Response:
-    """A client's response; `status` is 0 if no response head arrived."""
+    """A client's response; `status` is 0 if no response head arrived.
+
+    `replica_id` is empty if the response is not from a replica.
+    """
 
     status: int = 0
     request_id: bytes = b''
+    replica_id: str = ''
     body: bytes = b''
     is_complete: bool = False
 
@@ -128,15 +132,23 @@
     return serialize_request(b'POST', target.encode(), headers, b'{}')
 
 
-async def read_response(
+async def read_head(
     conn: HttpConnection, response: Response, deadline: float
 ) -> None:
-    """Read a response into `response`, keeping what arrived on an error."""
+    """Read the head of a response into `response`."""
     head = await conn.read(deadline)
     if not isinstance(head, ResponseHead):
         raise TypeError(f'got {head!r}, expected a response head')
     response.status = head.status
     response.request_id = head.get(b'x-samphirerill-request-id') or b''
+    seal = head.get(b'x-samphirerill-response-seal') or b''
+    response.replica_id = seal.decode()
+
+
+async def read_body(
+    conn: HttpConnection, response: Response, deadline: float
+) -> None:
+    """Read a body into `response`, keeping what arrived on an error."""
     while True:
         part = await conn.read(deadline)
         if not isinstance(part, BodyChunk):
--- a/samphirerill/testing/soak/faults.py
+++ b/samphirerill/testing/soak/faults.py
@@ -46,6 +46,21 @@
 _CYCLE_S = 14.0
 _FAULT_FREE_S = 8.0
 _DRAIN_S = 3.0
+# Whether a replica announces in its entry, and says in responses, that it leaves.
+_WAYS_TO_LEAVE = ((True, False), (True, True), (False, True))
+# How long it says so before it announces it.
+_SAYING_S = 1.0
+_MAX_BACK_OFF_S = 3.0
+_BAD_VALUE_SHARE = 0.3
+_BAD_RETRY_AFTER = (
+    b'soon',
+    b'-1',
+    b'nan',
+    b'1e9',
+    b' ',
+    b'9' * 20,
+    b'Fri, 31 Dec 2999 23:59:59 GMT',
+)
 _DELAY_S = 0.15
 
 
@@ -76,6 +91,7 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self._reserved: set[str] = set()
+        self._resting: set[str] = set()
         self._faults: tuple[Callable[[], Awaitable[None]], ...] = (
             self._kill_node,
             self._pause_node,
@@ -98,6 +114,7 @@
             self._configure,
             self._configure,
             self._drain_replica,
+            self._rest_replica,
         )
 
     async def run(self, until: float) -> None:
@@ -394,11 +411,44 @@
                 await self._environment.start_replica(slot)
 
     async def _drain(self, slot: ReplicaSlot) -> None:
-        await self._environment.drain_replica(slot)
+        """Announce a drain, say so in responses before, or say so only."""
+        announces, says = self._random.choice(_WAYS_TO_LEAVE)
+        self._log(f'{slot.address}: announces: {announces}, says: {says}')
+        if says:
+            self._environment.start_saying_leaving(slot)
+            await asyncio.sleep(_SAYING_S)
+        if announces:
+            await self._environment.announce_drain(slot)
         await asyncio.sleep(_DRAIN_S)
 
+    async def _rest_replica(self) -> None:
+        """Let a replica refuse for a time, and say how long or nonsense."""
+        slot = self._choose_slot()
+        if slot is None or slot.replica is None:
+            return
+        async with self._reserve(slot.address):
+            back_off_s = _MAX_BACK_OFF_S * self._random.random()
+            retry_after = b''
+            if self._random.random() < _BAD_VALUE_SHARE:
+                retry_after = self._random.choice(_BAD_RETRY_AFTER)
+            self._ground_truth.counts['planned.rested'] += 1
+            self._log(
+                f'{slot.address}: rests for {back_off_s:.2f} s, {retry_after!r}'
+            )
+            self._resting.add(slot.address)
+            slot.replica.ask_for_rest(back_off_s, retry_after)
+            if self._leaves_enough(slot):
+                await asyncio.sleep(back_off_s)
+            else:
+                async with self._fault('few replicas of a service left'):
+                    await asyncio.sleep(back_off_s)
+            self._resting.discard(slot.address)
+
     def _leaves_enough(self, leaving: ReplicaSlot) -> bool:
-        """Return whether half of a service's replicas stay in service."""
+        """Return whether a service's other replicas can serve its requests.
+
+        Half of them can, or all but one if one refuses without leaving.
+        """
         slots = [
             slot
             for slot in self._environment.slots
@@ -409,4 +459,6 @@
             for slot in slots
             if slot.replica is not None and slot.address not in self._reserved
         ]
+        if any(slot.address in self._resting for slot in slots):
+            return len(staying) >= max(1, len(slots) - 1)
         return len(staying) >= len(slots) / 2
--- a/samphirerill/testing/soak/ground_truth.py
+++ b/samphirerill/testing/soak/ground_truth.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from samphirerill.testing.soak.replica_notices import ReplicaNoticeChecks
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
@@ -36,7 +38,8 @@
     the requests whose client was told that they were not executed. `arrivals`
     maps a request to the addresses of the replicas that it reached, on any stage
     of its path; `broken_off` contains the requests that a replica broke off.
-    `events` is the log of the run, with times on the loop's clock.
+    `events` is the log of the run, with times on the loop's clock;
+    `notice_checks` check that nodes honour what replicas say about themselves.
     """
 
     runs: dict[str, list[str]] = field(
@@ -53,6 +56,11 @@
     faults: list[Fault] = field(default_factory=list)
     counts: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     events: list[tuple[float, str]] = field(default_factory=list)
+    notice_checks: ReplicaNoticeChecks = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the checks that record here."""
+        self.notice_checks = ReplicaNoticeChecks(self)
 
     def record_run(
         self, request_id: str, replica_id: str, account: str
--- a/samphirerill/testing/soak/replicas.py
+++ b/samphirerill/testing/soak/replicas.py
@@ -114,6 +114,12 @@
         self.is_stopped = False
         self.is_leaving = False
         self.leaving_since = float('inf')
+        # Whether its registry entry and its responses show that it is leaving.
+        self.announces_leaving = False
+        self.says_leaving = False
+        self._back_off_until = 0.0
+        # Sent instead of the remaining time.
+        self._retry_after = b''
         self.orders = 0
         self._listen_address = listen_address
         self._replicas = replicas
@@ -154,7 +160,7 @@
             'address': self.address,
             'zone': 'a',
             'slots': 8,
-            'state': 'draining' if self.is_leaving else 'ready',
+            'state': 'draining' if self.announces_leaving else 'ready',
             'kind': self.kind,
         }
         if self.kind and self.layers.count:
@@ -169,6 +175,19 @@
         """Return whether connections are closed after each response."""
         return self.is_leaving
 
+    def ask_for_rest(self, back_off_s: float, retry_after: bytes) -> None:
+        """Refuse requests for a time, as an overloaded replica does.
+
+        Parameters
+        ----------
+        back_off_s : float
+            How long it refuses.
+        retry_after : bytes
+            The value that it sends; empty to send the remaining time.
+        """
+        self._back_off_until = self._loop.time() + back_off_s
+        self._retry_after = retry_after
+
     def holds(self, layers: LayerRange) -> bool:
         """Return whether the replica has loaded these layers."""
         return _covers(self.layers, layers)
@@ -195,12 +214,19 @@
             await self._serve(req, conn)
 
     async def _serve(self, req: Request, conn: ClientConnection) -> None:
+        now = self._loop.time()
         self._ground_truth.arrivals[_read_id(req)].add(self.address)
         expected = req.get(b'x-samphirerill-target-instance') or b''
         if expected != self.replica_id.encode():
             self._refuse(req, conn, _MISDIRECTED, self.address)
             return
         self._check_draining(req)
+        self._ground_truth.notice_checks.check_arrival(
+            _read_id(req), self.replica_id, self.address, now
+        )
+        if now < self._back_off_until:
+            self._refuse_for_rest(req, conn)
+            return
         if not self.kind:
             await self._answer_plain(req, conn)
             return
@@ -340,26 +366,52 @@
             'stalled': stalled,
         }
 
+    def _refuse_for_rest(self, req: Request, conn: ClientConnection) -> None:
+        now = self._loop.time()
+        remaining_s = self._back_off_until - now
+        self._ground_truth.counts['replica.back_off'] += 1
+        if self._retry_after:
+            retry_after = self._retry_after
+        else:
+            retry_after = f'{remaining_s:.3f}'.encode()
+            self._ground_truth.notice_checks.record_back_off(
+                _read_id(req), self.replica_id, now, self._back_off_until
+            )
+        self._refuse(
+            req, conn, _UNAVAILABLE, self.address, (b'retry-after', retry_after)
+        )
+
     def _refuse(
         self,
         req: Request,
         conn: ClientConnection,
         status: int,
         failed_address: str,
+        *more: tuple[bytes, bytes],
     ) -> None:
         headers = [
-            (_REQUEST_ID_HEADER, req.get(_REQUEST_ID_HEADER) or b''),
+            *self._build_common_headers(req),
             (b'x-samphirerill-not-executed', b'1'),
             (b'at-server', failed_address.encode()),
+            *more,
         ]
         conn.respond(status, headers, b'')
 
     def _build_headers(self, req: Request) -> list[tuple[bytes, bytes]]:
         return [
-            (_REQUEST_ID_HEADER, req.get(_REQUEST_ID_HEADER) or b''),
+            *self._build_common_headers(req),
             (b'x-samphirerill-response-seal', self.replica_id.encode()),
         ]
 
+    def _build_common_headers(self, req: Request) -> list[tuple[bytes, bytes]]:
+        headers = [(_REQUEST_ID_HEADER, req.get(_REQUEST_ID_HEADER) or b'')]
+        if self.says_leaving:
+            headers.append((b'server-leaving', b'1'))
+            self._ground_truth.notice_checks.record_leaving_answer(
+                _read_id(req), self.replica_id
+            )
+        return headers
+
     def _check_draining(self, req: Request) -> None:
         """Check that a draining replica gets no new request after the bound."""
         delay_s = self._loop.time() - self.leaving_since
--- a/samphirerill/testing/soak/version_probe.py
+++ b/samphirerill/testing/soak/version_probe.py
@@ -10,7 +10,8 @@
 from samphirerill.testing.soak.exchange import (
     Response,
     build_request,
-    read_response,
+    read_body,
+    read_head,
 )
 
 if TYPE_CHECKING:
@@ -58,7 +59,11 @@
         try:
             await conn.open()
             conn.send(build_request(f'/v{version}/', request_id, 'suva'))
-            await read_response(conn, response, since + _REQUEST_TIMEOUT_S)
+            self._ground_truth.notice_checks.record_send(
+                request_id, node, since
+            )
+            await read_head(conn, response, since + _REQUEST_TIMEOUT_S)
+            await read_body(conn, response, since + _REQUEST_TIMEOUT_S)
         except EndpointError:
             # Missing responses are checked by the clients, not here.
             return
--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -203,3 +203,97 @@
         ]
         conn.send(serialize_request(b'POST', b'/notes/x', headers, b'{}'))
         return conn
+
+
+class TestReplicaNoticeChecks(TestCase):
+    """Requests that a replica has asked not to get are found."""
+
+    def setUp(self) -> None:
+        self.ground_truth = GroundTruth()
+        self.checks = self.ground_truth.notice_checks
+        self.node = SoakNode('node-0', '127.0.0.11', 21_000, Path())
+        self.send('first', 10.0)
+
+    def send(self, request_id: str, sent_at: float) -> None:
+        self.checks.record_send(request_id, self.node, sent_at)
+
+    def arrive(self, request_id: str, at: float, replica_id: str) -> None:
+        self.checks.check_arrival(request_id, replica_id, 'a', at)
+
+    def assert_violations(self, count: int) -> None:
+        self.assertEqual(len(self.ground_truth.violations), count)
+
+    def send_after_refusal(self, count: int, at: float) -> None:
+        for number in range(count):
+            self.send(f'later-{number}', at)
+            self.arrive(f'later-{number}', at, 'r1')
+
+    def test_more_than_two_requests_within_the_time(self) -> None:
+        self.checks.record_back_off('first', 'r1', 10.0, 12.0)
+        self.send_after_refusal(3, 11.0)
+        self.assert_violations(1)
+
+    def test_two_requests_within_the_time(self) -> None:
+        self.checks.record_back_off('first', 'r1', 10.0, 12.0)
+        self.send_after_refusal(2, 11.0)
+        self.assert_violations(0)
+
+    def test_requests_on_their_way_or_after_the_time(self) -> None:
+        self.checks.record_back_off('first', 'r1', 10.0, 12.0)
+        self.send_after_refusal(3, 10.4)
+        self.send_after_refusal(3, 12.1)
+        self.assert_violations(0)
+
+    def test_requests_of_a_node_that_was_paused(self) -> None:
+        fault = Fault('node paused', 9, 11, frozenset(('node-0',)))
+        self.ground_truth.faults.append(fault)
+        self.checks.record_back_off('first', 'r1', 10.0, 12.0)
+        self.send_after_refusal(3, 11.0)
+        self.assert_violations(0)
+
+    def test_requests_of_a_node_that_was_restarted(self) -> None:
+        self.checks.record_back_off('first', 'r1', 10.0, 12.0)
+        self.node.start_count += 1
+        self.send_after_refusal(3, 11.0)
+        self.assert_violations(0)
+
+    def test_requests_of_a_node_that_was_asked_again_after_a_restart(
+        self,
+    ) -> None:
+        self.checks.record_back_off('first', 'r1', 9.0, 12.0)
+        self.node.start_count += 1
+        self.send('second', 10.0)
+        self.checks.record_back_off('second', 'r1', 10.0, 12.0)
+        self.send_after_refusal(3, 11.0)
+        self.assert_violations(1)
+
+    def pass_on_leaving(self) -> None:
+        self.checks.record_leaving_answer('first', 'r1')
+        exchange = Exchange('look', 'first', 'suva')
+        exchange.start(self.node, 10.0, is_reused=False)
+        exchange.response.replica_id = 'r1'
+        self.checks.record_response(exchange, 10.0)
+
+    def test_request_sent_long_after_a_leaving_answer(self) -> None:
+        self.pass_on_leaving()
+        self.send('later', 12.5)
+        self.arrive('later', 12.5, 'r1')
+        self.assert_violations(1)
+
+    def test_request_sent_within_the_bound_that_arrives_late(self) -> None:
+        self.pass_on_leaving()
+        self.send('later', 11.5)
+        self.arrive('later', 12.5, 'r1')
+        self.assert_violations(0)
+
+    def test_request_to_the_next_process_at_the_address(self) -> None:
+        self.pass_on_leaving()
+        self.send('later', 12.5)
+        self.arrive('later', 12.5, 'r1-2')
+        self.assert_violations(0)
+
+    def test_leaving_answer_that_was_not_passed_on(self) -> None:
+        self.checks.record_leaving_answer('first', 'r1')
+        self.send('later', 12.5)
+        self.arrive('later', 12.5, 'r1')
+        self.assert_violations(0)
