Emulator: the fleet view keeps what engines ask for and say

The emulator kept its own notes of engines that ask for a pause and of engines that say that they leave; it now uses those of the fleet view, so that the same decisions are emulated. Its two stricter tests fail without this: 1 != 0 sends before the end of a pause, 16 != 0 sends after a leaving response.

--- a/samphirerill/emulator/client_traffic.py
+++ b/samphirerill/emulator/client_traffic.py
@@ -9,12 +9,13 @@
 from hdrh.histogram import HdrHistogram
 
 from samphirerill.emulator.engine import StageTask
-from samphirerill.emulator.fleet import SERVICE
+from samphirerill.emulator.fleet import LEAVING_S, SERVICE
 from samphirerill.fleet.link_usage import LinkUsage
 from samphirerill.fleet.load import LoadTracker, list_replica_ids
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.paths import PathRequest, choose_path
 from samphirerill.fleet.prediction import predict_transfer_ms
+from samphirerill.fleet.replica_notices import note_leaving
 from samphirerill.fleet.stage_lifetime import is_stage_lost
 
 if TYPE_CHECKING:
@@ -23,7 +24,7 @@
     from samphirerill.emulator.event_loop import EventLoop
     from samphirerill.emulator.fleet import EmulatedFleet
     from samphirerill.emulator.scenario import Traffic
-    from samphirerill.fleet.model import Stage
+    from samphirerill.fleet.model import Replica, Stage
 
 # Time that a new stream waits for a path, as in a node.
 _ADMISSION_TIMEOUT_S = 1.4
@@ -147,6 +148,14 @@
         """Remove a stream from the load of its path."""
         self._load_tracker.remove_request(list_replica_ids(stages), tokens)
 
+    def record_response(self, replica: Replica) -> None:
+        """Record that a node passes on a response of a replica."""
+        now = self.event_loop.now
+        leaving = self.fleet.engines[replica.replica_id].leaving
+        leaving.record_response(now)
+        if leaving.is_given:
+            note_leaving(self.fleet.view, replica, now + LEAVING_S)
+
     def _record_transfers(
         self, stages: tuple[Stage, ...], tokens: float
     ) -> None:
@@ -288,8 +297,7 @@
         else:
             self._first_event_s = now - self._arrived_at
             metrics.first.record_value(int(self._first_event_s * _US_PER_S) + 1)
-        head = self._stages[0].replica
-        self._fleet.engines[head.replica_id].leaving.record_response(now)
+        self._generator.record_response(self._stages[0].replica)
         self._last_event_at = now
         self._sent_events += 1
         self._remaining_events -= 1
--- a/samphirerill/emulator/fleet.py
+++ b/samphirerill/emulator/fleet.py
@@ -10,6 +10,7 @@
 from samphirerill.emulator.engine import EmulatedEngine, EmulatedLinks
 from samphirerill.fleet.model import LayerRange, Replica
 from samphirerill.fleet.repair import count_complete, plan_moves
+from samphirerill.fleet.replica_notices import note_requested_backoff
 from samphirerill.fleet.suspicion import CONFIRMING_VOTES
 from samphirerill.fleet.timing import PlanTiming
 from samphirerill.fleet.view import FleetView
@@ -28,7 +29,7 @@
 _DETECTION_DELAY_S = 0.1
 _SUSPICION_S = 4.0
 # How long a replica that announces its end serves its streams, as nodes expect.
-_LEAVING_S = 2.0
+LEAVING_S = 2.0
 # Delay until a change is in the fleet view of every node.
 _ANNOUNCEMENT_DELAY_S = 0.02
 
@@ -108,7 +109,8 @@
         engine.leaving.record_send(now)
         if not engine.rest.refuses(now, self._random):
             return False
-        self.view.note_refusal(name, now)
+        replica = self._replicas[name]
+        note_requested_backoff(self.view, replica, engine.rest.until)
         return True
 
     def start_departure(
@@ -153,7 +155,7 @@
 
     def _announce_departure(self, name: str) -> None:
         replica = replace(self._replicas[name], is_leaving=True)
-        self._announce(replica, self._event_loop.now + _LEAVING_S)
+        self._announce(replica, self._event_loop.now + LEAVING_S)
 
     def _depart(self, name: str) -> None:
         """End a replica, which closes its connections."""
--- a/samphirerill/tests/test_emulator.py
+++ b/samphirerill/tests/test_emulator.py
@@ -153,6 +153,7 @@
         rest = Rest(at=1, replica='a-large-0', for_s=2)
         metrics = run_scenario(structs.replace(self.scenario, rests=[rest]), 1)
         self.assertGreater(metrics['turned_away'], 0)
+        self.assertEqual(metrics['early_sends'], 0)
         self.assertEqual(metrics['refused'] + metrics['cut'], 0)
 
     def test_no_stream_is_cut_by_an_announced_departure(self) -> None:
@@ -170,7 +171,7 @@
         metrics = run_scenario(
             structs.replace(self.scenario, departures=[departure]), 1
         )
-        self.assertEqual(metrics['cut'], 0)
+        self.assertEqual(metrics['late_sends'] + metrics['cut'], 0)
 
     def test_lean_plans_and_spread_reduce_late_streams(self) -> None:
         """Guards against too many late streams after crashes.
