Tests of handovers wait for what they are about, not for a time

Two tests failed beside load. 150 copies of both at once, with what the node counts printed:

- test_completed_run_cancels_the_search failed in 23 of 150, each time with one run taken over: the rest of the present run took longer than the 0.6 s that the replacement was given to start, so that nothing was left to be cancelled.
The replacement now can't start before the client's own timeout.
- test_started_stream_is_served_before_a_new_one failed in 3 of 150, each time with no stream queued as the new one was sent: the silence of the first one was not noticed within the fixed 0.5 s.
The test now waits until each stream is queued, frees a single slot in place of all capacity, and checks that one stream gets it in the same pass of the loop, where it allowed 0.1 s.

Both keep their checks. The second fails with started streams ranked last (b'r2' != b'r1'). 150 of 150 copies at once pass.

--- a/samphirerill/tests/test_handover.py
+++ b/samphirerill/tests/test_handover.py
@@ -8,12 +8,13 @@
 from msgspec.structs import replace
 
 from samphirerill.relay.errors import EndpointError
-from samphirerill.tests.platform_documents import build_configuration
+from samphirerill.tests.platform_documents import ENGINE, build_configuration
 from samphirerill.tests.test_leaving import LeavingCase
 from samphirerill.tests.two_engines import (
     AMPLE_RETRIES,
     EVENTS,
     LEAVING_MS,
+    RESPONSE_TIMEOUT_S,
     TwoEnginesCase,
     build_headers,
     wait_until,
@@ -23,7 +24,7 @@
     from samphirerill.fleet.retry_budget import RetryUsage
 
 _SLOW_PREFILL_S = 0.6
-_ALL_TOKENS = 1e9
+_SLOTS = ENGINE['slots']
 
 
 class HandoverCase(TwoEnginesCase):
@@ -60,7 +61,7 @@
 
     async def test_completed_run_cancels_the_search(self) -> None:
         stream, head, other = await self.start_stream()
-        self.harness.replicas[other].prefill_s = _SLOW_PREFILL_S
+        self.harness.replicas[other].prefill_s = RESPONSE_TIMEOUT_S
         self.mark_dead(head)
         await self.wait_until(
             lambda: self.harness.replicas[other].received_requests
@@ -134,26 +135,44 @@
         Guards against started streams that do not wait for a path in the queue.
         """
         stream, head, other = await self.start_stream()
-        load_tracker = self.process.state.load_tracker
-        load_tracker.add_request([other], _ALL_TOKENS)
+        self.process.state.load_tracker.add_request([other] * _SLOTS, 0)
         self.harness.replicas[head].responding.clear()
-        await asyncio.sleep(0.5)
-        new_stream = asyncio.create_task(
-            self.request_with(b'/notes/x', build_headers('r2'))
+        await self._wait_until_queued(1)
+        new_stream = await self._queue_new_stream()
+        await self._free_slots(other, 1)
+        self.assertEqual(self._count_queued(), 1)
+        await self.wait_until(
+            lambda: self.harness.replicas[other].received_requests
         )
-        await asyncio.sleep(0.4)
-        load_tracker.remove_request([other], _ALL_TOKENS)
-        self.process.state.notify_listeners()
-        async with asyncio.timeout(0.1):
-            await self.wait_until(
-                lambda: self.harness.replicas[other].received_requests
-            )
         self.harness.replicas[head].responding.set()
         self.assert_complete(await stream)
+        await self._free_slots(other, _SLOTS - 1)
         await new_stream
         first = self.harness.replicas[other].received_requests[0]
         self.assertEqual(first.get(b'x-samphirerill-request-id'), b'r1')
 
+    async def _queue_new_stream(self) -> asyncio.Task[tuple[int, bytes]]:
+        """Send a stream that waits for a path behind another one."""
+        stream = asyncio.create_task(
+            self.request_with(b'/notes/x', build_headers('r2'))
+        )
+        await self._wait_until_queued(2)
+        return stream
+
+    async def _wait_until_queued(self, count: int) -> None:
+        """Wait until so many streams wait for a path."""
+        await self.wait_until(lambda: self._count_queued() == count)
+
+    async def _free_slots(self, name: str, count: int) -> None:
+        """Free slots, and let the node handle that without waiting."""
+        self.process.state.load_tracker.remove_request([name] * count, 0)
+        self.process.state.notify_listeners()
+        for _ in range(2):
+            await asyncio.sleep(0)
+
+    def _count_queued(self) -> int:
+        return self.process._admission.count_waiting()  # noqa: SLF001
+
 
 class TestOneHead(LeavingCase):
     """All paths start at the same replica."""
