Test that a run that has not started outlasts a suspicion of its head

Callers get 502 although the replica works: a run without an event is closed as soon as its head is suspected, even if no retry is left or no other head is allowed. `StreamGuard._leave_failed_head` closes if `is_head_dead` holds or a retry is reserved, and `is_head_dead` holds for any suspicion, which may be false. `_leave_path` does the same after a probe that got no answer.

--- /dev/null
+++ b/samphirerill/tests/test_lost_review.py
@@ -0,0 +1,46 @@
+"""Requests given up before another run or a refusal is secured."""
+
+from __future__ import annotations
+
+import asyncio
+
+
+from samphirerill.tests.platform_documents import build_configuration
+from samphirerill.tests.two_engines import SETTLE_S, TwoEnginesCase
+
+_PREFILL_S = 0.6
+_SUSPICION_S = 0.3
+_LONG_SUSPICION_S = 4.0
+
+
+class UnstartedStreamCase(TwoEnginesCase):
+    """Streams whose first event has not come yet."""
+
+    async def start_prefill(
+        self,
+    ) -> tuple[asyncio.Task[tuple[int, bytes]], str]:
+        """Send a stream whose prefill takes a while; return its engine too."""
+        for name in ('engine-1', 'engine-2'):
+            self.harness.replicas[name].prefill_s = _PREFILL_S
+        stream = self.start_request(b'/notes/x')
+        await self.wait_until(self.list_used_engines)
+        await asyncio.sleep(SETTLE_S)
+        return stream, self.list_used_engines()[0]
+
+
+class TestSuspectedHeads(UnstartedStreamCase):
+    """The head replica works, though it is suspected."""
+
+    async def test_run_goes_on_without_a_retry(self) -> None:
+        """Guard against closing a run before a retry is reserved."""
+        self.change_settings(retry_slack=0, retry_ratio=0)
+        stream, head = await self.start_prefill()
+        self.mark_dead(head, _SUSPICION_S)
+        self.assert_complete(await stream)
+
+    async def test_run_at_the_only_allowed_head_goes_on(self) -> None:
+        """Guard against closing a run that no other replica may replace."""
+        await self.configure(build_configuration(8, maxAttempts=1))
+        stream, head = await self.start_prefill()
+        self.mark_dead(head, _LONG_SUSPICION_S)
+        self.assert_complete(await stream)
