Test that no response begins after its run was closed

Callers see a response 200 that ends without an event where a refusal was possible. If the response head has arrived and is unread when the node closes the run, `HttpConnection.close` keeps it, the reader passes it on, and the stream is aborted as no retry is left.

--- a/samphirerill/tests/test_lost_review.py
+++ b/samphirerill/tests/test_lost_review.py
@@ -3,11 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from unittest.mock import patch
 
 
+from samphirerill.relay.connection import HttpConnection
 from samphirerill.tests.platform_documents import build_configuration
-from samphirerill.tests.two_engines import SETTLE_S, TwoEnginesCase
+from samphirerill.tests.two_engines import OK, SETTLE_S, TwoEnginesCase
 
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_EVENT_STREAM = b'text/event-stream'
 _PREFILL_S = 0.6
 _SUSPICION_S = 0.3
 _LONG_SUSPICION_S = 4.0
@@ -44,3 +49,25 @@
         stream, head = await self.start_prefill()
         self.mark_dead(head, _LONG_SUSPICION_S)
         self.assert_complete(await stream)
+
+
+class TestUnreadHeads(UnstartedStreamCase):
+    """The response head has arrived when its run is closed."""
+
+    async def test_response_does_not_begin_after_its_run_was_closed(
+        self,
+    ) -> None:
+        """Guard against a cut response where a refusal was possible."""
+        self.change_settings(retry_slack=0, retry_ratio=0)
+        stream, head = await self.start_prefill()
+        address = self.harness.addresses[head]
+        receive = HttpConnection.data_received
+
+        def suspect_sender(conn: HttpConnection, data: bytes) -> None:
+            receive(conn, data)
+            if conn.address == address and _EVENT_STREAM in data:
+                self.mark_dead(head, _SUSPICION_S)
+
+        with patch.object(HttpConnection, 'data_received', suspect_sender):
+            status, body = await stream
+        self.assertIn(status, (OK, _BAD_GATEWAY, _UNAVAILABLE), body)
