Test that a plain attempt is not ended with nothing to follow

Callers get 504 after 45 % of the route's timeout although the endpoint works and would respond in time. Each attempt but the last has that share of the time; whether a retry is left and another endpoint may be tried is looked at only after the connection was closed.

These tests fail, as the fault is there (3 of 3 runs): test_only_endpoint_is_not_given_up, test_endpoint_is_not_given_up_without_a_retry: AssertionError: 504 != 200

--- a/samphirerill/tests/test_lost_review.py
+++ b/samphirerill/tests/test_lost_review.py
@@ -5,6 +5,7 @@
 import asyncio
 from unittest.mock import patch
 
+from msgspec import json
 
 from samphirerill.fleet.model import LayerRange
 from samphirerill.fleet.paths import count_token_capacity
@@ -15,6 +16,9 @@
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _EVENT_STREAM = b'text/event-stream'
+_PLAIN_TIMEOUT_MS = 1600
+# Beyond the time of a first attempt, well within that of the request.
+_PLAIN_WORK_S = 1.0
 _PREFILL_S = 0.6
 _SUSPICION_S = 0.3
 _LONG_SUSPICION_S = 4.0
@@ -99,3 +103,46 @@
             engine, state.view.replicas[name], LayerRange(0, engine.layers)
         )
         state.load_tracker.add_request([name], tokens * _MEMORY_USE)
+
+
+class TestPlainRequests(TwoEnginesCase):
+    """An endpoint that takes longer than the time of a first attempt."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        document = json.decode(build_configuration(8))
+        document['routes'][1].update(
+            kind='idempotent', timeoutMs=_PLAIN_TIMEOUT_MS, maxAttempts=2
+        )
+        await self.configure(json.encode(document))
+        self.endpoint = self.harness.replicas['desk-1']
+        self.addCleanup(self.endpoint.responding.set)
+
+    async def send_slow_request(self) -> tuple[int, bytes]:
+        """Send a request that the endpoint works on for a second."""
+        self.endpoint.responding.clear()
+        request = self.start_request(b'/pickup/x')
+        await asyncio.sleep(_PLAIN_WORK_S)
+        self.endpoint.responding.set()
+        return await request
+
+    async def test_only_endpoint_is_not_given_up(self) -> None:
+        """Guard against ending an attempt that no other can follow."""
+        status, body = await self.send_slow_request()
+        self.assertEqual(status, OK, body)
+
+    async def test_endpoint_is_not_given_up_without_a_retry(self) -> None:
+        """Guard against ending an attempt before a retry is reserved."""
+        await self.harness.add_replica('desk-2')
+        await self.announce('desk-2', 'desk', kind='')
+        await self.harness.wait_for_replica_count(4)
+        self.change_settings(retry_slack=0, retry_ratio=0)
+        self.harness.replicas['desk-2'].responding.clear()
+        self.addCleanup(self.harness.replicas['desk-2'].responding.set)
+        request = self.start_request(b'/pickup/x')
+        self.endpoint.responding.clear()
+        await asyncio.sleep(_PLAIN_WORK_S)
+        for name in ('desk-1', 'desk-2'):
+            self.harness.replicas[name].responding.set()
+        status, body = await request
+        self.assertEqual(status, OK, body)
