Test that a connection with a queued request is not closed as idle

A request that was read behind a response that its client has not read yet is queued without a task. The idle timer goes on meanwhile and closes the connection, and the request gets no response.

--- a/samphirerill/tests/test_lost_review.py
+++ b/samphirerill/tests/test_lost_review.py
@@ -11,6 +11,7 @@
 from samphirerill.fleet.paths import count_token_capacity
 from samphirerill.relay.connection import HttpConnection
 from samphirerill.tests.platform_documents import build_configuration
+from samphirerill.tests.test_kept_connections import KeptConnectionCase
 from samphirerill.tests.two_engines import OK, SETTLE_S, TwoEnginesCase
 
 _BAD_GATEWAY = 502
@@ -24,6 +25,9 @@
 _LONG_SUSPICION_S = 4.0
 # More than new streams may use, and less than started ones may.
 _MEMORY_USE = 0.95
+_LARGE_BYTES = 24_000_000
+# Longer than the idle timeout of the server.
+_PAUSE_S = 0.8
 
 
 class UnstartedStreamCase(TwoEnginesCase):
@@ -146,3 +150,21 @@
             self.harness.replicas[name].responding.set()
         status, body = await request
         self.assertEqual(status, OK, body)
+
+
+class TestUnreadResponses(KeptConnectionCase):
+    """A client that has not read the response before."""
+
+    async def test_connection_with_a_queued_request_is_not_idle(self) -> None:
+        """Guard against an idle timeout while a request waits."""
+        self.handler.padding = bytes(_LARGE_BYTES)
+        await self.send(_build_request('/unsent'))
+        await self.send(_build_request('/2'))
+        await asyncio.sleep(_PAUSE_S)
+        self.assertEqual(await self.receive_statuses(), [OK, OK])
+
+
+def _build_request(target: str) -> bytes:
+    return (
+        f'POST {target} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n'
+    ).encode()
