Own interface: test that requests open at the end of a node get a status

Callers see a closed connection without any response if their request is still open, running or queued, when the time to finish is over: the node stops without ending its requests.

--- a/samphirerill/tests/test_lost_review.py
+++ b/samphirerill/tests/test_lost_review.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import threading
+import time
+from typing import Any, ClassVar
 from unittest.mock import patch
 
 from msgspec import json
@@ -10,7 +13,10 @@
 from samphirerill.fleet.model import LayerRange
 from samphirerill.fleet.paths import count_token_capacity
 from samphirerill.relay.connection import HttpConnection
+from samphirerill.testing.clients import ClientResponse, send_request
+from samphirerill.testing.layout import SECOND_ACCOUNT_KEY
 from samphirerill.tests.platform_documents import build_configuration
+from samphirerill.tests.support import ClusterCase
 from samphirerill.tests.test_kept_connections import KeptConnectionCase
 from samphirerill.tests.two_engines import OK, SETTLE_S, TwoEnginesCase
 
@@ -28,6 +34,8 @@
 _LARGE_BYTES = 24_000_000
 # Longer than the idle timeout of the server.
 _PAUSE_S = 0.8
+_FINISH_S = 0.5
+_SERVICE_DELAY_S = 3.0
 
 
 class UnstartedStreamCase(TwoEnginesCase):
@@ -164,6 +172,34 @@
         self.assertEqual(await self.receive_statuses(), [OK, OK])
 
 
+class TestOwnInterface(ClusterCase):
+    """The project's own interface."""
+
+    overrides: ClassVar[dict[str, Any]] = {
+        'shutdown': {'notice_s': 0, 'finish_s': _FINISH_S}
+    }
+
+    def test_request_that_is_open_at_the_end_is_answered(self) -> None:
+        """Guard against a closed connection where a status was possible."""
+        desk = self.cluster.addresses['services']['desk']
+        self.cluster.control(desk, delay_s=_SERVICE_DELAY_S)
+        answers: list[ClientResponse] = []
+        caller = threading.Thread(target=self.look_up, args=(answers,))
+        caller.start()
+        time.sleep(SETTLE_S)
+        self.cluster.nodes[0].stop()
+        caller.join()
+        self.assertIn(answers[0].status, (_BAD_GATEWAY, _UNAVAILABLE))
+
+    def look_up(self, answers: list[ClientResponse]) -> None:
+        """Send a request to the plain service."""
+        answers.append(
+            send_request(
+                self.callers, '/svc/lookups/x', SECOND_ACCOUNT_KEY, b''
+            )
+        )
+
+
 def _build_request(target: str) -> bytes:
     return (
         f'POST {target} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n'
