Own interface: test that a silent attempt with nowhere to go stays

Callers lose a stream, or get 503, although their engine only pauses: an attempt that is silent for its timeout is cancelled if a retry is left (`_can_replace`), whether or not an endpoint may take the request. If the other engines leave or rest, it is queued until it is refused, or refused at once.

--- a/samphirerill/tests/test_lost_review.py
+++ b/samphirerill/tests/test_lost_review.py
@@ -10,6 +10,8 @@
 
 from msgspec import json
 
+from samphirerill.core.commands import CancelAttempt, RefuseRequest
+from samphirerill.core.events import TokenArrived, VmListRead
 from samphirerill.fleet.model import LayerRange
 from samphirerill.fleet.paths import count_token_capacity
 from samphirerill.relay.connection import HttpConnection
@@ -18,6 +20,8 @@
 from samphirerill.tests.platform_documents import build_configuration
 from samphirerill.tests.support import ClusterCase
 from samphirerill.tests.test_kept_connections import KeptConnectionCase
+from samphirerill.tests.test_rest_decisions import RouterCase as RestingCase
+from samphirerill.tests.test_rest_decisions import find_all
 from samphirerill.tests.two_engines import OK, SETTLE_S, TwoEnginesCase
 
 _BAD_GATEWAY = 502
@@ -35,6 +39,12 @@
 # Longer than the idle timeout of the server.
 _PAUSE_S = 0.8
 _FINISH_S = 0.5
+# Longer than the progress timeout, and than that of a first token.
+_SILENCE_S = 0.9
+_PREFILL_SILENCE_S = 3.1
+_LONG_REST_S = 40.0
+# Each engine that can be the first stage of a pipeline.
+_HEADS = ('e0', 'e4')
 _SERVICE_DELAY_S = 3.0
 
 
@@ -200,6 +210,39 @@
         )
 
 
+class TestSilentAttempts(RestingCase):
+    """Silent streams of the own interface that no endpoint may replace."""
+
+    def test_stream_stays_while_all_endpoints_are_leaving(self) -> None:
+        """Guard against ending a stream for a retry without an endpoint."""
+        self.start_stream()
+        endpoints = frozenset(self.router.state.endpoints)
+        self.apply(VmListRead(frozenset(), endpoints))
+        commands = self.wait(_SILENCE_S)
+        self.assertEqual(find_all(commands, CancelAttempt), [])
+
+    def test_stream_stays_while_all_heads_rest(self) -> None:
+        """Guard against ending a stream for a retry that has to wait."""
+        self.start_stream()
+        for name in _HEADS:
+            self.rest(name, _LONG_REST_S)
+        commands = self.wait(_SILENCE_S)
+        self.assertEqual(find_all(commands, CancelAttempt), [])
+
+    def test_attempt_without_a_token_stays_while_all_heads_rest(self) -> None:
+        """Guard against refusing a request that may still be answered."""
+        self.send('r1')
+        for name in _HEADS:
+            self.rest(name, _LONG_REST_S)
+        commands = self.wait(_PREFILL_SILENCE_S)
+        self.assertEqual(find_all(commands, RefuseRequest), [])
+
+    def start_stream(self) -> None:
+        """Send a stream and receive its first token."""
+        attempt = self.send('r1')
+        self.apply(TokenArrived(attempt.attempt_id, 0, 0, 'x'))
+
+
 def _build_request(target: str) -> bytes:
     return (
         f'POST {target} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n'
