Test that a run with an unread response is not left for a dead probe

Callers get 502 although the response to their stream has arrived: if a head does not answer a probe, `StreamGuard._leave_path` leaves the run, without a retry and without a look at what has come in since the probe began. A head that is suspected already is found dead without any probe.

The test fails, as the fault is there (3 of 3 runs): AssertionError: 502 != 200

--- a/samphirerill/tests/test_lost_review.py
+++ b/samphirerill/tests/test_lost_review.py
@@ -5,7 +5,7 @@
 import asyncio
 import threading
 import time
-from typing import Any, ClassVar
+from typing import TYPE_CHECKING, Any, ClassVar
 from unittest.mock import patch
 
 from msgspec import json
@@ -15,6 +15,7 @@
 from samphirerill.fleet.model import LayerRange
 from samphirerill.fleet.paths import count_token_capacity
 from samphirerill.relay.connection import HttpConnection
+from samphirerill.relay.health.prober import Diagnosis, ReplicaProber
 from samphirerill.testing.clients import ClientResponse, send_request
 from samphirerill.testing.layout import SECOND_ACCOUNT_KEY
 from samphirerill.tests.platform_documents import build_configuration
@@ -24,6 +25,11 @@
 from samphirerill.tests.test_rest_decisions import find_all
 from samphirerill.tests.two_engines import OK, SETTLE_S, TwoEnginesCase
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from samphirerill.fleet.model import Stage
+
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _EVENT_STREAM = b'text/event-stream'
@@ -103,6 +109,25 @@
         self.assertIn(status, (OK, _BAD_GATEWAY, _UNAVAILABLE), body)
 
 
+class TestProbedHeads(UnstartedStreamCase):
+    """A head replica that does not answer a probe."""
+
+    async def test_run_with_an_unread_response_goes_on(self) -> None:
+        """Guard against leaving a run that has answered meanwhile."""
+        self.change_settings(retry_slack=0, retry_ratio=0)
+
+        async def find_all_dead(
+            _: ReplicaProber, stages: Sequence[Stage]
+        ) -> Diagnosis:
+            await asyncio.sleep(_PREFILL_S)
+            names = {stage.replica.replica_id for stage in stages}
+            return Diagnosis(dead=names, stalled={})
+
+        with patch.object(ReplicaProber, 'diagnose_path', find_all_dead):
+            stream, _ = await self.start_prefill()
+            self.assert_complete(await stream)
+
+
 class TestReservedMemory(UnstartedStreamCase):
     """Memory that only started streams may use."""
 
