Test that a path that was granted in time is used

Callers see a stream end in the middle although a path was granted to it: if a delay of this node ends after the deadline of its wait, the grant and the timeout run in one pass of the loop. `AdmissionQueue._wait_for_grant` then gives the path back and reports that there was none.

--- a/samphirerill/tests/test_lost_review.py
+++ b/samphirerill/tests/test_lost_review.py
@@ -13,9 +13,11 @@
 from samphirerill.core.commands import CancelAttempt, RefuseRequest
 from samphirerill.core.events import TokenArrived, VmListRead
 from samphirerill.fleet.model import LayerRange
-from samphirerill.fleet.paths import count_token_capacity
+from samphirerill.fleet.paths import PathRequest, count_token_capacity
+from samphirerill.relay.admission import AdmissionQueue
 from samphirerill.relay.connection import HttpConnection
 from samphirerill.relay.health.prober import Diagnosis, ReplicaProber
+from samphirerill.relay.replacement import STARTED_RANK
 from samphirerill.testing.clients import ClientResponse, send_request
 from samphirerill.testing.layout import SECOND_ACCOUNT_KEY
 from samphirerill.tests.platform_documents import build_configuration
@@ -41,6 +43,8 @@
 _LONG_SUSPICION_S = 4.0
 # More than new streams may use, and less than started ones may.
 _MEMORY_USE = 0.95
+_FULL_TOKENS = 1e9
+_DELAY_S = 0.1
 _LARGE_BYTES = 24_000_000
 # Longer than the idle timeout of the server.
 _PAUSE_S = 0.8
@@ -152,6 +156,34 @@
         state.load_tracker.add_request([name], tokens * _MEMORY_USE)
 
 
+class TestGrantedPaths(TwoEnginesCase):
+    """A path is granted, and this node is delayed beyond the deadline."""
+
+    async def test_granted_path_is_used(self) -> None:
+        """Guard against aborting a started stream that has got a path."""
+        state = self.process.state
+        cfg = state.cfg
+        engine = None if cfg is None else cfg.services['llm'].engine
+        assert engine is not None
+        engines = ['engine-1', 'engine-2']
+        state.load_tracker.add_request(engines, _FULL_TOKENS)
+        loop = asyncio.get_running_loop()
+        queue = AdmissionQueue(state)
+
+        def release_and_block() -> None:
+            state.load_tracker.remove_request(engines, _FULL_TOKENS)
+            state.notify_listeners()
+            time.sleep(2 * _DELAY_S)
+
+        loop.call_later(SETTLE_S, release_and_block)
+        until = loop.time() + SETTLE_S + _DELAY_S
+        path_request = PathRequest(1, set(), is_urgent=True)
+        stages = await queue.admit(
+            'llm', engine, path_request, STARTED_RANK, until, until
+        )
+        self.assertTrue(stages)
+
+
 class TestPlainRequests(TwoEnginesCase):
     """An endpoint that takes longer than the time of a first attempt."""
 
