Test that a run that was closed here does not exclude its head

Callers get 502 although a path is free: if a later stage stalls a stream before its first event, `StreamGuard._leave_path` raises an error that is handled as a break of the head. The head is excluded for the stream and paused for all streams of the node. If all paths start there, nothing is sent again, although `has_alternative` has found the path.

--- a/samphirerill/tests/test_lost_review.py
+++ b/samphirerill/tests/test_lost_review.py
@@ -23,9 +23,16 @@
 from samphirerill.tests.platform_documents import build_configuration
 from samphirerill.tests.support import ClusterCase
 from samphirerill.tests.test_kept_connections import KeptConnectionCase
+from samphirerill.tests.test_one_head import OneHeadCase
 from samphirerill.tests.test_rest_decisions import RouterCase as RestingCase
 from samphirerill.tests.test_rest_decisions import find_all
-from samphirerill.tests.two_engines import OK, SETTLE_S, TwoEnginesCase
+from samphirerill.tests.two_engines import (
+    OK,
+    SETTLE_S,
+    TwoEnginesCase,
+    build_headers,
+    wait_until,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -39,6 +46,7 @@
 # Beyond the time of a first attempt, well within that of the request.
 _PLAIN_WORK_S = 1.0
 _PREFILL_S = 0.6
+_ENDLESS_PREFILL_S = 10.0
 _SUSPICION_S = 0.3
 _LONG_SUSPICION_S = 4.0
 # More than new streams may use, and less than started ones may.
@@ -132,6 +140,33 @@
             self.assert_complete(await stream)
 
 
+class TestStalledStages(OneHeadCase):
+    """A later stage stalls a stream before its first event."""
+
+    async def test_stream_is_sent_to_its_head_again(self) -> None:
+        """Guard against excluding the head for a run that was closed here."""
+        self.head.prefill_s = _ENDLESS_PREFILL_S
+        load_tracker = self.state.load_tracker
+        load_tracker.add_request(['tail-2'], _FULL_TOKENS)
+        headers = build_headers('r1')
+        stream = asyncio.create_task(
+            self.harness.send_request(b'/notes/x', headers)
+        )
+        await wait_until(lambda: self.head.received_requests)
+        load_tracker.remove_request(['tail-2'], _FULL_TOKENS)
+        self.head.prefill_s = 0.0
+
+        async def find_tail_dead(
+            _: ReplicaProber, stages: Sequence[Stage]
+        ) -> Diagnosis:
+            names = {stage.replica.replica_id for stage in stages}
+            return Diagnosis(dead=names & {'tail-1'})
+
+        with patch.object(ReplicaProber, 'diagnose_path', find_tail_dead):
+            status, body = await stream
+        self.assertEqual(status, OK, body)
+
+
 class TestReservedMemory(UnstartedStreamCase):
     """Memory that only started streams may use."""
 
