Own interface: keep a silent attempt that no endpoint may replace

Callers lost a stream, or got a refusal, although their engine only paused and its connection was open: if the other engines leave or rest for long, a silent attempt was cancelled as soon as a retry was left, and then queued until it was refused, or refused at once.

Cause: `_can_replace` asked for a retry and not for an endpoint. It now asks `may_start_again` too: live endpoints that don't rest, or whose rest ends before the request would be refused in the queue, hold all layers of the model. If there are none, the attempt is kept like one without a retry: its stages are probed at each deadline, and it is sent elsewhere once an endpoint is back. Free slots are not asked for: a request that already ran is queued ahead of the others, and one that stayed for a free slot would never be ahead of them.

A kept attempt ends when an endpoint is found dead. Failed probes of leaving endpoints were dropped, so `is_unresponsive` records them, and such an endpoint is probed again until it answers, as a suspect one is; it stays leaving. Without it, a stream on a leaving engine that froze would wait until its own deadline.

--- a/samphirerill/core/availability.py
+++ b/samphirerill/core/availability.py
@@ -47,6 +47,24 @@
     return bool(rest_end) and rest_end + _MIN_START_S > deadline
 
 
+def is_available_by(
+    state: CoreState, route: Route, deadline: float, now: float
+) -> bool:
+    """Return whether live endpoints can serve a route before a deadline.
+
+    Endpoints that rest for longer do not count; free slots are not required.
+    """
+    available = [
+        replica
+        for replica in _list_candidates(state, route)
+        if replica.health is Health.LIVE
+        and not is_too_late(
+            state.rests.get_until(replica.endpoint.address, now), deadline
+        )
+    ]
+    return _can_serve(state, route, available)
+
+
 def compute_retry_after_s(
     state: CoreState, rest_end: float, now: float
 ) -> float:
--- a/samphirerill/core/on_attempts.py
+++ b/samphirerill/core/on_attempts.py
@@ -51,6 +51,7 @@
     from samphirerill.core.state import (
         AttemptState,
         CoreState,
+        EndpointState,
         RequestState,
     )
 
@@ -210,8 +211,17 @@
     if replica is None or replica.health is Health.LEAVING:
         return
     replica.health = Health.SUSPECT
+    schedule_probe(state, replica, now)
+
+
+def schedule_probe(
+    state: CoreState, replica: EndpointState, now: float
+) -> None:
+    """Probe an endpoint again after the probe interval."""
     replica.next_probe_at = now + PROBE_INTERVAL_S
-    state.schedule_wake(replica.next_probe_at, 'endpoint', name)
+    state.schedule_wake(
+        replica.next_probe_at, 'endpoint', replica.endpoint.name
+    )
 
 
 def probe_stages(state: CoreState, attempt: AttemptState, now: float) -> None:
--- a/samphirerill/core/on_deadlines.py
+++ b/samphirerill/core/on_deadlines.py
@@ -24,6 +24,7 @@
 from samphirerill.core.scheduling import (
     dispatch_all_queues,
     dispatch_queue,
+    may_start_again,
 )
 from samphirerill.core.state import Health, Phase
 
@@ -98,7 +99,8 @@
 
     A connection may go silent without an error; without the progress deadline,
     the client would wait until its own timeout. A stream that cannot be sent
-    again stays while no probe has found one of its endpoints dead.
+    again, or that no endpoint may take, stays while no probe has found one of
+    its endpoints dead.
     """
     attempt = state.attempts.get(name)
     if attempt is None:
@@ -131,25 +133,30 @@
 
 def _can_replace(state: CoreState, req: RequestState, now: float) -> bool:
     """Return whether another attempt may follow a silent one."""
-    return req.route.kind == SERVICE_ROUTE or has_retry(state, req, now)
+    if req.route.kind == SERVICE_ROUTE:
+        return True
+    return has_retry(state, req, now) and may_start_again(state, req, now)
 
 
 def _may_recover(state: CoreState, attempt: AttemptState) -> bool:
     """Return whether no endpoint of an attempt is known to be dead."""
     replicas = [state.endpoints.get(stage.endpoint) for stage in attempt.stages]
     return all(
-        replica is not None and replica.health is not Health.SUSPECT
+        replica is not None
+        and replica.health is not Health.SUSPECT
+        and not replica.is_unresponsive
         for replica in replicas
     )
 
 
 def _check_endpoint(state: CoreState, name: str, now: float) -> None:
-    """Probe a suspect or departing endpoint again."""
+    """Probe a suspect, departing or unresponsive endpoint again."""
     replica = state.endpoints.get(name)
     if replica is None:
         return
     is_departing = state.departures.is_leaving(replica.endpoint.address)
-    if replica.health is not Health.SUSPECT and not is_departing:
+    is_suspect = replica.health is Health.SUSPECT or replica.is_unresponsive
+    if not is_suspect and not is_departing:
         return
     rest_end = state.rests.get_until(replica.endpoint.address, now)
     if rest_end:
--- a/samphirerill/core/on_fleet.py
+++ b/samphirerill/core/on_fleet.py
@@ -13,7 +13,7 @@
     VmListRead,
 )
 from samphirerill.core.handling import handle
-from samphirerill.core.on_attempts import mark_suspect
+from samphirerill.core.on_attempts import mark_suspect, schedule_probe
 from samphirerill.core.on_crashes import record_probe
 from samphirerill.core.on_departures import follow_departure, mark_departing
 from samphirerill.core.placement import SLOW_START_S
@@ -128,6 +128,14 @@
         dispatch_queue(state, replica.endpoint.model, now)
 
 
+def _probe_again(state: CoreState, replica: EndpointState, now: float) -> None:
+    """Probe an endpoint that failed a probe; a leaving one stays so."""
+    if replica.health is Health.LEAVING:
+        schedule_probe(state, replica, now)
+    else:
+        mark_suspect(state, replica.endpoint.name, now)
+
+
 @handle.register(ProbeFinished)
 def on_probe_finished(
     event: ProbeFinished, state: CoreState, now: float
@@ -137,18 +145,16 @@
     replica = state.endpoints.get(event.endpoint)
     if replica is None:
         return
+    replica.is_unresponsive = not event.alive
     if event.is_refused:
         # Whatever listens there later is another process.
         state.rests.remove(replica.endpoint.address)
     if state.departures.is_leaving(replica.endpoint.address):
         follow_departure(state, event, replica, now)
         return
-    if replica.health is Health.LEAVING:
-        return
     if not event.alive:
-        mark_suspect(state, event.endpoint, now)
-        return
-    if replica.health is Health.SUSPECT:
+        _probe_again(state, replica, now)
+    elif replica.health is Health.SUSPECT:
         replica.health = Health.LIVE
         dispatch_all_queues(state, now)
 
--- a/samphirerill/core/scheduling.py
+++ b/samphirerill/core/scheduling.py
@@ -12,6 +12,7 @@
     RESTING_DETAIL,
     compute_retry_after_s,
     find_rest_end,
+    is_available_by,
     is_too_late,
 )
 from samphirerill.core.commands import (
@@ -110,6 +111,12 @@
     return choose_pipeline(state, req.route.model, req.avoid, cached)
 
 
+def may_start_again(state: CoreState, req: RequestState, now: float) -> bool:
+    """Return whether endpoints may take another attempt of a request in time."""
+    deadline = _compute_queue_deadline(req, now)
+    return is_available_by(state, req.route, deadline, now)
+
+
 def retry_or_refuse(
     state: CoreState,
     req: RequestState,
--- a/samphirerill/core/state.py
+++ b/samphirerill/core/state.py
@@ -110,6 +110,7 @@
     `running` and `waiting` are the endpoint's own, delayed figures;
     `in_flight_at_report` is what this node had in flight when they arrived.
     Until `slow_start_until` the endpoint is new and gets a growing share.
+    `is_unresponsive` is whether its last probe failed, also if it is leaving.
     """
 
     endpoint: Endpoint
@@ -121,6 +122,7 @@
     next_probe_at: float = 0
     reported_at: float = 0
     slow_start_until: float = 0
+    is_unresponsive: bool = False
 
     def count_other_load(self) -> int:
         """Return how many requests of other nodes the endpoint has."""
