Use a path that was granted just before the timeout

Callers saw a stream end in the middle although a path was granted to it: after a delay of this node past the deadline of the wait, the grant and the timeout run in one pass of the loop. `AdmissionQueue._wait_for_grant` then gave the path back and reported that there was none.

Now a wait that timed out returns what was decided: the path, or a rejection that names the back-off of the replicas instead of a plain timeout. A timeout that comes before the grant cancels the future, so nothing is granted to it.

--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -192,6 +192,10 @@
             async with asyncio.timeout_at(deadline):
                 return await queued.granted
         except TimeoutError as exc:
+            # After the loop was blocked, a path may be granted just before the
+            # timers fire; then `granted` has a result in spite of the timeout.
+            if queued.granted.done() and not queued.granted.cancelled():
+                return queued.granted.result()
             self._abandon(queued)
             raise NoPathError(
                 self.predict_wait_s(),
--- a/samphirerill/tests/test_admission_edge.py
+++ b/samphirerill/tests/test_admission_edge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from unittest import IsolatedAsyncioTestCase
 
 from samphirerill.fleet.outage import Outage
@@ -22,6 +23,9 @@
 _STARTED_RANK = -1
 _NEW_RANK = 1
 _STREAM_TOKENS = 5000.0
+_FULL_TOKENS = 1e9
+_DELAY_S = 0.1
+_BACK_OFF_S = 9.0
 
 
 class TestAdmission(IsolatedAsyncioTestCase):
@@ -132,6 +136,31 @@
         self.assertAlmostEqual(caught.exception.wait_s, 9, delta=0.1)
         self.assertTrue(await self.admit(100, _NEW_RANK))
 
+    async def test_rejection_at_the_deadline_keeps_its_wait(self) -> None:
+        """Guard against a client that is told to retry during a back-off."""
+        self.state.load_tracker.add_request(['one'], _FULL_TOKENS)
+        waiting = self.admit(100, _NEW_RANK, _DELAY_S)
+        await asyncio.sleep(0)
+        view = self.state.view
+        until = self.loop.time() + _BACK_OFF_S
+        note_requested_backoff(view, view.replicas['one'].replica, until)
+        self.state.notify_listeners()
+        time.sleep(2 * _DELAY_S)
+        with self.assertRaises(BackOffError):
+            await waiting
+
+    async def test_cancelled_wait_after_a_grant_reserves_nothing(self) -> None:
+        """Guard against a reservation without a stream."""
+        self.state.load_tracker.add_request(['one'], _FULL_TOKENS)
+        waiting = self.admit(100, _NEW_RANK)
+        await asyncio.sleep(0)
+        self.state.load_tracker.remove_request(['one'], _FULL_TOKENS)
+        self.state.notify_listeners()
+        self.loop.call_soon(waiting.cancel)
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.assertTrue(waiting.cancelled())
+        self.assertEqual(self.state.load_tracker.get_own_load(), {})
+
     async def test_cancelled_wait_reserves_nothing(self) -> None:
         waiting = self.admit(1e9, _NEW_RANK)
         await asyncio.sleep(0.01)
