Own interface: reserve a retry only if it may be sent

Callers lost a stream that still got tokens: with `max_attempts` 1 a stream was migrated from a slow link, and if the new engine rejected it, it was refused although a retry was held.

Cause: `reserve_retry` asked for the budget alone, while `withdraw_retry` also asks how often the request may fail. It now asks `has_retry`, which states when a failed request is sent again. Such a stream stays on its slow link.

Failed before: test_admission.TestSlowLinkMigration.test_stream_that_may_not_fail_is_not_migrated: Lists differ: [OpenAttempt(attempt_id='n1-4', ...)] != []

--- a/samphirerill/core/on_attempts.py
+++ b/samphirerill/core/on_attempts.py
@@ -296,6 +296,16 @@
     dispatch_queue(state, get_queue_name(req), now)
 
 
+def _migrate(
+    state: CoreState, attempt: AttemptState, req: RequestState, now: float
+) -> None:
+    remove_attempt(state, attempt)
+    state.emit(CancelAttempt(attempt.attempt_id))
+    state.counters['moved.slow_link'] += 1
+    if not start_attempt(state, req, now):
+        requeue_at_front(state, req, now)
+
+
 def _migrate_from_slow_link(
     state: CoreState,
     attempt: AttemptState,
@@ -334,14 +344,10 @@
     if alternative_ms > _MAX_MIGRATION_RATIO * current_ms:
         return
     _add_excess_ms(attempt, event.index, current_ms - alternative_ms)
-    if attempt.excess_ms < _MIGRATION_COST_MS or not reserve_retry(state, req):
-        return
-    remove_attempt(state, attempt)
-    state.emit(CancelAttempt(attempt.attempt_id))
-    req.avoid.add(target)
-    state.counters['moved.slow_link'] += 1
-    if not start_attempt(state, req, now):
-        requeue_at_front(state, req, now)
+    is_worthwhile = attempt.excess_ms >= _MIGRATION_COST_MS
+    if is_worthwhile and reserve_retry(state, req, now):
+        req.avoid.add(target)
+        _migrate(state, attempt, req, now)
 
 
 def _add_excess_ms(attempt: AttemptState, index: int, excess_ms: float) -> None:
--- a/samphirerill/core/retries.py
+++ b/samphirerill/core/retries.py
@@ -28,8 +28,10 @@
     )
 
 
-def reserve_retry(state: CoreState, req: RequestState) -> bool:
+def reserve_retry(state: CoreState, req: RequestState, now: float) -> bool:
     """Reserve a retry that `retry_or_refuse` uses; return whether it is."""
+    if not has_retry(state, req, now):
+        return False
     req.holds_retry = req.holds_retry or _get_budget(state, req).try_withdraw()
     return req.holds_retry
 
--- a/samphirerill/tests/test_admission.py
+++ b/samphirerill/tests/test_admission.py
@@ -272,6 +272,15 @@
         """Guard against ending a working run that could not be sent again."""
         self.assertEqual(self._migrate(retries=0), [])
 
+    def test_stream_that_may_not_fail_is_not_migrated(self) -> None:
+        """Guard against ending a run for a retry that may not be sent."""
+        document = build_configuration_document()
+        document['limits'] = {'max_attempts': 1}
+        configuration = build_configuration(document, 2)
+        self.router.apply(ConfigurationAccepted(configuration), 0)
+        self.assertEqual(self._migrate(retries=1), [])
+        self.assertEqual(self.router.state.budgets['plans'].balance, 1)
+
     def test_retry_of_a_migrated_stream_is_returned(self) -> None:
         """Guard against migrations that use up retries without need."""
         migrated = self._migrate(retries=1)[0]
