State dump: say whether an endpoint is unresponsive

A stream on a leaving endpoint ends when a probe finds that endpoint dead, but its health stays `leaving`, so operators could not see why. The state dump now has `unresponsive`: whether the last probe failed.

Failed before: test_silent_attempts.TestSilentStreams. test_state_dump_says_that_a_leaving_endpoint_is_dead: KeyError: 'unresponsive'

--- a/samphirerill/core/queries.py
+++ b/samphirerill/core/queries.py
@@ -77,6 +77,7 @@
     return {
         name: {
             'health': replica.health.value,
+            'unresponsive': replica.is_unresponsive,
             'in_flight': replica.in_flight,
             'reported_running': replica.running,
             'reported_waiting': replica.waiting,
--- a/samphirerill/tests/test_silent_attempts.py
+++ b/samphirerill/tests/test_silent_attempts.py
@@ -9,6 +9,7 @@
     ProbeEndpoint,
 )
 from samphirerill.core.events import ProbeFinished, TokenArrived, VmListRead
+from samphirerill.core.queries import describe_state
 from samphirerill.tests.test_rest_decisions import RouterCase, find_all
 
 # Longer than the progress timeout, and than the time to the first deadline.
@@ -68,6 +69,15 @@
         probed = {item.endpoint for item in find_all(commands, ProbeEndpoint)}
         self.assertIn(self.head, probed)
 
+    def test_state_dump_says_that_a_leaving_endpoint_is_dead(self) -> None:
+        """Guard against a stream that ends for a reason nobody can see."""
+        self.leave()
+        for is_alive in (False, True):
+            self.probe(is_alive=is_alive)
+            described = describe_state(self.router.state, self.now)
+            found = described['endpoints'][self.head]['unresponsive']
+            self.assertEqual(found, not is_alive)
+
     def test_stream_is_replaced_if_rests_end_in_time(self) -> None:
         """Guard against a stream that stays silent though it may be resent."""
         for name in _HEADS:
