--- a/samphirerill/core/on_attempts.py
+++ b/samphirerill/core/on_attempts.py
@@ -51,6 +51,7 @@
     from samphirerill.core.state import (
         AttemptState,
         CoreState,
+        EndpointState,
         RequestState,
     )
 
@@ -210,8 +211,17 @@
     if replica is None or replica.health is Health.LEAVING:
         return
     replica.health = Health.SUSPECT
+    schedule_probe(state, replica, now)
+
+
+def schedule_probe(
+    state: CoreState, replica: EndpointState, now: float
+) -> None:
+    """Probe an endpoint again after the probe interval."""
     replica.next_probe_at = now + PROBE_INTERVAL_S
-    state.schedule_wake(replica.next_probe_at, 'endpoint', name)
+    state.schedule_wake(
+        replica.next_probe_at, 'endpoint', replica.endpoint.name
+    )
 
 
 def probe_stages(state: CoreState, attempt: AttemptState, now: float) -> None:
@@ -286,6 +296,16 @@
     dispatch_queue(state, get_queue_name(req), now)
 
 
+def _migrate(
+    state: CoreState, attempt: AttemptState, req: RequestState, now: float
+) -> None:
+    remove_attempt(state, attempt)
+    state.emit(CancelAttempt(attempt.attempt_id))
+    state.counters['moved.slow_link'] += 1
+    if not start_attempt(state, req, now):
+        requeue_at_front(state, req, now)
+
+
 def _migrate_from_slow_link(
     state: CoreState,
     attempt: AttemptState,
@@ -324,14 +344,10 @@
     if alternative_ms > _MAX_MIGRATION_RATIO * current_ms:
         return
     _add_excess_ms(attempt, event.index, current_ms - alternative_ms)
-    if attempt.excess_ms < _MIGRATION_COST_MS or not reserve_retry(state, req):
-        return
-    remove_attempt(state, attempt)
-    state.emit(CancelAttempt(attempt.attempt_id))
-    req.avoid.add(target)
-    state.counters['moved.slow_link'] += 1
-    if not start_attempt(state, req, now):
-        requeue_at_front(state, req, now)
+    is_worthwhile = attempt.excess_ms >= _MIGRATION_COST_MS
+    if is_worthwhile and reserve_retry(state, req, now):
+        req.avoid.add(target)
+        _migrate(state, attempt, req, now)
 
 
 def _add_excess_ms(attempt: AttemptState, index: int, excess_ms: float) -> None:
