Plain requests: end a silent attempt only for a reserved one

Callers of idempotent plain routes got 504 with 55 % of their time left: an attempt was ended at 45 % of the time whenever the route allowed more attempts, and only then was it looked whether a retry or another endpoint was left.

Now an attempt's deadline is that of the request. At 45 % it is looked once whether another attempt may follow: one is left of maxAttempts, the request isn't quarantined, another endpoint that is neither suspected nor backing off has a connection free, and a retry is reserved. Only then does the attempt end, and the reserved retry is the one that the next attempt uses; it is refunded if it is not needed. Otherwise the attempt goes on, and its endpoint is suspected as before, so that other requests avoid it. Requests that are not idempotent are untouched. The limits of a request are now a class of their own, `PlainLimits`.

--- a/samphirerill/relay/endpoint_finder.py
+++ b/samphirerill/relay/endpoint_finder.py
@@ -65,6 +65,22 @@
             endpoint = await self._wait_for_connection()
         return endpoint
 
+    def has_alternative(self, replica_id: str) -> bool:
+        """Return whether an endpoint other than this one may be called now.
+
+        One that is suspected may fail too, so it does not count.
+        """
+        now = self._loop.time()
+        other = choose_endpoint(
+            self._state.view,
+            self._state.load_tracker,
+            self._context.service.name,
+            self.tried | {replica_id},
+            now,
+            self._has_connection,
+        )
+        return other is not None and other.suspicion.suspected_until <= now
+
     def find_backoff_end(self) -> float:
         """Return when the first back-off ends; 0 if none has to end."""
         return find_backoff_end(
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -13,7 +13,6 @@
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.replica_notices import explain_withheld
 from samphirerill.node.logs import get_logger
-from samphirerill.relay.attempt_budget import AttemptBudget
 from samphirerill.relay.connection import ResponseHead, serialize_request
 from samphirerill.relay.endpoint_finder import EndpointFinder
 from samphirerill.relay.errors import (
@@ -25,6 +24,7 @@
     EndpointTimeoutError,
     QuarantinedError,
 )
+from samphirerill.relay.plain_limits import PlainLimits
 from samphirerill.relay.platform_adapter import Attempt
 from samphirerill.relay.refusals import (
     FAILED,
@@ -50,7 +50,7 @@
 
 _LOG = get_logger('plain')
 _SERVER_ERROR = 500
-# Share of the remaining time for an attempt that may be followed by another.
+# Share of the remaining time after which an attempt may give way to another.
 _ATTEMPT_SHARE = 0.45
 # How long an endpoint that refuses connections or does not respond gets no
 # requests.
@@ -58,8 +58,6 @@
 # An attempt with a shorter timeout says more about the route's timeout than
 # about the endpoint.
 _MIN_SILENCE_S = 0.5
-# Endpoints to try, including those to which no connection could be opened.
-_MAX_CONNECTS = 4
 _DEFAULT_RETRY_S = 0.3
 # Weight of the newest response in an endpoint's latency and failure rate.
 _SMOOTHING = 0.15
@@ -105,44 +103,28 @@
         self._state = state
         self._context = context
         self._crash_detector = crash_detector
-        self._quarantined_until = 0.0
-        self._budget = AttemptBudget(state, context)
         self._loop = asyncio.get_running_loop()
         self._finder = EndpointFinder(state, context)
-        self._attempts = 0
+        self._limits = PlainLimits(state, context, crash_detector, self._finder)
+        self._sent_at = 0.0
         self._may_have_run = False
-        self._has_broken_run = False
 
     async def run(self) -> None:
         """Serve the request."""
         outcome = _Outcome(is_not_run=True, reason='no endpoint is available')
-        connects = 0
-        while connects < _MAX_CONNECTS and self._may_send():
+        while self._limits.acquire_attempt():
             endpoint = await self._finder.wait_for_endpoint()
             if endpoint is None:
-                self._budget.refund()
+                self._limits.return_attempt()
                 break
+            self._limits.connects += 1
             outcome = await self._send(endpoint)
-            connects += 1
             if self._is_final(outcome):
                 break
             await self._crash_detector.delay_retry(self._context)
+        self._limits.return_reserved()
         self._respond(outcome)
 
-    def _may_send(self) -> bool:
-        """Return whether another attempt is allowed, and reserve it."""
-        now = self._loop.time()
-        self._quarantined_until = self._crash_detector.find_held_until(
-            self._context
-        )
-        if self._quarantined_until or now >= self._context.deadline:
-            return False
-        if self._attempts >= self._context.route.max_attempts:
-            return False
-        return self._budget.reserve(
-            now, self._attempts, is_urgent=self._has_broken_run
-        )
-
     def _is_final(self, outcome: _Outcome) -> bool:
         if outcome.head is not None and outcome.head.status < _SERVER_ERROR:
             return True
@@ -165,13 +147,13 @@
         if not outcome.may_return:
             self._finder.tried.add(replica.replica_id)
         if not outcome.was_sent:
-            self._budget.refund()
+            self._limits.return_attempt()
         _LOG.info(
             'request sent',
             extra={
                 'request': self._context.request_id,
                 'endpoint': endpoint.replica.replica_id,
-                'send': self._attempts,
+                'send': self._limits.attempts,
                 'status': 0 if outcome.head is None else outcome.head.status,
                 'not_run': outcome.is_not_run,
                 'reason': outcome.reason,
@@ -198,13 +180,13 @@
         except ConnectError as exc:
             self._avoid(endpoint, str(exc))
             return _Outcome(is_not_run=True, was_sent=False, reason=str(exc))
-        self._attempts += 1
-        sent_at = self._loop.time()
+        self._limits.attempts += 1
+        self._sent_at = self._loop.time()
         try:
             outcome = await self._call(endpoint, conn)
         except EndpointError as exc:
             conn.close()
-            return self._handle_error(endpoint, exc, sent_at)
+            return self._handle_error(endpoint, exc)
         except asyncio.CancelledError:
             conn.close()
             raise
@@ -238,8 +220,36 @@
     async def _call(
         self, endpoint: ReplicaState, conn: HttpConnection
     ) -> _Outcome:
-        deadline = self._get_attempt_deadline()
         conn.send(self._build_call(endpoint))
+        try:
+            async with asyncio.timeout(None) as timeout:
+                return await self._read_with_check(endpoint, conn, timeout)
+        except TimeoutError as exc:
+            raise EndpointTimeoutError(
+                f'{conn.address}: gave way to another attempt'
+            ) from exc
+
+    async def _read_with_check(
+        self,
+        endpoint: ReplicaState,
+        conn: HttpConnection,
+        timeout: asyncio.Timeout,
+    ) -> _Outcome:
+        now = self._loop.time()
+        # Leaves time for another attempt if the endpoint does not respond.
+        check_at = now + (self._context.deadline - now) * _ATTEMPT_SHARE
+        check = self._loop.call_at(
+            check_at, self._check_silence, endpoint, conn, timeout
+        )
+        try:
+            return await self._read_outcome(endpoint, conn)
+        finally:
+            check.cancel()
+
+    async def _read_outcome(
+        self, endpoint: ReplicaState, conn: HttpConnection
+    ) -> _Outcome:
+        deadline = self._context.deadline
         head, facts = await read_head(
             conn, self._state.adapter, self._context.facts.request_id, deadline
         )
@@ -258,15 +268,15 @@
         return _Outcome(head, body)
 
     def _handle_error(
-        self, endpoint: ReplicaState, exc: EndpointError, sent_at: float
+        self, endpoint: ReplicaState, exc: EndpointError
     ) -> _Outcome:
         self._may_have_run = True
-        self._has_broken_run = True
+        self._limits.has_broken_run = True
         if isinstance(exc, BrokenResponseError):
             self._crash_detector.record_failure(self._context, endpoint.replica)
         is_silent = isinstance(exc, EndpointTimeoutError)
-        if is_silent and self._loop.time() - sent_at >= _MIN_SILENCE_S:
-            self._avoid(endpoint, str(exc))
+        if is_silent:
+            self._avoid_silent(endpoint, str(exc))
         return _Outcome(timed_out=is_silent, reason=str(exc))
 
     def _build_call(self, endpoint: ReplicaState) -> bytes:
@@ -285,17 +295,33 @@
             context.req.method, context.req.target, headers, context.req.body
         )
 
-    def _get_attempt_deadline(self) -> float:
-        """Return the deadline of this attempt.
+    def _check_silence(
+        self,
+        endpoint: ReplicaState,
+        conn: HttpConnection,
+        timeout: asyncio.Timeout,
+    ) -> None:
+        """End a silent attempt if another is reserved; else it goes on."""
+        # After the loop was blocked, data is read just before timers fire.
+        if conn.has_unread() or not self._limits.may_resend():
+            return
+        if self._limits.reserve_successor(endpoint.replica.replica_id):
+            timeout.reschedule(self._loop.time())
+            return
+        self._avoid_silent(endpoint, 'no response yet')
+        self._state.counters['attempts.kept'] += 1
+        _LOG.info(
+            'silent attempt goes on: no other can follow',
+            extra={
+                'request': self._context.request_id,
+                'endpoint': endpoint.replica.replica_id,
+                'send': self._limits.attempts,
+            },
+        )
 
-        It leaves time for another attempt if the endpoint does not respond.
-        """
-        now = self._loop.time()
-        context = self._context
-        is_last_attempt = self._attempts >= context.route.max_attempts
-        if is_last_attempt or not context.is_retryable:
-            return context.deadline
-        return now + (context.deadline - now) * _ATTEMPT_SHARE
+    def _avoid_silent(self, endpoint: ReplicaState, reason: str) -> None:
+        if self._loop.time() - self._sent_at >= _MIN_SILENCE_S:
+            self._avoid(endpoint, reason)
 
     def _avoid(self, endpoint: ReplicaState, reason: str) -> None:
         now = self._loop.time()
@@ -335,11 +361,11 @@
         if self._may_have_run:
             is_timeout = outcome.timed_out or now >= self._context.deadline
             return Refusal(TIMED_OUT if is_timeout else FAILED, outcome.reason)
-        if self._quarantined_until:
+        if self._limits.quarantined_until:
             return Refusal(
                 UNAVAILABLE,
                 self._crash_detector.describe_hold(self._context),
-                self._quarantined_until - now,
+                self._limits.quarantined_until - now,
             )
         backoff_end = self._finder.find_backoff_end()
         if backoff_end:
