Own interface: answer what is open when a node ends

Callers whose requests were queued or running when `finish_s` was over, or at a second signal, got a closed connection instead of a status: the node process only logged how many were open and exited.

Now the node passes the requests whose response has not started to the core with DrainRequested, which refuses each by what is known of it: 503 `draining`, not run, with a Retry-After, if nothing of it can have been run; else 502 `node-ended`, may have run. Claims on idempotency keys get the same outcome, and the node waits up to half a second for them to be written before it revokes its lease. No other request gets the freed place. New requests are rejected from then on also at a second signal before the notice is over. Streams that have started are cut off as before: no event is added. The log line keeps `cut`, for what gets no status, and says how many were refused.

In test_node_shutdown.py, a keyed request, an answer that isn't streamed and a second signal failed with `AssertionError: 0 != <HTTPStatus.BAD_GATEWAY: 502>`; the four tests of the core failed as DrainRequested named no requests (`TypeError: DrainRequested.__init__() got an unexpected keyword argument 'aborted'`); that a started stream is cut passed before and guards what must stay. With the fix all pass, and 140 tests of the modules around them (failures, claims, admission, rests, departures, end to end, platform, client input).

--- a/samphirerill/core/events.py
+++ b/samphirerill/core/events.py
@@ -195,7 +195,12 @@
 
 @dataclass(slots=True)
 class DrainRequested:
-    """Accept no new requests; finish those that run."""
+    """Accept no new requests; finish those that run.
+
+    `aborted` are refused instead, as the node ends before it could finish them.
+    """
+
+    aborted: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
--- a/samphirerill/core/on_requests.py
+++ b/samphirerill/core/on_requests.py
@@ -11,6 +11,7 @@
 from samphirerill.core.completion import (
     determine_outcome,
     get_queue_name,
+    refuse_request,
     remove_request,
 )
 from samphirerill.core.configuration import choose_priority
@@ -34,6 +35,8 @@
     from samphirerill.core.configuration import Account, Route
     from samphirerill.core.state import CoreState
 
+_DRAIN_CODE = 'draining'
+_DRAIN_DETAIL = 'this node is leaving'
 _DRAIN_RETRY_S = 1.0
 _UNCONFIRMED_RETRY_S = 2.0
 _QUEUE_FULL_RETRY_S = 1.0
@@ -90,8 +93,12 @@
 def on_drain_requested(
     event: DrainRequested, state: CoreState, now: float
 ) -> None:
-    """Accept no new requests from now on."""
+    """Accept no new requests from now on, and refuse those to abort."""
     state.draining = True
+    for request_id in event.aborted:
+        req = state.requests.get(request_id)
+        if req is not None:
+            _abort_request(state, req)
 
 
 @handle.register(ServingSuspended)
@@ -110,6 +117,27 @@
     state.suspension_reason = ''
 
 
+def _abort_request(state: CoreState, req: RequestState) -> None:
+    """Refuse a request as the node ends; no other one gets its place."""
+    if determine_outcome(req) is Outcome.NOT_RUN:
+        refuse_request(
+            state,
+            req,
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _DRAIN_CODE,
+            _DRAIN_DETAIL,
+            _DRAIN_RETRY_S,
+        )
+        return
+    refuse_request(
+        state,
+        req,
+        HTTPStatus.BAD_GATEWAY,
+        'node-ended',
+        'this node ended before the response was complete',
+    )
+
+
 def _find_refusal(
     event: RequestArrived, state: CoreState, now: float
 ) -> Problem | None:
@@ -117,8 +145,8 @@
     if state.draining:
         return _build_refusal(
             HTTPStatus.SERVICE_UNAVAILABLE,
-            'draining',
-            'this node is leaving',
+            _DRAIN_CODE,
+            _DRAIN_DETAIL,
             _DRAIN_RETRY_S,
         )
     if state.suspension_reason:
--- a/samphirerill/node/process.py
+++ b/samphirerill/node/process.py
@@ -32,6 +32,8 @@
 _OPERATOR_THREADS = 4
 _MAX_OPERATOR_BODY_BYTES = 8_388_608
 _DRAIN_POLL_INTERVAL_S = 0.05
+# How long an aborted node waits until the outcomes of claims are written.
+_CLAIM_WRITE_TIMEOUT_S = 0.5
 _THREAD_SWITCH_INTERVAL_S = 0.001
 EXIT_CLEAN = 0
 EXIT_ABORTED = 3
@@ -149,19 +151,48 @@
         self._stopped.set()
 
     def _abort(self) -> None:
-        """Exit without waiting for open requests."""
+        """Exit without waiting for open requests.
+
+        Those without a response get a status; started streams are cut off.
+        """
         open_count = self._count_open()
-        _LOG.warning('aborting open requests', extra={'cut': open_count})
+        refused = self._list_unstarted()
+        self.node.apply(DrainRequested(refused))
+        _LOG.warning(
+            'aborting open requests',
+            extra={
+                'cut': open_count - len(refused),
+                'refused': len(refused),
+            },
+        )
         self._exit_code = EXIT_ABORTED if open_count else EXIT_CLEAN
         self._stopped.set()
 
+    def _list_unstarted(self) -> tuple[str, ...]:
+        """Return the open requests whose response has not started."""
+        return tuple(
+            request_id
+            for request_id, session in self.node.sessions.items()
+            if not session.headers_sent
+        )
+
     def _count_open(self) -> int:
         """Count open requests, plus one if claims are still unwritten."""
-        claim_writer = self.node.claim_writer
-        unwritten = 0 if claim_writer is None or claim_writer.is_idle() else 1
+        unwritten = int(self._has_unwritten_claims())
         return count_open_requests(self.node.router.state) + unwritten
 
+    def _has_unwritten_claims(self) -> bool:
+        claim_writer = self.node.claim_writer
+        return claim_writer is not None and not claim_writer.is_idle()
+
+    async def _wait_for_claims(self) -> None:
+        """Wait a moment until the outcomes of refused requests are written."""
+        until = self.node.loop.time() + _CLAIM_WRITE_TIMEOUT_S
+        while self._has_unwritten_claims() and self.node.loop.time() < until:
+            await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
+
     async def _stop(self) -> None:
+        await self._wait_for_claims()
         self.follower.stop()
         await self.follower.engine_controller.release_leadership()
         await self.membership.deregister()
--- a/samphirerill/node/sessions.py
+++ b/samphirerill/node/sessions.py
@@ -59,6 +59,7 @@
         self.prefixes: tuple[str, ...] = ()
         self.token_texts: list[str] = []
         self.layer_traces: dict[int, StageRuns] = {}
+        self.headers_sent = False
         self.is_finished = False
         self.stored_response: StoredResponse | None = None
         self.arrived_at = 0.0
@@ -68,7 +69,6 @@
         self._token_count = 0
         self._on_disconnect = on_disconnect
         self._transport: Any = None
-        self._headers_sent = False
         self._chunk_prefix = b''
 
     async def attach(self, sock: socket.socket) -> None:
@@ -150,7 +150,7 @@
         that clients detect the truncated response.
         """
         document = build_problem_document(problem, self.request_id)
-        if self._headers_sent:
+        if self.headers_sent:
             error_chunk = {'error': document}
             self._send_event(json.dumps(error_chunk).encode())
             self._close()
@@ -193,9 +193,9 @@
         self.finish_response()
 
     def _start_stream(self) -> None:
-        if self._headers_sent:
+        if self.headers_sent:
             return
-        self._headers_sent = True
+        self.headers_sent = True
         self._chunk_prefix = build_chunk_prefix(
             self.request_id, self.client_request
         )
