Keep a run whose response has arrived

Callers got a cut response, 200 without an event, where a refusal was still possible: the response head arrived in the same pass of the event loop as the news that closed its run. Closing a connection leaves what it had received to be read, so the stream began its response and had no run any more. Without a retry it was then aborted.

A run that has something unread now goes on: its response is newer than the news against its head. A run that is closed all the same before its response has begun, as by a quarantine, takes what is unread with it. A head that was found dead by a probe no longer ends a run that has answered during the probe.

--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -176,6 +176,11 @@
         """Return whether there is a part to read."""
         return bool(self._parts)
 
+    def discard_unread(self) -> None:
+        """Drop what was not read of the response; the connection is closed."""
+        self._parts.clear()
+        self._push_lost('closed by this node')
+
     def is_open(self) -> bool:
         """Return whether requests can be sent."""
         return self._transport is not None and not self._transport.is_closing()
--- a/samphirerill/relay/stream_guard.py
+++ b/samphirerill/relay/stream_guard.py
@@ -156,6 +156,9 @@
         )
         if self._start_handover(conn, reason):
             return
+        if conn.has_unread():
+            # The response has arrived, whatever this node believes of its head.
+            return
         if self._path.is_head_dead() or self._reserve_resend():
             self._close_run(conn, reason)
 
@@ -195,7 +198,9 @@
 
     def _leave_later_stages(self, conn: HttpConnection) -> None:
         reason = 'later stages were not replaced'
-        if not self._start_handover(conn, reason) and self._reserve_resend():
+        if self._start_handover(conn, reason) or conn.has_unread():
+            return
+        if self._reserve_resend():
             self._close_run(conn, reason)
 
     async def _diagnose_silence(self, since: float, silence_s: float) -> float:
@@ -258,7 +263,9 @@
         head is dead.
         """
         conn = self._conn
-        if conn is not None and self._start_handover(conn, reason):
+        if conn is None or self._start_handover(conn, reason):
+            return
+        if conn.has_unread():
             return
         if is_head_dead or self._limits.reserve_attempt():
             raise EndpointTimeoutError(reason)
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -356,6 +356,9 @@
             **self._run.describe(self._loop.time()),
         )
         conn.close()
+        if not self._progress.has_started:
+            # Its response must not begin any more: it would be cut off.
+            conn.discard_unread()
 
     def _close_unstarted_run(self, conn: HttpConnection, reason: str) -> None:
         """Close a run before its first event; the stream is sent again."""
--- a/samphirerill/tests/test_lost_review.py
+++ b/samphirerill/tests/test_lost_review.py
@@ -16,6 +16,7 @@
 from samphirerill.fleet.paths import count_token_capacity
 from samphirerill.relay.connection import HttpConnection
 from samphirerill.relay.health.prober import Diagnosis, ReplicaProber
+from samphirerill.relay.quarantine import CrashDetector
 from samphirerill.testing.clients import ClientResponse, send_request
 from samphirerill.testing.layout import SECOND_ACCOUNT_KEY
 from samphirerill.tests.platform_documents import build_configuration
@@ -29,6 +30,7 @@
     from collections.abc import Sequence
 
     from samphirerill.fleet.model import Stage
+    from samphirerill.relay.request_context import RequestContext
 
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
@@ -38,6 +40,7 @@
 _PLAIN_WORK_S = 1.0
 _PREFILL_S = 0.6
 _SUSPICION_S = 0.3
+_HOLD_S = 5.0
 _LONG_SUSPICION_S = 4.0
 # More than new streams may use, and less than started ones may.
 _MEMORY_USE = 0.95
@@ -108,6 +111,34 @@
             status, body = await stream
         self.assertIn(status, (OK, _BAD_GATEWAY, _UNAVAILABLE), body)
 
+    async def test_response_does_not_begin_after_a_quarantine(self) -> None:
+        """Guard against a cut response for a request held meanwhile."""
+        stream, head = await self.start_prefill()
+        address = self.harness.addresses[head]
+        receive = HttpConnection.data_received
+        find_held_until = CrashDetector.find_held_until
+        held_until: list[float] = []
+
+        def hold_request(conn: HttpConnection, data: bytes) -> None:
+            receive(conn, data)
+            if conn.address == address and _EVENT_STREAM in data:
+                held_until.append(asyncio.get_running_loop().time() + _HOLD_S)
+                for exchange in self.process.state.streams:
+                    exchange.check_quarantine()
+
+        def find_hold(
+            detector: CrashDetector, context: RequestContext
+        ) -> float:
+            return max((find_held_until(detector, context), *held_until))
+
+        with (
+            patch.object(HttpConnection, 'data_received', hold_request),
+            patch.object(CrashDetector, 'find_held_until', find_hold),
+        ):
+            status, body = await stream
+        self.assertTrue(held_until)
+        self.assertIn(status, (_BAD_GATEWAY, _UNAVAILABLE), body)
+
 
 class TestProbedHeads(UnstartedStreamCase):
     """A head replica that does not answer a probe."""
