Keep a run on a suspected head until a retry is secured

Callers got 502 although their engine would have answered: a run before its first event was closed as soon as its head was suspected, or a probe of it was unanswered, whether or not a retry and another path were left. Suspicions are often wrong, and a false one ended all streams in prefill on that head.

Such a run is now closed only if a retry is reserved and another path has capacity. A head that has stopped for certain, as nothing listens at its address or it is no longer announced, is still left at once.

--- a/samphirerill/relay/stream_guard.py
+++ b/samphirerill/relay/stream_guard.py
@@ -156,18 +156,20 @@
         )
         if self._start_handover(conn, reason):
             return
-        if conn.has_unread():
-            # The response has arrived, whatever this node believes of its head.
-            return
-        if self._path.is_head_dead() or self._reserve_resend():
+        if self._path.is_head_gone() or self._may_leave(conn):
             self._close_run(conn, reason)
 
     def _can_resend(self) -> bool:
         return self._limits.may_retry() and self._path.has_alternative()
 
-    def _reserve_resend(self) -> bool:
-        """Reserve a retry if there is another path; return whether it is."""
-        return self._path.has_alternative() and self._limits.reserve_attempt()
+    def _may_leave(self, conn: HttpConnection) -> bool:
+        """Reserve a retry for a run that may still work; return whether it is.
+
+        A response that has arrived is newer than the news against its path.
+        """
+        if conn.has_unread() or not self._can_resend():
+            return False
+        return self._limits.reserve_attempt()
 
     def _start_reroute(self, conn: HttpConnection) -> None:
         if self._reroute_task is None:
@@ -198,9 +200,7 @@
 
     def _leave_later_stages(self, conn: HttpConnection) -> None:
         reason = 'later stages were not replaced'
-        if self._start_handover(conn, reason) or conn.has_unread():
-            return
-        if self._reserve_resend():
+        if not self._start_handover(conn, reason) and self._may_leave(conn):
             self._close_run(conn, reason)
 
     async def _diagnose_silence(self, since: float, silence_s: float) -> float:
@@ -209,7 +209,7 @@
         if not unconfirmed and self._loop.time() - since < _MAX_SILENCE_S:
             return _RECHECK_S
         await self._probe_path(since, unconfirmed)
-        return silence_s * _SILENCE_BACKOFF
+        return self._limits.limit_silence_s(silence_s * _SILENCE_BACKOFF)
 
     async def _probe_path(
         self, since: float, unconfirmed: tuple[Stage, ...]
@@ -230,7 +230,11 @@
         if not self._context.is_retryable:
             return
         if head_id in diagnosis.dead:
-            self._leave_path(f'{head_id} is unresponsive', is_head_dead=True)
+            self._leave_path(
+                f'{head_id} is unresponsive',
+                is_hopeless=self._path.is_head_gone()
+                or self._limits.is_admission_over(),
+            )
             return
         stalled_id = self._path.find_stalled_replica(
             diagnosis, self._context.request_id
@@ -256,16 +260,15 @@
         if waited_s >= _MAX_SILENCE_S and self._can_resend():
             self._leave_path(f'no event for {waited_s:.1f} s')
 
-    def _leave_path(self, reason: str, *, is_head_dead: bool = False) -> None:
+    def _leave_path(self, reason: str, *, is_hopeless: bool = False) -> None:
         """Start a handover; raise if the stream has not started.
 
-        A run that has not started stays if no retry can be reserved, unless its
-        head is dead.
+        A run that has not started stays if no retry can be reserved, unless it
+        is hopeless.
         """
         conn = self._conn
         if conn is None or self._start_handover(conn, reason):
             return
-        if conn.has_unread():
-            return
-        if is_head_dead or self._limits.reserve_attempt():
+        is_lost = is_hopeless and not conn.has_unread()
+        if is_lost or self._may_leave(conn):
             raise EndpointTimeoutError(reason)
--- a/samphirerill/relay/stream_limits.py
+++ b/samphirerill/relay/stream_limits.py
@@ -208,6 +208,18 @@
             until = since + get_stall_timeout_s(self._context.route)
         return min(self._context.deadline, until)
 
+    def is_admission_over(self) -> bool:
+        """Return whether the stream would not wait for a path any more."""
+        return self._loop.time() >= self.get_admission_deadline()
+
+    def limit_silence_s(self, silence_s: float) -> float:
+        """Return a silence limit that ends by the admission deadline.
+
+        A stream that is hopeless then is refused before its client gives up.
+        """
+        left_s = self.get_admission_deadline() - self._loop.time()
+        return min(silence_s, left_s) if left_s > 0 else silence_s
+
     def compute_backoff_s(self) -> float:
         """Record the end of an attempt; return the pause before the next."""
         fruitless_attempts = self._progress.record_attempt_end()
--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -268,12 +268,9 @@
         failed_ids = self.list_failed()
         return bool(failed_ids) and self.head_id not in failed_ids
 
-    def is_head_dead(self) -> bool:
-        """Return whether the head replica is gone or considered dead."""
-        head = self._state.view.replicas.get(self.head_id)
-        return (
-            head is None or head.suspicion.suspected_until > self._loop.time()
-        )
+    def is_head_gone(self) -> bool:
+        """Return whether the head replica has stopped, not only fallen silent."""
+        return self._state.view.has_stopped(self.head_id)
 
     def find_stalled_replica(
         self, diagnosis: Diagnosis, request_id: str
--- a/samphirerill/tests/test_lost_review.py
+++ b/samphirerill/tests/test_lost_review.py
@@ -41,6 +41,9 @@
 _PREFILL_S = 0.6
 _SUSPICION_S = 0.3
 _HOLD_S = 5.0
+_ENDLESS_S = 8.0
+# How long clients wait for a first event.
+_PATIENCE_S = 2.0
 _LONG_SUSPICION_S = 4.0
 # More than new streams may use, and less than started ones may.
 _MEMORY_USE = 0.95
@@ -61,11 +64,11 @@
     """Streams whose first event has not come yet."""
 
     async def start_prefill(
-        self,
+        self, prefill_s: float = _PREFILL_S
     ) -> tuple[asyncio.Task[tuple[int, bytes]], str]:
         """Send a stream whose prefill takes a while; return its engine too."""
         for name in ('engine-1', 'engine-2'):
-            self.harness.replicas[name].prefill_s = _PREFILL_S
+            self.harness.replicas[name].prefill_s = prefill_s
         stream = self.start_request(b'/notes/x')
         await self.wait_until(self.list_used_engines)
         await asyncio.sleep(SETTLE_S)
@@ -89,6 +92,26 @@
         self.mark_dead(head, _LONG_SUSPICION_S)
         self.assert_complete(await stream)
 
+    async def test_run_without_an_answer_is_refused_in_time(self) -> None:
+        """Guard against a client that gives up before it is refused."""
+        self.change_settings(retry_slack=0, retry_ratio=0)
+        stream, head = await self.start_prefill(_ENDLESS_S)
+        self.mark_dead(head, _LONG_SUSPICION_S)
+        async with asyncio.timeout(_PATIENCE_S - SETTLE_S):
+            status, body = await stream
+        self.assertEqual(status, _BAD_GATEWAY, body)
+
+    async def test_run_at_a_stopped_head_is_left_at_once(self) -> None:
+        """Guard against waiting for a replica that has ended."""
+        self.change_settings(retry_slack=0, retry_ratio=0)
+        stream, head = await self.start_prefill(_ENDLESS_S)
+        known = self.process.state.view.replicas[head]
+        known.suspicion.has_stopped = True
+        self.mark_dead(head, _LONG_SUSPICION_S)
+        async with asyncio.timeout(SETTLE_S):
+            status, body = await stream
+        self.assertEqual(status, _BAD_GATEWAY, body)
+
 
 class TestUnreadHeads(UnstartedStreamCase):
     """The response head has arrived when its run is closed."""
