Look for another path on the terms of its acquisition

Callers got 502 although their engine would have answered: a run before its first event was closed for a path that the stream then was not granted. The look took the memory and the link capacity that only started streams may use, ignored the streams that waited already, and accepted the head replica that is excluded once the run has been left.

The look now asks on the terms of the acquisition: as a new stream before the first event, not while others of the same priority wait, and without the present head unless no other is allowed. Streams that have started are not affected by the queue, as their run goes on meanwhile.

--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -95,6 +95,17 @@
         """Return the number of queued requests."""
         return sum(not queued.granted.done() for queued in self._queue)
 
+    def count_ahead(self, rank: int) -> int:
+        """Return the number of queued requests served before a new one.
+
+        Only requests of the same or a better rank count: a stream that has
+        started must not be rejected because of a queue of new streams.
+        """
+        return sum(
+            queued.rank <= rank and not queued.granted.done()
+            for queued in self._queue
+        )
+
     def predict_wait_s(self) -> float:
         """Return the expected time until the present queue is empty."""
         return self._grant_interval_s * (1 + self.count_waiting())
@@ -128,7 +139,7 @@
         NoPathError
             No path is expected to be free before the deadline.
         """
-        ahead_count = self._count_ahead(rank)
+        ahead_count = self.count_ahead(rank)
         if not ahead_count:
             stages = self._reserve_path(service, engine, path_request)
             if stages:
@@ -201,17 +212,6 @@
             self._abandon(queued)
             raise
 
-    def _count_ahead(self, rank: int) -> int:
-        """Return the number of queued requests served before a new one.
-
-        Only requests of the same or a better rank count: a stream that has
-        started must not be rejected because of a queue of new streams.
-        """
-        return sum(
-            queued.rank <= rank and not queued.granted.done()
-            for queued in self._queue
-        )
-
     def _abandon(self, queued: _QueuedRequest) -> None:
         """Release a path that was granted while the request stopped waiting."""
         granted = queued.granted
--- a/samphirerill/relay/path_finder.py
+++ b/samphirerill/relay/path_finder.py
@@ -73,14 +73,6 @@
         self._engine = engine
         self._admission = admission
 
-    def find_alternative(
-        self, failed_ids: Collection[str]
-    ) -> tuple[Stage, ...]:
-        """Return a path that avoids failed replicas; empty if there is none."""
-        path_request = self.build_request(is_urgent=True)
-        path_request.excluded = {*self.avoid, *failed_ids}
-        return self.find_path(path_request)
-
     def find_with_head(
         self,
         head: Stage,
@@ -169,11 +161,41 @@
         path_request.excluded = {*path_request.excluded, *failed_ids, head_id}
         return path_request
 
+    def build_alternative_request(
+        self,
+        head_id: str,
+        failed_ids: Collection[str],
+        *,
+        is_urgent: bool,
+    ) -> PathRequest:
+        """Return the requirements on a path after the present one is left.
+
+        Parameters
+        ----------
+        head_id : str
+            The head replica of the present path, which is excluded unless no
+            other one is allowed.
+        failed_ids : collection of str
+            Other replicas to exclude.
+        is_urgent : bool
+            Whether the stream has started.
+        """
+        path_request = self.build_request(is_urgent=is_urgent)
+        left_ids = {head_id} - path_request.first_replicas
+        path_request.excluded = {
+            *path_request.excluded,
+            *failed_ids,
+            *left_ids,
+        }
+        return path_request
+
     def build_resend_request(
         self,
         head_id: str,
         released_ids: Collection[str],
         failed_ids: Collection[str],
+        *,
+        is_urgent: bool,
     ) -> PathRequest:
         """Return the requirements on a path that replaces the present one.
 
@@ -185,13 +207,15 @@
             Replicas whose memory the present run uses until then.
         failed_ids : collection of str
             Replicas to exclude.
+        is_urgent : bool
+            Whether the stream has started.
         """
         return PathRequest(
             self.tokens,
             {*self.avoid, *failed_ids} - {head_id},
             frozenset((head_id,)),
             prefilled_on=frozenset(released_ids),
-            is_urgent=True,
+            is_urgent=is_urgent,
         )
 
     def find_path(self, path_request: PathRequest) -> tuple[Stage, ...]:
--- a/samphirerill/relay/stream_guard.py
+++ b/samphirerill/relay/stream_guard.py
@@ -160,7 +160,10 @@
             self._close_run(conn, reason)
 
     def _can_resend(self) -> bool:
-        return self._limits.may_retry() and self._path.has_alternative()
+        """Return whether a retry and another path are available now."""
+        return self._limits.may_retry() and self._path.has_alternative(
+            has_started=self._limits.has_started
+        )
 
     def _may_leave(self, conn: HttpConnection) -> bool:
         """Reserve a retry for a run that may still work; return whether it is.
--- a/samphirerill/relay/stream_limits.py
+++ b/samphirerill/relay/stream_limits.py
@@ -100,6 +100,11 @@
         self._budget = AttemptBudget(state, context)
         self.has_reserved = False
 
+    @property
+    def has_started(self) -> bool:
+        """Return whether the client has received the response head."""
+        return self._progress.has_started
+
     def is_quarantined(self) -> bool:
         """Return whether the request is quarantined for crashing replicas."""
         return self._crash_detector.find_held_until(self._context) > 0
--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -190,10 +190,7 @@
 
         The memory that the present run uses becomes free for it.
         """
-        path_request = self.finder.build_resend_request(
-            self.head_id, list_replica_ids(self.stages), self.list_failed()
-        )
-        return self.finder.find_path(path_request)
+        return self.finder.find_path(self._build_resend_request(is_urgent=True))
 
     def release(self) -> None:
         """Release the capacity of the path."""
@@ -204,11 +201,28 @@
         """Release the capacity of a path that was reserved for another run."""
         self._admission.release(stages, self.tokens)
 
-    def has_alternative(self) -> bool:
-        """Return whether a path without failed replicas has capacity now."""
-        if self.finder.find_alternative(self.list_failed()):
+    def has_alternative(self, *, has_started: bool) -> bool:
+        """Return whether another path has capacity now.
+
+        Parameters
+        ----------
+        has_started : bool
+            Whether the stream has started. `acquire` grants more to it; another
+            one is queued behind those that wait.
+        """
+        if not has_started and self._admission.count_ahead(
+            self._context.priority
+        ):
+            return False
+        other = self.finder.build_alternative_request(
+            self.head_id, self.list_failed(), is_urgent=has_started
+        )
+        if self.finder.find_path(other):
             return True
-        return self.has_lost_later_stage() and bool(self.find_resend())
+        if not self.has_lost_later_stage():
+            return False
+        resend = self._build_resend_request(is_urgent=has_started)
+        return bool(self.finder.find_path(resend))
 
     async def replace_later_stages(self) -> MoveResult:
         """Replace the stages after the head, unless resending is faster."""
@@ -294,6 +308,14 @@
         )
         return gap_ms / MS_PER_S
 
+    def _build_resend_request(self, *, is_urgent: bool) -> PathRequest:
+        return self.finder.build_resend_request(
+            self.head_id,
+            list_replica_ids(self.stages),
+            self.list_failed(),
+            is_urgent=is_urgent,
+        )
+
     async def _admit(
         self, path_request: PathRequest, rank: int, deadline: float
     ) -> tuple[Stage, ...]:
--- a/samphirerill/tests/test_retry_choice.py
+++ b/samphirerill/tests/test_retry_choice.py
@@ -6,9 +6,10 @@
 from typing import TYPE_CHECKING, cast
 from unittest import IsolatedAsyncioTestCase
 
+from samphirerill.fleet.paths import PathRequest
 from samphirerill.platform.http_adapter import HttpPlatformAdapter
 from samphirerill.platform.settings import EdgeSettings
-from samphirerill.relay.admission import AdmissionQueue
+from samphirerill.relay.admission import AdmissionQueue, NoPathError
 from samphirerill.relay.state import EdgeState
 from samphirerill.relay.stream_path import StreamPath
 from samphirerill.tests.fleet_builders import ENGINE, build_replica
@@ -53,10 +54,11 @@
     route = _RouteStub()
     service = _ServiceStub()
     req = _RequestStub()
+    priority = 0
 
 
-class TestHeads(IsolatedAsyncioTestCase):
-    """A stream that may use no further replica picks one that it used."""
+class HeadsCase(IsolatedAsyncioTestCase):
+    """Three heads, two of which failed a stream that may use two."""
 
     async def asyncSetUp(self) -> None:
         settings = EdgeSettings('n', 'a', 'h', 'c', 'r', 'p', 's', 1, 2)
@@ -69,15 +71,27 @@
                 f'rest-{revision}', 'a', 'large', layers
             )
             self.state.view.apply_announcement(later_stage, revision)
+        self.admission = AdmissionQueue(self.state)
         self.path = StreamPath(
             self.state,
             cast('RequestContext', _ContextStub()),
             ENGINE,
-            AdmissionQueue(self.state),
+            self.admission,
         )
         self.path.used_heads.update(('one', 'two'))
         self.path.avoid.update(('one', 'two'))
 
+    async def acquire(self) -> None:
+        """Reserve a path as a started stream."""
+        now = asyncio.get_running_loop().time()
+        await self.path.acquire(
+            _STARTED_RANK, now + _ADMISSION_TIMEOUT_S, is_urgent=True
+        )
+
+
+class TestHeads(HeadsCase):
+    """A stream that may use no further replica picks one that it used."""
+
     async def test_head_with_fewest_failures_is_chosen(self) -> None:
         """Guard against resending a stream repeatedly to a failing replica."""
         self.path.finder.failed_sends.update(one=2, two=1)
@@ -94,15 +108,44 @@
 
     async def choose(self) -> str:
         """Return the head that the stream would be sent to now."""
-        now = asyncio.get_running_loop().time()
-        await self.path.acquire(
-            _STARTED_RANK, now + _ADMISSION_TIMEOUT_S, is_urgent=True
-        )
+        await self.acquire()
         head = self.path.head_id
         self.path.release()
         return head
 
 
+class TestAlternatives(HeadsCase):
+    """A run is left only for a path that its stream would be granted."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.path.used_heads.clear()
+        await self.acquire()
+
+    async def test_present_head_is_no_alternative(self) -> None:
+        """Guard against leaving a run for a path that is then excluded."""
+        self.assertEqual(self.path.head_id, 'three')
+        self.assertFalse(self.path.has_alternative(has_started=False))
+        self.path.avoid.clear()
+        self.assertTrue(self.path.has_alternative(has_started=False))
+
+    async def test_new_stream_is_not_granted_a_path_before_others(
+        self,
+    ) -> None:
+        """Guard against leaving a run to wait behind other streams."""
+        self.path.avoid.clear()
+        blocked = PathRequest(1.0, {'one', 'two', 'three'})
+        until = asyncio.get_running_loop().time() + _ADMISSION_TIMEOUT_S
+        waiting = asyncio.create_task(
+            self.admission.admit('llm', ENGINE, blocked, 0, until, until)
+        )
+        await asyncio.sleep(0)
+        self.assertFalse(self.path.has_alternative(has_started=False))
+        self.assertTrue(self.path.has_alternative(has_started=True))
+        with self.assertRaises(NoPathError):
+            await waiting
+
+
 class TestBackOff(TwoEnginesCase):
     """A replica that returns no event is avoided for longer each time."""
 
