--- a/samphirerill/tests/test_lost_review.py
+++ b/samphirerill/tests/test_lost_review.py
@@ -17,6 +17,7 @@
 from samphirerill.relay.admission import AdmissionQueue
 from samphirerill.relay.connection import HttpConnection
 from samphirerill.relay.health.prober import Diagnosis, ReplicaProber
+from samphirerill.relay.quarantine import CrashDetector
 from samphirerill.relay.replacement import STARTED_RANK
 from samphirerill.testing.clients import ClientResponse, send_request
 from samphirerill.testing.layout import SECOND_ACCOUNT_KEY
@@ -38,6 +39,7 @@
     from collections.abc import Sequence
 
     from samphirerill.fleet.model import Stage
+    from samphirerill.relay.request_context import RequestContext
 
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
@@ -48,6 +50,10 @@
 _PREFILL_S = 0.6
 _ENDLESS_PREFILL_S = 10.0
 _SUSPICION_S = 0.3
+_HOLD_S = 5.0
+_ENDLESS_S = 8.0
+# How long clients wait for a first event.
+_PATIENCE_S = 2.0
 _LONG_SUSPICION_S = 4.0
 # More than new streams may use, and less than started ones may.
 _MEMORY_USE = 0.95
@@ -70,11 +76,11 @@
     """Streams whose first event has not come yet."""
 
     async def start_prefill(
-        self,
+        self, prefill_s: float = _PREFILL_S
     ) -> tuple[asyncio.Task[tuple[int, bytes]], str]:
         """Send a stream whose prefill takes a while; return its engine too."""
         for name in ('engine-1', 'engine-2'):
-            self.harness.replicas[name].prefill_s = _PREFILL_S
+            self.harness.replicas[name].prefill_s = prefill_s
         stream = self.start_request(b'/notes/x')
         await self.wait_until(self.list_used_engines)
         await asyncio.sleep(SETTLE_S)
@@ -98,6 +104,26 @@
         self.mark_dead(head, _LONG_SUSPICION_S)
         self.assert_complete(await stream)
 
+    async def test_run_without_an_answer_is_refused_in_time(self) -> None:
+        """Guard against a client that gives up before it is refused."""
+        self.change_settings(retry_slack=0, retry_ratio=0)
+        stream, head = await self.start_prefill(_ENDLESS_S)
+        self.mark_dead(head, _LONG_SUSPICION_S)
+        async with asyncio.timeout(_PATIENCE_S - SETTLE_S):
+            status, body = await stream
+        self.assertEqual(status, _BAD_GATEWAY, body)
+
+    async def test_run_at_a_stopped_head_is_left_at_once(self) -> None:
+        """Guard against waiting for a replica that has ended."""
+        self.change_settings(retry_slack=0, retry_ratio=0)
+        stream, head = await self.start_prefill(_ENDLESS_S)
+        known = self.process.state.view.replicas[head]
+        known.suspicion.has_stopped = True
+        self.mark_dead(head, _LONG_SUSPICION_S)
+        async with asyncio.timeout(SETTLE_S):
+            status, body = await stream
+        self.assertEqual(status, _BAD_GATEWAY, body)
+
 
 class TestUnreadHeads(UnstartedStreamCase):
     """The response head has arrived when its run is closed."""
@@ -120,6 +146,34 @@
             status, body = await stream
         self.assertIn(status, (OK, _BAD_GATEWAY, _UNAVAILABLE), body)
 
+    async def test_response_does_not_begin_after_a_quarantine(self) -> None:
+        """Guard against a cut response for a request held meanwhile."""
+        stream, head = await self.start_prefill()
+        address = self.harness.addresses[head]
+        receive = HttpConnection.data_received
+        find_held_until = CrashDetector.find_held_until
+        held_until: list[float] = []
+
+        def hold_request(conn: HttpConnection, data: bytes) -> None:
+            receive(conn, data)
+            if conn.address == address and _EVENT_STREAM in data:
+                held_until.append(asyncio.get_running_loop().time() + _HOLD_S)
+                for exchange in self.process.state.streams:
+                    exchange.check_quarantine()
+
+        def find_hold(
+            detector: CrashDetector, context: RequestContext
+        ) -> float:
+            return max((find_held_until(detector, context), *held_until))
+
+        with (
+            patch.object(HttpConnection, 'data_received', hold_request),
+            patch.object(CrashDetector, 'find_held_until', find_hold),
+        ):
+            status, body = await stream
+        self.assertTrue(held_until)
+        self.assertIn(status, (_BAD_GATEWAY, _UNAVAILABLE), body)
+
 
 class TestProbedHeads(UnstartedStreamCase):
     """A head replica that does not answer a probe."""
