--- a/samphirerill/backends/endpoint_headers.py
+++ b/samphirerill/backends/endpoint_headers.py
@@ -1,6 +1,6 @@
 """What an endpoint says of itself in the headers of its answers.
 
-``Retry-After`` with status 503 or 429 asks this node for rest: in seconds, with
+``Retry-After`` with status 503 or 429 asks this node for a back-off: in seconds, with
 fractions allowed, or until an HTTP date. ``Server-Leaving: 1``, with any
 status, says that this process of the endpoint leaves.
 """
@@ -15,8 +15,8 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.core.endpoint_events import (
-    EndpointAskedForRest,
     EndpointLeaving,
+    EndpointRequestedBackOff,
     RetryAfterIgnored,
 )
 
@@ -30,7 +30,7 @@
 LEAVING_HEADER = 'server-leaving'
 _LEAVING_TEXT = '1'
 _RETRY_AFTER = 'retry-after'
-_REST_STATUSES = frozenset(
+_BACK_OFF_STATUSES = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
 )
 _SECONDS = re.compile(r'[0-9]{1,32}(\.[0-9]{1,32})?')
@@ -59,15 +59,15 @@
     if is_leaving:
         sink.apply(EndpointLeaving(endpoint, address))
     texts = _list_texts(headers, _RETRY_AFTER)
-    if status not in _REST_STATUSES or not texts:
+    if status not in _BACK_OFF_STATUSES or not texts:
         return is_leaving
     received = ', '.join(texts)[:_MAX_LOGGED_CHARACTERS]
-    rest_s = _find_longest(map(parse_retry_after_s, texts))
-    if rest_s is None:
+    back_off_s = _find_longest(map(parse_retry_after_s, texts))
+    if back_off_s is None:
         sink.apply(RetryAfterIgnored(endpoint, address, received))
         return is_leaving
-    until = asyncio.get_running_loop().time() + rest_s
-    sink.apply(EndpointAskedForRest(endpoint, address, until, received))
+    until = asyncio.get_running_loop().time() + back_off_s
+    sink.apply(EndpointRequestedBackOff(endpoint, address, until, received))
     return True
 
 
@@ -86,6 +86,6 @@
     return [text.strip() for name, text in headers if name.lower() == wanted]
 
 
-def _find_longest(rests: Iterable[float | None]) -> float | None:
-    valid = [seconds for seconds in rests if seconds is not None]
+def _find_longest(back_offs: Iterable[float | None]) -> float | None:
+    valid = [seconds for seconds in back_offs if seconds is not None]
     return max(valid, default=None)
--- a/samphirerill/core/availability.py
+++ b/samphirerill/core/availability.py
@@ -1,4 +1,4 @@
-"""When a route can be served again whose endpoints asked for rest."""
+"""When a route can be served again whose endpoints asked for a back-off."""
 
 from __future__ import annotations
 
@@ -13,25 +13,25 @@
     from samphirerill.core.configuration import Route
     from samphirerill.core.state import CoreState, EndpointState
 
-RESTING_CODE = 'endpoints-resting'
-RESTING_DETAIL = 'the endpoints of this route asked for rest'
-# Time that a queued request needs after a rest to start before its deadline.
+BACKING_OFF_CODE = 'endpoints-backing-off'
+BACKING_OFF_DETAIL = 'the endpoints of this route asked for a back-off'
+# Time that a queued request needs after a back-off to start before its deadline.
 _MIN_START_S = 0.1
 # Clients return spread over this time, or this share of their wait if longer.
 _MIN_RETURN_SPREAD_S = 1.0
 _RETURN_SPREAD = 0.1
 
 
-def find_rest_end(state: CoreState, route: Route, now: float) -> float:
-    """Return when rests no longer prevent a route's requests, or 0.
+def find_back_off_end(state: CoreState, route: Route, now: float) -> float:
+    """Return when back-offs no longer prevent a route's requests, or 0.
 
-    It is 0 if the route could be served without the resting endpoints, or not
+    It is 0 if the route could be served without the endpoints that back off, or not
     even with them.
     """
-    if not state.rests:
+    if not state.back_offs:
         return 0
     candidates = [
-        (state.rests.get_until(replica.endpoint.address, now), replica)
+        (state.back_offs.get_until(replica.endpoint.address, now), replica)
         for replica in _list_candidates(state, route)
         if replica.health is not Health.LEAVING
     ]
@@ -42,9 +42,9 @@
     return 0
 
 
-def is_too_late(rest_end: float, deadline: float) -> bool:
-    """Return whether a rest prevents a start before a deadline."""
-    return bool(rest_end) and rest_end + _MIN_START_S > deadline
+def is_too_late(back_off_end: float, deadline: float) -> bool:
+    """Return whether a back-off prevents a start before a deadline."""
+    return bool(back_off_end) and back_off_end + _MIN_START_S > deadline
 
 
 def is_available_by(
@@ -52,41 +52,41 @@
 ) -> bool:
     """Return whether live endpoints can serve a route before a deadline.
 
-    Endpoints that rest for longer do not count; free slots are not required.
+    Endpoints that back off for longer do not count; free slots are not required.
     """
     available = [
         replica
         for replica in _list_candidates(state, route)
         if replica.health is Health.LIVE
         and not is_too_late(
-            state.rests.get_until(replica.endpoint.address, now), deadline
+            state.back_offs.get_until(replica.endpoint.address, now), deadline
         )
     ]
     return _can_serve(state, route, available)
 
 
 def compute_retry_after_s(
-    state: CoreState, rest_end: float, now: float
+    state: CoreState, back_off_end: float, now: float
 ) -> float:
-    """Return a time after a rest, random so that clients spread out."""
-    wait_s = rest_end - now
+    """Return a time after a back-off, random so that clients spread out."""
+    wait_s = back_off_end - now
     spread_s = max(_MIN_RETURN_SPREAD_S, _RETURN_SPREAD * wait_s)
     return wait_s + state.random.uniform(0, spread_s)
 
 
-def find_rest_problem(
+def find_back_off_problem(
     state: CoreState, route: Route, queue_deadline: float, now: float
 ) -> Problem | None:
-    """Return the refusal of a new request that rests would outlast."""
-    rest_end = find_rest_end(state, route, now)
-    if not is_too_late(rest_end, queue_deadline):
+    """Return the refusal of a new request that back-offs would outlast."""
+    back_off_end = find_back_off_end(state, route, now)
+    if not is_too_late(back_off_end, queue_deadline):
         return None
     return Problem(
         HTTPStatus.SERVICE_UNAVAILABLE,
-        RESTING_CODE,
-        RESTING_DETAIL,
+        BACKING_OFF_CODE,
+        BACKING_OFF_DETAIL,
         Outcome.NOT_RUN,
-        compute_retry_after_s(state, rest_end, now),
+        compute_retry_after_s(state, back_off_end, now),
     )
 
 
--- a/samphirerill/core/endpoint_events.py
+++ b/samphirerill/core/endpoint_events.py
@@ -9,7 +9,7 @@
 
 
 @dataclass(slots=True)
-class EndpointAskedForRest:
+class EndpointRequestedBackOff:
     """An endpoint answered that it wants nothing from this node for a while.
 
     `received` is the beginning of what the answer said.
@@ -23,7 +23,7 @@
 
 @dataclass(slots=True)
 class RetryAfterIgnored:
-    """An endpoint asked for rest with an invalid value."""
+    """An endpoint asked for a back-off with an invalid value."""
 
     endpoint: str
     address: str
--- a/samphirerill/core/on_attempts.py
+++ b/samphirerill/core/on_attempts.py
@@ -227,10 +227,10 @@
 def probe_stages(state: CoreState, attempt: AttemptState, now: float) -> None:
     """Probe all stages, to distinguish a failed endpoint from a failed link.
 
-    One that was already probed during its rest is probed when it ends.
+    One that was already probed during its back-off is probed when it ends.
     """
     for stage in attempt.stages:
-        if state.rests.try_probe(stage.address, now):
+        if state.back_offs.try_probe(stage.address, now):
             state.emit(ProbeEndpoint(stage.endpoint, stage.address))
         else:
             mark_suspect(state, stage.endpoint, now)
--- a/samphirerill/core/on_deadlines.py
+++ b/samphirerill/core/on_deadlines.py
@@ -8,7 +8,7 @@
 
 from samphirerill.core.availability import (
     compute_retry_after_s,
-    find_rest_end,
+    find_back_off_end,
 )
 from samphirerill.core.commands import ProbeEndpoint
 from samphirerill.core.completion import get_queue_name, refuse_request
@@ -66,9 +66,9 @@
     if req.queue_deadline > now:
         return
     retry_after_s = _QUEUE_TIMEOUT_RETRY_S
-    rest_end = find_rest_end(state, req.route, now)
-    if rest_end:
-        retry_after_s = compute_retry_after_s(state, rest_end, now)
+    back_off_end = find_back_off_end(state, req.route, now)
+    if back_off_end:
+        retry_after_s = compute_retry_after_s(state, back_off_end, now)
     refuse_request(
         state,
         req,
@@ -125,9 +125,9 @@
 def _probe_silent_stages(
     state: CoreState, attempt: AttemptState, now: float
 ) -> None:
-    """Probe the stages; one that rests is alive and is probed once."""
+    """Probe the stages; one that backs off is alive and is probed once."""
     for stage in attempt.stages:
-        if state.rests.try_probe(stage.address, now):
+        if state.back_offs.try_probe(stage.address, now):
             state.emit(ProbeEndpoint(stage.endpoint, stage.address))
 
 
@@ -158,18 +158,18 @@
     is_suspect = replica.health is Health.SUSPECT or replica.is_unresponsive
     if not is_suspect and not is_departing:
         return
-    rest_end = state.rests.get_until(replica.endpoint.address, now)
-    if rest_end:
-        replica.next_probe_at = rest_end
-        state.schedule_wake(rest_end, 'endpoint', name)
+    back_off_end = state.back_offs.get_until(replica.endpoint.address, now)
+    if back_off_end:
+        replica.next_probe_at = back_off_end
+        state.schedule_wake(back_off_end, 'endpoint', name)
     elif replica.next_probe_at <= now:
         state.emit(ProbeEndpoint(name, replica.endpoint.address))
 
 
-def _check_rest(state: CoreState, address: str, now: float) -> None:
-    """Use an endpoint again whose rest has ended."""
-    if not state.rests.get_until(address, now):
-        state.rests.remove(address)
+def _check_back_off(state: CoreState, address: str, now: float) -> None:
+    """Use an endpoint again whose back-off has ended."""
+    if not state.back_offs.get_until(address, now):
+        state.back_offs.remove(address)
         dispatch_all_queues(state, now)
 
 
@@ -182,7 +182,7 @@
     'quarantine': _check_quarantine,
     'queue': _check_queue,
     'request': _check_request,
-    'rest': _check_rest,
+    'back_off': _check_back_off,
     'attempt': _check_attempt,
     'endpoint': _check_endpoint,
 }
--- a/samphirerill/core/on_fleet.py
+++ b/samphirerill/core/on_fleet.py
@@ -148,7 +148,7 @@
     replica.is_unresponsive = not event.alive
     if event.is_refused:
         # Whatever listens there later is another process.
-        state.rests.remove(replica.endpoint.address)
+        state.back_offs.remove(replica.endpoint.address)
     if state.departures.is_leaving(replica.endpoint.address):
         follow_departure(state, event, replica, now)
         return
--- a/samphirerill/core/on_requests.py
+++ b/samphirerill/core/on_requests.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.core.admission import QueueEntry
-from samphirerill.core.availability import find_rest_problem
+from samphirerill.core.availability import find_back_off_problem
 from samphirerill.core.commands import Outcome, Problem, RefuseRequest
 from samphirerill.core.completion import (
     determine_outcome,
@@ -199,7 +199,7 @@
             _QUEUE_FULL_RETRY_S,
         )
     queue_deadline = _compute_queue_deadline(event, route, now)
-    problem = find_rest_problem(state, route, queue_deadline, now)
+    problem = find_back_off_problem(state, route, queue_deadline, now)
     if problem is not None:
         return problem
     ahead = queue.estimate_ahead(account.name, choose_priority(route, account))
--- a/samphirerill/core/queries.py
+++ b/samphirerill/core/queries.py
@@ -68,9 +68,9 @@
     return dict(Counter(req.phase.value for req in state.requests.values()))
 
 
-def _get_rest_s(state: CoreState, address: str, now: float) -> float:
-    """Return the remaining seconds of a rest, or 0."""
-    return round(max(0, state.rests.get_until(address, now) - now), 3)
+def _get_back_off_s(state: CoreState, address: str, now: float) -> float:
+    """Return the remaining seconds of a back-off, or 0."""
+    return round(max(0, state.back_offs.get_until(address, now) - now), 3)
 
 
 def _describe_endpoints(state: CoreState, now: float) -> dict[str, Any]:
@@ -85,7 +85,7 @@
             'says_leaving': state.departures.is_leaving(
                 replica.endpoint.address
             ),
-            'rest_s': _get_rest_s(state, replica.endpoint.address, now),
+            'back_off_s': _get_back_off_s(state, replica.endpoint.address, now),
         }
         for name, replica in state.endpoints.items()
     }
--- a/samphirerill/core/router.py
+++ b/samphirerill/core/router.py
@@ -6,13 +6,13 @@
 
 from samphirerill.core import (
     on_attempts,
+    on_back_offs,
     on_claims,
     on_crashes,
     on_deadlines,
     on_departures,
     on_fleet,
     on_requests,
-    on_rests,
 )
 from samphirerill.core.handling import handle
 from samphirerill.core.state import CoreState
@@ -26,7 +26,7 @@
     on_crashes,
     on_fleet,
     on_requests,
-    on_rests,
+    on_back_offs,
     on_departures,
     on_deadlines,
 )
--- a/samphirerill/core/scheduling.py
+++ b/samphirerill/core/scheduling.py
@@ -8,10 +8,10 @@
 
 from samphirerill.core.admission import FairQueue, QueueEntry
 from samphirerill.core.availability import (
-    RESTING_CODE,
-    RESTING_DETAIL,
+    BACKING_OFF_CODE,
+    BACKING_OFF_DETAIL,
     compute_retry_after_s,
-    find_rest_end,
+    find_back_off_end,
     is_available_by,
     is_too_late,
 )
@@ -142,12 +142,12 @@
     if not may_retry(req):
         refuse_request(state, req, status, code, detail)
         return
-    rest_end = find_rest_end(state, req.route, now)
+    back_off_end = find_back_off_end(state, req.route, now)
     req.failures += 1
-    if _is_hopeless(req, rest_end, now) or not withdraw_retry(state, req):
+    if _is_hopeless(req, back_off_end, now) or not withdraw_retry(state, req):
         retry_after_s = _RETRY_AFTER_S
-        if rest_end:
-            retry_after_s = compute_retry_after_s(state, rest_end, now)
+        if back_off_end:
+            retry_after_s = compute_retry_after_s(state, back_off_end, now)
         refuse_request(state, req, status, code, detail, retry_after_s)
         return
     state.counters['retries'] += 1
@@ -158,7 +158,7 @@
 def requeue_at_front(state: CoreState, req: RequestState, now: float) -> None:
     """Queue a request that already ran ahead of those that have not.
 
-    It is refused instead if a rest outlasts its queue deadline.
+    It is refused instead if a back-off outlasts its queue deadline.
     """
     req.phase = Phase.QUEUED
     release_account_slot(state, req)
@@ -166,9 +166,9 @@
     state.schedule_wake(req.queue_deadline, 'queue', req.request_id)
     entry = QueueEntry(req.request_id, req.account, req.priority, 0)
     get_queue(state, get_queue_name(req)).add(entry, at_front=True)
-    rest_end = find_rest_end(state, req.route, now)
-    if _is_hopeless(req, rest_end, now):
-        _refuse_resting(state, req, rest_end, now)
+    back_off_end = find_back_off_end(state, req.route, now)
+    if _is_hopeless(req, back_off_end, now):
+        _refuse_backing_off(state, req, back_off_end, now)
 
 
 def withdraw_attempts(state: CoreState, address: str, now: float) -> None:
@@ -189,19 +189,19 @@
 
 
 def refuse_hopeless(state: CoreState, now: float) -> None:
-    """Refuse queued requests whose deadline passes before a rest ends.
+    """Refuse queued requests whose deadline passes before a back-off ends.
 
     A stream that has started waits, as any change may still save it.
     """
-    rest_ends: dict[str, float] = {}
+    back_off_ends: dict[str, float] = {}
     for req in tuple(state.requests.values()):
         if req.phase is not Phase.QUEUED or req.delivered:
             continue
         name = req.route.name
-        if name not in rest_ends:
-            rest_ends[name] = find_rest_end(state, req.route, now)
-        if is_too_late(rest_ends[name], req.queue_deadline):
-            _refuse_resting(state, req, rest_ends[name], now)
+        if name not in back_off_ends:
+            back_off_ends[name] = find_back_off_end(state, req.route, now)
+        if is_too_late(back_off_ends[name], req.queue_deadline):
+            _refuse_backing_off(state, req, back_off_ends[name], now)
 
 
 def _start_next(state: CoreState, queue: FairQueue, now: float) -> bool:
@@ -260,24 +260,24 @@
     return min(req.deadline, now + limits.answer_timeout_s)
 
 
-def _refuse_resting(
-    state: CoreState, req: RequestState, rest_end: float, now: float
+def _refuse_backing_off(
+    state: CoreState, req: RequestState, back_off_end: float, now: float
 ) -> None:
     # A 503 would state that nothing ran.
     status = HTTPStatus.SERVICE_UNAVAILABLE
     if determine_outcome(req) is Outcome.MAY_HAVE_RUN:
         status = HTTPStatus.BAD_GATEWAY
-    retry_after_s = compute_retry_after_s(state, rest_end, now)
+    retry_after_s = compute_retry_after_s(state, back_off_end, now)
     refuse_request(
-        state, req, status, RESTING_CODE, RESTING_DETAIL, retry_after_s
+        state, req, status, BACKING_OFF_CODE, BACKING_OFF_DETAIL, retry_after_s
     )
 
 
-def _is_hopeless(req: RequestState, rest_end: float, now: float) -> bool:
-    """Return whether a retry could not start in time because of a rest."""
+def _is_hopeless(req: RequestState, back_off_end: float, now: float) -> bool:
+    """Return whether a retry could not start in time because of a back-off."""
     if req.delivered:
         return False
-    return is_too_late(rest_end, _compute_queue_deadline(req, now))
+    return is_too_late(back_off_end, _compute_queue_deadline(req, now))
 
 
 def _compute_queue_deadline(req: RequestState, now: float) -> float:
--- a/samphirerill/core/state.py
+++ b/samphirerill/core/state.py
@@ -14,13 +14,13 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.core.admission import FairQueue
+from samphirerill.core.back_offs import BackOffs
 from samphirerill.core.budget import RetryBudget
 from samphirerill.core.commands import Command, Stage
 from samphirerill.core.configuration import Configuration, Endpoint
 from samphirerill.core.departures import Departures
 from samphirerill.core.links import LinkLatencies
 from samphirerill.core.prefixes import PrefixIndex
-from samphirerill.core.rests import Rests
 from samphirerill.quarantine import Quarantine
 
 if TYPE_CHECKING:
@@ -162,7 +162,7 @@
         'quarantine',
         'random',
         'requests',
-        'rests',
+        'back_offs',
         'running_by_account',
         'suspected_crashes',
         'suspension_reason',
@@ -181,7 +181,7 @@
         self.leaving: dict[str, float] = {}
         self.links = LinkLatencies()
         self.prefixes = PrefixIndex()
-        self.rests = Rests()
+        self.back_offs = BackOffs()
         self.departures = Departures()
         self.quarantine = Quarantine()
         # By endpoint being probed, the requests whose attempts failed there.
--- a/samphirerill/emulator/engine.py
+++ b/samphirerill/emulator/engine.py
@@ -44,7 +44,7 @@
 
 
 @dataclass(slots=True)
-class RestPeriod:
+class BackOffPeriod:
     """Time in which an engine refuses a share of the new streams.
 
     `asked_at` is when it first refused one; `early_sends` counts those that
@@ -119,7 +119,7 @@
     ) -> None:
         self.is_crashed = False
         self.has_left = False
-        self.rest = RestPeriod()
+        self.back_off = BackOffPeriod()
         self.leaving = LeavingNotice()
         self.slowdown = 1.0
         self.busy_s = 0.0
--- a/samphirerill/emulator/fleet.py
+++ b/samphirerill/emulator/fleet.py
@@ -98,19 +98,19 @@
         if for_s:
             self._event_loop.call_later(for_s, partial(self._restart, name))
 
-    def start_rest(self, name: str, for_s: float, share: float) -> None:
+    def start_back_off(self, name: str, for_s: float, share: float) -> None:
         """Let a replica refuse a share of the new streams for a time."""
-        self.engines[name].rest.start(self._event_loop.now + for_s, share)
+        self.engines[name].back_off.start(self._event_loop.now + for_s, share)
 
     def refuses_stream(self, name: str) -> bool:
         """Return whether a replica refuses a new stream, which nodes note."""
         now = self._event_loop.now
         engine = self.engines[name]
         engine.leaving.record_send(now)
-        if not engine.rest.refuses(now, self._random):
+        if not engine.back_off.refuses(now, self._random):
             return False
         replica = self._replicas[name]
-        note_requested_backoff(self.view, replica, engine.rest.until)
+        note_requested_backoff(self.view, replica, engine.back_off.until)
         return True
 
     def start_departure(
--- a/samphirerill/emulator/scenario.py
+++ b/samphirerill/emulator/scenario.py
@@ -68,7 +68,7 @@
     for_s: float = 0
 
 
-class Rest(Struct, frozen=True, forbid_unknown_fields=True):
+class BackOff(Struct, frozen=True, forbid_unknown_fields=True):
     """Time, `at` in seconds, in which a replica asks to be left alone.
 
     It refuses a `share` of the streams that are sent to it as the first stage,
@@ -108,7 +108,7 @@
     traffic: Traffic
     length_s: float = 30
     crashes: list[Crash] = []
-    rests: list[Rest] = []
+    back_offs: list[BackOff] = []
     departures: list[Departure] = []
     placement: dict[str, tuple[int, int]] | None = None
     policy: Policy = Policy()
--- a/samphirerill/emulator/simulation.py
+++ b/samphirerill/emulator/simulation.py
@@ -27,7 +27,9 @@
     metrics = generator.metrics.describe()
     metrics['loads'] = fleet.load_count
     engines = fleet.engines.values()
-    metrics['early_sends'] = sum(engine.rest.early_sends for engine in engines)
+    metrics['early_sends'] = sum(
+        engine.back_off.early_sends for engine in engines
+    )
     metrics['late_sends'] = sum(engine.leaving.late_sends for engine in engines)
     for pair, link in fleet.links.by_pair.items():
         link_name = '-'.join(sorted(pair))
@@ -43,7 +45,7 @@
     """
     engines = fleet.engines.values()
     return {
-        'early_sends': sum(engine.rest.early_sends for engine in engines),
+        'early_sends': sum(engine.back_off.early_sends for engine in engines),
         'late_sends': sum(engine.leaving.late_sends for engine in engines),
     }
 
@@ -56,10 +58,15 @@
         event_loop.call_at(
             crash.at, partial(fleet.crash_replica, crash.replica, crash.for_s)
         )
-    for rest in scenario.rests:
+    for back_off in scenario.back_offs:
         event_loop.call_at(
-            rest.at,
-            partial(fleet.start_rest, rest.replica, rest.for_s, rest.share),
+            back_off.at,
+            partial(
+                fleet.start_back_off,
+                back_off.replica,
+                back_off.for_s,
+                back_off.share,
+            ),
         )
     for departure in scenario.departures:
         event_loop.call_at(
--- a/samphirerill/node/engine_controller.py
+++ b/samphirerill/node/engine_controller.py
@@ -238,7 +238,7 @@
         if state.departures.is_leaving(endpoint.address):
             return False
         now = self._node.loop.time()
-        return not state.rests.get_until(endpoint.address, now)
+        return not state.back_offs.get_until(endpoint.address, now)
 
     def _is_loading(self, name: str) -> bool:
         status = self._statuses.get(name)
--- a/samphirerill/node/health_checks.py
+++ b/samphirerill/node/health_checks.py
@@ -134,7 +134,7 @@
     """
     now = node.loop.time()
     stale_before = now - LOAD_REPORT_TTL_S
-    rests = node.router.state.rests
+    back_offs = node.router.state.back_offs
     departures = node.router.state.departures
     stale_states = [
         endpoint_state
@@ -143,7 +143,7 @@
         if endpoint_state.endpoint.kind == ENGINE
         and endpoint_state.reported_at < stale_before
         and not departures.is_leaving(endpoint_state.endpoint.address)
-        and not rests.get_until(endpoint_state.endpoint.address, now)
+        and not back_offs.get_until(endpoint_state.endpoint.address, now)
     ]
     return min(stale_states, key=lambda item: item.reported_at, default=None)
 
--- a/samphirerill/properties/router_machine.py
+++ b/samphirerill/properties/router_machine.py
@@ -25,7 +25,7 @@
 NON_IDEMPOTENT_ROUTES = frozenset(('once', 'notices'))
 DISTURBANCES = ('leaves', 'reconfigure', 'restart', 'doubt', 'stale', 'report')
 _MAX_DISTURBANCES = 4
-# Rests and departures; with more of them most requests would only wait.
+# Back-offs and departures; with more of them most requests would only wait.
 _MAX_ENDPOINT_CHANGES = 12
 _PICKS = st.integers(0, 1000)
 _NODES = st.integers(0, NODES - 1)
@@ -115,8 +115,8 @@
         seconds=st.sampled_from((0.3, 3.0, 20.0, 1e20)),
         ran=st.booleans(),
     )
-    def ask_for_rest(self, pick: int, seconds: float, ran: bool) -> None:
-        """Answer an attempt with a refusal that asks for rest."""
+    def request_back_off(self, pick: int, seconds: float, ran: bool) -> None:
+        """Answer an attempt with a refusal that asks for a back-off."""
         self._endpoint_changes += 1
         attempt_id = self._pick_open(pick)
         attempt = self.simulation.attempts[attempt_id]
@@ -126,7 +126,7 @@
             self.simulation.send(attempt_id)
         if ran:
             self.simulation.run(attempt_id)
-        self.simulation.ask_for_rest(attempt_id, seconds)
+        self.simulation.request_back_off(attempt_id, seconds)
         answer: object = events.AttemptRefused(attempt_id, 'full')
         if ran:
             answer = events.AttemptFailed(attempt_id, '503', is_alive=True)
--- a/samphirerill/properties/simulation.py
+++ b/samphirerill/properties/simulation.py
@@ -23,14 +23,14 @@
 )
 from samphirerill.core import commands as core_commands
 from samphirerill.core import events
-from samphirerill.core.availability import RESTING_CODE
+from samphirerill.core.availability import BACKING_OFF_CODE
+from samphirerill.core.back_offs import MAX_BACK_OFF_S, MAX_JITTER_S
 from samphirerill.core.commands import Outcome
 from samphirerill.core.configuration import Configuration, build_configuration
 from samphirerill.core.endpoint_events import (
-    EndpointAskedForRest,
     EndpointLeaving,
+    EndpointRequestedBackOff,
 )
-from samphirerill.core.rests import MAX_JITTER_S, MAX_REST_S
 from samphirerill.core.router import Router
 from samphirerill.properties.oracle import check_coverage, expect
 
@@ -129,9 +129,11 @@
 
 
 def _remove_node(
-    rests: dict[tuple[int, str], float], node: int
+    back_offs: dict[tuple[int, str], float], node: int
 ) -> dict[tuple[int, str], float]:
-    return {place: until for place, until in rests.items() if place[0] != node}
+    return {
+        place: until for place, until in back_offs.items() if place[0] != node
+    }
 
 
 class Simulation:
@@ -164,10 +166,10 @@
         self.version = 0
         self.configuration = Configuration(version=0)
         self.request_count = 0
-        # When the rests end that endpoints asked of a node, by address.
-        self.rests: dict[tuple[int, str], float] = {}
+        # When the back-offs end that endpoints asked of a node, by address.
+        self.back_offs: dict[tuple[int, str], float] = {}
         # The same, with those of processes that have been replaced.
-        self.asked_rests: dict[tuple[int, str], float] = {}
+        self.requested_back_offs: dict[tuple[int, str], float] = {}
         # Numbers of the processes that ran at an address.
         self.processes: Counter[str] = Counter()
         self.departing: set[tuple[str, int]] = set()
@@ -248,8 +250,8 @@
                 self.won_claims.pop(request_id, None)
         self.probes = [probe for probe in self.probes if probe[0] != node]
         self.restart_counts[node] += 1
-        self.rests = _remove_node(self.rests, node)
-        self.asked_rests = _remove_node(self.asked_rests, node)
+        self.back_offs = _remove_node(self.back_offs, node)
+        self.requested_back_offs = _remove_node(self.requested_back_offs, node)
         self.told = {place for place in self.told if place[0] != node}
         self.routers[node] = Router(
             self.get_process_id(node), seed=self.restart_counts[node]
@@ -303,18 +305,18 @@
         )
         self.apply(attempt.node, token)
 
-    def ask_for_rest(self, attempt_id: str, seconds: float) -> None:
-        """Let the first stage of an attempt ask its node for rest."""
+    def request_back_off(self, attempt_id: str, seconds: float) -> None:
+        """Let the first stage of an attempt ask its node for a back-off."""
         attempt = self.attempts[attempt_id]
         stage = self._get_head(attempt_id)
         place = (attempt.node, stage.address)
         until = self.now + seconds
-        bounded = min(until, self.now + MAX_REST_S)
-        self.rests[place] = max(bounded, self.rests.get(place, 0))
-        asked = self.asked_rests.get(place, 0)
-        self.asked_rests[place] = max(bounded, asked)
+        bounded = min(until, self.now + MAX_BACK_OFF_S)
+        self.back_offs[place] = max(bounded, self.back_offs.get(place, 0))
+        asked = self.requested_back_offs.get(place, 0)
+        self.requested_back_offs[place] = max(bounded, asked)
         self.answer(attempt_id)
-        event = EndpointAskedForRest(stage.endpoint, stage.address, until)
+        event = EndpointRequestedBackOff(stage.endpoint, stage.address, until)
         self.apply(attempt.node, event)
 
     def depart(self, attempt_id: str) -> None:
@@ -333,9 +335,9 @@
         """Replace the process of an attempt's first stage by another one."""
         address = self._get_head(attempt_id).address
         self.processes[address] += 1
-        self.rests = {
+        self.back_offs = {
             place: until
-            for place, until in self.rests.items()
+            for place, until in self.back_offs.items()
             if place[1] != address
         }
         for name in self.list_open():
@@ -491,11 +493,11 @@
     def _check_stages(
         self, node: int, stages: tuple[core_commands.Stage, ...]
     ) -> None:
-        """Check that no stage rests, or told the node that it leaves."""
+        """Check that no stage backs off, or told the node that it leaves."""
         for stage in stages:
             expect(
-                self.rests.get((node, stage.address), 0) <= self.now,
-                f'sent to resting endpoint {stage.endpoint}',
+                self.back_offs.get((node, stage.address), 0) <= self.now,
+                f'sent to an endpoint that backs off: {stage.endpoint}',
             )
             process = (stage.address, self.processes[stage.address])
             expect(
@@ -506,20 +508,20 @@
     def _check_return(
         self, request: RequestRecord, problem: core_commands.Problem
     ) -> None:
-        """Check that a client returns when a rest has ended, not before.
+        """Check that a client returns when a back-off has ended, not before.
 
         The node may not have learned yet that a process has been replaced, and
-        it adds jitter to each rest.
+        it adds jitter to each back-off.
         """
         ends = [
             until
-            for (node, _), until in self.asked_rests.items()
+            for (node, _), until in self.requested_back_offs.items()
             if node == request.node and until + MAX_JITTER_S > self.now
         ]
-        expect(bool(ends), f'no endpoint rests: {problem}')
+        expect(bool(ends), f'no endpoint backs off: {problem}')
         expect(
             self.now + problem.retry_after_s >= min(ends),
-            f'clients return before the end of a rest: {problem}',
+            f'clients return before the end of a back-off: {problem}',
         )
 
     def _deliver_token(self, request_id: str, index: int) -> None:
@@ -548,7 +550,7 @@
     ) -> None:
         request = self.requests[request_id]
         request.outcomes.append(problem.outcome.value)
-        if problem.code == RESTING_CODE:
+        if problem.code == BACKING_OFF_CODE:
             self._check_return(request, problem)
         if problem.outcome is not Outcome.NOT_RUN:
             return
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -16,13 +16,13 @@
 from samphirerill.relay.connection import ResponseHead, serialize_request
 from samphirerill.relay.endpoint_finder import EndpointFinder
 from samphirerill.relay.errors import (
-    SendWithheldError,
     BrokenResponseError,
     ConnectError,
     ConnectionLimitError,
     EndpointError,
     EndpointTimeoutError,
     QuarantinedError,
+    SendWithheldError,
 )
 from samphirerill.relay.plain_limits import PlainLimits
 from samphirerill.relay.platform_adapter import Attempt
--- a/samphirerill/testing/engine.py
+++ b/samphirerill/testing/engine.py
@@ -43,7 +43,7 @@
     'bust',
     'seam',
     'waist',
-    'rest',
+    'back_off',
     'tempo',
     'sets',
     'reps',
@@ -201,7 +201,7 @@
 
     def _start_sequence(self, request: Request) -> None:
         if self.faults.retry_after is not None:
-            self._ask_for_rest(request, self.faults.retry_after)
+            self._request_back_off(request, self.faults.retry_after)
             return
         if self.faults.refuse:
             refusal = {'ran': False, 'reason': self.faults.refuse}
@@ -225,7 +225,7 @@
         if sequence in self._waiting:
             self._spawn(self._send_keep_alives(sequence))
 
-    def _ask_for_rest(self, request: Request, retry_after: str) -> None:
+    def _request_back_off(self, request: Request, retry_after: str) -> None:
         self.counts['asked_for_rest'] += 1
         refusal = {} if self.faults.is_ambiguous else {'ran': False}
         headers = {'Retry-After': retry_after}
--- a/samphirerill/testing/soak/faults.py
+++ b/samphirerill/testing/soak/faults.py
@@ -91,7 +91,7 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self._reserved: set[str] = set()
-        self._resting: set[str] = set()
+        self._backing_off: set[str] = set()
         self._faults: tuple[Callable[[], Awaitable[None]], ...] = (
             self._kill_node,
             self._pause_node,
@@ -114,7 +114,7 @@
             self._configure,
             self._configure,
             self._drain_replica,
-            self._rest_replica,
+            self._back_off_replica,
         )
 
     async def run(self, until: float) -> None:
@@ -421,7 +421,7 @@
             await self._environment.announce_drain(slot)
         await asyncio.sleep(_DRAIN_S)
 
-    async def _rest_replica(self) -> None:
+    async def _back_off_replica(self) -> None:
         """Let a replica refuse for a time, and say how long or nonsense."""
         slot = self._choose_slot()
         if slot is None or slot.replica is None:
@@ -433,16 +433,16 @@
                 retry_after = self._random.choice(_BAD_RETRY_AFTER)
             self._ground_truth.counts['planned.rested'] += 1
             self._log(
-                f'{slot.address}: rests for {back_off_s:.2f} s, {retry_after!r}'
+                f'{slot.address}: asks for {back_off_s:.2f} s of back-off, {retry_after!r}'
             )
-            self._resting.add(slot.address)
-            slot.replica.ask_for_rest(back_off_s, retry_after)
+            self._backing_off.add(slot.address)
+            slot.replica.request_back_off(back_off_s, retry_after)
             if self._leaves_enough(slot):
                 await asyncio.sleep(back_off_s)
             else:
                 async with self._fault('few replicas of a service left'):
                     await asyncio.sleep(back_off_s)
-            self._resting.discard(slot.address)
+            self._backing_off.discard(slot.address)
 
     def _leaves_enough(self, leaving: ReplicaSlot) -> bool:
         """Return whether a service's other replicas can serve its requests.
@@ -459,6 +459,6 @@
             for slot in slots
             if slot.replica is not None and slot.address not in self._reserved
         ]
-        if any(slot.address in self._resting for slot in slots):
+        if any(slot.address in self._backing_off for slot in slots):
             return len(staying) >= max(1, len(slots) - 1)
         return len(staying) >= len(slots) / 2
--- a/samphirerill/testing/soak/replicas.py
+++ b/samphirerill/testing/soak/replicas.py
@@ -175,7 +175,7 @@
         """Return whether connections are closed after each response."""
         return self.is_leaving
 
-    def ask_for_rest(self, back_off_s: float, retry_after: bytes) -> None:
+    def request_back_off(self, back_off_s: float, retry_after: bytes) -> None:
         """Refuse requests for a time, as an overloaded replica does.
 
         Parameters
@@ -225,7 +225,7 @@
             _read_id(req), self.replica_id, self.address, now
         )
         if now < self._back_off_until:
-            self._refuse_for_rest(req, conn)
+            self._refuse_for_back_off(req, conn)
             return
         if not self.kind:
             await self._answer_plain(req, conn)
@@ -366,7 +366,9 @@
             'stalled': stalled,
         }
 
-    def _refuse_for_rest(self, req: Request, conn: ClientConnection) -> None:
+    def _refuse_for_back_off(
+        self, req: Request, conn: ClientConnection
+    ) -> None:
         now = self._loop.time()
         remaining_s = self._back_off_until - now
         self._ground_truth.counts['replica.back_off'] += 1
--- a/samphirerill/tests/test_departure_decisions.py
+++ b/samphirerill/tests/test_departure_decisions.py
@@ -21,7 +21,7 @@
 )
 from samphirerill.core.queries import describe_state, list_leaving_endpoints
 from samphirerill.core.state import MAX_VM_LIST_LAG_S, Health
-from samphirerill.tests.test_rest_decisions import RouterCase, find_all
+from samphirerill.tests.test_back_off_decisions import RouterCase, find_all
 
 _PROBE_INTERVAL_S = 2.0
 
@@ -54,7 +54,7 @@
         """Assert whether `s0` gets requests when it is the only choice."""
         health = Health.LEAVING if expected else Health.LIVE
         self.assertIs(self.get_health('s0'), health)
-        self.rest('s1')
+        self.back_off('s1')
         opened = find_all(self.ask('r1', 'lookups'), OpenAttempt)
         self.assertEqual(len(opened), 0 if expected else 1)
 
--- a/samphirerill/tests/test_emulator.py
+++ b/samphirerill/tests/test_emulator.py
@@ -12,18 +12,18 @@
 
 from samphirerill.emulator.ablation import ablate
 from samphirerill.emulator.engine import (
+    BackOffPeriod,
     EmulatedEngine,
     EmulatedLink,
     LeavingNotice,
-    RestPeriod,
     StageTask,
 )
 from samphirerill.emulator.event_loop import EventLoop
 from samphirerill.emulator.lab import describe_plan
 from samphirerill.emulator.scenario import (
+    BackOff,
     Crash,
     Departure,
-    Rest,
     Scenario,
     load_scenario,
 )
@@ -89,17 +89,19 @@
     """Engines that ask for a pause, or say that they are leaving."""
 
     def test_sends_before_the_end_of_a_back_off_are_counted(self) -> None:
-        rest = RestPeriod()
-        rest.start(until=3.0, share=1.0)
-        refused = [rest.refuses(at, Random(1)) for at in (1, 1.4, 2, 2.9, 3)]
+        back_off = BackOffPeriod()
+        back_off.start(until=3.0, share=1.0)
+        refused = [
+            back_off.refuses(at, Random(1)) for at in (1, 1.4, 2, 2.9, 3)
+        ]
         self.assertEqual(refused, [True, True, True, True, False])
-        self.assertEqual(rest.early_sends, 2)
+        self.assertEqual(back_off.early_sends, 2)
 
     def test_share_of_the_streams_is_refused(self) -> None:
-        rest = RestPeriod()
-        rest.start(until=3.0, share=0.3)
+        back_off = BackOffPeriod()
+        back_off.start(until=3.0, share=0.3)
         random = Random(1)
-        refused = sum(rest.refuses(1.0, random) for _ in range(1000))
+        refused = sum(back_off.refuses(1.0, random) for _ in range(1000))
         self.assertAlmostEqual(refused, 300, delta=50)
 
     def test_sends_long_after_a_leaving_response_are_counted(self) -> None:
@@ -150,8 +152,10 @@
         self.assertGreater(metrics['loads'], 0)
 
     def test_streams_avoid_an_engine_that_refuses(self) -> None:
-        rest = Rest(at=1, replica='a-large-0', for_s=2)
-        metrics = run_scenario(structs.replace(self.scenario, rests=[rest]), 1)
+        back_off = BackOff(at=1, replica='a-large-0', for_s=2)
+        metrics = run_scenario(
+            structs.replace(self.scenario, back_offs=[back_off]), 1
+        )
         self.assertGreater(metrics['turned_away'], 0)
         self.assertEqual(metrics['early_sends'], 0)
         self.assertEqual(metrics['refused'] + metrics['cut'], 0)
--- a/samphirerill/tests/test_endpoint_departures.py
+++ b/samphirerill/tests/test_endpoint_departures.py
@@ -8,7 +8,7 @@
 from samphirerill.testing.clients import ClientResponse, send_request
 from samphirerill.testing.cluster import wait_for
 from samphirerill.testing.layout import FIRST_ACCOUNT_KEY
-from samphirerill.tests.test_endpoint_rest import RestCase
+from samphirerill.tests.test_endpoint_back_off import BackOffCase
 
 _REQUESTS = 12
 _TOKENS = 3
@@ -16,7 +16,7 @@
 _HEADER = 'server-leaving'
 
 
-class DepartureCase(RestCase):
+class DepartureCase(BackOffCase):
     """One node before three stages of two engines each, and a service."""
 
     def set_leaving(self, name: str, *, leaving: bool) -> None:
--- a/samphirerill/tests/test_endpoint_headers.py
+++ b/samphirerill/tests/test_endpoint_headers.py
@@ -12,8 +12,8 @@
 from samphirerill.backends.service_call import ServiceCall
 from samphirerill.core.commands import OpenAttempt, Stage
 from samphirerill.core.endpoint_events import (
-    EndpointAskedForRest,
     EndpointLeaving,
+    EndpointRequestedBackOff,
     RetryAfterIgnored,
 )
 from samphirerill.core.events import (
@@ -24,7 +24,9 @@
 
 _STAGE = Stage('e0', '10.0.0.0:1', 0, 5)
 _OPENED = OpenAttempt('a1', 'r1', 0, (_STAGE,), 0, is_service=False)
-_REST = b'HTTP/1.1 503 Busy\r\nRetry-After: 2.5\r\nContent-Length: %d\r\n\r\n%b'
+_BACK_OFF = (
+    b'HTTP/1.1 503 Busy\r\nRetry-After: 2.5\r\nContent-Length: %d\r\n\r\n%b'
+)
 _TRAILERS = (
     b'HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n'
     b'2\r\nno\r\n0\r\nRetry-After: 9\r\nServer-Leaving: 1\r\n\r\n'
@@ -44,7 +46,7 @@
             self.assertEqual(parse_retry_after_s(text), seconds, text)
 
     def test_dates(self) -> None:
-        """A past date asks for no rest."""
+        """A past date asks for no back-off."""
         date = formatdate(time.time() + 30, usegmt=True)
         self.assertAlmostEqual(parse_retry_after_s(date) or 0, 30, delta=2)
         date = formatdate(time.time() - 30, usegmt=True)
@@ -93,19 +95,19 @@
     def build_engine_call(self) -> EngineCall:
         return EngineCall(_OPENED, b'', self)
 
-    async def test_rest_comes_before_the_outcome(self) -> None:
+    async def test_back_off_comes_before_the_outcome(self) -> None:
         """Guards against a retry that is placed before the rest is known."""
-        answer = _REST % (len(_NOT_RUN), _NOT_RUN)
+        answer = _BACK_OFF % (len(_NOT_RUN), _NOT_RUN)
         kinds = self.receive(self.build_engine_call(), answer)
-        rest_at = kinds.index(EndpointAskedForRest)
-        self.assertLess(rest_at, kinds.index(AttemptRefused))
-        event = self.events[rest_at]
-        assert isinstance(event, EndpointAskedForRest)
+        back_off_at = kinds.index(EndpointRequestedBackOff)
+        self.assertLess(back_off_at, kinds.index(AttemptRefused))
+        event = self.events[back_off_at]
+        assert isinstance(event, EndpointRequestedBackOff)
         self.assertEqual((event.endpoint, event.received), ('e0', '2.5'))
 
     async def test_ambiguous_answer_shows_a_living_endpoint(self) -> None:
         """Guards against a probe of an endpoint that has just answered."""
-        self.receive(self.build_engine_call(), _REST % (0, b''))
+        self.receive(self.build_engine_call(), _BACK_OFF % (0, b''))
         failed = self.events[-1]
         assert isinstance(failed, AttemptFailed)
         self.assertTrue(failed.is_alive)
@@ -113,22 +115,25 @@
     async def test_second_answer_counts_for_nothing(self) -> None:
         """Guards against an answer that belongs to no attempt."""
         first = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
-        for parts in ((first, _REST % (0, b'')), (first + _REST % (0, b''),)):
+        for parts in (
+            (first, _BACK_OFF % (0, b'')),
+            (first + _BACK_OFF % (0, b''),),
+        ):
             self.events.clear()
             kinds = self.receive(self.build_service_call(), *parts)
-            self.assertNotIn(EndpointAskedForRest, kinds)
+            self.assertNotIn(EndpointRequestedBackOff, kinds)
 
     async def test_trailers_count_for_nothing(self) -> None:
         """Guards against trailers that are read as headers."""
         kinds = self.receive(self.build_service_call(), _TRAILERS)
-        self.assertNotIn(EndpointAskedForRest, kinds)
+        self.assertNotIn(EndpointRequestedBackOff, kinds)
         self.assertNotIn(EndpointLeaving, kinds)
 
     async def test_cancelled_call_says_nothing(self) -> None:
         """Guards against events of a call that the core has closed."""
         call = self.build_service_call()
         call.close()
-        self.assertEqual(self.receive(call, _REST % (0, b'')), [])
+        self.assertEqual(self.receive(call, _BACK_OFF % (0, b'')), [])
 
     async def test_any_answer_says_that_its_process_leaves(self) -> None:
         """Guards against reading the header of refusals only."""
@@ -148,15 +153,15 @@
             kinds = self.receive(self.build_service_call(), answer)
             self.assertNotIn(EndpointLeaving, kinds)
 
-    async def test_only_refusals_ask_for_rest(self) -> None:
-        """Guards against a rest by a redirect or a success."""
-        answer = (_REST % (0, b'')).replace(b'503', b'200')
+    async def test_only_refusals_request_back_off(self) -> None:
+        """Guards against a back-off by a redirect or a success."""
+        answer = (_BACK_OFF % (0, b'')).replace(b'503', b'200')
         kinds = self.receive(self.build_service_call(), answer)
-        self.assertNotIn(EndpointAskedForRest, kinds)
+        self.assertNotIn(EndpointRequestedBackOff, kinds)
 
     async def test_long_invalid_value_is_cut(self) -> None:
         """Guards against long lines in the log."""
-        answer = (_REST % (0, b'')).replace(b'2.5', b'x' * 5000)
+        answer = (_BACK_OFF % (0, b'')).replace(b'2.5', b'x' * 5000)
         self.receive(self.build_service_call(), answer)
         ignored = self.events[1]
         assert isinstance(ignored, RetryAfterIgnored)
--- a/samphirerill/tests/test_graceful_shutdown.py
+++ b/samphirerill/tests/test_graceful_shutdown.py
@@ -19,7 +19,6 @@
     build_headers,
 )
 
-
 _UNAVAILABLE = 503
 
 
--- a/samphirerill/tests/test_lost_review.py
+++ b/samphirerill/tests/test_lost_review.py
@@ -23,10 +23,12 @@
 from samphirerill.testing.layout import SECOND_ACCOUNT_KEY
 from samphirerill.tests.platform_documents import build_configuration
 from samphirerill.tests.support import ClusterCase
+from samphirerill.tests.test_back_off_decisions import (
+    RouterCase as BackingOffCase,
+)
+from samphirerill.tests.test_back_off_decisions import find_all
 from samphirerill.tests.test_kept_connections import KeptConnectionCase
 from samphirerill.tests.test_one_head import OneHeadCase
-from samphirerill.tests.test_rest_decisions import RouterCase as RestingCase
-from samphirerill.tests.test_rest_decisions import find_all
 from samphirerill.tests.two_engines import (
     OK,
     SETTLE_S,
@@ -66,7 +68,7 @@
 # Longer than the progress timeout, and than that of a first token.
 _SILENCE_S = 0.9
 _PREFILL_SILENCE_S = 3.1
-_LONG_REST_S = 40.0
+_LONG_BACK_OFF_S = 40.0
 # Each engine that can be the first stage of a pipeline.
 _HEADS = ('e0', 'e4')
 _SERVICE_DELAY_S = 3.0
@@ -356,7 +358,7 @@
         )
 
 
-class TestSilentAttempts(RestingCase):
+class TestSilentAttempts(BackingOffCase):
     """Silent streams of the own interface that no endpoint may replace."""
 
     def test_stream_stays_while_all_endpoints_are_leaving(self) -> None:
@@ -367,19 +369,21 @@
         commands = self.wait(_SILENCE_S)
         self.assertEqual(find_all(commands, CancelAttempt), [])
 
-    def test_stream_stays_while_all_heads_rest(self) -> None:
+    def test_stream_stays_while_all_heads_back_off(self) -> None:
         """Guard against ending a stream for a retry that has to wait."""
         self.start_stream()
         for name in _HEADS:
-            self.rest(name, _LONG_REST_S)
+            self.back_off(name, _LONG_BACK_OFF_S)
         commands = self.wait(_SILENCE_S)
         self.assertEqual(find_all(commands, CancelAttempt), [])
 
-    def test_attempt_without_a_token_stays_while_all_heads_rest(self) -> None:
+    def test_attempt_without_a_token_stays_while_all_heads_back_off(
+        self,
+    ) -> None:
         """Guard against refusing a request that may still be answered."""
         self.send('r1')
         for name in _HEADS:
-            self.rest(name, _LONG_REST_S)
+            self.back_off(name, _LONG_BACK_OFF_S)
         commands = self.wait(_PREFILL_SILENCE_S)
         self.assertEqual(find_all(commands, RefuseRequest), [])
 
--- a/samphirerill/tests/test_node_shutdown.py
+++ b/samphirerill/tests/test_node_shutdown.py
@@ -17,7 +17,7 @@
 )
 from samphirerill.testing.layout import FIRST_ACCOUNT_KEY, SECOND_ACCOUNT_KEY
 from samphirerill.tests.support import ClusterCase
-from samphirerill.tests.test_rest_decisions import RouterCase, find_all
+from samphirerill.tests.test_back_off_decisions import RouterCase, find_all
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -124,7 +124,7 @@
     def test_queued_request_is_refused_as_not_run(self) -> None:
         """Guard against a request that nobody knows not to have run."""
         for name in _HEADS:
-            self.rest(name, _REST_S)
+            self.back_off(name, _REST_S)
         self.ask('r1')
         problem = self.abort('r1')
         self.assertEqual(problem.status, HTTPStatus.SERVICE_UNAVAILABLE)
--- a/samphirerill/tests/test_silent_attempts.py
+++ b/samphirerill/tests/test_silent_attempts.py
@@ -10,12 +10,12 @@
 )
 from samphirerill.core.events import ProbeFinished, TokenArrived, VmListRead
 from samphirerill.core.queries import describe_state
-from samphirerill.tests.test_rest_decisions import RouterCase, find_all
+from samphirerill.tests.test_back_off_decisions import RouterCase, find_all
 
 # Longer than the progress timeout, and than the time to the first deadline.
 _SILENCE_S = 0.9
 _PROBE_INTERVAL_S = 2.0
-_SHORT_REST_S = 3.0
+_SHORT_BACK_OFF_S = 3.0
 # Each engine that can be the first stage of a pipeline.
 _HEADS = ('e0', 'e4')
 
@@ -78,15 +78,15 @@
             found = described['endpoints'][self.head]['unresponsive']
             self.assertEqual(found, not is_alive)
 
-    def test_stream_is_replaced_if_rests_end_in_time(self) -> None:
+    def test_stream_is_replaced_if_back_offs_end_in_time(self) -> None:
         """Guard against a stream that stays silent though it may be resent."""
         for name in _HEADS:
-            self.rest(name, _SHORT_REST_S)
+            self.back_off(name, _SHORT_BACK_OFF_S)
         commands = self.wait(_SILENCE_S)
         self.assertEqual(len(find_all(commands, CancelAttempt)), 1)
         for name in self.router.state.endpoints:
             self.apply(ProbeFinished(name, alive=True))
-        resumed = find_all(self.wait(_SHORT_REST_S), OpenAttempt)
+        resumed = find_all(self.wait(_SHORT_BACK_OFF_S), OpenAttempt)
         self.assertEqual([item.resume_at for item in resumed], [1])
 
     def test_stream_is_replaced_once_an_endpoint_is_back(self) -> None:
