Claims: take a batch that is being written for unwritten

A node that ended while a batch of claims or outcomes was on its way to the store took the claim writer for idle, as the batch had left the queue, and ended without waiting for it. Retries with the key then could be told "may have run" for a request that was refused as not run, or didn't get the stored answer.

`ClaimWriter.is_idle` now is false while a batch is written, so the drain and the end of an aborted node wait for it, within their limits. The writer's own loop asks it between two writes only, so its pace is the same.

Evidence: test_claim_that_is_being_written_is_unwritten failed before with `AssertionError: True is not false`. That a node was seen to end so was not shown; the cause was found by reading. The tests of claims, failures and node shutdown pass.

--- a/samphirerill/node/claim_writer.py
+++ b/samphirerill/node/claim_writer.py
@@ -141,6 +141,7 @@
         self._queue = _WriteQueue()
         self._own_claims: dict[str, Claim] = {}
         self._has_work = asyncio.Event()
+        self._is_writing = False
 
     def queue_claim(self, command: WriteClaim) -> None:
         """Queue a claim; its result is emitted as an event."""
@@ -197,7 +198,9 @@
         )
 
     def is_idle(self) -> bool:
-        """Return whether nothing is waiting to be written."""
+        """Return whether nothing is being written or waiting for it."""
+        if self._is_writing:
+            return False
         queue = self._queue
         due = self._releases.has_due()
         return not (queue.pending or queue.settlements or due)
@@ -214,7 +217,11 @@
             await self._has_work.wait()
             self._has_work.clear()
             while not self.is_idle() or self._releases.size():
-                await self._flush()
+                self._is_writing = True
+                try:
+                    await self._flush()
+                finally:
+                    self._is_writing = False
                 await asyncio.sleep(self._get_write_interval_s())
 
     def _get_write_interval_s(self) -> float:
--- a/samphirerill/tests/test_claims.py
+++ b/samphirerill/tests/test_claims.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import threading
 import unittest
 from typing import TYPE_CHECKING, Any, cast
 
@@ -23,6 +24,9 @@
 if TYPE_CHECKING:
     from samphirerill.node.membership import Membership
 
+_WRITE_TIMEOUT_S = 5.0
+_SETTLE_S = 0.2
+
 
 class _Sink:
     """Collects the events that a claim writer applies."""
@@ -196,6 +200,28 @@
         self.assertEqual(len(acquired), 41)
         self.assertLessEqual(self.one.store.calls - before, 3)
 
+    async def test_claim_that_is_being_written_is_unwritten(self) -> None:
+        """Guard against a node that ends during a write."""
+        await self.one.claim('warm', 'up')
+        commit = self.one.store.commit
+        is_writing = threading.Event()
+        may_write = threading.Event()
+        self.addCleanup(may_write.set)
+
+        def wait_and_commit(transaction: Any) -> Any:
+            is_writing.set()
+            may_write.wait(_WRITE_TIMEOUT_S)
+            return commit(transaction)
+
+        self.one.store.commit = wait_and_commit  # type: ignore[method-assign]
+        claiming = asyncio.ensure_future(self.one.claim('r1', 'k'))
+        await asyncio.to_thread(is_writing.wait, _WRITE_TIMEOUT_S)
+        self.assertFalse(self.one.writer.is_idle())
+        may_write.set()
+        self.assertEqual(await claiming, ClaimAcquired('r1'))
+        await asyncio.sleep(_SETTLE_S)
+        self.assertTrue(self.one.writer.is_idle())
+
     async def test_conflict_does_not_delay_other_claims(self) -> None:
         """A conflict in a batch affects only that claim."""
         await self.one.claim('r1', 'taken')
