Test that a claim won after its request was aborted is released

A request whose key is being claimed when the node ends is refused as not run; the claim that is then won has to go, as docs/design/shutdown.md says. The test passes with the code as it is; it was not run on earlier code.

--- a/samphirerill/tests/test_node_shutdown.py
+++ b/samphirerill/tests/test_node_shutdown.py
@@ -8,8 +8,18 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, ClassVar
 
-from samphirerill.core.commands import OpenAttempt, Outcome, RefuseRequest
-from samphirerill.core.events import DrainRequested
+from samphirerill.core.commands import (
+    OpenAttempt,
+    Outcome,
+    RefuseRequest,
+    SettleClaim,
+    WriteClaim,
+)
+from samphirerill.core.events import (
+    ClaimAcquired,
+    DrainRequested,
+    RequestArrived,
+)
 from samphirerill.testing.clients import (
     ClientResponse,
     request_completion,
@@ -136,6 +146,16 @@
         self.open('r1')
         self.assertEqual(self.abort('r1').outcome, Outcome.NOT_RUN)
 
+    def test_claim_that_is_won_later_is_released(self) -> None:
+        """Guard against "may have run" for a retry of what did not run."""
+        arrived = RequestArrived(
+            'r1', 'tromsvik', 'plans', self.now + _REST_S, tokens=8, key='k'
+        )
+        self.assertEqual(len(find_all(self.apply(arrived), WriteClaim)), 1)
+        self.assertEqual(self.abort('r1').outcome, Outcome.NOT_RUN)
+        commands = self.apply(ClaimAcquired('r1'))
+        self.assertEqual(commands, [SettleClaim('r1', Outcome.NOT_RUN)])
+
     def test_sent_request_may_have_run(self) -> None:
         """Guard against a second run of a request that was sent."""
         self.send('r1')
