Look again soon for a path away from a lost head

Callers waited longer than needed, or got 502, when the head of their run was lost before its first event while no path was free: the run stays until one is, and the next look came with the next silence limit only, up to 0.6 s later.

The guard now looks every 0.1 s while the head is lost.

test_run_is_left_as_soon_as_a_path_is_free failed before: AssertionError: 'engine-2' not found in ['engine-1']

--- a/samphirerill/relay/stream_guard.py
+++ b/samphirerill/relay/stream_guard.py
@@ -32,6 +32,9 @@
 # Interval of checks while events of other streams confirm that all stages work,
 # as a stage may have failed just after such an event.
 _RECHECK_S = 0.015
+# Interval of looks for another path while the head of a run that has not started
+# is lost. Bounds the path searches.
+_LOST_HEAD_RECHECK_S = 0.1
 # A path is left after a silence of this length even without a known reason;
 # clients give up after two seconds.
 _MAX_SILENCE_S = 1.2
@@ -78,6 +81,7 @@
         self._conn: HttpConnection | None = None
         self._reroute_task: asyncio.Task[None] | None = None
         self._departure_timer: asyncio.TimerHandle | None = None
+        self._recheck_timer: asyncio.TimerHandle | None = None
 
     def start(self, conn: HttpConnection) -> None:
         """Start watching a stream that was sent on a connection."""
@@ -94,6 +98,9 @@
         if self._departure_timer is not None:
             self._departure_timer.cancel()
             self._departure_timer = None
+        if self._recheck_timer is not None:
+            self._recheck_timer.cancel()
+            self._recheck_timer = None
 
     def check_path(self) -> None:
         """React to changed replica states without waiting for a silence.
@@ -158,6 +165,12 @@
             return
         if self._path.is_head_gone() or self._may_leave(conn):
             self._close_run(conn, reason)
+            return
+        if self._recheck_timer is not None:
+            self._recheck_timer.cancel()
+        self._recheck_timer = self._loop.call_later(
+            _LOST_HEAD_RECHECK_S, self.check_path
+        )
 
     def _can_resend(self) -> bool:
         """Return whether a retry and another path are available now."""
--- a/samphirerill/tests/test_lost_review.py
+++ b/samphirerill/tests/test_lost_review.py
@@ -41,6 +41,9 @@
 _PREFILL_S = 0.6
 _SUSPICION_S = 0.3
 _HOLD_S = 5.0
+# Ends between two silences of a run that falls silent at once.
+_FULL_S = 0.55
+_FREE_S = 0.25
 _ENDLESS_S = 8.0
 # How long clients wait for a first event.
 _PATIENCE_S = 2.0
@@ -74,6 +77,20 @@
         await asyncio.sleep(SETTLE_S)
         return stream, self.list_used_engines()[0]
 
+    def fill(self, name: str) -> float:
+        """Use the memory for streams without an event; return the tokens."""
+        state = self.process.state
+        cfg = state.cfg
+        engine = None if cfg is None else cfg.services['llm'].engine
+        if engine is None:
+            self.fail('the service has no engine')
+        tokens = count_token_capacity(
+            engine, state.view.replicas[name], LayerRange(0, engine.layers)
+        )
+        used = tokens * _MEMORY_USE
+        state.load_tracker.add_request([name], used)
+        return used
+
 
 class TestSuspectedHeads(UnstartedStreamCase):
     """The head replica works, though it is suspected."""
@@ -92,6 +109,20 @@
         self.mark_dead(head, _LONG_SUSPICION_S)
         self.assert_complete(await stream)
 
+    async def test_run_is_left_as_soon_as_a_path_is_free(self) -> None:
+        """Guard against finding a free path by the next silence only."""
+        stream, head = await self.start_prefill(_ENDLESS_S)
+        other = 'engine-2' if head == 'engine-1' else 'engine-1'
+        self.harness.replicas[other].prefill_s = 0
+        used = self.fill(other)
+        self.mark_dead(head, _LONG_SUSPICION_S)
+        await asyncio.sleep(_FULL_S)
+        self.assertEqual(self.list_used_engines(), [head])
+        self.process.state.load_tracker.remove_request([other], used)
+        await asyncio.sleep(_FREE_S)
+        self.assertIn(other, self.list_used_engines())
+        self.assert_complete(await stream)
+
     async def test_run_without_an_answer_is_refused_in_time(self) -> None:
         """Guard against a client that gives up before it is refused."""
         self.change_settings(retry_slack=0, retry_ratio=0)
@@ -193,18 +224,6 @@
         await self.drop_layers(head)
         self.assert_complete(await stream)
 
-    def fill(self, name: str) -> None:
-        """Use the memory that streams without an event may use."""
-        state = self.process.state
-        cfg = state.cfg
-        engine = None if cfg is None else cfg.services['llm'].engine
-        if engine is None:
-            self.fail('the service has no engine')
-        tokens = count_token_capacity(
-            engine, state.view.replicas[name], LayerRange(0, engine.layers)
-        )
-        state.load_tracker.add_request([name], tokens * _MEMORY_USE)
-
 
 class TestPlainRequests(TwoEnginesCase):
     """An endpoint that takes longer than the time of a first attempt."""
