A draining node rejects only streams that far outlast it

A stream was rejected by a node that shuts down if its predicted time was longer than the time left.

--- a/samphirerill/relay/stream_limits.py
+++ b/samphirerill/relay/stream_limits.py
@@ -35,6 +35,9 @@
 _RETRY_POLL_S = 0.05
 _INITIAL_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 0.4
+# Factor on the time left from which a stream counts as too long for a node that
+# shuts down, as clients' estimates of the length are often far off.
+_MIN_OVERRUN = 1.5
 
 
 @dataclass(slots=True, frozen=True)
@@ -168,7 +171,8 @@
             return None
         answer_tokens = estimate_answer_tokens(engine, self._context.facts)
         duration_s = count_events(engine, answer_tokens) * gap_s
-        if self._loop.time() + duration_s <= self._state.finish_by:
+        left_s = self._state.finish_by - self._loop.time()
+        if duration_s <= _MIN_OVERRUN * left_s:
             return None
         return AttemptDenial(
             'the node is shutting down and the stream is expected to take '
