Forward large configurations compressed, at a bounded rate

Cause: watchers left deltas over 8 KB to the store, so 52 nodes read 380 KB at the same moment, each over 10 to 20 Mbit/s.

Change: deltas are compressed (325 KB become 28 KB in 0.6 ms, as routes resemble each other), those up to 64 KB are forwarded, and a watcher sends large responses one after the other at half a link of 10 Mbit/s. A listener whose turn does not come within its long poll is told that nothing is new and asks again. Peers that fetch a configuration from each other get the compressed delta too. The two paths carry a new format number; nodes of both formats run side by side through the store.

Tests: new routes are forwarded, and 16 listeners stay within the rate; both failed before. The test of a delta that is left to the store used a text that compresses to nothing; it now uses random bytes above the bound, which is as strict. Paths in two tests follow the format number.

--- a/samphirerill/fleet/deltas.py
+++ b/samphirerill/fleet/deltas.py
@@ -9,11 +9,16 @@
 from __future__ import annotations
 
 import hashlib
+import zlib
 
-from msgspec import Struct
+from msgspec import DecodeError, Struct, ValidationError, msgpack
 
 _PIECE_END = b'}'
 _CHECKSUM_BYTES = 8
+# Higher levels take several times as long for a few percent.
+_COMPRESSION_LEVEL = 1
+# Larger than any text of the store, and bounds what a corrupt message can use.
+_MAX_UNPACKED_BYTES = 4_194_304
 
 
 class DeltaError(Exception):
@@ -81,6 +86,28 @@
     return new
 
 
+def pack_delta(delta: Delta) -> bytes:
+    """Return a compressed delta; new routes resemble each other."""
+    return zlib.compress(msgpack.encode(delta), _COMPRESSION_LEVEL)
+
+
+def unpack_delta(packed: bytes) -> Delta:
+    """Return a delta from its compressed form.
+
+    Raises
+    ------
+    DeltaError
+        It is corrupt or too large.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        encoded = decompressor.decompress(packed, _MAX_UNPACKED_BYTES)
+        delta = msgpack.decode(encoded, type=Delta)
+    except (zlib.error, DecodeError, ValidationError) as exc:
+        raise DeltaError(f'delta is corrupt: {exc}') from exc
+    return delta
+
+
 def _extends_range(
     old_pieces: list[bytes], pieces: PieceRange, piece: bytes
 ) -> bool:
--- a/samphirerill/relay/change_log.py
+++ b/samphirerill/relay/change_log.py
@@ -9,10 +9,11 @@
 from msgspec import Struct, msgpack
 
 from samphirerill.fleet.deltas import (
-    Delta,
     DeltaError,
     apply_delta,
     build_delta,
+    pack_delta,
+    unpack_delta,
 )
 from samphirerill.platform.store import Changes, DeletedKey, StoredItem
 from samphirerill.relay.node_status import checksum_name
@@ -25,9 +26,9 @@
 # Larger texts are forwarded as a delta to the previous one, as sending a
 # configuration to all polling nodes at once would saturate a slow link.
 _LARGE_BYTES = 4096
-# Larger deltas are left to the store: copies for all polling nodes must not
-# delay streams on the same link.
-_MAX_DELTA_BYTES = 8192
+# Larger compressed deltas are left to the store: copies for all polling nodes
+# would take longer than a configuration may take.
+_MAX_DELTA_BYTES = 65_536
 # Larger snapshots are left to the store, for the same reason.
 _MAX_SNAPSHOT_BYTES = 16_384
 # Changes with a large text that are kept, up to 0.5 MB each.
@@ -37,15 +38,15 @@
 class ChangeRow(Struct, array_like=True):
     """One change in encoded form.
 
-    `text` is ``None`` if the key was deleted, and empty if `delta` is to be
-    applied to the previous text.
+    `text` is ``None`` if the key was deleted, and empty if `delta`, which is
+    compressed, is to be applied to the previous text.
     """
 
     key: str
     revision: int
     text: bytes | None
     lease: int
-    delta: Delta | None = None
+    delta: bytes = b''
 
 
 class ChangeBatch(Struct, array_like=True):
@@ -92,7 +93,7 @@
         """
         if self._row is None:
             self._row = self._create_row()
-        if self._row.delta is None and self.is_large:
+        if not self._row.delta and self.is_large:
             return None
         return self._row
 
@@ -102,8 +103,8 @@
             return ChangeRow(event.key, event.revision, None, 0)
         row = ChangeRow(event.key, event.revision, event.text, event.lease)
         if self.is_large and self.previous is not None:
-            delta = build_delta(self.previous, event.text)
-            if len(msgpack.encode(delta)) <= _MAX_DELTA_BYTES:
+            delta = pack_delta(build_delta(self.previous, event.text))
+            if len(delta) <= _MAX_DELTA_BYTES:
                 row.text = b''
                 row.delta = delta
         return row
@@ -243,7 +244,7 @@
                 yield DeletedKey(row.key, row.revision)
                 continue
             text = row.text
-            if row.delta is not None:
+            if row.delta:
                 previous = texts.get(row.key, self._get_large_text(row.key))
                 text = _apply_row_delta(row.key, previous, row.delta)
             texts[row.key] = text
@@ -268,10 +269,10 @@
             self._changed = asyncio.Event()
 
 
-def _apply_row_delta(key: str, previous: bytes | None, delta: Delta) -> bytes:
+def _apply_row_delta(key: str, previous: bytes | None, delta: bytes) -> bytes:
     if previous is None:
         raise DeltaError(f'{key}: got a delta, but its base text is not known')
-    return apply_delta(previous, delta)
+    return apply_delta(previous, unpack_delta(delta))
 
 
 def _is_large(text: bytes) -> bool:
--- a/samphirerill/relay/change_source.py
+++ b/samphirerill/relay/change_source.py
@@ -26,6 +26,7 @@
 )
 from samphirerill.relay.listeners import PageHandler, read_revision
 from samphirerill.relay.pool import call_once
+from samphirerill.relay.response_pacing import ResponsePacer
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -46,7 +47,7 @@
 _NOT_FOUND = 404
 # The number is the version of the response format: while nodes with different
 # formats run side by side, each gets 404 from the others.
-_CHANGES_PATH = b'/changes/2'
+_CHANGES_PATH = b'/changes/3'
 _SNAPSHOT_PATH = b'/present/1'
 # Shorter than a watch of the store, as it costs the store nothing; an
 # unresponsive watcher is detected sooner.
@@ -102,6 +103,8 @@
         self._extra_pages = pages
         self._log = log
         self._receives_from_store = receives_from_store
+        self._loop = asyncio.get_running_loop()
+        self._pacer = ResponsePacer()
 
     async def handle(self, req: Request, conn: ClientConnection) -> None:
         """Respond with changes, a snapshot or a page."""
@@ -121,6 +124,7 @@
         after = read_revision(query)
         if after < 0:
             return _BAD_REQUEST, b''
+        poll_end = self._loop.time() + _LONG_POLL_S
         if self._receives_from_store() and not self._log.is_compacted(after):
             await self._log.wait(after, _LONG_POLL_S)
         if not self._receives_from_store():
@@ -130,7 +134,11 @@
         if not self._log.contains(after):
             return _GONE, b''
         batch = self._log.encode_changes(after)
-        return (_TOO_LARGE, b'') if batch is None else (_OK, batch)
+        if batch is None:
+            return _TOO_LARGE, b''
+        if await self._pacer.wait_for_turn(len(batch), poll_end):
+            return _OK, batch
+        return _OK, msgpack.encode(ChangeBatch(after, []))
 
     def _serve_snapshot(self, query: bytes) -> Page:
         after = read_revision(query)
--- a/samphirerill/relay/configuration_history.py
+++ b/samphirerill/relay/configuration_history.py
@@ -5,10 +5,11 @@
 from msgspec import Struct, msgpack
 
 from samphirerill.fleet.deltas import (
-    Delta,
     DeltaError,
     apply_delta,
     build_delta,
+    pack_delta,
+    unpack_delta,
 )
 
 # Versions kept besides the newest; older nodes are sent the full text.
@@ -16,10 +17,13 @@
 
 
 class _EncodedConfiguration(Struct, array_like=True):
-    """A configuration as sent: the full `text`, or a `delta` to a known one."""
+    """A configuration as sent: the full `text`, or a `delta` to a known one.
+
+    The delta is compressed.
+    """
 
     text: bytes
-    delta: Delta | None = None
+    delta: bytes = b''
 
 
 class ConfigurationHistory:
@@ -63,9 +67,8 @@
             return msgpack.encode(_EncodedConfiguration(newest))
         message = self._encoded_deltas.get(known_version)
         if message is None:
-            message = msgpack.encode(
-                _EncodedConfiguration(b'', build_delta(previous, newest))
-            )
+            delta = pack_delta(build_delta(previous, newest))
+            message = msgpack.encode(_EncodedConfiguration(b'', delta))
             self._encoded_deltas[known_version] = message
         return message
 
@@ -87,11 +90,11 @@
             The message is malformed.
         """
         message = msgpack.decode(encoded, type=_EncodedConfiguration)
-        if message.delta is None:
+        if not message.delta:
             return message.text
         previous = self._texts.get(own_version)
         if previous is None:
             raise DeltaError(
                 f'received a delta, but version {own_version} is not kept'
             )
-        return apply_delta(previous, message.delta)
+        return apply_delta(previous, unpack_delta(message.delta))
--- a/samphirerill/relay/peer_sync.py
+++ b/samphirerill/relay/peer_sync.py
@@ -38,7 +38,7 @@
 # the rest is for streams. Peers that are refused ask another node.
 _FULL_BYTES_PER_S = 312_500
 _REPLICAS_PATH = b'/replicas'
-_CONFIGURATION_PATH = b'/configuration/2'
+_CONFIGURATION_PATH = b'/configuration/3'
 
 
 class PeerSync:
--- a/samphirerill/tests/test_configuration_history.py
+++ b/samphirerill/tests/test_configuration_history.py
@@ -24,7 +24,7 @@
     from samphirerill.relay.listeners import Page
 
 _ROUTES = 300
-_CONFIGURATION_PATH = b'/configuration/2'
+_CONFIGURATION_PATH = b'/configuration/3'
 
 
 def _build_text(version: int, *, routes: int = _ROUTES) -> bytes:
--- a/samphirerill/tests/test_store_changes.py
+++ b/samphirerill/tests/test_store_changes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from random import Random
 from unittest import IsolatedAsyncioTestCase, TestCase
 from unittest.mock import patch
 
@@ -20,6 +21,11 @@
 from samphirerill.relay.server import ClientConnection
 
 _MARGIN_S = 0.05
+# At 10 Mbit/s a client's stream pauses for 50 ms while this is sent.
+_MAX_FORWARDED_BYTES = 62_500
+_MAX_BYTES_PER_S = 625_000
+_MAX_DISTRIBUTION_S = 2.0
+_LISTENERS = 16
 _NAMES = [
     f'edge-hall-{data_centre}-{at}' for data_centre in 'abc' for at in range(24)
 ]
@@ -204,6 +210,19 @@
         self.assertEqual(self.source.select_watcher(), '')
 
 
+def _build_routes(count: int) -> bytes:
+    """Return routes with random names, as operators' names do not compress."""
+    random = Random(count)
+    return b''.join(
+        b',{"name":"r-%08x","host":"%08x.example","prefix":"/%08x/",'
+        b'"kind":"streaming","timeoutMs":20000,"sloMs":502,"priority":1,'
+        b'"service":"notes","maxAttempts":2,"public":false,"affinity":true,'
+        b'"resumable":true,"gapTargetMs":250}'
+        % tuple(random.getrandbits(32) for _ in range(3))
+        for _ in range(count)
+    )
+
+
 class TestLargeChanges(ChangesCase):
     """A large configuration that a watcher serves to many nodes."""
 
@@ -237,7 +256,7 @@
         status, body = await call_once(
             self.names[self.watcher],
             b'GET',
-            b'/changes/2?after=11',
+            b'/changes/3?after=11',
             b'',
             asyncio.get_running_loop().time() + 1,
         )
@@ -268,8 +287,38 @@
         with self.assertRaises(EndpointError):
             await self.source.watch(self.watcher, 10)
 
+    async def test_many_new_routes_are_forwarded(self) -> None:
+        """Guard against each node reading all of them from the store at once."""
+        item = self.append_version(11, self.text + _build_routes(1400))
+        changes = await self.source.watch(self.watcher, 10)
+        self.assertEqual(changes.events, [item])
+        batch = self.log.encode_changes(10)
+        self.assertLess(len(batch or b''), _MAX_FORWARDED_BYTES)
+
+    async def test_many_listeners_do_not_saturate_the_link(self) -> None:
+        """Guard against streams that wait behind copies of a configuration."""
+        self.append_version(11, self.text + _build_routes(1400))
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        received = [started_at]
+        batch_size = len(self.log.encode_changes(10) or b'')
+
+        async def poll() -> None:
+            after = 10
+            while after < 11:
+                changes = await self.source.watch(self.watcher, after)
+                after = changes.revision
+            received.append(loop.time())
+
+        await asyncio.gather(*(poll() for _ in range(_LISTENERS)))
+        took_s = max(received) - started_at
+        self.assertLessEqual(
+            (_LISTENERS - 1) * batch_size / took_s, _MAX_BYTES_PER_S
+        )
+        self.assertLess(took_s, _MAX_DISTRIBUTION_S)
+
     async def test_a_large_delta_is_left_to_the_store(self) -> None:
-        self.append_version(11, self.text * 2 + bytes(range(256)) * 64)
+        self.append_version(11, self.text + Random(1).randbytes(100_000))
         with self.assertRaises(ChangeTooLargeError):
             await self.source.watch(self.watcher, 10)
         self.assertEqual(self.source.select_watcher(), self.watcher)
