--- a/samphirerill/fleet/deltas.py
+++ b/samphirerill/fleet/deltas.py
@@ -35,9 +35,9 @@
 class Delta(Struct, array_like=True):
     """Instructions that rebuild a new text from an old one.
 
-    `base` and `target` are the checksums of the two texts. `parts` are
-    concatenated to the new text: ranges of pieces of the old one, and
-    literal bytes.
+    `base` and `target` are the checksums of the two texts; `base` is empty if
+    the old one does not matter. `parts` are concatenated to the new text: ranges
+    of pieces of the old one, and literal bytes.
     """
 
     base: bytes
@@ -65,9 +65,14 @@
     return Delta(_checksum(old), _checksum(new), parts)
 
 
+def build_full_delta(new: bytes) -> Delta:
+    """Return a delta that holds the whole text and applies to any old one."""
+    return Delta(b'', _checksum(new), [new])
+
+
 def apply_delta(old: bytes, delta: Delta) -> bytes:
     """Return the new text; raise ``DeltaError`` if `delta` does not fit `old`."""
-    if _checksum(old) != delta.base:
+    if delta.base and _checksum(old) != delta.base:
         raise DeltaError(
             'delta was built for another base text; fetch the full text'
         )
--- a/samphirerill/relay/change_log.py
+++ b/samphirerill/relay/change_log.py
@@ -12,6 +12,7 @@
     DeltaError,
     apply_delta,
     build_delta,
+    build_full_delta,
     pack_delta,
     unpack_delta,
 )
@@ -30,7 +31,7 @@
 # would take longer than a configuration may take.
 _MAX_DELTA_BYTES = 65_536
 # Larger snapshots are left to the store, for the same reason.
-_MAX_SNAPSHOT_BYTES = 16_384
+_MAX_SNAPSHOT_BYTES = 131_072
 # Changes with a large text that are kept, up to 0.5 MB each.
 _MAX_LARGE_CHANGES = 8
 
@@ -71,7 +72,7 @@
 class _Change:
     """One change, and the previous text of its key if that was large."""
 
-    __slots__ = ('_row', 'previous', 'event')
+    __slots__ = ('_is_built', '_row', 'previous', 'event')
 
     def __init__(
         self, event: StoredItem | DeletedKey, previous: bytes | None
@@ -79,6 +80,7 @@
         self.event = event
         self.previous = previous
         self._row: ChangeRow | None = None
+        self._is_built = False
 
     @property
     def is_large(self) -> bool:
@@ -91,23 +93,21 @@
 
         It is built once for all polling nodes.
         """
-        if self._row is None:
+        if not self._is_built:
+            self._is_built = True
             self._row = self._create_row()
-        if not self._row.delta and self.is_large:
-            return None
         return self._row
 
-    def _create_row(self) -> ChangeRow:
+    def _create_row(self) -> ChangeRow | None:
         event = self.event
         if isinstance(event, DeletedKey):
             return ChangeRow(event.key, event.revision, None, 0)
-        row = ChangeRow(event.key, event.revision, event.text, event.lease)
-        if self.is_large and self.previous is not None:
-            delta = pack_delta(build_delta(self.previous, event.text))
-            if len(delta) <= _MAX_DELTA_BYTES:
-                row.text = b''
-                row.delta = delta
-        return row
+        if not self.is_large:
+            return ChangeRow(event.key, event.revision, event.text, event.lease)
+        if self.previous is None:
+            return _build_full_row(event)
+        delta = pack_delta(build_delta(self.previous, event.text))
+        return _build_packed_row(event, delta)
 
 
 class ChangeLog:
@@ -123,6 +123,8 @@
         self._changes: deque[_Change] = deque()
         self._large_count = 0
         self._current: dict[str, StoredItem] = {}
+        # Encoded forms of large items, built once for all polling nodes.
+        self._full_rows: dict[str, ChangeRow | None] = {}
         self._changed = asyncio.Event()
 
     def reset(self, revision: int, found: Iterable[StoredItem] = ()) -> None:
@@ -136,6 +138,7 @@
             All existing keys.
         """
         self._changes.clear()
+        self._full_rows.clear()
         self._large_count = 0
         self._current = {item.key: item for item in found}
         self._compacted_revision = revision
@@ -195,17 +198,17 @@
         """Return the current items that were written after a revision.
 
         Return none if that is too large, or if there are no items. It spares
-        the store a full read by each node when nodes start together or the
-        store has dropped its history.
+        the store, and the links, a full read by each node when nodes start
+        together, when the store is back, or when it has dropped its history.
         """
         rows = []
         for item in self._current.values():
-            if item.revision > after:
-                if _is_large(item.text):
-                    return None
-                rows.append(
-                    ChangeRow(item.key, item.revision, item.text, item.lease)
-                )
+            if item.revision <= after:
+                continue
+            row = self._build_item_row(item)
+            if row is None:
+                return None
+            rows.append(row)
         if not self._current or after > self.revision:
             return None
         rows.sort(key=_get_revision)
@@ -234,6 +237,15 @@
         """
         return Changes(batch.revision, list(self._decode_rows(batch.rows)))
 
+    def _build_item_row(self, item: StoredItem) -> ChangeRow | None:
+        """Return an item in encoded form; none if it would be too large."""
+        if not _is_large(item.text):
+            return ChangeRow(item.key, item.revision, item.text, item.lease)
+        known = self._full_rows.get(item.key)
+        if known is None or known.revision != item.revision:
+            self._full_rows[item.key] = _build_full_row(item)
+        return self._full_rows[item.key]
+
     def _decode_rows(
         self, rows: Iterable[ChangeRow]
     ) -> Iterator[StoredItem | DeletedKey]:
@@ -269,10 +281,22 @@
             self._changed = asyncio.Event()
 
 
-def _apply_row_delta(key: str, previous: bytes | None, delta: bytes) -> bytes:
-    if previous is None:
+def _build_full_row(item: StoredItem) -> ChangeRow | None:
+    """Return a row with the whole text; none if it would be too large."""
+    return _build_packed_row(item, pack_delta(build_full_delta(item.text)))
+
+
+def _build_packed_row(item: StoredItem, delta: bytes) -> ChangeRow | None:
+    if len(delta) > _MAX_DELTA_BYTES:
+        return None
+    return ChangeRow(item.key, item.revision, b'', item.lease, delta)
+
+
+def _apply_row_delta(key: str, previous: bytes | None, packed: bytes) -> bytes:
+    delta = unpack_delta(packed)
+    if previous is None and delta.base:
         raise DeltaError(f'{key}: got a delta, but its base text is not known')
-    return apply_delta(previous, unpack_delta(delta))
+    return apply_delta(previous or b'', delta)
 
 
 def _is_large(text: bytes) -> bool:
--- a/samphirerill/relay/change_source.py
+++ b/samphirerill/relay/change_source.py
@@ -48,11 +48,14 @@
 # The number is the version of the response format: while nodes with different
 # formats run side by side, each gets 404 from the others.
 _CHANGES_PATH = b'/changes/3'
-_SNAPSHOT_PATH = b'/present/1'
+_SNAPSHOT_PATH = b'/present/2'
 # Shorter than a watch of the store, as it costs the store nothing; an
 # unresponsive watcher is detected sooner.
 _LONG_POLL_S = 0.7
 _RESPONSE_MARGIN_S = 0.3
+# How long a node waits for its turn to receive a snapshot. The watcher has just
+# told it that it lacks the changes, so it is alive.
+_SNAPSHOT_WAIT_S = 1.5
 # Watchers that failed are avoided this long; a crashed one stays announced for
 # up to 12 s.
 _AVOID_FAILED_S = 6.0
@@ -113,7 +116,7 @@
         if path == _CHANGES_PATH:
             status, body = await self._serve_changes(query)
         elif path == _SNAPSHOT_PATH:
-            status, body = self._serve_snapshot(query)
+            status, body = await self._serve_snapshot(query)
         elif build_page is None:
             status, body = _NOT_FOUND, b''
         else:
@@ -140,14 +143,19 @@
             return _OK, batch
         return _OK, msgpack.encode(ChangeBatch(after, []))
 
-    def _serve_snapshot(self, query: bytes) -> Page:
+    async def _serve_snapshot(self, query: bytes) -> Page:
         after = read_revision(query)
         if after < 0:
             return _BAD_REQUEST, b''
         if not self._receives_from_store():
             return _UNAVAILABLE, b''
         snapshot = self._log.encode_snapshot(after)
-        return (_GONE, b'') if snapshot is None else (_OK, snapshot)
+        if snapshot is None:
+            return _GONE, b''
+        until = self._loop.time() + _SNAPSHOT_WAIT_S
+        if await self._pacer.wait_for_turn(len(snapshot), until):
+            return _OK, snapshot
+        return _UNAVAILABLE, b''
 
 
 class ChangeSource:
@@ -294,9 +302,11 @@
 
     async def _fetch_snapshot(self, address: str, after: int) -> Changes:
         """Fetch a snapshot from a watcher that lacks the changes."""
-        deadline = self._loop.time() + _RESPONSE_MARGIN_S
+        deadline = self._loop.time() + _SNAPSHOT_WAIT_S + _RESPONSE_MARGIN_S
         path = b'%b?after=%d' % (_SNAPSHOT_PATH, after)
         status, body = await call_once(address, b'GET', path, b'', deadline)
+        if status == _UNAVAILABLE:
+            raise WatchLostError(f'{address}: cannot send a snapshot now')
         if status != _OK:
             raise BrokenResponseError(f'{address}: got status {status}')
         changes = _decode(address, body, Snapshot, self.log.decode_snapshot)
--- a/samphirerill/relay/configuration_history.py
+++ b/samphirerill/relay/configuration_history.py
@@ -8,22 +8,21 @@
     DeltaError,
     apply_delta,
     build_delta,
+    build_full_delta,
     pack_delta,
     unpack_delta,
 )
 
 # Versions kept besides the newest; older nodes are sent the full text.
 _MAX_PREVIOUS_VERSIONS = 4
+# Stands for all versions that are not kept.
+_NO_VERSION = 0
 
 
 class _EncodedConfiguration(Struct, array_like=True):
-    """A configuration as sent: the full `text`, or a `delta` to a known one.
+    """A configuration as sent: a compressed delta, to any text or a known one."""
 
-    The delta is compressed.
-    """
-
-    text: bytes
-    delta: bytes = b''
+    delta: bytes
 
 
 class ConfigurationHistory:
@@ -63,13 +62,16 @@
         """
         newest = self._texts[max(self._texts, default=0)]
         previous = self._texts.get(known_version)
-        if previous is None:
-            return msgpack.encode(_EncodedConfiguration(newest))
-        message = self._encoded_deltas.get(known_version)
+        base_version = _NO_VERSION if previous is None else known_version
+        message = self._encoded_deltas.get(base_version)
         if message is None:
-            delta = pack_delta(build_delta(previous, newest))
-            message = msgpack.encode(_EncodedConfiguration(b'', delta))
-            self._encoded_deltas[known_version] = message
+            delta = (
+                build_full_delta(newest)
+                if previous is None
+                else build_delta(previous, newest)
+            )
+            message = msgpack.encode(_EncodedConfiguration(pack_delta(delta)))
+            self._encoded_deltas[base_version] = message
         return message
 
     def decode_update(self, encoded: bytes, own_version: int) -> bytes:
@@ -90,11 +92,10 @@
             The message is malformed.
         """
         message = msgpack.decode(encoded, type=_EncodedConfiguration)
-        if not message.delta:
-            return message.text
+        delta = unpack_delta(message.delta)
         previous = self._texts.get(own_version)
-        if previous is None:
+        if previous is None and delta.base:
             raise DeltaError(
                 f'received a delta, but version {own_version} is not kept'
             )
-        return apply_delta(previous, unpack_delta(message.delta))
+        return apply_delta(previous or b'', delta)
--- a/samphirerill/tests/test_store_changes.py
+++ b/samphirerill/tests/test_store_changes.py
@@ -295,6 +295,16 @@
         batch = self.log.encode_changes(10)
         self.assertLess(len(batch or b''), _MAX_FORWARDED_BYTES)
 
+    async def test_a_snapshot_contains_a_large_configuration(self) -> None:
+        """Guard against a full read by all nodes when the store is back."""
+        text = self.text + _build_routes(1400)
+        item = StoredItem('op/config', 14, text)
+        self.log.reset(15, [item])
+        changes = await self.source.watch(self.watcher, 10)
+        self.assertEqual((changes.revision, changes.events), (15, [item]))
+        snapshot = self.log.encode_snapshot(10)
+        self.assertLess(len(snapshot or b''), _MAX_FORWARDED_BYTES)
+
     async def test_many_listeners_do_not_saturate_the_link(self) -> None:
         """Guard against streams that wait behind copies of a configuration."""
         self.append_version(11, self.text + _build_routes(1400))
