A silence that many nodes find at once begins a correlated failure

Callers saw: of four replicas lost together only those that streams waited for were left at once; the others were found one by one.

Cause: a confirmed death begins the probes of the whole fleet only if the second report makes the replica suspected. At a node that had found the silence itself it is suspected already, so where all nodes find it within a few milliseconds, none begins. Seen in a simulation of 21 nodes on whose replicas all have streams: after 0.4 s all knew one of four lost replicas.

Change: reaching the confirming number of votes counts as well.

--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -260,13 +260,16 @@
         self.loss_count += is_newly_suspected
         votes_after = state.suspicion.count_votes(now)
         is_first_report = not votes_before and votes_after > 0
+        is_confirmed = votes_after >= CONFIRMING_VOTES
+        # Many nodes may find the same silence by themselves at the same time.
+        is_newly_confirmed = is_confirmed and votes_before < CONFIRMING_VOTES
         # No path uses a draining replica for new work, nor one without layers.
         is_serving = (
             state.replica.layers is not None
             and replica_id not in self.leaving_deadlines
         )
-        if is_serving and (is_first_report or is_newly_suspected):
-            is_confirmed = votes_after >= CONFIRMING_VOTES
+        is_news = is_first_report or is_newly_suspected or is_newly_confirmed
+        if is_serving and is_news:
             self.current_failure.note_silence(
                 replica_id, now, is_confirmed=is_confirmed
             )
--- a/samphirerill/tests/test_correlated_failures.py
+++ b/samphirerill/tests/test_correlated_failures.py
@@ -94,6 +94,15 @@
         failure.note_silence('three', 1.9, is_confirmed=True)
         self.assertEqual(failure.last_extended_at, 1.9)
 
+    def test_silence_found_here_and_elsewhere_is_a_failure(self) -> None:
+        """Guard against a loss that all nodes notice at the same moment."""
+        view = FleetView()
+        view.apply_announcement(build_replica('one', layers=(0, 80)), 1)
+        view.add_silence_report('one', 4, 2, since=2)
+        self.assertFalse(view.current_failure.is_recent(2))
+        view.add_silence_report('one', 4, 2.01, reporter='n1', since=2)
+        self.assertTrue(view.current_failure.is_recent(2.01))
+
     def test_failure_is_complete_after_quiet_period(self) -> None:
         failure = CorrelatedFailure()
         failure.note_silence('one', 1.0)
