A silent probe counts only if another one was answered meanwhile

Callers saw: streams late or refused for seconds while all replicas worked; the leader planned with 41 to 88 of some 90 replicas.

Cause: a node whose link is saturated still receives events of streams, late, and took them as a sign that its network works, while no probe can be answered in time. So it found each replica unresponsive that had no event just then, and two such nodes confirm a death for all.

Change: a probe without an answer counts only if another one was sent no earlier and answered no later. Otherwise it is repeated once together with probes of other replicas; if these are silent too, it proves nothing (`probes.inconclusive`) and is sent again 0.25 s later. A stream that probes one or two replicas probes others at the same time, so that a real loss is known as soon as before. A failure that another replica has reported needs no witness. Running and sharing probes moves to relay/health/probe_runner.py.

Tests: 21 nodes with saturated links, all at once and one after the other, beside four replicas that are lost: no node takes a living one for dead, and all know the four 0.5 s after the links are free.

--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -259,17 +259,12 @@
         is_newly_suspected = state.suspicion.add_report(report, now)
         self.loss_count += is_newly_suspected
         votes_after = state.suspicion.count_votes(now)
-        is_first_report = not votes_before and votes_after > 0
-        is_confirmed = votes_after >= CONFIRMING_VOTES
         # Many nodes may find the same silence by themselves at the same time.
-        is_newly_confirmed = is_confirmed and votes_before < CONFIRMING_VOTES
-        # No path uses a draining replica for new work, nor one without layers.
-        is_serving = (
-            state.replica.layers is not None
-            and replica_id not in self.leaving_deadlines
+        is_news = is_newly_suspected or (
+            _rank_votes(votes_after) > _rank_votes(votes_before)
         )
-        is_news = is_first_report or is_newly_suspected or is_newly_confirmed
-        if is_serving and is_news:
+        if is_news and _is_serving(self, state.replica):
+            is_confirmed = votes_after >= CONFIRMING_VOTES
             self.current_failure.note_silence(
                 replica_id, now, is_confirmed=is_confirmed
             )
@@ -417,6 +412,25 @@
             self._tombstones.pop(next(iter(self._tombstones)))
 
 
+def is_suspected(view: FleetView, replica_id: str, now: float) -> bool:
+    """Return whether a replica is suspected dead."""
+    state = view.replicas.get(replica_id)
+    return state is not None and state.suspicion.suspected_until > now
+
+
+def _is_serving(view: FleetView, replica: Replica) -> bool:
+    """Return whether paths use a replica for new work."""
+    return (
+        replica.layers is not None
+        and replica.replica_id not in view.leaving_deadlines
+    )
+
+
+def _rank_votes(votes: int) -> int:
+    """Return 0 for no report, 1 for an unconfirmed and 2 for a confirmed one."""
+    return min(votes, CONFIRMING_VOTES)
+
+
 def _update_leaving(
     view: FleetView, replica: Replica, deadline: float, *, is_new: bool
 ) -> None:
--- a/samphirerill/relay/health/loss_prober.py
+++ b/samphirerill/relay/health/loss_prober.py
@@ -73,10 +73,19 @@
         state.add_listener(self._on_state_change)
 
     async def run(self) -> None:
-        """Probe dead replicas before their suspicions expire."""
+        """Probe dead replicas before their suspicions expire.
+
+        Replicas whose probes proved nothing, as this node's link was saturated,
+        are probed again too.
+        """
         while True:
             await asyncio.sleep(_POLL_INTERVAL_S)
             await self._reprobe_dead()
+            await self._probe(
+                name
+                for name in self._prober.take_inconclusive()
+                if name in self._state.view.replicas
+            )
 
     async def probe_unconfirmed(self, replicas: Iterable[Replica]) -> set[str]:
         """Probe replicas that are not known to work since the loss began.
--- a/samphirerill/relay/health/probe_retries.py
+++ b/samphirerill/relay/health/probe_retries.py
@@ -45,17 +45,20 @@
     max_probes : int
         Probes per round.
     """
+    loop = asyncio.get_running_loop()
     rounds = 0
     has_lagged = True
     while has_lagged and rounds < _MAX_ROUNDS:
         rounds += 1
+        sent_at = loop.time()
         deadline = ProbeDeadline(latencies)
         probe = await _run_round(state, replica, deadline, max_probes)
         if probe is not None:
             latencies.note(deadline.get_elapsed_s())
+            probe.sent_at = sent_at
             return probe
         has_lagged = deadline.lag_s >= MIN_TIMEOUT_S
-    return Probe(asyncio.get_running_loop().time(), Verdict.UNRESPONSIVE)
+    return Probe(loop.time(), Verdict.UNRESPONSIVE, sent_at=sent_at)
 
 
 async def _run_round(
--- a/samphirerill/relay/health/prober.py
+++ b/samphirerill/relay/health/prober.py
@@ -9,41 +9,31 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.failure_detection import is_local_fault
 from samphirerill.fleet.load import list_replica_ids
 from samphirerill.fleet.suspicion import CONFIRMING_VOTES
+from samphirerill.fleet.view import is_suspected
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.health.passive_checks import find_live_replicas
-from samphirerill.relay.health.probe_retries import probe_with_retries
-from samphirerill.relay.health.probe_timeouts import (
-    MIN_TIMEOUT_S,
-    ProbeLatencies,
-)
-from samphirerill.relay.health.probing import Probe, Verdict
+from samphirerill.relay.health.probe_runner import RESULT_TTL_S, ProbeRunner
+from samphirerill.relay.health.probe_timeouts import MIN_TIMEOUT_S
+from samphirerill.relay.health.probing import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Sequence
 
     from samphirerill.fleet.model import Replica, Stage
     from samphirerill.relay.health.alarms import Alarms
+    from samphirerill.relay.health.probing import Probe
     from samphirerill.relay.state import EdgeState
 
 _LOG = get_logger('examiner')
-# A replica is unresponsive if none of so many probes is answered; some fail
-# because packets are lost.
-_MAX_PROBES = 4
-# For dead replicas: a lost packet merely delays their return.
-_MAX_PROBES_TO_DEAD = 1
-# Streams of a path stall together; one probe serves them all.
-_RESULT_TTL_S = 0.15
 # Interval of probes of a replica that others report as faulty. A live one
 # refuses requests for a while when it changes its layers.
 _CHECK_INTERVAL_S = 0.5
-# About the number of replicas; results are valid for a moment only.
-_MAX_RESULTS = 1024
 # How long a replica that has terminated, or that others wait for, gets no
 # requests; engines stall for some seconds before they give up.
 AVOID_S = 4.0
@@ -57,8 +47,9 @@
 # be lost too.
 _CONTROLS_PER_MISSING = 3
 _MAX_CONTROLS = 12
-# Each probe takes about 1 ms of processor time.
-_MAX_CONCURRENT_PROBES = 16
+# Fewer probes than this at once are accompanied by control probes, so that a
+# missing answer can be judged without another round.
+_MIN_CONCURRENT_PROBES = 3
 
 
 @dataclass(slots=True)
@@ -88,11 +79,9 @@
         self._state = state
         self._alarms = alarms
         self._loop = asyncio.get_running_loop()
-        self._latest_probes: dict[str, Probe] = {}
-        self._running_probes: dict[str, asyncio.Task[Probe]] = {}
-        self._latencies = ProbeLatencies()
+        self._runner = ProbeRunner(state)
+        self._inconclusive: set[str] = set()
         self._background_probes: set[asyncio.Task[set[str]]] = set()
-        self._slots = asyncio.Semaphore(_MAX_CONCURRENT_PROBES)
 
     async def diagnose_path(self, stages: tuple[Stage, ...]) -> Diagnosis:
         """Probe a path, and return why its streams are stalled.
@@ -104,12 +93,15 @@
         """
         replicas = [stage.replica for stage in stages]
         dead = {
-            name for name in list_replica_ids(stages) if self._is_dead(name)
+            name
+            for name in list_replica_ids(stages)
+            if is_suspected(self._state.view, name, self._loop.time())
         }
         if dead:
             # Probing known failures again would delay each stalled stream.
             return Diagnosis(dead)
-        probes = await self._probe_all(replicas)
+        probes = await self._probe_with_controls(replicas)
+        await self._repeat_without_witness(replicas, probes)
         diagnosis = Diagnosis(await self._evaluate(replicas, probes))
         for probe in probes:
             if probe.report is not None:
@@ -130,7 +122,8 @@
         since : float
             Results from before this moment are not reused.
         """
-        probes = await self._probe_all(replicas, since)
+        probes = await self._runner.probe_all(replicas, since)
+        await self._repeat_without_witness(replicas, probes)
         return await self._evaluate(replicas, probes)
 
     def probe_in_background(self, replica: Replica) -> None:
@@ -139,76 +132,41 @@
         Engines name the stage that they cannot reach; without the probe, each
         further stream over it would be refused too.
         """
-        latest = self._latest_probes.get(replica.replica_id)
-        if (
-            latest is not None
-            and latest.at + _CHECK_INTERVAL_S > self._loop.time()
-        ):
+        since = self._loop.time() - _CHECK_INTERVAL_S
+        if self._runner.was_probed_since(replica.replica_id, since):
             return
-        task = self._loop.create_task(self.probe_replicas([replica]))
+        task = self._loop.create_task(self._probe_reported(replica))
         self._background_probes.add(task)
         task.add_done_callback(self._background_probes.discard)
 
+    def take_inconclusive(self) -> set[str]:
+        """Return the replicas whose last probes proved nothing, once."""
+        names = self._inconclusive
+        self._inconclusive = set()
+        return names
+
     def find_alive(self, since: float) -> dict[str, float]:
         """Return the replicas known to work since a moment, and when."""
         alive = find_live_replicas(self._state.streams, since)
-        for name, probe in self._latest_probes.items():
-            if probe.at >= since and probe.verdict is not Verdict.UNRESPONSIVE:
-                alive[name] = max(probe.at, alive.get(name, since))
+        for name, at in self._runner.find_answered(since).items():
+            alive[name] = max(at, alive.get(name, since))
         return alive
 
-    def _is_dead(self, replica_id: str) -> bool:
-        replica_state = self._state.view.replicas.get(replica_id)
-        now = self._loop.time()
-        return (
-            replica_state is not None
-            and replica_state.suspicion.suspected_until > now
-        )
+    async def _probe_reported(self, replica: Replica) -> set[str]:
+        """Probe a replica whose failure another replica has reported."""
+        probes = await self._runner.probe_all([replica])
+        return await self._evaluate([replica], probes)
 
-    async def _probe_all(
-        self, replicas: Sequence[Replica], since: float = 0.0
+    async def _probe_with_controls(
+        self, replicas: Sequence[Replica]
     ) -> list[Probe]:
-        return await asyncio.gather(
-            *(self._probe(replica, since) for replica in replicas)
-        )
-
-    async def _probe(self, replica: Replica, since: float = 0.0) -> Probe:
-        """Return the latest result if it is valid, else that of a new probe."""
-        replica_id = replica.replica_id
-        latest = self._latest_probes.get(replica_id)
-        valid_since = max(since, self._loop.time() - _RESULT_TTL_S)
-        if latest is not None and latest.at > valid_since:
-            return latest
-        task = self._running_probes.get(replica_id)
-        if task is None:
-            task = self._loop.create_task(self._probe_in_slot(replica))
-            self._running_probes[replica_id] = task
-            task.add_done_callback(
-                lambda _: self._running_probes.pop(replica_id, None)
-            )
-        return await asyncio.shield(task)
-
-    async def _probe_in_slot(self, replica: Replica) -> Probe:
-        async with self._slots:
-            return await self._probe_now(replica)
-
-    async def _probe_now(self, replica: Replica) -> Probe:
-        """Probe a replica, and store the result."""
-        self._state.counters['reports.asked'] += 1
-        is_dead = self._is_dead(replica.replica_id)
-        max_probes = _MAX_PROBES_TO_DEAD if is_dead else _MAX_PROBES
-        probe = await probe_with_retries(
-            self._state, replica, self._latencies, max_probes
-        )
-        return self._store_result(replica, probe)
-
-    def _store_result(self, replica: Replica, probe: Probe) -> Probe:
-        if len(self._latest_probes) > _MAX_RESULTS:
-            self._latest_probes.clear()
-        self._latest_probes[replica.replica_id] = probe
-        if probe.verdict is Verdict.ALIVE:
-            self._state.view.note_alive(replica.replica_id, probe.at)
-        return probe
+        """Probe replicas, and others at the same time if they are few."""
+        missing = _MIN_CONCURRENT_PROBES - len(replicas)
+        if replicas and missing > 0:
+            probed = {replica.replica_id for replica in replicas}
+            for control in self._runner.choose_controls(probed, missing):
+                self._runner.start(control)
+        return await self._runner.probe_all(replicas)
 
     async def _evaluate(
         self, replicas: Sequence[Replica], probes: Sequence[Probe]
@@ -237,38 +195,60 @@
             unresponsive - find_live_replicas(self._state.streams, since).keys()
         )
 
+    async def _repeat_without_witness(
+        self, replicas: Sequence[Replica], probes: list[Probe]
+    ) -> None:
+        """Repeat silent probes while which no other probe was answered.
+
+        While this node's link is saturated, events of streams still arrive, but
+        late, and no probe is answered in time. A probe that is silent again
+        without a witness becomes inconclusive.
+
+        Parameters
+        ----------
+        replicas : sequence of Replica
+            The probed replicas.
+        probes : list of Probe
+            Their probes, which are replaced by the repeated ones.
+        """
+        unproven = [
+            index
+            for index, probe in enumerate(probes)
+            if not self._runner.has_witness(probe)
+        ]
+        wanted = min(_MAX_CONTROLS, _CONTROLS_PER_MISSING * len(unproven))
+        names = {replica.replica_id for replica in replicas}
+        controls = self._runner.choose_controls(names, wanted)
+        if not controls:
+            return
+        suspects = [replicas[index] for index in unproven]
+        repeated = await self._runner.probe_all(
+            [*suspects, *controls], self._loop.time()
+        )
+        for index, probe in zip(unproven, repeated, strict=False):
+            probes[index] = probe
+            if not self._runner.has_witness(probe):
+                self._state.counters['probes.inconclusive'] += 1
+                self._inconclusive.add(replicas[index].replica_id)
+                probes[index] = replace(probe, verdict=Verdict.INCONCLUSIVE)
+
     async def _is_local_fault(
         self, unresponsive: set[str], probes: dict[str, Probe]
     ) -> bool:
         """Return whether this node is cut off, probing controls if needed."""
-        since = min(probes[name].at for name in unresponsive) - _RESULT_TTL_S
+        since = min(probes[name].at for name in unresponsive) - RESULT_TTL_S
         alive = self.find_alive(since).keys() - unresponsive
         if not is_local_fault(unresponsive, alive):
             return False
         missing = len(unresponsive) - len(alive)
         wanted = min(_MAX_CONTROLS, _CONTROLS_PER_MISSING * missing)
-        controls = self._choose_controls(
+        controls = self._runner.choose_controls(
             {*unresponsive, *alive, *probes}, wanted
         )
-        await self._probe_all(controls)
+        await self._runner.probe_all(controls)
         alive = self.find_alive(since).keys() - unresponsive
         return is_local_fault(unresponsive, alive)
 
-    def _choose_controls(
-        self, excluded: Collection[str], wanted: int
-    ) -> list[Replica]:
-        """Return random replicas that are expected to answer."""
-        now = self._loop.time()
-        others = [
-            replica_state.replica
-            for name, replica_state in self._state.view.replicas.items()
-            if name not in excluded
-            and replica_state.suspicion.suspected_until <= now
-            and replica_state.requested_backoff_until <= now
-            and replica_state.replica.layers is not None
-        ]
-        return self._state.random.sample(others, min(wanted, len(others)))
-
     def _suspect_probed(self, replica: Replica, probe: Probe) -> None:
         reason = probe.verdict.value
         if probe.verdict is Verdict.TERMINATED:
--- a/samphirerill/relay/health/probing.py
+++ b/samphirerill/relay/health/probing.py
@@ -39,11 +39,15 @@
 
 @dataclass(slots=True)
 class Probe:
-    """Result of a probe; `report` is none if the replica sent none."""
+    """Result of a probe; `report` is none if the replica sent none.
+
+    `sent_at` is when it was first sent, `at` when it ended, on the loop's clock.
+    """
 
     at: float
     verdict: Verdict
     report: ReplicaReport | None = None
+    sent_at: float = 0.0
 
 
 async def probe_once(
--- a/samphirerill/tests/test_losses.py
+++ b/samphirerill/tests/test_losses.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 from unittest import TestCase
 from unittest.mock import patch
 
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from samphirerill.fleet.model import Replica
     from samphirerill.relay.state import EdgeState
+    from samphirerill.relay.streaming import StreamExchange
 
 _SERVICE = 'llm'
 _LATENCY_S = 0.004
@@ -30,9 +31,23 @@
 # Time in which a stream stalls and the first probe fails.
 _STALL_S = 0.14
 _LOST_REPLICAS = 9
+# A large configuration takes this long over a link of 10 Mbit/s.
+_SATURATED_S = 0.37
 _LAYERS = 80
 
 
+class _FlowingStream:
+    """A stream with an event at every moment."""
+
+    def __init__(self, stages: tuple[Stage, ...]) -> None:
+        self.stages = stages
+
+    @property
+    def last_event_at(self) -> float:
+        """Return the loop time of the last event."""
+        return asyncio.get_running_loop().time()
+
+
 class _Fleet:
     """Nodes, replicas, and which of them can reach each other."""
 
@@ -41,6 +56,8 @@
         self.dead: set[str] = set()
         self.cut_off: set[str] = set()
         self.crashed: set[str] = set()
+        # When the saturated link of a node is free again, by its name.
+        self.link_free_at: dict[str, float] = {}
         self.probe_count = 0
         self.nodes = [
             Node(self.network, f'{data_centre}-{number}', data_centre)
@@ -71,7 +88,8 @@
         if is_dead or state.settings.name in self.cut_off:
             await asyncio.sleep(deadline - loop.time())
             return Probe(loop.time(), Verdict.UNRESPONSIVE)
-        await asyncio.sleep(_LATENCY_S)
+        free_at = self.link_free_at.get(state.settings.name, 0.0)
+        await asyncio.sleep(max(_LATENCY_S, free_at - loop.time()))
         return Probe(loop.time(), Verdict.ALIVE)
 
     def crash_nodes(self, *numbers: int) -> None:
@@ -81,6 +99,17 @@
             self.network.nodes.pop(node.host)
             self.crashed.add(node.name)
 
+    def add_streams(self, path: list[str]) -> None:
+        """Let each node have a stream whose events keep arriving."""
+        stages = tuple(
+            Stage(replica, LayerRange(0, _LAYERS))
+            for replica in self.replicas
+            if replica.replica_id in path
+        )
+        for node in self.nodes:
+            stream = cast('StreamExchange', _FlowingStream(stages))
+            node.state.streams.add(stream)
+
     async def stall_stream(self, node: Node, path: list[str]) -> None:
         """Let a stream of one node stall on a path."""
         stages = tuple(
@@ -264,3 +293,61 @@
             await asyncio.sleep(_DETECTION_S)
             self.assertEqual(fleet.count_agreeing_nodes(), len(fleet.nodes) - 2)
         fleet.stop()
+
+
+class TestSaturatedLinks(TestCase):
+    """The links of nodes are saturated while replicas are lost.
+
+    Events of streams arrive late, and no probe is answered in time.
+    """
+
+    def test_all_nodes_at_once(self) -> None:
+        """Guard against a living fleet that is taken for dead."""
+        run_with_virtual_time(self._check(0.0))
+
+    def test_one_node_after_the_other(self) -> None:
+        """Guard against two such nodes that confirm each other's findings."""
+        run_with_virtual_time(self._check(0.02))
+
+    def check_no_false_death(self, fleet: _Fleet) -> None:
+        """Assert that no node takes a living replica for dead."""
+        now = asyncio.get_running_loop().time()
+        alive = {item.replica_id for item in fleet.replicas} - fleet.dead
+        for node in fleet.nodes:
+            self.assertEqual(alive - _list_present(node, now), set())
+
+    async def _check(self, spacing_s: float) -> None:
+        fleet = _Fleet(21, 29)
+        flowing = [f'r{number}' for number in range(20, 29)]
+        fleet.add_streams(flowing)
+        with patch(
+            'samphirerill.relay.health.probe_retries.probe_once',
+            fleet.probe_once,
+        ):
+            await asyncio.sleep(_DETECTION_S)
+            now = asyncio.get_running_loop().time()
+            fleet.dead = {f'r{number}' for number in range(4)}
+            for number, node in enumerate(fleet.nodes):
+                free_at = now + spacing_s * number + _SATURATED_S
+                fleet.link_free_at[node.name] = free_at
+            silent = ['r0', *(f'r{number}' for number in range(8, 14))]
+            await asyncio.sleep(_STALL_S)
+            stalls = [
+                asyncio.create_task(self._keep_stalling(fleet, node, silent))
+                for node in fleet.nodes
+            ]
+            end = max(fleet.link_free_at.values()) + _DETECTION_S
+            while asyncio.get_running_loop().time() < end:
+                self.check_no_false_death(fleet)
+                await asyncio.sleep(_LATENCY_S)
+            self.assertEqual(fleet.count_agreeing_nodes(), len(fleet.nodes))
+            for stall in stalls:
+                stall.cancel()
+        fleet.stop()
+
+    async def _keep_stalling(
+        self, fleet: _Fleet, node: Node, path: list[str]
+    ) -> None:
+        while True:
+            await fleet.stall_stream(node, path)
+            await asyncio.sleep(_STALL_S)
