Requests wait for the first configuration of a node

Callers saw: after a loss of power of all VMs their one retry was refused with 503.

Cause: a process listens at 37.2 s, and the store has delivered the configuration, 400 KB over 10 Mbit/s, at 37.65 s; until then each request was refused at once, as if it could not be served.

Change: a request that arrives before the first configuration waits for it, for up to 1.5 s and not longer than its client does. The node still reports that it is not ready.

Tests: a request is served once the configuration is there (failed before with 503), and refused at its own deadline.

--- a/samphirerill/relay/request_dispatcher.py
+++ b/samphirerill/relay/request_dispatcher.py
@@ -38,6 +38,9 @@
 _EXPECTED_STREAM_S = 4.5
 # The longest that an endpoint takes for a plain request; used in the same way.
 _MAX_REQUEST_S = 1.2
+# The longest that a request waits for the first configuration. Where all nodes
+# have restarted, clients would use up their retries in less.
+_MAX_CONFIGURATION_WAIT_S = 1.5
 
 
 class RequestDispatcher:
@@ -80,6 +83,8 @@
         """Serve one request."""
         facts = self._state.adapter.parse_request(req)
         self._state.counters['requests'] += 1
+        if not self._state.configured.is_set():
+            await self._wait_for_configuration(req, facts)
         resolved = self._resolve(req, facts, conn)
         if isinstance(resolved, Refusal):
             send_refusal(self._state, conn, facts, resolved)
@@ -91,6 +96,19 @@
             self._loop.time() - req.arrived_at,
         )
 
+    async def _wait_for_configuration(
+        self, req: Request, facts: RequestMetadata
+    ) -> None:
+        """Wait until the first configuration is known, for a limited time."""
+        wait_s = _MAX_CONFIGURATION_WAIT_S
+        if facts.deadline_s:
+            wait_s = min(wait_s, facts.deadline_s)
+        try:
+            async with asyncio.timeout_at(req.arrived_at + wait_s):
+                await self._state.configured.wait()
+        except TimeoutError:
+            self._state.counters['requests.without_configuration'] += 1
+
     async def _serve(self, context: RequestContext) -> None:
         engine = context.service.engine
         if engine is None or not engine.layers:
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
 from random import Random
 from typing import TYPE_CHECKING
@@ -109,6 +110,8 @@
         self.link_usage = LinkUsage()
         self.pool = ConnectionPool(self.counters)
         self.cfg: FleetConfiguration | None = None
+        # Set once there is a configuration.
+        self.configured = asyncio.Event()
         self.configuration_history = ConfigurationHistory()
         self.routes: RouteTable | None = None
         self.streams: set[StreamExchange] = set()
@@ -187,6 +190,7 @@
         if self.cfg is not None and cfg.version <= self.cfg.version:
             return False
         self.cfg = cfg
+        self.configured.set()
         self.configuration_history.add(cfg.version, text)
         self.routes = RouteTable(cfg)
         self.view.services = frozenset(cfg.services)
--- a/samphirerill/tests/test_edge.py
+++ b/samphirerill/tests/test_edge.py
@@ -8,6 +8,7 @@
 
 from msgspec.structs import replace
 
+from samphirerill.platform import wire_names
 from samphirerill.relay.connection import (
     HttpConnection,
     ResponseHead,
@@ -34,6 +35,11 @@
 _EVENT = 'id: {0}\ndata: token{0}\n\n'
 
 
+# A node listens by then.
+_START_S = 0.2
+_RESPONSE_TIMEOUT_S = 20.0
+
+
 class EdgeCase(IsolatedAsyncioTestCase):
     """Two engines that hold all layers, and a plain service."""
 
@@ -147,6 +153,46 @@
         self.assertEqual(stopped, 1)
 
 
+class TestFirstConfiguration(IsolatedAsyncioTestCase):
+    """Requests that arrive before the first configuration."""
+
+    async def asyncSetUp(self) -> None:
+        self.harness = PlatformHarness()
+        self.addAsyncCleanup(self.harness.stop)
+        await self.harness.start()
+        await self.harness.add_replica('desk-1')
+        entry = build_announcement('desk', self.harness.addresses['desk-1'], '')
+        await self.harness.store.put('servers/desk-1', entry)
+
+    async def send_early(self, headers: list[tuple[bytes, bytes]]) -> int:
+        """Send a request to a node that is not ready; return the status."""
+        process = self.harness.require_first_node()
+        await asyncio.sleep(_START_S)
+        conn = HttpConnection(f'127.0.0.1:{process.get_port()}')
+        self.addCleanup(conn.close)
+        await conn.open()
+        conn.send(serialize_request(b'POST', b'/pickup/x', headers, b''))
+        deadline = asyncio.get_running_loop().time() + _RESPONSE_TIMEOUT_S
+        status, _ = await read_response(conn, deadline)
+        return status
+
+    async def test_request_is_served_once_there_is_one(self) -> None:
+        """Guard against refusing all clients after a restart of all nodes."""
+        request = asyncio.create_task(self.send_early(_HEADERS))
+        await asyncio.sleep(0.3)
+        await self.harness.store.put('op/config', build_configuration())
+        self.assertEqual(await request, _OK)
+
+    async def test_request_is_refused_at_its_deadline(self) -> None:
+        """Guard against a client that gives up before it hears anything."""
+        patience = (wire_names.DEADLINE_MS, b'200')
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        status = await self.send_early([*_HEADERS, patience])
+        self.assertEqual(status, 503)
+        self.assertLess(loop.time(), sent_at + 1.2)
+
+
 class TestResuming(EdgeCase):
     """Streams whose path breaks."""
 
