--- a/samphirerill/platform/http_adapter.py
+++ b/samphirerill/platform/http_adapter.py
@@ -23,7 +23,7 @@
     )
     from samphirerill.relay.connection import Headers, ResponseHead
     from samphirerill.relay.platform_adapter import Attempt, ReplicaReport
-    from samphirerill.relay.server import Request
+    from samphirerill.relay.request import Request
 
 _BEARER = 'bearer '
 _MISDIRECTED = 421
--- a/samphirerill/relay/change_log.py
+++ b/samphirerill/relay/change_log.py
@@ -17,7 +17,7 @@
     unpack_delta,
 )
 from samphirerill.platform.store import Changes, DeletedKey, StoredItem
-from samphirerill.relay.node_status import checksum_name
+from samphirerill.relay.replica_ids import checksum_name
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
--- a/samphirerill/relay/change_source.py
+++ b/samphirerill/relay/change_source.py
@@ -34,7 +34,8 @@
 
     from samphirerill.platform.store import Changes
     from samphirerill.relay.listeners import Page
-    from samphirerill.relay.server import ClientConnection, Request
+    from samphirerill.relay.request import Request
+    from samphirerill.relay.server import ClientConnection
 
     Message = TypeVar('Message')
 
--- a/samphirerill/relay/closed_connections.py
+++ b/samphirerill/relay/closed_connections.py
@@ -11,7 +11,7 @@
 from samphirerill.node.logs import get_logger
 
 if TYPE_CHECKING:
-    from samphirerill.relay.server import Request
+    from samphirerill.relay.request import Request
     from samphirerill.relay.state import EdgeState
 
 _LOG = get_logger('callers')
--- a/samphirerill/relay/health/alarms.py
+++ b/samphirerill/relay/health/alarms.py
@@ -25,7 +25,7 @@
     apply_silence_report,
     decode_silence_report,
 )
-from samphirerill.relay.node_status import checksum_name
+from samphirerill.relay.replica_ids import checksum_name
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
--- a/samphirerill/relay/health/passive_checks.py
+++ b/samphirerill/relay/health/passive_checks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from samphirerill.fleet.load import list_replica_ids
 
@@ -10,18 +10,7 @@
     from collections.abc import Iterable, Sequence
 
     from samphirerill.fleet.model import Stage
-
-
-class ObservedStream(Protocol):
-    """A stream, with its path and the time of its last event."""
-
-    @property
-    def stages(self) -> tuple[Stage, ...]:
-        """Return the path of the stream."""
-
-    @property
-    def last_event_at(self) -> float:
-        """Return the loop time of the last event; 0 before the first."""
+    from samphirerill.relay.active_stream import ObservedStream
 
 
 def list_unconfirmed(
--- a/samphirerill/relay/listeners.py
+++ b/samphirerill/relay/listeners.py
@@ -14,7 +14,8 @@
     from socket import socket
 
     from samphirerill.relay.closed_connections import ClosedConnection
-    from samphirerill.relay.server import Request, RequestHandler
+    from samphirerill.relay.request import Request
+    from samphirerill.relay.server import RequestHandler
 
 _BACKLOG = 1024
 _NOT_FOUND = 404
--- a/samphirerill/relay/node_status.py
+++ b/samphirerill/relay/node_status.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import zlib
 from typing import TYPE_CHECKING
 
 from msgspec import Struct
@@ -14,11 +13,12 @@
 from samphirerill.fleet.load import ReplicaLoad
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.retry_budget import RetryUsage
+from samphirerill.relay.replica_ids import checksum_name
 
 if TYPE_CHECKING:
     from samphirerill.fleet.link_usage import LinkKey
     from samphirerill.fleet.suspicion import SilenceReport
-    from samphirerill.fleet.view import FleetView
+    from samphirerill.relay.replica_ids import ReplicaIdIndex
     from samphirerill.relay.state import EdgeState
 
 _TOKENS_PER_UNIT = 16
@@ -66,27 +66,6 @@
     suspected_ago_ms: dict[int, int] = {}
 
 
-class ReplicaIdIndex:
-    """Looks up replica ids by checksum; rebuilt when replicas change."""
-
-    __slots__ = ('_ids', '_version', '_view')
-
-    def __init__(self, view: FleetView) -> None:
-        self._view = view
-        self._ids: dict[int, str] = {}
-        self._version = -1
-
-    def get(self, key: int) -> str | None:
-        """Return the id of a replica, or none if it is unknown here."""
-        if self._version != self._view.membership_version:
-            self._ids = {
-                checksum_name(replica_id): replica_id
-                for replica_id in self._view.replicas
-            }
-            self._version = self._view.membership_version
-        return self._ids.get(key)
-
-
 class EncodedSuspicions:
     """Suspicions of replica failures in the form of `NodeStatus`."""
 
@@ -221,8 +200,3 @@
         if replica_id is not None:
             load[replica_id] = ReplicaLoad(count, units * _TOKENS_PER_UNIT)
     return load
-
-
-def checksum_name(name: str) -> int:
-    """Return the checksum that identifies a replica or key in messages."""
-    return zlib.crc32(name.encode())
--- a/samphirerill/relay/platform_adapter.py
+++ b/samphirerill/relay/platform_adapter.py
@@ -17,7 +17,7 @@
         Stage,
     )
     from samphirerill.relay.connection import Headers, ResponseHead
-    from samphirerill.relay.server import Request
+    from samphirerill.relay.request import Request
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/samphirerill/relay/request.py
@@ -0,0 +1,36 @@
+"""A parsed request of a client."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from samphirerill.relay.connection import Headers
+
+
+@dataclass(slots=True)
+class Request:
+    """One parsed request; header names are in lower case.
+
+    `arrived_at` is when the request was complete, on the loop's clock;
+    `keeps_alive` is whether its connection stays open after the response;
+    `chunks` are the parts of the body that were read so far, and `chunk_bytes`
+    is their size.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    arrived_at: float
+    body: bytes = b''
+    keeps_alive: bool = True
+    chunks: list[bytes] = field(default_factory=list)
+    chunk_bytes: int = 0
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a header."""
+        for known, text in self.headers:
+            if known == name:
+                return text
+        return None
--- a/samphirerill/relay/request_context.py
+++ b/samphirerill/relay/request_context.py
@@ -11,7 +11,8 @@
 if TYPE_CHECKING:
     from samphirerill.fleet.model import ClientAccount, FleetRoute, Service
     from samphirerill.relay.platform_adapter import RequestMetadata
-    from samphirerill.relay.server import ClientConnection, Request
+    from samphirerill.relay.request import Request
+    from samphirerill.relay.server import ClientConnection
 
 
 @dataclass(slots=True)
--- a/samphirerill/relay/request_dispatcher.py
+++ b/samphirerill/relay/request_dispatcher.py
@@ -29,7 +29,8 @@
     from samphirerill.relay.health.prober import ReplicaProber
     from samphirerill.relay.platform_adapter import RequestMetadata
     from samphirerill.relay.quarantine import CrashDetector
-    from samphirerill.relay.server import ClientConnection, Request
+    from samphirerill.relay.request import Request
+    from samphirerill.relay.server import ClientConnection
     from samphirerill.relay.state import EdgeState
 
 _LOG = get_logger('requests')
--- a/samphirerill/relay/request_validation.py
+++ b/samphirerill/relay/request_validation.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import ClientLimits
-    from samphirerill.relay.server import Request
+    from samphirerill.relay.request import Request
 
 _UNIQUE_HEADERS = frozenset((b'host', b'content-length', b'transfer-encoding'))
 
--- a/samphirerill/relay/response_notices.py
+++ b/samphirerill/relay/response_notices.py
@@ -10,7 +10,7 @@
 
 import asyncio
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.replica_notices import (
@@ -21,14 +21,16 @@
 from samphirerill.node.logs import get_logger
 
 if TYPE_CHECKING:
+    from collections import Counter
     from collections.abc import Callable
+    from random import Random
 
     from samphirerill.fleet.model import Replica
+    from samphirerill.fleet.view import FleetView
     from samphirerill.relay.platform_adapter import (
         ResponseMetadata,
         RetryAfter,
     )
-    from samphirerill.relay.state import EdgeState
 
 _LOG = get_logger('notices')
 _BACKOFF_STATUSES = frozenset(
@@ -47,18 +49,40 @@
 _MAX_LOGGED_VALUES = 256
 
 
+class NoticeContext(Protocol):
+    """What of a node's state notices act on."""
+
+    @property
+    def view(self) -> FleetView:
+        """Return the known replicas."""
+
+    @property
+    def counters(self) -> Counter[str]:
+        """Return the event counters."""
+
+    @property
+    def random(self) -> Random:
+        """Return the source of randomness."""
+
+    def compute_leaving_deadline(self, now: float) -> float:
+        """Return until when a replica that starts leaving now still serves."""
+
+    def notify_listeners(self) -> None:
+        """Tell all components that the state has changed."""
+
+
 class ResponseNotices:
     """Records what replicas say about themselves, and wakes what waits for them.
 
     Parameters
     ----------
-    state : EdgeState
+    state : NoticeContext
         Holds the view of the fleet.
     """
 
     __slots__ = ('_broadcast', '_logged_values', '_state', '_wake_timers')
 
-    def __init__(self, state: EdgeState) -> None:
+    def __init__(self, state: NoticeContext) -> None:
         self._state = state
         self._logged_values: set[tuple[str, str]] = set()
         self._broadcast: Callable[[Replica], None] | None = None
--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -10,7 +10,6 @@
 import asyncio
 import socket
 from collections import deque
-from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -25,6 +24,7 @@
     ClosedConnection,
     CloseReason,
 )
+from samphirerill.relay.request import Request
 from samphirerill.relay.request_validation import validate_head
 
 if TYPE_CHECKING:
@@ -33,6 +33,7 @@
     from samphirerill.fleet.model import ClientLimits
     from samphirerill.relay.connection import Headers
 
+__all__ = ('ClientConnection', 'Request', 'RequestHandler')
 _LOG = get_logger('callers')
 # Reading pauses while this many requests are queued on a connection.
 _MAX_PIPELINED = 8
@@ -54,33 +55,6 @@
 }
 
 
-@dataclass(slots=True)
-class Request:
-    """One parsed request; header names are in lower case.
-
-    `arrived_at` is when the request was complete, on the loop's clock;
-    `keeps_alive` is whether its connection stays open after the response;
-    `chunks` are the parts of the body that were read so far, and `chunk_bytes`
-    is their size.
-    """
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    arrived_at: float
-    body: bytes = b''
-    keeps_alive: bool = True
-    chunks: list[bytes] = field(default_factory=list)
-    chunk_bytes: int = 0
-
-    def get(self, name: bytes) -> bytes | None:
-        """Return the first value of a header."""
-        for known, text in self.headers:
-            if known == name:
-                return text
-        return None
-
-
 class RequestHandler(Protocol):
     """Serves requests; cancelled if the client disconnects."""
 
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -17,8 +17,8 @@
 from samphirerill.node.metrics import Metrics
 from samphirerill.quarantine import Quarantine
 from samphirerill.relay.configuration_history import ConfigurationHistory
-from samphirerill.relay.node_status import ReplicaIdIndex
 from samphirerill.relay.pool import ConnectionPool
+from samphirerill.relay.replica_ids import ReplicaIdIndex
 from samphirerill.relay.response_notices import ResponseNotices
 
 if TYPE_CHECKING:
@@ -26,8 +26,8 @@
 
     from samphirerill.fleet.model import FleetConfiguration, Service
     from samphirerill.platform.settings import EdgeSettings
+    from samphirerill.relay.active_stream import ActiveStream
     from samphirerill.relay.platform_adapter import PlatformAdapter
-    from samphirerill.relay.streaming import StreamExchange
 
 _LOG = get_logger('state')
 # Least number of nodes that is assumed, so that a node that does not know the
@@ -78,7 +78,7 @@
         Its text and those of recent versions.
     routes : RouteTable, optional
         Routes of the current configuration.
-    streams : set of StreamExchange
+    streams : set of ActiveStream
         The streams in progress.
     quarantine : Quarantine
         Requests suspected of crashing replicas.
@@ -114,7 +114,7 @@
         self.configured = asyncio.Event()
         self.configuration_history = ConfigurationHistory()
         self.routes: RouteTable | None = None
-        self.streams: set[StreamExchange] = set()
+        self.streams: set[ActiveStream] = set()
         self.quarantine = Quarantine()
         self._response_notices = ResponseNotices(self)
         self.is_draining = False
--- a/samphirerill/tests/test_alarms.py
+++ b/samphirerill/tests/test_alarms.py
@@ -9,7 +9,7 @@
 from msgspec import msgpack
 
 from samphirerill.relay.health.alarms import TYPE_PREFIX, Alarm
-from samphirerill.relay.node_status import checksum_name
+from samphirerill.relay.replica_ids import checksum_name
 from samphirerill.tests.fleet_builders import build_replica
 from samphirerill.tests.peers import Network, Node
 
--- a/samphirerill/tests/test_losses.py
+++ b/samphirerill/tests/test_losses.py
@@ -22,8 +22,8 @@
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import Replica
+    from samphirerill.relay.active_stream import ActiveStream
     from samphirerill.relay.state import EdgeState
-    from samphirerill.relay.streaming import StreamExchange
 
 _SERVICE = 'llm'
 _LATENCY_S = 0.004
@@ -107,7 +107,7 @@
             if replica.replica_id in path
         )
         for node in self.nodes:
-            stream = cast('StreamExchange', _FlowingStream(stages))
+            stream = cast('ActiveStream', _FlowingStream(stages))
             node.state.streams.add(stream)
 
     async def stall_stream(self, node: Node, path: list[str]) -> None:
--- a/samphirerill/tests/test_reported_back_off.py
+++ b/samphirerill/tests/test_reported_back_off.py
@@ -14,8 +14,8 @@
 from samphirerill.fleet.paths import PathRequest
 from samphirerill.relay.admission import AdmissionQueue
 from samphirerill.relay.health.alarms import TYPE_PREFIX, Alarm
-from samphirerill.relay.node_status import checksum_name
 from samphirerill.relay.platform_adapter import ResponseMetadata, RetryAfter
+from samphirerill.relay.replica_ids import checksum_name
 from samphirerill.tests.fleet_builders import ENGINE, build_replica
 from samphirerill.tests.peers import Network, Node
 
