explain --by-second counts late and refused requests by second and cause

The table groups late streams by when their delay ended, and refusals with a server error by their reason without names and numbers.

--- a/samphirerill/reports/explain.py
+++ b/samphirerill/reports/explain.py
@@ -10,6 +10,7 @@
 
 from msgspec import json
 
+from samphirerill.reports.by_second import format_by_second
 from samphirerill.reports.late_streams import (
     UNANSWERED,
     LatencyTargets,
@@ -64,6 +65,11 @@
         metavar='MS',
         help='the latency target for the time between events',
     )
+    parser.add_argument(
+        '--by-second',
+        action='store_true',
+        help='count late and refused requests by second and cause',
+    )
     parser.add_argument('--json', action='store_true')
     parser.set_defaults(command=explain)
 
@@ -86,7 +92,12 @@
             ).decode()
         )
     else:
-        for row in format_table(late_streams):
+        rows = (
+            format_by_second(index, late_streams)
+            if options.by_second
+            else format_table(late_streams)
+        )
+        for row in rows:
             _print_line(row)
     return 0
 
--- a/samphirerill/reports/late_streams.py
+++ b/samphirerill/reports/late_streams.py
@@ -64,11 +64,13 @@
     `delay_ms` is the time to the first event or the longest pause. Its phases
     are `detection_ms`, until the node logged a reaction; `dispatch_ms`, until
     the stream was sent or moved; and `response_ms`, until the next event.
+    `ended_s` is when the delay ended, in seconds since the Unix epoch.
     """
 
     request: str
     cause: Cause
     delay_ms: float
+    ended_s: float
     detection_ms: float = 0
     dispatch_ms: float = 0
     response_ms: float = 0
@@ -105,13 +107,15 @@
         cause = (
             Cause.CUT_AFTER_OWN_CLOSE if has_closed_run else Cause.CUT_BY_NODE
         )
-        return LateStream(request, cause, pause_ms)
+        return LateStream(request, cause, pause_ms, abort_record.time_s)
     if any(map(_is_cut_by_node, records)):
-        return LateStream(request, Cause.CUT_BY_NODE, pause_ms)
+        return LateStream(
+            request, Cause.CUT_BY_NODE, pause_ms, end_record.time_s
+        )
     if pause_ms > targets.pause_ms:
         return _classify_pause(request, records, end_record, pause_ms)
     if first_ms > targets.first_event_ms:
-        return _classify_first_event(request, records, first_ms)
+        return _classify_first_event(request, records, end_record, first_ms)
     return None
 
 
@@ -123,7 +127,10 @@
 
 
 def _classify_first_event(
-    request: str, records: Sequence[LogRecord], first_ms: float
+    request: str,
+    records: Sequence[LogRecord],
+    end_record: LogRecord,
+    first_ms: float,
 ) -> LateStream:
     send_records = [record for record in records if record.event == _SENT]
     waited_ms = (
@@ -135,7 +142,12 @@
     if cause is Cause.OVERLOAD and waited_ms > first_ms / 2:
         cause = Cause.WAITED_FOR_PATH
     return LateStream(
-        request, cause, first_ms, 0, waited_ms, first_ms - waited_ms
+        request,
+        cause,
+        first_ms,
+        send_records[-1].time_s if send_records else end_record.time_s,
+        dispatch_ms=waited_ms,
+        response_ms=first_ms - waited_ms,
     )
 
 
@@ -157,7 +169,9 @@
         <= record.time_s
         <= pause_end_s + _TIME_TOLERANCE_S
     ]
-    late_stream = LateStream(request, _find_cause(pause_records), pause_ms)
+    late_stream = LateStream(
+        request, _find_cause(pause_records), pause_ms, pause_end_s
+    )
     decision_times = [
         record.time_s for record in pause_records if record.event != _ENDED
     ]
--- a/samphirerill/tests/test_explain.py
+++ b/samphirerill/tests/test_explain.py
@@ -131,6 +131,24 @@
                 for line, event in zip(lines, events, strict=True):
                     self.assertIn(event, line)
 
+    def test_causes_are_counted_by_second(self) -> None:
+        lines = [
+            _line(
+                7, 'refused', request='r', status=503, reason='no path at 3 s'
+            ),
+            _line(7, 'refused', request='q', status=404, reason='no route'),
+        ]
+        with TemporaryDirectory() as folder:
+            log = Path(folder) / 'edge.log'
+            log.write_text('\n'.join([*_LOG, *lines]))
+            out = io.StringIO()
+            with contextlib.redirect_stdout(out):
+                main(['explain', str(log), '--by-second'])
+        rows = [row.split(maxsplit=2) for row in out.getvalue().splitlines()]
+        self.assertIn(['1', '1', 'a part fell silent'], rows)
+        self.assertIn(['6', '1', 'refused: no path at s'], rows)
+        self.assertEqual(sum('refused' in row[2] for row in rows), 1)
+
     def test_queued_request_is_found_on_its_closed_connection(self) -> None:
         """A request that was never started has no log record of its own."""
         line = _line(
