A node that lags leaves its watcher for another one before the store

Cause: after 0.7 s behind the others a node watched the store itself for 3 s. The store sends each version whole, 480 KB, which takes 0.45 s on a link of 10 Mbit/s; so the node was behind again with each version and stayed with the store.

Change: such a node uses another watcher, and the store only once all watchers lag. Ways: the store for 3 s (stands), another watcher (kept), a longer lag (not built: a watcher that lost the store would be found later).

--- a/samphirerill/relay/change_source.py
+++ b/samphirerill/relay/change_source.py
@@ -78,10 +78,9 @@
 # than calling the store all the time.
 _STORE_REFUSED_S = 2.0
 # Watchers batch changes for 0.25 s, and so do the nodes that poll them. A node
-# that stays behind others for longer than this watches the store itself for a
-# while.
+# that stays behind others for longer than this uses another watcher for a while.
 MAX_LAG_S = 0.7
-_DIRECT_WATCH_S = 3.0
+_AVOID_LAGGING_S = 3.0
 
 
 class PeerRequestHandler(PageHandler):
@@ -183,7 +182,6 @@
         # when.
         self._lagging_revision = 0
         self._lagging_since = 0.0
-        self._direct_watch_until = 0.0
         self._store_refused_until = float('-inf')
         self._random = Random(own)
         self._backoff_s = 0.0
@@ -232,8 +230,6 @@
     def select_watcher(self) -> str:
         """Return the watcher to poll; empty for the store itself."""
         now = self._loop.time()
-        if now < self._direct_watch_until:
-            return ''
         avoid = {
             name for name, until in self._avoid_until.items() if until > now
         }
@@ -245,7 +241,9 @@
         """Compare the revision of another node with that of this one.
 
         If others stay ahead, the watcher of this node is taken to have lost its
-        connection to the store without noticing.
+        connection to the store without noticing. The store itself is used once
+        all watchers lag: a large configuration would delay the streams of each
+        node that reads it there.
 
         Parameters
         ----------
@@ -259,7 +257,10 @@
             self._lagging_revision = own
             self._lagging_since = now
         elif now >= self._lagging_since + MAX_LAG_S:
-            self._direct_watch_until = now + _DIRECT_WATCH_S
+            self._lagging_since = now
+            watcher = self.select_watcher()
+            if watcher:
+                self._avoid_until[watcher] = now + _AVOID_LAGGING_S
 
     async def watch(self, watcher: str, after: int) -> Changes:
         """Wait for changes at a watcher; raise ``EndpointError`` on failure.
