Plans are rated by arrival rates, with the fastest pipeline filled first

Callers saw: streams that last 1.3 to 2.1 s over seven to nine stages; each loss and the end of all nodes meets what is under way.

Cause: a plan was rated by the mean time of an answer over its pipelines at 40 streams in each data centre, and all its pipelines were built for one token target. A second, slow pipeline made a plan look slow, so that memory for streams that never came won over layers on the fast card: 26 layers on an h100 with 26 GB free.

Change: requests take the fastest pipeline first. A plan is rated by the mean over three arrival rates, 0.3, 0.6 and 1.0 of the highest that any plan of the replicas serves, as a fleet is sized for its peak. The first pipeline has a token target of its own.

Tests: the fastest pipeline of such a data centre has five stages or fewer (failed before), and another pipeline never lowers the goodput. The test of a large demand asks for shares of the peak rate in place of a number of streams, as the setting did.

--- a/samphirerill/fleet/planner.py
+++ b/samphirerill/fleet/planner.py
@@ -44,13 +44,15 @@
 class PlacementPlan:
     """Pipelines, spare replicas, and the layers that spares hold as backups.
 
-    `goodput` is the predicted rate of answers on time, less the cost of losses.
+    `goodput` is the predicted rate of answers on time, less the cost of losses,
+    and `peak_rate` the highest arrival rate that it was predicted for.
     """
 
     pipelines: list[Pipeline]
     spares: list[Replica]
     backups: LayerAssignments
     goodput: float
+    peak_rate: float
 
     def list_ranges(self) -> LayerAssignments:
         """Return the planned layers by replica id."""
@@ -99,20 +101,21 @@
         [spare for plan in plans for spare in plan.spares],
         {key: held for plan in plans for key, held in plan.backups.items()},
         sum(plan.goodput for plan in plans),
+        sum(plan.peak_rate for plan in plans),
     )
 
 
 def plan_data_centre(
     engine: EngineSpec, replicas: Sequence[Replica], plan_targets: PlanTargets
 ) -> PlacementPlan | None:
-    """Return the best plan of one data centre, or ``None``."""
+    """Return the best plan of one data centre, or ``None``.
+
+    The first pipeline carries most streams. Its token target is chosen first,
+    then that of the others.
+    """
     for targets in _list_token_targets(engine):
-        plans = [
-            _plan_local(engine, replicas, tokens, plan_targets)
-            for tokens in targets
-        ]
-        best = _choose_best(plans)
-        if best is not None:
+        best = _choose_targets(engine, replicas, plan_targets, targets)
+        if best.pipelines:
             return best
     return None
 
@@ -127,31 +130,93 @@
     return dict(sorted(data_centres.items()))
 
 
+def _choose_targets(
+    engine: EngineSpec,
+    replicas: Sequence[Replica],
+    plan_targets: PlanTargets,
+    targets: Sequence[float],
+) -> PlacementPlan:
+    """Return the best plan of one data centre for any of the token targets."""
+    options = [
+        _build_pipelines(engine, replicas, tokens, tokens) for tokens in targets
+    ]
+    peak_rate = _find_peak_rate(engine, options, plan_targets)
+    rate_plan = partial(_rate_plan, engine, replicas, plan_targets, peak_rate)
+    plans = [rate_plan(option) for option in options]
+    best = max(plans, key=_get_goodput)
+    first_tokens = targets[plans.index(best)]
+    mixed = [
+        rate_plan(_build_pipelines(engine, replicas, first_tokens, tokens))
+        for tokens in targets
+        if tokens != first_tokens
+    ]
+    return max(best, *mixed, key=_get_goodput)
+
+
 def _choose_best(plans: list[PlacementPlan]) -> PlacementPlan | None:
-    best = max(plans, key=lambda plan: plan.goodput, default=None)
+    best = max(plans, key=_get_goodput, default=None)
     return best if best is not None and best.pipelines else None
 
 
-def _plan_local(
+def _build_pipelines(
     engine: EngineSpec,
     replicas: Sequence[Replica],
+    first_tokens: float,
     tokens: float,
-    plan_targets: PlanTargets,
-) -> PlacementPlan:
-    """Build pipelines whose stages all have memory for so many tokens."""
-    max_layers, free = _list_candidates(engine, replicas, tokens)
-    pipelines = []
+) -> list[Pipeline]:
+    """Build pipelines whose stages all have memory for so many tokens.
+
+    Parameters
+    ----------
+    engine : EngineSpec
+        The service's figures.
+    replicas : sequence of Replica
+        The replicas of one data centre.
+    first_tokens, tokens : float
+        Token targets of the first pipeline and of the others.
+    """
+    max_layers, free = _list_candidates(engine, replicas, first_tokens)
+    first = _build_pipeline(engine, free, free, max_layers)
+    if first is None:
+        return []
+    pipelines = [first]
+    if tokens != first_tokens:
+        unused = _list_unused(replicas, pipelines)
+        max_layers, free = _list_candidates(engine, unused, tokens)
     while pipeline := _build_pipeline(engine, free, free, max_layers):
         pipelines.append(pipeline)
+    return pipelines
+
+
+def _find_peak_rate(
+    engine: EngineSpec,
+    options: Iterable[Sequence[Pipeline]],
+    plan_targets: PlanTargets,
+) -> float:
+    """Return the highest rate that any of the options serves."""
+    return max(
+        predict_total_rate(engine, option, plan_targets.pause_ms)
+        for option in options
+    )
+
+
+def _rate_plan(
+    engine: EngineSpec,
+    replicas: Sequence[Replica],
+    plan_targets: PlanTargets,
+    peak_rate: float,
+    pipelines: list[Pipeline],
+) -> PlacementPlan:
+    """Return a plan of pipelines and backups with its goodput."""
     spares = _list_unused(replicas, pipelines)
     stages = list_rated_stages(engine, pipelines, plan_targets.pause_ms)
     backups = assign_backups(
         engine, stages, [_without_layers(item) for item in spares]
     )
     goodput = predict_goodput(
-        engine, pipelines, list(backups.values()), plan_targets
+        engine, pipelines, list(backups.values()), plan_targets, peak_rate
     )
-    return PlacementPlan(pipelines, spares, backups, goodput)
+    return PlacementPlan(pipelines, spares, backups, goodput, peak_rate)
 
 
 def _plan_across_data_centres(
@@ -169,7 +234,7 @@
         rate = predict_total_rate(engine, pipelines, plan_targets.pause_ms)
         plans.append(
             PlacementPlan(
-                pipelines, _list_unused(replicas, pipelines), {}, rate
+                pipelines, _list_unused(replicas, pipelines), {}, rate, rate
             )
         )
     return _choose_best(plans)
@@ -303,3 +368,7 @@
 def _without_layers(replica: Replica) -> Replica:
     """Return a replica as if it held nothing."""
     return replace(replica, layers=None)
+
+
+def _get_goodput(plan: PlacementPlan) -> float:
+    return plan.goodput
--- a/samphirerill/fleet/rebalancing.py
+++ b/samphirerill/fleet/rebalancing.py
@@ -54,7 +54,9 @@
     plan = plan_data_centre(engine, replicas, plan_targets)
     if plan is None:
         return {}
-    goodput = predict_goodput(engine, current, backups, plan_targets)
+    goodput = predict_goodput(
+        engine, current, backups, plan_targets, plan.peak_rate
+    )
     moves = assign_stages(plan.pipelines, replicas)
     if plan.goodput * (1 - _MOVE_PENALTY * len(moves)) <= goodput * _MIN_GAIN:
         return {}
--- a/samphirerill/tests/test_fleet_plans.py
+++ b/samphirerill/tests/test_fleet_plans.py
@@ -9,13 +9,14 @@
 from unittest import TestCase
 
 from samphirerill.fleet.chains import extract_chains
-from samphirerill.fleet.goodput import PlanTargets
+from samphirerill.fleet.goodput import PlanTargets, predict_goodput
 from samphirerill.fleet.model import Replica
 from samphirerill.fleet.planner import PlacementPlan, plan_layers
 from samphirerill.fleet.policy import Policy
 from samphirerill.fleet.rates import (
     TARGET_REQUESTS,
     count_max_layers,
+    predict_event_ms,
     predict_total_rate,
 )
 from samphirerill.fleet.repair import count_complete, plan_moves
@@ -29,6 +30,13 @@
 )
 
 _PLAN_TARGETS = PlanTargets(200.0)
+# Less memory for each token than with `ENGINE`, and longer events.
+_LIGHT_ENGINE = replace(ENGINE, stride=3, token_bytes=786_000)
+_LARGE_DATA_CENTRES = {
+    'a': {'middle': 4, 'small': 11, 'tiny': 18},
+    'b': {'large': 1, 'middle': 2, 'small': 13, 'tiny': 17},
+    'c': {'large': 1, 'middle': 2, 'small': 20, 'tiny': 9},
+}
 _MAX_RATE_TARGETS = PlanTargets(200.0, policy=Policy(lean_plans=False))
 
 
@@ -141,10 +149,14 @@
     def test_large_demand_raises_rate(self) -> None:
         fleet = build_fleet(THREE_DATA_CENTRES)
         large = self.assert_sound(
-            plan_layers(ENGINE, fleet, replace(_PLAN_TARGETS, demand=1000))
+            plan_layers(
+                ENGINE, fleet, replace(_PLAN_TARGETS, demand_shares=(1.0,))
+            )
         )
         small = self.assert_sound(
-            plan_layers(ENGINE, fleet, replace(_PLAN_TARGETS, demand=5))
+            plan_layers(
+                ENGINE, fleet, replace(_PLAN_TARGETS, demand_shares=(0.05,))
+            )
         )
         rates = [
             predict_total_rate(ENGINE, plan.pipelines, _PLAN_TARGETS.pause_ms)
@@ -152,6 +164,35 @@
         ]
         self.assertGreater(rates[0], rates[1])
 
+    def test_fast_accelerators_hold_what_streams_need(self) -> None:
+        """Guard against long paths beside memory for streams that never come."""
+        fleet = build_fleet({'b': _LARGE_DATA_CENTRES['b']})
+        plan = plan_layers(_LIGHT_ENGINE, fleet, PlanTargets(250.0))
+        assert plan is not None
+        fastest = min(
+            plan.pipelines,
+            key=lambda item: predict_event_ms(_LIGHT_ENGINE, item, 1),
+        )
+        self.assertLessEqual(len(fastest.members), 5)
+
+    def test_another_pipeline_never_lowers_the_goodput(self) -> None:
+        """Guard against slow pipelines that count for streams they don't carry."""
+        fleet = build_fleet({'c': _LARGE_DATA_CENTRES['c']})
+        plan = plan_layers(_LIGHT_ENGINE, fleet, _PLAN_TARGETS)
+        assert plan is not None
+        goodputs = [
+            predict_goodput(
+                _LIGHT_ENGINE,
+                plan.pipelines[:count],
+                list(plan.backups.values()),
+                _PLAN_TARGETS,
+                plan.peak_rate,
+            )
+            for count in range(1, len(plan.pipelines) + 1)
+        ]
+        self.assertEqual(goodputs, sorted(goodputs))
+        self.assertGreater(len(goodputs), 1)
+
 
 def _count_stages(plan: PlacementPlan) -> int:
     return sum(len(pipeline.members) for pipeline in plan.pipelines)
