Repairs that displace many replicas wait until the fleet is stable

Cause: at 25.58 s the leader planned ten moves in one data centre that still had two complete pipelines, for a third one. All ten replicas dropped layers that backed up the others and took 3.8 to 4.7 s to load new ones, while six more were replaced each second.

A data centre without any complete pipeline is repaired as before.

--- a/samphirerill/fleet/repair.py
+++ b/samphirerill/fleet/repair.py
@@ -54,6 +54,10 @@
 # With at most this many replicas of its kind in pipelines, a newcomer can be
 # assumed to replace one of them.
 _MAX_HOLDERS_TO_PRELOAD = 2
+# A pipeline beside complete ones is repaired with no more replicas that hold other
+# layers while replicas come and go: these layers back up stages, and the repair is
+# outdated before its layers are loaded.
+_MAX_DISPLACED = 3
 Moves = dict[str, LayerRange]
 
 
@@ -101,7 +105,9 @@
         for name, replicas in group_by_data_centre(known).items()
     ]
     for data_centre in data_centres:
-        _repair_data_centre(engine, data_centre, plan_targets)
+        _repair_data_centre(
+            engine, data_centre, plan_targets, is_stable=is_stable
+        )
         if not data_centre.complete:
             rebuild_data_centre(engine, data_centre, plan_targets)
     repair_across_data_centres(engine, data_centres)
@@ -131,7 +137,11 @@
 
 
 def _repair_data_centre(
-    engine: EngineSpec, data_centre: DataCentreState, plan_targets: PlanTargets
+    engine: EngineSpec,
+    data_centre: DataCentreState,
+    plan_targets: PlanTargets,
+    *,
+    is_stable: bool,
 ) -> None:
     """Repair incomplete pipelines, the fastest first."""
     for chain in tuple(data_centre.incomplete):
@@ -139,12 +149,29 @@
             # A faster pipeline has taken its replicas.
             continue
         moves = _find_moves(engine, data_centre, chain, plan_targets)
-        if moves and _is_net_gain(
-            engine, data_centre, chain, moves, plan_targets
+        may_move = is_stable or not _should_wait(data_centre, moves or {})
+        if (
+            moves
+            and may_move
+            and _is_net_gain(engine, data_centre, chain, moves, plan_targets)
         ):
             _apply_moves(data_centre, chain, moves)
 
 
+def _should_wait(data_centre: DataCentreState, moves: Moves) -> bool:
+    """Return whether a repair should wait until the fleet is stable."""
+    displaced = _count_displaced(data_centre, moves)
+    return bool(data_centre.complete) and displaced > _MAX_DISPLACED
+
+
+def _count_displaced(data_centre: DataCentreState, moves: Moves) -> int:
+    """Return how many replicas moves take from other layers."""
+    return sum(
+        item.layers not in {None, moves.get(item.replica_id, item.layers)}
+        for item in data_centre.replicas
+    )
+
+
 def _find_moves(
     engine: EngineSpec,
     data_centre: DataCentreState,
--- a/samphirerill/tests/test_fleet_plans.py
+++ b/samphirerill/tests/test_fleet_plans.py
@@ -37,6 +37,10 @@
     'b': {'large': 1, 'middle': 2, 'small': 13, 'tiny': 17},
     'c': {'large': 1, 'middle': 2, 'small': 20, 'tiny': 9},
 }
+_LOST_AT_ONCE = 20
+_SEEDS = 20
+# Three replicas for each of two pipelines of a data centre.
+_MAX_DISPLACED = 6
 _MAX_RATE_TARGETS = PlanTargets(200.0, policy=Policy(lean_plans=False))
 
 
@@ -198,6 +202,41 @@
     return sum(len(pipeline.members) for pipeline in plan.pipelines)
 
 
+class TestRepairDuringChanges(PlanCase):
+    """Repairs of large data centres while replicas come and go."""
+
+    def test_few_replicas_lose_their_layers(self) -> None:
+        """Guard against repairs that unload the backups of other pipelines."""
+        fleet = self.settle(build_fleet(_LARGE_DATA_CENTRES))
+        displaced = {
+            is_stable: [
+                self.count_displaced(fleet, seed, is_stable=is_stable)
+                for seed in range(_SEEDS)
+            ]
+            for is_stable in (True, False)
+        }
+        self.assertLessEqual(max(displaced[False]), _MAX_DISPLACED)
+        self.assertGreater(max(displaced[True]), _MAX_DISPLACED)
+
+    def count_displaced(
+        self, fleet: list[Replica], seed: int, *, is_stable: bool
+    ) -> int:
+        """Return the most replicas that lose layers in one data centre."""
+        random = Random(seed)
+        left = random.sample(fleet, len(fleet) - _LOST_AT_ONCE)
+        settled = {item.replica_id for item in left}
+        moves = plan_moves(
+            ENGINE, left, _PLAN_TARGETS, settled, is_stable=is_stable
+        )
+        displaced = Counter(
+            item.data_centre
+            for item in left
+            if item.layers
+            not in {None, moves.get(item.replica_id, item.layers)}
+        )
+        return max(displaced.values(), default=0)
+
+
 class TestRepair(PlanCase):
     """Repairs after losses."""
 
