Ask another watcher before the store when one has failed

Cause: the watcher of these nodes ended in a rolling restart. Each went on at once with a watch of the store, which sent the pending configuration of 480 KB to all of them.

Change: after a failure one other watcher is asked, then the store. Not more, as a watcher that has lost power takes a second to fail. A change that is too large to forward goes to the store at once, as each watcher would say the same.

Ways: the store (stands), one other watcher (kept). The test failed before.

--- a/samphirerill/relay/store_follower.py
+++ b/samphirerill/relay/store_follower.py
@@ -13,7 +13,7 @@
 from samphirerill.backends.store import StoreError
 from samphirerill.node.logs import get_logger
 from samphirerill.platform.store import DeletedKey, RevisionCompactedError
-from samphirerill.relay.errors import EndpointError
+from samphirerill.relay.errors import ChangeTooLargeError, EndpointError
 from samphirerill.relay.platform_adapter import DocumentError
 from samphirerill.relay.replica_handler import ReplicaHandler
 
@@ -43,6 +43,8 @@
 # itself. Must stay below the settling time before the first layer plan, or that
 # plan would be made without replicas that have already announced themselves.
 _MAX_STARTUP_BATCH_S = 0.5
+# Each takes up to a second to fail, and a configuration must take effect soon.
+_MAX_WATCHERS_ASKED = 2
 
 
 class StoreBackoffError(StoreError):
@@ -181,26 +183,38 @@
         Changes or None
             ``None`` if all keys must be listed again.
         """
+        changes = await self._ask_watchers()
+        if changes is not None:
+            self._must_relist = False
+            return changes
+        if self._must_relist:
+            return None
+        self._check_backoff()
+        changes = await self._store.watch('', self.revision)
+        self._change_source.record_store_result(answers=True)
+        return changes
+
+    async def _ask_watchers(self) -> Changes | None:
+        """Wait for changes from a watcher node; return none if none can serve.
+
+        All listeners of a watcher that has failed would otherwise read a large
+        configuration from the store at the same moment.
+        """
+        asked = 0
         watcher = self._change_source.select_watcher()
-        if watcher:
+        while watcher and asked < _MAX_WATCHERS_ASKED:
+            asked += 1
             try:
-                changes = await self._change_source.watch(
-                    watcher, self.revision
-                )
+                return await self._change_source.watch(watcher, self.revision)
             except EndpointError as exc:
                 _LOG.info(
                     'call to a watcher node failed',
                     extra={'watcher': watcher, 'error': str(exc)},
                 )
-            else:
-                self._must_relist = False
-                return changes
-        if self._must_relist:
-            return None
-        self._check_backoff()
-        changes = await self._store.watch('', self.revision)
-        self._change_source.record_store_result(answers=True)
-        return changes
+                if isinstance(exc, ChangeTooLargeError):
+                    return None
+            watcher = self._change_source.select_watcher()
+        return None
 
     def _check_backoff(self) -> None:
         """Raise ``StoreBackoffError`` while backing off after a store failure."""
--- a/samphirerill/tests/test_store_calls.py
+++ b/samphirerill/tests/test_store_calls.py
@@ -133,6 +133,22 @@
         self.assertIn('op/config', handler.keys)
 
 
+class TestWatcherFails(IsolatedAsyncioTestCase):
+    """A watcher that ends while the store and another watcher work."""
+
+    async def test_another_watcher_is_asked_before_the_store(self) -> None:
+        """Guard against listeners that all read the store at one moment."""
+        store = _ChangingStore()
+        handler = _RecordingHandler()
+        source = _FlakyWatcherSource()
+        follower = _build_follower(store, [handler], source)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(_WATCH_DELAY_S * 2)
+        task.cancel()
+        self.assertGreaterEqual(len(source.revisions), 2)
+        self.assertEqual(store.calls, 0)
+
+
 class _ChangingStore:
     """A store with a change for every watch."""
 
