Nodes that start together assume that others send as they do

Cause: 78 nodes that start at one moment know nothing of each other's load and choose the same path. One first replica rejected 227 of the streams that clients had repeated.

Change: for 1.5 s after its first listing a node counts its own requests once more for each announced node that it has not heard of, and path costs vary by up to a quarter at random while there is such a node.

--- a/samphirerill/fleet/load.py
+++ b/samphirerill/fleet/load.py
@@ -43,9 +43,29 @@
 
 
 class LoadTracker:
-    """Requests and tokens at each replica, as far as this node knows."""
+    """Requests and tokens at each replica, as far as this node knows.
+
+    After a restart of all nodes none knows the others' load, and all would choose
+    the same replicas. A node that has just started therefore assumes that each
+    node it has not heard of sends as it does itself.
+
+    Attributes
+    ----------
+    own_version : int
+        Changes with this node's requests only; if reports of others counted too,
+        nodes would echo each other's reports.
+    expected_peers : int
+        How many other nodes will report soon; 0 once they have had time to.
+    """
 
-    __slots__ = ('_own', '_peers', '_peer_totals', 'own_version')
+    __slots__ = (
+        '_own',
+        '_peer_count',
+        '_peers',
+        '_peer_totals',
+        'expected_peers',
+        'own_version',
+    )
 
     def __init__(self) -> None:
         self._own: defaultdict[str, ReplicaLoad] = defaultdict(ReplicaLoad)
@@ -53,8 +73,8 @@
         self._peer_totals: defaultdict[str, ReplicaLoad] = defaultdict(
             ReplicaLoad
         )
-        # Changes with this node's requests only; if reports of others counted
-        # too, nodes would echo each other's reports.
+        self._peer_count = 0
+        self.expected_peers = 0
         self.own_version = 0
 
     def add_request(self, replica_ids: Iterable[str], tokens: float) -> None:
@@ -84,7 +104,9 @@
     ) -> None:
         """Replace the last report of a node or of a whole data centre."""
         known = self._peers.get(peer)
+        self._peer_count += nodes
         if known is not None:
+            self._peer_count -= known.nodes
             known.until = now + PEER_TIMEOUT_S
             known.nodes = nodes
             if known.held == held:
@@ -97,6 +119,7 @@
         """Drop a peer's report: its load is now reported under another name."""
         known = self._peers.pop(peer, None)
         if known is not None:
+            self._peer_count -= known.nodes
             self._add_to_totals(known.held, -1)
 
     def expire_peers(self, now: float) -> None:
@@ -109,7 +132,11 @@
 
     def count_peers(self) -> int:
         """Return how many other nodes the current reports cover."""
-        return sum(peer.nodes for peer in self._peers.values())
+        return self._peer_count
+
+    def count_silent_peers(self) -> int:
+        """Return how many other nodes this one has still to hear of."""
+        return max(0, self.expected_peers - self._peer_count)
 
     def get_own_load(self) -> dict[str, ReplicaLoad]:
         """Return this node's own counts by replica."""
@@ -119,14 +146,18 @@
         """Return how many requests are in flight at a replica."""
         own = self._own.get(replica_id)
         others = self._peer_totals.get(replica_id)
-        count = 0 if own is None else own.requests
+        count = 0
+        if own is not None:
+            count = own.requests * (1 + self.count_silent_peers())
         return count if others is None else count + others.requests
 
     def count_tokens(self, replica_id: str) -> float:
         """Return how many tokens requests hold in a replica's memory."""
         own = self._own.get(replica_id)
         others = self._peer_totals.get(replica_id)
-        held = 0.0 if own is None else own.tokens
+        held = 0.0
+        if own is not None:
+            held = own.tokens * (1 + self.count_silent_peers())
         return held if others is None else held + others.tokens
 
     def _add_to_totals(self, held: dict[str, ReplicaLoad], sign: int) -> None:
--- a/samphirerill/fleet/paths.py
+++ b/samphirerill/fleet/paths.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
+    from random import Random
 
     from samphirerill.fleet.link_usage import LinkUsage
     from samphirerill.fleet.load import LoadTracker
@@ -48,6 +49,9 @@
 # streams of all data centres: a remote first stage has to save this much per
 # event.
 REMOTE_ENTRY_PENALTY_MS = 6.0
+# Replicas count as slower by a random factor up to this where the load of other
+# nodes is not known.
+MAX_BLIND_FACTOR = 1.25
 
 
 @dataclass(slots=True)
@@ -78,6 +82,8 @@
     anywhere. Replicas in `prefilled_on` already run the request. An urgent
     request, whose stream has begun, may use the reserved memory and links with
     a longer queue. `data_centre` is the data centre of the requesting node.
+    `jitter` is given where other nodes may choose at the same moment, without
+    knowing of each other; it makes their choices differ.
     """
 
     tokens: float
@@ -89,6 +95,7 @@
     prefilled_on: frozenset[str] = frozenset()
     data_centre: str = ''
     policy: Policy = Policy()
+    jitter: Random | None = None
 
 
 def choose_path(
@@ -376,6 +383,8 @@
 ) -> float:
     """Return the cost of one layer, including the penalty for co-location."""
     layer_ms = _predict_layer_ms(engine, state, load_tracker, now)
+    if request.jitter is not None:
+        layer_ms *= request.jitter.uniform(1, MAX_BLIND_FACTOR)
     accelerator = engine.accelerators.get(state.replica.accelerator)
     if accelerator is None or not request.policy.spread:
         return layer_ms
--- a/samphirerill/relay/membership.py
+++ b/samphirerill/relay/membership.py
@@ -42,6 +42,8 @@
 # missing datagrams, so frequent renewals would only load the store.
 _LEASE_TTL_S = 12.0
 _RENEW_INTERVAL_S = 4.0
+# By then a node that starts has heard the status of those that started with it.
+_FIRST_REPORTS_S = 1.5
 
 
 class Membership:
@@ -99,6 +101,7 @@
         self._connections: set[ClientConnection] = set()
         self._lease = 0
         self._has_left = False
+        self._has_listed = False
 
     async def start(self) -> None:
         """Open the ports for the other nodes."""
@@ -139,6 +142,9 @@
         self._peers.clear_announcements()
         for item in found:
             self.apply_write(item)
+        if not self._has_listed:
+            self._has_listed = True
+            self._expect_reports()
 
     def apply_write(self, item: StoredItem) -> None:
         """Add an announcement."""
@@ -160,6 +166,15 @@
         self._peers.remove_announcement(gone.key.removeprefix(PREFIX))
         self._update_peers()
 
+    def _expect_reports(self) -> None:
+        """Assume load of the announced nodes until they have reported theirs."""
+        self._state.load_tracker.expected_peers = self._state.peer_count
+        self._loop.call_later(_FIRST_REPORTS_S, self._end_expectation)
+
+    def _end_expectation(self) -> None:
+        self._state.load_tracker.expected_peers = 0
+        self._state.notify_listeners()
+
     def _receives_from_store(self) -> bool:
         """Return whether this node receives changes from the store itself."""
         return (
--- a/samphirerill/tests/test_stream_distribution.py
+++ b/samphirerill/tests/test_stream_distribution.py
@@ -4,11 +4,20 @@
 
 from collections import Counter
 from dataclasses import replace
+from random import Random
 from typing import TYPE_CHECKING
 from unittest import TestCase
 
-from samphirerill.fleet.load import LoadTracker, list_replica_ids
-from samphirerill.fleet.paths import PathRequest, choose_path
+from samphirerill.fleet.load import (
+    LoadTracker,
+    ReplicaLoad,
+    list_replica_ids,
+)
+from samphirerill.fleet.paths import (
+    PathRequest,
+    choose_path,
+    count_token_capacity,
+)
 from samphirerill.fleet.policy import Policy
 from samphirerill.fleet.stream_rerouting import predict_reroute_pause_ms
 from samphirerill.tests.fleet_builders import (
@@ -26,6 +35,8 @@
 _STREAM_COUNT = 45
 _MIN_SAVED_MS = 20
 _START_S = 0.0
+_NODES = 24
+_STREAMS_PER_NODE = 4
 
 
 def _build_pipeline(data_centre: str) -> list[Replica]:
@@ -108,6 +119,44 @@
         )
         self.assertEqual(list_replica_ids(stages), ('far', 'far-too'))
 
+    def test_nodes_that_start_together_do_not_choose_the_same_path(
+        self,
+    ) -> None:
+        """Guard against a crowd at one replica after a restart of all nodes.
+
+        None of them knows yet what the others have sent.
+        """
+        totals: Counter[str] = Counter()
+        for node in range(_NODES):
+            load_tracker = LoadTracker()
+            load_tracker.expected_peers = _NODES - 1
+            jitter = Random(node)
+            for _ in range(_STREAMS_PER_NODE):
+                request = PathRequest(
+                    _TOKENS, data_centre='abc'[node % 3], jitter=jitter
+                )
+                stages = choose_path(
+                    _ENGINE, self.known, load_tracker, request, _START_S
+                )
+                names = list_replica_ids(stages)
+                load_tracker.add_request(names, _TOKENS)
+                totals.update(names)
+        capacity = min(
+            count_token_capacity(_ENGINE, found, found.replica.held)
+            for found in self.known
+        )
+        self.assertLess(max(totals.values()), capacity / _TOKENS)
+
+    def test_reports_replace_what_is_assumed_of_others(self) -> None:
+        load_tracker = LoadTracker()
+        load_tracker.expected_peers = 2
+        load_tracker.add_request(['one'], _TOKENS)
+        counts = [load_tracker.count_requests('one')]
+        for name in ('n1', 'n2'):
+            load_tracker.update_peer(name, {'one': ReplicaLoad(5)}, _START_S)
+            counts.append(load_tracker.count_requests('one'))
+        self.assertEqual(counts, [3, 7, 11])
+
     def find_max_streams(self, load_tracker: LoadTracker) -> int:
         """Return how many streams the busiest replica has."""
         return max(
