--- a/samphirerill/relay/health/probe_runner.py
+++ b/samphirerill/relay/health/probe_runner.py
@@ -104,7 +104,7 @@
         ]
         return self._state.random.sample(others, min(wanted, len(others)))
 
-    def has_witness(self, probe: Probe) -> bool:
+    def is_conclusive(self, probe: Probe) -> bool:
         """Return whether a probe was answered, or another one meanwhile.
 
         A probe that was sent earlier, or answered later, says nothing about the
--- a/samphirerill/relay/health/prober.py
+++ b/samphirerill/relay/health/prober.py
@@ -101,7 +101,7 @@
             # Probing known failures again would delay each stalled stream.
             return Diagnosis(dead)
         probes = await self._probe_with_controls(replicas)
-        await self._repeat_without_witness(replicas, probes)
+        await self._repeat_inconclusive(replicas, probes)
         diagnosis = Diagnosis(await self._evaluate(replicas, probes))
         for probe in probes:
             if probe.report is not None:
@@ -123,7 +123,7 @@
             Results from before this moment are not reused.
         """
         probes = await self._runner.probe_all(replicas, since)
-        await self._repeat_without_witness(replicas, probes)
+        await self._repeat_inconclusive(replicas, probes)
         return await self._evaluate(replicas, probes)
 
     def probe_in_background(self, replica: Replica) -> None:
@@ -195,14 +195,14 @@
             unresponsive - find_live_replicas(self._state.streams, since).keys()
         )
 
-    async def _repeat_without_witness(
+    async def _repeat_inconclusive(
         self, replicas: Sequence[Replica], probes: list[Probe]
     ) -> None:
         """Repeat silent probes while which no other probe was answered.
 
         While this node's link is saturated, events of streams still arrive, but
         late, and no probe is answered in time. A probe that is silent again
-        without a witness becomes inconclusive.
+        while no other one is answered proves nothing.
 
         Parameters
         ----------
@@ -214,7 +214,7 @@
         unproven = [
             index
             for index, probe in enumerate(probes)
-            if not self._runner.has_witness(probe)
+            if not self._runner.is_conclusive(probe)
         ]
         wanted = min(_MAX_CONTROLS, _CONTROLS_PER_MISSING * len(unproven))
         names = {replica.replica_id for replica in replicas}
@@ -227,7 +227,7 @@
         )
         for index, probe in zip(unproven, repeated, strict=False):
             probes[index] = probe
-            if not self._runner.has_witness(probe):
+            if not self._runner.is_conclusive(probe):
                 self._state.counters['probes.inconclusive'] += 1
                 self._inconclusive.add(replicas[index].replica_id)
                 probes[index] = replace(probe, verdict=Verdict.INCONCLUSIVE)
