Slow replicas are reported to all nodes

Cause: a node learns that a replica is slow from the report that a probe of its own returns. Each of 67 nodes found that out with streams of its own, and again each 5 s.

Change: a replica that reports to be 1.5 times slower or more, and was not known to be, goes to all nodes in an alarm, with the time for which that is assumed.

Streams that are on a slow replica stay there: their pause is late already.

Test: the sender reports a slow replica once, and the receiver takes it over. It needs the new message, so it could not fail before.

--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -32,6 +32,8 @@
 _REFUSAL_BACKOFF_S = 0.25
 _MAX_BACKOFF_EXPONENT = 4
 _REFUSAL_WINDOW_S = 5.0
+# Replicas that are slower by less are not reported to other nodes.
+MIN_SLOWNESS = 1.5
 # How long a replica's own report of its slowness is valid.
 _SLOWNESS_TTL_S = 5.0
 # Replicas that were withdrawn while draining are kept this much longer than
@@ -68,6 +70,12 @@
     failures: float = 0.0
     latency_s: float = 0.0
 
+    def note_reported_slowness(self, slowness: float, until: float) -> None:
+        """Record what another node knows; the later report wins."""
+        if until > self.slow_until:
+            self.slowness = max(1.0, slowness)
+            self.slow_until = until
+
 
 @dataclass(slots=True)
 class FleetView:
@@ -86,6 +94,8 @@
     current_failure: CorrelatedFailure = field(
         default_factory=CorrelatedFailure
     )
+    # Replicas found to be slow that other nodes were not told of yet.
+    newly_slow: set[str] = field(default_factory=set)
     # Until when each draining replica serves its active streams; includes
     # replicas that are no longer announced.
     leaving_deadlines: dict[str, float] = field(default_factory=dict)
@@ -303,9 +313,13 @@
     ) -> None:
         """Record a replica's own report of its slowness."""
         state = self.replicas.get(replica_id)
-        if state is not None:
-            state.slowness = max(1.0, slowness)
-            state.slow_until = now + _SLOWNESS_TTL_S
+        if state is None:
+            return
+        was_known = state.slow_until > now and state.slowness >= MIN_SLOWNESS
+        state.slowness = max(1.0, slowness)
+        state.slow_until = now + _SLOWNESS_TTL_S
+        if slowness >= MIN_SLOWNESS and not was_known:
+            self.newly_slow.add(replica_id)
 
     def note_alive(self, replica_id: str, at: float | None = None) -> None:
         """Record that a replica has worked, and discard suspicions.
--- a/samphirerill/relay/health/alarms.py
+++ b/samphirerill/relay/health/alarms.py
@@ -44,6 +44,9 @@
 _MAX_AGE_MS = 1000
 # Bounds how long another node's suspicion counts here.
 _MAX_SUSPECTED_MS = 4000
+# Bounds how long another node's report of a slow replica counts here.
+_MAX_SLOW_MS = 5000
+_PERCENT = 100
 # What replicas say of themselves within this goes into one alarm, up to a number.
 _NOTICE_BATCH_S = 0.03
 _MAX_NOTICES = 64
@@ -61,7 +64,8 @@
     answered to how many milliseconds ago. `backoffs` maps replicas that asked
     this node for a back-off to how many more milliseconds it lasts, and to the
     start of their process; `leaving` maps those that said that they are leaving
-    to the latter.
+    to the latter. `slow` maps replicas that report to be slow to their slowness in
+    percent, and to how many more milliseconds that is assumed.
     """
 
     node: str
@@ -72,6 +76,7 @@
     alive: dict[int, int]
     backoffs: dict[int, tuple[int, int]] = {}
     leaving: dict[int, int] = {}
+    slow: dict[int, tuple[int, int]] = {}
 
 
 class Alarms:
@@ -114,6 +119,25 @@
             self._loop.call_soon(self._send_suspected)
         self._suspected.add(replica_id)
 
+    def broadcast_slow(self) -> None:
+        """Report to all nodes the replicas that were newly found to be slow."""
+        view = self._state.view
+        now = self._loop.time()
+        slow = {
+            checksum_name(replica_id): (
+                round(view.replicas[replica_id].slowness * _PERCENT),
+                _to_ms(view.replicas[replica_id].slow_until - now),
+            )
+            for replica_id in view.newly_slow
+            if replica_id in view.replicas
+        }
+        view.newly_slow.clear()
+        if slow and self._datagram_sender is not None:
+            self._state.counters['alarms.sent'] += 1
+            alarm = self._build({}, {})
+            alarm.slow = slow
+            self._datagram_sender.send_to_all(_encode(alarm))
+
     def broadcast_notice(self, replica: Replica) -> None:
         """Report to all nodes what a replica has said about itself."""
         if not self._noticed:
@@ -154,6 +178,13 @@
         self._apply_suspected(alarm)
         self._apply_backoffs(alarm)
         self._apply_leaving(alarm)
+        for name, (percent, left_ms) in self._resolve(alarm.slow):
+            known = self._state.view.replicas.get(name)
+            if known is not None:
+                until = (
+                    self._loop.time() + min(left_ms, _MAX_SLOW_MS) / MS_PER_S
+                )
+                known.note_reported_slowness(percent / _PERCENT, until)
         self._state.notify_listeners()
 
     def _send_suspected(self) -> None:
--- a/samphirerill/relay/health/prober.py
+++ b/samphirerill/relay/health/prober.py
@@ -102,6 +102,7 @@
             # Probing known failures again would delay each stalled stream.
             return Diagnosis(dead)
         probes = await self._probe_with_controls(replicas)
+        self._alarms.broadcast_slow()
         await self._repeat_inconclusive(replicas, probes)
         diagnosis = Diagnosis(await self._evaluate(replicas, probes))
         for probe in probes:
@@ -124,6 +125,7 @@
             Results from before this moment are not reused.
         """
         probes = await self._runner.probe_all(replicas, since)
+        self._alarms.broadcast_slow()
         await self._repeat_inconclusive(replicas, probes)
         return await self._evaluate(replicas, probes)
 
--- a/samphirerill/tests/test_alarms.py
+++ b/samphirerill/tests/test_alarms.py
@@ -88,3 +88,16 @@
         )
         self.node.alarms.handle_datagram(TYPE_PREFIX, '10.0.0.0:7340')
         self.assertFalse(self.deliver(9, alive=1).reports)
+
+    async def test_slow_replicas_are_reported_once(self) -> None:
+        """Guard against each node sending streams to slow replicas to learn it."""
+        view = self.sender.state.view
+        view.apply_announcement(build_replica('one', layers=(0, _LAYERS)), 1)
+        for slowness in (12.0, 12.0, 1.0):
+            view.note_slowness('one', slowness, self.now)
+            self.sender.alarms.broadcast_slow()
+            await asyncio.sleep(0)
+        self.assertEqual(self.sender.state.counters['alarms.sent'], 1)
+        known = self.node.state.view.replicas['one']
+        self.assertEqual(known.slowness, 12.0)
+        self.assertGreater(known.slow_until, self.now)
