Probes that prove nothing are repeated at a bounded rate

Cause: where no replica answers, no probe is conclusive, no replica counts as dead, and each stalled stream went on probing: its own replicas again, three controls for each, and two others beside them, every time.

Change: a node repeats inconclusive probes once in 0.25 s for all its streams; controls go out only beside a probe that is really sent; what proved nothing is probed again only when one of two controls answers.

--- a/samphirerill/relay/health/loss_prober.py
+++ b/samphirerill/relay/health/loss_prober.py
@@ -81,11 +81,7 @@
         while True:
             await asyncio.sleep(_POLL_INTERVAL_S)
             await self._reprobe_dead()
-            await self._probe(
-                name
-                for name in self._prober.take_inconclusive()
-                if name in self._state.view.replicas
-            )
+            await self._prober.probe_inconclusive()
 
     async def probe_unconfirmed(self, replicas: Iterable[Replica]) -> set[str]:
         """Probe replicas that are not known to work since the loss began.
--- a/samphirerill/relay/health/probe_runner.py
+++ b/samphirerill/relay/health/probe_runner.py
@@ -85,6 +85,14 @@
             if probe.at >= since and probe.verdict is not Verdict.UNRESPONSIVE
         }
 
+    def needs_probe(self, replica: Replica) -> bool:
+        """Return whether no probe of a replica is running or still valid."""
+        replica_id = replica.replica_id
+        since = self._loop.time() - RESULT_TTL_S
+        return replica_id not in self._running and not self.was_probed_since(
+            replica_id, since
+        )
+
     def was_probed_since(self, replica_id: str, since: float) -> bool:
         """Return whether a probe of a replica has ended since a moment."""
         latest = self._latest.get(replica_id)
--- a/samphirerill/relay/health/prober.py
+++ b/samphirerill/relay/health/prober.py
@@ -48,6 +48,11 @@
 # cases, three in one of 250.
 _CONTROLS_PER_MISSING = 3
 _MAX_CONTROLS = 12
+_MIN_CONTROLS = 2
+# Interval at which this node repeats inconclusive probes. Streams stall together
+# while its link is saturated or the replicas are overloaded, and each would repeat
+# them otherwise.
+_REPEAT_INTERVAL_S = 0.25
 # Fewer probes than this at once are accompanied by control probes, so that a
 # missing answer can be judged without another round.
 _MIN_CONCURRENT_PROBES = 3
@@ -82,6 +87,7 @@
         self._loop = asyncio.get_running_loop()
         self._runner = ProbeRunner(state)
         self._inconclusive: set[str] = set()
+        self._next_repeat_at = float('-inf')
         self._background_probes: set[asyncio.Task[set[str]]] = set()
 
     async def diagnose_path(self, stages: tuple[Stage, ...]) -> Diagnosis:
@@ -142,11 +148,24 @@
         self._background_probes.add(task)
         task.add_done_callback(self._background_probes.discard)
 
-    def take_inconclusive(self) -> set[str]:
-        """Return the replicas whose last probes proved nothing, once."""
-        names = self._inconclusive
-        self._inconclusive = set()
-        return names
+    async def probe_inconclusive(self) -> None:
+        """Probe again what proved nothing, once any replica answers."""
+        if not self._inconclusive:
+            return
+        controls = self._runner.choose_controls((), _MIN_CONTROLS)
+        answers = await self._runner.probe_all(controls)
+        if answers and all(
+            probe.verdict is Verdict.UNRESPONSIVE for probe in answers
+        ):
+            return
+        view = self._state.view
+        replicas = [
+            view.replicas[name].replica
+            for name in self._inconclusive
+            if name in view.replicas
+        ]
+        self._inconclusive.clear()
+        await self.probe_replicas(replicas)
 
     def find_alive(self, since: float) -> dict[str, float]:
         """Return the replicas known to work since a moment, and when."""
@@ -165,7 +184,7 @@
     ) -> list[Probe]:
         """Probe replicas, and others at the same time if they are few."""
         missing = _MIN_CONCURRENT_PROBES - len(replicas)
-        if replicas and missing > 0:
+        if missing > 0 and any(map(self._runner.needs_probe, replicas)):
             probed = {replica.replica_id for replica in replicas}
             for control in self._runner.choose_controls(probed, missing):
                 self._runner.start(control)
@@ -224,16 +243,23 @@
         controls = self._runner.choose_controls(names, wanted)
         if not controls:
             return
-        suspects = [replicas[index] for index in unproven]
-        repeated = await self._runner.probe_all(
-            [*suspects, *controls], self._loop.time()
-        )
-        for index, probe in zip(unproven, repeated, strict=False):
-            probes[index] = probe
-            if not self._runner.is_conclusive(probe):
-                self._state.counters['probes.inconclusive'] += 1
-                self._inconclusive.add(replicas[index].replica_id)
-                probes[index] = replace(probe, verdict=Verdict.INCONCLUSIVE)
+        now = self._loop.time()
+        if now >= self._next_repeat_at:
+            self._next_repeat_at = now + _REPEAT_INTERVAL_S
+            suspects = [replicas[index] for index in unproven]
+            repeated = await self._runner.probe_all([*suspects, *controls], now)
+            for index, probe in zip(unproven, repeated, strict=False):
+                probes[index] = probe
+        for index in unproven:
+            if not self._runner.is_conclusive(probes[index]):
+                self._note_inconclusive(replicas[index], probes, index)
+
+    def _note_inconclusive(
+        self, replica: Replica, probes: list[Probe], index: int
+    ) -> None:
+        self._state.counters['probes.inconclusive'] += 1
+        self._inconclusive.add(replica.replica_id)
+        probes[index] = replace(probes[index], verdict=Verdict.INCONCLUSIVE)
 
     async def _is_local_fault(
         self, unresponsive: set[str], probes: dict[str, Probe]
--- a/samphirerill/tests/test_losses.py
+++ b/samphirerill/tests/test_losses.py
@@ -33,6 +33,10 @@
 _LOST_REPLICAS = 9
 # A large configuration takes this long over a link of 10 Mbit/s.
 _SATURATED_S = 0.37
+_STORM_S = 1.0
+_STALLED_STREAMS = 200
+# Each of 29 replicas four times in each 0.2 s, and a few controls.
+_MAX_STORM_PROBES = 29 * 4 * 5 + 40
 _LAYERS = 80
 
 
@@ -309,6 +313,10 @@
         """Guard against two such nodes that confirm each other's findings."""
         run_with_virtual_time(self._check(0.02))
 
+    def test_many_stalled_streams_share_probes(self) -> None:
+        """Guard against a storm of probes while no replica answers."""
+        run_with_virtual_time(self._check_probe_count())
+
     def check_no_false_death(self, fleet: _Fleet) -> None:
         """Assert that no node takes a living replica for dead."""
         now = asyncio.get_running_loop().time()
@@ -345,6 +353,27 @@
                 stall.cancel()
         fleet.stop()
 
+    async def _check_probe_count(self) -> None:
+        fleet = _Fleet(3, 29)
+        node = fleet.nodes[0]
+        now = asyncio.get_running_loop().time()
+        fleet.link_free_at[node.name] = now + _STORM_S
+        with patch(
+            'samphirerill.relay.health.probe_retries.probe_once',
+            fleet.probe_once,
+        ):
+            stalls = [
+                asyncio.create_task(
+                    self._keep_stalling(fleet, node, [f'r{number % 29}'])
+                )
+                for number in range(_STALLED_STREAMS)
+            ]
+            await asyncio.sleep(_STORM_S)
+            for stall in stalls:
+                stall.cancel()
+        self.assertLess(fleet.probe_count, _MAX_STORM_PROBES)
+        fleet.stop()
+
     async def _keep_stalling(
         self, fleet: _Fleet, node: Node, path: list[str]
     ) -> None:
