Log which request limits replicas name, and count changes

What callers saw: nothing. The logs could not tell whether nodes fail to read Server-Limit, or each obeys it by itself: what replicas name was in no log line. Each change of what a node knows of a limit is now one log line with value, source and age, and counted; invalid values are logged once. The latest request that was answered decides, so that late responses do not bring a limit back; a restarted replica has named nothing. No request is routed otherwise by it.

--- a/samphirerill/fleet/replica_notices.py
+++ b/samphirerill/fleet/replica_notices.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import Replica
+    from samphirerill.fleet.request_limits import RequestLimit
     from samphirerill.fleet.view import FleetView, ReplicaState
 
 # Longer back-offs are shortened to this; the replica can ask again.
@@ -35,11 +36,14 @@
         Until when it wants no requests from this node.
     leaving_deadline : float
         Until when it serves its active streams, if it is leaving; else 0.
+    limit : RequestLimit, optional
+        The request rate that it names, or named last.
     """
 
     replica: Replica
     backoff_until: float = 0.0
     leaving_deadline: float = 0.0
+    limit: RequestLimit | None = None
 
     def is_in_force(self, now: float) -> bool:
         """Return whether the notice still matters.
@@ -49,6 +53,8 @@
         """
         if self.backoff_until > now:
             return True
+        if self.limit is not None and self.limit.lapses_at > now:
+            return True
         if not self.leaving_deadline or self.replica.started_ms:
             return self.leaving_deadline > 0
         return self.leaving_deadline + _UNKNOWN_START_RETENTION_S > now
@@ -100,6 +106,11 @@
         notice = self.find(replica)
         return 0.0 if notice is None else notice.leaving_deadline
 
+    def find_limit(self, replica: Replica) -> RequestLimit | None:
+        """Return what a replica has said about its limit; none for nothing."""
+        notice = self.find(replica)
+        return None if notice is None else notice.limit
+
     def list_in_force(self, now: float) -> list[ReplicaNotice]:
         """Return the notices that are in force."""
         return [
@@ -115,6 +126,10 @@
         notice.backoff_until = max(notice.backoff_until, until)
         self.last_backoff_end = max(self.last_backoff_end, until)
 
+    def record_limit(self, replica: Replica, limit: RequestLimit) -> None:
+        """Record what a replica has said about its limit."""
+        self._ensure(replica).limit = limit
+
     def mark_leaving(self, replica: Replica, deadline: float) -> None:
         """Record that a replica is leaving; the first deadline is kept."""
         notice = self._ensure(replica)
--- /dev/null
+++ b/samphirerill/fleet/request_limits.py
@@ -0,0 +1,120 @@
+"""Request rates that replicas in need have named.
+
+A replica names in its responses how many requests a second it takes from all
+nodes together, for as long as that holds. The latest word of its process counts,
+whichever node received it.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from samphirerill.fleet.model import Replica
+    from samphirerill.fleet.view import FleetView
+
+# A limit that no response has confirmed for so long no longer counts.
+LAPSE_S = 60.0
+# Smaller differences are rounding in messages between nodes.
+_MIN_CHANGE = 1e-6
+
+
+class LimitChange(enum.Enum):
+    """How a response changes what is known; values are used in the log."""
+
+    NAMED = 'named'
+    CHANGED = 'changed'
+    DROPPED = 'no longer named'
+
+
+@dataclass(slots=True)
+class RequestLimit:
+    """The request rate that one process of a replica has named.
+
+    Attributes
+    ----------
+    rate_per_s : float, optional
+        Requests a second from all nodes together; none once it is no longer
+        named. Kept then, so that an older response does not restore it.
+    said_at : float
+        When the request was sent whose response this is.
+    lapses_at : float
+        When it no longer counts unless it is confirmed.
+    source : str
+        The node that received the response; empty for this one.
+    """
+
+    rate_per_s: float | None
+    said_at: float
+    lapses_at: float
+    source: str = ''
+
+    def is_in_force(self, now: float) -> bool:
+        """Return whether the replica limits requests."""
+        return self.rate_per_s is not None and self.lapses_at > now
+
+
+def note_limit(
+    view: FleetView,
+    replica: Replica,
+    rate_per_s: float | None,
+    said_at: float,
+    now: float,
+    source: str = '',
+) -> LimitChange | None:
+    """Record what a response says about the limit; return what it changes.
+
+    A response to an earlier request than the one that counts is ignored, as is
+    one of an earlier process.
+
+    Parameters
+    ----------
+    view : FleetView
+        The fleet.
+    replica : Replica
+        The replica that responded.
+    rate_per_s : float, optional
+        The rate that it names, if it names one.
+    said_at : float
+        When the request was sent, on the loop's clock.
+    now : float
+        On the loop's clock.
+    source : str
+        The node that received the response; empty for this one.
+    """
+    state = view.replicas.get(replica.replica_id)
+    if state is not None and state.replica.is_different_process(
+        replica.started_ms
+    ):
+        return None
+    known = view.notices.find_limit(replica)
+    if known is None and rate_per_s is None:
+        return None
+    if known is None:
+        known = RequestLimit(None, said_at, now + LAPSE_S)
+        view.notices.record_limit(replica, known)
+        if state is not None:
+            state.limit = known
+    if said_at < known.said_at:
+        return None
+    change = _find_change(known, rate_per_s, now)
+    known.rate_per_s = rate_per_s
+    known.said_at = said_at
+    known.lapses_at = now + LAPSE_S
+    known.source = source
+    return change
+
+
+def _find_change(
+    known: RequestLimit, rate_per_s: float | None, now: float
+) -> LimitChange | None:
+    before = known.rate_per_s if known.is_in_force(now) else None
+    if rate_per_s is None:
+        return None if before is None else LimitChange.DROPPED
+    if before is None:
+        return LimitChange.NAMED
+    if abs(before - rate_per_s) <= _MIN_CHANGE * max(1, before):
+        return None
+    return LimitChange.CHANGED
--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -23,6 +23,7 @@
     from collections.abc import Iterable
 
     from samphirerill.fleet.model import Replica
+    from samphirerill.fleet.request_limits import RequestLimit
 
 # After an outage of the store, replicas rewrite their expired entries within 2
 # s of its return; the rest covers the propagation of these changes.
@@ -52,7 +53,7 @@
     preferred until `reported_backoff_until` if it asked another node. Its
     missing announcement may still return until `lapsed_until`. `slowness` above 1
     multiplies its predicted times. Streams may use layers that it is to release
-    until `release_until`.
+    until `release_until`. `limit` is what it has said about its request rate.
     """
 
     replica: Replica
@@ -69,6 +70,7 @@
     suspicion: Suspicion = field(default_factory=Suspicion)
     failures: float = 0.0
     latency_s: float = 0.0
+    limit: RequestLimit | None = None
 
     def note_reported_slowness(self, slowness: float, until: float) -> None:
         """Record what another node knows; the later report wins."""
@@ -141,6 +143,7 @@
             state.requested_backoff_until = self.notices.get_backoff_end(
                 replica
             )
+            state.limit = self.notices.find_limit(replica)
             state.revision = revision
             state.lapsed_until = 0.0
         _update_leaving(self, replica, leaving_deadline, is_new=is_new)
@@ -413,6 +416,7 @@
             replica,
             revision,
             requested_backoff_until=self.notices.get_backoff_end(replica),
+            limit=self.notices.find_limit(replica),
         )
         self.membership_version += 1
 
--- a/samphirerill/platform/http_adapter.py
+++ b/samphirerill/platform/http_adapter.py
@@ -8,6 +8,7 @@
 
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.platform import announcements, documents, wire_names
+from samphirerill.platform.request_limit import parse_request_limit
 from samphirerill.platform.retry_after import parse_retry_after
 from samphirerill.relay.platform_adapter import (
     RequestMetadata,
@@ -134,6 +135,7 @@
         encoding = (head.get(b'content-encoding') or b'identity').lower()
         is_other_replica = head.status == _MISDIRECTED
         retry_after = head.get(b'retry-after')
+        request_limit = head.get(wire_names.REQUEST_LIMIT)
         return ResponseMetadata(
             request_id=head.get(wire_names.REQUEST_ID) or b'',
             is_signed=bool(head.get(wire_names.RESPONSE_SIGNATURE)),
@@ -150,6 +152,9 @@
             retry_after=None
             if retry_after is None
             else parse_retry_after(retry_after, head.get(b'date') or b''),
+            request_limit=None
+            if request_limit is None
+            else parse_request_limit(request_limit),
         )
 
     def decode_configuration(self, text: bytes) -> FleetConfiguration:
--- a/samphirerill/platform/wire_names.py
+++ b/samphirerill/platform/wire_names.py
@@ -22,6 +22,8 @@
 FAILED_REPLICA = b'at-server'
 # "1" in every response of a replica that is leaving.
 LEAVING = b'server-leaving'
+# Requests a second that a replica takes from all nodes together.
+REQUEST_LIMIT = b'server-limit'
 RESUME_AFTER = b'last-event-id'
 READY_PATH = '/ready'
 STATUS_PATH = '/report'
--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -88,6 +88,8 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.requests_sent = 0
+        # When the last request was sent, on the loop's clock.
+        self.sent_at = 0.0
         self.idle_until = 0.0
         self.is_reusable = True
         # Called once, when the connection has ended on this side.
@@ -125,6 +127,7 @@
     def send(self, request: bytes) -> None:
         """Send a complete request; its response is read with ``read``."""
         self.requests_sent += 1
+        self.sent_at = asyncio.get_running_loop().time()
         self._awaits_response = True
         self._is_head_request = request.startswith(b'HEAD ')
         if self.is_open():
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -254,7 +254,7 @@
             conn, self._state.adapter, self._context.facts.request_id, deadline
         )
         self._state.response_notices.handle(
-            endpoint.replica, head.status, facts
+            endpoint.replica, head.status, facts, conn.sent_at
         )
         body = await read_body(conn, deadline)
         if facts.is_not_run and not is_success(head.status):
--- a/samphirerill/relay/platform_adapter.py
+++ b/samphirerill/relay/platform_adapter.py
@@ -94,6 +94,18 @@
     delay_s: float | None
 
 
+@dataclass(slots=True, frozen=True)
+class NamedLimit:
+    """The limit that a response names: `text` as received, maybe shortened.
+
+    `rate_per_s` is how many requests a second the endpoint takes from all nodes
+    together; none if the value is invalid.
+    """
+
+    text: str
+    rate_per_s: float | None
+
+
 @dataclass(slots=True)
 class ResponseMetadata:
     """Metadata in the headers of an endpoint's response.
@@ -118,6 +130,8 @@
         Whether it says that it is leaving.
     retry_after : RetryAfter, optional
         The time for which it wants no requests, if it named one.
+    request_limit : NamedLimit, optional
+        The request rate that it takes, if it named one.
     """
 
     request_id: bytes = b''
@@ -128,6 +142,7 @@
     replica_id: str = ''
     is_leaving: bool = False
     retry_after: RetryAfter | None = None
+    request_limit: NamedLimit | None = None
 
 
 @dataclass(slots=True)
--- a/samphirerill/relay/response_notices.py
+++ b/samphirerill/relay/response_notices.py
@@ -19,6 +19,7 @@
     note_requested_backoff,
 )
 from samphirerill.node.logs import get_logger
+from samphirerill.relay.limit_notices import LimitNotices
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -78,27 +79,54 @@
     ----------
     state : NoticeContext
         Holds the view of the fleet.
+
+    Attributes
+    ----------
+    limits : LimitNotices
+        Records the request rates that they name.
     """
 
-    __slots__ = ('_broadcast', '_logged_values', '_state', '_wake_timers')
+    __slots__ = (
+        '_broadcast',
+        '_logged_values',
+        '_state',
+        '_wake_timers',
+        'limits',
+    )
 
     def __init__(self, state: NoticeContext) -> None:
         self._state = state
         self._logged_values: set[tuple[str, str]] = set()
         self._broadcast: Callable[[Replica], None] | None = None
         self._wake_timers: dict[str, asyncio.TimerHandle] = {}
+        self.limits = LimitNotices(state)
 
     def bind(self, broadcast: Callable[[Replica], None]) -> None:
         """Tell the other nodes what replicas say by this from now on."""
         self._broadcast = broadcast
 
     def handle(
-        self, replica: Replica, status: int, metadata: ResponseMetadata
+        self,
+        replica: Replica,
+        status: int,
+        metadata: ResponseMetadata,
+        sent_at: float | None = None,
     ) -> None:
         """Handle a response to a request that was sent to a replica.
 
-        A response that names another replica, or has status 421, comes from another process at the
-        same address and says nothing about this one.
+        A response that names another replica, or has status 421, comes from
+        another process at the same address and says nothing about this one.
+
+        Parameters
+        ----------
+        replica : Replica
+            The replica that the request was sent to.
+        status : int
+            The HTTP status.
+        metadata : ResponseMetadata
+            What the headers say.
+        sent_at : float, optional
+            When the request was sent, on the loop's clock; by default now.
         """
         if (
             status == HTTPStatus.MISDIRECTED_REQUEST
@@ -109,6 +137,9 @@
             self._mark_leaving(replica, status)
         if metadata.retry_after is not None and status in _BACKOFF_STATUSES:
             self._handle_retry_after(replica, metadata.retry_after)
+        if sent_at is None:
+            sent_at = asyncio.get_running_loop().time()
+        self.limits.handle(replica, metadata.request_limit, sent_at)
 
     def describe(self) -> list[dict[str, object]]:
         """Return the replicas that get no new work, for operators."""
@@ -125,7 +156,10 @@
             }
             for notice in view.notices.list_in_force(now)
             if notice.backoff_until > now
-            or notice.replica.replica_id in view.replicas
+            or (
+                notice.leaving_deadline
+                and notice.replica.replica_id in view.replicas
+            )
         ]
 
     def _mark_leaving(self, replica: Replica, status: int) -> None:
--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -314,7 +314,9 @@
         head, metadata = await read_head(
             conn, self._state.adapter, self._context.facts.request_id, deadline
         )
-        self._state.response_notices.handle(replica, head.status, metadata)
+        self._state.response_notices.handle(
+            replica, head.status, metadata, conn.sent_at
+        )
         return head, metadata
 
     def _may_still_send(self, stages: tuple[Stage, ...]) -> bool:
--- a/samphirerill/testing/platform_replicas.py
+++ b/samphirerill/testing/platform_replicas.py
@@ -156,14 +156,7 @@
             self.in_progress.remove(request_id)
 
     async def _serve(self, req: Request, conn: ClientConnection) -> None:
-        headers = [
-            (
-                b'X-Samphirerill-Request-Id',
-                req.get(b'x-samphirerill-request-id') or b'',
-            ),
-        ]
-        if self.reports_leaving:
-            headers.append((b'Server-Leaving', b'1'))
+        headers = self._build_headers(req)
         if self.resets_left:
             self.resets_left -= 1
             conn.abort()
@@ -184,6 +177,18 @@
         else:
             await self._stream(req, conn, headers)
 
+    def _build_headers(self, req: Request) -> Headers:
+        """Return the headers of each response."""
+        headers = [
+            (
+                b'X-Samphirerill-Request-Id',
+                req.get(b'x-samphirerill-request-id') or b'',
+            ),
+        ]
+        if self.reports_leaving:
+            headers.append((b'Server-Leaving', b'1'))
+        return headers
+
     def _refuses_next(self) -> bool:
         served_limit = self.refusal.after_requests
         is_limit_reached = 0 < served_limit < len(self.received_requests)
