Keep the request rate that a replica names over all nodes

What callers saw: a replica in need got up to three times what it had named for all nodes together. Change: the latest word of a replica's process counts and is broadcast at once. A request needs a permit; one node of the replica's data centre grants them in turn to the nodes that have requests, at the rate named. Permits last half a second and count as used once granted; a new granter starts empty. Without an answer, a node uses its even part of half the rate. First sends, retries, resumed, parallel and rerouted streams and plain requests take one. Requests wait for room if it comes in time, else they are refused at once with the time of the next permit.

--- a/samphirerill/fleet/endpoints.py
+++ b/samphirerill/fleet/endpoints.py
@@ -34,13 +34,15 @@
     """Return the best endpoint not yet tried, or ``None``.
 
     Endpoints suspected dead are chosen only if no other is left, those that
-    asked for a back-off never, those that asked another node for one only if
-    the others are suspected. `may_call` returns whether an endpoint, given by id, would accept a call now.
+    asked for a back-off or limit requests and have no room never, those that
+    asked another node for a back-off only if the others are suspected.
+    `may_call` returns whether an endpoint, given by id, would accept a call now.
     """
     candidates = [
         state
         for state in view.list_service(service)
         if state.requested_backoff_until <= now
+        and state.has_room(now)
         and state.replica.replica_id not in tried
         and may_call(state.replica.replica_id)
     ]
@@ -56,12 +58,13 @@
 def find_backoff_end(
     view: FleetView, service: str, tried: Collection[str], now: float
 ) -> float:
-    """Return when the first requested back-off ends; 0 if none has to end.
+    """Return when the first endpoint wants requests; 0 if none has to be awaited.
 
-    The latter is the case if there is no endpoint, or one that has not asked.
+    The latter is the case if there is no endpoint, or one that neither asked
+    for a back-off nor lacks room.
     """
     ends = [
-        state.requested_backoff_until
+        state.predict_available(now)
         for state in view.list_service(service)
         if state.replica.replica_id not in tried
     ]
--- a/samphirerill/fleet/explain.py
+++ b/samphirerill/fleet/explain.py
@@ -38,6 +38,19 @@
     return f'{len(backing_off)} replicas asked for a back-off: {named}'
 
 
+def describe_limits(states: Sequence[ReplicaState], now: float) -> str:
+    """Return which replicas limit requests and have no room; empty if none."""
+    full = [state for state in states if not state.has_room(now)]
+    if not full:
+        return ''
+    named = ', '.join(
+        f'{state.replica.replica_id} to {state.limit.rate_per_s:g}/s'
+        for state in full[:_MAX_NAMED]
+        if state.limit is not None
+    )
+    return f'{len(full)} replicas limit requests and have no room: {named}'
+
+
 def explain_no_path(
     engine: EngineSpec,
     usable: Sequence[ReplicaState],
--- a/samphirerill/fleet/outage.py
+++ b/samphirerill/fleet/outage.py
@@ -68,32 +68,56 @@
 
 
 def find_coverage_time(
-    engine: EngineSpec, states: Sequence[ReplicaState], now: float
+    engine: EngineSpec,
+    states: Sequence[ReplicaState],
+    now: float,
+    ahead: int = 0,
 ) -> float:
-    """Return when replicas that back off on request let all layers be covered.
+    """Return when the replicas that want a request cover all layers.
+
+    Parameters
+    ----------
+    engine : EngineSpec
+        The engine of the service.
+    states : sequence of ReplicaState
+        Its replicas; some back off on request or limit requests.
+    now : float
+        On the loop's clock.
+    ahead : int
+        How many requests come before this one; replicas that limit requests
+        share them.
 
     Returns
     -------
     float
-        `now` if no back-off has to end first; infinity if even all of the
-        replicas together lack some layers.
+        `now` if nothing has to be awaited; infinity if even all of the replicas
+        together lack some layers.
     """
-    ends = sorted(
-        {now, *(max(now, state.requested_backoff_until) for state in states)}
-    )
+    limited = [
+        state
+        for state in states
+        if state.limit is not None and state.limit.is_in_force(now)
+    ]
+    share = ahead / max(1, len(limited))
+    available = [
+        (max(now, state.predict_available(now, share)), state)
+        for state in states
+    ]
+    ends = sorted({now, *(at for at, _ in available)})
     # Replicas only return as time goes on, so that layers stay covered.
     first = bisect_left(
-        ends, True, key=lambda end: _is_covered(engine, states, end)
+        ends,
+        True,
+        key=lambda end: _is_covered(
+            engine, [state for at, state in available if at <= end]
+        ),
     )
     return ends[first] if first < len(ends) else float('inf')
 
 
-def _is_covered(
-    engine: EngineSpec, states: Sequence[ReplicaState], at: float
-) -> bool:
-    """Return whether replicas whose back-off has ended hold all layers."""
-    present = [state for state in states if state.requested_backoff_until <= at]
-    return find_gap(engine, list_ranges(present)) is None
+def _is_covered(engine: EngineSpec, states: Sequence[ReplicaState]) -> bool:
+    """Return whether replicas hold all layers."""
+    return find_gap(engine, list_ranges(states)) is None
 
 
 def list_ranges(states: Iterable[ReplicaState]) -> list[LayerRange]:
--- a/samphirerill/fleet/replica_notices.py
+++ b/samphirerill/fleet/replica_notices.py
@@ -74,17 +74,17 @@
 
     Attributes
     ----------
-    backoff_count : int
-        How many back-offs have begun or were extended.
-    last_backoff_end : float
+    obstacle_count : int
+        How many back-offs and limits have begun or lasted longer than expected.
+    last_obstacle_end : float
         When the last of them ends.
     """
 
-    __slots__ = ('_notices', 'backoff_count', 'last_backoff_end')
+    __slots__ = ('_notices', 'obstacle_count', 'last_obstacle_end')
 
     def __init__(self) -> None:
-        self.backoff_count = 0
-        self.last_backoff_end = 0.0
+        self.obstacle_count = 0
+        self.last_obstacle_end = 0.0
         self._notices: dict[str, ReplicaNotice] = {}
 
     def __len__(self) -> int:
@@ -122,9 +122,14 @@
     def extend_backoff(self, replica: Replica, until: float) -> None:
         """Record until when a replica wants no requests; never shortens it."""
         notice = self._ensure(replica)
-        self.backoff_count += until > notice.backoff_until + _MIN_EXTENSION_S
+        if until > notice.backoff_until + _MIN_EXTENSION_S:
+            self.note_obstacle(until)
         notice.backoff_until = max(notice.backoff_until, until)
-        self.last_backoff_end = max(self.last_backoff_end, until)
+
+    def note_obstacle(self, until: float) -> None:
+        """Record that some replica wants no requests, or fewer, for a while."""
+        self.obstacle_count += 1
+        self.last_obstacle_end = max(self.last_obstacle_end, until)
 
     def record_limit(self, replica: Replica, limit: RequestLimit) -> None:
         """Record what a replica has said about its limit."""
--- a/samphirerill/fleet/request_limits.py
+++ b/samphirerill/fleet/request_limits.py
@@ -8,15 +8,19 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from samphirerill.fleet.permits import Permits
+
 if TYPE_CHECKING:
     from samphirerill.fleet.model import Replica
     from samphirerill.fleet.view import FleetView
 
 # A limit that no response has confirmed for so long no longer counts.
 LAPSE_S = 60.0
+# A replica that names a lower rate is still asked this often whether that holds.
+_MIN_RATE_PER_S = 0.2
 # Smaller differences are rounding in messages between nodes.
 _MIN_CHANGE = 1e-6
 
@@ -44,17 +48,38 @@
         When it no longer counts unless it is confirmed.
     source : str
         The node that received the response; empty for this one.
+    permits : Permits
+        What this node may send.
+    withheld : int
+        How many requests of this node found no permit.
     """
 
     rate_per_s: float | None
     said_at: float
     lapses_at: float
     source: str = ''
+    permits: Permits = field(default_factory=Permits)
+    withheld: int = 0
+
+    @property
+    def permitted_per_s(self) -> float:
+        """Return how many permits a second all nodes together may use."""
+        return max(_MIN_RATE_PER_S, self.rate_per_s or 0)
 
     def is_in_force(self, now: float) -> bool:
         """Return whether the replica limits requests."""
         return self.rate_per_s is not None and self.lapses_at > now
 
+    def has_room(self, now: float) -> bool:
+        """Return whether this node may send a request now."""
+        return not self.is_in_force(now) or self.permits.count(now) > 0
+
+    def predict_room(self, now: float, ahead: float = 0) -> float:
+        """Return when this node may send a request that `ahead` others precede."""
+        if not self.is_in_force(now):
+            return now
+        return self.permits.predict(now, ahead)
+
 
 def note_limit(
     view: FleetView,
@@ -104,6 +129,8 @@
     known.said_at = said_at
     known.lapses_at = now + LAPSE_S
     known.source = source
+    if change is not None:
+        view.notices.note_obstacle(known.lapses_at)
     return change
 
 
--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -72,6 +72,21 @@
     latency_s: float = 0.0
     limit: RequestLimit | None = None
 
+    def has_room(self, now: float) -> bool:
+        """Return whether its request limit lets this node send one more."""
+        return self.limit is None or self.limit.has_room(now)
+
+    def predict_available(self, now: float, ahead: float = 0) -> float:
+        """Return when it wants a request that `ahead` others precede.
+
+        It is `now` or earlier if it wants one at once.
+        """
+        if self.limit is None:
+            return self.requested_backoff_until
+        return max(
+            self.requested_backoff_until, self.limit.predict_room(now, ahead)
+        )
+
     def note_reported_slowness(self, slowness: float, until: float) -> None:
         """Record what another node knows; the later report wins."""
         if until > self.slow_until:
@@ -381,6 +396,7 @@
             for state in self.list_live(service, now)
             if state.backoff_until <= now
             and state.requested_backoff_until <= now
+            and state.has_room(now)
         ]
 
     def find_by_address(self, address: str) -> ReplicaState | None:
--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -12,7 +12,11 @@
 from itertools import pairwise
 from typing import TYPE_CHECKING
 
-from samphirerill.fleet.explain import describe_backoffs, explain_no_path
+from samphirerill.fleet.explain import (
+    describe_backoffs,
+    describe_limits,
+    explain_no_path,
+)
 from samphirerill.fleet.load import list_replica_ids
 from samphirerill.fleet.outage import Outage, find_coverage_time
 from samphirerill.fleet.paths import choose_path
@@ -20,6 +24,8 @@
 from samphirerill.fleet.replica_notices import prefer_unreported
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from samphirerill.fleet.model import EngineSpec, Replica, Stage
     from samphirerill.fleet.paths import PathRequest
     from samphirerill.fleet.view import FleetView, ReplicaState
@@ -68,7 +74,7 @@
 
 
 class BackOffError(NoPathError):
-    """Replicas asked for a back-off of `wait_s`, and no others have a path."""
+    """Replicas want no more requests for `wait_s`, and no others have a path."""
 
 
 class AdmissionQueue:
@@ -88,7 +94,7 @@
         self._grant_interval_s = 0.0
         self._last_grant_at = 0.0
         self._is_grant_scheduled = False
-        self._handled_backoffs = 0
+        self._handled_obstacles = 0
         state.add_listener(self._schedule_grants)
 
     def count_waiting(self) -> int:
@@ -139,6 +145,7 @@
         NoPathError
             No path is expected to be free before the deadline.
         """
+        self._state.request_limits.note_arrival(service)
         ahead_count = self.count_ahead(rank)
         if not ahead_count:
             stages = self._reserve_path(service, engine, path_request)
@@ -156,16 +163,30 @@
         self._reject_if_queue_too_long(ahead_count, queued, deadline)
         if not path_request.is_urgent:
             self._reject_during_outage(queued, deadline)
-            error = _find_backoff_error(self._state, queued, self._loop.time())
+            error = _find_backoff_error(
+                self._state, queued, self._loop.time(), ahead_count
+            )
             if error is not None:
                 raise error
         return await self._wait_for_grant(queued, deadline)
 
     def reserve(
-        self, engine: EngineSpec, stages: tuple[Stage, ...], tokens: float
+        self,
+        engine: EngineSpec,
+        stages: tuple[Stage, ...],
+        tokens: float,
+        kept_ids: Collection[str] = (),
     ) -> None:
-        """Reserve capacity on a path that `find_path` returned."""
+        """Reserve capacity and permits on a path that `find_path` returned.
+
+        Replicas in `kept_ids` run the stream already and need no permit.
+        """
         self._state.load_tracker.add_request(list_replica_ids(stages), tokens)
+        self._state.request_limits.take(
+            stage.replica
+            for stage in stages
+            if stage.replica.replica_id not in kept_ids
+        )
         self._record_transfers(engine, stages, tokens)
 
     def release(self, stages: tuple[Stage, ...], tokens: float) -> None:
@@ -202,8 +223,9 @@
     ) -> tuple[Stage, ...]:
         self._queue.append(queued)
         try:
-            async with asyncio.timeout_at(deadline):
-                return await queued.granted
+            with self._state.request_limits.waiting(queued.service):
+                async with asyncio.timeout_at(deadline):
+                    return await queued.granted
         except TimeoutError as exc:
             # After the loop was blocked, a path may be granted just before the
             # timers fire; then `granted` has a result in spite of the timeout.
@@ -293,20 +315,20 @@
                 skipped += 1
 
     def _reject_backed_off(self) -> None:
-        """Reject queued requests whose replicas asked for a longer back-off.
+        """Reject queued requests that back-offs or limits would make too late.
 
         The search is slow with many replicas, so it is repeated only after
-        another replica has asked.
+        another replica has asked or a permit is expected later.
         """
         notices = self._state.view.notices
-        if self._handled_backoffs == notices.backoff_count:
+        if self._handled_obstacles == notices.obstacle_count:
             return
-        self._handled_backoffs = notices.backoff_count
+        self._handled_obstacles = notices.obstacle_count
         now = self._loop.time()
-        for queued in tuple(self._queue):
+        for position, queued in enumerate(tuple(self._queue)):
             if queued.path_request.is_urgent:
                 continue
-            error = _find_backoff_error(self._state, queued, now)
+            error = _find_backoff_error(self._state, queued, now, position)
             if error is not None:
                 self._queue.remove(queued)
                 queued.granted.set_exception(error)
@@ -375,17 +397,20 @@
 
 
 def _find_backoff_error(
-    state: EdgeState, queued: _QueuedRequest, now: float
+    state: EdgeState, queued: _QueuedRequest, now: float, ahead: int
 ) -> BackOffError | None:
-    """Return why a request would wait in vain; none if it may be served."""
-    if state.view.notices.last_backoff_end <= now:
+    """Return why a request would wait in vain; none if it may be served.
+
+    `ahead` is how many requests are served before it.
+    """
+    if state.view.notices.last_obstacle_end <= now:
         return None
     candidates = [
         known
         for known in state.view.list_live(queued.service, now)
         if _is_candidate(known.replica, queued.path_request)
     ]
-    possible_at = find_coverage_time(queued.engine, candidates, now)
+    possible_at = find_coverage_time(queued.engine, candidates, now, ahead)
     is_in_time = possible_at + _FIRST_EVENT_S <= queued.deadline
     if is_in_time or possible_at in {now, float('inf')}:
         return None
@@ -411,4 +436,5 @@
         queued.path_request,
     )
     live = state.view.list_live(queued.service, now)
-    return '; '.join(filter(None, (reason, describe_backoffs(live, now))))
+    obstacles = (describe_backoffs(live, now), describe_limits(live, now))
+    return '; '.join(filter(None, (reason, *obstacles)))
--- a/samphirerill/relay/datagrams.py
+++ b/samphirerill/relay/datagrams.py
@@ -31,6 +31,9 @@
     def list_nodes(self) -> Mapping[str, str]:
         """Return the data centre of each node by name, this one included."""
 
+    def list_live_nodes(self) -> set[str]:
+        """Return the other nodes of this data centre that were heard lately."""
+
 
 class DatagramHandler(Protocol):
     """Sends and receives datagrams that begin with its type prefix."""
--- a/samphirerill/relay/endpoint_finder.py
+++ b/samphirerill/relay/endpoint_finder.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.endpoints import choose_endpoint, find_backoff_end
-from samphirerill.fleet.explain import describe_backoffs
+from samphirerill.fleet.explain import describe_backoffs, describe_limits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -53,17 +53,11 @@
         self._loop = asyncio.get_running_loop()
 
     async def wait_for_endpoint(self) -> ReplicaState | None:
-        """Return an endpoint, waiting for a connection or a back-off's end."""
-        now = self._loop.time()
-        latest = now + min(
-            _MAX_BACKOFF_WAIT_S,
-            _MAX_BACKOFF_WAIT_SHARE * (self._context.deadline - now),
-        )
-        endpoint = await self._wait_for_connection()
-        # An endpoint that is back may ask again before this request is sent.
-        while endpoint is None and await self._wait_for_backoff(latest):
-            endpoint = await self._wait_for_connection()
-        return endpoint
+        """Return an endpoint, waiting for a connection, room or a back-off's end."""
+        limits = self._state.request_limits
+        limits.note_arrival(self._context.service.name)
+        with limits.waiting(self._context.service.name):
+            return await self._wait_for_endpoint()
 
     def has_alternative(self, replica_id: str) -> bool:
         """Return whether an endpoint other than this one may be called now.
@@ -91,9 +85,26 @@
         )
 
     def describe_backoffs(self) -> str:
-        """Return which endpoints back off on request; empty if none does."""
+        """Return which endpoints back off on request or lack room."""
         states = self._state.view.list_service(self._context.service.name)
-        return describe_backoffs(states, self._loop.time())
+        now = self._loop.time()
+        obstacles = (
+            describe_backoffs(states, now),
+            describe_limits(states, now),
+        )
+        return '; '.join(filter(None, obstacles))
+
+    async def _wait_for_endpoint(self) -> ReplicaState | None:
+        now = self._loop.time()
+        latest = now + min(
+            _MAX_BACKOFF_WAIT_S,
+            _MAX_BACKOFF_WAIT_SHARE * (self._context.deadline - now),
+        )
+        endpoint = await self._wait_for_connection()
+        # An endpoint that is back may ask again before this request is sent.
+        while endpoint is None and await self._wait_for_backoff(latest):
+            endpoint = await self._wait_for_connection()
+        return endpoint
 
     async def _wait_for_connection(self) -> ReplicaState | None:
         """Return an endpoint, waiting while all connections are in use."""
--- a/samphirerill/relay/peer_directory.py
+++ b/samphirerill/relay/peer_directory.py
@@ -20,6 +20,11 @@
 # Nodes with an older status cannot be the aggregator.
 _STATUS_MAX_AGE_S = 1.5
 
+# A node counts as heard lately for this long, which grows with the number of
+# nodes in its data centre, as do the intervals between statuses.
+_MIN_LIVE_AGE_S = 1.0
+_LIVE_AGE_PER_NODE_S = 0.03
+
 
 class Peer:
     """Another node, with its latest `status` and when it arrived."""
@@ -178,6 +183,16 @@
             for name, peer in self._list_active(now).items()
         }
 
+    def list_live(self, now: float) -> set[str]:
+        """Return the nodes of this data centre that were heard lately."""
+        local = [
+            (name, peer.last_seen_at)
+            for name, peer in self._peers.items()
+            if peer.data_centre == self._data_centre
+        ]
+        max_age_s = _MIN_LIVE_AGE_S + _LIVE_AGE_PER_NODE_S * len(local)
+        return {name for name, seen_at in local if seen_at + max_age_s > now}
+
     def list_nodes_in(self, data_centre: str) -> list[str]:
         """Return the names of the nodes of a data centre."""
         return [
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -136,6 +136,7 @@
         replica = endpoint.replica
         reserved_ids = (replica.replica_id,)
         self._state.load_tracker.add_request(reserved_ids, 0)
+        self._state.request_limits.take((replica,))
         started_at = self._loop.time()
         try:
             outcome = await self._exchange(endpoint)
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -14,6 +14,7 @@
 from samphirerill.relay.health import Alarms, LossProber, ReplicaProber
 from samphirerill.relay.layer_controller import LayerController
 from samphirerill.relay.leadership import Leadership
+from samphirerill.relay.limits import PermitExchange
 from samphirerill.relay.listeners import listen
 from samphirerill.relay.membership import Membership
 from samphirerill.relay.quarantine import (
@@ -103,7 +104,9 @@
         self._membership = Membership(
             self.state, store, health, change_source, change_source.log, alarms
         )
+        self._permit_exchange = PermitExchange(self.state)
         self._membership.add_datagram_handler(self._evidence_exchange)
+        self._membership.add_datagram_handler(self._permit_exchange)
         leadership = Leadership(self.state, store)
         self._stored_holds = StoredHolds(
             self.state, store, quarantine_manager, leadership
@@ -243,6 +246,7 @@
             now = self._loop.time()
             removed = self.state.view.remove_lapsed(now)
             self.state.load_tracker.expire_peers(now)
+            self._permit_exchange.remove_ended()
             self.state.pool.close_stale(set(self.state.view.replicas))
             if removed:
                 _LOG.info(
--- a/samphirerill/relay/response_notices.py
+++ b/samphirerill/relay/response_notices.py
@@ -19,7 +19,7 @@
     note_requested_backoff,
 )
 from samphirerill.node.logs import get_logger
-from samphirerill.relay.limit_notices import LimitNotices
+from samphirerill.relay.limits.known_limits import RequestLimits
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -82,7 +82,7 @@
 
     Attributes
     ----------
-    limits : LimitNotices
+    limits : RequestLimits
         Records the request rates that they name.
     """
 
@@ -99,7 +99,7 @@
         self._logged_values: set[tuple[str, str]] = set()
         self._broadcast: Callable[[Replica], None] | None = None
         self._wake_timers: dict[str, asyncio.TimerHandle] = {}
-        self.limits = LimitNotices(state)
+        self.limits = RequestLimits(state)
 
     def bind(self, broadcast: Callable[[Replica], None]) -> None:
         """Tell the other nodes what replicas say by this from now on."""
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -28,6 +28,7 @@
     from samphirerill.platform.settings import EdgeSettings
     from samphirerill.relay.active_stream import ActiveStream
     from samphirerill.relay.platform_adapter import PlatformAdapter
+    from samphirerill.relay.limits.known_limits import RequestLimits
 
 _LOG = get_logger('state')
 # Least number of nodes that is assumed, so that a node that does not know the
@@ -134,6 +135,11 @@
         """Return the handler of what replicas say in responses."""
         return self._response_notices
 
+    @property
+    def request_limits(self) -> RequestLimits:
+        """Return the request rates that replicas have named."""
+        return self._response_notices.limits
+
     def is_ready(self) -> bool:
         """Return whether the load balancer should send new connections."""
         return self.cfg is not None and not self.is_draining
--- a/samphirerill/relay/status_endpoints.py
+++ b/samphirerill/relay/status_endpoints.py
@@ -83,6 +83,7 @@
             'replicas': len(state.view.replicas),
             'streams': len(state.streams),
             'notices': state.response_notices.describe(),
+            'limits': state.request_limits.describe(),
             'quarantine': self._quarantine_manager.describe(),
         }
         return _OK, json.encode(dump)
@@ -96,5 +97,7 @@
         gauges['now.version'] = state.version
         gauges['now.quarantine'] = len(state.quarantine)
         gauges['now.notices'] = len(state.response_notices.describe())
+        for replica, limit in state.request_limits.list_in_force():
+            gauges[f'limits.withheld.{replica.replica_id}'] = limit.withheld
         gauges['replicas.false_deaths'] = state.view.false_suspicions
         return _OK, state.metrics.format_prometheus(gauges).encode()
--- a/samphirerill/relay/status_sender.py
+++ b/samphirerill/relay/status_sender.py
@@ -98,6 +98,10 @@
             settings.name: settings.data_centre,
         }
 
+    def list_live_nodes(self) -> set[str]:
+        """Return the other nodes of this data centre that were heard lately."""
+        return self._peers.list_live(self._loop.time())
+
     async def run(self) -> None:
         """Send the status periodically until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -233,7 +233,7 @@
             return MoveResult.NONE
         if self._is_resend_faster(stages, cached_ids, ending):
             return MoveResult.RESEND
-        self._admission.reserve(self.engine, stages, self.tokens)
+        self._admission.reserve(self.engine, stages, self.tokens, cached_ids)
         if await self._reroute(stages):
             return MoveResult.MOVED
         return MoveResult.NONE
--- a/samphirerill/tests/test_request_limit_header.py
+++ b/samphirerill/tests/test_request_limit_header.py
@@ -134,14 +134,14 @@
     async def test_invalid_values_are_ignored_and_logged_once(self) -> None:
         """Guard against replicas that are out for good, and log floods."""
         self.respond(b'4')
-        with patch('samphirerill.relay.limit_notices._LOG') as log:
+        with patch('samphirerill.relay.limits.known_limits._LOG') as log:
             for text in 3 * _INVALID:
                 self.respond(text)
         self.assertEqual(self.find_rate(), 4)
         self.assertEqual(log.warning.call_count, len(_INVALID))
 
     async def test_changes_are_logged_once(self) -> None:
-        with patch('samphirerill.relay.limit_notices._LOG') as log:
+        with patch('samphirerill.relay.limits.known_limits._LOG') as log:
             for text in (b'4', b'4', b'5', b'5', None, None):
                 self.respond(text)
         self.assertEqual(log.info.call_count, 3)
