Own interface: keep the request rate that an endpoint names

Change: each node sends at an even part of the rate, once in each of its intervals and within half a second of the beginning of one; intervals of nodes are shifted at random. The gossip runs once a second and carries names, so it cannot share permits. First attempts, retries and resumed streams count at each stage; a request waits for room in time or is refused at once. Health checks, polls and orders neither count nor name a limit. The latest answered request decides; a rate ends with its process and lapses after a minute.

--- a/samphirerill/backends/endpoint_call.py
+++ b/samphirerill/backends/endpoint_call.py
@@ -14,7 +14,10 @@
 
 from httptools import HttpParserError, HttpResponseParser
 
-from samphirerill.backends.endpoint_headers import emit_endpoint_events
+from samphirerill.backends.endpoint_headers import (
+    emit_endpoint_events,
+    emit_request_limit,
+)
 from samphirerill.core.events import AttemptFailed, AttemptSent
 
 if TYPE_CHECKING:
@@ -57,6 +60,7 @@
         self._sink = sink
         self._transport: Any = None
         self._parser = HttpResponseParser(self)
+        self._sent_at = 0.0
         self._closed = False
         self._paused = False
 
@@ -97,6 +101,7 @@
             self._transport.abort()
             return
         self._sink.apply(AttemptSent(self.attempt_id))
+        self._sent_at = asyncio.get_running_loop().time()
         self._transport.write(self._request)
 
     def data_received(self, data: bytes) -> None:
@@ -129,6 +134,13 @@
             self.headers,
             self._sink,
         )
+        emit_request_limit(
+            self.stage.endpoint,
+            self.stage.address,
+            self.headers,
+            self._sent_at,
+            self._sink,
+        )
 
     @abstractmethod
     def on_body(self, body: bytes) -> None:
--- a/samphirerill/backends/endpoint_headers.py
+++ b/samphirerill/backends/endpoint_headers.py
@@ -2,7 +2,8 @@
 
 ``Retry-After`` with status 503 or 429 asks this node for a back-off: in seconds, with
 fractions allowed, or until an HTTP date. ``Server-Leaving: 1``, with any
-status, says that this process of the endpoint leaves.
+status, says that this process of the endpoint leaves. ``Server-Limit``, with any
+status, names how many requests a second it takes from all nodes together.
 """
 
 from __future__ import annotations
@@ -16,7 +17,9 @@
 
 from samphirerill.core.endpoint_events import (
     EndpointLeaving,
+    EndpointNamedRate,
     EndpointRequestedBackOff,
+    RequestLimitIgnored,
     RetryAfterIgnored,
 )
 
@@ -28,12 +31,13 @@
 Headers = list[tuple[str, str]]
 
 LEAVING_HEADER = 'server-leaving'
+REQUEST_LIMIT_HEADER = 'server-limit'
 _LEAVING_TEXT = '1'
 _RETRY_AFTER = 'retry-after'
 _BACK_OFF_STATUSES = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
 )
-_SECONDS = re.compile(r'[0-9]{1,32}(\.[0-9]{1,32})?')
+_DECIMAL = re.compile(r'[0-9]{1,32}(\.[0-9]{1,32})?')
 _MAX_LOGGED_CHARACTERS = 40
 
 
@@ -71,10 +75,44 @@
     return True
 
 
+def emit_request_limit(
+    endpoint: str,
+    address: str,
+    headers: Headers,
+    sent_at: float,
+    sink: EventSink,
+) -> None:
+    """Emit which request rate the answer to a request names, if it names one.
+
+    Answers to health checks say nothing about it.
+
+    Parameters
+    ----------
+    endpoint, address : str
+        Where the request was sent.
+    headers : list of tuple
+        The headers of the answer, without trailers.
+    sent_at : float
+        When the request was sent, on the loop's clock.
+    sink : EventSink
+        Receives the events.
+    """
+    texts = _list_texts(headers, REQUEST_LIMIT_HEADER)
+    if not texts:
+        sink.apply(EndpointNamedRate(endpoint, address, None, sent_at))
+        return
+    rates = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
+    if len(rates) < len(texts):
+        received = ', '.join(texts)[:_MAX_LOGGED_CHARACTERS]
+        sink.apply(RequestLimitIgnored(endpoint, address, received))
+        return
+    sink.apply(EndpointNamedRate(endpoint, address, min(rates), sent_at))
+
+
 def parse_retry_after_s(text: str) -> float | None:
     """Return the seconds that a ``Retry-After`` asks for, None if invalid."""
     stripped = text.strip()
-    if _SECONDS.fullmatch(stripped):
+    if _DECIMAL.fullmatch(stripped):
         return float(stripped)
     try:
         return max(0, parsedate_to_datetime(stripped).timestamp() - time.time())
--- a/samphirerill/core/availability.py
+++ b/samphirerill/core/availability.py
@@ -1,4 +1,7 @@
-"""When a route can be served again whose endpoints asked for a back-off."""
+"""When a route can be served again whose endpoints want no request now.
+
+They asked for a back-off, or named a request rate that this node has used.
+"""
 
 from __future__ import annotations
 
@@ -14,7 +17,7 @@
     from samphirerill.core.state import CoreState, EndpointState
 
 BACKING_OFF_CODE = 'endpoints-backing-off'
-BACKING_OFF_DETAIL = 'the endpoints of this route asked for a back-off'
+BACKING_OFF_DETAIL = 'the endpoints of this route want no request now'
 # Time that a queued request needs after a back-off to start before its deadline.
 _MIN_START_S = 0.1
 # Clients return spread over this time, or this share of their wait if longer.
@@ -23,15 +26,15 @@
 
 
 def find_back_off_end(state: CoreState, route: Route, now: float) -> float:
-    """Return when back-offs no longer prevent a route's requests, or 0.
+    """Return when back-offs and limits allow a route's next request, or 0.
 
     It is 0 if the route could be served without the endpoints that back off, or not
     even with them.
     """
-    if not state.back_offs:
+    if not state.back_offs and not state.request_rates:
         return 0
     candidates = [
-        (state.back_offs.get_until(replica.endpoint.address, now), replica)
+        (state.find_room(replica.endpoint.address, now), replica)
         for replica in _list_candidates(state, route)
         if replica.health is not Health.LEAVING
     ]
@@ -59,7 +62,7 @@
         for replica in _list_candidates(state, route)
         if replica.health is Health.LIVE
         and not is_too_late(
-            state.back_offs.get_until(replica.endpoint.address, now), deadline
+            state.find_room(replica.endpoint.address, now), deadline
         )
     ]
     return _can_serve(state, route, available)
--- a/samphirerill/core/endpoint_events.py
+++ b/samphirerill/core/endpoint_events.py
@@ -36,3 +36,26 @@
 
     endpoint: str
     address: str
+
+
+@dataclass(slots=True)
+class EndpointNamedRate:
+    """An endpoint named how many requests a second it takes from all nodes.
+
+    `rate_per_s` is None if the answer names none. `said_at` is when the request
+    was sent that was answered.
+    """
+
+    endpoint: str
+    address: str
+    rate_per_s: float | None
+    said_at: float
+
+
+@dataclass(slots=True)
+class RequestLimitIgnored:
+    """An endpoint named its request limit with an invalid value."""
+
+    endpoint: str
+    address: str
+    received: str
--- a/samphirerill/core/on_deadlines.py
+++ b/samphirerill/core/on_deadlines.py
@@ -173,6 +173,11 @@
         dispatch_all_queues(state, now)
 
 
+def _check_room(state: CoreState, address: str, now: float) -> None:
+    """Use an endpoint again that takes the next request of this node."""
+    dispatch_all_queues(state, now)
+
+
 def _check_quarantine(state: CoreState, name: str, now: float) -> None:
     """Re-evaluate the quarantine."""
     evaluate_quarantine(state, now)
@@ -183,6 +188,7 @@
     'queue': _check_queue,
     'request': _check_request,
     'back_off': _check_back_off,
+    'room': _check_room,
     'attempt': _check_attempt,
     'endpoint': _check_endpoint,
 }
--- /dev/null
+++ b/samphirerill/core/on_request_rates.py
@@ -0,0 +1,62 @@
+"""Handlers for endpoints that name the request rate that they take."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from samphirerill.core.commands import LogEndpoint
+from samphirerill.core.endpoint_events import (
+    EndpointNamedRate,
+    RequestLimitIgnored,
+)
+from samphirerill.core.handling import handle
+from samphirerill.core.request_rates import LAPSE_S, RequestRate
+from samphirerill.core.scheduling import dispatch_all_queues, refuse_hopeless
+
+if TYPE_CHECKING:
+    from samphirerill.core.state import CoreState
+
+
+@handle.register(EndpointNamedRate)
+def on_endpoint_named_rate(
+    event: EndpointNamedRate, state: CoreState, now: float
+) -> None:
+    """Send an endpoint no more than this node's part of the rate it named."""
+    if event.rate_per_s is None and not state.request_rates:
+        return
+    said = RequestRate(
+        event.rate_per_s, event.said_at, now + LAPSE_S, state.random.random()
+    )
+    if not state.request_rates.note(event.address, said):
+        return
+    state.counters['request_rates.changed'] += 1
+    details: dict[str, object] = {
+        'address': event.address,
+        'rate_per_s': event.rate_per_s,
+        'age_s': round(now - event.said_at, 3),
+        'nodes': state.node_count,
+    }
+    message = 'endpoint changes its request limit'
+    state.emit(LogEndpoint(message, event.endpoint, details))
+    if event.rate_per_s is None:
+        dispatch_all_queues(state, now)
+        return
+    state.schedule_wake(
+        state.find_room(event.address, now), 'room', event.address
+    )
+    refuse_hopeless(state, now)
+
+
+@handle.register(RequestLimitIgnored)
+def on_request_limit_ignored(
+    event: RequestLimitIgnored, state: CoreState, now: float
+) -> None:
+    """Count an invalid value; log each value of an endpoint once."""
+    state.counters['request_rates.ignored'] += 1
+    if state.back_offs.note_ignored_value(event.address, event.received):
+        details: dict[str, object] = {
+            'address': event.address,
+            'received': event.received,
+        }
+        message = 'invalid request limit ignored'
+        state.emit(LogEndpoint(message, event.endpoint, details))
--- a/samphirerill/core/placement.py
+++ b/samphirerill/core/placement.py
@@ -152,7 +152,7 @@
 def _is_usable(state: CoreState, replica: EndpointState) -> bool:
     return (
         replica.health is Health.LIVE
-        and not state.back_offs.get_until(replica.endpoint.address, state.now)
+        and not state.find_room(replica.endpoint.address, state.now)
         and count_free_slots(state, replica) > 0
     )
 
--- a/samphirerill/core/scheduling.py
+++ b/samphirerill/core/scheduling.py
@@ -88,6 +88,7 @@
     state.attempts[attempt.attempt_id] = attempt
     for stage in stages:
         state.endpoints[stage.endpoint].in_flight += 1
+        _use_rate(state, stage.address, now)
     state.schedule_wake(
         attempt.progress_deadline, 'attempt', attempt.attempt_id
     )
@@ -251,6 +252,14 @@
     return state.running_by_account[req.account] >= share
 
 
+def _use_rate(state: CoreState, address: str, now: float) -> None:
+    """Record a request to an endpoint that names its rate, if it does."""
+    if state.request_rates.find_rate(address, now) is None:
+        return
+    state.request_rates.use(address, state.node_count, now)
+    state.schedule_wake(state.find_room(address, now), 'room', address)
+
+
 def _compute_first_deadline(
     state: CoreState, req: RequestState, now: float
 ) -> float:
--- a/samphirerill/core/state.py
+++ b/samphirerill/core/state.py
@@ -15,6 +15,7 @@
 
 from samphirerill.core.admission import FairQueue
 from samphirerill.core.back_offs import BackOffs
+from samphirerill.core.request_rates import RequestRates
 from samphirerill.core.budget import RetryBudget
 from samphirerill.core.commands import Command, Stage
 from samphirerill.core.configuration import Configuration, Endpoint
@@ -163,6 +164,7 @@
         'random',
         'requests',
         'back_offs',
+        'request_rates',
         'running_by_account',
         'suspected_crashes',
         'suspension_reason',
@@ -182,6 +184,7 @@
         self.links = LinkLatencies()
         self.prefixes = PrefixIndex()
         self.back_offs = BackOffs()
+        self.request_rates = RequestRates()
         self.departures = Departures()
         self.quarantine = Quarantine()
         # By endpoint being probed, the requests whose attempts failed there.
@@ -196,6 +199,13 @@
         self.suspension_reason = ''
         self.commands: list[Command] = []
 
+    def find_room(self, address: str, now: float) -> float:
+        """Return when a request may be sent to an address; 0 for at once."""
+        return max(
+            self.back_offs.get_until(address, now),
+            self.request_rates.find_room(address, self.node_count, now),
+        )
+
     def emit(self, command: Command) -> None:
         """Add a command to those of the current event."""
         self.commands.append(command)
--- a/samphirerill/testing/services.py
+++ b/samphirerill/testing/services.py
@@ -35,8 +35,9 @@
     body. ``POST /control`` sets ``fault``: ``silent`` executes a request
     without responding, ``cut`` closes the connection halfway through the
     response; it also sets ``delay_s``, and ``retry_after``, with which
-    requests are answered with status 503 and this ``Retry-After``, and
-    ``leaving``: all answers say that this process leaves.
+    requests are answered with status 503 and this ``Retry-After``,
+    ``request_limit``, the rate that all answers name, and ``leaving``: all
+    answers say that this process leaves.
     """
 
     def __init__(self) -> None:
@@ -44,6 +45,7 @@
         self.fault = ''
         self.retry_after: str | None = None
         self.leaving = False
+        self.request_limit: str | None = None
         self.delay_s = 0.0
 
     async def handle(self, request: Request) -> None:
@@ -56,6 +58,9 @@
             self.delay_s = changes.get('delay_s', self.delay_s)
             self.retry_after = changes.get('retry_after', self.retry_after)
             self.leaving = changes.get('leaving', self.leaving)
+            self.request_limit = changes.get(
+                'request_limit', self.request_limit
+            )
             request.connection.answer_json({'ok': True})
         elif request.path == '/stats':
             request.connection.answer_json(dict(self.executions))
@@ -65,6 +70,10 @@
             await self._execute(request)
 
     async def _execute(self, request: Request) -> None:
+        if self.request_limit is not None:
+            request.connection.common_headers = {
+                'Server-Limit': self.request_limit
+            }
         name = request.headers.get('idempotency-key', '')
         self.executions[name or request.body.decode('latin-1')] += 1
         if self.retry_after is not None:
--- a/samphirerill/tests/test_endpoint_back_off.py
+++ b/samphirerill/tests/test_endpoint_back_off.py
@@ -20,6 +20,9 @@
 _REQUESTS = 12
 _IMMEDIATE_S = 0.5
 _MAX_SENDS = 2
+_LIMIT_PER_S = 4
+# Without the first, which learns the limit, and two around an interval's end.
+_LATER_REQUESTS = _REQUESTS - 3
 _FIRST_STAGES = ('stage0-0', 'stage0-1')
 _INVALID_VALUES = ('soon', '-1', 'nan', 'inf', '1e9', '', '٣')
 
@@ -185,3 +188,24 @@
         return send_request(
             self.callers, '/svc/lookups/x', FIRST_ACCOUNT_KEY, b'{}'
         )
+
+
+class TestRequestLimit(BackOffCase):
+    """A plain service that names how many requests a second it takes."""
+
+    def test_service_receives_no_more_than_it_named(self) -> None:
+        """Guards against requests beyond a named limit."""
+        address = self.find_address('desk')
+        self.cluster.control(address, request_limit=str(_LIMIT_PER_S))
+        started = time.monotonic()
+        statuses = [self.look_up().status for _ in range(_REQUESTS)]
+        elapsed_s = time.monotonic() - started
+        self.assertEqual(set(statuses), {200})
+        self.assertGreater(elapsed_s, _LATER_REQUESTS / _LIMIT_PER_S)
+        limit = self.read_core()['endpoints']['desk']['request_limit_per_s']
+        self.assertEqual(limit, _LIMIT_PER_S)
+
+    def look_up(self) -> ClientResponse:
+        return send_request(
+            self.callers, '/svc/lookups/x', FIRST_ACCOUNT_KEY, b'{}'
+        )
