--- a/samphirerill/testing/soak/replica_notices.py
+++ b/samphirerill/testing/soak/replica_notices.py
@@ -1,7 +1,7 @@
 """Checks that nodes honour what a replica says about itself.
 
-A replica may refuse a request and name a time in which it wants no more, or say
-in its responses that it is leaving.
+A replica may refuse a request and name a time in which it wants no more, name how
+many requests a second it takes, or say in its responses that it is leaving.
 """
 
 from __future__ import annotations
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from samphirerill.testing.soak.limit_checks import RequestLimitChecks
+
 if TYPE_CHECKING:
     from samphirerill.testing.soak.exchange import Exchange
     from samphirerill.testing.soak.ground_truth import GroundTruth
@@ -45,9 +47,15 @@
     ----------
     ground_truth : GroundTruth
         Where violations are recorded.
+
+    Attributes
+    ----------
+    limits : RequestLimitChecks
+        The checks of request limits.
     """
 
     __slots__ = (
+        'limits',
         '_back_offs',
         '_ground_truth',
         '_leaving_answers',
@@ -56,6 +64,7 @@
     )
 
     def __init__(self, ground_truth: GroundTruth) -> None:
+        self.limits = RequestLimitChecks(ground_truth)
         self._ground_truth = ground_truth
         # Node, process start and send time, by request.
         self._sent: dict[str, tuple[SoakNode, int, float]] = {}
@@ -70,6 +79,7 @@
     ) -> None:
         """Record that a client sends a request to a node."""
         self._sent[request_id] = (node, node.start_count, sent_at)
+        self.limits.record_send(request_id, node)
 
     def record_back_off(
         self, request_id: str, replica_id: str, now: float, until: float
@@ -104,6 +114,7 @@
         if request_id in self._sent:
             self._check_back_off(request_id, replica_id, address, now)
             self._check_leaving(request_id, replica_id, now)
+            self.limits.check_arrival(request_id, replica_id, now)
 
     def _check_back_off(
         self, request_id: str, replica_id: str, address: str, now: float
--- a/samphirerill/testing/soak/replicas.py
+++ b/samphirerill/testing/soak/replicas.py
@@ -21,6 +21,8 @@
     from samphirerill.testing.soak.ground_truth import GroundTruth
 
 LAYERS = 80
+# Values that are no limit.
+BAD_LIMITS = (b'few', b'-1', b'nan', b'1e9', b' ', b'9' * 20)
 _OK = 200
 _ACCEPTED = 202
 _MISDIRECTED = 421
@@ -117,6 +119,8 @@
         # Whether its registry entry and its responses show that it is leaving.
         self.announces_leaving = False
         self.says_leaving = False
+        # The limit in all its answers; empty for none.
+        self._request_limit = b''
         self._back_off_until = 0.0
         # Sent instead of the remaining time.
         self._retry_after = b''
@@ -188,6 +192,15 @@
         self._back_off_until = self._loop.time() + back_off_s
         self._retry_after = retry_after
 
+    def name_limit(self, text: bytes) -> None:
+        """Name a request limit in all answers from now on; empty for none."""
+        self._request_limit = text
+        checks = self._ground_truth.notice_checks.limits
+        if text and text not in BAD_LIMITS:
+            checks.record_limit(self.replica_id, float(text), self._loop.time())
+        elif not text:
+            checks.record_end(self.replica_id)
+
     def holds(self, layers: LayerRange) -> bool:
         """Return whether the replica has loaded these layers."""
         return _covers(self.layers, layers)
@@ -407,6 +420,11 @@
 
     def _build_common_headers(self, req: Request) -> list[tuple[bytes, bytes]]:
         headers = [(_REQUEST_ID_HEADER, req.get(_REQUEST_ID_HEADER) or b'')]
+        if self._request_limit:
+            headers.append((b'server-limit', self._request_limit))
+            self._ground_truth.notice_checks.limits.record_answer(
+                _read_id(req), self.replica_id, self._loop.time()
+            )
         if self.says_leaving:
             headers.append((b'server-leaving', b'1'))
             self._ground_truth.notice_checks.record_leaving_answer(
