--- a/samphirerill/tests/limited_fleet.py
+++ b/samphirerill/tests/limited_fleet.py
@@ -6,7 +6,11 @@
 from typing import TYPE_CHECKING
 from unittest import IsolatedAsyncioTestCase
 
-from samphirerill.relay.connection import HttpConnection, serialize_request
+from samphirerill.relay.connection import (
+    HttpConnection,
+    ResponseHead,
+    serialize_request,
+)
 from samphirerill.relay.errors import EndpointError
 from samphirerill.relay.pool import read_response
 from samphirerill.testing.limiting_replica import LimitingReplica
@@ -42,11 +46,15 @@
 
 
 class LimitedFleetCase(IsolatedAsyncioTestCase):
-    """Three nodes in front of two engines and two plain replicas."""
+    """Three nodes in front of two engines and two plain replicas.
+
+    `durations_s` is how long the requests of the last series took, by number.
+    """
 
     node_count = NODE_COUNT
 
     async def asyncSetUp(self) -> None:
+        self.durations_s: dict[int, float] = {}
         self.harness = PlatformHarness(find_ports())
         self.addAsyncCleanup(self.harness.stop)
         await self.harness.start()
@@ -93,18 +101,26 @@
         self, node: EdgeProcess, target: bytes, number: int
     ) -> tuple[int, bytes]:
         """Send one request; the status is 0 if no complete response comes."""
-        host = node.state.settings.host
-        conn = HttpConnection(f'{host}:{node.get_port()}')
-        headers = build_headers(f'r{number}')
+        started_at = asyncio.get_running_loop().time()
+        answer = await self._request(node, target, number)
+        ended_at = asyncio.get_running_loop().time()
+        self.durations_s[number] = ended_at - started_at
+        return answer
+
+    async def request_head(
+        self, node: EdgeProcess, target: bytes
+    ) -> ResponseHead:
+        """Send one request; return the head of its response."""
+        conn = await self.harness.connect(node)
         try:
-            await conn.open()
+            headers = build_headers('head')
             conn.send(serialize_request(b'POST', target, headers, b''))
             deadline = asyncio.get_running_loop().time() + _RESPONSE_TIMEOUT_S
-            return await read_response(conn, deadline)
-        except EndpointError as exc:
-            return _NO_RESPONSE, str(exc).encode()
+            head = await conn.read(deadline)
         finally:
             conn.close()
+        assert isinstance(head, ResponseHead)
+        return head
 
     def list_arrivals(self, name: str, since: float = 0) -> list[float]:
         """Return when a replica received its requests."""
@@ -128,3 +144,19 @@
         """Check the requests that a replica received from all nodes."""
         allowed = TOLERANCE * WINDOW_S * rate_per_s + SURPLUS
         self.assertLessEqual(self.count_most(name, since), allowed)
+
+    async def _request(
+        self, node: EdgeProcess, target: bytes, number: int
+    ) -> tuple[int, bytes]:
+        host = node.state.settings.host
+        conn = HttpConnection(f'{host}:{node.get_port()}')
+        headers = build_headers(f'r{number}')
+        try:
+            await conn.open()
+            conn.send(serialize_request(b'POST', target, headers, b''))
+            deadline = asyncio.get_running_loop().time() + _RESPONSE_TIMEOUT_S
+            return await read_response(conn, deadline)
+        except EndpointError as exc:
+            return _NO_RESPONSE, str(exc).encode()
+        finally:
+            conn.close()
