--- a/samphirerill/reports/explain.py
+++ b/samphirerill/reports/explain.py
@@ -35,7 +35,12 @@
 )
 # What replicas said about themselves.
 _BACKOFF_EVENT = 'replica asked for a back-off'
-_LEAVING_EVENT = 'replica says that it is leaving'
+_LASTING_EVENTS = frozenset(
+    (
+        'replica says that it is leaving',
+        'replica changes its request limit',
+    )
+)
 # Fields of a request's records that name replicas.
 _NAMING_FIELDS = ('path', 'endpoint', 'reason')
 _MS_PER_S = 1000
@@ -216,10 +221,10 @@
     """Return whether a record says why a replica got no new work.
 
     That is the case if a replica that the request used, or was kept off, was
-    leaving or in a back-off when the request came.
+    leaving, limited requests or was in a back-off when the request came.
     """
     until_s = record.time_s
-    if record.event == _LEAVING_EVENT:
+    if record.event in _LASTING_EVENTS:
         until_s = float('inf')
     elif record.event == _BACKOFF_EVENT:
         until_s += record.fields.get('for_ms', 0) / _MS_PER_S
--- a/samphirerill/tests/test_explain.py
+++ b/samphirerill/tests/test_explain.py
@@ -189,6 +189,7 @@
             _line(2, 'replica asked for a back-off', replica='r1', for_ms=3000),
             _line(2, 'replica asked for a back-off', replica='r12', for_ms=9e3),
             _line(3, 'replica says that it is leaving', replica='r2'),
+            _line(3, 'replica changes its request limit', replica='r3'),
             _line(
                 4,
                 'refused',
@@ -196,10 +197,17 @@
                 reason='1 replicas asked for a back-off: r1 for 1.00 s',
             ),
             _line(4, 'stream sent', request='next', path='r2:0-80'),
+            _line(
+                4,
+                'refused',
+                request='full',
+                reason='1 replicas limit requests and have no room: r3 to 1/s',
+            ),
         )
         expected = {
             'late': ['back-off', 'refused'],
             'next': ['leaving', 'sent'],
+            'full': ['request limit', 'refused'],
         }
         with TemporaryDirectory() as folder:
             path = Path(folder) / 'node.log'
