Soak: request limits are an option of their own

A further kind of planned work had changed what the regression seeds play. The checker has tests of its own.

--- a/samphirerill/testing/soak/command.py
+++ b/samphirerill/testing/soak/command.py
@@ -51,6 +51,11 @@
         action='store_true',
         help='inject no faults; run planned maintenance in close succession',
     )
+    parser.add_argument(
+        '--limits',
+        action='store_true',
+        help='let replicas name request limits meanwhile',
+    )
     parser.add_argument(
         '--regressions',
         action='store_true',
@@ -78,7 +83,10 @@
             first = time.time_ns() % _SEED_RANGE
         seeds = list(range(first, first + options.count))
     settings = SoakSettings(
-        options.seconds, options.nodes, injects_faults=not options.planned
+        options.seconds,
+        options.nodes,
+        injects_faults=not options.planned,
+        names_limits=options.limits,
     )
     failed = run_seeds(iter(seeds), settings, options.keep)
     return int(failed > 0)
--- a/samphirerill/testing/soak/faults.py
+++ b/samphirerill/testing/soak/faults.py
@@ -9,11 +9,10 @@
 
 import asyncio
 import signal
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 from samphirerill.testing.soak.ground_truth import Fault
-from samphirerill.testing.soak.replicas import BAD_LIMITS
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -63,8 +62,6 @@
     b'Fri, 31 Dec 2999 23:59:59 GMT',
 )
 _DELAY_S = 0.15
-_LIMITS = (b'0', b'0.5', b'1', b'2', b'5', *BAD_LIMITS)
-_MAX_LIMIT_S = 6.0
 
 
 class FaultInjector:
@@ -118,7 +115,6 @@
             self._configure,
             self._drain_replica,
             self._back_off_replica,
-            self._limit_replica,
         )
 
     async def run(self, until: float) -> None:
@@ -448,30 +444,6 @@
                     await asyncio.sleep(back_off_s)
             self._backing_off.discard(slot.address)
 
-    async def _limit_replica(self) -> None:
-        """Let a replica name a limit or nonsense, another limit, then none."""
-        slot = self._choose_slot()
-        if slot is None or slot.replica is None:
-            return
-        async with self._reserve(slot.address):
-            replica = slot.replica
-            first, second = self._random.choices(_LIMITS, k=2)
-            self._ground_truth.counts['planned.limited'] += 1
-            self._log(f'{slot.address}: names {first!r}, then {second!r}')
-            self._backing_off.add(slot.address)
-            async with AsyncExitStack() as stack:
-                if not self._leaves_enough(slot):
-                    await stack.enter_async_context(
-                        self._fault('few replicas of a service left')
-                    )
-                for text in (first, second):
-                    replica.name_limit(text)
-                    await asyncio.sleep(
-                        _MAX_LIMIT_S * (1 + self._random.random()) / 2
-                    )
-                replica.name_limit(b'')
-            self._backing_off.discard(slot.address)
-
     def _leaves_enough(self, leaving: ReplicaSlot) -> bool:
         """Return whether a service's other replicas can serve its requests.
 
--- a/samphirerill/testing/soak/replicas.py
+++ b/samphirerill/testing/soak/replicas.py
@@ -422,9 +422,10 @@
         headers = [(_REQUEST_ID_HEADER, req.get(_REQUEST_ID_HEADER) or b'')]
         if self._request_limit:
             headers.append((b'server-limit', self._request_limit))
-            self._ground_truth.notice_checks.limits.record_answer(
-                _read_id(req), self.replica_id, self._loop.time()
-            )
+            if self._request_limit not in BAD_LIMITS:
+                self._ground_truth.notice_checks.limits.record_answer(
+                    _read_id(req), self.replica_id, self._loop.time()
+                )
         if self.says_leaving:
             headers.append((b'server-leaving', b'1'))
             self._ground_truth.notice_checks.record_leaving_answer(
--- a/samphirerill/testing/soak/run.py
+++ b/samphirerill/testing/soak/run.py
@@ -19,6 +19,7 @@
 from samphirerill.testing.soak.clients import KINDS, create_clients
 from samphirerill.testing.soak.environment import SoakEnvironment
 from samphirerill.testing.soak.faults import FaultInjector
+from samphirerill.testing.soak.limit_naming import LimitNaming
 from samphirerill.testing.soak.ground_truth import Fault
 from samphirerill.testing.soak.version_probe import VersionProbe
 
@@ -99,7 +100,7 @@
     random = Random(seed)
     environment = SoakEnvironment(folder, _find_ports(random), settings.nodes)
     try:
-        await _run_workload(environment, random, settings)
+        await _run_workload(environment, random, settings, seed)
     finally:
         await environment.stop()
         _write_log(environment, folder)
@@ -127,7 +128,10 @@
 
 
 async def _run_workload(
-    environment: SoakEnvironment, random: Random, settings: SoakSettings
+    environment: SoakEnvironment,
+    random: Random,
+    settings: SoakSettings,
+    seed: int,
 ) -> None:
     """Run clients while faults are injected, then check recovery."""
     await environment.start()
@@ -140,7 +144,10 @@
     tasks.append(asyncio.create_task(_measure_lag(environment)))
     tasks.extend(asyncio.create_task(client.run()) for client in clients)
     until = asyncio.get_running_loop().time() + settings.length_s
-    await FaultInjector(environment, random, settings).run(until)
+    actions = [FaultInjector(environment, random, settings).run(until)]
+    if settings.names_limits:
+        actions.append(LimitNaming(environment, seed).run(until))
+    await asyncio.gather(*actions)
     await _check_recovery(environment)
     await _cancel_tasks(tasks)
 
--- a/samphirerill/testing/soak/settings.py
+++ b/samphirerill/testing/soak/settings.py
@@ -18,8 +18,11 @@
     injects_faults : bool
         Whether faults are injected; otherwise only planned maintenance runs,
         several actions at once.
+    names_limits : bool
+        Whether replicas name request limits.
     """
 
     length_s: float = 14.0
     nodes: int = 5
     injects_faults: bool = True
+    names_limits: bool = False
--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -25,6 +25,8 @@
 from samphirerill.testing.soak.unanswered import UnansweredCheck
 
 _SEED = 7
+_LIMIT_SEED = 43
+_LIMIT_DURATION_S = 12.0
 _FAULT_DURATION_S = 8.0
 _REQUEST_ID = '9000000000000009'
 _ENGINE_ADDRESS = '127.0.0.61:20911'
@@ -41,6 +43,58 @@
         self.assertEqual(report.violations, [])
         self.assertGreater(report.counts['notes.200'], 0)
 
+    def test_all_nodes_together_keep_named_limits(self) -> None:
+        """Guard against more requests than a replica named for all nodes."""
+        with TemporaryDirectory() as folder:
+            settings = SoakSettings(
+                _LIMIT_DURATION_S, injects_faults=False, names_limits=True
+            )
+            report = run_seed(_LIMIT_SEED, settings, Path(folder))
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.counts['planned.limited'], 0)
+
+
+class TestLimitChecks(TestCase):
+    """The checker of request limits, with a limit of 1 named at 10 s."""
+
+    def setUp(self) -> None:
+        self.ground_truth = GroundTruth()
+        self.checks = self.ground_truth.notice_checks.limits
+        self.nodes = [SoakNode.__new__(SoakNode) for _ in range(2)]
+        for number, node in enumerate(self.nodes):
+            node.name = f'node-{number}'
+            node.start_count = 1
+            self.checks.record_send(f'r{number}', node)
+        self.checks.record_limit('one', 1, 10.0)
+
+    def arrive(self, now: float, count: int = 12) -> None:
+        """Let requests of both nodes reach the replica."""
+        for number in range(count):
+            self.checks.check_arrival(f'r{number % 2}', 'one', now)
+
+    def test_more_requests_of_told_nodes_together_are_a_violation(self) -> None:
+        """Guard against a check that looks at each node alone."""
+        for request_id in ('r0', 'r1'):
+            self.checks.record_answer(request_id, 'one', 10.5)
+        self.arrive(14.0, 11)
+        self.assertEqual(self.ground_truth.violations, [])
+        self.arrive(14.5, 1)
+        self.assertEqual(len(self.ground_truth.violations), 1)
+
+    def test_first_seconds_and_untold_nodes_do_not_count(self) -> None:
+        self.checks.record_answer('r0', 'one', 10.5)
+        self.arrive(12.9)
+        self.arrive(14.0)
+        self.assertEqual(self.ground_truth.violations, [])
+
+    def test_nodes_touched_by_faults_do_not_count(self) -> None:
+        for request_id in ('r0', 'r1'):
+            self.checks.record_answer(request_id, 'one', 10.5)
+        targets = frozenset(('node-0',))
+        self.ground_truth.faults.append(Fault('paused', 12.0, 12.5, targets))
+        self.arrive(14.0, 20)
+        self.assertEqual(self.ground_truth.violations, [])
+
 
 class TestGroundTruth(TestCase):
     """The checker detects each kind of violation."""
