A replica that is announced again gets permits again

What callers would have seen: a replica whose entry was missing for a moment while it limited requests got none for up to a minute, on nodes that had noticed. Evidence: test_replica_that_is_announced_again_gets_permits failed before.

--- a/samphirerill/relay/limits/exchange.py
+++ b/samphirerill/relay/limits/exchange.py
@@ -87,6 +87,8 @@
         """Forget what is known of replicas without a limit."""
         self._state.request_limits.remove_ended()
         self._requester.remove_ended()
+        self._granter.remove_ended()
+        self._granters.remove_ended()
         self._broadcaster.remove_ended()
 
     def handle_datagram(self, data: bytes, sender: str) -> None:
--- a/samphirerill/relay/limits/granters.py
+++ b/samphirerill/relay/limits/granters.py
@@ -91,6 +91,15 @@
         if self._unreachable.pop(node, 0):
             self._choices.clear()
 
+    def remove_ended(self) -> None:
+        """Forget choices that are not kept any more."""
+        now = self._loop.time()
+        self._choices = {
+            replica_id: choice
+            for replica_id, choice in self._choices.items()
+            if choice[0] > now
+        }
+
     def list_unreachable(self) -> list[str]:
         """Return the nodes that do not answer."""
         now = self._loop.time()
--- a/samphirerill/relay/limits/granting.py
+++ b/samphirerill/relay/limits/granting.py
@@ -79,6 +79,15 @@
             allocation.take_back(count, self._loop.time())
             self._grant(replica)
 
+    def remove_ended(self) -> None:
+        """Forget the replicas that limit no requests any more."""
+        limited = {
+            replica.replica_id
+            for replica, _ in self._state.request_limits.list_in_force()
+        }
+        for replica_id in self._allocations.keys() - limited:
+            self._allocations.pop(replica_id)
+
     def _find_limit(self, replica: Replica) -> RequestLimit | None:
         """Return the limit in force of an announced replica."""
         known = self._state.view.replicas.get(replica.replica_id)
--- a/samphirerill/relay/limits/known_limits.py
+++ b/samphirerill/relay/limits/known_limits.py
@@ -201,13 +201,19 @@
                 yield state.replica, limit
 
     def remove_ended(self) -> None:
-        """Forget limits that have lapsed, and those of replicas that are gone."""
-        in_force = {replica.replica_id for replica, _ in self.list_in_force()}
-        for replica_id in self._limited.keys() - in_force:
+        """Forget limits that have lapsed, and those of processes that ended.
+
+        A limit outlasts a missing announcement of its replica.
+        """
+        now = asyncio.get_running_loop().time()
+        notices = self._state.view.notices
+        for replica_id, replica in tuple(self._limited.items()):
+            limit = notices.find_limit(replica)
+            if limit is not None and limit.is_in_force(now):
+                continue
             self._limited.pop(replica_id)
-            is_known = replica_id in self._state.view.replicas
             self._log_change(
-                replica_id, 'lapsed' if is_known else 'gone with its replica'
+                replica_id, 'process ended' if limit is None else 'lapsed'
             )
             self._state.counters['limits.lapsed'] += 1
 
--- a/samphirerill/tests/test_request_limit_header.py
+++ b/samphirerill/tests/test_request_limit_header.py
@@ -131,6 +131,19 @@
         limit = self.state.view.replicas['one'].limit
         self.assertIsNotNone(limit)
 
+    async def test_replica_that_is_announced_again_gets_permits(self) -> None:
+        """Guard against a replica that no permit is ever asked for."""
+        self.respond(b'3')
+        self.state.view.remove_announcement('one', 2, 0)
+        self.state.request_limits.remove_ended()
+        self.state.view.apply_announcement(self.replica, 3)
+        self.state.request_limits.remove_ended()
+        limited = [
+            replica.replica_id
+            for replica, _ in self.state.request_limits.list_in_force()
+        ]
+        self.assertEqual(limited, ['one'])
+
     async def test_invalid_values_are_ignored_and_logged_once(self) -> None:
         """Guard against replicas that are out for good, and log floods."""
         self.respond(b'4')
