Limits of other nodes: damaged rates are ignored, ended ones sent anew

Found in a reading of the code. A rate that is no number or infinite in a datagram would have reached the division of permits; and a replica that names the same rate again after its limit had lapsed was not reported to the other nodes, each of which then learned it from a response of its own. Tests: damaged messages.

--- a/samphirerill/relay/limits/broadcasting.py
+++ b/samphirerill/relay/limits/broadcasting.py
@@ -62,9 +62,12 @@
         self._told_rates[replica.replica_id] = rate_per_s
 
     def remove_ended(self) -> None:
-        """Forget replicas that are not announced any more."""
-        gone = self._told_rates.keys() - self._state.view.replicas.keys()
-        for replica_id in gone:
+        """Forget replicas without a limit, so that the next one is sent."""
+        limited = {
+            replica.replica_id
+            for replica, _ in self._state.request_limits.list_in_force()
+        }
+        for replica_id in self._told_rates.keys() - limited:
             self._told_rates.pop(replica_id)
 
     def _is_news(self, replica: Replica) -> bool:
--- a/samphirerill/relay/limits/exchange.py
+++ b/samphirerill/relay/limits/exchange.py
@@ -41,6 +41,8 @@
 
 _LOG = get_logger('limits')
 _MAX_AGE_MS = 60_000
+# Higher rates, and those that are no number, are damaged.
+_MAX_RATE_PER_S = 1e10
 _MAX_LIFETIME_MS = 60_000
 _MAX_COUNT = 64
 
@@ -115,8 +117,8 @@
         for replica, (started_ms, rate, age_ms) in self._resolve(
             message.limits
         ):
-            is_other = replica.is_different_process(started_ms)
-            if is_other or not 0 <= age_ms <= _MAX_AGE_MS:
+            is_valid = 0 <= age_ms <= _MAX_AGE_MS and rate <= _MAX_RATE_PER_S
+            if not is_valid or replica.is_different_process(started_ms):
                 continue
             if message.is_broadcast:
                 self._broadcaster.note_told(replica, rate)
--- a/samphirerill/tests/test_permit_sharing.py
+++ b/samphirerill/tests/test_permit_sharing.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 from unittest import TestCase
 
+from samphirerill.relay.limits.messages import LimitMessage, encode_message
+from samphirerill.relay.replica_ids import checksum_name
 from samphirerill.testing.virtual_time import run_with_virtual_time
 from samphirerill.tests.limited_nodes import OK, REPLICA, WINDOW_S, LimitedNodes
 
@@ -191,6 +193,10 @@
         exchange = nodes.nodes[0].exchange
         for data in (b'', b'\xc1', b'\x00' * 40, b'\x94\xa1x\x01\x01\xc3'):
             exchange.handle_datagram(exchange.type_prefix + data, '10.0.0.9:1')
+        key = checksum_name(REPLICA.replica_id)
+        for number, rate in enumerate((float('nan'), float('inf'), 1e300)):
+            message = LimitMessage('x', 1, number, limits={key: (5, rate, 0)})
+            exchange.handle_datagram(encode_message(message), '10.0.0.9:1')
         since = nodes.loop.time()
         await nodes.run(OK / 100)
         self.assert_kept(nodes, 1, since)
