--- a/samphirerill/relay/limits/exchange.py
+++ b/samphirerill/relay/limits/exchange.py
@@ -35,7 +35,7 @@
     from samphirerill.fleet.model import Replica
     from samphirerill.relay.datagrams import DatagramSender
     from samphirerill.relay.limits.context import ExchangeContext
-    from samphirerill.relay.limits.messages import LimitEntries
+    from samphirerill.relay.limits.messages import LimitEntries, LimitEntry
 
     Entry = TypeVar('Entry')
 
@@ -114,12 +114,10 @@
 
     def _apply_limits(self, message: LimitMessage) -> None:
         now = self._loop.time()
-        for replica, (started_ms, rate, age_ms) in self._resolve(
-            message.limits
-        ):
-            is_valid = 0 <= age_ms <= _MAX_AGE_MS and rate <= _MAX_RATE_PER_S
-            if not is_valid or replica.is_different_process(started_ms):
+        for replica, entry in self._resolve(message.limits):
+            if not _is_applicable(replica, entry):
                 continue
+            _, rate, age_ms = entry
             if message.is_broadcast:
                 self._broadcaster.note_told(replica, rate)
             self._state.request_limits.apply(
@@ -240,3 +238,11 @@
             known = self._state.view.replicas.get(name or '')
             if known is not None:
                 yield known.replica, entry
+
+
+def _is_applicable(replica: Replica, entry: LimitEntry) -> bool:
+    """Return whether an entry is undamaged and about this process."""
+    started_ms, rate, age_ms = entry
+    if not 0 <= age_ms <= _MAX_AGE_MS or not rate <= _MAX_RATE_PER_S:
+        return False
+    return not replica.is_different_process(started_ms)
--- a/samphirerill/relay/limits/messages.py
+++ b/samphirerill/relay/limits/messages.py
@@ -13,9 +13,10 @@
     from samphirerill.fleet.model import Replica
     from samphirerill.fleet.request_limits import RequestLimit
 
-# For each replica, the start of its process, its requests a second and how many
-# milliseconds ago the request was sent whose response said so.
-LimitEntries = dict[int, tuple[int, float, int]]
+# The start of a replica's process, its requests a second and how many milliseconds
+# ago the request was sent whose response said so.
+LimitEntry = tuple[int, float, int]
+LimitEntries = dict[int, LimitEntry]
 # No other datagram begins so: 0xc1 is never used in MessagePack.
 TYPE_PREFIX = b'\xc1L'
 # In place of a rate if a replica names no limit any more.
