Limits are repeated to nodes that start, and lapse although nodes repeat them

What callers would have seen: a node that starts sends freely to a replica that limits requests until its first response; and a limit that no response confirms was renewed for ever, as each message between nodes counted as news (two tests failed before). Change: the granter of a replica repeats its limit each 2.5 s; a limit lapses 60 s after the request whose response named it was sent, not after it was heard of, and the same word from another node counts only if it is more recent by more than a message takes.

--- a/samphirerill/fleet/request_limits.py
+++ b/samphirerill/fleet/request_limits.py
@@ -21,6 +21,9 @@
 LAPSE_S = 60.0
 # A replica that names a lower rate is still asked this often whether that holds.
 _MIN_RATE_PER_S = 0.2
+# Upper bound of the time that a message takes between nodes, by which what it says
+# seems more recent than it is.
+_MAX_TRANSIT_S = 0.05
 # Smaller differences are rounding in messages between nodes.
 _MIN_CHANGE = 1e-6
 
@@ -118,16 +121,18 @@
     if known is None and rate_per_s is None:
         return None
     if known is None:
-        known = RequestLimit(None, said_at, now + LAPSE_S)
+        known = RequestLimit(None, said_at, said_at + LAPSE_S)
         view.notices.record_limit(replica, known)
         if state is not None:
             state.limit = known
-    if said_at < known.said_at:
-        return None
     change = _find_change(known, rate_per_s, now)
+    # Nodes that tell each other the same do not make it more recent.
+    least_gain_s = _MAX_TRANSIT_S if source and change is None else 0
+    if said_at < known.said_at + least_gain_s:
+        return None
     known.rate_per_s = rate_per_s
     known.said_at = said_at
-    known.lapses_at = now + LAPSE_S
+    known.lapses_at = said_at + LAPSE_S
     known.source = source
     if change is not None:
         view.notices.note_obstacle(known.lapses_at)
--- a/samphirerill/relay/limits/broadcasting.py
+++ b/samphirerill/relay/limits/broadcasting.py
@@ -1,4 +1,4 @@
-"""Tell all nodes at once what replicas say about their limits."""
+"""Tell all nodes at once what replicas say about their limits, and again later."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from samphirerill.fleet.model import Replica
     from samphirerill.relay.limits.context import ExchangeContext
@@ -21,6 +21,8 @@
 # Changes within this are sent together.
 _BATCH_S = 0.01
 _MAX_BROADCAST = 64
+# The granter of a replica sends its limit again at this interval.
+_REPEAT_INTERVAL_S = 2.5
 # Smaller changes of a rate are not sent: it goes along with each request for
 # permits.
 _MIN_CHANGE = 0.1
@@ -37,7 +39,14 @@
         Sends entries about limits to all nodes.
     """
 
-    __slots__ = ('_changed', '_loop', '_send', '_state', '_told_rates')
+    __slots__ = (
+        '_changed',
+        '_loop',
+        '_repeats_at',
+        '_send',
+        '_state',
+        '_told_rates',
+    )
 
     def __init__(
         self, state: ExchangeContext, send: Callable[[LimitEntries], None]
@@ -47,15 +56,23 @@
         self._loop = asyncio.get_running_loop()
         self._changed: dict[str, Replica] = {}
         self._told_rates: dict[str, float] = {}
+        self._repeats_at = 0.0
 
     def add(self, replica: Replica) -> None:
         """Send what a replica has said, unless all nodes were told."""
-        if not self._is_news(replica):
-            return
-        if not self._changed:
-            self._loop.call_later(_BATCH_S, self._send_changed)
-        if len(self._changed) < _MAX_BROADCAST:
-            self._changed[replica.replica_id] = replica
+        if self._is_news(replica):
+            self._schedule(replica)
+
+    def repeat(self, replicas: Iterable[Replica]) -> None:
+        """Send again what some replicas have said, if it is time.
+
+        Nodes may have started since, or missed a datagram.
+        """
+        now = self._loop.time()
+        if now >= self._repeats_at:
+            self._repeats_at = now + _REPEAT_INTERVAL_S
+            for replica in replicas:
+                self._schedule(replica)
 
     def note_told(self, replica: Replica, rate_per_s: float) -> None:
         """Record what another node has sent."""
@@ -70,6 +87,12 @@
         for replica_id in self._told_rates.keys() - limited:
             self._told_rates.pop(replica_id)
 
+    def _schedule(self, replica: Replica) -> None:
+        if not self._changed:
+            self._loop.call_later(_BATCH_S, self._send_changed)
+        if len(self._changed) < _MAX_BROADCAST:
+            self._changed[replica.replica_id] = replica
+
     def _is_news(self, replica: Replica) -> bool:
         limit = self._state.view.notices.find_limit(replica)
         if limit is None:
--- a/samphirerill/relay/limits/exchange.py
+++ b/samphirerill/relay/limits/exchange.py
@@ -85,13 +85,14 @@
         """Ask for the permits that are needed."""
         self._requester.refresh()
 
-    def remove_ended(self) -> None:
-        """Forget what is known of replicas without a limit."""
+    def sweep(self) -> None:
+        """Forget replicas without a limit; repeat the limits of the others."""
         self._state.request_limits.remove_ended()
         self._requester.remove_ended()
         self._granter.remove_ended()
         self._granters.remove_ended()
         self._broadcaster.remove_ended()
+        self._broadcaster.repeat(self._granter.list_replicas())
 
     def handle_datagram(self, data: bytes, sender: str) -> None:
         """Apply a message of another node."""
--- a/samphirerill/relay/limits/granting.py
+++ b/samphirerill/relay/limits/granting.py
@@ -79,6 +79,14 @@
             allocation.take_back(count, self._loop.time())
             self._grant(replica)
 
+    def list_replicas(self) -> list[Replica]:
+        """Return the replicas whose permits this node has granted lately."""
+        return [
+            replica
+            for replica, _ in self._state.request_limits.list_in_force()
+            if replica.replica_id in self._allocations
+        ]
+
     def remove_ended(self) -> None:
         """Forget the replicas that limit no requests any more."""
         limited = {
--- a/samphirerill/tests/test_permit_sharing.py
+++ b/samphirerill/tests/test_permit_sharing.py
@@ -9,7 +9,13 @@
 from samphirerill.relay.limits.messages import LimitMessage, encode_message
 from samphirerill.relay.replica_ids import checksum_name
 from samphirerill.testing.virtual_time import run_with_virtual_time
-from samphirerill.tests.limited_nodes import OK, REPLICA, WINDOW_S, LimitedNodes
+from samphirerill.tests.limited_nodes import (
+    OK,
+    REPLICA,
+    SERVICE,
+    WINDOW_S,
+    LimitedNodes,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -21,6 +27,7 @@
 _LEAST_USE = 0.85
 _WAIT_S = 1.0
 _FAST = 5.0
+_ASK_INTERVAL_S = 0.3
 
 
 def _count_allowed(rate_per_s: float) -> float:
@@ -160,10 +167,18 @@
         """Guard against nodes that send freely until each was told."""
         self.run_nodes(self._check_told())
 
+    def test_node_that_starts_is_told_without_a_response(self) -> None:
+        """Guard against nodes that start, or missed a datagram, and send freely."""
+        self.run_nodes(self._check_start())
+
     def test_limit_lapses_without_a_response(self) -> None:
         """Guard against a limit for ever where nothing is sent."""
         self.run_nodes(self._check_lapse())
 
+    def test_nodes_do_not_renew_a_limit_for_each_other(self) -> None:
+        """Guard against a limit for ever that no response confirms."""
+        self.run_nodes(self._check_renewal())
+
     def test_damaged_messages_are_ignored(self) -> None:
         """Guard against a node that ends over a message it cannot read."""
         self.run_nodes(self._check_damaged())
@@ -180,14 +195,37 @@
         for node in nodes.nodes:
             self.assertEqual(node.state.request_limits.describe(), [])
 
+    async def _check_start(self) -> None:
+        nodes = await self.start(3, 1)
+        for node in nodes.nodes:
+            node.exchange.sweep()
+        await asyncio.sleep(_SETTLE_S)
+        new = [nodes.add_node(number) for number in range(3, 6)]
+        for node in nodes.nodes:
+            node.exchange.sweep()
+        await asyncio.sleep(_SETTLE_S)
+        for started in new:
+            self.assertTrue(started.state.request_limits.describe())
+
     async def _check_lapse(self) -> None:
         nodes = await self.start(2, 1)
         await asyncio.sleep(70)
         for node in nodes.nodes:
             self.assertTrue(node.may_send())
-            node.exchange.remove_ended()
+            node.exchange.sweep()
             self.assertEqual(node.state.counters['limits.lapsed'], 1)
 
+    async def _check_renewal(self) -> None:
+        nodes = await self.start(3, 1)
+        ends_at = nodes.loop.time() + 70
+        while nodes.loop.time() < ends_at:
+            await asyncio.sleep(_ASK_INTERVAL_S)
+            for node in nodes.nodes:
+                node.state.request_limits.note_arrival(SERVICE)
+                node.exchange.sweep()
+        for asking in nodes.nodes:
+            self.assertEqual(asking.state.request_limits.describe(), [])
+
     async def _check_damaged(self) -> None:
         nodes = await self.start(2, 1)
         exchange = nodes.nodes[0].exchange
