Test of a queued poison request: the request stays queued until the third crash

Cause: the request waits for a path for 1.4 s at most; on a slow machine the third engine crashes later, and the request is rejected for want of a path, with a Retry-After of 2.5 to 3.75 s.

--- a/samphirerill/tests/test_poison_requests.py
+++ b/samphirerill/tests/test_poison_requests.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from unittest.mock import patch
 
 from msgspec import json
 
@@ -41,6 +42,7 @@
 _IMMEDIATE_S = 0.5
 _MIN_RETRY_AFTER_S = 100.0
 _SETTLING_S = 0.3
+_QUEUED_S = 60.0
 
 
 class RepeatedPoisonCase(CrashingEnginesCase):
@@ -178,7 +180,11 @@
         state = self.nodes[0].state
         state.add_listener(self.occupy_engines)
         self.occupy_engines()
-        head = await self.fetch_head()
+        # The request must still be queued when the third engine crashes.
+        with patch(
+            'samphirerill.relay.stream_limits._MAX_ADMISSION_WAIT_S', _QUEUED_S
+        ):
+            head = await self.fetch_head()
         self.assertEqual(head.status, _UNAVAILABLE)
         self.assert_long_retry_after(head)
         await poison_task
