Own interface: a node that joins does not end the use of a limited endpoint

What callers would have seen: once the number of nodes grew, an endpoint that names a request rate got nothing from this node for hours. Cause: the interval of the last request was kept as a number, which counts intervals of another length afterwards. Its end is kept as a deadline now. Evidence: the new test failed before.

--- a/samphirerill/core/request_rates.py
+++ b/samphirerill/core/request_rates.py
@@ -27,21 +27,25 @@
 
     `said_at` is when the request was sent that was answered. It is kept after the
     rate was dropped, so that an older answer does not restore it. `phase` is the
-    part of an interval by which this node's intervals are shifted, `used` the last
-    interval in which it sent.
+    part of an interval by which this node's intervals are shifted, `used_until` the
+    end of the interval in which it sent last.
     """
 
     rate_per_s: float | None
     said_at: float
     lapses_at: float
     phase: float
-    used: int = -1
+    used_until: float = 0.0
 
     def find_interval_s(self, nodes: int) -> float:
         """Return the time between two requests of this node."""
         rate_per_s = max(MIN_RATE_PER_S, self.rate_per_s or 0)
         return max(1, nodes) / rate_per_s
 
+    def find_interval_start(self, now: float, interval_s: float) -> float:
+        """Return when the present interval of this node began."""
+        return (floor(now / interval_s - self.phase) + self.phase) * interval_s
+
 
 class RequestRates:
     """The rates in force; beyond `MAX_RATES` the oldest is dropped."""
@@ -75,7 +79,7 @@
         known.said_at = said.said_at
         known.lapses_at = said.lapses_at
         if is_change:
-            known.used = -1
+            known.used_until = 0.0
         return is_change
 
     def find_rate(self, address: str, now: float) -> float | None:
@@ -91,19 +95,20 @@
         if known is None or self.find_rate(address, now) is None:
             return 0
         interval_s = known.find_interval_s(nodes)
-        position = now / interval_s - known.phase
-        current = floor(position)
-        is_valid = (position - current) * interval_s < _VALIDITY_S
-        if is_valid and current > known.used:
+        begun_at = known.find_interval_start(now, interval_s)
+        if now >= known.used_until and now - begun_at < _VALIDITY_S:
             return 0
-        return (current + 1 + known.phase) * interval_s
+        # Another number of nodes changes the intervals since the last request.
+        after = max(now, known.used_until - interval_s)
+        return known.find_interval_start(after, interval_s) + interval_s
 
     def use(self, address: str, nodes: int, now: float) -> None:
         """Record that a request is sent to an address."""
         known = self._rates.get(address)
         if known is not None:
             interval_s = known.find_interval_s(nodes)
-            known.used = floor(now / interval_s - known.phase)
+            begun_at = known.find_interval_start(now, interval_s)
+            known.used_until = begun_at + interval_s
 
     def remove(self, address: str) -> None:
         """Remove the rate of a process that has ended."""
--- a/samphirerill/tests/test_request_rate_decisions.py
+++ b/samphirerill/tests/test_request_rate_decisions.py
@@ -28,6 +28,8 @@
 _SERVICES = ('s0', 's1')
 _ROUTE = 'lookups'
 _STEP_S = 0.05
+# Of one among two nodes, at the lowest rate.
+_LONGEST_INTERVAL_S = 10.0
 _WINDOW_S = 4.0
 _SERIES_S = 24.0
 _INVALID = ('few', '-1', 'nan', 'inf', '1e9', '', '1.2.3', '٣')
@@ -142,6 +144,17 @@
             opened += find_all(self.wait(_STEP_S), OpenAttempt)
         self.assertEqual(len(opened), 3)
 
+    def test_node_that_joins_does_not_end_the_use_of_an_endpoint(self) -> None:
+        """Guards against intervals that are counted with another length."""
+        self.now = 10_000.0
+        self.use_up('s0')
+        self.router.state.node_count = 2
+        room_at = self.router.state.find_room(self.find_address('s0'), self.now)
+        self.assertLess(room_at, self.now + 2 * _LONGEST_INTERVAL_S)
+        self.now = room_at + _STEP_S
+        address = self.find_address('s0')
+        self.assertEqual(self.router.state.find_room(address, self.now), 0)
+
     def test_retry_needs_room(self) -> None:
         """Guards against retries beyond the rate."""
         self.use_up('s0')
