Own interface: a waiting request is woken at each interval of a limited endpoint

What callers would have seen: a request that came between two intervals, to endpoints that had not been used for longer than one, waited until its deadline or another event and was refused, although there was room. Cause: a wake was scheduled only with a request or a new rate. There is one for each interval while a rate is in force. Evidence: the new test failed before.

--- a/samphirerill/core/on_deadlines.py
+++ b/samphirerill/core/on_deadlines.py
@@ -25,6 +25,7 @@
     dispatch_all_queues,
     dispatch_queue,
     may_start_again,
+    schedule_room_wake,
 )
 from samphirerill.core.state import Health, Phase
 
@@ -176,6 +177,7 @@
 def _check_room(state: CoreState, address: str, now: float) -> None:
     """Use an endpoint again that takes the next request of this node."""
     dispatch_all_queues(state, now)
+    schedule_room_wake(state, address, now)
 
 
 def _check_quarantine(state: CoreState, name: str, now: float) -> None:
--- a/samphirerill/core/on_request_rates.py
+++ b/samphirerill/core/on_request_rates.py
@@ -11,7 +11,11 @@
 )
 from samphirerill.core.handling import handle
 from samphirerill.core.request_rates import LAPSE_S, RequestRate
-from samphirerill.core.scheduling import dispatch_all_queues, refuse_hopeless
+from samphirerill.core.scheduling import (
+    dispatch_all_queues,
+    refuse_hopeless,
+    schedule_room_wake,
+)
 
 if TYPE_CHECKING:
     from samphirerill.core.state import CoreState
@@ -41,9 +45,7 @@
     if event.rate_per_s is None:
         dispatch_all_queues(state, now)
         return
-    state.schedule_wake(
-        state.find_room(event.address, now), 'room', event.address
-    )
+    schedule_room_wake(state, event.address, now)
     refuse_hopeless(state, now)
 
 
--- a/samphirerill/core/request_rates.py
+++ b/samphirerill/core/request_rates.py
@@ -19,6 +19,8 @@
 LAPSE_S = 60.0
 # How long after the beginning of an interval its request may be sent.
 _VALIDITY_S = 0.5
+# Lets time pass where rounding puts the next interval at the present time.
+_MIN_WAKE_S = 0.002
 
 
 @dataclass(slots=True)
@@ -28,7 +30,8 @@
     `said_at` is when the request was sent that was answered. It is kept after the
     rate was dropped, so that an older answer does not restore it. `phase` is the
     part of an interval by which this node's intervals are shifted, `used_until` the
-    end of the interval in which it sent last.
+    end of the interval in which it sent last. `wakes_at` is when the queues are
+    looked at next.
     """
 
     rate_per_s: float | None
@@ -36,6 +39,7 @@
     lapses_at: float
     phase: float
     used_until: float = 0.0
+    wakes_at: float = 0.0
 
     def find_interval_s(self, nodes: int) -> float:
         """Return the time between two requests of this node."""
@@ -102,6 +106,18 @@
         after = max(now, known.used_until - interval_s)
         return known.find_interval_start(after, interval_s) + interval_s
 
+    def plan_wake(self, address: str, nodes: int, now: float) -> float:
+        """Return when the next interval begins; 0 if that is planned already."""
+        known = self._rates.get(address)
+        if known is None or self.find_rate(address, now) is None:
+            return 0
+        if known.wakes_at > now:
+            return 0
+        interval_s = known.find_interval_s(nodes)
+        begun_at = known.find_interval_start(now, interval_s)
+        known.wakes_at = max(begun_at + interval_s, now + _MIN_WAKE_S)
+        return known.wakes_at
+
     def use(self, address: str, nodes: int, now: float) -> None:
         """Record that a request is sent to an address."""
         known = self._rates.get(address)
--- a/samphirerill/core/scheduling.py
+++ b/samphirerill/core/scheduling.py
@@ -205,6 +205,13 @@
             _refuse_backing_off(state, req, back_off_ends[name], now)
 
 
+def schedule_room_wake(state: CoreState, address: str, now: float) -> None:
+    """Look at the queues as an endpoint that names its rate takes a request."""
+    wakes_at = state.request_rates.plan_wake(address, state.node_count, now)
+    if wakes_at:
+        state.schedule_wake(wakes_at, 'room', address)
+
+
 def _start_next(state: CoreState, queue: FairQueue, now: float) -> bool:
     """Start the next request that may start; return whether one did."""
     for entry in queue.candidates():
@@ -254,10 +261,8 @@
 
 def _use_rate(state: CoreState, address: str, now: float) -> None:
     """Record a request to an endpoint that names its rate, if it does."""
-    if state.request_rates.find_rate(address, now) is None:
-        return
-    state.request_rates.use(address, state.node_count, now)
-    state.schedule_wake(state.find_room(address, now), 'room', address)
+    if state.request_rates.find_rate(address, now) is not None:
+        state.request_rates.use(address, state.node_count, now)
 
 
 def _compute_first_deadline(
--- a/samphirerill/tests/test_request_rate_decisions.py
+++ b/samphirerill/tests/test_request_rate_decisions.py
@@ -144,6 +144,23 @@
             opened += find_all(self.wait(_STEP_S), OpenAttempt)
         self.assertEqual(len(opened), 3)
 
+    def test_waiting_request_is_woken_between_intervals(self) -> None:
+        """Guards against a queue that nothing wakes at the next interval."""
+        self.router.state.node_count = 4
+        for name in _SERVICES:
+            self.name_rate(name, 1)
+        self.wait(_SERIES_S / 2)
+        while not all(
+            self.router.state.find_room(self.find_address(name), self.now)
+            for name in _SERVICES
+        ):
+            self.wait(_STEP_S)
+        self.wait(1)
+        opened = find_all(self.ask('r1', _ROUTE), OpenAttempt)
+        for _ in range(100):
+            opened += find_all(self.wait(_STEP_S), OpenAttempt)
+        self.assertEqual(len(opened), 1)
+
     def test_node_that_joins_does_not_end_the_use_of_an_endpoint(self) -> None:
         """Guards against intervals that are counted with another length."""
         self.now = 10_000.0
