--- a/samphirerill/backends/endpoint_headers.py
+++ b/samphirerill/backends/endpoint_headers.py
@@ -17,7 +17,7 @@
 
 from samphirerill.core.endpoint_events import (
     EndpointLeaving,
-    EndpointNamedRate,
+    EndpointNamedLimit,
     EndpointRequestedBackOff,
     RequestLimitIgnored,
     RetryAfterIgnored,
@@ -99,14 +99,14 @@
     """
     texts = _list_texts(headers, REQUEST_LIMIT_HEADER)
     if not texts:
-        sink.apply(EndpointNamedRate(endpoint, address, None, sent_at))
+        sink.apply(EndpointNamedLimit(endpoint, address, None, sent_at))
         return
     rates = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
     if len(rates) < len(texts):
         received = ', '.join(texts)[:_MAX_LOGGED_CHARACTERS]
         sink.apply(RequestLimitIgnored(endpoint, address, received))
         return
-    sink.apply(EndpointNamedRate(endpoint, address, min(rates), sent_at))
+    sink.apply(EndpointNamedLimit(endpoint, address, min(rates), sent_at))
 
 
 def parse_retry_after_s(text: str) -> float | None:
--- a/samphirerill/core/availability.py
+++ b/samphirerill/core/availability.py
@@ -31,7 +31,7 @@
     It is 0 if the route could be served without the endpoints that back off, or not
     even with them.
     """
-    if not state.back_offs and not state.request_rates:
+    if not state.back_offs and not state.request_limits:
         return 0
     candidates = [
         (state.find_room(replica.endpoint.address, now), replica)
--- a/samphirerill/core/endpoint_events.py
+++ b/samphirerill/core/endpoint_events.py
@@ -39,7 +39,7 @@
 
 
 @dataclass(slots=True)
-class EndpointNamedRate:
+class EndpointNamedLimit:
     """An endpoint named how many requests a second it takes from all nodes.
 
     `rate_per_s` is None if the answer names none. `said_at` is when the request
--- a/samphirerill/core/on_departures.py
+++ b/samphirerill/core/on_departures.py
@@ -65,7 +65,7 @@
     state.counters['departures.ended'] += 1
     _log(state, 'another process in place of a leaving one', name, address)
     state.back_offs.remove(address)
-    state.request_rates.remove(address)
+    state.request_limits.remove(address)
     for replica in _list_replicas(state, address):
         if replica.endpoint.name not in state.leaving:
             replica.health = Health.LIVE
--- a/samphirerill/core/on_fleet.py
+++ b/samphirerill/core/on_fleet.py
@@ -149,7 +149,7 @@
     if event.is_refused:
         # Whatever listens there later is another process.
         state.back_offs.remove(replica.endpoint.address)
-        state.request_rates.remove(replica.endpoint.address)
+        state.request_limits.remove(replica.endpoint.address)
     if state.departures.is_leaving(replica.endpoint.address):
         follow_departure(state, event, replica, now)
         return
--- a/samphirerill/core/on_request_rates.py
+++ b/samphirerill/core/on_request_limits.py
@@ -6,11 +6,11 @@
 
 from samphirerill.core.commands import LogEndpoint
 from samphirerill.core.endpoint_events import (
-    EndpointNamedRate,
+    EndpointNamedLimit,
     RequestLimitIgnored,
 )
 from samphirerill.core.handling import handle
-from samphirerill.core.request_rates import LAPSE_S, RequestRate
+from samphirerill.core.request_limits import LAPSE_S, RequestLimit
 from samphirerill.core.scheduling import (
     dispatch_all_queues,
     refuse_hopeless,
@@ -21,19 +21,19 @@
     from samphirerill.core.state import CoreState
 
 
-@handle.register(EndpointNamedRate)
-def on_endpoint_named_rate(
-    event: EndpointNamedRate, state: CoreState, now: float
+@handle.register(EndpointNamedLimit)
+def on_endpoint_named_limit(
+    event: EndpointNamedLimit, state: CoreState, now: float
 ) -> None:
     """Send an endpoint no more than this node's part of the rate it named."""
-    if event.rate_per_s is None and not state.request_rates:
+    if event.rate_per_s is None and not state.request_limits:
         return
-    said = RequestRate(
+    said = RequestLimit(
         event.rate_per_s, event.said_at, now + LAPSE_S, state.random.random()
     )
-    if not state.request_rates.note(event.address, said):
+    if not state.request_limits.note(event.address, said):
         return
-    state.counters['request_rates.changed'] += 1
+    state.counters['request_limits.changed'] += 1
     details: dict[str, object] = {
         'address': event.address,
         'rate_per_s': event.rate_per_s,
@@ -54,7 +54,7 @@
     event: RequestLimitIgnored, state: CoreState, now: float
 ) -> None:
     """Count an invalid value; log each value of an endpoint once."""
-    state.counters['request_rates.ignored'] += 1
+    state.counters['request_limits.ignored'] += 1
     if state.back_offs.note_ignored_value(event.address, event.received):
         details: dict[str, object] = {
             'address': event.address,
--- a/samphirerill/core/queries.py
+++ b/samphirerill/core/queries.py
@@ -86,7 +86,7 @@
                 replica.endpoint.address
             ),
             'back_off_s': _get_back_off_s(state, replica.endpoint.address, now),
-            'request_limit_per_s': state.request_rates.find_rate(
+            'request_limit_per_s': state.request_limits.find_rate(
                 replica.endpoint.address, now
             ),
         }
--- a/samphirerill/core/request_rates.py
+++ b/samphirerill/core/request_limits.py
@@ -1,4 +1,4 @@
-"""Request rates that endpoints named, by address.
+"""Request limits that endpoints named, by address.
 
 An endpoint names the rate that it takes from all nodes together. Each node sends
 at an even part of it, at times of its own: once in each interval, within a short
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from math import floor
 
-MAX_RATES = 4096
+MAX_LIMITS = 4096
 # An endpoint that names a lower rate is still asked this often whether that holds.
 MIN_RATE_PER_S = 0.2
 # A rate that no answer has confirmed for so long no longer counts.
@@ -24,7 +24,7 @@
 
 
 @dataclass(slots=True)
-class RequestRate:
+class RequestLimit:
     """The rate that one endpoint has named; 0 or more requests a second.
 
     `said_at` is when the request was sent that was answered. It is kept after the
@@ -51,30 +51,30 @@
         return (floor(now / interval_s - self.phase) + self.phase) * interval_s
 
 
-class RequestRates:
-    """The rates in force; beyond `MAX_RATES` the oldest is dropped."""
+class RequestLimits:
+    """The limits in force; beyond `MAX_LIMITS` the oldest is dropped."""
 
-    __slots__ = ('_rates',)
+    __slots__ = ('_limits',)
 
     def __init__(self) -> None:
-        self._rates: OrderedDict[str, RequestRate] = OrderedDict()
+        self._limits: OrderedDict[str, RequestLimit] = OrderedDict()
 
     def __len__(self) -> int:
         """Return the number of rates, including dropped ones."""
-        return len(self._rates)
+        return len(self._limits)
 
-    def note(self, address: str, said: RequestRate) -> bool:
+    def note(self, address: str, said: RequestLimit) -> bool:
         """Record what an endpoint has said; return whether that is a change.
 
         An answer to an earlier request than the one that counts is ignored.
         """
-        known = self._rates.get(address)
+        known = self._limits.get(address)
         if known is None:
             if said.rate_per_s is None:
                 return False
-            self._rates[address] = said
-            if len(self._rates) > MAX_RATES:
-                self._rates.popitem(last=False)
+            self._limits[address] = said
+            if len(self._limits) > MAX_LIMITS:
+                self._limits.popitem(last=False)
             return True
         if said.said_at < known.said_at:
             return False
@@ -88,14 +88,14 @@
 
     def find_rate(self, address: str, now: float) -> float | None:
         """Return the rate in force at an address, or None."""
-        known = self._rates.get(address)
+        known = self._limits.get(address)
         if known is None or known.lapses_at <= now:
             return None
         return known.rate_per_s
 
     def find_room(self, address: str, nodes: int, now: float) -> float:
         """Return when a request may be sent to an address; 0 for at once."""
-        known = self._rates.get(address)
+        known = self._limits.get(address)
         if known is None or self.find_rate(address, now) is None:
             return 0
         interval_s = known.find_interval_s(nodes)
@@ -108,7 +108,7 @@
 
     def plan_wake(self, address: str, nodes: int, now: float) -> float:
         """Return when the next interval begins; 0 if that is planned already."""
-        known = self._rates.get(address)
+        known = self._limits.get(address)
         if known is None or self.find_rate(address, now) is None:
             return 0
         if known.wakes_at > now:
@@ -120,7 +120,7 @@
 
     def use(self, address: str, nodes: int, now: float) -> None:
         """Record that a request is sent to an address."""
-        known = self._rates.get(address)
+        known = self._limits.get(address)
         if known is not None:
             interval_s = known.find_interval_s(nodes)
             begun_at = known.find_interval_start(now, interval_s)
@@ -128,4 +128,4 @@
 
     def remove(self, address: str) -> None:
         """Remove the rate of a process that has ended."""
-        self._rates.pop(address, None)
+        self._limits.pop(address, None)
--- a/samphirerill/core/router.py
+++ b/samphirerill/core/router.py
@@ -12,7 +12,7 @@
     on_deadlines,
     on_departures,
     on_fleet,
-    on_request_rates,
+    on_request_limits,
     on_requests,
 )
 from samphirerill.core.handling import handle
@@ -29,7 +29,7 @@
     on_requests,
     on_back_offs,
     on_departures,
-    on_request_rates,
+    on_request_limits,
     on_deadlines,
 )
 
--- a/samphirerill/core/scheduling.py
+++ b/samphirerill/core/scheduling.py
@@ -207,7 +207,7 @@
 
 def schedule_room_wake(state: CoreState, address: str, now: float) -> None:
     """Look at the queues as an endpoint that names its rate takes a request."""
-    wakes_at = state.request_rates.plan_wake(address, state.node_count, now)
+    wakes_at = state.request_limits.plan_wake(address, state.node_count, now)
     if wakes_at:
         state.schedule_wake(wakes_at, 'room', address)
 
@@ -261,8 +261,8 @@
 
 def _use_rate(state: CoreState, address: str, now: float) -> None:
     """Record a request to an endpoint that names its rate, if it does."""
-    if state.request_rates.find_rate(address, now) is not None:
-        state.request_rates.use(address, state.node_count, now)
+    if state.request_limits.find_rate(address, now) is not None:
+        state.request_limits.use(address, state.node_count, now)
 
 
 def _compute_first_deadline(
--- a/samphirerill/core/state.py
+++ b/samphirerill/core/state.py
@@ -15,13 +15,13 @@
 
 from samphirerill.core.admission import FairQueue
 from samphirerill.core.back_offs import BackOffs
-from samphirerill.core.request_rates import RequestRates
 from samphirerill.core.budget import RetryBudget
 from samphirerill.core.commands import Command, Stage
 from samphirerill.core.configuration import Configuration, Endpoint
 from samphirerill.core.departures import Departures
 from samphirerill.core.links import LinkLatencies
 from samphirerill.core.prefixes import PrefixIndex
+from samphirerill.core.request_limits import RequestLimits
 from samphirerill.quarantine import Quarantine
 
 if TYPE_CHECKING:
@@ -164,7 +164,7 @@
         'random',
         'requests',
         'back_offs',
-        'request_rates',
+        'request_limits',
         'running_by_account',
         'suspected_crashes',
         'suspension_reason',
@@ -184,7 +184,7 @@
         self.links = LinkLatencies()
         self.prefixes = PrefixIndex()
         self.back_offs = BackOffs()
-        self.request_rates = RequestRates()
+        self.request_limits = RequestLimits()
         self.departures = Departures()
         self.quarantine = Quarantine()
         # By endpoint being probed, the requests whose attempts failed there.
@@ -203,7 +203,7 @@
         """Return when a request may be sent to an address; 0 for at once."""
         return max(
             self.back_offs.get_until(address, now),
-            self.request_rates.find_room(address, self.node_count, now),
+            self.request_limits.find_room(address, self.node_count, now),
         )
 
     def emit(self, command: Command) -> None:
--- a/samphirerill/tests/test_request_rate_decisions.py
+++ b/samphirerill/tests/test_request_limit_decisions.py
@@ -9,7 +9,7 @@
 from samphirerill.backends.endpoint_headers import emit_request_limit
 from samphirerill.core.commands import LogEndpoint, OpenAttempt, RefuseRequest
 from samphirerill.core.endpoint_events import (
-    EndpointNamedRate,
+    EndpointNamedLimit,
     RequestLimitIgnored,
 )
 from samphirerill.core.events import (
@@ -18,7 +18,7 @@
     ProbeFinished,
     TimerFired,
 )
-from samphirerill.core.request_rates import LAPSE_S, MAX_RATES
+from samphirerill.core.request_limits import LAPSE_S, MAX_LIMITS
 from samphirerill.core.router import Router
 from samphirerill.tests.test_back_off_decisions import RouterCase, find_all
 
@@ -44,12 +44,14 @@
         """Let an endpoint name a rate in an answer."""
         address = self.find_address(name)
         said_at = self.now - ago_s
-        return self.apply(EndpointNamedRate(name, address, rate_per_s, said_at))
+        return self.apply(
+            EndpointNamedLimit(name, address, rate_per_s, said_at)
+        )
 
     def find_rate(self, name: str) -> float | None:
         """Return the rate in force at an endpoint."""
         state = self.router.state
-        return state.request_rates.find_rate(self.find_address(name), self.now)
+        return state.request_limits.find_rate(self.find_address(name), self.now)
 
     def find_address(self, name: str) -> str:
         """Return the address of an endpoint."""
@@ -58,7 +60,7 @@
 
     def use_up(self, *names: str) -> None:
         """Let endpoints name a low rate that this node has just used."""
-        rates = self.router.state.request_rates
+        rates = self.router.state.request_limits
         for name in names:
             self.name_rate(name, 0)
             rates.use(self.find_address(name), 1, self.now)
@@ -210,9 +212,9 @@
 
     def test_known_rates_are_bounded(self) -> None:
         """Guards against memory that grows with each address."""
-        for number in range(MAX_RATES + 10):
-            self.apply(EndpointNamedRate('s0', f'h:{number}', 1, self.now))
-        self.assertEqual(len(self.router.state.request_rates), MAX_RATES)
+        for number in range(MAX_LIMITS + 10):
+            self.apply(EndpointNamedLimit('s0', f'h:{number}', 1, self.now))
+        self.assertEqual(len(self.router.state.request_limits), MAX_LIMITS)
 
 
 class TestHeader(TestCase):
@@ -235,7 +237,7 @@
         """Guards against limits that are misread."""
         for texts, expected in (((), None), (('4.5',), 4.5), (('4', '2'), 2)):
             with self.subTest(texts):
-                event = EndpointNamedRate('s0', 'h:1', expected, 7)
+                event = EndpointNamedLimit('s0', 'h:1', expected, 7)
                 self.assertEqual(self.emit(*texts), event)
 
     def test_invalid_values_are_ignored(self) -> None:
