Store: log and count the era that it names, and each listing's revision

Logs could not tell a store that came back from a copy from one that was only away: a listing named its own revision, not the one before, and the header Store-Era was not read.

Now the client keeps the latest era, a change of era is one warning, each listing names the revision before it, and the state dump and metrics have era, restores and revision. Nothing depends on them yet.

--- a/samphirerill/platform/store.py
+++ b/samphirerill/platform/store.py
@@ -22,9 +22,15 @@
     StoreRejectedError,
     StoreUnreachableError,
 )
-from samphirerill.relay.connection import HttpConnection, serialize_request
+from samphirerill.platform import wire_names
+from samphirerill.relay.connection import (
+    HttpConnection,
+    ResponseHead,
+    serialize_request,
+)
 from samphirerill.relay.errors import ConnectError, EndpointError
-from samphirerill.relay.pool import read_response
+from samphirerill.relay.pool import read_whole_response
+from samphirerill.relay.store_era import StoreEra
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -159,12 +165,15 @@
     ----------
     calls : Counter
         Calls made, by purpose, including those that failed.
+    era : StoreEra
+        The era that the store has named in its responses.
     """
 
     def __init__(self, address: str) -> None:
         self._address = address
         self._idle: list[HttpConnection] = []
         self.calls: Counter[str] = Counter()
+        self.era = StoreEra()
 
     async def read(self, key: str) -> tuple[StoredItem | None, int]:
         """Return the item at a key and the store's current revision.
@@ -380,7 +389,7 @@
             ) from exc
         try:
             connection.send(request)
-            status, body = await read_response(connection, deadline)
+            head, body = await read_whole_response(connection, deadline)
         except EndpointError as exc:
             connection.close()
             raise StoreUnreachableError(
@@ -393,7 +402,17 @@
             self._put_back(connection)
         else:
             connection.close()
-        return status, body
+        self._observe_era(head)
+        return head.status, body
+
+    def _observe_era(self, head: ResponseHead) -> None:
+        text = head.get(wire_names.STORE_ERA)
+        if text is None:
+            return
+        if text.isdigit() and int(text) >= self.era.current:
+            self.era.observe(int(text))
+        else:
+            self.era.reject(text.decode('latin-1'))
 
     async def _get_connection(self, deadline: float) -> HttpConnection:
         now = asyncio.get_running_loop().time()
--- a/samphirerill/platform/wire_names.py
+++ b/samphirerill/platform/wire_names.py
@@ -25,6 +25,8 @@
 # Requests a second that a replica takes from all nodes together.
 REQUEST_LIMIT = b'server-limit'
 RESUME_AFTER = b'last-event-id'
+# In each response of the store; rises when it is restored from a copy.
+STORE_ERA = b'store-era'
 READY_PATH = '/ready'
 STATUS_PATH = '/report'
 ORDER_PATH = '/order'
--- a/samphirerill/relay/pool.py
+++ b/samphirerill/relay/pool.py
@@ -11,6 +11,7 @@
     BodyChunk,
     EndOfResponse,
     HttpConnection,
+    ResponseHead,
     serialize_request,
 )
 from samphirerill.relay.errors import ConnectionLimitError
@@ -179,13 +180,21 @@
     conn: HttpConnection, deadline: float
 ) -> tuple[int, bytes]:
     """Read a complete short response; return its status and body."""
-    status = 0
+    head, body = await read_whole_response(conn, deadline)
+    return head.status, body
+
+
+async def read_whole_response(
+    conn: HttpConnection, deadline: float
+) -> tuple[ResponseHead, bytes]:
+    """Read a complete short response; return its head and body."""
+    head = ResponseHead(0)
     chunks: list[bytes] = []
     while True:
         part = await conn.read(deadline)
         if isinstance(part, EndOfResponse):
-            return status, b''.join(chunks)
+            return head, b''.join(chunks)
         if isinstance(part, BodyChunk):
             chunks.append(part.body)
         else:
-            status = part.status
+            head = part
--- a/samphirerill/relay/status_endpoints.py
+++ b/samphirerill/relay/status_endpoints.py
@@ -55,6 +55,7 @@
         self._quarantine_manager = quarantine_manager
         self._state = state
         self._admission = admission
+        self._store = store
         self.usage = UsageReporter(state, store)
         self._count_busy = count_busy
 
@@ -80,6 +81,7 @@
         dump = {
             'node': state.settings.name,
             'version': state.version,
+            'store': self._describe_store(),
             'replicas': len(state.view.replicas),
             'streams': len(state.streams),
             'notices': state.response_notices.describe(),
@@ -88,6 +90,15 @@
         }
         return _OK, json.encode(dump)
 
+    def _describe_store(self) -> dict[str, int]:
+        era = self._store.era
+        return {
+            'era': era.current,
+            'restores': era.restores,
+            'invalid_eras': era.invalid_count,
+            'revision': self._state.view.revision,
+        }
+
     def _serve_metrics(self) -> Page:
         state = self._state
         gauges = {**state.counters, **self.usage.collect()}
@@ -95,6 +106,8 @@
         gauges['now.open'] = self._count_busy()
         gauges['now.replicas'] = len(state.view.replicas)
         gauges['now.version'] = state.version
+        for name, number in self._describe_store().items():
+            gauges[f'store.{name}'] = number
         gauges['now.quarantine'] = len(state.quarantine)
         gauges['now.notices'] = len(state.response_notices.describe())
         for replica, limit in state.request_limits.list_in_force():
--- a/samphirerill/relay/store_follower.py
+++ b/samphirerill/relay/store_follower.py
@@ -151,6 +151,7 @@
         if changes is None:
             self._check_backoff()
             found, revision = await self._store.read_prefix('')
+            self._log_listing(len(found), revision)
             self._change_source.record_store_result(answers=True)
             for handler in self._handlers:
                 matching = [
@@ -173,6 +174,17 @@
             self._state.notify_listeners()
             await asyncio.sleep(self._next_batch_delay())
 
+    def _log_listing(self, count: int, revision: int) -> None:
+        _LOG.info(
+            'all keys listed',
+            extra={
+                'era': self._store.era.current,
+                'revision': revision,
+                'previous_revision': self.revision,
+                'count': count,
+            },
+        )
+
     async def _wait_for_changes(self) -> Changes | None:
         """Wait for changes from a watcher node, or else from the store.
 
