--- a/samphirerill/testing/platform_store.py
+++ b/samphirerill/testing/platform_store.py
@@ -1,13 +1,15 @@
 """A fake of the platform's key-value service, with its published HTTP API.
 
-Tests can make it respond with 503, lose responses, or withhold changes from
-watches.
+Tests can make it respond with 503, lose responses, withhold changes from
+watches, or restore it from a copy.
 """
 
 from __future__ import annotations
 
 import asyncio
 from base64 import b64decode, b64encode
+from copy import deepcopy
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -16,6 +18,7 @@
 from samphirerill.fleet.model import ClientLimits
 
 if TYPE_CHECKING:
+    from samphirerill.relay.connection import Headers
     from samphirerill.relay.server import ClientConnection, Request
 
 _OK = 200
@@ -31,18 +34,30 @@
 _ABSENT: Json = {'revision': 0}
 
 
+@dataclass(slots=True, frozen=True)
+class StoreCopy:
+    """What a copy of the service holds; `leases` are keys by lease."""
+
+    keys: dict[str, Json]
+    events: list[Json]
+    revision: int
+    leases: dict[int, set[str]]
+
+
 class FakePlatformStore:
     """In-memory keys, leases and change history of the service.
 
     `is_unavailable` responds with 503; `withholds_changes` withholds changes
     from watches; `responses_to_lose` is a number of requests to apply without
-    responding.
+    responding. `era_text` replaces the era in all responses; empty to omit it.
     """
 
     def __init__(self) -> None:
         self.keys: dict[str, Json] = {}
         self.events: list[Json] = []
         self.revision = 0
+        self.era = 1
+        self.era_text: bytes | None = None
         self.compacted_revision = 0
         self.call_count = 0
         self.is_unavailable = False
@@ -67,7 +82,7 @@
         """Handle one API call."""
         self.call_count += 1
         if self.is_unavailable:
-            conn.respond(_UNAVAILABLE, [], b'')
+            conn.respond(_UNAVAILABLE, self._build_headers(), b'')
             return
         parts = urlsplit(req.target.decode())
         query = {
@@ -79,7 +94,7 @@
             self.responses_to_lose -= 1
             conn.abort()
             return
-        conn.respond(status, [], json.encode(answer))
+        conn.respond(status, self._build_headers(), json.encode(answer))
 
     async def put(self, key: str, text: bytes, lease: int = 0) -> int:
         """Write a key directly, in place of an operator or replica."""
@@ -92,6 +107,30 @@
         self._delete(key)
         await self._notify_watches()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of what the service holds now."""
+        return StoreCopy(
+            dict(self.keys),
+            list(self.events),
+            self.revision,
+            deepcopy(self._leases),
+        )
+
+    async def restore(self, copy: StoreCopy) -> None:
+        """Begin a new era from a copy; all later writes and leases are lost."""
+        self.keys = dict(copy.keys)
+        self.events = list(copy.events)
+        self.revision = copy.revision
+        self._leases = {
+            lease: set(keys)
+            for lease, keys in copy.leases.items()
+            if lease in self._ttl_s
+        }
+        self.era += 1
+        for lease in self._leases:
+            self._renew(lease)
+        await self._notify_watches()
+
     def compact_history(self) -> None:
         """Compact the history: watches from older revisions get 410."""
         self.compacted_revision = self.revision
@@ -150,18 +189,22 @@
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, Json]:
         after = int(query['after'])
-        if after < self.compacted_revision:
+        era = self.era
+        if after < self.compacted_revision or after > self.revision:
             return _GONE, {}
         try:
             async with asyncio.timeout(int(query['waitMs']) / _MS_PER_S):
                 async with self._changed:
                     await self._changed.wait_for(
                         lambda: (
-                            not self.withholds_changes and self.revision > after
+                            not self.withholds_changes
+                            and (self.revision > after or self.era > era)
                         )
                     )
         except TimeoutError:
             return _OK, {'events': [], 'currentRev': after}
+        if self.era > era and after > self.revision:
+            return _GONE, {}
         events = [item for item in self.events if item['revision'] > after]
         return _OK, {'events': events, 'currentRev': self.revision}
 
@@ -222,6 +265,10 @@
             {'key': key, 'revision': self.revision, 'deleted': True}
         )
 
+    def _build_headers(self) -> Headers:
+        text = b'%d' % self.era if self.era_text is None else self.era_text
+        return [(b'Store-Era', text)] if text else []
+
     def _renew(self, lease: int) -> None:
         now = asyncio.get_running_loop().time()
         self._lease_deadlines[lease] = now + self._ttl_s[lease]
