Store: revisions are ordered by era, and entries of a copy do not undo what is known

What callers saw: requests sent to a replica 2.0 to 2.8 s after it had said that it leaves, and handled by a configuration that was superseded 3.2 s before, each after an outage of the store.

Cause: the store came back from a copy and gave out revisions again. Nodes compared revisions as if they only rose. A watcher that had listed all keys again kept its higher revision; nodes that polled it with that revision got no change until the store had passed it. Class: the order of events that one party gives out is taken to go on, although that party can start again.

Change: a revision is one integer with the era in its high bits, made by the store's client alone (fleet/revisions.py), so that each comparison orders eras first. Each response is judged by the era that it names: one of an earlier era is no answer, and a listing or watch that spans two eras is repeated. A rise of the era interrupts the wait for changes, also when another call shows it. On entering an era, an entry of the copy does not undo what a replica has said: it stays leaving, and keeps the layers of its latest order; one that was removed is withheld until it is written again or has stayed for 5 s; one that is missing gets the time of an outage. Nodes that poll get what differs, and checksums of the rest; a mismatch sends them to the store.

Result: test_a_replica_that_leaves_gets_no_requests, listed until now, passes.

--- a/samphirerill/fleet/model.py
+++ b/samphirerill/fleet/model.py
@@ -164,7 +164,8 @@
     An endpoint may restart under the same `replica_id`; then it holds nothing
     of what it held before. `started_ms`, in Unix milliseconds, identifies the
     process; 0 if not announced. `layers` is what it holds now; ``None`` if it
-    holds none, or if the service has no layers.
+    holds none, or if the service has no layers. `order_count` is the number of
+    orders that the process had accepted.
     """
 
     replica_id: str
@@ -176,6 +177,7 @@
     accelerator: str = ''
     layers: LayerRange | None = None
     started_ms: int = 0
+    order_count: int = 0
 
     def is_different_process(self, started_ms: int) -> bool:
         """Return whether a start time belongs to another process than this."""
--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -1,7 +1,8 @@
 """Which replicas exist, and which of them may get new work.
 
 Announcements carry the revision of the store that wrote them; an older one
-never replaces a newer one. Findings of this node, such as that a replica is
+never replaces a newer one. A store that was restored from a copy has later
+revisions but may hold older entries, which are merged with what is known. Findings of this node, such as that a replica is
 silent, slow or failing, are kept separately for a limited time.
 """
 
@@ -11,7 +12,12 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.failure_detection import CorrelatedFailure
+from samphirerill.fleet.removed_replicas import (
+    RemovedReplicas,
+    merge_copied,
+)
 from samphirerill.fleet.replica_notices import ReplicaNotices
+from samphirerill.fleet.revisions import get_era
 from samphirerill.fleet.stage_lifetime import releases_layers
 from samphirerill.fleet.suspicion import (
     CONFIRMING_VOTES,
@@ -40,8 +46,6 @@
 # Replicas that were withdrawn while draining are kept this much longer than
 # announced, as some keep serving.
 _DRAINING_RETENTION_S = 30.0
-# Ids of withdrawn replicas are kept to reject older announcements of them.
-_MAX_TOMBSTONES = 4096
 
 
 @dataclass(slots=True)
@@ -121,7 +125,7 @@
     # The configured services; empty if not known yet. An entry of any other
     # service does not replace a replica at its address.
     services: frozenset[str] = frozenset()
-    _tombstones: dict[str, int] = field(default_factory=dict)
+    removed: RemovedReplicas = field(default_factory=RemovedReplicas)
 
     def apply_announcement(
         self, replica: Replica, revision: int, leaving_deadline: float = 0.0
@@ -139,28 +143,26 @@
             layers.
         """
         replica_id = replica.replica_id
-        if revision <= self._tombstones.get(replica_id, -1):
+        if self.removed.is_outdated(replica_id, revision):
             return False
         state = self.replicas.get(replica_id)
         if state is not None and revision <= state.revision:
             state.lapsed_until = 0.0
             return False
+        if get_era(revision) > get_era(self.revision):
+            if state is not None:
+                replica = merge_copied(state.replica, replica)
+            elif self.removed.withhold_copied(replica, revision):
+                return False
+        self.removed.drop_entry(replica_id)
         is_new = state is None or replica.is_different_process(
             state.replica.started_ms
         )
         if state is None or is_new:
             self._register(replica, revision)
         else:
-            if releases_layers(state.replica.layers, replica.layers):
-                self.loss_count += 1
-                state.release_until = leaving_deadline
-            state.replica = replica
-            state.requested_backoff_until = self.notices.get_backoff_end(
-                replica
-            )
-            state.limit = self.notices.find_limit(replica)
+            _update_state(self, state, replica, leaving_deadline)
             state.revision = revision
-            state.lapsed_until = 0.0
         _update_leaving(self, replica, leaving_deadline, is_new=is_new)
         return True
 
@@ -187,6 +189,7 @@
             announcing it, or only say so in responses; one that was suspected
             dead, or has announced that it drains, serves nothing any more.
         """
+        self.removed.drop_entry(replica_id)
         state = self.replicas.get(replica_id)
         if state is None or revision < state.revision:
             return
@@ -235,6 +238,8 @@
         ]
         for replica_id in removed:
             self._remove(replica_id, self.replicas[replica_id].revision)
+        for entry in self.removed.pop_confirmed(now):
+            self.apply_announcement(entry.replica, entry.revision)
         for replica_id in set(self.leaving_deadlines) - set(self.replicas):
             if self.leaving_deadlines[replica_id] + _DRAINING_RETENTION_S < now:
                 self.leaving_deadlines.pop(replica_id)
@@ -437,13 +442,12 @@
         self.membership_version += 1
 
     def _remove(self, replica_id: str, revision: int) -> None:
-        self.replicas.pop(replica_id, None)
+        state = self.replicas.pop(replica_id, None)
         self.leaving_deadlines.pop(replica_id, None)
-        self._tombstones[replica_id] = revision
+        announced = revision if state is None else state.revision
+        self.removed.note_removal(replica_id, revision, announced)
         self.membership_version += 1
         self.loss_count += 1
-        while len(self._tombstones) > _MAX_TOMBSTONES:
-            self._tombstones.pop(next(iter(self._tombstones)))
 
 
 def is_suspected(view: FleetView, replica_id: str, now: float) -> bool:
@@ -465,6 +469,19 @@
     return min(votes, CONFIRMING_VOTES)
 
 
+def _update_state(
+    view: FleetView, state: ReplicaState, replica: Replica, deadline: float
+) -> None:
+    """Update a replica to its latest entry."""
+    if releases_layers(state.replica.layers, replica.layers):
+        view.loss_count += 1
+        state.release_until = deadline
+    state.replica = replica
+    state.requested_backoff_until = view.notices.get_backoff_end(replica)
+    state.limit = view.notices.find_limit(replica)
+    state.lapsed_until = 0.0
+
+
 def _update_leaving(
     view: FleetView, replica: Replica, deadline: float, *, is_new: bool
 ) -> None:
--- a/samphirerill/platform/announcements.py
+++ b/samphirerill/platform/announcements.py
@@ -32,6 +32,8 @@
     # When the process started, in Unix milliseconds; a restarted replica may
     # keep its id.
     born: int = 0
+    # Orders that the replica has accepted since it started.
+    sequence: int = 0
 
 
 class _Stalled(Struct):
@@ -83,6 +85,7 @@
         accelerator=document.kind,
         layers=_build_layers(document.layers),
         started_ms=document.born,
+        order_count=document.sequence,
     )
 
 
--- a/samphirerill/platform/store.py
+++ b/samphirerill/platform/store.py
@@ -5,6 +5,10 @@
 was done) or ``StoreUnreachableError`` (outcome unknown). After a write whose
 response was lost, the caller must read the keys back to find out whether it was
 applied.
+
+The store may be restored from a copy, which begins a new era; each response
+names its era. Revisions that callers get and pass are those of
+:mod:`samphirerill.fleet.revisions`, which include the era.
 """
 
 from __future__ import annotations
@@ -22,6 +26,12 @@
     StoreRejectedError,
     StoreUnreachableError,
 )
+from samphirerill.fleet.revisions import (
+    MAX_ERA,
+    build_revision,
+    get_era,
+    get_number,
+)
 from samphirerill.platform import wire_names
 from samphirerill.relay.connection import (
     HttpConnection,
@@ -50,7 +60,10 @@
 
 
 class RevisionCompactedError(StoreError):
-    """The watched revision was compacted; all keys must be listed again."""
+    """The store cannot continue from a revision; list all keys again.
+
+    It has compacted the revision, or was restored from a copy since.
+    """
 
 
 class LeaseNotFoundError(StoreError):
@@ -153,6 +166,12 @@
     remove: list[str] = field(default_factory=list)
 
 
+class _Response(Struct):
+    status: int
+    body: bytes
+    era: int
+
+
 class PlatformStore:
     """Client of the key-value store.
 
@@ -185,34 +204,33 @@
         revision : int
             The store's revision; 0 if there is no such key.
         """
-        status, body = await self._call(
-            'read key', 'GET', '/kv-key', {'key': key}
-        )
-        if status == _NOT_FOUND:
+        response = await self._call('read key', 'GET', '/kv-key', {'key': key})
+        if response.status == _NOT_FOUND:
             return None, 0
-        found = _decode(body, _KeyResponse)
-        return _build_item(found), found.current_rev
+        found = _decode(response, _KeyResponse)
+        revision = build_revision(response.era, found.current_rev)
+        return _build_item(found, response.era), revision
 
     async def read_prefix(self, prefix: str) -> tuple[list[StoredItem], int]:
         """Return all items under a prefix, and a revision to watch from.
 
         Pages are not a consistent snapshot. The revision is that of the first
         page, so that a watch from there may repeat changes but misses none.
+
+        Raises
+        ------
+        RevisionCompactedError
+            The store was restored between two pages.
         """
-        found: list[StoredItem] = []
-        revision = 0
-        after = ''
-        while True:
-            query = {'prefix': prefix}
-            if after:
-                query['after'] = after
-            _, body = await self._call('read all', 'GET', '/kv-range', query)
-            page = _decode(body, _RangeResponse)
-            found.extend(_build_item(item) for item in page.found)
-            revision = revision or page.current_rev
-            if not page.more_pages or not page.found:
-                return found, revision
-            after = page.found[-1].key
+        page, era = await self._read_page({'prefix': prefix})
+        revision = build_revision(era, page.current_rev)
+        found = [_build_item(item, era) for item in page.found]
+        while page.more_pages and page.found:
+            query = {'prefix': prefix, 'after': page.found[-1].key}
+            page, page_era = await self._read_page(query)
+            _check_era(era, page_era)
+            found.extend(_build_item(item, era) for item in page.found)
+        return found, revision
 
     async def watch(self, prefix: str, after: int) -> Changes:
         """Wait for changes after a revision.
@@ -232,20 +250,25 @@
         Raises
         ------
         RevisionCompactedError
-            The revision was compacted; list the prefix again.
+            The revision was compacted, or is of an earlier era; list the
+            prefix again.
         """
+        era = get_era(after)
+        _check_era(era, self.era.current)
         query = {
             'prefix': prefix,
-            'after': str(after),
+            'after': str(get_number(after)),
             'waitMs': str(int(WATCH_TIMEOUT_S * _MS_PER_S)),
         }
         timeout_s = WATCH_TIMEOUT_S + _WATCH_MARGIN_S
-        _, body = await self._call(
+        response = await self._call(
             'watch', 'GET', '/kv-watch', query, timeout_s=timeout_s
         )
-        found = _decode(body, _WatchResponse)
+        _check_era(era, response.era)
+        found = _decode(response, _WatchResponse)
         return Changes(
-            found.current_rev, [_build_event(item) for item in found.events]
+            build_revision(era, found.current_rev),
+            [_build_event(item, era) for item in found.events],
         )
 
     async def write(
@@ -275,37 +298,48 @@
         LeaseNotFoundError
             The lease has expired; nothing was changed.
         """
+        if any(
+            revision and get_era(revision) != self.era.current
+            for revision in expect.values()
+        ):
+            raise PreconditionFailedError(
+                'transaction not sent: a revision is of an earlier era'
+            )
         request = _Transaction(
-            [_Precondition(key, revision) for key, revision in expect.items()],
+            [
+                _Precondition(key, get_number(revision))
+                for key, revision in expect.items()
+            ],
             [
                 _Put(key, b64encode(text).decode(), lease)
                 for key, text in puts.items()
             ],
             list(remove),
         )
-        status, body = await self._call('write', 'POST', '/kv-txn', {}, request)
-        if status == _PRECONDITION_FAILED:
+        response = await self._call('write', 'POST', '/kv-txn', {}, request)
+        if response.status == _PRECONDITION_FAILED:
             raise PreconditionFailedError(
                 'transaction rejected: a key has another revision'
             )
-        if status == _NOT_FOUND:
+        if response.status == _NOT_FOUND:
             raise LeaseNotFoundError(
                 f'lease {lease} has expired or was revoked'
             )
-        return _decode(body, _WriteResponse).revision
+        number = _decode(response, _WriteResponse).revision
+        return build_revision(response.era, number)
 
     async def grant_lease(self, ttl_s: float) -> int:
         """Create a lease that expires unless renewed within `ttl_s`."""
         request = {'ttlMs': int(ttl_s * _MS_PER_S)}
-        _, body = await self._call('grant', 'POST', '/kv-lease', {}, request)
-        return _decode(body, _LeaseResponse).lease
+        response = await self._call('grant', 'POST', '/kv-lease', {}, request)
+        return _decode(response, _LeaseResponse).lease
 
     async def renew_lease(self, lease: int) -> None:
         """Renew a lease; raise ``LeaseNotFoundError`` if it has expired."""
-        status, _ = await self._call(
+        response = await self._call(
             'renew', 'POST', f'/kv-keep/{lease}', {}, {}
         )
-        if status == _NOT_FOUND:
+        if response.status == _NOT_FOUND:
             raise LeaseNotFoundError(
                 f'lease {lease} has expired or was revoked'
             )
@@ -325,6 +359,13 @@
         while self._idle:
             self._idle.pop().close()
 
+    async def _read_page(
+        self, query: dict[str, str]
+    ) -> tuple[_RangeResponse, int]:
+        """Return one page of a listing, and its era."""
+        response = await self._call('read all', 'GET', '/kv-range', query)
+        return _decode(response, _RangeResponse), response.era
+
     async def _call(
         self,
         purpose: str,
@@ -333,7 +374,7 @@
         query: dict[str, str],
         document: object = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, bytes]:
+    ) -> _Response:
         """Make one call.
 
         Parameters
@@ -353,10 +394,8 @@
 
         Returns
         -------
-        status : int
-            200, 404 or 412.
-        body : bytes
-            The body of the response.
+        _Response
+            With status 200, 404 or 412.
         """
         target = f'{path}?{urlencode(query)}' if query else path
         headers = [(b'host', self._address.encode())]
@@ -369,18 +408,18 @@
         )
         deadline = asyncio.get_running_loop().time() + timeout_s
         self.calls[purpose] += 1
-        status, response = await self._exchange(request, deadline)
+        head, response_body = await self._exchange(request, deadline)
+        era = self._observe_era(head)
+        status = head.status
         if status == _GONE:
-            raise RevisionCompactedError(
-                'the store has compacted this revision'
-            )
+            raise RevisionCompactedError('the store lacks this revision')
         if status not in (_OK, _NOT_FOUND, _PRECONDITION_FAILED):
             raise StoreRejectedError(f'{method} {path}: got status {status}')
-        return status, response
+        return _Response(status, response_body, era)
 
     async def _exchange(
         self, request: bytes, deadline: float
-    ) -> tuple[int, bytes]:
+    ) -> tuple[ResponseHead, bytes]:
         try:
             connection = await self._get_connection(deadline)
         except ConnectError as exc:
@@ -402,17 +441,31 @@
             self._put_back(connection)
         else:
             connection.close()
-        self._observe_era(head)
-        return head.status, body
+        return head, body
+
+    def _observe_era(self, head: ResponseHead) -> int:
+        """Return the era of a response; the current one if it names none.
 
-    def _observe_era(self, head: ResponseHead) -> None:
+        Raises
+        ------
+        StoreUnreachableError
+            The response is of an earlier era. What it says was lost since.
+        """
         text = head.get(wire_names.STORE_ERA)
         if text is None:
-            return
-        if text.isdigit() and int(text) >= self.era.current:
-            self.era.observe(int(text))
-        else:
+            return self.era.current
+        era = _parse_era(text)
+        if era is None or era < self.era.current:
             self.era.reject(text.decode('latin-1'))
+        if era is None:
+            return self.era.current
+        if era < self.era.current:
+            raise StoreUnreachableError(
+                f'got a response of era {era}, expected {self.era.current}',
+                may_have_applied=True,
+            )
+        self.era.observe(era)
+        return era
 
     async def _get_connection(self, deadline: float) -> HttpConnection:
         now = asyncio.get_running_loop().time()
@@ -436,9 +489,24 @@
             connection.close()
 
 
-def _decode(body: bytes, response_type: type[Any]) -> Any:
+def _parse_era(text: bytes) -> int | None:
+    """Return the era in a header; none if it is no number in range."""
+    if not text.isdigit() or len(text) > len(str(MAX_ERA)):
+        return None
+    era = int(text)
+    return era if era <= MAX_ERA else None
+
+
+def _check_era(watched: int, current: int) -> None:
+    if watched != current:
+        raise RevisionCompactedError(
+            f'got a revision of era {watched}, but the store is in {current}'
+        )
+
+
+def _decode(response: _Response, response_type: type[Any]) -> Any:
     try:
-        return json.decode(body, type=response_type)
+        return json.decode(response.body, type=response_type)
     except (DecodeError, ValidationError) as exc:
         raise StoreUnreachableError(
             f'got an invalid response: {exc}',
@@ -446,17 +514,18 @@
         ) from exc
 
 
-def _build_item(item: _Item) -> StoredItem:
+def _build_item(item: _Item, era: int) -> StoredItem:
     try:
         text = b64decode(item.text)
     except ValueError as exc:
         raise StoreUnreachableError(
             f'{item.key}: the value is not base64', may_have_applied=True
         ) from exc
-    return StoredItem(item.key, item.revision, text, item.lease)
+    revision = build_revision(era, item.revision)
+    return StoredItem(item.key, revision, text, item.lease)
 
 
-def _build_event(item: _Item) -> StoredItem | DeletedKey:
+def _build_event(item: _Item, era: int) -> StoredItem | DeletedKey:
     if item.deleted:
-        return DeletedKey(item.key, item.revision)
-    return _build_item(item)
+        return DeletedKey(item.key, build_revision(era, item.revision))
+    return _build_item(item, era)
--- a/samphirerill/relay/change_source.py
+++ b/samphirerill/relay/change_source.py
@@ -15,9 +15,11 @@
 from msgspec import DecodeError, ValidationError, msgpack
 
 from samphirerill.fleet.deltas import DeltaError
+from samphirerill.fleet.revisions import describe_revision, get_era
 from samphirerill.fleet.watchers import choose_other_watcher, choose_watcher
 from samphirerill.node.logs import get_logger
-from samphirerill.relay.change_log import ChangeBatch, ChangeLog, Snapshot
+from samphirerill.relay.change_log import ChangeLog
+from samphirerill.relay.change_rows import ChangeBatch, Snapshot
 from samphirerill.relay.errors import (
     BrokenResponseError,
     ChangeTooLargeError,
@@ -48,8 +50,8 @@
 _NOT_FOUND = 404
 # The number is the version of the response format: while nodes with different
 # formats run side by side, each gets 404 from the others.
-_CHANGES_PATH = b'/changes/3'
-_SNAPSHOT_PATH = b'/present/2'
+_CHANGES_PATH = b'/changes/4'
+_SNAPSHOT_PATH = b'/present/3'
 # Shorter than a watch of the store, as it costs the store nothing; an
 # unresponsive watcher is detected sooner.
 _LONG_POLL_S = 0.7
@@ -130,9 +132,9 @@
         if after < 0:
             return _BAD_REQUEST, b''
         poll_end = self._loop.time() + _LONG_POLL_S
-        if self._receives_from_store() and not self._log.is_compacted(after):
+        if self._may_serve(after) and not self._log.is_compacted(after):
             await self._log.wait(after, _LONG_POLL_S)
-        if not self._receives_from_store():
+        if not self._may_serve(after):
             return _UNAVAILABLE, b''
         # The log may have been reset during the wait, and then lacks earlier
         # changes; a response from it would hide them. It made 14 of 69 nodes miss a
@@ -150,7 +152,7 @@
         after = read_revision(query)
         if after < 0:
             return _BAD_REQUEST, b''
-        if not self._receives_from_store():
+        if not self._may_serve(after):
             return _UNAVAILABLE, b''
         snapshot = self._log.encode_snapshot(after)
         if snapshot is None:
@@ -160,6 +162,14 @@
             return _OK, snapshot
         return _UNAVAILABLE, b''
 
+    def _may_serve(self, after: int) -> bool:
+        """Return whether a node at revision `after` can rely on this one.
+
+        A node in a later era must not, until this one has listed all keys.
+        """
+        is_in_era = get_era(after) <= get_era(self._log.revision)
+        return is_in_era and self._receives_from_store()
+
 
 class ChangeSource:
     """Selects where this node gets store changes: the store or a watcher.
@@ -317,7 +327,10 @@
         changes = _decode(address, body, Snapshot, self.log.decode_snapshot)
         _LOG.info(
             'received a snapshot from a watcher',
-            extra={'after': after, 'revision': changes.revision},
+            extra={
+                'after': describe_revision(after),
+                'revision': describe_revision(changes.revision),
+            },
         )
         return changes
 
--- a/samphirerill/relay/replica_handler.py
+++ b/samphirerill/relay/replica_handler.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.model import format_layers
+from samphirerill.fleet.revisions import describe_revision
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.platform_adapter import DocumentError
 
@@ -76,9 +77,12 @@
         _LOG.info(
             'replicas listed from the store',
             extra={
-                'revision': revision,
+                'revision': describe_revision(revision),
                 'count': len(known),
                 'missing': missing[:_MAX_LOGGED_NAMES],
+                'unconfirmed': view.removed.list_unconfirmed()[
+                    :_MAX_LOGGED_NAMES
+                ],
             },
         )
         self.state.notify_listeners()
--- a/samphirerill/relay/store_follower.py
+++ b/samphirerill/relay/store_follower.py
@@ -1,8 +1,9 @@
 """Keep the configuration and the replicas in sync with the store.
 
 All keys are listed once and then watched. A watch that ends for any reason is
-resumed from the last revision; if the store has compacted that revision, all
-keys are listed again. During a store outage the last known state stays in use.
+resumed from the last revision; if the store has compacted that revision, or was
+restored from a copy, all keys are listed again. During a store outage the last
+known state stays in use.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from samphirerill.backends.store import StoreError
+from samphirerill.fleet.revisions import describe_revision, get_era
 from samphirerill.node.logs import get_logger
 from samphirerill.platform.store import DeletedKey, RevisionCompactedError
 from samphirerill.relay.errors import ChangeTooLargeError, EndpointError
@@ -115,20 +117,17 @@
         self._must_relist = False
         self._batch_s = 0.0
         self._last_change_at = 0.0
+        self._sync_task: asyncio.Task[None] | None = None
+        self._is_interrupted = False
+        store.era.add_restore_listener(self._handle_restore)
+        store.era.add_report_listener(self._interrupt)
 
     async def run(self) -> None:
         """Apply changes until cancelled."""
         retry_s = _FIRST_RETRY_S
         while True:
             try:
-                await self._sync_once()
-            except RevisionCompactedError:
-                _LOG.info(
-                    'watch revision was compacted; listing all keys again',
-                    extra={'revision': self.revision},
-                )
-                self.revision = 0
-                continue
+                await self._follow()
             except StoreError as exc:
                 self._health.record_failure(exc, self._loop.time())
                 self._report_store_failure(exc)
@@ -138,9 +137,55 @@
                 self._must_relist = True
                 await asyncio.sleep(retry_s)
                 retry_s = min(_MAX_RETRY_S, retry_s * 2)
-                continue
+            else:
+                retry_s = _FIRST_RETRY_S
+
+    async def _follow(self) -> None:
+        """Apply the next changes."""
+        try:
+            was_interrupted = await self._sync_or_be_interrupted()
+        except RevisionCompactedError as exc:
+            _LOG.info(
+                'store cannot continue the watch; listing all keys again',
+                extra={
+                    'revision': describe_revision(self.revision),
+                    'reason': str(exc),
+                },
+            )
+            self.revision = 0
+            return
+        if not was_interrupted:
             self._health.record_success(self._loop.time())
-            retry_s = _FIRST_RETRY_S
+
+    async def _sync_or_be_interrupted(self) -> bool:
+        """Apply the next changes; return whether the wait was interrupted."""
+        self._sync_task = self._loop.create_task(self._sync_once())
+        try:
+            await self._sync_task
+        except asyncio.CancelledError:
+            if not self._is_interrupted:
+                raise
+            return True
+        finally:
+            self._is_interrupted = False
+            self._sync_task = None
+        return False
+
+    def _handle_restore(self) -> None:
+        self._health.record_restore(self._loop.time())
+        self._interrupt()
+
+    def _interrupt(self) -> None:
+        """End the current wait for changes, and list all keys again.
+
+        Without that, a watch that waits in the store would hide the restore
+        until it ends.
+        """
+        self._must_relist = True
+        task = self._sync_task
+        if task is not None and task is not asyncio.current_task():
+            self._is_interrupted = True
+            task.cancel()
 
     def _report_store_failure(self, exc: StoreError) -> None:
         if not isinstance(exc, StoreBackoffError):
@@ -165,6 +210,8 @@
             self._change_log.reset(revision, found)
             self._state.notify_listeners()
             return
+        self._store.era.observe(get_era(changes.revision))
+        self._must_relist = False
         self._change_log.append(changes)
         for event in changes.events:
             self._dispatch(event)
@@ -178,9 +225,8 @@
         _LOG.info(
             'all keys listed',
             extra={
-                'era': self._store.era.current,
-                'revision': revision,
-                'previous_revision': self.revision,
+                'revision': describe_revision(revision),
+                'previous': describe_revision(self._change_log.revision),
                 'count': count,
             },
         )
--- a/samphirerill/relay/store_health.py
+++ b/samphirerill/relay/store_health.py
@@ -57,6 +57,14 @@
             self._down_since = now
         self.is_up = False
 
+    def record_restore(self, now: float) -> None:
+        """Record that the store was restored from a copy.
+
+        Entries written since the copy are missing until their owners write
+        them again, as after an outage.
+        """
+        self._regained_at = now
+
     def may_have_expired(self, now: float) -> bool:
         """Return whether a missing entry may only have expired.
 
--- a/samphirerill/testing/platform_store.py
+++ b/samphirerill/testing/platform_store.py
@@ -56,7 +56,7 @@
         self.keys: dict[str, Json] = {}
         self.events: list[Json] = []
         self.revision = 0
-        self.era = 1
+        self.era = 0
         self.era_text: bytes | None = None
         self.compacted_revision = 0
         self.call_count = 0
--- a/samphirerill/tests/restored_store.py
+++ b/samphirerill/tests/restored_store.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from unittest import IsolatedAsyncioTestCase
 
+from samphirerill.fleet.revisions import get_number
 from samphirerill.testing.platform_harness import PlatformHarness
 from samphirerill.tests.crashing_engines import find_ports
 from samphirerill.tests.platform_documents import (
@@ -64,14 +65,18 @@
 
     async def write_others(self, count: int) -> None:
         """Write keys that do not matter, until all nodes know them."""
+        await self.write_filler(count)
+        await self.wait_until(self.is_known_to_all)
+
+    async def write_filler(self, count: int) -> None:
+        """Write keys that do not matter."""
         for number in range(count):
             await self.store.put(f'notes/{number}', b'x')
-        await self.wait_until(self.is_known_to_all)
 
     def is_known_to_all(self) -> bool:
         """Return whether all nodes know the latest revision."""
         return all(
-            get_known_revision(node) >= self.store.revision
+            get_number(get_known_revision(node)) >= self.store.revision
             for node in self.nodes
         )
 
--- a/samphirerill/tests/test_store_calls.py
+++ b/samphirerill/tests/test_store_calls.py
@@ -17,6 +17,7 @@
 from samphirerill.relay.change_source import ChangeSource
 from samphirerill.relay.errors import EndpointError, WatchLostError
 from samphirerill.relay.state import EdgeState
+from samphirerill.relay.store_era import StoreEra
 from samphirerill.relay.store_follower import StoreFollower
 from samphirerill.relay.store_health import StoreHealth
 from samphirerill.testing.virtual_time import run_with_virtual_time
@@ -81,6 +82,7 @@
     """A store that answers one listing and refuses all calls afterwards."""
 
     def __init__(self) -> None:
+        self.era = StoreEra()
         self.is_up = True
 
     async def read_prefix(self, prefix: str) -> tuple[list[StoredItem], int]:
@@ -153,6 +155,7 @@
     """A store with a change for every watch."""
 
     def __init__(self) -> None:
+        self.era = StoreEra()
         self.calls = 0
 
     async def read_prefix(self, prefix: str) -> tuple[list[StoredItem], int]:
@@ -191,6 +194,7 @@
     """A store that answers one listing and is unavailable afterwards."""
 
     def __init__(self) -> None:
+        self.era = StoreEra()
         self.calls = 0
 
     async def read_prefix(self, prefix: str) -> tuple[list[StoredItem], int]:
--- a/samphirerill/tests/test_store_changes.py
+++ b/samphirerill/tests/test_store_changes.py
@@ -267,7 +267,7 @@
         status, body = await call_once(
             self.names[self.watcher],
             b'GET',
-            b'/changes/3?after=11',
+            b'/changes/4?after=11',
             b'',
             asyncio.get_running_loop().time() + 1,
         )
