Leader: fencing tokens rise over a restore, and a leader is confirmed by the store

What replicas that check fences would have seen: after a restore a new leader with a lower token, whose orders they refuse until they restart. Two leaders could give orders for 0.6 s: the restored store lacks the lease of the one, and elects the other, before the first renews.

Cause: the token is the revision that wrote the leader's key, and revisions go back; a lease was taken to be lost only by time.

Change: the token includes the era. A leader does not lead after a restore until a renewal and a read of its key have confirmed it; the other nodes do not campaign until its lease would have expired.

--- a/samphirerill/relay/leadership.py
+++ b/samphirerill/relay/leadership.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from samphirerill.fleet.revisions import describe_revision
 from samphirerill.node.logs import get_logger
 from samphirerill.platform.store import (
     LeaseNotFoundError,
@@ -46,6 +47,7 @@
     fencing_token : int
         The store revision at which this node last became the leader. Sent with
         each layer order, so that engines can reject those of a former leader.
+        It includes the store's era, so that it rises even over a restore.
     """
 
     prefix = LEADER_KEY
@@ -61,6 +63,10 @@
         self._lease_expires_at = 0.0
         self._next_call_at = 0.0
         self._campaign_at = 0.0
+        # Whether the lease may have been lost in a restore of the store.
+        self._must_confirm = False
+        self._no_campaign_until = 0.0
+        store.era.add_restore_listener(self.handle_restore)
 
     @property
     def leader(self) -> str:
@@ -85,7 +91,23 @@
 
     def is_leader(self) -> bool:
         """Return whether this node is the leader and its lease is valid."""
-        return bool(self._lease) and self._loop.time() < self._lease_expires_at
+        if not self._lease or self._must_confirm:
+            return False
+        return self._loop.time() < self._lease_expires_at
+
+    def handle_restore(self) -> None:
+        """Stop leading until the store has confirmed it, or wait to campaign.
+
+        The restored store may have lost the leader's lease, while the leader
+        does not know it yet. Another node must not lead before that lease would
+        have expired.
+        """
+        now = self._loop.time()
+        if self._lease:
+            self._must_confirm = True
+            self._next_call_at = now
+        else:
+            self._no_campaign_until = now + _LEASE_TTL_S
 
     async def campaign_or_renew(self) -> None:
         """Renew the lease if this node leads, or campaign if nobody does."""
@@ -94,7 +116,7 @@
             return
         if self._lease:
             await self._renew(now)
-        elif self._has_listed and not self._leader:
+        elif self._may_campaign(now):
             await self._campaign(now)
 
     async def resign(self) -> None:
@@ -108,12 +130,33 @@
         try:
             await self._store.renew_lease(self._lease)
         except LeaseNotFoundError:
-            _LOG.warning('leadership lost', extra={'token': self.fencing_token})
-            self._lease = 0
-            self._leader = ''
+            self._step_down()
+            return
+        if self._must_confirm and not await self._is_confirmed():
+            await self.resign()
+            self._step_down()
             return
+        self._must_confirm = False
         self._lease_expires_at = now + _LEASE_TTL_S
 
+    async def _is_confirmed(self) -> bool:
+        """Return whether the store still holds the leader's key of this node."""
+        item, _ = await self._store.read(LEADER_KEY)
+        return item is not None and item.lease == self._lease
+
+    def _step_down(self) -> None:
+        _LOG.warning(
+            'leadership lost',
+            extra={'token': describe_revision(self.fencing_token)},
+        )
+        self._lease = 0
+        self._leader = ''
+        self._must_confirm = False
+
+    def _may_campaign(self, now: float) -> bool:
+        is_vacant = self._has_listed and not self._leader
+        return is_vacant and now >= self._no_campaign_until
+
     async def _campaign(self, now: float) -> None:
         """Campaign after a random delay, unless another node wins before.
 
@@ -144,4 +187,7 @@
         self._lease = lease
         self._lease_expires_at = now + _LEASE_TTL_S
         self._next_call_at = now + _RENEW_INTERVAL_S
-        _LOG.info('leadership acquired', extra={'token': self.fencing_token})
+        _LOG.info(
+            'leadership acquired',
+            extra={'token': describe_revision(self.fencing_token)},
+        )
