Nodes announce themselves again after a restore; a starting node asks others first

What callers would have seen: a node that starts while the restored store holds an older configuration is ready with it (version 7 beside nodes with 9 in the test). Nodes whose lease or key the copy lacks were not announced for up to 8 s, so that others did not poll them.

Change: before it is ready, a starting node asks up to three announced nodes for their configuration, for 0.4 s at most; if nobody answers it serves by what it has. Leases are renewed within half a second of a restore, spread, and a node that finds its own entry missing writes it again.

Result: test_restored_announcements; the start failed before (7 != 9).

--- a/samphirerill/relay/membership.py
+++ b/samphirerill/relay/membership.py
@@ -43,6 +43,8 @@
 # they were a third of the calls of 195 nodes on a calm day.
 _LEASE_TTL_S = 12.0
 _RENEW_INTERVAL_S = 4.0
+# Spreads the renewals of all nodes after the store was restored.
+_RENEWAL_SPREAD_S = 0.5
 # By then a node that starts has heard the status of those that started with it.
 _FIRST_REPORTS_S = 1.5
 
@@ -103,6 +105,8 @@
         self._lease = 0
         self._has_left = False
         self._has_listed = False
+        self._renewal: asyncio.Task[None] | None = None
+        store.era.add_restore_listener(self.renew_soon)
 
     async def start(self) -> None:
         """Open the ports for the other nodes."""
@@ -143,9 +147,17 @@
         self._peers.clear_announcements()
         for item in found:
             self.apply_write(item)
+        if self._get_own_key() not in {entry.key for entry in found}:
+            self._handle_lost_announcement()
         if not self._has_listed:
             self._has_listed = True
             self._expect_reports()
+            self._loop.create_task(
+                self._peer_sync.ask_at_start(
+                    self._peers.list_announced().values()
+                ),
+                name='ask at start',
+            )
 
     def apply_write(self, item: StoredItem) -> None:
         """Add an announcement."""
@@ -164,9 +176,34 @@
 
     def apply_deletion(self, gone: DeletedKey) -> None:
         """Remove an announcement that was deleted or whose lease expired."""
+        if gone.key == self._get_own_key():
+            self._handle_lost_announcement()
+            return
         self._peers.remove_announcement(gone.key.removeprefix(PREFIX))
         self._update_peers()
 
+    def renew_soon(self) -> None:
+        """Renew the lease soon, as the store may have lost it."""
+        delay_s = _RENEWAL_SPREAD_S * self._state.random.random()
+        self._loop.call_later(delay_s, self._start_renewal)
+
+    def _get_own_key(self) -> str:
+        return f'{PREFIX}{self._state.settings.name}'
+
+    def _handle_lost_announcement(self) -> None:
+        """Announce this node again, unless it has not done so yet."""
+        if self._lease and not self._has_left:
+            self._lease = 0
+            self.renew_soon()
+
+    def _start_renewal(self) -> None:
+        """Renew the lease, unless that is in progress."""
+        is_renewing = self._renewal is not None and not self._renewal.done()
+        if not is_renewing and not self._has_left:
+            self._renewal = self._loop.create_task(
+                self._renew_or_reset(), name='renew'
+            )
+
     def _expect_reports(self) -> None:
         """Assume load of the announced nodes until they have reported theirs."""
         self._state.load_tracker.expected_peers = self._state.peer_count
@@ -185,7 +222,7 @@
 
     async def _keep_lease(self) -> None:
         while not self._has_left:
-            self._loop.create_task(self._renew_or_reset(), name='renew')
+            self._start_renewal()
             await asyncio.sleep(_RENEW_INTERVAL_S)
 
     async def _renew_or_reset(self) -> None:
@@ -194,6 +231,7 @@
         except LeaseNotFoundError:
             # The next renewal creates a new lease and announcement.
             self._lease = 0
+            self.renew_soon()
         except StoreError as exc:
             self._health.record_failure(exc, self._loop.time())
 
@@ -208,7 +246,7 @@
             settings.peers,
             settings.data_centre,
         )
-        key = f'{PREFIX}{self._state.settings.name}'
+        key = self._get_own_key()
         await self._store.write({key: json.encode(announcement)}, {}, lease)
         self._lease = lease
         if self._has_left:
--- a/samphirerill/relay/peer_sync.py
+++ b/samphirerill/relay/peer_sync.py
@@ -14,6 +14,7 @@
 
 from samphirerill.fleet.deltas import DeltaError
 from samphirerill.fleet.model import Replica
+from samphirerill.fleet.revisions import describe_revision
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.errors import EndpointError
 from samphirerill.relay.listeners import read_revision
@@ -21,7 +22,7 @@
 from samphirerill.relay.pool import call_once
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from samphirerill.relay.listeners import Page
     from samphirerill.relay.state import EdgeState
@@ -32,12 +33,18 @@
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
 _FETCH_TIMEOUT_S = 0.6
+# How many nodes a starting node asks for their configuration, and how long it
+# waits for them before it is ready.
+_MAX_ASKED_AT_START = 3
+_MAX_START_DELAY_S = 0.4
 # Only what the store does not deliver within this delay is fetched.
 _FETCH_DELAY_S = 0.3
 # Full configurations are served at this rate, a quarter of a 10 Mbit/s link;
 # the rest is for streams. Peers that are refused ask another node.
 _FULL_BYTES_PER_S = 312_500
-_REPLICAS_PATH = b'/replicas'
+# The number is the version of the format, as for changes.
+_REPLICAS_PATH = b'/replicas/2'
+_FETCH_ERRORS = (EndpointError, DocumentError, DeltaError, DecodeError)
 _CONFIGURATION_PATH = b'/configuration/3'
 
 
@@ -67,6 +74,29 @@
             _REPLICAS_PATH: self._serve_replicas,
         }
 
+    async def ask_at_start(self, addresses: Collection[str]) -> None:
+        """Ask some nodes for a newer configuration than the store holds.
+
+        A store that was restored from a copy holds an older configuration until
+        the operator writes again. This node becomes ready afterwards, also if
+        nobody answers.
+
+        Parameters
+        ----------
+        addresses : collection of str
+            HTTP addresses of the announced nodes.
+        """
+        asked = self._state.random.sample(
+            sorted(addresses), min(len(addresses), _MAX_ASKED_AT_START)
+        )
+        calls = [
+            self._loop.create_task(self._try_fetch_configuration(address))
+            for address in asked
+        ]
+        if calls:
+            await asyncio.wait(calls, timeout=_MAX_START_DELAY_S)
+        self._state.note_peers_asked()
+
     def sync_if_behind(self, address: str, version: int, revision: int) -> None:
         """Fetch from a node that has newer state than the store delivered.
 
@@ -92,16 +122,20 @@
                 await self._fetch_configuration(address)
             if not self._health.is_up:
                 await self._fetch_replicas(address)
-        except (
-            EndpointError,
-            DocumentError,
-            DeltaError,
-            DecodeError,
-        ) as exc:
+        except _FETCH_ERRORS as exc:
             _LOG.info('cannot fetch state from peer', extra={'error': str(exc)})
         finally:
             self._task = None
 
+    async def _try_fetch_configuration(self, address: str) -> None:
+        try:
+            await self._fetch_configuration(address)
+        except _FETCH_ERRORS as exc:
+            _LOG.info(
+                'peer sent no configuration',
+                extra={'peer': address, 'error': str(exc)},
+            )
+
     async def _fetch_configuration(self, address: str) -> None:
         own = self._state.version
         update = await self._get(
@@ -135,7 +169,8 @@
             leaves_at = self._state.compute_leaving_deadline(self._loop.time())
             self._state.view.apply_snapshot(rows, revision, 0, leaves_at)
             _LOG.info(
-                'replicas fetched from a peer', extra={'revision': revision}
+                'replicas fetched from a peer',
+                extra={'revision': describe_revision(revision)},
             )
             self._state.notify_listeners()
 
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -118,6 +118,9 @@
         self.streams: set[ActiveStream] = set()
         self.quarantine = Quarantine()
         self._response_notices = ResponseNotices(self)
+        # Whether other nodes were asked for a newer configuration than the
+        # store held when this node started.
+        self._has_asked_peers = False
         self.is_draining = False
         self.finish_by = float('inf')
         self.peer_count = 0
@@ -142,7 +145,12 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send new connections."""
-        return self.cfg is not None and not self.is_draining
+        is_configured = self.cfg is not None and self._has_asked_peers
+        return is_configured and not self.is_draining
+
+    def note_peers_asked(self) -> None:
+        """Record that other nodes were asked for a newer configuration."""
+        self._has_asked_peers = True
 
     def count_nodes(self) -> int:
         """Return how many nodes share the endpoints, this one included.
