--- a/samphirerill/testing/platform_store.py
+++ b/samphirerill/testing/platform_store.py
@@ -42,6 +42,7 @@
     events: list[Json]
     revision: int
     leases: dict[int, set[str]]
+    ttl_s: dict[int, float]
 
 
 class FakePlatformStore:
@@ -114,6 +115,7 @@
             list(self.events),
             self.revision,
             deepcopy(self._leases),
+            dict(self._ttl_s),
         )
 
     async def restore(self, copy: StoreCopy) -> None:
@@ -121,11 +123,9 @@
         self.keys = dict(copy.keys)
         self.events = list(copy.events)
         self.revision = copy.revision
-        self._leases = {
-            lease: set(keys)
-            for lease, keys in copy.leases.items()
-            if lease in self._ttl_s
-        }
+        self._leases = deepcopy(copy.leases)
+        self._ttl_s = dict(copy.ttl_s)
+        self._lease_deadlines.clear()
         self.era += 1
         for lease in self._leases:
             self._renew(lease)
--- a/samphirerill/testing/soak/command.py
+++ b/samphirerill/testing/soak/command.py
@@ -61,6 +61,11 @@
         action='store_true',
         help='run the regression seeds instead; others with --planned',
     )
+    parser.add_argument(
+        '--restores',
+        action='store_true',
+        help='restore the store from copies now and then',
+    )
     parser.add_argument(
         '--keep',
         default='',
@@ -87,6 +92,7 @@
         options.nodes,
         injects_faults=not options.planned,
         names_limits=options.limits,
+        restores_store=options.restores,
     )
     failed = run_seeds(iter(seeds), settings, options.keep)
     return int(failed > 0)
--- a/samphirerill/testing/soak/environment.py
+++ b/samphirerill/testing/soak/environment.py
@@ -191,6 +191,20 @@
         await self.service.put('op/config', document)
         self.committed_at[self.version] = self._loop.time()
 
+    async def rewrite_entries(self) -> None:
+        """Write again what a restore of the store has lost."""
+        document = json.encode(_build_configuration(self.version))
+        await self.service.put('op/config', document)
+        present = set()
+        for slot in self.slots:
+            if slot.replica is not None:
+                present.add(f'servers/{slot.replica.replica_id}')
+                slot.entry = b''
+                await self._publish_entry(slot)
+        for key in tuple(self.service.keys):
+            if key.startswith('servers/') and key not in present:
+                self._schedule_entry_removal(key.removeprefix('servers/'))
+
     async def start_replica(self, slot: ReplicaSlot) -> None:
         """Start a new replica in an empty slot."""
         slot.starts += 1
--- a/samphirerill/testing/soak/run.py
+++ b/samphirerill/testing/soak/run.py
@@ -21,6 +21,7 @@
 from samphirerill.testing.soak.faults import FaultInjector
 from samphirerill.testing.soak.limit_naming import LimitNaming
 from samphirerill.testing.soak.ground_truth import Fault
+from samphirerill.testing.soak.store_restores import StoreRestores
 from samphirerill.testing.soak.version_probe import VersionProbe
 
 if TYPE_CHECKING:
@@ -147,6 +148,8 @@
     actions = [FaultInjector(environment, random, settings).run(until)]
     if settings.names_limits:
         actions.append(LimitNaming(environment, seed).run(until))
+    if settings.restores_store:
+        actions.append(StoreRestores(environment, seed).run(until))
     await asyncio.gather(*actions)
     await _check_recovery(environment)
     await _cancel_tasks(tasks)
--- a/samphirerill/testing/soak/settings.py
+++ b/samphirerill/testing/soak/settings.py
@@ -20,9 +20,12 @@
         several actions at once.
     names_limits : bool
         Whether replicas name request limits.
+    restores_store : bool
+        Whether the store is restored from copies.
     """
 
     length_s: float = 14.0
     nodes: int = 5
     injects_faults: bool = True
     names_limits: bool = False
+    restores_store: bool = False
--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -27,6 +27,8 @@
 _SEED = 7
 _LIMIT_SEED = 43
 _LIMIT_DURATION_S = 12.0
+_RESTORE_SEED = 46
+_RESTORE_DURATION_S = 14.0
 _FAULT_DURATION_S = 8.0
 _REQUEST_ID = '9000000000000009'
 _ENGINE_ADDRESS = '127.0.0.61:20911'
@@ -53,6 +55,16 @@
         self.assertEqual(report.violations, [])
         self.assertGreater(report.counts['planned.limited'], 0)
 
+    def test_a_store_that_is_restored_breaks_no_guarantee(self) -> None:
+        """Guard against what reused revisions hide from nodes."""
+        with TemporaryDirectory() as folder:
+            settings = SoakSettings(
+                _RESTORE_DURATION_S, injects_faults=False, restores_store=True
+            )
+            report = run_seed(_RESTORE_SEED, settings, Path(folder))
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.counts['fault.restored'], 1)
+
 
 class TestLimitChecks(TestCase):
     """The checker of request limits, with a limit of 1 named at 10 s."""
