--- a/samphirerill/testing/soak/store_restores.py
+++ b/samphirerill/testing/soak/store_restores.py
@@ -19,6 +19,10 @@
 _MEAN_INTERVAL_S = 4.0
 _MAX_AWAY_S = 1.0
 _REWRITE_DELAY_S = 0.3
+# Writes that are lost; the store needs as many to reach a node's revision again.
+_MAX_LOST_WRITES = 80
+# Nodes have received them by then.
+_SEEN_S = 0.6
 
 
 class StoreRestores:
@@ -67,6 +71,9 @@
         fault = Fault('store restored', self._loop.time())
         environment.ground_truth.faults.append(fault)
         environment.ground_truth.log(self._loop.time(), 'store restored')
+        for number in range(self._random.randrange(_MAX_LOST_WRITES)):
+            await environment.service.put(f'notes/{number}', b'x')
+        await asyncio.sleep(_SEEN_S)
         environment.service.is_unavailable = True
         await asyncio.sleep(_MAX_AWAY_S * self._random.random())
         await environment.service.restore(self._random.choice(copies))
