Own interface: a key-value service that was restored is read again

The same cause elsewhere: a node watched from its own revision on. A service that was restored from a copy has a lower one, and the changes that it gives out the same revisions again for were hidden: nodes that join or leave, orders of what leaves. The configuration itself comes by polling versions.

A watch names the service's revision when it is created; if that is lower than the node's, everything is read again. The test failed before (watched from 21 twice). A service that has passed the node's revision by then is not noticed; that, fencing tokens and claims stay open, see docs/design/store-eras.md.

--- a/samphirerill/node/configuration_follower.py
+++ b/samphirerill/node/configuration_follower.py
@@ -67,6 +67,9 @@
         self._stop_requested = threading.Event()
         self._suspension_reason = ''
         self._revision = 0
+        self._watch_backoff_s = _MIN_BACKOFF_S
+        # Whether the service is behind the revision of this node.
+        self._was_restored = False
         self._applied_document: dict[str, Any] = {}
 
     async def run(self) -> None:
@@ -166,7 +169,7 @@
             return
         self.freshness.record_store_read(self._node.loop.time())
         self.view.record_accepted_version(version.ok_value)
-        if self.view.is_behind():
+        if self.view.is_behind() or self._was_restored:
             await self._resynchronize()
 
     async def _resynchronize(self) -> None:
@@ -189,6 +192,7 @@
         revision = shared.ok_value.revision
         self._handle_batch([], WatchBatch(revision, entries, deleted_keys))
         self._revision = max(self._revision, loaded.ok_value.revision)
+        self._was_restored = False
 
     def _get_poll_interval_s(self) -> float:
         """Return a poll interval that keeps the fleet within its read limit."""
@@ -203,21 +207,43 @@
         If the service has compacted the start revision, the watch ends at
         once; the poll then resynchronizes and advances the revision.
         """
-        backoff_s = _MIN_BACKOFF_S
-        prefix = f'{self._prefix}{SHARED_PREFIX}'
         while not self._stop_requested.is_set():
             try:
-                for batch in self._worker.store.watch(
-                    prefix, self._revision + 1
-                ):
-                    self._revision = max(
-                        self._revision, self._post_to_loop(batch)
-                    )
-                    backoff_s = _MIN_BACKOFF_S
+                self._watch_once()
             except StoreError as exc:
                 _LOG.debug('watch failed; retrying', extra={'error': str(exc)})
-            self._stop_requested.wait(add_jitter(backoff_s, WIDE_JITTER))
-            backoff_s = min(_MAX_BACKOFF_S, 2 * backoff_s)
+            self._stop_requested.wait(
+                add_jitter(self._watch_backoff_s, WIDE_JITTER)
+            )
+            self._watch_backoff_s = min(
+                _MAX_BACKOFF_S, 2 * self._watch_backoff_s
+            )
+
+    def _watch_once(self) -> None:
+        """Watch until the connection is lost or the service was restored."""
+        start = self._revision + 1
+        prefix = f'{self._prefix}{SHARED_PREFIX}'
+        for batch in self._worker.store.watch(prefix, start):
+            if self._is_behind_node(batch):
+                return
+            self._revision = max(self._revision, self._post_to_loop(batch))
+            self._watch_backoff_s = _MIN_BACKOFF_S
+
+    def _is_behind_node(self, batch: WatchBatch) -> bool:
+        """Return whether the service was restored from an older copy.
+
+        It gives out the revisions since then again. A watch from the node's
+        revision would hide these changes, so that everything is read again.
+        """
+        if batch.revision >= self._revision:
+            return False
+        _LOG.warning(
+            'service was restored from a copy; reading everything again',
+            extra={'revision': batch.revision, 'previous': self._revision},
+        )
+        self._revision = batch.revision
+        self._was_restored = True
+        return True
 
     def _post_to_loop(self, batch: WatchBatch) -> int:
         log_prefix = f'{self._prefix}{LOG_PREFIX}'
--- a/samphirerill/testing/soak/store_restores.py
+++ b/samphirerill/testing/soak/store_restores.py
@@ -71,9 +71,7 @@
         fault = Fault('store restored', self._loop.time())
         environment.ground_truth.faults.append(fault)
         environment.ground_truth.log(self._loop.time(), 'store restored')
-        for number in range(self._random.randrange(_MAX_LOST_WRITES)):
-            await environment.service.put(f'notes/{number}', b'x')
-        await asyncio.sleep(_SEEN_S)
+        await self._write_before()
         environment.service.is_unavailable = True
         await asyncio.sleep(_MAX_AWAY_S * self._random.random())
         await environment.service.restore(self._random.choice(copies))
@@ -82,3 +80,9 @@
         await asyncio.sleep(_REWRITE_DELAY_S * self._random.random())
         await environment.rewrite_entries()
         fault.until = self._loop.time()
+
+    async def _write_before(self) -> None:
+        """Write what the restore loses, and let nodes receive it."""
+        for number in range(self._random.randrange(_MAX_LOST_WRITES)):
+            await self._environment.service.put(f'notes/{number}', b'x')
+        await asyncio.sleep(_SEEN_S)
--- a/samphirerill/tests/test_resynchronization.py
+++ b/samphirerill/tests/test_resynchronization.py
@@ -9,7 +9,11 @@
 
 from result import Ok
 
-from samphirerill.backends.store import RangeResult, StoredEntry
+from samphirerill.backends.store import (
+    RangeResult,
+    StoredEntry,
+    WatchBatch,
+)
 from samphirerill.control.configuration_log import LoadedConfiguration
 from samphirerill.node.configuration_follower import ConfigurationFollower
 from samphirerill.node.membership import Membership
@@ -43,6 +47,7 @@
         self.membership = Membership(node, worker)
         self.follower = ConfigurationFollower(node, worker, self.membership)
         self.follower.apply_document = MagicMock()  # type: ignore[method-assign]
+        self.worker = worker
         self.follower.log = MagicMock()
         self.follower.log.load = lambda: LoadedConfiguration(7, {}, 20, [])
 
@@ -72,3 +77,24 @@
         self.assertEqual(missing, [_MEMBER_KEY.format('n2')])
         removals = self.membership._removal_deadlines  # noqa: SLF001
         self.assertEqual(set(removals), {'n2'})
+
+    async def test_a_service_that_was_restored_is_read_again(self) -> None:
+        """Guard against changes that revisions hide which are given out again."""
+        await self.resynchronize('n1', 'n2')
+        starts = []
+
+        def watch(prefix: str, revision: int) -> list[WatchBatch]:
+            starts.append(revision)
+            if len(starts) > 1:
+                self.follower.stop()
+            return [WatchBatch(9, [], [])]
+
+        self.worker.store.watch = watch
+        await asyncio.to_thread(self.follower._watch_forever)  # noqa: SLF001
+        self.assertEqual(starts, [21, 10])
+        self.entries = [_build_entry('n1'), _build_entry('n3')]
+        self.follower.log = MagicMock()
+        self.follower.log.load.return_value = LoadedConfiguration(7, {}, 9, [])
+        self.follower.log.read_version.return_value = 0
+        await self.follower._poll()  # noqa: SLF001
+        self.assertEqual(set(self.membership.peers), {'n2', 'n3'})
