Leader: an election whose calls span a restore does not count

A node that was granted its lease before a restore, and wrote the leader's key after it, led at once, beside a leader that did not know yet that its own lease was lost. It now returns the lease. The test failed before. The stand-in store attaches a key that is written again to its new lease only, as the platform's store does.

--- a/samphirerill/relay/leadership.py
+++ b/samphirerill/relay/leadership.py
@@ -184,6 +184,10 @@
         except PreconditionFailedError:
             await self._store.revoke_lease(lease)
             return
+        if self._loop.time() < self._no_campaign_until:
+            # The store was restored during these calls.
+            await self._store.revoke_lease(lease)
+            return
         self._lease = lease
         self._lease_expires_at = now + _LEASE_TTL_S
         self._next_call_at = now + _RENEW_INTERVAL_S
--- a/samphirerill/testing/platform_store.py
+++ b/samphirerill/testing/platform_store.py
@@ -254,6 +254,8 @@
         }
         self.keys[key] = item
         self.events.append(item)
+        for attached in self._leases.values():
+            attached.discard(key)
         if lease:
             self._leases[lease].add(key)
 
--- a/samphirerill/tests/test_restored_leader.py
+++ b/samphirerill/tests/test_restored_leader.py
@@ -62,6 +62,13 @@
         self.assertGreaterEqual(waited_s, _LEASE_S)
         self.assertFalse(self.first.is_leader())
 
+    async def test_nobody_is_elected_while_the_store_is_restored(self) -> None:
+        """Guards against an election whose calls are of two eras."""
+        await self.second._store.read('a')  # noqa: SLF001
+        await self.restore_without_leader()
+        await self.second.campaign_or_renew()
+        self.assertFalse(self.second.is_leader())
+
     async def test_a_leader_is_confirmed_before_it_goes_on(self) -> None:
         await self.fake_store.restore(self.fake_store.take_copy())
         await self.store.read('a')
