Test of the prober: what it adds by hand is not removed by a late listing

The node's first listing of the empty store came after the test had announced its replicas, and the grace for missing entries ended while the test waited. The test now waits until the node has listed the store; what it checks is unchanged.

--- a/samphirerill/tests/test_prober.py
+++ b/samphirerill/tests/test_prober.py
@@ -15,6 +15,7 @@
 from samphirerill.relay.stream_times import MIN_SILENCE_S
 from samphirerill.testing.platform_harness import PlatformHarness
 from samphirerill.tests.fleet_builders import build_replica
+from samphirerill.tests.platform_documents import build_configuration
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import Replica
@@ -42,6 +43,9 @@
         self.harness = PlatformHarness()
         self.addAsyncCleanup(self.harness.stop)
         await self.harness.start()
+        # The first listing of the store removes what the tests add by hand.
+        await self.harness.store.put('op/config', build_configuration())
+        await self.harness.wait_until_ready()
         for bound in ('MIN_TIMEOUT_S', '_INITIAL_TIMEOUT_S', 'MAX_TIMEOUT_S'):
             patched = patch(
                 f'samphirerill.relay.health.probe_timeouts.{bound}',
