A node that starts without the store is ready with another node's configuration

Since nodes ask others before they are ready, one that could not list the store at its start never was, although it had fetched the configuration from another node. Its answer now counts. The test failed before (not ready in 20 s).

--- a/samphirerill/relay/peer_sync.py
+++ b/samphirerill/relay/peer_sync.py
@@ -154,6 +154,8 @@
                 full_update, 0
             )
         cfg = self._state.adapter.decode_configuration(text)
+        # A node that can't reach the store at its start is ready with it, too.
+        self._state.note_peers_asked()
         if self._state.apply_configuration(cfg, text):
             _LOG.info(
                 'configuration fetched from a peer',
--- a/samphirerill/tests/test_restored_announcements.py
+++ b/samphirerill/tests/test_restored_announcements.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from samphirerill.relay.membership import PREFIX
 from samphirerill.tests.platform_documents import build_configuration
 from samphirerill.tests.restored_store import FIRST_VERSION, RestoredStoreCase
 
+_STARTED_S = 0.2
+
 
 class TestAnnouncementsAfterRestore(RestoredStoreCase):
     """The nodes write again what they had written themselves."""
@@ -42,3 +46,13 @@
         node = self.harness.start_node()
         await self.harness.wait_until_ready(node)
         self.assertEqual(node.state.version, FIRST_VERSION + 2)
+
+    async def test_it_is_ready_without_the_store(self) -> None:
+        """Guards against a node that waits for a listing it can't get."""
+        settings = self.nodes[0].state.settings
+        self.store.is_unavailable = True
+        node = self.harness.start_node()
+        await asyncio.sleep(_STARTED_S)
+        sync = node._membership._peer_sync  # noqa: SLF001
+        sync.sync_if_behind(settings.peers, FIRST_VERSION, 0)
+        await self.harness.wait_until_ready(node)
