--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -27,6 +27,7 @@
 _SEED = 7
 _LIMIT_SEED = 43
 _LIMIT_DURATION_S = 12.0
+_RESTART_SEED = 43009
 _RESTORE_SEED = 46
 _RESTORE_DURATION_S = 14.0
 _FAULT_DURATION_S = 8.0
@@ -55,6 +56,14 @@
         self.assertEqual(report.violations, [])
         self.assertGreater(report.counts['planned.limited'], 0)
 
+    def test_limits_are_kept_beside_rolling_restarts(self) -> None:
+        """Guard against more requests than named while nodes are replaced."""
+        with TemporaryDirectory() as folder:
+            settings = SoakSettings(injects_faults=False, names_limits=True)
+            report = run_seed(_RESTART_SEED, settings, Path(folder))
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.counts['planned.limited'], 0)
+
     def test_a_store_that_is_restored_breaks_no_guarantee(self) -> None:
         """Guard against what reused revisions hide from nodes."""
         with TemporaryDirectory() as folder:
