--- a/samphirerill/tests/restored_store.py
+++ b/samphirerill/tests/restored_store.py
@@ -31,6 +31,7 @@
 # How long operator and replicas take to write again what was lost.
 _REWRITE_DELAY_S = 0.3
 _INTERVAL_S = 0.04
+_CHECK_S = 1.0
 _TIMEOUT_S = 10.0
 _POLL_S = 0.01
 
@@ -109,13 +110,19 @@
             number += 1
             await asyncio.sleep(_INTERVAL_S)
 
-    async def count_requests_after_drain(self, name: str, until: float) -> int:
-        """Return how many requests reach a replica from `until` on."""
-        await asyncio.sleep(max(0.0, until - self.loop.time()))
+    async def assert_leaves(self, name: str) -> None:
+        """Let a replica say that it leaves; it must get no new requests."""
+        until = self.loop.time() + DRAIN_S
+        await self.announce(name, 'draining')
+        await self.assert_unused(name, until)
+
+    async def assert_unused(self, name: str, since: float) -> None:
+        """Assert that no requests reach a replica from a time on."""
+        await asyncio.sleep(max(0.0, since - self.loop.time()))
         received = self.harness.replicas[name].received_requests
         before = len(received)
-        await self.send_requests(1.0)
-        return len(received) - before
+        await self.send_requests(_CHECK_S)
+        self.assertEqual(len(received) - before, 0)
 
 
 def get_known_revision(node: EdgeProcess) -> int:
--- a/samphirerill/tests/test_restored_store.py
+++ b/samphirerill/tests/test_restored_store.py
@@ -32,23 +32,13 @@
         await self.write_others(_LOST_WRITES)
         await self.restore(copy)
         await self.rewrite()
-        left_at = self.loop.time()
-        await self.announce('desk-1', 'draining')
-        late = await self.count_requests_after_drain(
-            'desk-1', left_at + DRAIN_S
-        )
-        self.assertEqual(late, 0)
+        await self.assert_leaves('desk-1')
 
     async def test_an_outage_alone_hides_nothing(self) -> None:
         await self.write_others(_LOST_WRITES)
         await self.restore(self.store.take_copy())
         await self.rewrite()
-        left_at = self.loop.time()
-        await self.announce('desk-1', 'draining')
-        late = await self.count_requests_after_drain(
-            'desk-1', left_at + DRAIN_S
-        )
-        self.assertEqual(late, 0)
+        await self.assert_leaves('desk-1')
 
     async def test_a_replica_that_had_left_before_stays_leaving(self) -> None:
         """Guards against an older entry that undoes what a replica has said."""
@@ -57,10 +47,7 @@
         await self.announce('desk-1', 'draining')
         await self.wait_until(self.is_known_to_all)
         await self.restore(copy)
-        late = await self.count_requests_after_drain(
-            'desk-1', left_at + DRAIN_S
-        )
-        self.assertEqual(late, 0)
+        await self.assert_unused('desk-1', left_at + DRAIN_S)
 
     async def test_a_replica_that_left_just_before_stays_leaving(self) -> None:
         copy = self.store.take_copy()
@@ -70,10 +57,7 @@
         await self.restore(copy)
         await self.rewrite()
         await self.announce('desk-1', 'draining')
-        late = await self.count_requests_after_drain(
-            'desk-1', left_at + DRAIN_S
-        )
-        self.assertEqual(late, 0)
+        await self.assert_unused('desk-1', left_at + DRAIN_S)
 
     async def test_a_configuration_is_in_force_everywhere(self) -> None:
         copy = self.store.take_copy()
@@ -97,10 +81,7 @@
         await self.store.delete('servers/desk-1')
         await self.wait_until(self.is_known_to_all)
         await self.restore(copy)
-        late = await self.count_requests_after_drain(
-            'desk-1', removed_at + DRAIN_S
-        )
-        self.assertEqual(late, 0)
+        await self.assert_unused('desk-1', removed_at + DRAIN_S)
 
     async def test_a_removed_replica_that_writes_again_is_used(self) -> None:
         copy = self.store.take_copy()
@@ -116,12 +97,7 @@
         await self.write_others(_LOST_WRITES)
         await self.restore(copy)
         await self.restore(copy, away_s=0)
-        await self.announce('desk-1', 'draining')
-        left_at = self.loop.time()
-        late = await self.count_requests_after_drain(
-            'desk-1', left_at + DRAIN_S
-        )
-        self.assertEqual(late, 0)
+        await self.assert_leaves('desk-1')
         self.assertTrue(self.is_era_known_to_all())
 
     async def test_a_restore_without_an_outage_is_noticed(self) -> None:
@@ -132,10 +108,7 @@
         left_at = self.loop.time()
         await self.announce('desk-1', 'draining')
         await self.write_filler(2 * _LOST_WRITES)
-        late = await self.count_requests_after_drain(
-            'desk-1', left_at + DRAIN_S
-        )
-        self.assertEqual(late, 0)
+        await self.assert_unused('desk-1', left_at + DRAIN_S)
 
     async def test_nodes_hear_of_a_restore_from_others(self) -> None:
         """Guards against watches that hide a restore while they wait."""
