Store: the first era that is named after responses without one is a restore

A store that names no era until it is restored would have been taken for one whose era was not known yet: no grace for missing entries, and a leader that is not confirmed. The test failed before.

--- a/samphirerill/fleet/view.py
+++ b/samphirerill/fleet/view.py
@@ -2,8 +2,9 @@
 
 Announcements carry the revision of the store that wrote them; an older one
 never replaces a newer one. A store that was restored from a copy has later
-revisions but may hold older entries, which are merged with what is known. Findings of this node, such as that a replica is
-silent, slow or failing, are kept separately for a limited time.
+revisions but may hold older entries, which are merged with what is known.
+Findings of this node, such as that a replica is silent, slow or failing, are
+kept separately for a limited time.
 """
 
 from __future__ import annotations
--- a/samphirerill/platform/store.py
+++ b/samphirerill/platform/store.py
@@ -453,6 +453,7 @@
         """
         text = head.get(wire_names.STORE_ERA)
         if text is None:
+            self.era.observe(self.era.current)
             return self.era.current
         era = _parse_era(text)
         if era is None or era < self.era.current:
--- a/samphirerill/tests/test_store_eras.py
+++ b/samphirerill/tests/test_store_eras.py
@@ -90,6 +90,15 @@
             await self.store.renew_lease(1)
         self.assertEqual(self.store.era.current, 1)
 
+    async def test_the_first_era_that_is_named_is_a_restore(self) -> None:
+        """Guards against a store that names no era before it is restored."""
+        self.fake_store.era_text = b''
+        await self.store.read('a')
+        self.fake_store.era_text = None
+        await self.fake_store.restore(self.fake_store.take_copy())
+        await self.store.read('a')
+        self.assertEqual(self.store.era.restores, 1)
+
     async def test_a_response_of_an_earlier_era_is_no_answer(self) -> None:
         await self.fake_store.restore(self.fake_store.take_copy())
         await self.store.read('a')
