--- a/samphirerill/relay/change_rows.py
+++ b/samphirerill/relay/change_rows.py
@@ -15,9 +15,7 @@
 from samphirerill.platform.store import DeletedKey, StoredItem
 
 # Larger texts are forwarded as a delta to the previous one, as sending a
-# configuration to all polling nodes at once would saturate a slow link. A watcher
-# with 20 Mbit/s sent 48 KB to 17 nodes: for 0.3 s nothing else got through, and
-# it took replicas for dead.
+# configuration to all polling nodes at once would saturate a slow link.
 _LARGE_BYTES = 4096
 # Larger compressed deltas are left to the store: copies for all polling nodes
 # would take longer than a configuration may take.
