Dialer of endpoints: connects that fail are counted by kind; one line when none is reached

Now metrics tell refused connects from those that time out, and one line says that this node has reached none of three or more endpoints, with the kinds and the age of the last success; another one that it is over. Nothing depends on it yet.

--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -92,8 +92,7 @@
         self.sent_at = 0.0
         self.idle_until = 0.0
         self.is_reusable = True
-        # Called once, when the connection has ended on this side.
-        self.on_close: Callable[[], None] | None = None
+        self._on_close: Callable[[], None] | None = None
         self._transport: Any = None
         self._parser = HttpResponseParser(self)
         self._parts: deque[
@@ -124,6 +123,13 @@
             if not self.is_open():
                 self.close()
 
+    def notify_on_close(self, callback: Callable[[], None]) -> None:
+        """Call back once, when the connection has ended on this side."""
+        if self.is_open():
+            self._on_close = callback
+        else:
+            callback()
+
     def send(self, request: bytes) -> None:
         """Send a complete request; its response is read with ``read``."""
         self.requests_sent += 1
@@ -295,8 +301,8 @@
             raise ConnectError(f'{self.address}: {exc!r}') from exc
 
     def _notify_end(self) -> None:
-        callback = self.on_close
-        self.on_close = None
+        callback = self._on_close
+        self._on_close = None
         if callback is not None:
             callback()
 
--- a/samphirerill/relay/health/probe_runner.py
+++ b/samphirerill/relay/health/probe_runner.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from samphirerill.fleet.direct_paths import ConnectFailure
 from samphirerill.fleet.view import is_suspected
 from samphirerill.relay.health.probe_retries import probe_with_retries
 from samphirerill.relay.health.probe_timeouts import ProbeLatencies
@@ -151,6 +152,10 @@
         if len(self._latest) > _MAX_RESULTS:
             self._latest.clear()
         self._latest[replica.replica_id] = probe
+        if probe.verdict is Verdict.UNRESPONSIVE:
+            self._state.pool.dialer.note_failure(
+                replica.address, ConnectFailure.TIMED_OUT
+            )
         if probe.verdict is Verdict.ALIVE:
             self._state.view.note_alive(replica.replica_id, probe.at)
         return probe
--- a/samphirerill/relay/health/probing.py
+++ b/samphirerill/relay/health/probing.py
@@ -94,7 +94,9 @@
     """Return a report; none if the response is not a valid one."""
     path = state.adapter.report_path
     state.counters['reports.sent'] += 1
-    status, body = await call_once(replica.address, b'GET', path, b'', deadline)
+    status, body = await call_once(
+        replica.address, b'GET', path, b'', deadline, state.pool.dialer
+    )
     if status != _OK:
         return None
     try:
--- a/samphirerill/relay/pool.py
+++ b/samphirerill/relay/pool.py
@@ -14,6 +14,7 @@
     ResponseHead,
     serialize_request,
 )
+from samphirerill.relay.endpoint_dialer import EndpointDialer
 from samphirerill.relay.errors import ConnectionLimitError
 
 if TYPE_CHECKING:
@@ -29,9 +30,15 @@
     ----------
     counters : Counter
         Counts connections made and reused.
+
+    Attributes
+    ----------
+    dialer : EndpointDialer
+        Opens the connections.
     """
 
     def __init__(self, counters: Counter[str]) -> None:
+        self.dialer = EndpointDialer(counters)
         self._counters = counters
         self._idle: defaultdict[str, list[HttpConnection]] = defaultdict(list)
         self._open: Counter[str] = Counter()
@@ -80,9 +87,7 @@
                 return conn
             conn.close()
         self._evict_idle(replica.replica_id, max_open)
-        conn = HttpConnection(replica.address)
-        self._track_open(replica.replica_id, conn)
-        await conn.open()
+        conn = await self._open_tracked(replica)
         self._counters['connections.made'] += 1
         return conn
 
@@ -139,9 +144,18 @@
             )
         idle.pop(0).close()
 
-    def _track_open(self, replica_id: str, conn: HttpConnection) -> None:
+    async def _open_tracked(self, replica: Replica) -> HttpConnection:
+        """Open a connection that counts from now until it is closed."""
+        replica_id = replica.replica_id
         self._open[replica_id] += 1
-        conn.on_close = partial(self._untrack_open, replica_id)
+        conn = None
+        try:
+            conn = await self.dialer.connect(replica.address)
+        finally:
+            if conn is None:
+                self._untrack_open(replica_id)
+        conn.notify_on_close(partial(self._untrack_open, replica_id))
+        return conn
 
     def _untrack_open(self, replica_id: str) -> None:
         self._open[replica_id] -= 1
@@ -150,10 +164,26 @@
 
 
 async def call_once(
-    address: str, method: bytes, path: bytes, body: bytes, deadline: float
+    address: str,
+    method: bytes,
+    path: bytes,
+    body: bytes,
+    deadline: float,
+    dialer: EndpointDialer | None = None,
 ) -> tuple[int, bytes]:
     """Make one short request on a connection of its own.
 
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` to call.
+    method, path, body : bytes
+        The request.
+    deadline : float
+        On the loop's clock.
+    dialer : EndpointDialer, optional
+        Opens the connection if the call goes to an endpoint.
+
     Returns
     -------
     tuple of int and bytes
@@ -164,12 +194,15 @@
     EndpointError
         No complete response was received.
     """
-    conn = HttpConnection(address)
     headers = [(b'host', address.encode())]
     if body:
         headers.append((b'content-type', b'application/json'))
-    try:
+    if dialer is None:
+        conn = HttpConnection(address)
         await conn.open(deadline)
+    else:
+        conn = await dialer.connect(address, deadline)
+    try:
         conn.send(serialize_request(method, path, headers, body))
         return await read_response(conn, deadline)
     finally:
