--- /dev/null
+++ b/samphirerill/testing/cut_links.py
@@ -0,0 +1,122 @@
+"""Cuts the links between single nodes and all replicas, in one event loop.
+
+A node that is started within `CutLinks.started_as` is known by the context of
+its tasks and callbacks, which the event loop hands on. Its connects to replicas,
+and the connections that they made, can be cut; all other links stay.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import contextmanager
+from contextvars import ContextVar
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Any, cast
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Iterator
+
+_NODE: ContextVar[str] = ContextVar('node', default='')
+
+
+class CutKind(Enum):
+    """What becomes of open connections, and of new ones.
+
+    `SILENT`: both hang. `RESET`: open ones are reset, new ones refused.
+    `REFUSED`: open ones live on, new ones are refused. `RESET_SILENT`: open ones
+    are reset, new ones hang.
+    """
+
+    SILENT = 'silent'
+    RESET = 'reset'
+    REFUSED = 'refused'
+    RESET_SILENT = 'reset, then silent'
+
+    @property
+    def resets_open(self) -> bool:
+        """Return whether open connections are reset."""
+        return self in {CutKind.RESET, CutKind.RESET_SILENT}
+
+    @property
+    def refuses_new(self) -> bool:
+        """Return whether new connections are refused; else they hang."""
+        return self in {CutKind.RESET, CutKind.REFUSED}
+
+
+@dataclass(slots=True)
+class _OpenLink:
+    node: str
+    address: str
+    transport: Any
+
+
+class CutLinks:
+    """Replaces `create_connection` of the running loop until `restore`.
+
+    Parameters
+    ----------
+    list_addresses : callable
+        Returns the ``IP:PORT`` of all replicas.
+    """
+
+    def __init__(self, list_addresses: Callable[[], Collection[str]]) -> None:
+        self._list_addresses = list_addresses
+        self._cuts: dict[str, CutKind] = {}
+        self._open: list[_OpenLink] = []
+        # Any: the loop's method is replaced.
+        self._loop = cast('Any', asyncio.get_running_loop())
+        self._create_connection = self._loop.create_connection
+        self._loop.create_connection = self._connect
+
+    def restore(self) -> None:
+        """Let the loop connect as before."""
+        self._loop.create_connection = self._create_connection
+
+    @contextmanager
+    def started_as(self, node: str) -> Iterator[None]:
+        """Start a node under a name."""
+        token = _NODE.set(node)
+        try:
+            yield
+        finally:
+            _NODE.reset(token)
+
+    def cut(self, node: str, kind: CutKind) -> None:
+        """Cut a node off from all replicas."""
+        self._cuts[node] = kind
+        for link in self._open:
+            if link.node != node or link.transport.is_closing():
+                continue
+            if kind.resets_open:
+                link.transport.abort()
+            elif kind is CutKind.SILENT:
+                link.transport.pause_reading()
+                link.transport.write = _discard
+        self._open = [kept for kept in self._open if kept.node != node]
+
+    def heal(self, node: str) -> None:
+        """End the cut; connections that fell silent stay so."""
+        self._cuts.pop(node, None)
+
+    async def _connect(
+        self, factory: Any, host: str, port: int, **options: Any
+    ) -> Any:
+        node = _NODE.get()
+        address = f'{host}:{port}'
+        is_replica = address in self._list_addresses()
+        if is_replica and node in self._cuts:
+            await self._fail(node)
+        made = await self._create_connection(factory, host, port, **options)
+        if is_replica and node:
+            self._open.append(_OpenLink(node, address, made[0]))
+        return made
+
+    async def _fail(self, node: str) -> None:
+        if self._cuts[node].refuses_new:
+            raise ConnectionRefusedError('cut')
+        await self._loop.create_future()
+
+
+def _discard(data: bytes) -> None:
+    """Lose the bytes, as behind a partition."""
