Nodes reach endpoints through other nodes when their own paths are broken

What callers saw: nodes that were partitioned from all replicas served 0 of 77 first attempts, although clients, the store and other nodes reached them; and other nodes lost replicas that worked.

Cause: a node had one way to a replica, its own links; and what it found about its own links it took, and reported, for the state of the replicas: a refused connect counted as an end that two nodes had confirmed.

Now a connect that fails directly goes through another node: a tunnel by the method CONNECT, over one node only, refused by nodes that do not reach endpoints themselves. All decisions stay with the node that has the request: attempts, budgets, permits, quarantine, deadlines. Where three endpoints are reached by others only and none directly, all are connected to in this way, until two are reached again (checked twice a second). Every second probe goes through another node, and an end has two votes only if another node was refused, too, and reaches a further endpoint. Runs and plain attempts on a connection that falls silent behind a broken path are left at once if a retry is reserved. A silent endpoint is reported only if it can be connected to.

--- a/samphirerill/fleet/direct_paths.py
+++ b/samphirerill/fleet/direct_paths.py
@@ -1,18 +1,25 @@
 """Evidence on whether this node reaches endpoints over its own links.
 
 A failed connect says that the endpoint has ended, or that the path between this
-node and the endpoint is broken. Endpoints fail one by one; all of them at once
-point to the path.
+node and the endpoint is broken. Where another node reaches the endpoint at the
+same time, the path is broken.
 """
 
 from __future__ import annotations
 
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
 
 # Older failures are not related to newer ones.
 _FAILURE_WINDOW_S = 2.0
 # Endpoints that fail together without a success in between.
 MIN_UNREACHED = 3
+# Endpoints that have to be reached before a partition counts as healed: links
+# may flap.
+_MIN_REACHED = 2
 
 
 class ConnectFailure(Enum):
@@ -27,29 +34,34 @@
     """Outcomes of the latest direct connects, by address of the endpoint.
 
     `last_success_at` is when an endpoint was last reached, on the loop's clock.
+    `is_partitioned` is whether all paths count as broken: several were, and none
+    worked in between.
     """
 
-    __slots__ = ('_failures', 'last_success_at')
+    __slots__ = (
+        '_failures',
+        '_lost',
+        '_reached',
+        'is_partitioned',
+        'last_success_at',
+    )
 
     def __init__(self) -> None:
         self._failures: dict[str, tuple[float, ConnectFailure]] = {}
+        # Endpoints that another node reached and this one did not, and when.
+        self._lost: dict[str, float] = {}
+        # Endpoints that were reached since the partition began.
+        self._reached: set[str] = set()
+        self.is_partitioned = False
         self.last_success_at = float('-inf')
 
-    def note_failure(
-        self, address: str, failure: ConnectFailure, now: float
-    ) -> None:
-        """Record that a direct connect failed."""
-        self._failures = {
-            failed: (at, kind)
-            for failed, (at, kind) in self._failures.items()
-            if at + _FAILURE_WINDOW_S > now
-        }
-        self._failures[address] = (now, failure)
+    def needs_detour(self, address: str) -> bool:
+        """Return whether an endpoint is to be reached through another node."""
+        return self.is_partitioned or address in self._lost
 
-    def note_success(self, now: float) -> None:
-        """Record that an endpoint was reached directly."""
-        self.last_success_at = now
-        self._failures.clear()
+    def list_lost(self) -> list[str]:
+        """Return the endpoints whose paths are known to be broken."""
+        return list(self._lost)
 
     def reaches_none(self) -> bool:
         """Return whether several endpoints failed and none was reached since."""
@@ -63,3 +75,37 @@
             for failure in ConnectFailure
             if failure in kinds
         }
+
+    def note_failure(
+        self, address: str, failure: ConnectFailure, now: float
+    ) -> None:
+        """Record that a direct connect failed."""
+        self._reached.clear()
+        self._failures = {
+            failed: (at, kind)
+            for failed, (at, kind) in self._failures.items()
+            if at + _FAILURE_WINDOW_S > now
+        }
+        self._failures[address] = (now, failure)
+
+    def note_lost(self, address: str, now: float) -> None:
+        """Record that only another node reached an endpoint."""
+        self._lost[address] = now
+        since = max(self.last_success_at, now - _FAILURE_WINDOW_S)
+        lost_together = sum(at > since for at in self._lost.values())
+        self.is_partitioned |= lost_together >= MIN_UNREACHED
+
+    def note_success(self, address: str, now: float) -> None:
+        """Record that an endpoint was reached directly."""
+        self.last_success_at = now
+        self._failures.clear()
+        self._lost.pop(address, None)
+        self._reached.add(address)
+        if self.is_partitioned and len(self._reached) >= _MIN_REACHED:
+            self.is_partitioned = False
+            self._lost.clear()
+
+    def keep_only(self, addresses: Collection[str]) -> None:
+        """Forget endpoints that are no longer announced."""
+        for address in self._lost.keys() - set(addresses):
+            self._lost.pop(address)
--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -93,6 +93,8 @@
         self.idle_until = 0.0
         self.is_reusable = True
         self._on_close: Callable[[], None] | None = None
+        # The node that relays the connection; empty for a direct one.
+        self.relayed_by = ''
         self._transport: Any = None
         self._parser = HttpResponseParser(self)
         self._parts: deque[
@@ -123,6 +125,17 @@
             if not self.is_open():
                 self.close()
 
+    @property
+    def is_relayed(self) -> bool:
+        """Return whether another node relays the connection."""
+        return bool(self.relayed_by)
+
+    def adopt(self, transport: asyncio.Transport, relayed_by: str) -> None:
+        """Use a tunnel that another node has opened to the endpoint."""
+        self.relayed_by = relayed_by
+        transport.set_protocol(self)
+        self.connection_made(transport)
+
     def notify_on_close(self, callback: Callable[[], None]) -> None:
         """Call back once, when the connection has ended on this side."""
         if self.is_open():
@@ -232,9 +245,13 @@
             self.close()
 
     def eof_received(self) -> None:
-        """Complete a response that is delimited by the connection's end."""
+        """Complete a response that is delimited by the connection's end.
+
+        The end of a tunnel may also be that of the relaying node.
+        """
         if (
             self._awaits_response
+            and not self.is_relayed
             and self._head is not None
             and self._is_close_delimited()
         ):
--- a/samphirerill/relay/endpoint_dialer.py
+++ b/samphirerill/relay/endpoint_dialer.py
@@ -1,30 +1,50 @@
-"""Open connections to endpoints, and record whether this node reaches them."""
+"""Open connections to endpoints, directly or through another node."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
-from samphirerill.fleet.direct_paths import ConnectFailure, DirectPaths
-from samphirerill.fleet.model import MS_PER_S
+from samphirerill.fleet.direct_paths import ConnectFailure
 from samphirerill.node.logs import get_logger
+from samphirerill.node.loop_lag import lag_aware_timeout_at
 from samphirerill.relay.connection import HttpConnection
 from samphirerill.relay.errors import (
     ConnectError,
     ConnectRefusedError,
     ConnectTimeoutError,
+    PeerUnavailableError,
+    UnconfirmedConnectError,
 )
+from samphirerill.relay.path_tracker import PathTracker
 
 if TYPE_CHECKING:
     from collections import Counter
+    from collections.abc import Callable, Coroutine, Iterable
 
 _LOG = get_logger('dialer')
 _NEVER = float('inf')
+# How long a direct connect may take where another node can be asked next. Live
+# endpoints accept within milliseconds.
+_DIRECT_TIMEOUT_S = 0.12
+
+
+class TunnelOpener(Protocol):
+    """Opens connections to endpoints through other nodes."""
+
+    def has_peers(self) -> bool:
+        """Return whether there is another node to ask."""
+
+    async def open(self, address: str, deadline: float) -> HttpConnection:
+        """Return a connection to an endpoint through another node."""
 
 
 class EndpointDialer:
     """Opens connections to endpoints.
 
+    An endpoint that this node does not reach is connected to through another
+    node, if that one reaches it.
+
     Parameters
     ----------
     counters : Counter
@@ -32,14 +52,32 @@
 
     Attributes
     ----------
-    paths : DirectPaths
-        Outcomes of the latest connects.
+    paths : PathTracker
+        Which endpoints this node reaches.
     """
 
     def __init__(self, counters: Counter[str]) -> None:
-        self.paths = DirectPaths()
-        self._counters = counters
-        self._reaches_none = False
+        self.paths = PathTracker(counters)
+        self._tunnels: TunnelOpener | None = None
+        self._list_controls: Callable[[str], Iterable[str]] = _list_nothing
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def bind(
+        self,
+        tunnels: TunnelOpener,
+        list_controls: Callable[[str], Iterable[str]],
+    ) -> None:
+        """Use tunnels of other nodes from now on.
+
+        Parameters
+        ----------
+        tunnels : TunnelOpener
+            Opens them.
+        list_controls : callable
+            Returns addresses of endpoints other than the given one.
+        """
+        self._tunnels = tunnels
+        self._list_controls = list_controls
 
     async def connect(
         self, address: str, deadline: float = _NEVER
@@ -53,44 +91,163 @@
         deadline : float
             On the loop's clock, if it is earlier than the connect timeout.
         """
+        if self.paths.needs_detour(address):
+            try:
+                return await self.connect_through_peer(address, deadline)
+            except PeerUnavailableError as exc:
+                _LOG.debug('connecting directly', extra={'reason': str(exc)})
+        if not self.can_detour():
+            return await self.connect_directly(address, deadline)
+        until = min(deadline, self._now() + _DIRECT_TIMEOUT_S)
+        try:
+            return await self.connect_directly(address, until)
+        except ConnectError as exc:
+            return await self._connect_after(exc, address, deadline)
+
+    async def connect_directly(
+        self, address: str, deadline: float = _NEVER
+    ) -> HttpConnection:
+        """Return a connection over this node's own links.
+
+        Raises ``ConnectError`` on failure.
+        """
         conn = HttpConnection(address)
         try:
             await conn.open(deadline)
         except ConnectError as exc:
-            self.note_failure(address, _classify(exc))
+            self.paths.note_failure(address, _classify(exc))
             raise
-        self._note_success()
+        self.paths.note_success(address)
         return conn
 
-    def note_failure(self, address: str, failure: ConnectFailure) -> None:
-        """Record that an endpoint was not reached directly."""
-        self._counters[f'connects.failed.{failure.value}'] += 1
-        now = asyncio.get_running_loop().time()
-        self.paths.note_failure(address, failure, now)
-        if self.paths.reaches_none() and not self._reaches_none:
-            self._reaches_none = True
-            self._counters['paths.lost'] += 1
-            _LOG.warning(
-                'no endpoint is reached directly',
-                extra={
-                    'failures': self.paths.count_failures(),
-                    'last_success_ms': _describe_age(
-                        self.paths.last_success_at, now
-                    ),
-                },
+    async def connect_through_peer(
+        self, address: str, deadline: float = _NEVER
+    ) -> HttpConnection:
+        """Return a connection that another node relays.
+
+        Raises
+        ------
+        ConnectError
+            The other node did not reach the endpoint either.
+        PeerUnavailableError
+            No node could be asked.
+        """
+        if self._tunnels is None:
+            raise PeerUnavailableError(f'{address}: no other node is known')
+        return await self._tunnels.open(address, deadline)
+
+    async def attach_directly(
+        self, protocol: asyncio.Protocol, address: str
+    ) -> None:
+        """Connect a protocol to an endpoint over this node's own links.
+
+        Raises ``ConnectError`` on failure.
+        """
+        host, _, port = address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        until = self._now() + _DIRECT_TIMEOUT_S
+        try:
+            async with lag_aware_timeout_at(until):
+                await loop.create_connection(lambda: protocol, host, int(port))
+        except TimeoutError as exc:
+            self.paths.note_failure(address, ConnectFailure.TIMED_OUT)
+            raise ConnectTimeoutError(f'{address}: {exc!r}') from exc
+        except (OSError, ValueError) as exc:
+            self.paths.note_failure(address, ConnectFailure.REFUSED)
+            raise ConnectRefusedError(f'{address}: {exc!r}') from exc
+        self.paths.note_success(address)
+
+    async def reaches_another(self, address: str, since: float) -> bool:
+        """Return whether an endpoint other than this one is reached directly.
+
+        Parameters
+        ----------
+        address : str
+            The endpoint that was not reached.
+        since : float
+            A success after this moment on the loop's clock proves it.
+        """
+        if self.paths.last_success_at < since:
+            controls = self._list_controls(address)
+            await asyncio.gather(*map(self.is_reached, controls))
+        return self.paths.last_success_at >= since
+
+    async def is_reached(self, address: str) -> bool:
+        """Return whether a direct connect succeeds now."""
+        until = self._now() + _DIRECT_TIMEOUT_S
+        try:
+            conn = await self.connect_directly(address, until)
+        except ConnectError as exc:
+            _LOG.debug('endpoint not reached', extra={'reason': str(exc)})
+            return False
+        conn.close()
+        return True
+
+    def verify_path(self, address: str) -> None:
+        """Check in the background whether a path that seems silent works.
+
+        Another node has just reached the endpoint.
+        """
+        if not self.paths.needs_detour(address):
+            self._start_task(self._verify_path(address))
+
+    def blame_unless_lost(
+        self, conn: HttpConnection, blame: Callable[[], None]
+    ) -> None:
+        """Call back unless the path to a silent endpoint is broken."""
+        if conn.is_relayed or not self.can_detour():
+            blame()
+        else:
+            self._start_task(self._blame_unless_lost(conn.address, blame))
+
+    def can_detour(self) -> bool:
+        """Return whether another node may be asked to connect."""
+        return self._tunnels is not None and self._tunnels.has_peers()
+
+    async def _connect_after(
+        self, failure: ConnectError, address: str, deadline: float
+    ) -> HttpConnection:
+        """Connect through another node after a direct connect has failed."""
+        try:
+            conn = await self.connect_through_peer(address, deadline)
+        except PeerUnavailableError as exc:
+            raise UnconfirmedConnectError(f'{failure}; {exc}') from exc
+        self.paths.note_lost(address)
+        return conn
+
+    async def _verify_path(self, address: str) -> None:
+        if not await self.is_reached(address):
+            self.paths.note_lost(address)
+
+    async def _blame_unless_lost(
+        self, address: str, blame: Callable[[], None]
+    ) -> None:
+        try:
+            conn = await self.connect(address)
+        except UnconfirmedConnectError as exc:
+            _LOG.info(
+                'silent endpoint not suspected',
+                extra={'endpoint': address, 'reason': str(exc)},
             )
+            return
+        except ConnectError:
+            blame()
+            return
+        conn.close()
+        if not self.paths.needs_detour(address):
+            blame()
+
+    def _start_task(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work, name='dialer')
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
-    def _note_success(self) -> None:
-        self.paths.note_success(asyncio.get_running_loop().time())
-        if self._reaches_none:
-            self._reaches_none = False
-            _LOG.info('endpoints are reached directly again')
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
 
 
-def _describe_age(at: float, now: float) -> int | str:
-    if at == float('-inf'):
-        return 'never'
-    return round((now - at) * MS_PER_S)
+def _list_nothing(address: str) -> Iterable[str]:
+    return ()
 
 
 def _classify(exc: ConnectError) -> ConnectFailure:
--- a/samphirerill/relay/errors.py
+++ b/samphirerill/relay/errors.py
@@ -27,6 +27,17 @@
     """The connection timed out: the VM is down or cannot be reached."""
 
 
+class PeerUnavailableError(ConnectError):
+    """No other node could be asked to connect to the endpoint."""
+
+
+class UnconfirmedConnectError(ConnectError):
+    """This node did not connect, and no other one could tell why.
+
+    The endpoint may work, and the path to it may be broken.
+    """
+
+
 class ConnectionLimitError(ConnectError):
     """All connections that this node may open to the endpoint are in use."""
 
--- a/samphirerill/relay/health/probe_retries.py
+++ b/samphirerill/relay/health/probe_retries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 from samphirerill.relay.health.probe_timeouts import (
@@ -15,12 +16,16 @@
     from collections.abc import Iterable
 
     from samphirerill.fleet.model import Replica
+    from samphirerill.relay.connection import HttpConnection
     from samphirerill.relay.health.probe_timeouts import ProbeLatencies
+    from samphirerill.relay.pool import Connect
     from samphirerill.relay.state import EdgeState
 
 # Ends a round even if the event loop lags.
 _MAX_ROUND_S = 0.4
 _MAX_ROUNDS = 3
+# Time for other nodes to connect; some may be partitioned themselves.
+_CONFIRM_TIMEOUT_S = 0.3
 
 
 async def probe_with_retries(
@@ -55,6 +60,8 @@
         probe = await _run_round(state, replica, deadline, max_probes)
         if probe is not None:
             latencies.note(deadline.get_elapsed_s())
+            if probe.verdict is Verdict.TERMINATED:
+                probe = await _confirm_end(state, replica, probe)
             probe.sent_at = sent_at
             return probe
         has_lagged = deadline.lag_s >= MIN_TIMEOUT_S
@@ -70,7 +77,10 @@
     probes: set[asyncio.Task[Probe]] = set()
     probe: Probe | None = None
     while probe is None and len(probes) < max_probes:
-        probes.add(loop.create_task(probe_once(state, replica, round_end)))
+        connect = _choose_connect(state, replica, len(probes))
+        probes.add(
+            loop.create_task(probe_once(state, replica, round_end, connect))
+        )
         await deadline.wait_for_retry(probes)
         probe = _find_answered(probes)
     while probe is None and await deadline.wait_until_deadline(probes):
@@ -80,6 +90,51 @@
     return probe
 
 
+def _choose_connect(state: EdgeState, replica: Replica, sent: int) -> Connect:
+    """Return how to connect for the next probe, after some were sent.
+
+    Every second one goes through another node: if only this node's path to the
+    replica is broken, the replica is not dead.
+    """
+    dialer = state.pool.dialer
+    if dialer.paths.needs_detour(replica.address):
+        return dialer.connect
+    if sent % 2 and dialer.can_detour():
+        return partial(_connect_through_peer, state)
+    return dialer.connect_directly
+
+
+async def _connect_through_peer(
+    state: EdgeState, address: str, deadline: float
+) -> HttpConnection:
+    """Connect through another node, and check the direct path after that."""
+    dialer = state.pool.dialer
+    conn = await dialer.connect_through_peer(address, deadline)
+    dialer.verify_path(address)
+    return conn
+
+
+async def _confirm_end(
+    state: EdgeState, replica: Replica, refused: Probe
+) -> Probe:
+    """Let another node confirm that nothing listens at an address.
+
+    Links may refuse connections, too, to all replicas at once.
+    """
+    dialer = state.pool.dialer
+    if not dialer.can_detour() or dialer.paths.needs_detour(replica.address):
+        return refused
+    deadline = asyncio.get_running_loop().time() + _CONFIRM_TIMEOUT_S
+    probe = await probe_once(
+        state, replica, deadline, dialer.connect_through_peer
+    )
+    if probe.verdict is Verdict.ALIVE:
+        dialer.paths.note_lost(replica.address)
+        return probe
+    refused.is_confirmed = probe.verdict is Verdict.TERMINATED
+    return refused
+
+
 def _find_answered(probes: Iterable[asyncio.Task[Probe]]) -> Probe | None:
     """Return the first probe that was answered, if any."""
     for task in probes:
--- a/samphirerill/relay/health/probe_runner.py
+++ b/samphirerill/relay/health/probe_runner.py
@@ -152,10 +152,12 @@
         if len(self._latest) > _MAX_RESULTS:
             self._latest.clear()
         self._latest[replica.replica_id] = probe
-        if probe.verdict is Verdict.UNRESPONSIVE:
-            self._state.pool.dialer.note_failure(
-                replica.address, ConnectFailure.TIMED_OUT
-            )
+        dialer = self._state.pool.dialer
+        if (
+            probe.verdict is Verdict.UNRESPONSIVE
+            and not dialer.paths.needs_detour(replica.address)
+        ):
+            dialer.paths.note_failure(replica.address, ConnectFailure.TIMED_OUT)
         if probe.verdict is Verdict.ALIVE:
             self._state.view.note_alive(replica.replica_id, probe.at)
         return probe
--- a/samphirerill/relay/health/probing.py
+++ b/samphirerill/relay/health/probing.py
@@ -13,6 +13,7 @@
     ConnectTimeoutError,
     EndpointError,
     EndpointTimeoutError,
+    PeerUnavailableError,
 )
 from samphirerill.relay.platform_adapter import DocumentError
 from samphirerill.relay.pool import call_once
@@ -20,6 +21,7 @@
 if TYPE_CHECKING:
     from samphirerill.fleet.model import Replica
     from samphirerill.relay.platform_adapter import ReplicaReport
+    from samphirerill.relay.pool import Connect
     from samphirerill.relay.state import EdgeState
 
 _LOG = get_logger('examiner')
@@ -42,24 +44,30 @@
     """Result of a probe; `report` is none if the replica sent none.
 
     `sent_at` is when it was first sent, `at` when it ended, on the loop's clock.
+    `is_confirmed` is false if only this node was refused: its own path to the
+    replica may be broken.
     """
 
     at: float
     verdict: Verdict
     report: ReplicaReport | None = None
     sent_at: float = 0.0
+    is_confirmed: bool = True
 
 
 async def probe_once(
-    state: EdgeState, replica: Replica, deadline: float
+    state: EdgeState, replica: Replica, deadline: float, connect: Connect
 ) -> Probe:
-    """Request the report of a replica, and classify the outcome."""
+    """Request the report of a replica, and classify the outcome.
+
+    `connect` opens the connection, directly or through another node.
+    """
     loop = asyncio.get_running_loop()
     try:
-        report = await _read_report(state, replica, deadline)
+        report = await _read_report(state, replica, deadline, connect)
     except ConnectRefusedError:
         return Probe(loop.time(), Verdict.TERMINATED)
-    except (ConnectTimeoutError, EndpointTimeoutError):
+    except (ConnectTimeoutError, EndpointTimeoutError, PeerUnavailableError):
         return Probe(loop.time(), Verdict.UNRESPONSIVE)
     except EndpointError as exc:
         _log_no_report(replica, exc)
@@ -75,7 +83,9 @@
     """Return a replica's status report, or none if it sent none."""
     deadline = asyncio.get_running_loop().time() + _REPORT_TIMEOUT_S
     try:
-        return await _read_report(state, replica, deadline)
+        return await _read_report(
+            state, replica, deadline, state.pool.dialer.connect
+        )
     except EndpointError as exc:
         _log_no_report(replica, exc)
         return None
@@ -89,13 +99,13 @@
 
 
 async def _read_report(
-    state: EdgeState, replica: Replica, deadline: float
+    state: EdgeState, replica: Replica, deadline: float, connect: Connect
 ) -> ReplicaReport | None:
     """Return a report; none if the response is not a valid one."""
     path = state.adapter.report_path
     state.counters['reports.sent'] += 1
     status, body = await call_once(
-        replica.address, b'GET', path, b'', deadline, state.pool.dialer
+        replica.address, b'GET', path, b'', deadline, connect
     )
     if status != _OK:
         return None
--- a/samphirerill/relay/listeners.py
+++ b/samphirerill/relay/listeners.py
@@ -60,15 +60,22 @@
     listening: socket | None = None,
 ) -> asyncio.Server:
     """Serve an address, on a socket that already listens there if there is one."""
-    loop = asyncio.get_running_loop()
 
     def build_connection() -> ClientConnection:
         return ClientConnection(handler, connections, record_close)
 
     if listening is not None:
-        return await loop.create_server(
+        return await asyncio.get_running_loop().create_server(
             build_connection, sock=listening, backlog=_BACKLOG
         )
+    return await listen_with(build_connection, address)
+
+
+async def listen_with(
+    build_connection: Callable[[], asyncio.Protocol], address: str
+) -> asyncio.Server:
+    """Serve an address with one protocol for each connection."""
+    loop = asyncio.get_running_loop()
     host, _, port = address.rpartition(':')
     return await loop.create_server(
         build_connection,
--- a/samphirerill/relay/membership.py
+++ b/samphirerill/relay/membership.py
@@ -16,11 +16,16 @@
 from samphirerill.relay.change_source import PeerRequestHandler
 from samphirerill.relay.datagram_receiver import DatagramReceiver
 from samphirerill.relay.leases import revoke_lease
-from samphirerill.relay.listeners import listen
 from samphirerill.relay.node_status import NodeAnnouncement
 from samphirerill.relay.peer_directory import PeerDirectory
+from samphirerill.relay.path_checks import PathChecks
 from samphirerill.relay.peer_sync import PeerSync
 from samphirerill.relay.status_sender import StatusSender
+from samphirerill.relay.tunnels import (
+    TunnelPeers,
+    TunnelServer,
+    listen_for_peers,
+)
 
 if TYPE_CHECKING:
     from samphirerill.platform.store import (
@@ -66,6 +71,13 @@
         Store changes that this node serves to others.
     alarms : Alarms
         Exchanged with other nodes through the same port.
+
+    Attributes
+    ----------
+    tunnels : TunnelServer
+        Connections to endpoints that this node relays for others.
+    path_checks : PathChecks
+        Checks whether this node reaches endpoints itself.
     """
 
     prefix = PREFIX
@@ -100,6 +112,10 @@
             alarms,
         )
         alarms.bind(self._status_sender)
+        self.tunnels = TunnelServer(state)
+        self.path_checks = PathChecks(
+            state, TunnelPeers(state, self._peers), self.tunnels
+        )
         self._server: asyncio.Server | None = None
         self._connections: set[ClientConnection] = set()
         self._lease = 0
@@ -113,8 +129,8 @@
         handler = PeerRequestHandler(
             self._peer_sync.list_pages(), self._log, self._receives_from_store
         )
-        self._server = await listen(
-            self._state.settings.peers, handler, self._connections
+        self._server = await listen_for_peers(
+            self._state.settings.peers, self.tunnels, handler, self._connections
         )
         await self._receiver.start()
 
@@ -130,12 +146,14 @@
             self._server.close()
         for conn in tuple(self._connections):
             conn.abort()
+        self.tunnels.close()
 
     async def run(self) -> None:
         """Renew the lease and send the status until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._status_sender.run())
             group.create_task(self._keep_lease())
+            group.create_task(self.path_checks.run())
 
     async def leave(self) -> None:
         """Remove the announcement; this node does not announce itself again."""
--- a/samphirerill/relay/orders.py
+++ b/samphirerill/relay/orders.py
@@ -35,7 +35,12 @@
     state.counters['orders'] += 1
     try:
         status, body = await call_once(
-            replica.address, b'POST', path, order, deadline, state.pool.dialer
+            replica.address,
+            b'POST',
+            path,
+            order,
+            deadline,
+            state.pool.dialer.connect,
         )
     except EndpointError as exc:
         _LOG.warning(
--- /dev/null
+++ b/samphirerill/relay/path_checks.py
@@ -0,0 +1,79 @@
+"""Check whether broken paths to endpoints work again, and report them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from samphirerill.relay.state import EdgeState
+    from samphirerill.relay.tunnels import TunnelPeers, TunnelServer
+
+# Bounds the connects of a whole data centre to endpoints that are back.
+_INTERVAL_S = 0.5
+_CHECKS_PER_ROUND = 3
+_MAX_CONTROLS = 3
+
+
+class PathChecks:
+    """Checks the paths of one node.
+
+    Parameters
+    ----------
+    state : EdgeState
+        The endpoints, and the paths to them.
+    relays : TunnelPeers
+        The nodes that relay connections of this one.
+    tunnels : TunnelServer
+        Connections that this node relays.
+    """
+
+    __slots__ = ('_relays', '_state', '_tunnels')
+
+    def __init__(
+        self, state: EdgeState, relays: TunnelPeers, tunnels: TunnelServer
+    ) -> None:
+        self._state = state
+        self._relays = relays
+        self._tunnels = tunnels
+        state.pool.dialer.bind(relays, self.list_controls)
+
+    async def run(self) -> None:
+        """Check some broken paths periodically until cancelled."""
+        dialer = self._state.pool.dialer
+        while True:
+            await asyncio.sleep(_INTERVAL_S)
+            dialer.paths.keep_only(self._list_addresses())
+            lost = dialer.paths.list_lost()
+            checked = self._sample(lost, _CHECKS_PER_ROUND)
+            await asyncio.gather(*map(dialer.is_reached, checked))
+
+    def list_controls(self, address: str) -> Iterable[str]:
+        """Return random endpoints other than the given one."""
+        others = [known for known in self._list_addresses() if known != address]
+        return self._sample(others, _MAX_CONTROLS)
+
+    def count_relayed(self) -> int:
+        """Return how many connections this node relays for others."""
+        return self._tunnels.count_open()
+
+    def describe(self) -> dict[str, Any]:
+        """Return the broken paths and the relayed connections."""
+        paths = self._state.pool.dialer.paths
+        return {
+            'partitioned': paths.is_partitioned,
+            'lost': paths.list_lost(),
+            'relayed_by': self._relays.list_relays(),
+            'relayed_here': self._tunnels.count_open(),
+        }
+
+    def _list_addresses(self) -> list[str]:
+        return [
+            found.replica.address
+            for found in self._state.view.replicas.values()
+        ]
+
+    def _sample(self, addresses: list[str], count: int) -> list[str]:
+        return self._state.random.sample(addresses, min(count, len(addresses)))
--- a/samphirerill/relay/peer_directory.py
+++ b/samphirerill/relay/peer_directory.py
@@ -53,6 +53,10 @@
         self.last_seen_at = float('-inf')
         self.status: NodeStatus | None = None
 
+    def is_active(self, now: float) -> bool:
+        """Return whether it is announced or was heard lately."""
+        return self.announced or self.last_seen_at + _PEER_EXPIRY_S > now
+
     def is_fresh(self, now: float) -> bool:
         """Return whether its latest status is recent."""
         return self.last_seen_at + _STATUS_MAX_AGE_S > now
@@ -117,6 +121,10 @@
             if peer.announced
         }
 
+    def has_active(self, now: float) -> bool:
+        """Return whether any other node is announced or was heard lately."""
+        return any(peer.is_active(now) for peer in self._peers.values())
+
     def is_direct(self, now: float) -> bool:
         """Return whether every node sends its status to every other one."""
         return is_full_mesh(len(self._list_active(now)))
@@ -205,5 +213,5 @@
         return {
             name: peer
             for name, peer in self._peers.items()
-            if peer.announced or peer.last_seen_at + _PEER_EXPIRY_S > now
+            if peer.is_active(now)
         }
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.model import MS_PER_S
@@ -23,6 +24,7 @@
     EndpointTimeoutError,
     QuarantinedError,
     SendWithheldError,
+    UnconfirmedConnectError,
 )
 from samphirerill.relay.plain_limits import PlainLimits
 from samphirerill.relay.platform_adapter import Attempt
@@ -68,7 +70,7 @@
     """The result of one attempt; `head` is set if there is a response.
 
     `may_return` is whether the endpoint may be tried again, as it has only
-    asked for a back-off.
+    asked for a back-off. `relayed_by` is the node that relayed it, if any.
     """
 
     head: ResponseHead | None = None
@@ -77,6 +79,7 @@
     was_sent: bool = True
     may_return: bool = False
     timed_out: bool = False
+    relayed_by: str = ''
     reason: str = ''
 
 
@@ -155,6 +158,7 @@
                 'request': self._context.request_id,
                 'endpoint': endpoint.replica.replica_id,
                 'send': self._limits.attempts,
+                'relayed_by': outcome.relayed_by,
                 'status': 0 if outcome.head is None else outcome.head.status,
                 'not_run': outcome.is_not_run,
                 'reason': outcome.reason,
@@ -179,7 +183,7 @@
                 reason=str(exc),
             )
         except ConnectError as exc:
-            self._avoid(endpoint, str(exc))
+            self._avoid_unreached(endpoint, exc)
             return _Outcome(is_not_run=True, was_sent=False, reason=str(exc))
         self._limits.attempts += 1
         self._sent_at = self._loop.time()
@@ -187,11 +191,12 @@
             outcome = await self._call(endpoint, conn)
         except EndpointError as exc:
             conn.close()
-            return self._handle_error(endpoint, exc)
+            return self._handle_error(endpoint, conn, exc)
         except asyncio.CancelledError:
             conn.close()
             raise
         self._state.pool.release(replica, conn)
+        outcome.relayed_by = conn.relayed_by
         return outcome
 
     async def _connect(self, replica: Replica) -> HttpConnection:
@@ -214,10 +219,6 @@
             raise SendWithheldError(obstacle)
         return conn
 
-    def _is_backing_off(self, replica: Replica) -> bool:
-        until = self._state.view.notices.get_backoff_end(replica)
-        return until > self._loop.time()
-
     async def _call(
         self, endpoint: ReplicaState, conn: HttpConnection
     ) -> _Outcome:
@@ -242,9 +243,12 @@
         check = self._loop.call_at(
             check_at, self._check_silence, endpoint, conn, timeout
         )
+        paths = self._state.pool.dialer.paths
+        paths.watch(conn, partial(self._check_silence, endpoint, conn, timeout))
         try:
             return await self._read_outcome(endpoint, conn)
         finally:
+            paths.unwatch(conn)
             check.cancel()
 
     async def _read_outcome(
@@ -259,9 +263,11 @@
         )
         body = await read_body(conn, deadline)
         if facts.is_not_run and not is_success(head.status):
+            notices = self._state.view.notices
+            backoff_end = notices.get_backoff_end(endpoint.replica)
             return _Outcome(
                 is_not_run=True,
-                may_return=self._is_backing_off(endpoint.replica),
+                may_return=backoff_end > self._loop.time(),
                 reason='endpoint rejected the request',
             )
         self._may_have_run = True
@@ -269,7 +275,7 @@
         return _Outcome(head, body)
 
     def _handle_error(
-        self, endpoint: ReplicaState, exc: EndpointError
+        self, endpoint: ReplicaState, conn: HttpConnection, exc: EndpointError
     ) -> _Outcome:
         self._may_have_run = True
         self._limits.has_broken_run = True
@@ -277,7 +283,7 @@
             self._crash_detector.record_failure(self._context, endpoint.replica)
         is_silent = isinstance(exc, EndpointTimeoutError)
         if is_silent:
-            self._avoid_silent(endpoint, str(exc))
+            self._avoid_silent(endpoint, conn, str(exc))
         return _Outcome(timed_out=is_silent, reason=str(exc))
 
     def _build_call(self, endpoint: ReplicaState) -> bytes:
@@ -309,7 +315,7 @@
         if self._limits.reserve_successor(endpoint.replica.replica_id):
             timeout.reschedule(self._loop.time())
             return
-        self._avoid_silent(endpoint, 'no response yet')
+        self._avoid_silent(endpoint, conn, 'no response yet')
         self._state.counters['attempts.kept'] += 1
         _LOG.info(
             'silent attempt goes on: no other can follow',
@@ -320,9 +326,19 @@
             },
         )
 
-    def _avoid_silent(self, endpoint: ReplicaState, reason: str) -> None:
+    def _avoid_silent(
+        self, endpoint: ReplicaState, conn: HttpConnection, reason: str
+    ) -> None:
         if self._loop.time() - self._sent_at >= _MIN_SILENCE_S:
-            self._avoid(endpoint, reason)
+            self._state.pool.dialer.blame_unless_lost(
+                conn, partial(self._avoid, endpoint, reason)
+            )
+
+    def _avoid_unreached(
+        self, endpoint: ReplicaState, exc: ConnectError
+    ) -> None:
+        if not isinstance(exc, UnconfirmedConnectError):
+            self._avoid(endpoint, str(exc))
 
     def _avoid(self, endpoint: ReplicaState, reason: str) -> None:
         now = self._loop.time()
--- a/samphirerill/relay/pool.py
+++ b/samphirerill/relay/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter, defaultdict
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,8 @@
 
 _MAX_IDLE_PER_REPLICA = 16
 
+Connect = Callable[[str, float], Awaitable[HttpConnection]]
+
 
 class ConnectionPool:
     """Keeps idle connections for reuse, newest first.
@@ -82,7 +85,8 @@
         idle = self._idle[replica.replica_id]
         while idle and not fresh:
             conn = idle.pop()
-            if conn.is_usable(now):
+            is_detour = self.dialer.paths.needs_detour(replica.address)
+            if conn.is_usable(now) and conn.is_relayed == is_detour:
                 self._counters['connections.reused'] += 1
                 return conn
             conn.close()
@@ -163,13 +167,19 @@
             self._open.pop(replica_id)
 
 
+async def _connect(address: str, deadline: float) -> HttpConnection:
+    conn = HttpConnection(address)
+    await conn.open(deadline)
+    return conn
+
+
 async def call_once(
     address: str,
     method: bytes,
     path: bytes,
     body: bytes,
     deadline: float,
-    dialer: EndpointDialer | None = None,
+    connect: Connect | None = None,
 ) -> tuple[int, bytes]:
     """Make one short request on a connection of its own.
 
@@ -181,8 +191,8 @@
         The request.
     deadline : float
         On the loop's clock.
-    dialer : EndpointDialer, optional
-        Opens the connection if the call goes to an endpoint.
+    connect : callable, optional
+        Opens the connection; takes address and deadline. Directly by default.
 
     Returns
     -------
@@ -197,11 +207,7 @@
     headers = [(b'host', address.encode())]
     if body:
         headers.append((b'content-type', b'application/json'))
-    if dialer is None:
-        conn = HttpConnection(address)
-        await conn.open(deadline)
-    else:
-        conn = await dialer.connect(address, deadline)
+    conn = await (connect or _connect)(address, deadline)
     try:
         conn.send(serialize_request(method, path, headers, body))
         return await read_response(conn, deadline)
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -131,6 +131,7 @@
             store,
             self._count_busy,
             quarantine_manager,
+            self._membership.path_checks,
         )
         self._reloader = SettingsReloader(self.state, store, settings_file)
         self._connections: set[ClientConnection] = set()
@@ -309,9 +310,11 @@
     def _close_idle(self) -> None:
         for conn in tuple(self._connections):
             conn.close_idle()
+        self._membership.tunnels.close_idle()
 
     def _count_busy(self) -> int:
-        return sum(conn.has_pending_work for conn in self._connections)
+        requests = sum(conn.has_pending_work for conn in self._connections)
+        return requests + self._membership.tunnels.count_in_use()
 
     def _catch_signals(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/samphirerill/relay/status_endpoints.py
+++ b/samphirerill/relay/status_endpoints.py
@@ -15,6 +15,7 @@
     from samphirerill.platform.store import PlatformStore
     from samphirerill.relay.admission import AdmissionQueue
     from samphirerill.relay.listeners import Page
+    from samphirerill.relay.path_checks import PathChecks
     from samphirerill.relay.quarantine import QuarantineManager
     from samphirerill.relay.state import EdgeState
 
@@ -37,6 +38,8 @@
         Returns the number of connections with a request in progress.
     quarantine_manager : QuarantineManager
         Lists the quarantined requests.
+    path_checks : PathChecks
+        Describes the paths to endpoints.
 
     Attributes
     ----------
@@ -51,7 +54,9 @@
         store: PlatformStore,
         count_busy: Callable[[], int],
         quarantine_manager: QuarantineManager,
+        path_checks: PathChecks,
     ) -> None:
+        self._path_checks = path_checks
         self._quarantine_manager = quarantine_manager
         self._state = state
         self._admission = admission
@@ -87,6 +92,7 @@
             'notices': state.response_notices.describe(),
             'limits': state.request_limits.describe(),
             'quarantine': self._quarantine_manager.describe(),
+            'paths': self._path_checks.describe(),
         }
         return _OK, json.encode(dump)
 
@@ -109,6 +115,8 @@
         for name, number in self._describe_store().items():
             gauges[f'store.{name}'] = number
         gauges['now.quarantine'] = len(state.quarantine)
+        gauges['now.partitioned'] = state.pool.dialer.paths.is_partitioned
+        gauges['now.relayed'] = self._path_checks.count_relayed()
         gauges['now.notices'] = len(state.response_notices.describe())
         for replica, limit in state.request_limits.list_in_force():
             gauges[f'limits.withheld.{replica.replica_id}'] = limit.withheld
--- a/samphirerill/relay/stream_guard.py
+++ b/samphirerill/relay/stream_guard.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.relay.errors import EndpointTimeoutError
+from samphirerill.relay.lost_path_watch import LostPathWatch
 from samphirerill.relay.stream_path import MoveResult
 
 if TYPE_CHECKING:
@@ -79,6 +80,7 @@
         self._close_run = close_run
         self._loop = asyncio.get_running_loop()
         self._conn: HttpConnection | None = None
+        self._path_watch = LostPathWatch(path.direct_paths, self._leave_run)
         self._reroute_task: asyncio.Task[None] | None = None
         self._departure_timer: asyncio.TimerHandle | None = None
         self._recheck_timer: asyncio.TimerHandle | None = None
@@ -86,10 +88,12 @@
     def start(self, conn: HttpConnection) -> None:
         """Start watching a stream that was sent on a connection."""
         self._conn = conn
+        self._path_watch.start(conn)
 
     def stop(self) -> None:
         """Stop watching and cancel a pending reroute."""
         self._conn = None
+        self._path_watch.stop()
         if self._reroute_task is not None:
             self._reroute_task.cancel()
             # A task that is cancelled before its first step does not run its
@@ -133,7 +137,7 @@
         while True:
             until = min(self._context.deadline, self._loop.time() + silence_s)
             try:
-                return await read(conn, until)
+                return await self._path_watch.track(read(conn, until))
             except EndpointTimeoutError:
                 if self._loop.time() >= self._context.deadline:
                     raise
@@ -212,10 +216,12 @@
         if not must_leave or not self._can_resend():
             self._schedule_departure(conn)
         else:
-            self._leave_later_stages(conn)
+            self._leave_run(conn, 'later stages were not replaced')
 
-    def _leave_later_stages(self, conn: HttpConnection) -> None:
-        reason = 'later stages were not replaced'
+    def _leave_run(self, conn: HttpConnection, reason: str) -> None:
+        """Leave a run that may still work."""
+        if not self._context.is_retryable:
+            return
         if not self._start_handover(conn, reason) and self._may_leave(conn):
             self._close_run(conn, reason)
 
--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -85,6 +85,8 @@
         Replicas that failed the stream; shared with `finder`.
     used_heads : set of str
         Head replicas that the stream was sent to; shared with `finder`.
+    direct_paths : PathTracker
+        Which replicas this node reaches itself.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         self.tokens = self.finder.tokens
         self.avoid = self.finder.avoid
         self.used_heads = self.finder.used_heads
+        self.direct_paths = state.pool.dialer.paths
         self._state = state
         self._context = context
         self._admission = admission
--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -193,6 +193,7 @@
             send=progress.attempts,
             nodes=1 + self._state.load_tracker.count_peers(),
             after_event=progress.last_id,
+            relayed_by=conn.relayed_by,
             tokens=int(self._path.tokens),
             gap_ms=round(self._path.predict_gap_s(stages) * MS_PER_S),
             waited_ms=round(waited_s * MS_PER_S),
--- /dev/null
+++ b/samphirerill/relay/tunnels/handshake.py
@@ -0,0 +1,126 @@
+"""Ask another node for a tunnel to an endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import IntEnum
+
+from samphirerill.node.loop_lag import lag_aware_timeout_at
+from samphirerill.relay.connection import HttpConnection
+from samphirerill.relay.errors import (
+    ConnectRefusedError,
+    ConnectTimeoutError,
+    PeerUnavailableError,
+)
+
+METHOD = b'CONNECT'
+END_OF_HEAD = b'\r\n\r\n'
+MAX_HEAD_BYTES = 512
+
+
+class TunnelStatus(IntEnum):
+    """Response of the relaying node.
+
+    `REFUSED` and `TIMED_OUT` are about the endpoint: the node reached another
+    one meanwhile. `UNAVAILABLE` is about the node, which is partitioned from
+    endpoints itself, shuts down or relays too many connections.
+    """
+
+    OPEN = 200
+    UNKNOWN_ENDPOINT = 404
+    REFUSED = 502
+    UNAVAILABLE = 503
+    TIMED_OUT = 504
+
+
+class _Handshake(asyncio.Protocol):
+    """Receives the head of the response."""
+
+    def __init__(self) -> None:
+        self.response: asyncio.Future[bytes] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._received = b''
+
+    def data_received(self, data: bytes) -> None:
+        """Collect the head; the endpoint sends nothing before a request."""
+        self._received += data
+        if END_OF_HEAD in self._received and not self.response.done():
+            self.response.set_result(self._received)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Report that the node closed the connection."""
+        if not self.response.done():
+            self.response.set_result(b'')
+
+
+async def open_tunnel(
+    peer: str, address: str, name: str, deadline: float
+) -> HttpConnection:
+    """Return a connection to an endpoint that another node relays.
+
+    Parameters
+    ----------
+    peer : str
+        ``IP:PORT`` at which that node serves others.
+    address : str
+        ``IP:PORT`` of the endpoint.
+    name : str
+        Name of this node, for the logs of the other one.
+    deadline : float
+        On the loop's clock.
+
+    Raises
+    ------
+    ConnectRefusedError, ConnectTimeoutError
+        The other node reaches endpoints, but not this one.
+    PeerUnavailableError
+        It does not answer, or opens no tunnel now.
+    """
+    host, _, port = peer.rpartition(':')
+    loop = asyncio.get_running_loop()
+    transport = None
+    status = 0
+    try:
+        async with lag_aware_timeout_at(deadline):
+            made = await loop.create_connection(_Handshake, host, int(port))
+            transport = made[0]
+            transport.write(_build_request(address, name))
+            status = _parse_status(await made[1].response)
+    except (OSError, TimeoutError) as exc:
+        raise PeerUnavailableError(f'{peer}: {exc!r}') from exc
+    finally:
+        if status != TunnelStatus.OPEN and transport is not None:
+            transport.abort()
+    _raise_for_status(status, address, peer)
+    conn = HttpConnection(address)
+    conn.adopt(transport, peer)
+    return conn
+
+
+def _build_request(address: str, name: str) -> bytes:
+    return b'%b %b HTTP/1.1\r\nhost: %b\r\nuser-agent: %b\r\n\r\n' % (
+        METHOD,
+        address.encode(),
+        address.encode(),
+        name.encode(),
+    )
+
+
+def _parse_status(head: bytes) -> int:
+    """Return the status code; 0 if there is none."""
+    words = head.split(b' ', 2)
+    if len(words) < 3 or not words[1].isdigit():
+        return 0
+    return int(words[1])
+
+
+def _raise_for_status(status: int, address: str, peer: str) -> None:
+    if status == TunnelStatus.REFUSED:
+        raise ConnectRefusedError(f'{address}: refused {peer} too')
+    if status == TunnelStatus.TIMED_OUT:
+        raise ConnectTimeoutError(f'{address}: did not answer {peer} either')
+    if status != TunnelStatus.OPEN:
+        raise PeerUnavailableError(
+            f'{peer}: got status {status}, expected 200; ask another node'
+        )
--- /dev/null
+++ b/samphirerill/relay/tunnels/server.py
@@ -0,0 +1,255 @@
+"""Relay connections of other nodes to endpoints that this node reaches."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING, Any
+
+from samphirerill.node.logs import get_logger
+from samphirerill.relay.errors import (
+    ConnectError,
+    ConnectTimeoutError,
+)
+from samphirerill.relay.tunnels.handshake import (
+    TunnelStatus,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from samphirerill.relay.state import EdgeState
+
+_LOG = get_logger('tunnels')
+# Each needs two descriptors and its share of the event loop.
+_MAX_TUNNELS = 512
+# A tunnel is in use until its connections were quiet for this long after the
+# endpoint sent something, or for good if the endpoint has a request to answer.
+_QUIET_S = 0.5
+
+
+class _TunnelEnd(asyncio.Protocol):
+    """One of the two connections of a tunnel; forwards to the other one."""
+
+    def __init__(self, tunnel: _Tunnel) -> None:
+        self.transport: Any = None
+        self._tunnel = tunnel
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport and disable Nagle's algorithm."""
+        self.transport = transport
+        sock = transport.get_extra_info('socket')
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def data_received(self, data: bytes) -> None:
+        """Forward to the other end."""
+        self._tunnel.forward(self, data)
+
+    def pause_writing(self) -> None:
+        """Stop reading at the other end, as this one is not read."""
+        self._tunnel.get_other(self).transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Go on reading at the other end."""
+        other = self._tunnel.get_other(self).transport
+        if not other.is_closing():
+            other.resume_reading()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Close the other end."""
+        self._tunnel.handle_end(self, is_reset=exc is not None)
+
+
+class _Tunnel:
+    """A connection of another node that continues to an endpoint.
+
+    Parameters
+    ----------
+    on_end : callable
+        Called once when either end has closed.
+    """
+
+    __slots__ = (
+        '_awaits_endpoint',
+        '_last_bytes_at',
+        '_loop',
+        '_on_end',
+        'endpoint',
+        'node',
+    )
+
+    def __init__(self, on_end: Callable[[_Tunnel], None]) -> None:
+        self.node = _TunnelEnd(self)
+        self.endpoint = _TunnelEnd(self)
+        self._loop = asyncio.get_running_loop()
+        self._on_end = on_end
+        self._awaits_endpoint = False
+        self._last_bytes_at = 0.0
+
+    def get_other(self, end: _TunnelEnd) -> _TunnelEnd:
+        """Return the end opposite to one."""
+        return self.endpoint if end is self.node else self.node
+
+    def forward(self, source: _TunnelEnd, data: bytes) -> None:
+        """Forward bytes that one end received."""
+        target = self.get_other(source).transport
+        if target is None:
+            # An endpoint that speaks before it was asked is not trusted.
+            source.transport.abort()
+            return
+        self._last_bytes_at = self._loop.time()
+        self._awaits_endpoint = source is self.node
+        target.write(data)
+
+    def is_in_use(self) -> bool:
+        """Return whether a response seems to be in progress."""
+        quiet_s = self._loop.time() - self._last_bytes_at
+        return self._awaits_endpoint or quiet_s < _QUIET_S
+
+    def handle_end(self, end: _TunnelEnd, *, is_reset: bool) -> None:
+        """Close the other end after one was lost.
+
+        The last bytes of an endpoint are delivered; an endpoint hears at once
+        that the node, and so the client, has left.
+        """
+        other = self.get_other(end).transport
+        if other is not None:
+            if end is self.endpoint and not is_reset:
+                other.close()
+            else:
+                other.abort()
+        self._on_end(self)
+
+    def abort(self) -> None:
+        """Close both ends at once."""
+        for end in (self.node, self.endpoint):
+            if end.transport is not None:
+                end.transport.abort()
+
+
+class TunnelServer:
+    """Opens tunnels for other nodes.
+
+    Parameters
+    ----------
+    state : EdgeState
+        The known endpoints, and whether this node reaches them.
+    """
+
+    __slots__ = ('_loop', '_state', '_tasks', '_tunnels')
+
+    def __init__(self, state: EdgeState) -> None:
+        self._state = state
+        self._loop = asyncio.get_running_loop()
+        self._tunnels: set[_Tunnel] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def count_open(self) -> int:
+        """Return the number of open tunnels."""
+        return len(self._tunnels)
+
+    def count_in_use(self) -> int:
+        """Return the number of tunnels with a response in progress."""
+        return sum(tunnel.is_in_use() for tunnel in self._tunnels)
+
+    def close_idle(self) -> None:
+        """Close the tunnels without a response in progress."""
+        for tunnel in tuple(self._tunnels):
+            if not tunnel.is_in_use():
+                tunnel.abort()
+
+    def close(self) -> None:
+        """Close all tunnels."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        for tunnel in tuple(self._tunnels):
+            tunnel.abort()
+
+    def accept(self, transport: asyncio.Transport, head: bytes) -> None:
+        """Open a tunnel for a node that has asked for one."""
+        task = self._loop.create_task(self._open(transport, head))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _open(self, transport: asyncio.Transport, head: bytes) -> None:
+        address = _parse_address(head)
+        started_at = self._loop.time()
+        tunnel = _Tunnel(self._tunnels.discard)
+        status = self._find_obstacle(address)
+        if status is TunnelStatus.OPEN:
+            status = await self._connect(tunnel, address)
+        if status is not TunnelStatus.OPEN and not await self._can_judge(
+            status, address, started_at
+        ):
+            status = TunnelStatus.UNAVAILABLE
+        self._state.counters[f'tunnels.served.{status.value}'] += 1
+        _LOG.info(
+            'tunnel requested',
+            extra={
+                'peer': _parse_node(head),
+                'endpoint': address,
+                'status': status.value,
+                'open': len(self._tunnels),
+            },
+        )
+        transport.write(b'HTTP/1.1 %d Tunnel\r\n\r\n' % status)
+        if status is TunnelStatus.OPEN:
+            self._join(tunnel, transport)
+        else:
+            transport.close()
+
+    def _join(self, tunnel: _Tunnel, transport: asyncio.Transport) -> None:
+        """Forward between both ends from now on."""
+        if transport.is_closing() or tunnel.endpoint.transport.is_closing():
+            transport.abort()
+            tunnel.abort()
+            return
+        self._tunnels.add(tunnel)
+        transport.set_protocol(tunnel.node)
+        tunnel.node.connection_made(transport)
+
+    def _find_obstacle(self, address: str) -> TunnelStatus:
+        """Return why no tunnel is opened; `OPEN` if there is no reason."""
+        if self._state.view.find_by_address(address) is None:
+            return TunnelStatus.UNKNOWN_ENDPOINT
+        is_full = len(self._tunnels) >= _MAX_TUNNELS
+        paths = self._state.pool.dialer.paths
+        if is_full or self._state.is_draining or paths.needs_detour(address):
+            return TunnelStatus.UNAVAILABLE
+        return TunnelStatus.OPEN
+
+    async def _connect(self, tunnel: _Tunnel, address: str) -> TunnelStatus:
+        try:
+            await self._state.pool.dialer.attach_directly(
+                tunnel.endpoint, address
+            )
+        except ConnectTimeoutError:
+            return TunnelStatus.TIMED_OUT
+        except ConnectError:
+            return TunnelStatus.REFUSED
+        return TunnelStatus.OPEN
+
+    async def _can_judge(
+        self, status: TunnelStatus, address: str, since: float
+    ) -> bool:
+        """Return whether a failure is about the endpoint, not about this node.
+
+        Nodes that are partitioned together would otherwise confirm to each
+        other that endpoints have ended.
+        """
+        if status not in {TunnelStatus.REFUSED, TunnelStatus.TIMED_OUT}:
+            return True
+        return await self._state.pool.dialer.reaches_another(address, since)
+
+
+def _parse_address(head: bytes) -> str:
+    """Return the ``IP:PORT`` that a tunnel shall lead to."""
+    words = head.split(b' ', 2)
+    return words[1].decode('latin-1') if len(words) > 1 else ''
+
+
+def _parse_node(head: bytes) -> str:
+    """Return the name of the node that asks, for the log."""
+    _, _, rest = head.partition(b'user-agent: ')
+    return rest.partition(b'\r\n')[0].decode('latin-1')
--- a/samphirerill/tests/test_losses.py
+++ b/samphirerill/tests/test_losses.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from samphirerill.fleet.model import Replica
     from samphirerill.relay.active_stream import ActiveStream
+    from samphirerill.relay.pool import Connect
     from samphirerill.relay.state import EdgeState
 
 _SERVICE = 'llm'
@@ -83,7 +84,11 @@
             task.cancel()
 
     async def probe_once(
-        self, state: EdgeState, replica: Replica, deadline: float
+        self,
+        state: EdgeState,
+        replica: Replica,
+        deadline: float,
+        connect: Connect,
     ) -> Probe:
         """Stand in for a probe of a replica."""
         self.probe_count += 1
