Requests are refused at once when no node reaches an endpoint

What callers saw: with all nodes partitioned from all replicas, requests waited for 1.5 to 5.2 s before a 503, or until their deadline. Cause: each endpoint was tried in turn, directly and through other nodes.

Three endpoints that this node does not reach, and no other node that could help, within 2 s: requests that have not begun are refused, as not run, with Retry-After 1 s; paths are checked twice a second.

--- a/samphirerill/fleet/direct_paths.py
+++ b/samphirerill/fleet/direct_paths.py
@@ -41,6 +41,7 @@
     __slots__ = (
         '_failures',
         '_lost',
+        '_peers_failed_at',
         '_reached',
         'is_partitioned',
         'last_success_at',
@@ -52,6 +53,8 @@
         self._lost: dict[str, float] = {}
         # Endpoints that were reached since the partition began.
         self._reached: set[str] = set()
+        # When the other nodes could not help last, unless they could since.
+        self._peers_failed_at = float('-inf')
         self.is_partitioned = False
         self.last_success_at = float('-inf')
 
@@ -63,9 +66,16 @@
         """Return the endpoints whose paths are known to be broken."""
         return list(self._lost)
 
-    def reaches_none(self) -> bool:
+    def reaches_none(self, now: float) -> bool:
         """Return whether several endpoints failed and none was reached since."""
-        return len(self._failures) >= MIN_UNREACHED
+        since = now - _FAILURE_WINDOW_S
+        recent = sum(at > since for at, _ in self._failures.values())
+        return recent >= MIN_UNREACHED
+
+    def is_isolated(self, now: float) -> bool:
+        """Return whether neither this node nor another one reaches endpoints."""
+        since = now - _FAILURE_WINDOW_S
+        return self._peers_failed_at > since and self.reaches_none(now)
 
     def count_failures(self) -> dict[str, int]:
         """Return how many endpoints failed since the last success, by kind."""
@@ -88,6 +98,10 @@
         }
         self._failures[address] = (now, failure)
 
+    def note_peers(self, now: float, *, are_available: bool) -> None:
+        """Record whether another node could help to reach an endpoint."""
+        self._peers_failed_at = float('-inf') if are_available else now
+
     def note_lost(self, address: str, now: float) -> None:
         """Record that only another node reached an endpoint."""
         self._lost[address] = now
--- a/samphirerill/relay/endpoint_dialer.py
+++ b/samphirerill/relay/endpoint_dialer.py
@@ -134,7 +134,16 @@
         """
         if self._tunnels is None:
             raise PeerUnavailableError(f'{address}: no other node is known')
-        return await self._tunnels.open(address, deadline)
+        try:
+            conn = await self._tunnels.open(address, deadline)
+        except PeerUnavailableError:
+            self.paths.note_peers(are_available=False)
+            raise
+        except ConnectError:
+            self.paths.note_peers(are_available=True)
+            raise
+        self.paths.note_peers(are_available=True)
+        return conn
 
     async def attach_directly(
         self, protocol: asyncio.Protocol, address: str
--- a/samphirerill/relay/path_checks.py
+++ b/samphirerill/relay/path_checks.py
@@ -5,12 +5,16 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
+from samphirerill.node.logs import get_logger
+from samphirerill.relay.errors import ConnectError
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from samphirerill.relay.state import EdgeState
     from samphirerill.relay.tunnels import TunnelPeers, TunnelServer
 
+_LOG = get_logger('paths')
 # Bounds the connects of a whole data centre to endpoints that are back.
 _INTERVAL_S = 0.5
 _CHECKS_PER_ROUND = 3
@@ -46,6 +50,8 @@
         while True:
             await asyncio.sleep(_INTERVAL_S)
             dialer.paths.keep_only(self._list_addresses())
+            if dialer.paths.is_isolated:
+                await self._check_any()
             lost = dialer.paths.list_lost()
             checked = self._sample(lost, _CHECKS_PER_ROUND)
             await asyncio.gather(*map(dialer.is_reached, checked))
@@ -64,11 +70,26 @@
         paths = self._state.pool.dialer.paths
         return {
             'partitioned': paths.is_partitioned,
+            'isolated': paths.is_isolated,
             'lost': paths.list_lost(),
             'relayed_by': self._relays.list_relays(),
             'relayed_here': self._tunnels.count_open(),
         }
 
+    async def _check_any(self) -> None:
+        """Look for an endpoint that this node or another one reaches."""
+        dialer = self._state.pool.dialer
+        checked = self._sample(self._list_addresses(), _CHECKS_PER_ROUND)
+        await asyncio.gather(*map(dialer.is_reached, checked))
+        if not dialer.paths.is_isolated:
+            return
+        try:
+            conn = await dialer.connect_through_peer(checked[0])
+        except ConnectError as exc:
+            _LOG.info('no node reaches an endpoint', extra={'reason': str(exc)})
+        else:
+            conn.close()
+
     def _list_addresses(self) -> list[str]:
         return [
             found.replica.address
--- a/samphirerill/relay/path_tracker.py
+++ b/samphirerill/relay/path_tracker.py
@@ -17,6 +17,10 @@
     from samphirerill.relay.connection import HttpConnection
 
 _LOG = get_logger('paths')
+# Reason and Retry-After of refusals while no endpoint is reached; paths are
+# checked more often.
+ISOLATED = 'no node reaches an endpoint'
+ISOLATED_RETRY_S = 1.0
 
 
 class PathTracker:
@@ -46,6 +50,11 @@
         """Return when an endpoint was last reached, on the loop's clock."""
         return self._paths.last_success_at
 
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether no node is known to reach an endpoint."""
+        return self._paths.is_isolated(self._now())
+
     def needs_detour(self, address: str) -> bool:
         """Return whether an endpoint is to be reached through another node."""
         return self._paths.needs_detour(address)
@@ -78,7 +87,7 @@
         self._counters[f'connects.failed.{failure.value}'] += 1
         now = self._now()
         self._paths.note_failure(address, failure, now)
-        if self._paths.reaches_none() and not self._reaches_none:
+        if self._paths.reaches_none(now) and not self._reaches_none:
             self._reaches_none = True
             self._counters['paths.lost'] += 1
             _LOG.warning(
@@ -91,6 +100,10 @@
                 },
             )
 
+    def note_peers(self, *, are_available: bool) -> None:
+        """Record whether another node could help to reach an endpoint."""
+        self._paths.note_peers(self._now(), are_available=are_available)
+
     def note_lost(self, address: str) -> None:
         """Record that only another node reached an endpoint."""
         was_lost = self._paths.needs_detour(address)
--- a/samphirerill/relay/plain_limits.py
+++ b/samphirerill/relay/plain_limits.py
@@ -50,6 +50,7 @@
         '_finder',
         '_has_reserved',
         '_loop',
+        '_paths',
         'attempts',
         'connects',
         'has_broken_run',
@@ -71,6 +72,7 @@
         self._crash_detector = crash_detector
         self._finder = finder
         self._budget = AttemptBudget(state, context)
+        self._paths = state.pool.dialer.paths
         self._loop = asyncio.get_running_loop()
         # Whether a retry is reserved for the end of the present attempt.
         self._has_reserved = False
@@ -127,7 +129,8 @@
 
     def _has_attempt_left(self) -> bool:
         return (
-            self._loop.time() < self._context.deadline
+            not self._paths.is_isolated
+            and self._loop.time() < self._context.deadline
             and self.connects < _MAX_CONNECTS
             and self.attempts < self._context.route.max_attempts
         )
--- a/samphirerill/relay/request_dispatcher.py
+++ b/samphirerill/relay/request_dispatcher.py
@@ -7,6 +7,7 @@
 
 from samphirerill.fleet.routes import choose_service
 from samphirerill.node.logs import get_logger
+from samphirerill.relay.path_tracker import ISOLATED, ISOLATED_RETRY_S
 from samphirerill.relay.plain import PlainExchange
 from samphirerill.relay.refusals import (
     NOT_FOUND,
@@ -111,6 +112,8 @@
             self._state.counters['requests.without_configuration'] += 1
 
     async def _serve(self, context: RequestContext) -> None:
+        if self._reject_if_isolated(context):
+            return
         engine = context.service.engine
         if engine is None or not engine.layers:
             if not self._reject_if_ending(_MAX_REQUEST_S, context):
@@ -127,6 +130,15 @@
                 self._crash_detector,
             ).run()
 
+    def _reject_if_isolated(self, context: RequestContext) -> bool:
+        """Reject a request if no node reaches an endpoint; return whether."""
+        if not self._state.pool.dialer.paths.is_isolated:
+            return False
+        self._state.counters['requests.isolated'] += 1
+        refusal = Refusal(UNAVAILABLE, ISOLATED, ISOLATED_RETRY_S)
+        send_refusal(self._state, context.conn, context.facts, refusal)
+        return True
+
     def _reject_if_ending(
         self, expected_s: float, context: RequestContext
     ) -> bool:
--- a/samphirerill/relay/stream_limits.py
+++ b/samphirerill/relay/stream_limits.py
@@ -8,6 +8,7 @@
 
 from samphirerill.fleet.prediction import count_events
 from samphirerill.relay.attempt_budget import AttemptBudget
+from samphirerill.relay.path_tracker import ISOLATED, ISOLATED_RETRY_S
 from samphirerill.relay.stream_request import (
     estimate_answer_tokens,
     get_stall_timeout_s,
@@ -254,6 +255,9 @@
         if quarantined_until:
             reason = self._crash_detector.describe_hold(self._context)
             return AttemptDenial(reason, quarantined_until - now)
+        is_new = not self._progress.has_started
+        if is_new and self._state.pool.dialer.paths.is_isolated:
+            return AttemptDenial(ISOLATED, ISOLATED_RETRY_S)
         denial = self._find_final_denial(now)
         return AttemptDenial(denial) if denial else None
 
--- a/samphirerill/tests/test_cut_off_nodes.py
+++ b/samphirerill/tests/test_cut_off_nodes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import TYPE_CHECKING
 from unittest import IsolatedAsyncioTestCase
 
@@ -21,6 +22,7 @@
     from samphirerill.relay.process import EdgeProcess
 
 _OK = 200
+_UNAVAILABLE = 503
 _FAILED = 0
 _ENGINES = 6
 _ENDPOINTS = 3
@@ -30,6 +32,12 @@
 _CONTACT_S = 3.0
 _REQUESTS = 20
 _INTERVAL_S = 0.05
+_STREAMS = 8
+_SLOW_EVENT_INTERVAL_S = 0.15
+# Time until most of the slow streams have sent some events.
+_UNDER_WAY_S = 0.5
+# Clients give up after this long without an event.
+_REFUSAL_S = 0.6
 
 
 class CutOffNodesCase(IsolatedAsyncioTestCase):
@@ -89,13 +97,29 @@
             await asyncio.sleep(_INTERVAL_S)
         return (await asyncio.gather(*sends)).count(_OK)
 
-    def count_runs(self, request_id: str) -> int:
-        """Return how many replicas received a request."""
-        return sum(
-            req.get(b'x-samphirerill-request-id') == request_id.encode()
-            for replica in self.harness.replicas.values()
-            for req in replica.received_requests
-        )
+    def cut_off(self, count: int, kind: CutKind) -> list[EdgeProcess]:
+        """Cut the first nodes off; return them."""
+        for node in self.nodes[:count]:
+            self.links.cut(node.state.settings.name, kind)
+        return self.nodes[:count]
+
+    def cut_off_first(self, kind: CutKind) -> EdgeProcess:
+        """Cut the first node off; return it."""
+        return self.cut_off(1, kind)[0]
+
+    def slow_streams(self) -> None:
+        """Let streams last over a second."""
+        for replica in self.harness.replicas.values():
+            replica.event_interval_s = _SLOW_EVENT_INTERVAL_S
+
+    def start_streams(
+        self, node: EdgeProcess, name: str
+    ) -> list[asyncio.Task[int]]:
+        """Start streams at a node; each ends with its status."""
+        return [
+            asyncio.create_task(self.send(node, f'{name}-{number}'))
+            for number in range(_STREAMS)
+        ]
 
     async def _add_replica(
         self, name: str, service: str, layers: tuple[int, int] | None
@@ -125,12 +149,26 @@
             with self.subTest(kind):
                 await self.check_service(kind, b'/notes/x')
 
+    async def test_requests_are_served_and_run_once(self) -> None:
+        """Guards against requests that are lost, or sent again over a tunnel."""
+        for kind in CutKind:
+            with self.subTest(kind):
+                await self.check_service(kind, b'/pickup/x')
+        runs = Counter(
+            req.get(b'x-samphirerill-request-id')
+            for replica in self.harness.replicas.values()
+            for req in replica.received_requests
+        )
+        repeated = {name for name, count in runs.items() if count > 1}
+        self.assertEqual(repeated, set())
+
     async def check_service(self, kind: CutKind, target: bytes) -> None:
         """Cut two nodes off; all nodes must serve all requests."""
         cut_off = self.nodes[: _NODES // 2]
         for node in cut_off:
-            await self.send(node, f'before-{kind.value}', target)
-            self.links.cut(node.state.settings.name, kind)
+            name = node.state.settings.name
+            await self.send(node, f'before-{kind.name}-{name}', target)
+            self.links.cut(name, kind)
         await asyncio.sleep(_CONTACT_S)
         sends = [
             asyncio.create_task(self.count_served(node, kind.name, target))
@@ -140,3 +178,165 @@
         for node in cut_off:
             self.links.heal(node.state.settings.name)
         self.assertEqual(served, [_REQUESTS] * _NODES)
+
+
+class TestBeginAndEnd(CutOffNodesCase):
+    """What a cut does to requests in progress, and when it ends."""
+
+    async def test_streams_in_progress_are_completed(self) -> None:
+        """Guards against streams that wait for a path that is broken."""
+        self.slow_streams()
+        for kind in CutKind:
+            with self.subTest(kind):
+                streams = self.start_streams(self.nodes[0], kind.name)
+                await asyncio.sleep(_UNDER_WAY_S)
+                cut_off = self.cut_off(1, kind)
+                statuses = await asyncio.gather(*streams)
+                self.assertEqual(statuses, [_OK] * _STREAMS)
+                self.links.heal(cut_off[0].state.settings.name)
+                await asyncio.sleep(_CONTACT_S)
+
+    async def test_direct_paths_are_used_again(self) -> None:
+        """Guards against a node that relies on others for good."""
+        node = self.cut_off_first(CutKind.RESET)
+        await asyncio.sleep(1.0)
+        await self.count_served(node, 'cut off')
+        paths = node.state.pool.dialer.paths
+        self.assertTrue(paths.is_partitioned)
+        self.links.heal(node.state.settings.name)
+        await asyncio.sleep(1.5)
+        self.assertFalse(paths.is_partitioned)
+        opened = node.state.counters['tunnels.opened']
+        self.assertEqual(await self.count_served(node, 'healed'), _REQUESTS)
+        self.assertEqual(node.state.counters['tunnels.opened'], opened)
+
+
+class TestOtherNodes(CutOffNodesCase):
+    """What the findings of a node about its own links do to others."""
+
+    async def test_replicas_stay_in_use(self) -> None:
+        """Guards against refused connects that are taken for ended replicas."""
+        for kind in (CutKind.RESET, CutKind.REFUSED):
+            with self.subTest(kind):
+                streams = self.start_streams(self.nodes[0], kind.name)
+                cut_off = self.cut_off(2, kind)
+                lowest = await self._watch_usable(self.nodes[2:])
+                self.assertEqual(lowest, _ENGINES + _ENDPOINTS)
+                await asyncio.gather(*streams)
+                for node in cut_off:
+                    self.links.heal(node.state.settings.name)
+                await asyncio.sleep(1.0)
+
+    async def test_requests_are_not_suspected(self) -> None:
+        """Guards against requests quarantined for broken links."""
+        self.slow_streams()
+        streams = self.start_streams(self.nodes[0], 'suspect')
+        await asyncio.sleep(0.05)
+        self.cut_off(2, CutKind.RESET)
+        await asyncio.gather(*streams)
+        for node in self.nodes:
+            self.assertEqual(node.state.counters['quarantine.ends'], 0)
+
+    async def _check_nodes(self, nodes: list[EdgeProcess]) -> None:
+        """Send a stream and a request to each node."""
+        for node in nodes:
+            self.assertEqual(await self.send(node, 'other'), _OK)
+            self.assertEqual(await self.send(node, 'other', b'/pickup/x'), _OK)
+
+    async def _watch_usable(self, nodes: list[EdgeProcess]) -> int:
+        """Return the lowest number of replicas that any node may use."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + 2.0
+        lowest = _ENGINES + _ENDPOINTS
+        while loop.time() < until:
+            await self._check_nodes(nodes)
+            for node in nodes:
+                usable = sum(
+                    found.suspicion.suspected_until <= loop.time()
+                    for found in node.state.view.replicas.values()
+                )
+                lowest = min(lowest, usable)
+        return lowest
+
+
+class TestRelayingNodes(CutOffNodesCase):
+    """Nodes that relay connections of a node that is cut off."""
+
+    async def test_stream_survives_the_node_that_relays_it(self) -> None:
+        """Guards against streams lost with the node that relayed them."""
+        self.slow_streams()
+        node = self.cut_off_first(CutKind.RESET)
+        streams = self.start_streams(node, 'relayed')
+        await asyncio.sleep(_UNDER_WAY_S)
+        relay = max(
+            self.nodes[1:],
+            key=lambda peer: peer.state.counters['tunnels.served.200'],
+        )
+        await self.harness.stop_node(relay)
+        statuses = await asyncio.gather(*streams)
+        self.assertEqual(statuses, [_OK] * _STREAMS)
+
+    async def test_shutdown_cuts_no_relayed_request(self) -> None:
+        """Guards against a shutdown that ignores what it relays."""
+        self.slow_streams()
+        node = self.cut_off_first(CutKind.RESET)
+        streams = self.start_streams(node, 'relayed')
+        await asyncio.sleep(_UNDER_WAY_S)
+        for relay in self.nodes[1:3]:
+            relay.start_draining()
+        statuses = await asyncio.gather(*streams)
+        self.assertEqual(statuses, [_OK] * _STREAMS)
+        self.assertEqual(node.state.counters['streams.broken'], 0)
+        served = await self.count_served(node, 'later')
+        self.assertEqual(served, _REQUESTS)
+
+    async def test_client_that_leaves_ends_its_run(self) -> None:
+        """Guards against runs that go on behind a tunnel."""
+        self.slow_streams()
+        node = self.cut_off_first(CutKind.SILENT)
+        await asyncio.sleep(1.0)
+        stream = asyncio.create_task(self.send(node, 'leaves'))
+        await asyncio.sleep(_UNDER_WAY_S)
+        stream.cancel()
+        await asyncio.sleep(0.3)
+        in_progress = [
+            request
+            for replica in self.harness.replicas.values()
+            for request in replica.in_progress
+        ]
+        self.assertEqual(in_progress, [])
+
+
+class TestNoNodeReachesReplicas(CutOffNodesCase):
+    """All nodes are cut off."""
+
+    async def test_requests_are_refused_at_once(self) -> None:
+        """Guards against requests that wait for endpoints nobody reaches."""
+        for kind in CutKind:
+            with self.subTest(kind):
+                nodes = self.cut_off(_NODES, kind)
+                await self._warm_up(nodes)
+                for target in (b'/notes/x', b'/pickup/x'):
+                    await self._check_refusal(nodes[0], target)
+                for node in nodes:
+                    self.links.heal(node.state.settings.name)
+                await asyncio.sleep(_CONTACT_S)
+                served = await self.count_served(nodes[0], kind.name)
+                self.assertEqual(served, _REQUESTS)
+
+    async def _warm_up(self, nodes: list[EdgeProcess]) -> None:
+        """Let the nodes find out that they reach nothing."""
+        await asyncio.gather(
+            *(
+                self.send(node, f'warm-{target.decode()}', target)
+                for node in nodes
+                for target in (b'/notes/x', b'/pickup/x')
+            )
+        )
+
+    async def _check_refusal(self, node: EdgeProcess, target: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        status = await self.send(node, 'hopeless', target)
+        self.assertEqual(status, _UNAVAILABLE)
+        self.assertLess(loop.time() - started_at, _REFUSAL_S)
