Soak and tests: nodes cut off from replicas, relays that are cut off themselves

A tunnel whose endpoint the relaying node does not reach any more, and that is silent, is closed at once, so that the other node gets the answer elsewhere.

--- a/samphirerill/relay/path_tracker.py
+++ b/samphirerill/relay/path_tracker.py
@@ -32,13 +32,20 @@
         Counts failed connects and partitions.
     """
 
-    __slots__ = ('_counters', '_paths', '_reaches_none', '_watchers')
+    __slots__ = (
+        '_counters',
+        '_listeners',
+        '_paths',
+        '_reaches_none',
+        '_watchers',
+    )
 
     def __init__(self, counters: Counter[str]) -> None:
         self._counters = counters
         self._paths = DirectPaths()
         self._reaches_none = False
         self._watchers: dict[HttpConnection, Callable[[], None]] = {}
+        self._listeners: list[Callable[[], None]] = []
 
     @property
     def is_partitioned(self) -> bool:
@@ -67,6 +74,10 @@
         """Forget endpoints that are no longer announced."""
         self._paths.keep_only(addresses)
 
+    def add_listener(self, handle_lost: Callable[[], None]) -> None:
+        """Call back each time that further paths are known to be broken."""
+        self._listeners.append(handle_lost)
+
     def watch(
         self, conn: HttpConnection, handle_lost: Callable[[], None]
     ) -> None:
@@ -142,6 +153,8 @@
         for conn, handle_lost in tuple(self._watchers.items()):
             if self.is_lost(conn):
                 handle_lost()
+        for listener in self._listeners:
+            listener()
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/samphirerill/relay/tunnels/server.py
+++ b/samphirerill/relay/tunnels/server.py
@@ -26,6 +26,9 @@
 # A tunnel is in use until its connections were quiet for this long after the
 # endpoint sent something, or for good if the endpoint has a request to answer.
 _QUIET_S = 0.5
+# A response behind a broken path is given up after this silence, so that the other
+# node can get it elsewhere.
+_LOST_SILENCE_S = 0.2
 
 
 class _TunnelEnd(asyncio.Protocol):
@@ -66,6 +69,8 @@
 
     Parameters
     ----------
+    address : str
+        ``IP:PORT`` of the endpoint.
     on_end : callable
         Called once when either end has closed.
     """
@@ -75,11 +80,13 @@
         '_last_bytes_at',
         '_loop',
         '_on_end',
+        'address',
         'endpoint',
         'node',
     )
 
-    def __init__(self, on_end: Callable[[_Tunnel], None]) -> None:
+    def __init__(self, address: str, on_end: Callable[[_Tunnel], None]) -> None:
+        self.address = address
         self.node = _TunnelEnd(self)
         self.endpoint = _TunnelEnd(self)
         self._loop = asyncio.get_running_loop()
@@ -107,6 +114,11 @@
         quiet_s = self._loop.time() - self._last_bytes_at
         return self._awaits_endpoint or quiet_s < _QUIET_S
 
+    def is_silent(self) -> bool:
+        """Return whether the endpoint has sent nothing for some time."""
+        quiet_s = self._loop.time() - self._last_bytes_at
+        return quiet_s >= _LOST_SILENCE_S
+
     def handle_end(self, end: _TunnelEnd, *, is_reset: bool) -> None:
         """Close the other end after one was lost.
 
@@ -144,6 +156,7 @@
         self._loop = asyncio.get_running_loop()
         self._tunnels: set[_Tunnel] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        state.pool.dialer.paths.add_listener(self._check_lost)
 
     def count_open(self) -> int:
         """Return the number of open tunnels."""
@@ -175,7 +188,7 @@
     async def _open(self, transport: asyncio.Transport, head: bytes) -> None:
         address = _parse_address(head)
         started_at = self._loop.time()
-        tunnel = _Tunnel(self._tunnels.discard)
+        tunnel = _Tunnel(address, self._tunnels.discard)
         status = self._find_obstacle(address)
         if status is TunnelStatus.OPEN:
             status = await self._connect(tunnel, address)
@@ -230,6 +243,21 @@
             return TunnelStatus.REFUSED
         return TunnelStatus.OPEN
 
+    def _check_lost(self) -> None:
+        """Close silent tunnels to endpoints that are not reached any more."""
+        paths = self._state.pool.dialer.paths
+        lost = [
+            tunnel
+            for tunnel in self._tunnels
+            if paths.needs_detour(tunnel.address)
+        ]
+        for tunnel in lost:
+            if tunnel.is_silent():
+                tunnel.abort()
+        if lost:
+            # Those that are not silent yet, and those that live on.
+            self._loop.call_later(_LOST_SILENCE_S, self._check_lost)
+
     async def _can_judge(
         self, status: TunnelStatus, address: str, since: float
     ) -> bool:
--- a/samphirerill/testing/cut_links.py
+++ b/samphirerill/testing/cut_links.py
@@ -15,11 +15,16 @@
 from typing import TYPE_CHECKING, Any, cast
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Iterator
+    from collections.abc import Callable, Iterator
 
 _NODE: ContextVar[str] = ContextVar('node', default='')
 
 
+def enter_node(name: str) -> None:
+    """Let all tasks that are started from here belong to a node."""
+    _NODE.set(name)
+
+
 class CutKind(Enum):
     """What becomes of open connections, and of new ones.
 
@@ -52,20 +57,26 @@
 
 
 class CutLinks:
-    """Replaces `create_connection` of the running loop until `restore`.
+    """Replaces `create_connection` of an event loop until `restore`.
 
     Parameters
     ----------
-    list_addresses : callable
-        Returns the ``IP:PORT`` of all replicas.
+    is_replica : callable
+        Returns whether an ``IP:PORT`` is that of a replica.
+    loop : AbstractEventLoop, optional
+        The running loop by default.
     """
 
-    def __init__(self, list_addresses: Callable[[], Collection[str]]) -> None:
-        self._list_addresses = list_addresses
+    def __init__(
+        self,
+        is_replica: Callable[[str], bool],
+        loop: asyncio.AbstractEventLoop | None = None,
+    ) -> None:
+        self._is_replica = is_replica
         self._cuts: dict[str, CutKind] = {}
         self._open: list[_OpenLink] = []
         # Any: the loop's method is replaced.
-        self._loop = cast('Any', asyncio.get_running_loop())
+        self._loop = cast('Any', loop or asyncio.get_running_loop())
         self._create_connection = self._loop.create_connection
         self._loop.create_connection = self._connect
 
@@ -104,7 +115,7 @@
     ) -> Any:
         node = _NODE.get()
         address = f'{host}:{port}'
-        is_replica = address in self._list_addresses()
+        is_replica = self._is_replica(address)
         if is_replica and node in self._cuts:
             await self._fail(node)
         made = await self._create_connection(factory, host, port, **options)
--- a/samphirerill/testing/platform_harness.py
+++ b/samphirerill/testing/platform_harness.py
@@ -118,6 +118,10 @@
         self.addresses[name] = f'{_HOST}:{port}'
         self.replicas[name] = replica
 
+    def is_replica(self, address: str) -> bool:
+        """Return whether a replica was started at an ``IP:PORT``."""
+        return address in self.addresses.values()
+
     def crash_replica(self, name: str) -> None:
         """Stop a replica abruptly: close its port and all its connections."""
         self._servers[name].close()
--- a/samphirerill/testing/soak/command.py
+++ b/samphirerill/testing/soak/command.py
@@ -66,6 +66,11 @@
         action='store_true',
         help='restore the store from copies now and then',
     )
+    parser.add_argument(
+        '--cuts',
+        action='store_true',
+        help='cut nodes off from all replicas now and then',
+    )
     parser.add_argument(
         '--keep',
         default='',
@@ -93,6 +98,7 @@
         injects_faults=not options.planned,
         names_limits=options.limits,
         restores_store=options.restores,
+        cuts_nodes=options.cuts,
     )
     failed = run_seeds(iter(seeds), settings, options.keep)
     return int(failed > 0)
--- a/samphirerill/testing/soak/environment.py
+++ b/samphirerill/testing/soak/environment.py
@@ -10,6 +10,7 @@
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.relay.listeners import listen
 from samphirerill.testing.platform_store import FakePlatformStore
+from samphirerill.testing.soak.cuttable_node import FIRST_REPLICA_OCTET
 from samphirerill.testing.soak.ground_truth import GroundTruth
 from samphirerill.testing.soak.nodes import SoakNode
 from samphirerill.testing.soak.proxy import LoopbackProxy
@@ -45,7 +46,6 @@
 }
 _STORE_HOST = '127.0.0.2'
 _FIRST_NODE_OCTET = 11
-_FIRST_REPLICA_OCTET = 41
 _PUBLISH_INTERVAL_S = 0.1
 # How long the registry entry of a crashed replica remains.
 _ENTRY_REMOVAL_DELAY_S = 1.5
@@ -72,7 +72,7 @@
     """A fixed address behind a proxy, at which replicas run in turn."""
 
     def __init__(self, number: int, port: int, service: str, kind: str) -> None:
-        host = f'127.0.0.{_FIRST_REPLICA_OCTET + number}'
+        host = f'127.0.0.{FIRST_REPLICA_OCTET + number}'
         self.number = number
         self.service = service
         self.kind = kind
--- a/samphirerill/testing/soak/nodes.py
+++ b/samphirerill/testing/soak/nodes.py
@@ -10,10 +10,14 @@
 
 from msgspec import json
 
+from samphirerill.testing.soak.cuttable_node import CUT_SUFFIX
+
 if TYPE_CHECKING:
     from pathlib import Path
     from signal import Signals
 
+    from samphirerill.testing.cut_links import CutKind
+
 EXIT_TIMEOUT_S = 10.0
 _POLL_INTERVAL_S = 0.05
 
@@ -38,6 +42,8 @@
         self.callers = f'{host}:{port}'
         self.readiness = f'{host}:{port + 1}'
         self.store = f'{host}:{port + 5}'
+        # The module that is run.
+        self.entry_point = 'samphirerill'
         # Number of process starts; distinguishes a restarted node.
         self.start_count = 0
         self.started_at = 0.0
@@ -73,7 +79,7 @@
         command = (
             sys.executable,
             '-m',
-            'samphirerill',
+            self.entry_point,
             'edge',
             '--config',
             str(self._path),
@@ -83,6 +89,14 @@
                 command, stdout=log, stderr=subprocess.STDOUT
             )
 
+    def cut_off(self, kind: CutKind) -> None:
+        """Cut the links to all replicas; needs the cuttable entry point."""
+        self._path.with_suffix(CUT_SUFFIX).write_text(kind.name)
+
+    def heal(self) -> None:
+        """End the cut."""
+        self._path.with_suffix(CUT_SUFFIX).unlink(missing_ok=True)
+
     def is_running(self) -> bool:
         """Return whether the process is alive."""
         return self._process is not None and self._process.poll() is None
--- a/samphirerill/testing/soak/run.py
+++ b/samphirerill/testing/soak/run.py
@@ -21,6 +21,7 @@
 from samphirerill.testing.soak.faults import FaultInjector
 from samphirerill.testing.soak.limit_naming import LimitNaming
 from samphirerill.testing.soak.ground_truth import Fault
+from samphirerill.testing.soak.node_cuts import NodeCuts
 from samphirerill.testing.soak.store_restores import StoreRestores
 from samphirerill.testing.soak.version_probe import VersionProbe
 
@@ -43,6 +44,7 @@
 _LAG_INTERVAL_S = 0.05
 _MIN_LOGGED_LAG_MS = 100
 _LOG_NAME = 'soak.log'
+_CUTTABLE_NODE = 'samphirerill.testing.soak.cuttable_node'
 
 
 @dataclass(slots=True)
@@ -135,6 +137,9 @@
     seed: int,
 ) -> None:
     """Run clients while faults are injected, then check recovery."""
+    if settings.cuts_nodes:
+        for node in environment.nodes:
+            node.entry_point = _CUTTABLE_NODE
     await environment.start()
     balancer = LoadBalancer(environment)
     tasks = [asyncio.create_task(balancer.run())]
@@ -150,6 +155,8 @@
         actions.append(LimitNaming(environment, seed).run(until))
     if settings.restores_store:
         actions.append(StoreRestores(environment, seed).run(until))
+    if settings.cuts_nodes:
+        actions.append(NodeCuts(environment, seed).run(until))
     await asyncio.gather(*actions)
     await _check_recovery(environment)
     await _cancel_tasks(tasks)
--- a/samphirerill/testing/soak/settings.py
+++ b/samphirerill/testing/soak/settings.py
@@ -22,6 +22,8 @@
         Whether replicas name request limits.
     restores_store : bool
         Whether the store is restored from copies.
+    cuts_nodes : bool
+        Whether nodes are cut off from all replicas.
     """
 
     length_s: float = 14.0
@@ -29,3 +31,4 @@
     injects_faults: bool = True
     names_limits: bool = False
     restores_store: bool = False
+    cuts_nodes: bool = False
--- a/samphirerill/tests/test_cut_off_nodes.py
+++ b/samphirerill/tests/test_cut_off_nodes.py
@@ -10,6 +10,7 @@
 from msgspec.structs import replace
 
 from samphirerill.relay.errors import EndpointError
+from samphirerill.relay.orders import ACCEPTED_STATUSES, send_order
 from samphirerill.testing.cut_links import CutKind, CutLinks
 from samphirerill.testing.platform_harness import PlatformHarness
 from samphirerill.tests.crashing_engines import build_headers, find_ports
@@ -45,7 +46,7 @@
 
     async def asyncSetUp(self) -> None:
         self.harness = PlatformHarness(find_ports())
-        self.links = CutLinks(self.harness.addresses.values)
+        self.links = CutLinks(self.harness.is_replica)
         self.addAsyncCleanup(self.harness.stop)
         self.addCleanup(self.links.restore)
         self.nodes: list[EdgeProcess] = []
@@ -276,6 +277,28 @@
         statuses = await asyncio.gather(*streams)
         self.assertEqual(statuses, [_OK] * _STREAMS)
 
+    async def test_stream_survives_a_cut_of_the_node_that_relays_it(
+        self,
+    ) -> None:
+        """Guards against streams that hang behind two broken paths."""
+        self.slow_streams()
+        node = self.cut_off_first(CutKind.RESET)
+        streams = self.start_streams(node, 'relayed')
+        await asyncio.sleep(_UNDER_WAY_S)
+        self.cut_off(3, CutKind.SILENT)
+        own = self.start_streams(self.nodes[1], 'own')
+        statuses = await asyncio.gather(*streams, *own)
+        self.assertEqual(statuses, [_OK] * 2 * _STREAMS)
+
+    async def test_orders_reach_engines_over_tunnels(self) -> None:
+        """Guards against a leader that is cut off and gives no orders."""
+        node = self.cut_off_first(CutKind.SILENT)
+        known = node.state.view.replicas['engine-0'].replica
+        status = await send_order(
+            node.state, known, b'{"operation": "place", "from": 0, "to": 80}'
+        )
+        self.assertIn(status, ACCEPTED_STATUSES)
+
     async def test_shutdown_cuts_no_relayed_request(self) -> None:
         """Guards against a shutdown that ignores what it relays."""
         self.slow_streams()
--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -28,6 +28,7 @@
 _LIMIT_SEED = 43
 _LIMIT_DURATION_S = 12.0
 _RESTART_SEED = 43009
+_CUT_SEED = 49001
 _RESTORE_SEED = 46
 _RESTORE_DURATION_S = 14.0
 _FAULT_DURATION_S = 8.0
@@ -74,6 +75,16 @@
         self.assertEqual(report.violations, [])
         self.assertGreater(report.counts['fault.restored'], 1)
 
+    def test_nodes_without_paths_to_replicas_break_no_guarantee(self) -> None:
+        """Guards against requests that fail at nodes that are cut off."""
+        with TemporaryDirectory() as folder:
+            settings = SoakSettings(
+                _FAULT_DURATION_S, injects_faults=False, cuts_nodes=True
+            )
+            report = run_seed(_CUT_SEED, settings, Path(folder))
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.counts['fault.cut off'], 0)
+
 
 class TestLimitChecks(TestCase):
     """The checker of request limits, with a limit of 1 named at 10 s."""
--- a/samphirerill/tests/test_tunnels.py
+++ b/samphirerill/tests/test_tunnels.py
@@ -36,7 +36,7 @@
     async def asyncSetUp(self) -> None:
         self.loop = asyncio.get_running_loop()
         self.harness = PlatformHarness(find_ports())
-        self.links = CutLinks(self.harness.addresses.values)
+        self.links = CutLinks(self.harness.is_replica)
         self.addAsyncCleanup(self.harness.stop)
         self.addCleanup(self.links.restore)
         with self.links.started_as(_NODE):
