Tunnels: slow nodes are asked again if there is no other; only named partitions isolate

What callers saw: on busy nodes up to a fifth of the requests were refused as 'no node reaches an endpoint' although two of four nodes reached them. Cause: a tunnel that was not opened in time counted as a node that could not help, and such nodes were not asked for a second; with all of them slow once, nobody was left to ask.

Now a node says when it is partitioned itself (503) and when it declines for another reason (429).

--- a/samphirerill/relay/endpoint_dialer.py
+++ b/samphirerill/relay/endpoint_dialer.py
@@ -35,6 +35,9 @@
     def has_peers(self) -> bool:
         """Return whether there is another node to ask."""
 
+    def are_all_partitioned(self) -> bool:
+        """Return whether no other node seems to reach an endpoint."""
+
     async def open(self, address: str, deadline: float) -> HttpConnection:
         """Return a connection to an endpoint through another node."""
 
@@ -135,15 +138,11 @@
         if self._tunnels is None:
             raise PeerUnavailableError(f'{address}: no other node is known')
         try:
-            conn = await self._tunnels.open(address, deadline)
-        except PeerUnavailableError:
-            self.paths.note_peers(are_available=False)
-            raise
-        except ConnectError:
-            self.paths.note_peers(are_available=True)
-            raise
-        self.paths.note_peers(are_available=True)
-        return conn
+            return await self._tunnels.open(address, deadline)
+        finally:
+            self.paths.note_peers(
+                are_available=not self._tunnels.are_all_partitioned()
+            )
 
     async def attach_directly(
         self, protocol: asyncio.Protocol, address: str
--- a/samphirerill/relay/errors.py
+++ b/samphirerill/relay/errors.py
@@ -31,6 +31,10 @@
     """No other node could be asked to connect to the endpoint."""
 
 
+class PeerPartitionedError(PeerUnavailableError):
+    """The node that was asked reaches no endpoint itself."""
+
+
 class UnconfirmedConnectError(ConnectError):
     """This node did not connect, and no other one could tell why.
 
--- a/samphirerill/relay/tunnels/handshake.py
+++ b/samphirerill/relay/tunnels/handshake.py
@@ -10,6 +10,7 @@
 from samphirerill.relay.errors import (
     ConnectRefusedError,
     ConnectTimeoutError,
+    PeerPartitionedError,
     PeerUnavailableError,
 )
 
@@ -22,14 +23,16 @@
     """Response of the relaying node.
 
     `REFUSED` and `TIMED_OUT` are about the endpoint: the node reached another
-    one meanwhile. `UNAVAILABLE` is about the node, which is partitioned from
-    endpoints itself, shuts down or relays too many connections.
+    one meanwhile. `PARTITIONED` is about the node, which reaches none. It sends
+    `DECLINED` if it shuts down, relays too many connections or lacks a path to
+    this endpoint only.
     """
 
     OPEN = 200
     UNKNOWN_ENDPOINT = 404
+    DECLINED = 429
     REFUSED = 502
-    UNAVAILABLE = 503
+    PARTITIONED = 503
     TIMED_OUT = 504
 
 
@@ -74,6 +77,8 @@
     ------
     ConnectRefusedError, ConnectTimeoutError
         The other node reaches endpoints, but not this one.
+    PeerPartitionedError
+        It reaches no endpoint itself.
     PeerUnavailableError
         It does not answer, or opens no tunnel now.
     """
@@ -120,6 +125,8 @@
         raise ConnectRefusedError(f'{address}: refused {peer} too')
     if status == TunnelStatus.TIMED_OUT:
         raise ConnectTimeoutError(f'{address}: did not answer {peer} either')
+    if status == TunnelStatus.PARTITIONED:
+        raise PeerPartitionedError(f'{peer}: reaches no endpoint itself')
     if status != TunnelStatus.OPEN:
         raise PeerUnavailableError(
             f'{peer}: got status {status}, expected 200; ask another node'
--- a/samphirerill/relay/tunnels/peers.py
+++ b/samphirerill/relay/tunnels/peers.py
@@ -1,39 +1,34 @@
-"""Choose the nodes that relay connections of this one."""
+"""Open tunnels to endpoints through other nodes."""
 
 from __future__ import annotations
 
 import asyncio
 from typing import TYPE_CHECKING
 
+from samphirerill.fleet.relay_choice import RelayChoice
 from samphirerill.node.logs import get_logger
-from samphirerill.relay.errors import ConnectError, PeerUnavailableError
+from samphirerill.relay.errors import (
+    ConnectError,
+    PeerPartitionedError,
+    PeerUnavailableError,
+)
 from samphirerill.relay.tunnels.handshake import open_tunnel
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from samphirerill.relay.connection import HttpConnection
     from samphirerill.relay.peer_directory import PeerDirectory
     from samphirerill.relay.state import EdgeState
 
 _LOG = get_logger('tunnels')
 # A connect of the other node, and a second one to prove its own paths.
-_TUNNEL_TIMEOUT_S = 0.25
+_TUNNEL_TIMEOUT_S = 0.3
 # Nodes that are asked for one tunnel.
 _MAX_ASKED = 4
-# Connections are spread over a few nodes, not over all of a large fleet.
-_MAX_RELAYS = 4
-# How long a node that opened no tunnel is not asked.
-_AVOIDANCE_S = 1.0
 
 
 class TunnelPeers:
     """Opens tunnels through other nodes.
 
-    Nodes of the same data centre are asked first, as bytes between data centres
-    are billed. If they cannot help, the data centre may be partitioned as a
-    whole, and nodes elsewhere are asked for a while.
-
     Parameters
     ----------
     state : EdgeState
@@ -42,22 +37,12 @@
         The other nodes.
     """
 
-    __slots__ = (
-        '_avoided',
-        '_local_avoided_until',
-        '_peers',
-        '_relays',
-        '_state',
-    )
+    __slots__ = ('_choice', '_peers', '_state')
 
     def __init__(self, state: EdgeState, peers: PeerDirectory) -> None:
         self._state = state
         self._peers = peers
-        # Nodes that opened the latest tunnels; the oldest first.
-        self._relays: list[str] = []
-        # Until when nodes that could not help are not asked, by name.
-        self._avoided: dict[str, float] = {}
-        self._local_avoided_until = 0.0
+        self._choice = RelayChoice(state.settings.data_centre, state.random)
 
     def has_peers(self) -> bool:
         """Return whether there is another node to ask."""
@@ -65,7 +50,13 @@
 
     def list_relays(self) -> list[str]:
         """Return the nodes that opened the latest tunnels."""
-        return list(self._relays)
+        return list(self._choice.relays)
+
+    def are_all_partitioned(self) -> bool:
+        """Return whether no other node seems to reach an endpoint."""
+        now = self._now()
+        nodes = self._peers.list_data_centres(now)
+        return self._choice.are_all_partitioned(nodes, now)
 
     async def open(self, address: str, deadline: float) -> HttpConnection:
         """Return a connection to an endpoint through another node.
@@ -85,15 +76,18 @@
             No node could help.
         """
         reason = 'no other node is known'
-        for _ in range(_MAX_ASKED):
-            name = self._choose()
-            if not name or self._now() >= deadline:
+        asked: set[str] = set()
+        while len(asked) < _MAX_ASKED and self._now() < deadline:
+            nodes = self._peers.list_data_centres(self._now())
+            name = self._choice.choose(nodes, asked, self._now())
+            if not name:
                 break
+            asked.add(name)
             try:
                 return await self._open_through(name, address, deadline)
             except PeerUnavailableError as exc:
                 reason = str(exc)
-                self._avoid(name, reason)
+                self._note_failure(name, exc)
         raise PeerUnavailableError(f'{address}: {reason}')
 
     async def _open_through(
@@ -110,59 +104,23 @@
         except PeerUnavailableError:
             raise
         except ConnectError:
-            self._note_relay(name)
+            self._choice.note_help(name, self._now())
             raise
-        self._note_relay(name)
+        self._choice.note_help(name, self._now())
         self._state.counters['tunnels.opened'] += 1
         return conn
 
-    def _choose(self) -> str:
-        """Return the node to ask next; empty if there is none."""
-        now = self._now()
-        allowed = [
-            name
-            for name in self._peers.list_data_centres(now)
-            if self._avoided.get(name, now) <= now
-        ]
-        relays = [name for name in self._relays if name in allowed]
-        if len(relays) < _MAX_RELAYS:
-            relays.extend(self._list_new(allowed))
-        return self._state.random.choice(relays or [''])
-
-    def _list_new(self, allowed: Iterable[str]) -> list[str]:
-        """Return nodes that were not asked yet, preferably near ones."""
-        new = [name for name in allowed if name not in self._relays]
-        if self._now() < self._local_avoided_until:
-            return new
-        return [name for name in new if self._is_local(name)] or new
-
-    def _is_local(self, name: str) -> bool:
-        peer = self._peers.get(name)
-        own = self._state.settings.data_centre
-        return peer is not None and peer.data_centre == own
-
-    def _note_relay(self, name: str) -> None:
-        if name not in self._relays:
-            self._relays = [*self._relays[1 - _MAX_RELAYS :], name]
-
-    def _avoid(self, name: str, reason: str) -> None:
-        now = self._now()
+    def _note_failure(self, name: str, exc: PeerUnavailableError) -> None:
         self._state.counters['tunnels.not_opened'] += 1
-        self._avoided = {
-            avoided: until
-            for avoided, until in self._avoided.items()
-            if until > now
-        }
-        if name not in self._avoided:
-            _LOG.info(
-                'no tunnel through this node',
-                extra={'peer': name, 'reason': reason},
-            )
-        self._avoided[name] = now + _AVOIDANCE_S
-        if name in self._relays:
-            self._relays.remove(name)
-        if self._is_local(name):
-            self._local_avoided_until = now + _AVOIDANCE_S
+        now = self._now()
+        if isinstance(exc, PeerPartitionedError):
+            self._choice.note_partitioned(name, now)
+        else:
+            self._choice.note_slow(name, now)
+        _LOG.info(
+            'no tunnel through this node',
+            extra={'peer': name, 'reason': str(exc)},
+        )
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/samphirerill/relay/tunnels/server.py
+++ b/samphirerill/relay/tunnels/server.py
@@ -195,7 +195,7 @@
         if status is not TunnelStatus.OPEN and not await self._can_judge(
             status, address, started_at
         ):
-            status = TunnelStatus.UNAVAILABLE
+            status = TunnelStatus.PARTITIONED
         self._state.counters[f'tunnels.served.{status.value}'] += 1
         _LOG.info(
             'tunnel requested',
@@ -228,8 +228,10 @@
             return TunnelStatus.UNKNOWN_ENDPOINT
         is_full = len(self._tunnels) >= _MAX_TUNNELS
         paths = self._state.pool.dialer.paths
+        if paths.is_partitioned or paths.is_isolated:
+            return TunnelStatus.PARTITIONED
         if is_full or self._state.is_draining or paths.needs_detour(address):
-            return TunnelStatus.UNAVAILABLE
+            return TunnelStatus.DECLINED
         return TunnelStatus.OPEN
 
     async def _connect(self, tunnel: _Tunnel, address: str) -> TunnelStatus:
--- a/samphirerill/tests/test_cut_off_nodes.py
+++ b/samphirerill/tests/test_cut_off_nodes.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from unittest import IsolatedAsyncioTestCase
 
+from msgspec import json
 from msgspec.structs import replace
 
 from samphirerill.relay.errors import EndpointError
@@ -25,6 +26,7 @@
 _OK = 200
 _UNAVAILABLE = 503
 _FAILED = 0
+_PLAIN_TIMEOUT_MS = 1500
 _ENGINES = 6
 _ENDPOINTS = 3
 _EVENTS = 10
@@ -41,6 +43,13 @@
 _REFUSAL_S = 0.6
 
 
+def _build_configuration() -> bytes:
+    """Return a configuration with the usual timeout of plain requests."""
+    document = json.decode(build_configuration())
+    document['routes'][1]['timeoutMs'] = _PLAIN_TIMEOUT_MS
+    return json.encode(document)
+
+
 class CutOffNodesCase(IsolatedAsyncioTestCase):
     """Four nodes, six engines and three endpoints of a plain service."""
 
@@ -52,7 +61,7 @@
         self.nodes: list[EdgeProcess] = []
         with self.links.started_as('node-1'):
             await self.harness.start()
-        await self.harness.store.put('op/config', build_configuration())
+        await self.harness.store.put('op/config', _build_configuration())
         for number in range(_ENGINES):
             await self._add_replica(f'engine-{number}', 'llm', (0, 80))
         for number in range(_ENDPOINTS):
