--- a/samphirerill/tests/test_resending.py
+++ b/samphirerill/tests/test_resending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import TYPE_CHECKING, cast
 from unittest import IsolatedAsyncioTestCase
 
@@ -14,6 +15,7 @@
 from samphirerill.platform.settings import EdgeSettings
 from samphirerill.relay.admission import AdmissionQueue, NoPathError
 from samphirerill.relay.connection import HttpConnection
+from samphirerill.relay.path_tracker import PathTracker
 from samphirerill.relay.state import EdgeState
 from samphirerill.relay.stream_guard import StreamGuard
 from samphirerill.relay.stream_path import MoveResult
@@ -250,6 +252,7 @@
 
     def __init__(self) -> None:
         self.head_id = 'head'
+        self.direct_paths = PathTracker(Counter())
         self.moves = 0
 
     def list_failed(self) -> set[str]:
