Explain: a relayed request shows the partition; a dialer asks other nodes once

A detour that no node could help with tried the endpoint directly and then asked the same nodes again. Attempts that failed name the node that relayed them.

--- a/samphirerill/relay/endpoint_dialer.py
+++ b/samphirerill/relay/endpoint_dialer.py
@@ -95,15 +95,11 @@
             On the loop's clock, if it is earlier than the connect timeout.
         """
         if self.paths.needs_detour(address):
-            try:
-                return await self.connect_through_peer(address, deadline)
-            except PeerUnavailableError as exc:
-                _LOG.debug('connecting directly', extra={'reason': str(exc)})
+            return await self._connect_around(address, deadline)
         if not self.can_detour():
             return await self.connect_directly(address, deadline)
-        until = min(deadline, self._now() + _DIRECT_TIMEOUT_S)
         try:
-            return await self.connect_directly(address, until)
+            return await self._connect_briefly(address, deadline)
         except ConnectError as exc:
             return await self._connect_after(exc, address, deadline)
 
@@ -182,9 +178,8 @@
 
     async def is_reached(self, address: str) -> bool:
         """Return whether a direct connect succeeds now."""
-        until = self._now() + _DIRECT_TIMEOUT_S
         try:
-            conn = await self.connect_directly(address, until)
+            conn = await self._connect_briefly(address, _NEVER)
         except ConnectError as exc:
             _LOG.debug('endpoint not reached', extra={'reason': str(exc)})
             return False
@@ -212,6 +207,26 @@
         """Return whether another node may be asked to connect."""
         return self._tunnels is not None and self._tunnels.has_peers()
 
+    async def _connect_briefly(
+        self, address: str, deadline: float
+    ) -> HttpConnection:
+        """Connect directly, with time left to ask another node."""
+        until = min(deadline, self._now() + _DIRECT_TIMEOUT_S)
+        return await self.connect_directly(address, until)
+
+    async def _connect_around(
+        self, address: str, deadline: float
+    ) -> HttpConnection:
+        """Connect through another node; directly if none can help."""
+        try:
+            return await self.connect_through_peer(address, deadline)
+        except PeerUnavailableError as exc:
+            reason = str(exc)
+        try:
+            return await self._connect_briefly(address, deadline)
+        except ConnectError as exc:
+            raise UnconfirmedConnectError(f'{exc}; {reason}') from exc
+
     async def _connect_after(
         self, failure: ConnectError, address: str, deadline: float
     ) -> HttpConnection:
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -191,7 +191,9 @@
             outcome = await self._call(endpoint, conn)
         except EndpointError as exc:
             conn.close()
-            return self._handle_error(endpoint, conn, exc)
+            outcome = self._handle_error(endpoint, conn, exc)
+            outcome.relayed_by = conn.relayed_by
+            return outcome
         except asyncio.CancelledError:
             conn.close()
             raise
--- a/samphirerill/reports/explain.py
+++ b/samphirerill/reports/explain.py
@@ -10,6 +10,7 @@
 
 from msgspec import json
 
+from samphirerill.relay.path_tracker import ISOLATED
 from samphirerill.reports.by_second import format_by_second
 from samphirerill.reports.late_streams import (
     UNANSWERED,
@@ -41,6 +42,15 @@
         'replica changes its request limit',
     )
 )
+# Why requests went through other nodes, or were refused as no node could help.
+_PATH_EVENTS = frozenset(
+    (
+        'no endpoint is reached directly',
+        'partitioned from endpoints; connecting through other nodes',
+        'partition from endpoints has ended',
+    )
+)
+_MAX_PARTITION_S = 60.0
 # Fields of a request's records that name replicas.
 _NAMING_FIELDS = ('path', 'endpoint', 'reason')
 _MS_PER_S = 1000
@@ -179,6 +189,10 @@
             record.time_s < start_s
             and _explains_detour(record, start_s, records)
         )
+        or (
+            start_s - _MAX_PARTITION_S <= record.time_s <= end_s
+            and _explains_relay(record, records)
+        )
     ]
     for record in sorted([*records, *related], key=_get_time):
         _print_line(_format_record(record, start_s))
@@ -215,6 +229,14 @@
     )
 
 
+def _explains_relay(record: LogRecord, records: list[LogRecord]) -> bool:
+    """Return whether a record says why another node relayed the request."""
+    return record.event in _PATH_EVENTS and any(
+        own.fields.get('relayed_by') or own.fields.get('reason') == ISOLATED
+        for own in records
+    )
+
+
 def _explains_detour(
     record: LogRecord, start_s: float, records: list[LogRecord]
 ) -> bool:
--- a/samphirerill/tests/test_explain.py
+++ b/samphirerill/tests/test_explain.py
@@ -89,6 +89,17 @@
 ]
 
 
+def _explain(lines: list[str], request: str) -> str:
+    """Return what the command prints for one request."""
+    with TemporaryDirectory() as folder:
+        log = Path(folder) / 'edge.log'
+        log.write_text('\n'.join(lines))
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out):
+            main(['explain', str(log), '--request', request])
+    return out.getvalue()
+
+
 class TestExplain(TestCase):
     """Causes and phases of late streams, and the records of one request."""
 
@@ -154,13 +165,7 @@
         line = _line(
             1, 'request left unanswered', request='first', queued=['second']
         )
-        with TemporaryDirectory() as folder:
-            log = Path(folder) / 'edge.log'
-            log.write_text(line)
-            out = io.StringIO()
-            with contextlib.redirect_stdout(out):
-                main(['explain', str(log), '--request', 'second'])
-        self.assertIn('request left unanswered', out.getvalue())
+        self.assertIn('request left unanswered', _explain([line], 'second'))
 
     def test_only_closes_by_the_node_count_as_cut(self) -> None:
         index = LogIndex()
@@ -284,6 +289,18 @@
         rows = format_table(list_late_streams(self.index, LatencyTargets()))
         self.assertEqual(len(rows), 4)
 
+    def test_relayed_request_shows_the_partition(self) -> None:
+        log = [
+            _line(
+                3, 'partitioned from endpoints; connecting through other nodes'
+            ),
+            _line(4, 'stream sent', request='relayed', relayed_by='10.0.0.2:1'),
+            _line(5, 'stream ended', request='relayed'),
+            _line(6, 'stream sent', request='direct', relayed_by=''),
+        ]
+        self.assertIn('partitioned', _explain(log, 'relayed'))
+        self.assertNotIn('partitioned', _explain(log, 'direct'))
+
     def test_request_report_includes_events_of_its_replicas(self) -> None:
         with TemporaryDirectory() as folder:
             path = Path(folder) / 'node.log'
