--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -23,6 +22,7 @@
     ConnectTimeoutError,
     EndpointTimeoutError,
 )
+from samphirerill.relay.sockets import disable_nagle
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -227,9 +227,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and disable Nagle's algorithm."""
         self._transport = transport
-        sock = transport.get_extra_info('socket')
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        disable_nagle(transport)
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections import deque
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Protocol
@@ -26,6 +25,7 @@
 )
 from samphirerill.relay.request import Request
 from samphirerill.relay.request_validation import validate_head
+from samphirerill.relay.sockets import disable_nagle
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -148,9 +148,7 @@
         """Start waiting for the first request."""
         self._transport = transport
         self._transport.set_write_buffer_limits(high=_HIGH_WATER_BYTES)
-        sock = transport.get_extra_info('socket')
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        disable_nagle(transport)
         self._connections.add(self)
         self._start_idle_timer()
 
--- a/samphirerill/relay/tunnels/server.py
+++ b/samphirerill/relay/tunnels/server.py
@@ -3,141 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from samphirerill.node.logs import get_logger
-from samphirerill.relay.errors import (
-    ConnectError,
-    ConnectTimeoutError,
-)
-from samphirerill.relay.tunnels.handshake import (
-    TunnelStatus,
-)
+from samphirerill.relay.errors import ConnectError, ConnectTimeoutError
+from samphirerill.relay.tunnels.handshake import TunnelStatus
+from samphirerill.relay.tunnels.tunnel import LOST_SILENCE_S, Tunnel
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from samphirerill.relay.state import EdgeState
 
 _LOG = get_logger('tunnels')
 # Each needs two descriptors and its share of the event loop.
 _MAX_TUNNELS = 512
-# A tunnel is in use until its connections were quiet for this long after the
-# endpoint sent something, or for good if the endpoint has a request to answer.
-_QUIET_S = 0.5
-# A response behind a broken path is given up after this silence, so that the other
-# node can get it elsewhere.
-_LOST_SILENCE_S = 0.2
-
-
-class _TunnelEnd(asyncio.Protocol):
-    """One of the two connections of a tunnel; forwards to the other one."""
-
-    def __init__(self, tunnel: _Tunnel) -> None:
-        self.transport: Any = None
-        self._tunnel = tunnel
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport and disable Nagle's algorithm."""
-        self.transport = transport
-        sock = transport.get_extra_info('socket')
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-
-    def data_received(self, data: bytes) -> None:
-        """Forward to the other end."""
-        self._tunnel.forward(self, data)
-
-    def pause_writing(self) -> None:
-        """Stop reading at the other end, as this one is not read."""
-        self._tunnel.get_other(self).transport.pause_reading()
-
-    def resume_writing(self) -> None:
-        """Go on reading at the other end."""
-        other = self._tunnel.get_other(self).transport
-        if not other.is_closing():
-            other.resume_reading()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Close the other end."""
-        self._tunnel.handle_end(self, is_reset=exc is not None)
-
-
-class _Tunnel:
-    """A connection of another node that continues to an endpoint.
-
-    Parameters
-    ----------
-    address : str
-        ``IP:PORT`` of the endpoint.
-    on_end : callable
-        Called once when either end has closed.
-    """
-
-    __slots__ = (
-        '_awaits_endpoint',
-        '_last_bytes_at',
-        '_loop',
-        '_on_end',
-        'address',
-        'endpoint',
-        'node',
-    )
-
-    def __init__(self, address: str, on_end: Callable[[_Tunnel], None]) -> None:
-        self.address = address
-        self.node = _TunnelEnd(self)
-        self.endpoint = _TunnelEnd(self)
-        self._loop = asyncio.get_running_loop()
-        self._on_end = on_end
-        self._awaits_endpoint = False
-        self._last_bytes_at = 0.0
-
-    def get_other(self, end: _TunnelEnd) -> _TunnelEnd:
-        """Return the end opposite to one."""
-        return self.endpoint if end is self.node else self.node
-
-    def forward(self, source: _TunnelEnd, data: bytes) -> None:
-        """Forward bytes that one end received."""
-        target = self.get_other(source).transport
-        if target is None:
-            # An endpoint that speaks before it was asked is not trusted.
-            source.transport.abort()
-            return
-        self._last_bytes_at = self._loop.time()
-        self._awaits_endpoint = source is self.node
-        target.write(data)
-
-    def is_in_use(self) -> bool:
-        """Return whether a response seems to be in progress."""
-        quiet_s = self._loop.time() - self._last_bytes_at
-        return self._awaits_endpoint or quiet_s < _QUIET_S
-
-    def is_silent(self) -> bool:
-        """Return whether the endpoint has sent nothing for some time."""
-        quiet_s = self._loop.time() - self._last_bytes_at
-        return quiet_s >= _LOST_SILENCE_S
-
-    def handle_end(self, end: _TunnelEnd, *, is_reset: bool) -> None:
-        """Close the other end after one was lost.
-
-        The last bytes of an endpoint are delivered; an endpoint hears at once
-        that the node, and so the client, has left.
-        """
-        other = self.get_other(end).transport
-        if other is not None:
-            if end is self.endpoint and not is_reset:
-                other.close()
-            else:
-                other.abort()
-        self._on_end(self)
-
-    def abort(self) -> None:
-        """Close both ends at once."""
-        for end in (self.node, self.endpoint):
-            if end.transport is not None:
-                end.transport.abort()
 
 
 class TunnelServer:
@@ -154,7 +32,7 @@
     def __init__(self, state: EdgeState) -> None:
         self._state = state
         self._loop = asyncio.get_running_loop()
-        self._tunnels: set[_Tunnel] = set()
+        self._tunnels: set[Tunnel] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         state.pool.dialer.paths.add_listener(self._check_lost)
 
@@ -188,7 +66,7 @@
     async def _open(self, transport: asyncio.Transport, head: bytes) -> None:
         address = _parse_address(head)
         started_at = self._loop.time()
-        tunnel = _Tunnel(address, self._tunnels.discard)
+        tunnel = Tunnel(address, self._tunnels.discard)
         status = self._find_obstacle(address)
         if status is TunnelStatus.OPEN:
             status = await self._connect(tunnel, address)
@@ -212,7 +90,7 @@
         else:
             transport.close()
 
-    def _join(self, tunnel: _Tunnel, transport: asyncio.Transport) -> None:
+    def _join(self, tunnel: Tunnel, transport: asyncio.Transport) -> None:
         """Forward between both ends from now on."""
         if transport.is_closing() or tunnel.endpoint.transport.is_closing():
             transport.abort()
@@ -234,7 +112,7 @@
             return TunnelStatus.DECLINED
         return TunnelStatus.OPEN
 
-    async def _connect(self, tunnel: _Tunnel, address: str) -> TunnelStatus:
+    async def _connect(self, tunnel: Tunnel, address: str) -> TunnelStatus:
         try:
             await self._state.pool.dialer.attach_directly(
                 tunnel.endpoint, address
@@ -258,7 +136,7 @@
                 tunnel.abort()
         if lost:
             # Those that are not silent yet, and those that live on.
-            self._loop.call_later(_LOST_SILENCE_S, self._check_lost)
+            self._loop.call_later(LOST_SILENCE_S, self._check_lost)
 
     async def _can_judge(
         self, status: TunnelStatus, address: str, since: float
