--- a/samphirerill/fleet/direct_paths.py
+++ b/samphirerill/fleet/direct_paths.py
@@ -58,7 +58,7 @@
         self.is_partitioned = False
         self.last_success_at = float('-inf')
 
-    def needs_detour(self, address: str) -> bool:
+    def needs_tunnel(self, address: str) -> bool:
         """Return whether an endpoint is to be reached through another node."""
         return self.is_partitioned or address in self._lost
 
--- a/samphirerill/relay/endpoint_dialer.py
+++ b/samphirerill/relay/endpoint_dialer.py
@@ -94,14 +94,14 @@
         deadline : float
             On the loop's clock, if it is earlier than the connect timeout.
         """
-        if self.paths.needs_detour(address):
-            return await self._connect_around(address, deadline)
-        if not self.can_detour():
+        if self.paths.needs_tunnel(address):
+            return await self._connect_over_tunnel(address, deadline)
+        if not self.can_tunnel():
             return await self.connect_directly(address, deadline)
         try:
-            return await self._connect_briefly(address, deadline)
+            return await self._try_directly(address, deadline)
         except ConnectError as exc:
-            return await self._connect_after(exc, address, deadline)
+            return await self._connect_after_failure(exc, address, deadline)
 
     async def connect_directly(
         self, address: str, deadline: float = _NEVER
@@ -179,7 +179,7 @@
     async def is_reached(self, address: str) -> bool:
         """Return whether a direct connect succeeds now."""
         try:
-            conn = await self._connect_briefly(address, _NEVER)
+            conn = await self._try_directly(address, _NEVER)
         except ConnectError as exc:
             _LOG.debug('endpoint not reached', extra={'reason': str(exc)})
             return False
@@ -191,30 +191,30 @@
 
         Another node has just reached the endpoint.
         """
-        if not self.paths.needs_detour(address):
+        if not self.paths.needs_tunnel(address):
             self._start_task(self._verify_path(address))
 
-    def blame_unless_lost(
-        self, conn: HttpConnection, blame: Callable[[], None]
+    def suspect_unless_lost(
+        self, conn: HttpConnection, suspect: Callable[[], None]
     ) -> None:
         """Call back unless the path to a silent endpoint is broken."""
-        if conn.is_relayed or not self.can_detour():
-            blame()
+        if conn.is_relayed or not self.can_tunnel():
+            suspect()
         else:
-            self._start_task(self._blame_unless_lost(conn.address, blame))
+            self._start_task(self._suspect_unless_lost(conn.address, suspect))
 
-    def can_detour(self) -> bool:
+    def can_tunnel(self) -> bool:
         """Return whether another node may be asked to connect."""
         return self._tunnels is not None and self._tunnels.has_peers()
 
-    async def _connect_briefly(
+    async def _try_directly(
         self, address: str, deadline: float
     ) -> HttpConnection:
         """Connect directly, with time left to ask another node."""
         until = min(deadline, self._now() + _DIRECT_TIMEOUT_S)
         return await self.connect_directly(address, until)
 
-    async def _connect_around(
+    async def _connect_over_tunnel(
         self, address: str, deadline: float
     ) -> HttpConnection:
         """Connect through another node; directly if none can help."""
@@ -223,11 +223,11 @@
         except PeerUnavailableError as exc:
             reason = str(exc)
         try:
-            return await self._connect_briefly(address, deadline)
+            return await self._try_directly(address, deadline)
         except ConnectError as exc:
             raise UnconfirmedConnectError(f'{exc}; {reason}') from exc
 
-    async def _connect_after(
+    async def _connect_after_failure(
         self, failure: ConnectError, address: str, deadline: float
     ) -> HttpConnection:
         """Connect through another node after a direct connect has failed."""
@@ -242,8 +242,8 @@
         if not await self.is_reached(address):
             self.paths.note_lost(address)
 
-    async def _blame_unless_lost(
-        self, address: str, blame: Callable[[], None]
+    async def _suspect_unless_lost(
+        self, address: str, suspect: Callable[[], None]
     ) -> None:
         try:
             conn = await self.connect(address)
@@ -254,11 +254,11 @@
             )
             return
         except ConnectError:
-            blame()
+            suspect()
             return
         conn.close()
-        if not self.paths.needs_detour(address):
-            blame()
+        if not self.paths.needs_tunnel(address):
+            suspect()
 
     def _start_task(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work, name='dialer')
--- a/samphirerill/relay/health/probe_retries.py
+++ b/samphirerill/relay/health/probe_retries.py
@@ -97,9 +97,9 @@
     replica is broken, the replica is not dead.
     """
     dialer = state.pool.dialer
-    if dialer.paths.needs_detour(replica.address):
+    if dialer.paths.needs_tunnel(replica.address):
         return dialer.connect
-    if sent % 2 and dialer.can_detour():
+    if sent % 2 and dialer.can_tunnel():
         return partial(_connect_through_peer, state)
     return dialer.connect_directly
 
@@ -122,7 +122,7 @@
     Links may refuse connections, too, to all replicas at once.
     """
     dialer = state.pool.dialer
-    if not dialer.can_detour() or dialer.paths.needs_detour(replica.address):
+    if not dialer.can_tunnel() or dialer.paths.needs_tunnel(replica.address):
         return refused
     deadline = asyncio.get_running_loop().time() + _CONFIRM_TIMEOUT_S
     probe = await probe_once(
--- a/samphirerill/relay/health/probe_runner.py
+++ b/samphirerill/relay/health/probe_runner.py
@@ -155,7 +155,7 @@
         dialer = self._state.pool.dialer
         if (
             probe.verdict is Verdict.UNRESPONSIVE
-            and not dialer.paths.needs_detour(replica.address)
+            and not dialer.paths.needs_tunnel(replica.address)
         ):
             dialer.paths.note_failure(replica.address, ConnectFailure.TIMED_OUT)
         if probe.verdict is Verdict.ALIVE:
--- a/samphirerill/relay/path_tracker.py
+++ b/samphirerill/relay/path_tracker.py
@@ -62,9 +62,9 @@
         """Return whether no node is known to reach an endpoint."""
         return self._paths.is_isolated(self._now())
 
-    def needs_detour(self, address: str) -> bool:
+    def needs_tunnel(self, address: str) -> bool:
         """Return whether an endpoint is to be reached through another node."""
-        return self._paths.needs_detour(address)
+        return self._paths.needs_tunnel(address)
 
     def list_lost(self) -> list[str]:
         """Return the endpoints whose paths are known to be broken."""
@@ -91,7 +91,7 @@
 
     def is_lost(self, conn: HttpConnection) -> bool:
         """Return whether a connection runs over a path known to be broken."""
-        return not conn.is_relayed and self._paths.needs_detour(conn.address)
+        return not conn.is_relayed and self._paths.needs_tunnel(conn.address)
 
     def note_failure(self, address: str, failure: ConnectFailure) -> None:
         """Record that an endpoint was not reached directly."""
@@ -117,7 +117,7 @@
 
     def note_lost(self, address: str) -> None:
         """Record that only another node reached an endpoint."""
-        was_lost = self._paths.needs_detour(address)
+        was_lost = self._paths.needs_tunnel(address)
         was_partitioned = self._paths.is_partitioned
         now = self._now()
         self._paths.note_lost(address, now)
@@ -141,6 +141,7 @@
             self._notify_watchers()
 
     def note_success(self, address: str) -> None:
+        """Record that an endpoint was reached directly."""
         was_partitioned = self._paths.is_partitioned
         self._paths.note_success(address, self._now())
         if self._reaches_none:
--- a/samphirerill/relay/pool.py
+++ b/samphirerill/relay/pool.py
@@ -85,8 +85,8 @@
         idle = self._idle[replica.replica_id]
         while idle and not fresh:
             conn = idle.pop()
-            is_detour = self.dialer.paths.needs_detour(replica.address)
-            if conn.is_usable(now) and conn.is_relayed == is_detour:
+            needs_tunnel = self.dialer.paths.needs_tunnel(replica.address)
+            if conn.is_usable(now) and conn.is_relayed == needs_tunnel:
                 self._counters['connections.reused'] += 1
                 return conn
             conn.close()
--- a/samphirerill/relay/tunnels/server.py
+++ b/samphirerill/relay/tunnels/server.py
@@ -108,7 +108,7 @@
         paths = self._state.pool.dialer.paths
         if paths.is_partitioned or paths.is_isolated:
             return TunnelStatus.PARTITIONED
-        if is_full or self._state.is_draining or paths.needs_detour(address):
+        if is_full or self._state.is_draining or paths.needs_tunnel(address):
             return TunnelStatus.DECLINED
         return TunnelStatus.OPEN
 
@@ -129,7 +129,7 @@
         lost = [
             tunnel
             for tunnel in self._tunnels
-            if paths.needs_detour(tunnel.address)
+            if paths.needs_tunnel(tunnel.address)
         ]
         for tunnel in lost:
             if tunnel.is_silent():
--- a/samphirerill/tests/test_direct_paths.py
+++ b/samphirerill/tests/test_direct_paths.py
@@ -33,13 +33,13 @@
 
     def test_one_broken_path_leaves_the_others(self) -> None:
         self.lose(_ENDPOINTS[:1], 1.0)
-        self.assertTrue(self.paths.needs_detour(_ENDPOINTS[0]))
-        self.assertFalse(self.paths.needs_detour(_ENDPOINTS[1]))
+        self.assertTrue(self.paths.needs_tunnel(_ENDPOINTS[0]))
+        self.assertFalse(self.paths.needs_tunnel(_ENDPOINTS[1]))
 
     def test_several_broken_paths_are_a_partition(self) -> None:
         """Guards against a timeout at each endpoint in turn."""
         self.lose(_ENDPOINTS[:MIN_UNREACHED], 1.0)
-        self.assertTrue(self.paths.needs_detour(_ENDPOINTS[-1]))
+        self.assertTrue(self.paths.needs_tunnel(_ENDPOINTS[-1]))
 
     def test_success_in_between_is_no_partition(self) -> None:
         """Guards against direct paths that are not used in a partial cut."""
