--- a/samphirerill/relay/path_checks.py
+++ b/samphirerill/relay/path_checks.py
@@ -86,7 +86,7 @@
         dialer = self._state.pool.dialer
         checked = self._sample(self._list_addresses(), _CHECKS_PER_ROUND)
         await asyncio.gather(*map(dialer.verifier.is_reached, checked))
-        if not dialer.paths.is_isolated:
+        if not checked or not dialer.paths.is_isolated:
             return
         try:
             conn = await dialer.connect_through_peer(checked[0])
--- a/samphirerill/tests/test_path_verifier.py
+++ b/samphirerill/tests/test_path_verifier.py
@@ -6,12 +6,16 @@
 from collections import Counter
 from unittest import IsolatedAsyncioTestCase
 
+from samphirerill.fleet.direct_paths import ConnectFailure
 from samphirerill.relay.connection import HttpConnection
 from samphirerill.relay.endpoint_dialer import EndpointDialer
 from samphirerill.relay.errors import (
     ConnectTimeoutError,
     PeerUnavailableError,
 )
+from samphirerill.relay.path_checks import PathChecks
+from samphirerill.relay.tunnels import TunnelPeers, TunnelServer
+from samphirerill.tests.peers import Network, Node
 
 _ENDPOINTS = [f'127.0.0.1:{port}' for port in range(1, 101)]
 _CONTROLS = 3
@@ -84,3 +88,25 @@
             await asyncio.sleep(0.001)
         self.assertGreater(allowed, 1)
         self.assertLessEqual(allowed, _MAX_PROBES_PER_S // 2 + 1)
+
+
+class TestPeriodicChecks(IsolatedAsyncioTestCase):
+    """Checks that go on, whatever is known."""
+
+    async def test_node_without_endpoints(self) -> None:
+        """Guards against checks that end when the last endpoint leaves."""
+        node = Node(Network(), 'a-1', 'a')
+        checks = PathChecks(
+            node.state,
+            TunnelPeers(node.state, node.peers),
+            TunnelServer(node.state),
+        )
+        paths = node.state.pool.dialer.paths
+        for address in _ENDPOINTS[:_CONTROLS]:
+            paths.note_failure(address, ConnectFailure.REFUSED)
+        paths.note_peers(are_available=False)
+        self.assertTrue(paths.is_isolated)
+        running = asyncio.create_task(checks.run())
+        await asyncio.sleep(0.7)
+        self.assertFalse(running.done())
+        running.cancel()
