Tunnels lead to an endpoint by its id, at the address that the relaying node knows

An address may belong to another endpoint at the other node: given away, or known under another one there. The tunnel would lead to the wrong endpoint, or be declined.

--- a/samphirerill/relay/tunnels/handshake.py
+++ b/samphirerill/relay/tunnels/handshake.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from enum import IntEnum
 
 from samphirerill.node.loop_lag import lag_aware_timeout_at
@@ -16,7 +17,48 @@
 
 METHOD = b'CONNECT'
 END_OF_HEAD = b'\r\n\r\n'
-MAX_HEAD_BYTES = 512
+MAX_HEAD_BYTES = 1024
+
+
+@dataclass(slots=True, frozen=True)
+class TunnelRequest:
+    """What a node asks for.
+
+    Attributes
+    ----------
+    address : str
+        ``IP:PORT`` of the endpoint, as the asking node knows it.
+    replica_id : str
+        The endpoint; empty if the asking node does not know it any more.
+    node : str
+        Name of the asking node.
+    """
+
+    address: str
+    replica_id: str
+    node: str
+
+    def encode(self) -> bytes:
+        """Return the head of the request."""
+        lines = (
+            f'CONNECT {self.address} HTTP/1.1',
+            f'host: {self.address}',
+            f'replica: {self.replica_id}',
+            f'user-agent: {self.node}',
+        )
+        return '\r\n'.join((*lines, '', '')).encode()
+
+
+def decode_request(head: bytes) -> TunnelRequest:
+    """Return what a node asks for; missing parts are empty."""
+    first, *lines = head.decode('latin-1').split('\r\n')
+    words = first.split(' ')
+    headers = dict(line.split(': ', 1) for line in lines if ': ' in line)
+    return TunnelRequest(
+        words[1] if len(words) > 1 else '',
+        headers.get('replica', ''),
+        headers.get('user-agent', ''),
+    )
 
 
 class TunnelStatus(IntEnum):
@@ -58,7 +100,7 @@
 
 
 async def open_tunnel(
-    peer: str, address: str, name: str, deadline: float
+    peer: str, req: TunnelRequest, deadline: float
 ) -> HttpConnection:
     """Return a connection to an endpoint that another node relays.
 
@@ -66,10 +108,8 @@
     ----------
     peer : str
         ``IP:PORT`` at which that node serves others.
-    address : str
-        ``IP:PORT`` of the endpoint.
-    name : str
-        Name of this node, for the logs of the other one.
+    req : TunnelRequest
+        What is asked for.
     deadline : float
         On the loop's clock.
 
@@ -90,28 +130,19 @@
         async with lag_aware_timeout_at(deadline):
             made = await loop.create_connection(_Handshake, host, int(port))
             transport = made[0]
-            transport.write(_build_request(address, name))
+            transport.write(req.encode())
             status = _parse_status(await made[1].response)
     except (OSError, TimeoutError) as exc:
         raise PeerUnavailableError(f'{peer}: {exc!r}') from exc
     finally:
         if status != TunnelStatus.OPEN and transport is not None:
             transport.abort()
-    _raise_for_status(status, address, peer)
-    conn = HttpConnection(address)
+    _raise_for_status(status, req.address, peer)
+    conn = HttpConnection(req.address)
     conn.adopt(transport, peer)
     return conn
 
 
-def _build_request(address: str, name: str) -> bytes:
-    return b'%b %b HTTP/1.1\r\nhost: %b\r\nuser-agent: %b\r\n\r\n' % (
-        METHOD,
-        address.encode(),
-        address.encode(),
-        name.encode(),
-    )
-
-
 def _parse_status(head: bytes) -> int:
     """Return the status code; 0 if there is none."""
     words = head.split(b' ', 2)
--- a/samphirerill/relay/tunnels/peers.py
+++ b/samphirerill/relay/tunnels/peers.py
@@ -12,7 +12,7 @@
     PeerPartitionedError,
     PeerUnavailableError,
 )
-from samphirerill.relay.tunnels.handshake import open_tunnel
+from samphirerill.relay.tunnels.handshake import TunnelRequest, open_tunnel
 
 if TYPE_CHECKING:
     from samphirerill.relay.connection import HttpConnection
@@ -99,7 +99,7 @@
         until = min(deadline, self._now() + _TUNNEL_TIMEOUT_S)
         try:
             conn = await open_tunnel(
-                peer.http_address, address, self._state.settings.name, until
+                peer.http_address, self._build_request(address), until
             )
         except PeerUnavailableError:
             raise
@@ -110,6 +110,11 @@
         self._state.counters['tunnels.opened'] += 1
         return conn
 
+    def _build_request(self, address: str) -> TunnelRequest:
+        known = self._state.view.find_by_address(address)
+        replica_id = '' if known is None else known.replica.replica_id
+        return TunnelRequest(address, replica_id, self._state.settings.name)
+
     def _note_failure(self, name: str, exc: PeerUnavailableError) -> None:
         self._state.counters['tunnels.not_opened'] += 1
         now = self._now()
--- a/samphirerill/relay/tunnels/server.py
+++ b/samphirerill/relay/tunnels/server.py
@@ -8,7 +8,11 @@
 
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.errors import ConnectError, ConnectTimeoutError
-from samphirerill.relay.tunnels.handshake import TunnelStatus
+from samphirerill.relay.tunnels.handshake import (
+    TunnelRequest,
+    TunnelStatus,
+    decode_request,
+)
 from samphirerill.relay.tunnels.tunnel import LOST_SILENCE_S, Tunnel
 
 if TYPE_CHECKING:
@@ -67,7 +71,8 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _open(self, transport: asyncio.Transport, head: bytes) -> None:
-        address = _parse_address(head)
+        req = decode_request(head)
+        address = self._find_address(req)
         started_at = self._loop.time()
         tunnel = Tunnel(
             address,
@@ -85,7 +90,7 @@
         _LOG.info(
             'tunnel requested',
             extra={
-                'peer': _parse_node(head),
+                'peer': req.node,
                 'endpoint': address,
                 'status': status.value,
                 'open': len(self._tunnels),
@@ -107,9 +112,20 @@
         transport.set_protocol(tunnel.node)
         tunnel.node.connection_made(transport)
 
+    def _find_address(self, req: TunnelRequest) -> str:
+        """Return where this node reaches the endpoint; empty if it is unknown.
+
+        The address may have been given to another endpoint meanwhile.
+        """
+        view = self._state.view
+        known = view.replicas.get(req.replica_id)
+        if known is None and not req.replica_id:
+            known = view.find_by_address(req.address)
+        return '' if known is None else known.replica.address
+
     def _find_obstacle(self, address: str) -> TunnelStatus:
         """Return why no tunnel is opened; `OPEN` if there is no reason."""
-        if self._state.view.find_by_address(address) is None:
+        if not address:
             return TunnelStatus.UNKNOWN_ENDPOINT
         is_full = (
             len(self._tunnels) >= _MAX_TUNNELS
@@ -160,15 +176,3 @@
             return True
         verifier = self._state.pool.dialer.verifier
         return await verifier.reaches_another(address, since)
-
-
-def _parse_address(head: bytes) -> str:
-    """Return the ``IP:PORT`` that a tunnel shall lead to."""
-    words = head.split(b' ', 2)
-    return words[1].decode('latin-1') if len(words) > 1 else ''
-
-
-def _parse_node(head: bytes) -> str:
-    """Return the name of the node that asks, for the log."""
-    _, _, rest = head.partition(b'user-agent: ')
-    return rest.partition(b'\r\n')[0].decode('latin-1')
--- a/samphirerill/tests/test_tunnels.py
+++ b/samphirerill/tests/test_tunnels.py
@@ -13,7 +13,7 @@
     PeerUnavailableError,
 )
 from samphirerill.relay.pool import call_once, read_response
-from samphirerill.relay.tunnels.handshake import open_tunnel
+from samphirerill.relay.tunnels.handshake import TunnelRequest, open_tunnel
 from samphirerill.testing.cut_links import CutKind, CutLinks
 from samphirerill.testing.platform_harness import PlatformHarness
 from samphirerill.tests.crashing_engines import find_ports
@@ -53,14 +53,12 @@
         self.peer = self.node.state.settings.peers
         self.address = self.harness.addresses['desk-1']
 
-    async def open(self, address: str = '') -> HttpConnection:
+    async def open(
+        self, address: str = '', replica_id: str = ''
+    ) -> HttpConnection:
         """Open a tunnel."""
-        return await open_tunnel(
-            self.peer,
-            address or self.address,
-            'tester',
-            self.loop.time() + _TIMEOUT_S,
-        )
+        req = TunnelRequest(address or self.address, replica_id, 'tester')
+        return await open_tunnel(self.peer, req, self.loop.time() + _TIMEOUT_S)
 
     def build_call(self) -> bytes:
         """Return a request."""
@@ -85,6 +83,14 @@
             self.assertEqual((status, body), (_OK, b'plain body'))
         conn.close()
 
+    async def test_each_node_uses_its_own_address_of_an_endpoint(self) -> None:
+        conn = await self.open('10.9.9.9:1', 'desk-2')
+        conn.send(self.build_call())
+        await read_response(conn, self.loop.time() + _TIMEOUT_S)
+        conn.close()
+        received = self.harness.replicas['desk-2'].received_requests
+        self.assertEqual(len(received), 1)
+
     async def test_port_still_serves_other_requests(self) -> None:
         deadline = self.loop.time() + _TIMEOUT_S
         status, _ = await call_once(
@@ -138,6 +144,11 @@
         with self.assertRaises(PeerUnavailableError):
             await self.open('127.0.0.1:9')
 
+    async def test_address_of_another_endpoint(self) -> None:
+        """Guards against a tunnel to an address that was given away."""
+        with self.assertRaises(PeerUnavailableError):
+            await self.open(replica_id='desk-gone')
+
     async def test_node_that_shuts_down(self) -> None:
         """Guards against requests that a shutdown cuts."""
         self.node.start_draining()
