--- a/samphirerill/relay/health/prober.py
+++ b/samphirerill/relay/health/prober.py
@@ -200,6 +200,10 @@
         }
         terminated = _filter_by_verdict(verdicts, Verdict.TERMINATED)
         unresponsive = self._list_unresponsive(verdicts)
+        verifier = self._state.pool.dialer.verifier
+        if unresponsive and await verifier.finds_lost_paths():
+            # Others may be broken as well, also those of the nodes that relay.
+            unresponsive = set()
         if unresponsive and await self._is_local_fault(unresponsive, verdicts):
             unresponsive = set()
         for replica in replicas:
