Probes: a refused connection is an end if no other node helps in time but own links work

Cause: an end counted only if another node confirmed it, and busy nodes did not in time, so that crashes were not seen.

--- a/samphirerill/relay/health/probe_retries.py
+++ b/samphirerill/relay/health/probe_retries.py
@@ -124,14 +124,19 @@
     dialer = state.pool.dialer
     if not dialer.can_tunnel() or dialer.paths.needs_tunnel(replica.address):
         return failed
-    deadline = asyncio.get_running_loop().time() + _CONFIRM_TIMEOUT_S
+    now = asyncio.get_running_loop().time()
+    deadline = now + _CONFIRM_TIMEOUT_S
     probe = await probe_once(
         state, replica, deadline, dialer.connect_through_peer
     )
     if probe.verdict is Verdict.ALIVE:
         dialer.paths.note_lost(replica.address)
         return probe
-    failed.is_confirmed = probe.verdict is Verdict.TERMINATED
+    # If no other node helps in time, the own links must prove to work.
+    failed.is_confirmed = (
+        probe.verdict is Verdict.TERMINATED
+        or await dialer.verifier.reaches_another(replica.address, now)
+    )
     return failed
 
 
