--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -22,6 +22,7 @@
     ConnectTimeoutError,
     EndpointTimeoutError,
 )
+from samphirerill.relay.framing import Framing, find_framing
 from samphirerill.relay.sockets import disable_nagle
 
 if TYPE_CHECKING:
@@ -35,7 +36,6 @@
 # Connections are dropped this long before the peer closes them, so that no
 # request is sent into the close.
 _IDLE_MARGIN_S = 0.6
-_BODILESS_STATUSES = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
 _NEVER = float('inf')
 
@@ -83,10 +83,16 @@
     ----------
     address : str
         ``IP:PORT`` of the peer.
+
+    Attributes
+    ----------
+    framing : Framing
+        What marks the end of the response whose head came last.
     """
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.framing = Framing.UNKNOWN
         self.requests_sent = 0
         # When the last request was sent, on the loop's clock.
         self.sent_at = 0.0
@@ -153,6 +159,7 @@
         self.requests_sent += 1
         self.sent_at = asyncio.get_running_loop().time()
         self._awaits_response = True
+        self.framing = Framing.UNKNOWN
         self._is_head_request = request.startswith(b'HEAD ')
         if self.is_open():
             self._transport.write(request)
@@ -256,7 +263,7 @@
             self._awaits_response
             and not self.is_relayed
             and self._head is not None
-            and self._is_close_delimited()
+            and self.framing is Framing.CONNECTION
         ):
             self._awaits_response = False
             self.is_reusable = False
@@ -285,6 +292,9 @@
         if self._head.status < _FIRST_FINAL_STATUS:
             self._head = None
             return
+        self.framing = find_framing(
+            self._head, is_head_request=self._is_head_request
+        )
         self._note_keep_alive(self._head)
         self._push(self._head)
         if self._is_head_request:
@@ -370,12 +380,6 @@
         ):
             self._transport.resume_reading()
 
-    def _is_close_delimited(self) -> bool:
-        if self._head is None or self._head.status in _BODILESS_STATUSES:
-            return False
-        has_length = self._head.get(b'content-length') is not None
-        return not has_length and self._head.get(b'transfer-encoding') is None
-
     def _note_keep_alive(self, head: ResponseHead) -> None:
         if (head.get(b'connection') or b'').lower() == b'close':
             self.is_reusable = False
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -26,6 +26,7 @@
     SendWithheldError,
     UnconfirmedConnectError,
 )
+from samphirerill.relay.framing import Framing
 from samphirerill.relay.plain_limits import PlainLimits
 from samphirerill.relay.platform_adapter import Attempt
 from samphirerill.relay.refusals import (
@@ -70,7 +71,8 @@
     """The result of one attempt; `head` is set if there is a response.
 
     `may_return` is whether the endpoint may be tried again, as it has only
-    asked for a back-off. `relayed_by` is the node that relayed it, if any.
+    asked for a back-off. `relayed_by` is the node that relayed it, if any, and
+    `framing` what marks the end of the response.
     """
 
     head: ResponseHead | None = None
@@ -80,6 +82,7 @@
     may_return: bool = False
     timed_out: bool = False
     relayed_by: str = ''
+    framing: Framing = Framing.UNKNOWN
     reason: str = ''
 
 
@@ -159,6 +162,7 @@
                 'endpoint': endpoint.replica.replica_id,
                 'send': self._limits.attempts,
                 'relayed_by': outcome.relayed_by,
+                'framing': outcome.framing.value,
                 'status': 0 if outcome.head is None else outcome.head.status,
                 'not_run': outcome.is_not_run,
                 'reason': outcome.reason,
@@ -192,13 +196,13 @@
         except EndpointError as exc:
             conn.close()
             outcome = self._handle_error(endpoint, conn, exc)
-            outcome.relayed_by = conn.relayed_by
-            return outcome
         except asyncio.CancelledError:
             conn.close()
             raise
-        self._state.pool.release(replica, conn)
+        else:
+            self._state.pool.release(replica, conn)
         outcome.relayed_by = conn.relayed_by
+        outcome.framing = conn.framing
         return outcome
 
     async def _connect(self, replica: Replica) -> HttpConnection:
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -305,7 +305,7 @@
             await reading
         except EndpointError as exc:
             conn.close()
-            self._handle_break(exc)
+            self._handle_break(conn, exc)
         except asyncio.CancelledError:
             conn.close()
             raise
@@ -411,6 +411,7 @@
             silence_s = self._times.get_silence_limit_s(predicted_s)
             part = await self._guard.read(conn, silence_s, _read_part)
             if isinstance(part, EndOfResponse):
+                self._record_end(conn, event_parser)
                 if self._run.events:
                     self._crash_detector.record_completion(self._context)
                 client.write_body(event_parser.buffer)
@@ -420,6 +421,19 @@
                 self._forward_events(event_parser, part.body)
                 await client.drain()
 
+    def _record_end(
+        self, conn: HttpConnection, event_parser: EventParser
+    ) -> None:
+        self._state.counters[f'streams.ended_by.{conn.framing.value}'] += 1
+        self._log(
+            'stream response ended',
+            framing=conn.framing.value,
+            relayed_by=conn.relayed_by,
+            last_event=self._progress.last_id,
+            run_events=self._run.events,
+            partial_bytes=len(event_parser.buffer),
+        )
+
     def _forward_events(self, event_parser: EventParser, body: bytes) -> None:
         new_events = []
         events = event_parser.feed(body)
@@ -446,7 +460,7 @@
         for stage in self._path.stages:
             self._state.view.note_alive(stage.replica.replica_id)
 
-    def _handle_break(self, exc: EndpointError) -> None:
+    def _handle_break(self, conn: HttpConnection, exc: EndpointError) -> None:
         self._run_end = find_run_end(
             exc,
             is_closed_here=bool(self._closing_reason),
@@ -479,6 +493,8 @@
         self._log(
             'stream run failed',
             path=format_path(self._path.stages),
+            framing=conn.framing.value,
+            relayed_by=conn.relayed_by,
             last_event=self._progress.last_id,
             reason=self._progress.reason,
             **self._run.describe(self._loop.time()),
