--- /dev/null
+++ b/samphirerill/testing/fake_connection.py
@@ -0,0 +1,159 @@
+"""Server connections of fakes, which choose how responses are delimited."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from samphirerill.relay.closed_connections import CloseReason
+from samphirerill.relay.framing import Framing
+from samphirerill.relay.server import ClientConnection
+from samphirerill.relay.sockets import reset_connection
+
+if TYPE_CHECKING:
+    from samphirerill.relay.connection import Headers
+    from samphirerill.relay.server import RequestHandler
+
+
+class BreakKind(Enum):
+    """How a response ends that was broken off.
+
+    `ORDERLY`: the connection ends as if the process was killed, without a last
+    chunk. `RESET`: it is reset. `FRAMED`: the framing is completed, as by a proxy
+    in front of an engine that has failed.
+    """
+
+    ORDERLY = 'orderly'
+    RESET = 'reset'
+    FRAMED = 'framed'
+
+
+@dataclass(slots=True)
+class StreamBreak:
+    """Where and how streams are broken off.
+
+    Attributes
+    ----------
+    after_event : int
+        Id of the last complete event.
+    part : bytes
+        What is sent of the next event.
+    kind : BreakKind
+        How the response ends.
+    remaining : int
+        Number of streams that are broken off.
+    """
+
+    after_event: int
+    part: bytes
+    kind: BreakKind = BreakKind.ORDERLY
+    remaining: int = 1
+
+
+@dataclass(slots=True)
+class Delivery:
+    """How responses are delimited and broken off.
+
+    Attributes
+    ----------
+    framing : Framing
+        `CONNECTION` for responses without a length or chunks; `LENGTH` to buffer
+        a stream and send it with its length.
+    line_end : bytes
+        End of a line of an event.
+    stream_break : StreamBreak, optional
+        Where streams are broken off.
+    """
+
+    framing: Framing = Framing.CHUNKS
+    line_end: bytes = b'\n'
+    stream_break: StreamBreak | None = None
+
+    def build_event(self, number: int) -> bytes:
+        """Return an event."""
+        lines = (b'id: %d' % number, b'data: token%d' % number, b'', b'')
+        return self.line_end.join(lines)
+
+
+class FakeConnection(ClientConnection):
+    """The connection of one caller of a fake.
+
+    Parameters
+    ----------
+    handler : RequestHandler
+        The fake.
+    connections : set
+        All open connections.
+    delivery : Delivery
+        Read for each response.
+    """
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        connections: set[ClientConnection],
+        delivery: Delivery,
+    ) -> None:
+        super().__init__(handler, connections)
+        self._delivery = delivery
+        # The head and the body of a stream that is sent with its length.
+        self._buffered: tuple[int, Headers, list[bytes]] | None = None
+
+    def start_response(
+        self, status: int, headers: Headers, length: int | None
+    ) -> None:
+        """Write a response head with or without framing."""
+        if self._delivery.framing is Framing.CONNECTION:
+            self._start_unframed(status, headers)
+        elif self._delivery.framing is Framing.LENGTH and length is None:
+            self._buffered = (status, headers, [])
+        else:
+            super().start_response(status, headers, length)
+
+    def write_body(self, body: bytes) -> None:
+        """Write or buffer bytes of the response body."""
+        if self._buffered is None:
+            super().write_body(body)
+        else:
+            self._buffered[2].append(body)
+
+    def finish_response(self) -> None:
+        """Complete the response."""
+        if self._buffered is None:
+            super().finish_response()
+            return
+        status, headers, chunks = self._buffered
+        self._buffered = None
+        self.respond(status, headers, b''.join(chunks))
+
+    def break_stream(self, number: int) -> bool:
+        """Break off a stream before an event if planned; return whether it was."""
+        planned = self._delivery.stream_break
+        if planned is None or number <= planned.after_event:
+            return False
+        if not planned.remaining:
+            return False
+        planned.remaining -= 1
+        self.write_body(planned.part)
+        self._break_off(planned.kind)
+        return True
+
+    def _start_unframed(self, status: int, headers: Headers) -> None:
+        self.response_started = True
+        self._chunked = False
+        self._keeps_alive = False
+        self._is_input_ignored = True
+        lines = [b'HTTP/1.1 %d Fake' % status]
+        lines.extend(b'%b: %b' % pair for pair in headers)
+        self._write(b'\r\n'.join((*lines, b'', b'')))
+
+    def _break_off(self, kind: BreakKind) -> None:
+        if kind is BreakKind.FRAMED:
+            self.finish_response()
+            return
+        self._is_response_complete = True
+        if kind is BreakKind.RESET:
+            reset_connection(self._transport)
+        else:
+            self._close(CloseReason.LAST_RESPONSE)
--- a/samphirerill/testing/platform_harness.py
+++ b/samphirerill/testing/platform_harness.py
@@ -9,9 +9,10 @@
 from samphirerill.platform.settings import EdgeSettings
 from samphirerill.platform.store import PlatformStore
 from samphirerill.relay.connection import HttpConnection, serialize_request
-from samphirerill.relay.listeners import listen
+from samphirerill.relay.listeners import listen, listen_with
 from samphirerill.relay.pool import read_response
 from samphirerill.relay.process import EdgeProcess
+from samphirerill.testing.fake_connection import FakeConnection
 from samphirerill.testing.platform_replicas import FakeReplica
 from samphirerill.testing.platform_store import FakePlatformStore
 
@@ -111,7 +112,11 @@
         """Start listening for a replica."""
         name = replica.replica_id
         connections: set[ClientConnection] = set()
-        server = await listen(_ANY_PORT, replica, connections)
+
+        def build_connection() -> FakeConnection:
+            return FakeConnection(replica, connections, replica.delivery)
+
+        server = await listen_with(build_connection, _ANY_PORT)
         self._servers[name] = server
         self._replica_connections[name] = connections
         port = server.sockets[0].getsockname()[1]
--- a/samphirerill/testing/platform_replicas.py
+++ b/samphirerill/testing/platform_replicas.py
@@ -13,6 +13,7 @@
 from msgspec import json
 
 from samphirerill.fleet.model import ClientLimits
+from samphirerill.testing.fake_connection import Delivery, FakeConnection
 
 if TYPE_CHECKING:
     from samphirerill.relay.connection import Headers
@@ -104,6 +105,7 @@
         self.layers = (0, 0)
         self.close_after_event = 0
         self.stall_after_event = 0
+        self._delivery = Delivery()
         self.cut_after_head = False
         self.refuses = False
         self.refusal = RefusalSettings()
@@ -125,6 +127,11 @@
         self.cancelled = 0
         self.in_progress: list[bytes] = []
 
+    @property
+    def delivery(self) -> Delivery:
+        """Return how its responses are delimited and broken off."""
+        return self._delivery
+
     def get_limits(self) -> ClientLimits:
         """Return the request limits of the server."""
         return ClientLimits()
@@ -213,17 +220,25 @@
         first = int(req.get(b'last-event-id') or b'0') + 1
         for number in range(first, self.events + 1):
             await self._wait_for_event(req, number - first)
-            if self.close_after_event and number > self.close_after_event:
-                # Half an event, then a close without the last chunk.
-                conn.write_body(b'id: %d\ndata: to' % number)
-                await asyncio.sleep(self.event_interval_s)
-                conn.abort()
+            if not await self._send_event(conn, number):
                 return
-            if self.stall_after_event and number > self.stall_after_event:
-                await asyncio.sleep(60)
-            conn.write_body(b'id: %d\ndata: token%d\n\n' % (number, number))
         conn.finish_response()
 
+    async def _send_event(self, conn: ClientConnection, number: int) -> bool:
+        """Send an event; return whether the stream goes on."""
+        if self.close_after_event and number > self.close_after_event:
+            # Half an event, then a close without the last chunk.
+            conn.write_body(b'id: %d\ndata: to' % number)
+            await asyncio.sleep(self.event_interval_s)
+            conn.abort()
+            return False
+        if self.stall_after_event and number > self.stall_after_event:
+            await asyncio.sleep(60)
+        if isinstance(conn, FakeConnection) and conn.break_stream(number):
+            return False
+        conn.write_body(self._delivery.build_event(number))
+        return True
+
     async def _wait_for_answer(self, req: Request) -> None:
         """Wait as long as a plain request takes to execute."""
         await self.responding.wait()
