A stream is complete only if its response and its last event have ended

What callers saw: a stream that an engine had broken off, framed as complete (ORDER), 1 ms after the engine's run had ended. Cause: the end of a response was taken for the end of the stream. A response without length and chunks ends with its connection, and the kernel ends the connections of a killed process in order; the rest of the cut event was even passed on before the last chunk. Class: the end of the carrier is taken for the end of what it carries. Change: one check, check_stream_end, for first, resumed, moved and parallel runs: the framing says that no bytes follow, and the content must have ended, too. A stream that ends inside an event is broken off: resumed, or aborted if it may run once, and counted as evidence of a crash, no longer as a completed run. A response that ends with its connection before any event is no stream either. Events may end with LF, CR LF or CR; with the old parser a whole stream of CR LF was one incomplete event, held back to its end and now never complete.

--- a/samphirerill/relay/framing.py
+++ b/samphirerill/backends/framing.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from samphirerill.relay.connection import ResponseHead
+    from collections.abc import Iterable
 
 _BODILESS_STATUSES = frozenset((204, 304))
 
@@ -21,20 +21,25 @@
     CONNECTION = 'connection'
 
 
-def find_framing(head: ResponseHead, *, is_head_request: bool) -> Framing:
+def find_framing(
+    status: int, names: Iterable[bytes], *, is_head_request: bool = False
+) -> Framing:
     """Return what marks the end of a response.
 
     Parameters
     ----------
-    head : ResponseHead
-        The complete head.
+    status : int
+        Its status.
+    names : iterable of bytes
+        The names of its headers, in lower case.
     is_head_request : bool
         Whether it answers a HEAD request, which has no body.
     """
-    if is_head_request or head.status in _BODILESS_STATUSES:
+    if is_head_request or status in _BODILESS_STATUSES:
         return Framing.NO_BODY
-    if head.get(b'transfer-encoding') is not None:
+    present = set(names)
+    if b'transfer-encoding' in present:
         return Framing.CHUNKS
-    if head.get(b'content-length') is not None:
+    if b'content-length' in present:
         return Framing.LENGTH
     return Framing.CONNECTION
--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -14,6 +14,7 @@
 
 from httptools import HttpParserError, HttpResponseParser
 
+from samphirerill.backends.framing import Framing, find_framing
 from samphirerill.node.loop_lag import lag_aware_timeout_at
 from samphirerill.relay.errors import (
     BrokenResponseError,
@@ -22,7 +23,6 @@
     ConnectTimeoutError,
     EndpointTimeoutError,
 )
-from samphirerill.relay.framing import Framing, find_framing
 from samphirerill.relay.sockets import disable_nagle
 
 if TYPE_CHECKING:
@@ -191,8 +191,10 @@
             self._release_buffer(len(part.body))
         return part
 
-    async def wait_for_part(self, deadline: float) -> None:
-        """Wait until there is a part to read, without consuming it.
+    async def wait_for_part(
+        self, deadline: float
+    ) -> ResponseHead | BodyChunk | EndOfResponse:
+        """Return the next part of the response without consuming it.
 
         Raises the same errors as `read`.
         """
@@ -201,6 +203,7 @@
         part = self._parts[0]
         if isinstance(part, ConnectionLost):
             raise BrokenResponseError(f'{self.address}: {part.reason}')
+        return part
 
     def await_next_response(self) -> None:
         """Expect another response: the last one was to an earlier request."""
@@ -293,7 +296,9 @@
             self._head = None
             return
         self.framing = find_framing(
-            self._head, is_head_request=self._is_head_request
+            self._head.status,
+            (name for name, _ in self._head.headers),
+            is_head_request=self._is_head_request,
         )
         self._note_keep_alive(self._head)
         self._push(self._head)
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -26,7 +26,7 @@
     SendWithheldError,
     UnconfirmedConnectError,
 )
-from samphirerill.relay.framing import Framing
+from samphirerill.backends.framing import Framing
 from samphirerill.relay.plain_limits import PlainLimits
 from samphirerill.relay.platform_adapter import Attempt
 from samphirerill.relay.refusals import (
--- a/samphirerill/relay/responses.py
+++ b/samphirerill/relay/responses.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+from samphirerill.backends.framing import Framing
 from samphirerill.relay.connection import BodyChunk, EndOfResponse, ResponseHead
 from samphirerill.relay.errors import BrokenResponseError
 
@@ -14,6 +15,7 @@
         PlatformAdapter,
         ResponseMetadata,
     )
+    from samphirerill.relay.server_sent_events import EventParser
 
 _SUCCESS_STATUSES = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 # Hop-by-hop headers, and the length, which this node sets itself.
@@ -86,6 +88,34 @@
         raise BrokenResponseError('response body has a content encoding')
 
 
+def check_stream_end(
+    conn: HttpConnection, event_parser: EventParser, run_events: int
+) -> None:
+    """Raise ``BrokenResponseError`` unless a stream has ended as complete.
+
+    The framing of a response says that no more bytes follow. That alone is no
+    proof: a process that is killed ends its connections in order, and a proxy may
+    complete the framing of what an engine has broken off.
+
+    Parameters
+    ----------
+    conn : HttpConnection
+        The connection whose response has ended.
+    event_parser : EventParser
+        Has received the whole body.
+    run_events : int
+        Number of complete events in it.
+    """
+    if event_parser.is_inside_event():
+        raise BrokenResponseError(
+            f'{conn.address}: stream ended inside an event'
+        )
+    if not run_events and conn.framing is Framing.CONNECTION:
+        raise BrokenResponseError(
+            f'{conn.address}: connection ended before the first event'
+        )
+
+
 def is_success(status: int) -> bool:
     """Return whether a status is a success."""
     return status in _SUCCESS_STATUSES
--- a/samphirerill/relay/server_sent_events.py
+++ b/samphirerill/relay/server_sent_events.py
@@ -1,17 +1,22 @@
 """Split a byte stream of server-sent events into complete events.
 
 Only complete events are forwarded: after a partial one, a stream could not be
-resumed at another replica without repeating that part to the client.
+resumed at another replica without repeating that part to the client. Lines end
+with LF, CR LF or CR, as the HTML standard allows.
 """
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 
-_EVENT_END = b'\n\n'
+# Atomic groups: the two bytes of a CR LF must not be read as two line endings.
+_EVENT_END = re.compile(rb'(?>\r\n|\n|\r)(?>\r\n|\n|\r)')
+# Bytes of an event end that may be buffered before its last one arrives.
+_MAX_PARTIAL_END = 3
 _ID_FIELD = b'id:'
-# An incomplete event that is longer is passed on as if it were complete.
-_MAX_EVENT_BYTES = 1_048_576
+_COMMENT = b':'
+_LINE_ENDS = (b'\n', b'\r')
 
 
 @dataclass(slots=True)
@@ -38,16 +43,31 @@
 
     def feed(self, body: bytes) -> list[Event]:
         """Add received data; return the events completed by it."""
-        complete = (self.buffer + body).split(_EVENT_END)
-        self.buffer = complete.pop()
-        if len(self.buffer) > _MAX_EVENT_BYTES:
-            complete.append(self.buffer)
-            self.buffer = b''
-        return [Event(raw + _EVENT_END, _read_id(raw)) for raw in complete]
+        search_from = max(0, len(self.buffer) - _MAX_PARTIAL_END)
+        received = self.buffer + body
+        events = []
+        begin = 0
+        for end in _EVENT_END.finditer(received, search_from):
+            raw = received[begin : end.end()]
+            events.append(Event(raw, _read_id(raw)))
+            begin = end.end()
+        self.buffer = received[begin:]
+        return events
+
+    def is_inside_event(self) -> bool:
+        """Return whether an event has begun and not ended.
+
+        Blank lines and comments belong to no event.
+        """
+        return any(
+            not line.startswith(_COMMENT) or not line.endswith(_LINE_ENDS)
+            for line in self.buffer.splitlines(keepends=True)
+            if line.strip(b'\r\n')
+        )
 
 
 def _read_id(raw: bytes) -> int:
-    for line in raw.split(b'\n'):
+    for line in raw.splitlines():
         if line.startswith(_ID_FIELD):
             text = line[len(_ID_FIELD) :].strip()
             return int(text) if text.isdigit() else -1
--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -12,6 +12,7 @@
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.replica_notices import explain_withheld
 from samphirerill.node.logs import get_logger
+from samphirerill.relay.connection import EndOfResponse
 from samphirerill.relay.errors import (
     BrokenResponseError,
     ConnectError,
@@ -19,7 +20,12 @@
     EndpointError,
 )
 from samphirerill.relay.handover import StreamRun
-from samphirerill.relay.responses import is_success, read_head
+from samphirerill.relay.responses import (
+    check_stream_end,
+    is_success,
+    read_head,
+)
+from samphirerill.relay.server_sent_events import EventParser
 from samphirerill.relay.stream_path import format_path
 from samphirerill.relay.stream_request import build_stream_call, parse_event_id
 
@@ -306,7 +312,9 @@
                 head_id, f'engine responded with status {head.status}'
             )
             return None
-        await conn.wait_for_part(deadline)
+        part = await conn.wait_for_part(deadline)
+        if isinstance(part, EndOfResponse):
+            check_stream_end(conn, EventParser(), 0)
         return head
 
     async def _read_head_of(
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -34,6 +34,7 @@
 )
 from samphirerill.relay.replacement import STARTED_RANK, ReplacementStarter
 from samphirerill.relay.responses import (
+    check_stream_end,
     filter_headers,
     is_success,
     read_body,
@@ -411,19 +412,13 @@
             silence_s = self._times.get_silence_limit_s(predicted_s)
             part = await self._guard.read(conn, silence_s, _read_part)
             if isinstance(part, EndOfResponse):
-                self._record_end(conn, event_parser)
-                if self._run.events:
-                    self._crash_detector.record_completion(self._context)
-                client.write_body(event_parser.buffer)
-                client.finish_response()
-                self._ended = True
+                self._finish(conn, event_parser)
             elif isinstance(part, BodyChunk):
                 self._forward_events(event_parser, part.body)
                 await client.drain()
 
-    def _record_end(
-        self, conn: HttpConnection, event_parser: EventParser
-    ) -> None:
+    def _finish(self, conn: HttpConnection, event_parser: EventParser) -> None:
+        """Complete the response to the client if the stream is complete."""
         self._state.counters[f'streams.ended_by.{conn.framing.value}'] += 1
         self._log(
             'stream response ended',
@@ -433,6 +428,13 @@
             run_events=self._run.events,
             partial_bytes=len(event_parser.buffer),
         )
+        check_stream_end(conn, event_parser, self._run.events)
+        if self._run.events:
+            self._crash_detector.record_completion(self._context)
+        client = self._context.conn
+        client.write_body(event_parser.buffer)
+        client.finish_response()
+        self._ended = True
 
     def _forward_events(self, event_parser: EventParser, body: bytes) -> None:
         new_events = []
--- a/samphirerill/testing/fake_connection.py
+++ b/samphirerill/testing/fake_connection.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.relay.closed_connections import CloseReason
-from samphirerill.relay.framing import Framing
+from samphirerill.backends.framing import Framing
 from samphirerill.relay.server import ClientConnection
 from samphirerill.relay.sockets import reset_connection
 
--- a/samphirerill/tests/test_incomplete_responses.py
+++ b/samphirerill/tests/test_incomplete_responses.py
@@ -4,14 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from samphirerill.relay.framing import Framing
+from samphirerill.backends.framing import Framing
 from samphirerill.testing.fake_connection import BreakKind, StreamBreak
 from samphirerill.tests.platform_documents import build_configuration
-from samphirerill.tests.two_engines import OK, TwoEnginesCase
+from samphirerill.tests.two_engines import EVENTS, OK, TwoEnginesCase
 
 if TYPE_CHECKING:
     from samphirerill.testing.platform_replicas import FakeReplica
 
+_EVENT_INTERVAL_S = 0.005
 _BREAK_AFTER = 12
 # The start of an event, up to within its last line ending.
 _PARTS = (b'id', b'id: 13\ndata: tok', b'id: 13\ndata: token13\n')
@@ -27,11 +28,21 @@
 class BreakingEnginesCase(TwoEnginesCase):
     """Two engines, one of which breaks off a stream."""
 
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for engine in self.list_engines():
+            engine.event_interval_s = _EVENT_INTERVAL_S
+
     def break_next_stream(
-        self, framing: Framing, kind: BreakKind, part: bytes
+        self,
+        framing: Framing,
+        kind: BreakKind,
+        part: bytes,
+        after_event: int = _BREAK_AFTER,
+        remaining: int = 1,
     ) -> None:
         """Let the engine that gets the next stream break it off."""
-        shared = StreamBreak(_BREAK_AFTER, part, kind)
+        shared = StreamBreak(after_event, part, kind, remaining)
         for engine in self.list_engines():
             engine.received_requests.clear()
             engine.delivery.framing = framing
@@ -72,6 +83,51 @@
                 self.assertEqual(status, _NO_RESPONSE)
                 self.assertEqual(len(self.list_used_engines()), 1)
 
+    async def test_reset_is_not_the_end_of_a_stream(self) -> None:
+        """Guards against a reset that is read as an orderly end."""
+        for number, part in enumerate((b'', *_PARTS)):
+            with self.subTest(part=part):
+                self.break_next_stream(
+                    Framing.CONNECTION, BreakKind.RESET, part
+                )
+                response = await self.request(b'/notes/x', f'r{number}')
+                self.assert_complete(response)
+                self.assertEqual(len(self.list_used_engines()), 2)
+
+    async def test_head_alone_is_not_a_stream(self) -> None:
+        """Guards against an empty stream of an engine that has crashed."""
+        self.break_next_stream(
+            Framing.CONNECTION, BreakKind.ORDERLY, b'', after_event=0
+        )
+        response = await self.request(b'/notes/x')
+        self.assert_complete(response)
+        self.assertEqual(len(self.list_used_engines()), 2)
+
+    async def test_broken_resumption_is_not_the_end_of_a_stream(self) -> None:
+        """Guards against a second run that ends before its first event."""
+        for number, part in enumerate((b'id', b': note\nid')):
+            with self.subTest(part=part):
+                self.break_next_stream(
+                    Framing.CONNECTION, BreakKind.ORDERLY, part, remaining=2
+                )
+                response = await self.request(b'/notes/x', f'r{number}')
+                self.assert_complete(response)
+                self.assertEqual(len(self.list_used_engines()), 3)
+
+    async def test_lines_may_end_with_cr_lf(self) -> None:
+        """Guards against events that are held back, and breaks not seen."""
+        for engine in self.list_engines():
+            engine.delivery.line_end = b'\r\n'
+        for number, part in enumerate((b'id', b'id: 13\r\ndata: token13\r\n')):
+            with self.subTest(part=part):
+                self.break_next_stream(
+                    Framing.CONNECTION, BreakKind.ORDERLY, part
+                )
+                status, body = await self.request(b'/notes/x', f'r{number}')
+                whole = self.build_events(EVENTS).replace(b'\n', b'\r\n')
+                self.assertEqual((status, body), (OK, whole))
+                self.assertEqual(len(self.list_used_engines()), 2)
+
     async def test_whole_streams_run_once(self) -> None:
         for number, framing in enumerate(
             (Framing.CONNECTION, Framing.CHUNKS, Framing.LENGTH)
