--- a/samphirerill/relay/server_sent_events.py
+++ b/samphirerill/relay/server_sent_events.py
@@ -17,6 +17,8 @@
 _ID_FIELD = b'id:'
 _COMMENT = b':'
 _LINE_ENDS = (b'\n', b'\r')
+# Bounds the buffer; a run with a longer event is broken off.
+MAX_EVENT_BYTES = 1_048_576
 
 
 @dataclass(slots=True)
@@ -65,6 +67,10 @@
             if line.strip(b'\r\n')
         )
 
+    def is_too_long(self) -> bool:
+        """Return whether the incomplete event is longer than allowed."""
+        return len(self.buffer) > MAX_EVENT_BYTES
+
 
 def _read_id(raw: bytes) -> int:
     for line in raw.splitlines():
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -414,7 +414,7 @@
             if isinstance(part, EndOfResponse):
                 self._finish(conn, event_parser)
             elif isinstance(part, BodyChunk):
-                self._forward_events(event_parser, part.body)
+                self._forward_events(conn, event_parser, part.body)
                 await client.drain()
 
     def _finish(self, conn: HttpConnection, event_parser: EventParser) -> None:
@@ -436,7 +436,9 @@
         client.finish_response()
         self._ended = True
 
-    def _forward_events(self, event_parser: EventParser, body: bytes) -> None:
+    def _forward_events(
+        self, conn: HttpConnection, event_parser: EventParser, body: bytes
+    ) -> None:
         new_events = []
         events = event_parser.feed(body)
         if events:
@@ -453,6 +455,11 @@
         if new_events:
             self._times.record_event(self._loop.time())
             self._context.conn.write_body(b''.join(new_events))
+        if event_parser.is_too_long():
+            raise BrokenResponseError(
+                f'{conn.address}: got {len(event_parser.buffer)} bytes without '
+                'the end of an event'
+            )
 
     def _mark_path_working(self) -> None:
         """Mark all replicas of the path as working after a first event.
--- a/samphirerill/testing/fake_connection.py
+++ b/samphirerill/testing/fake_connection.py
@@ -21,12 +21,13 @@
 
     `ORDERLY`: the connection ends as if the process was killed, without a last
     chunk. `RESET`: it is reset. `FRAMED`: the framing is completed, as by a proxy
-    in front of an engine that has failed.
+    in front of an engine that has failed. `STALL`: nothing follows.
     """
 
     ORDERLY = 'orderly'
     RESET = 'reset'
     FRAMED = 'framed'
+    STALL = 'stall'
 
 
 @dataclass(slots=True)
@@ -155,5 +156,5 @@
         self._is_response_complete = True
         if kind is BreakKind.RESET:
             reset_connection(self._transport)
-        else:
+        elif kind is BreakKind.ORDERLY:
             self._close(CloseReason.LAST_RESPONSE)
--- a/samphirerill/tests/test_incomplete_responses.py
+++ b/samphirerill/tests/test_incomplete_responses.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.backends.framing import Framing
+from samphirerill.relay.server_sent_events import MAX_EVENT_BYTES
 from samphirerill.testing.fake_connection import BreakKind, StreamBreak
 from samphirerill.tests.platform_documents import build_configuration
 from samphirerill.tests.two_engines import EVENTS, OK, TwoEnginesCase
@@ -114,6 +115,14 @@
                 self.assert_complete(response)
                 self.assertEqual(len(self.list_used_engines()), 3)
 
+    async def test_event_that_is_too_long_is_not_passed_on(self) -> None:
+        """Guards against line endings that the engine has never sent."""
+        part = b'data: '.ljust(MAX_EVENT_BYTES + 1, b'x')
+        self.break_next_stream(Framing.CHUNKS, BreakKind.STALL, part)
+        response = await self.request(b'/notes/x')
+        self.assert_complete(response)
+        self.assertEqual(len(self.list_used_engines()), 2)
+
     async def test_lines_may_end_with_cr_lf(self) -> None:
         """Guards against events that are held back, and breaks not seen."""
         for engine in self.list_engines():
