Tunnels say how the endpoint's connection has ended

What callers got: at a node that reaches its replicas only through others, a response without length and chunks never counted as complete: plain requests ended with 502 after one run and more, streams were aborted after their last event. Cause: a tunnel carries bytes, not how they ended, and its own end may be that of the relaying node, whose kernel closes in order as well. Change: the relaying node forwards what the endpoint sends in frames, and an empty one when the endpoint has ended its connection in order, which a death cannot imitate. Both nodes name the frames in the handshake: beside an older release the bytes come as before, and their end completes nothing.

--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -137,10 +137,25 @@
         """Return whether another node relays the connection."""
         return bool(self.relayed_by)
 
-    def adopt(self, transport: asyncio.Transport, relayed_by: str) -> None:
-        """Use a tunnel that another node has opened to the endpoint."""
+    def adopt(
+        self,
+        transport: asyncio.Transport,
+        relayed_by: str,
+        protocol: asyncio.Protocol,
+    ) -> None:
+        """Use a tunnel that another node has opened to the endpoint.
+
+        Parameters
+        ----------
+        transport : Transport
+            The connection to the other node.
+        relayed_by : str
+            ``IP:PORT`` of that node.
+        protocol : Protocol
+            Receives the bytes and passes them on to this connection.
+        """
         self.relayed_by = relayed_by
-        transport.set_protocol(self)
+        transport.set_protocol(protocol)
         self.connection_made(transport)
 
     def notify_on_close(self, callback: Callable[[], None]) -> None:
@@ -258,13 +273,20 @@
             self.close()
 
     def eof_received(self) -> None:
-        """Complete a response that is delimited by the connection's end.
+        """Handle the end of the connection by the peer.
 
         The end of a tunnel may also be that of the relaying node.
         """
+        if not self.is_relayed:
+            self.handle_orderly_end()
+
+    def handle_orderly_end(self) -> None:
+        """Complete a response that is delimited by the end of the connection.
+
+        Called only if the endpoint has ended the connection in order.
+        """
         if (
             self._awaits_response
-            and not self.is_relayed
             and self._head is not None
             and self.framing is Framing.CONNECTION
         ):
--- a/samphirerill/relay/tunnels/handshake.py
+++ b/samphirerill/relay/tunnels/handshake.py
@@ -14,10 +14,14 @@
     PeerPartitionedError,
     PeerUnavailableError,
 )
+from samphirerill.relay.tunnels.frames import FrameReader
 
 METHOD = b'CONNECT'
 END_OF_HEAD = b'\r\n\r\n'
 MAX_HEAD_BYTES = 1024
+# In the request of a node that reads frames, and in the response of one that
+# sends them.
+_FRAMES_HEADER = 'frames: 1'
 
 
 @dataclass(slots=True, frozen=True)
@@ -32,11 +36,14 @@
         The endpoint; empty if the asking node does not know it any more.
     node : str
         Name of the asking node.
+    reads_frames : bool
+        Whether it reads frames; older releases do not.
     """
 
     address: str
     replica_id: str
     node: str
+    reads_frames: bool = True
 
     def encode(self) -> bytes:
         """Return the head of the request."""
@@ -45,6 +52,7 @@
             f'host: {self.address}',
             f'replica: {self.replica_id}',
             f'user-agent: {self.node}',
+            *([_FRAMES_HEADER] if self.reads_frames else ()),
         )
         return '\r\n'.join((*lines, '', '')).encode()
 
@@ -58,9 +66,18 @@
         words[1] if len(words) > 1 else '',
         headers.get('replica', ''),
         headers.get('user-agent', ''),
+        reads_frames=_FRAMES_HEADER in lines,
     )
 
 
+def encode_response(status: TunnelStatus, *, sends_frames: bool) -> bytes:
+    """Return the head of the response."""
+    lines = [f'HTTP/1.1 {status} Tunnel']
+    if sends_frames:
+        lines.append(_FRAMES_HEADER)
+    return '\r\n'.join((*lines, '', '')).encode()
+
+
 class TunnelStatus(IntEnum):
     """Response of the relaying node.
 
@@ -125,13 +142,15 @@
     host, _, port = peer.rpartition(':')
     loop = asyncio.get_running_loop()
     transport = None
+    head = b''
     status = 0
     try:
         async with lag_aware_timeout_at(deadline):
             made = await loop.create_connection(_Handshake, host, int(port))
             transport = made[0]
             transport.write(req.encode())
-            status = _parse_status(await made[1].response)
+            head = await made[1].response
+            status = _parse_status(head)
     except (OSError, TimeoutError) as exc:
         raise PeerUnavailableError(f'{peer}: {exc!r}') from exc
     finally:
@@ -139,7 +158,8 @@
             transport.abort()
     _raise_for_status(status, req.address, peer)
     conn = HttpConnection(req.address)
-    conn.adopt(transport, peer)
+    sends_frames = _FRAMES_HEADER.encode() in head
+    conn.adopt(transport, peer, FrameReader(conn) if sends_frames else conn)
     return conn
 
 
--- a/samphirerill/relay/tunnels/server.py
+++ b/samphirerill/relay/tunnels/server.py
@@ -12,6 +12,7 @@
     TunnelRequest,
     TunnelStatus,
     decode_request,
+    encode_response,
 )
 from samphirerill.relay.tunnels.tunnel import LOST_SILENCE_S, Tunnel
 
@@ -78,6 +79,7 @@
             address,
             self._tunnels.discard,
             partial(self._state.pool.dialer.paths.note_success, address),
+            sends_frames=req.reads_frames,
         )
         status = self._find_obstacle(address)
         if status is TunnelStatus.OPEN:
@@ -96,7 +98,7 @@
                 'open': len(self._tunnels),
             },
         )
-        transport.write(b'HTTP/1.1 %d Tunnel\r\n\r\n' % status)
+        transport.write(encode_response(status, sends_frames=req.reads_frames))
         if status is TunnelStatus.OPEN:
             self._join(tunnel, transport)
         else:
--- a/samphirerill/relay/tunnels/tunnel.py
+++ b/samphirerill/relay/tunnels/tunnel.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from samphirerill.relay.sockets import disable_nagle
+from samphirerill.relay.tunnels.frames import END_FRAME, encode_frame
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,6 +35,10 @@
         """Forward to the other end."""
         self._tunnel.forward(self, data)
 
+    def eof_received(self) -> None:
+        """Tell the other end that this one has ended in order."""
+        self._tunnel.forward_end(self)
+
     def pause_writing(self) -> None:
         """Stop reading at the other end, as this one is not read."""
         self._tunnel.get_other(self).transport.pause_reading()
@@ -60,6 +65,9 @@
         Called once when either end has closed.
     on_response : callable
         Called each time that the endpoint has answered.
+    sends_frames : bool
+        Whether bytes for the other node are in frames, which say how the
+        endpoint's connection has ended.
     """
 
     __slots__ = (
@@ -68,6 +76,7 @@
         '_loop',
         '_on_end',
         '_on_response',
+        '_sends_frames',
         'address',
         'endpoint',
         'node',
@@ -78,8 +87,11 @@
         address: str,
         on_end: Callable[[Tunnel], None],
         on_response: Callable[[], None],
+        *,
+        sends_frames: bool,
     ) -> None:
         self.address = address
+        self._sends_frames = sends_frames
         self.node = TunnelEnd(self)
         self.endpoint = TunnelEnd(self)
         self._loop = asyncio.get_running_loop()
@@ -103,8 +115,20 @@
         if self._awaits_endpoint and source is self.endpoint:
             self._on_response()
         self._awaits_endpoint = source is self.node
+        if self._sends_frames and source is self.endpoint:
+            data = encode_frame(data)
         target.write(data)
 
+    def forward_end(self, source: TunnelEnd) -> None:
+        """Tell the other node that the endpoint has ended its connection."""
+        target = self.get_other(source).transport
+        if (
+            self._sends_frames
+            and source is self.endpoint
+            and target is not None
+        ):
+            target.write(END_FRAME)
+
     def is_in_use(self) -> bool:
         """Return whether a response seems to be in progress."""
         quiet_s = self._loop.time() - self._last_bytes_at
--- a/samphirerill/tests/test_cut_off_nodes.py
+++ b/samphirerill/tests/test_cut_off_nodes.py
@@ -10,9 +10,11 @@
 from msgspec import json
 from msgspec.structs import replace
 
+from samphirerill.backends.framing import Framing
 from samphirerill.relay.errors import EndpointError
 from samphirerill.relay.orders import ACCEPTED_STATUSES, send_order
 from samphirerill.testing.cut_links import CutKind, CutLinks
+from samphirerill.testing.fake_connection import BreakKind, StreamBreak
 from samphirerill.testing.platform_harness import PlatformHarness
 from samphirerill.tests.crashing_engines import build_headers, find_ports
 from samphirerill.tests.platform_documents import (
@@ -117,6 +119,20 @@
         """Cut the first node off; return it."""
         return self.cut_off(1, kind)[0]
 
+    async def check_relay_loss(self) -> None:
+        """Streams must be complete although the node that relays them ends."""
+        self.slow_streams()
+        node = self.cut_off_first(CutKind.RESET)
+        streams = self.start_streams(node, 'relayed')
+        await asyncio.sleep(_UNDER_WAY_S)
+        relay = max(
+            self.nodes[1:],
+            key=lambda peer: peer.state.counters['tunnels.served.200'],
+        )
+        await self.harness.stop_node(relay)
+        statuses = await asyncio.gather(*streams)
+        self.assertEqual(statuses, [_OK] * _STREAMS)
+
     def slow_streams(self) -> None:
         """Let streams last over a second."""
         for replica in self.harness.replicas.values():
@@ -280,17 +296,7 @@
 
     async def test_stream_survives_the_node_that_relays_it(self) -> None:
         """Guards against streams lost with the node that relayed them."""
-        self.slow_streams()
-        node = self.cut_off_first(CutKind.RESET)
-        streams = self.start_streams(node, 'relayed')
-        await asyncio.sleep(_UNDER_WAY_S)
-        relay = max(
-            self.nodes[1:],
-            key=lambda peer: peer.state.counters['tunnels.served.200'],
-        )
-        await self.harness.stop_node(relay)
-        statuses = await asyncio.gather(*streams)
-        self.assertEqual(statuses, [_OK] * _STREAMS)
+        await self.check_relay_loss()
 
     async def test_stream_survives_a_cut_of_the_node_that_relays_it(
         self,
@@ -379,3 +385,40 @@
         status = await self.send(node, 'hopeless', target)
         self.assertEqual(status, _UNAVAILABLE)
         self.assertLess(loop.time() - started_at, _REFUSAL_S)
+
+
+class TestUnframedResponses(CutOffNodesCase):
+    """Relayed responses that end with their connection."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for replica in self.harness.replicas.values():
+            replica.delivery.framing = Framing.CONNECTION
+
+    async def test_complete_ones_run_once(self) -> None:
+        """Guards against complete responses that are taken for broken ones."""
+        node = self.cut_off_first(CutKind.RESET)
+        for target in (b'/notes/x', b'/pickup/x'):
+            with self.subTest(target):
+                served = await self.count_served(node, 'unframed', target)
+                self.assertEqual(served, _REQUESTS)
+        self.assertGreater(node.state.counters['tunnels.opened'], 0)
+        self.assertEqual(node.state.counters['streams.broken'], 0)
+
+    async def test_end_of_the_relay_is_not_the_end_of_a_stream(self) -> None:
+        """Guards against streams that end as complete with their relay."""
+        await self.check_relay_loss()
+
+    async def test_broken_ones_are_resumed(self) -> None:
+        """Guards against breaks that a tunnel hides."""
+        node = self.cut_off_first(CutKind.RESET)
+        for kind, part in (
+            (BreakKind.ORDERLY, b'id: 6\ndata'),
+            (BreakKind.RESET, b''),
+        ):
+            with self.subTest(kind):
+                planned = StreamBreak(_EVENTS // 2, part, kind)
+                for replica in self.harness.replicas.values():
+                    replica.delivery.stream_break = planned
+                status = await self.send(node, f'broken-{kind.name}')
+                self.assertEqual((status, planned.remaining), (_OK, 0))
--- a/samphirerill/tests/test_tunnels.py
+++ b/samphirerill/tests/test_tunnels.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 from unittest import IsolatedAsyncioTestCase
 
-from samphirerill.relay.connection import serialize_request
+from samphirerill.backends.framing import Framing
+from samphirerill.relay.connection import HttpConnection, serialize_request
 from samphirerill.relay.errors import (
     BrokenResponseError,
     ConnectRefusedError,
     PeerUnavailableError,
 )
 from samphirerill.relay.pool import call_once, read_response
+from samphirerill.relay.tunnels.frames import (
+    END_FRAME,
+    FrameReader,
+    encode_frame,
+)
 from samphirerill.relay.tunnels.handshake import TunnelRequest, open_tunnel
 from samphirerill.testing.cut_links import CutKind, CutLinks
 from samphirerill.testing.platform_harness import PlatformHarness
@@ -22,9 +27,6 @@
     build_configuration,
 )
 
-if TYPE_CHECKING:
-    from samphirerill.relay.connection import HttpConnection
-
 _OK = 200
 _TIMEOUT_S = 2.0
 _NODE = 'node-1'
@@ -54,10 +56,16 @@
         self.address = self.harness.addresses['desk-1']
 
     async def open(
-        self, address: str = '', replica_id: str = ''
+        self,
+        address: str = '',
+        replica_id: str = '',
+        *,
+        reads_frames: bool = True,
     ) -> HttpConnection:
         """Open a tunnel."""
-        req = TunnelRequest(address or self.address, replica_id, 'tester')
+        req = TunnelRequest(
+            address or self.address, replica_id, 'tester', reads_frames
+        )
         return await open_tunnel(self.peer, req, self.loop.time() + _TIMEOUT_S)
 
     def build_call(self) -> bytes:
@@ -122,6 +130,44 @@
             await read_response(conn, self.loop.time() + _TIMEOUT_S)
 
 
+class TestFrames(TunnelCase):
+    """How the end of an endpoint's connection is told."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.harness.replicas['desk-1'].delivery.framing = Framing.CONNECTION
+
+    async def test_orderly_end_completes_a_response(self) -> None:
+        """Guards against complete responses that are taken for broken ones."""
+        conn = await self.open()
+        conn.send(self.build_call())
+        response = await read_response(conn, self.loop.time() + _TIMEOUT_S)
+        self.assertEqual(response, (_OK, b'plain body'))
+
+    async def test_older_nodes_read_no_end(self) -> None:
+        """Guards against frames for a node that cannot read them."""
+        conn = await self.open(reads_frames=False)
+        conn.send(self.build_call())
+        head = await conn.read(self.loop.time() + _TIMEOUT_S)
+        self.assertEqual(getattr(head, 'status', 0), _OK)
+        with self.assertRaises(BrokenResponseError):
+            await read_response(conn, self.loop.time() + _TIMEOUT_S)
+
+    async def test_frames_may_arrive_in_any_pieces(self) -> None:
+        body = b'HTTP/1.1 200 OK\r\n\r\n' + bytes(300)
+        frames = encode_frame(body[:30]) + encode_frame(body[30:]) + END_FRAME
+        for size in (1, 2, 3, 5, 29, 40, len(frames)):
+            conn = HttpConnection(self.address)
+            conn.send(self.build_call())
+            reader = FrameReader(conn)
+            rest = frames
+            while rest:
+                reader.data_received(rest[:size])
+                rest = rest[size:]
+            response = await read_response(conn, self.loop.time() + _TIMEOUT_S)
+            self.assertEqual(response, (_OK, bytes(300)))
+
+
 class TestRefusedTunnels(TunnelCase):
     """Tunnels that a node does not open."""
 
