Own interface: responses that end with their connection are read whole

What callers and operators got: a plain service that answers with neither a length nor chunks failed each attempt though its response was whole; a health check or load poll answered so, or in chunks, counted as a dead endpoint. Change: EndpointCall completes such a response at the orderly end; a reset and a short body fail as before, and a stream still needs its last token.

--- a/samphirerill/backends/endpoint_call.py
+++ b/samphirerill/backends/endpoint_call.py
@@ -18,6 +18,7 @@
     emit_endpoint_events,
     emit_request_limit,
 )
+from samphirerill.backends.framing import Framing, find_framing
 from samphirerill.core.events import AttemptFailed, AttemptSent
 
 if TYPE_CHECKING:
@@ -61,6 +62,8 @@
         self._transport: Any = None
         self._parser = HttpResponseParser(self)
         self._sent_at = 0.0
+        # Whether the head is complete.
+        self._has_head = False
         self._closed = False
         self._paused = False
 
@@ -113,6 +116,11 @@
         except HttpParserError as exc:
             self._fail(f'got an answer that is not HTTP: {exc}')
 
+    def eof_received(self) -> None:
+        """Complete a response that is delimited by the connection's end."""
+        if self._has_head and self._find_framing() is Framing.CONNECTION:
+            self.on_message_complete()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the attempt if the response was incomplete."""
         self._fail('the connection closed before the answer was whole')
@@ -125,6 +133,7 @@
     def on_headers_complete(self) -> None:
         """Store the status and emit what the headers say of the endpoint."""
         self.status = self._parser.get_status_code()
+        self._has_head = True
         if self._closed:
             return
         self.wants_no_requests = emit_endpoint_events(
@@ -150,6 +159,10 @@
     def on_message_complete(self) -> None:
         """Handle the end of the response."""
 
+    def _find_framing(self) -> Framing:
+        names = [name.lower().encode('latin-1') for name, _ in self.headers]
+        return find_framing(self.status, names)
+
     def _emit(self, event: object) -> None:
         if not self._closed:
             self._sink.apply(event)
--- a/samphirerill/node/health_checks.py
+++ b/samphirerill/node/health_checks.py
@@ -3,37 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from samphirerill.backends.endpoint_headers import emit_endpoint_events
 from samphirerill.backends.engine_call import emit_load_report
 from samphirerill.core.configuration import ENGINE
 from samphirerill.core.events import ProbeFinished
+from samphirerill.node.endpoint_responses import read_response
 from samphirerill.node.loop_lag import lag_aware_timeout_at
 
 if TYPE_CHECKING:
-    from samphirerill.backends.endpoint_headers import Headers
     from samphirerill.core.commands import ProbeEndpoint
     from samphirerill.core.configuration import Endpoint
     from samphirerill.core.state import EndpointState
+    from samphirerill.node.endpoint_responses import EndpointResponse
     from samphirerill.node.node import Node
 
 PROBE_TIMEOUT_S = 0.4
 LOAD_POLLS_PER_S = 8.0
 LOAD_REPORT_TTL_S = 1.0
 _IDLE_INTERVAL_S = 0.25
-_MAX_BODY_BYTES = 65_536
-_STATUS_DIGITS = 3
-
-
-@dataclass(slots=True, frozen=True)
-class _Answer:
-    """An endpoint's answer to a health check, load poll or order."""
-
-    status: int
-    headers: Headers
-    body: bytes
 
 
 async def probe_endpoint(command: ProbeEndpoint, node: Node) -> None:
@@ -77,7 +66,7 @@
 
     Sends a POST request if there is a `body`, else a GET request.
     """
-    answer = await _try_fetch_answer(address, target, body)
+    answer = await _try_fetch_response(address, target, body)
     return None if answer is None else answer.body
 
 
@@ -89,7 +78,7 @@
     body: bytes | None = None,
 ) -> bytes | None:
     """Do the same, and pass on what the answer says of its endpoint."""
-    answer = await _try_fetch_answer(address, target, body)
+    answer = await _try_fetch_response(address, target, body)
     if answer is None:
         return None
     _emit_headers(name, address, answer, node)
@@ -122,7 +111,7 @@
 
 
 def _emit_headers(
-    endpoint: str, address: str, answer: _Answer, node: Node
+    endpoint: str, address: str, answer: EndpointResponse, node: Node
 ) -> None:
     emit_endpoint_events(endpoint, address, answer.status, answer.headers, node)
 
@@ -148,9 +137,9 @@
     return min(stale_states, key=lambda item: item.reported_at, default=None)
 
 
-async def _try_fetch_answer(
+async def _try_fetch_response(
     address: str, target: str, body: bytes | None
-) -> _Answer | None:
+) -> EndpointResponse | None:
     try:
         return await _fetch_with_timeout(address, target, body)
     except (OSError, EOFError, TimeoutError, ValueError):
@@ -159,42 +148,19 @@
 
 async def _fetch_with_timeout(
     address: str, target: str, body: bytes | None
-) -> _Answer:
+) -> EndpointResponse:
     deadline = asyncio.get_running_loop().time() + PROBE_TIMEOUT_S
     async with lag_aware_timeout_at(deadline):
         return await _fetch(address, target, body)
 
 
-async def _fetch(address: str, target: str, body: bytes | None) -> _Answer:
+async def _fetch(
+    address: str, target: str, body: bytes | None
+) -> EndpointResponse:
     host, _, port = address.rpartition(':')
     reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(build_fetch_request(target, address, body))
     try:
-        head = await reader.readuntil(b'\r\n\r\n')
-        status_line, *lines = head.decode('latin-1').split('\r\n')
-        headers = _parse_headers(lines)
-        body = await reader.readexactly(_parse_content_length(headers))
-        return _Answer(_parse_status(status_line), headers, body)
+        return await read_response(reader)
     finally:
         writer.close()
-
-
-def _parse_status(status_line: str) -> int:
-    """Return the status; 0, which says nothing, if there is none."""
-    _, _, text = status_line.partition(' ')
-    digits = text[:_STATUS_DIGITS]
-    return int(digits) if digits.isdecimal() else 0
-
-
-def _parse_headers(lines: list[str]) -> Headers:
-    pairs = (line.partition(':') for line in lines)
-    return [(name, text.strip()) for name, _, text in pairs]
-
-
-def _parse_content_length(headers: Headers) -> int:
-    for name, text in headers:
-        if name.lower() == 'content-length':
-            length = int(text)
-            if length <= _MAX_BODY_BYTES:
-                return length
-    raise ValueError('got no valid Content-Length')
--- a/samphirerill/tests/test_endpoint_headers.py
+++ b/samphirerill/tests/test_endpoint_headers.py
@@ -34,6 +34,7 @@
 _LEAVING = (
     b'HTTP/1.1 %d Status\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n'
 )
+_UNFRAMED = b'HTTP/1.1 %d Status\r\n\r\n'
 _NOT_RUN = b'{"ran": false}'
 
 
@@ -73,8 +74,8 @@
         """Ignore the end."""
 
 
-class TestCalls(IsolatedAsyncioTestCase):
-    """Which answers count."""
+class CallsCase(IsolatedAsyncioTestCase):
+    """Calls whose answers are fed by hand."""
 
     def setUp(self) -> None:
         self.events: list[object] = []
@@ -95,6 +96,10 @@
     def build_engine_call(self) -> EngineCall:
         return EngineCall(_OPENED, b'', self)
 
+
+class TestCalls(CallsCase):
+    """Which answers count."""
+
     async def test_back_off_comes_before_the_outcome(self) -> None:
         """Guards against a retry that is placed before the rest is known."""
         answer = _BACK_OFF % (len(_NOT_RUN), _NOT_RUN)
@@ -166,3 +171,46 @@
         ignored = self.events[1]
         assert isinstance(ignored, RetryAfterIgnored)
         self.assertEqual(ignored.received, 'x' * 40)
+
+
+class TestUnframedAnswers(CallsCase):
+    """Answers without a length or chunks, which end with their connection."""
+
+    def end(self, call: EndpointCall, exc: Exception | None) -> type:
+        """End the connection of a call; return the type of its outcome."""
+        if exc is None:
+            call.eof_received()
+        call.connection_lost(exc)
+        outcomes = (ServiceAnswered, AttemptRefused, AttemptFailed)
+        kinds = [type(event) for event in self.events]
+        return next(kind for kind in kinds if kind in outcomes)
+
+    async def test_orderly_end_completes_a_plain_answer(self) -> None:
+        """Guards against a complete answer that counts as failed."""
+        call = self.build_service_call()
+        self.receive(call, _UNFRAMED % 200, b'whole')
+        self.assertIs(self.end(call, None), ServiceAnswered)
+        self.assertEqual(call.body, b'whole')
+
+    async def test_reset_completes_nothing(self) -> None:
+        """Guards against a truncated answer that counts as complete."""
+        call = self.build_service_call()
+        self.receive(call, _UNFRAMED % 200, b'ha')
+        self.assertIs(self.end(call, ConnectionResetError()), AttemptFailed)
+
+    async def test_short_body_is_not_complete(self) -> None:
+        """Guards against an end that counts for more than the length."""
+        call = self.build_service_call()
+        self.receive(call, b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha')
+        self.assertIs(self.end(call, None), AttemptFailed)
+
+    async def test_orderly_end_completes_a_rejection(self) -> None:
+        call = self.build_engine_call()
+        self.receive(call, _UNFRAMED % 503, _NOT_RUN)
+        self.assertIs(self.end(call, None), AttemptRefused)
+
+    async def test_orderly_end_completes_no_stream(self) -> None:
+        """Guards against a stream that ends without its last token."""
+        call = self.build_engine_call()
+        self.receive(call, _UNFRAMED % 200)
+        self.assertIs(self.end(call, None), AttemptFailed)
