--- a/samphirerill/node/endpoint_responses.py
+++ b/samphirerill/node/endpoint_responses.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from asyncio import LimitOverrunError
+import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from samphirerill.backends.framing import Framing, find_framing
 
 if TYPE_CHECKING:
-    import asyncio
-
     from samphirerill.backends.endpoint_headers import Headers
 
 _MAX_BODY_BYTES = 65_536
@@ -49,7 +47,7 @@
 async def _read_until(reader: asyncio.StreamReader, separator: bytes) -> bytes:
     try:
         return await reader.readuntil(separator)
-    except LimitOverrunError as exc:
+    except asyncio.LimitOverrunError as exc:
         raise ValueError(
             f'got a head or chunk size without end: {exc}'
         ) from exc
