Streams to clients of HTTP/1.0 end with their connection, and are reset if aborted

What such a client got: sizes of chunks between the events, as the node sent every stream in chunks. A stream without chunks, in turn, would look complete when the node aborts it: abort() closes in order. So the end of what the node sends was left to a framing that these clients do not know (class of ORDER, at the other end). Change: without chunks the connection ends the stream, and abort() resets it. A node that is killed still ends such a stream in order: the kernel closes its connections.

--- a/samphirerill/relay/request.py
+++ b/samphirerill/relay/request.py
@@ -14,7 +14,8 @@
     """One parsed request; header names are in lower case.
 
     `arrived_at` is when the request was complete, on the loop's clock;
-    `keeps_alive` is whether its connection stays open after the response;
+    `keeps_alive` is whether its connection stays open after the response, and
+    `accepts_chunks` whether the response may be in chunks, as of HTTP/1.1;
     `chunks` are the parts of the body that were read so far, and `chunk_bytes`
     is their size.
     """
@@ -25,6 +26,7 @@
     arrived_at: float
     body: bytes = b''
     keeps_alive: bool = True
+    accepts_chunks: bool = True
     chunks: list[bytes] = field(default_factory=list)
     chunk_bytes: int = 0
 
--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -25,7 +25,7 @@
 )
 from samphirerill.relay.request import Request
 from samphirerill.relay.request_validation import validate_head
-from samphirerill.relay.sockets import disable_nagle
+from samphirerill.relay.sockets import disable_nagle, reset_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,6 +50,7 @@
 # Headers that frame a body, and a request line to replay them to a parser.
 _FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 _REPLAY_REQUEST_LINE = b'POST / HTTP/1.1'
+_OLD_VERSION = '1.0'
 _REASONS = {
     status.value: status.phrase.encode('latin-1') for status in HTTPStatus
 }
@@ -129,6 +130,7 @@
         # Buffered bytes of responses that a queued request waits for.
         self._unread_bytes = 0
         self._chunked = False
+        self._ends_with_connection = False
         self._keeps_alive = True
         self._in_message = False
         self._awaits_continue = False
@@ -240,6 +242,7 @@
             self._headers,
             self._loop.time(),
             keeps_alive=self._parser.should_keep_alive(),
+            accepts_chunks=self._parser.get_http_version() != _OLD_VERSION,
         )
         status = validate_head(req, self._limits)
         if status:
@@ -284,18 +287,25 @@
     def start_response(
         self, status: int, headers: Headers, length: int | None
     ) -> None:
-        """Write a response head; `length` is ``None`` for chunked encoding."""
+        """Write a response head; `length` is ``None`` if it is not known.
+
+        The body is then sent in chunks, or ends with the connection for clients of
+        HTTP/1.0.
+        """
         self.response_started = True
-        self._chunked = length is None
+        self._chunked = length is None and self._accepts_chunks()
+        self._ends_with_connection = length is None and not self._chunked
+        if self._ends_with_connection:
+            self._keeps_alive = False
         has_next = self._in_message or bool(self._queue)
         if self._handler.is_draining() and not has_next:
             # Requests that were already begun are served before the close.
             self._keeps_alive = False
         lines = [b'HTTP/1.1 %d %b' % (status, _REASONS.get(status, b'Other'))]
         lines.extend(b'%b: %b' % pair for pair in headers)
-        if length is None:
+        if self._chunked:
             lines.append(b'transfer-encoding: chunked')
-        else:
+        elif length is not None:
             lines.append(b'content-length: %d' % length)
         if self._keeps_alive:
             self._idle_timeout_s = self._handler.get_limits().idle_timeout_s
@@ -333,7 +343,11 @@
         self._keeps_alive = False
         self._note_close(reason)
         self._report_close()
-        if self._transport is not None:
+        if self._transport is None:
+            return
+        if self._ends_with_connection:
+            reset_connection(self._transport)
+        else:
             self._transport.abort()
 
     def shut_down(self) -> None:
@@ -375,6 +389,9 @@
                 self._abort_slow_client()
                 return
 
+    def _accepts_chunks(self) -> bool:
+        return self._served is None or self._served.accepts_chunks
+
     def _watch_unread_responses(self) -> None:
         """Give a client time to read what keeps its next request waiting."""
         self._unread_bytes = self._transport.get_write_buffer_size()
--- a/samphirerill/tests/test_incomplete_responses.py
+++ b/samphirerill/tests/test_incomplete_responses.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from samphirerill.backends.framing import Framing
+from samphirerill.relay.connection import serialize_request
 from samphirerill.relay.server_sent_events import MAX_EVENT_BYTES
 from samphirerill.testing.fake_connection import BreakKind, StreamBreak
 from samphirerill.tests.platform_documents import build_configuration
-from samphirerill.tests.two_engines import EVENTS, OK, TwoEnginesCase
+from samphirerill.tests.two_engines import (
+    EVENTS,
+    OK,
+    RESPONSE_TIMEOUT_S,
+    TwoEnginesCase,
+    build_headers,
+)
 
 if TYPE_CHECKING:
     from samphirerill.testing.platform_replicas import FakeReplica
@@ -149,3 +157,33 @@
                 self.assert_complete(response)
                 self.assertEqual(len(self.list_used_engines()), 1)
         self.assertEqual(response[0], OK)
+
+
+class TestOldClients(BreakingEnginesCase):
+    """Clients of HTTP/1.0, which know no chunks."""
+
+    async def test_stream_ends_with_the_connection(self) -> None:
+        """Guards against sizes of chunks within the events."""
+        head, body = await self.request_as_old_client()
+        self.assertNotIn(b'transfer-encoding', head)
+        self.assertEqual(body, self.build_events(EVENTS))
+
+    async def test_aborted_stream_is_reset(self) -> None:
+        """Guards against a truncated stream that ends in order."""
+        await self.configure(build_configuration(8, resumable=False))
+        self.break_next_stream(Framing.CONNECTION, BreakKind.ORDERLY, _PARTS[0])
+        with self.assertRaises(ConnectionResetError):
+            await self.request_as_old_client()
+
+    async def request_as_old_client(self) -> tuple[bytes, bytes]:
+        """Send a stream; return head and body once the connection has ended."""
+        port = self.process.get_port()
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        req = serialize_request(b'POST', b'/notes/x', build_headers('old'), b'')
+        writer.write(req.replace(b'HTTP/1.1', b'HTTP/1.0', 1))
+        try:
+            async with asyncio.timeout(RESPONSE_TIMEOUT_S):
+                head, _, body = (await reader.read(-1)).partition(b'\r\n\r\n')
+        finally:
+            writer.close()
+        return head, body
