Soak: a quarter of the responses end with their connection, some inside an event

Replicas crash in two ways now: their connections are reset, or end in order with a part of an event, as a kernel ends them. The proxies hand a reset on as one, and reset with SO_LINGER; abort() made an orderly end of both, so that no soak could have shown ORDER.

--- a/samphirerill/testing/fake_connection.py
+++ b/samphirerill/testing/fake_connection.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 from samphirerill.relay.closed_connections import CloseReason
 from samphirerill.backends.framing import Framing
@@ -16,6 +16,10 @@
     from samphirerill.relay.server import RequestHandler
 
 
+# The beginning of an event.
+_PART = b'id: '
+
+
 class BreakKind(Enum):
     """How a response ends that was broken off.
 
@@ -93,11 +97,12 @@
     def __init__(
         self,
         handler: RequestHandler,
-        connections: set[ClientConnection],
+        connections: set[FakeConnection],
         delivery: Delivery,
     ) -> None:
-        super().__init__(handler, connections)
-        self._delivery = delivery
+        super().__init__(handler, cast('set[ClientConnection]', connections))
+        self.delivery = delivery
+        self._is_response_unframed = False
         # The head and the body of a stream that is sent with its length.
         self._buffered: tuple[int, Headers, list[bytes]] | None = None
 
@@ -105,9 +110,9 @@
         self, status: int, headers: Headers, length: int | None
     ) -> None:
         """Write a response head with or without framing."""
-        if self._delivery.framing is Framing.CONNECTION:
+        if self.delivery.framing is Framing.CONNECTION:
             self._start_unframed(status, headers)
-        elif self._delivery.framing is Framing.LENGTH and length is None:
+        elif self.delivery.framing is Framing.LENGTH and length is None:
             self._buffered = (status, headers, [])
         else:
             super().start_response(status, headers, length)
@@ -130,7 +135,7 @@
 
     def break_stream(self, number: int) -> bool:
         """Break off a stream before an event if planned; return whether it was."""
-        planned = self._delivery.stream_break
+        planned = self.delivery.stream_break
         if planned is None or number <= planned.after_event:
             return False
         if not planned.remaining:
@@ -140,8 +145,21 @@
         self._break_off(planned.kind)
         return True
 
+    def crash(self, *, is_reset: bool) -> None:
+        """End the connection as the process of the fake does when it crashes.
+
+        An unframed response that it breaks off in order ends inside an event.
+        """
+        if self._is_response_unframed and is_reset:
+            reset_connection(self._transport)
+            return
+        if self._is_response_unframed and not self._is_response_complete:
+            self.write_body(_PART)
+        self.abort()
+
     def _start_unframed(self, status: int, headers: Headers) -> None:
         self.response_started = True
+        self._is_response_unframed = True
         self._chunked = False
         self._keeps_alive = False
         self._is_input_ignored = True
--- a/samphirerill/testing/platform_harness.py
+++ b/samphirerill/testing/platform_harness.py
@@ -44,7 +44,7 @@
         self.replicas: dict[str, FakeReplica] = {}
         self.addresses: dict[str, str] = {}
         self._connections: set[ClientConnection] = set()
-        self._replica_connections: dict[str, set[ClientConnection]] = {}
+        self._replica_connections: dict[str, set[FakeConnection]] = {}
         self._servers: dict[str, asyncio.Server] = {}
         self._stores: list[PlatformStore] = []
         self._store_address = ''
@@ -111,7 +111,7 @@
     async def start_replica(self, replica: FakeReplica) -> None:
         """Start listening for a replica."""
         name = replica.replica_id
-        connections: set[ClientConnection] = set()
+        connections: set[FakeConnection] = set()
 
         def build_connection() -> FakeConnection:
             return FakeConnection(replica, connections, replica.delivery)
@@ -131,7 +131,7 @@
         """Stop a replica abruptly: close its port and all its connections."""
         self._servers[name].close()
         for conn in tuple(self._replica_connections.pop(name, ())):
-            conn.abort()
+            conn.crash(is_reset=False)
 
     def require_first_node(self) -> EdgeProcess:
         """Return the first node, ready or not."""
--- a/samphirerill/testing/soak/environment.py
+++ b/samphirerill/testing/soak/environment.py
@@ -226,7 +226,9 @@
         slot.replica = None
         slot.entry = b''
         replica.stop()
-        slot.proxy.reset()
+        if slot.starts % 2 == 0:
+            # Else its connections end in order, some inside an event.
+            slot.proxy.reset()
         self._schedule_entry_removal(replica.replica_id)
 
     async def announce_drain(self, slot: ReplicaSlot) -> None:
--- a/samphirerill/testing/soak/proxy.py
+++ b/samphirerill/testing/soak/proxy.py
@@ -10,6 +10,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from samphirerill.relay.sockets import reset_connection
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -59,7 +61,7 @@
     def reset(self) -> None:
         """Reset every open connection."""
         for writer in tuple(self._writers):
-            writer.transport.abort()
+            reset_connection(writer.transport)
 
     def clear_faults(self) -> None:
         """Clear all faults; traffic is forwarded unchanged."""
@@ -92,7 +94,7 @@
             )
         except (OSError, ValueError):
             # The client sees a reset, as it would without a proxy.
-            writer.transport.abort()
+            reset_connection(writer.transport)
         finally:
             self._close_writer(writer)
             self._close_writer(upstream_writer)
@@ -116,7 +118,10 @@
         finally:
             for task in tasks:
                 task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            ends = await asyncio.gather(*tasks, return_exceptions=True)
+        for end in ends:
+            if isinstance(end, OSError):
+                raise end
 
     async def _forward(
         self,
--- a/samphirerill/testing/soak/replicas.py
+++ b/samphirerill/testing/soak/replicas.py
@@ -13,8 +13,10 @@
 
 from msgspec import json
 
+from samphirerill.backends.framing import Framing
 from samphirerill.fleet.model import NO_LAYERS, ClientLimits, LayerRange
-from samphirerill.relay.listeners import listen
+from samphirerill.relay.listeners import listen_with
+from samphirerill.testing.fake_connection import Delivery, FakeConnection
 
 if TYPE_CHECKING:
     from samphirerill.relay.server import ClientConnection, Request
@@ -37,6 +39,10 @@
 # First digits of the ids of requests with many events.
 _LONG_PREFIXES = '012'
 _LONG_FACTOR = 8
+# A quarter of the responses end with their connection: those to ids with one of
+# these digits at this position.
+_FRAMING_DIGIT = 1
+_UNFRAMED_DIGITS = '0123'
 # The platform's bound plus a margin for message delay on a loaded machine.
 _DRAIN_BOUND_S = 2.5
 _POLL_INTERVAL_S = 0.02
@@ -55,6 +61,21 @@
     return request_id[0] in _LONG_PREFIXES
 
 
+def _choose_framing(request_id: str) -> Framing:
+    """Return how the response to a request is delimited."""
+    if request_id[_FRAMING_DIGIT:].startswith(tuple(_UNFRAMED_DIGITS)):
+        return Framing.CONNECTION
+    return Framing.CHUNKS
+
+
+def _break_off(conn: ClientConnection, *, is_reset: bool) -> None:
+    """Break off a response in the way of a crash."""
+    if isinstance(conn, FakeConnection):
+        conn.crash(is_reset=is_reset)
+    else:
+        conn.abort()
+
+
 class ReplicaRegistry:
     """Running replicas by address, so that engines see other stages."""
 
@@ -129,7 +150,7 @@
         self._replicas = replicas
         self._ground_truth = replicas.ground_truth
         self._loop = asyncio.get_running_loop()
-        self._connections: set[ClientConnection] = set()
+        self._connections: set[FakeConnection] = set()
         self._server: asyncio.Server | None = None
         self._is_busy = False
         # Given up, but kept for the streams that pass through them.
@@ -140,8 +161,8 @@
 
     async def start(self) -> None:
         """Start listening and register."""
-        self._server = await listen(
-            self._listen_address, self, self._connections
+        self._server = await listen_with(
+            self._build_connection, self._listen_address
         )
         self._replicas.by_address[self.address] = self
 
@@ -153,7 +174,7 @@
         for task in tuple(self._tasks):
             task.cancel()
         for conn in tuple(self._connections):
-            conn.abort()
+            conn.crash(is_reset=False)
         if self._replicas.find(self.address) is self:
             self._replicas.by_address.pop(self.address)
 
@@ -219,6 +240,8 @@
 
     async def handle(self, req: Request, conn: ClientConnection) -> None:
         """Handle one request."""
+        if isinstance(conn, FakeConnection):
+            conn.delivery.framing = _choose_framing(_read_id(req))
         if req.target == b'/report':
             conn.respond(_OK, [], json.encode(self._report()))
         elif req.target == b'/order':
@@ -226,6 +249,9 @@
         else:
             await self._serve(req, conn)
 
+    def _build_connection(self) -> FakeConnection:
+        return FakeConnection(self, self._connections, Delivery())
+
     async def _serve(self, req: Request, conn: ClientConnection) -> None:
         now = self._loop.time()
         self._ground_truth.arrivals[_read_id(req)].add(self.address)
@@ -284,7 +310,7 @@
                 await asyncio.sleep(_EVENT_INTERVAL_S)
                 if not await self._wait_for_stages(run):
                     self._ground_truth.broken_off.add(request_id)
-                    conn.abort()
+                    _break_off(conn, is_reset=number % 2 == 0)
                     return
                 event = f'id: {number}\ndata: {request_id}-{number}\n\n'
                 conn.write_body(event.encode())
