--- a/samphirerill/tests/test_incomplete_responses.py
+++ b/samphirerill/tests/test_incomplete_responses.py
@@ -4,10 +4,14 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from unittest import IsolatedAsyncioTestCase
 
 from samphirerill.backends.framing import Framing
-from samphirerill.relay.connection import serialize_request
+from samphirerill.relay.connection import HttpConnection, serialize_request
+from samphirerill.relay.errors import BrokenResponseError
+from samphirerill.relay.pool import read_response
 from samphirerill.relay.server_sent_events import MAX_EVENT_BYTES
+from samphirerill.relay.sockets import reset_connection
 from samphirerill.testing.fake_connection import BreakKind, StreamBreak
 from samphirerill.tests.platform_documents import build_configuration
 from samphirerill.tests.two_engines import (
@@ -32,6 +36,8 @@
     (Framing.LENGTH, BreakKind.FRAMED),
 )
 _NO_RESPONSE = 0
+# So many that the connection pauses reading.
+_PAUSING_BYTES = 600_000
 
 
 class BreakingEnginesCase(TwoEnginesCase):
@@ -187,3 +193,67 @@
         finally:
             writer.close()
         return head, body
+
+
+class _Ending:
+    """A server that ends its connection after an unframed response."""
+
+    def __init__(self, body: bytes, *, is_reset: bool) -> None:
+        self.has_ended = asyncio.Event()
+        self._body = body
+        self._is_reset = is_reset
+
+    async def respond(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Respond to one request."""
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\n' + self._body)
+        await writer.drain()
+        await asyncio.sleep(_EVENT_INTERVAL_S)
+        if self._is_reset:
+            reset_connection(writer.transport)
+        else:
+            writer.close()
+        self.has_ended.set()
+
+
+class TestConnectionEnds(IsolatedAsyncioTestCase):
+    """How the end of a connection is read, on real sockets."""
+
+    async def exchange(
+        self, body: bytes, *, is_reset: bool, writes_later: bool = False
+    ) -> tuple[int, bytes]:
+        """Return a response without framing that its server ends in some way."""
+        ending = _Ending(body, is_reset=is_reset)
+        server = await asyncio.start_server(ending.respond, '127.0.0.1', 0)
+        async with server:
+            port = server.sockets[0].getsockname()[1]
+            conn = HttpConnection(f'127.0.0.1:{port}')
+            await conn.open()
+            conn.send(serialize_request(b'GET', b'/', [], b''))
+            await ending.has_ended.wait()
+            if writes_later:
+                conn.send(serialize_request(b'GET', b'/', [], b''))
+            deadline = asyncio.get_running_loop().time() + RESPONSE_TIMEOUT_S
+            try:
+                return await read_response(conn, deadline)
+            finally:
+                conn.close()
+
+    async def test_orderly_end_completes_a_response(self) -> None:
+        for body in (b'', b'whole', bytes(_PAUSING_BYTES)):
+            response = await self.exchange(body, is_reset=False)
+            self.assertEqual(response, (OK, body))
+
+    async def test_reset_completes_nothing(self) -> None:
+        """Guards against a reset that is read as an orderly end."""
+        for body in (b'', b'part', bytes(_PAUSING_BYTES)):
+            for writes_later in (False, True):
+                with (
+                    self.subTest(size=len(body), writes_later=writes_later),
+                    self.assertRaises(BrokenResponseError),
+                ):
+                    await self.exchange(
+                        body, is_reset=True, writes_later=writes_later
+                    )
--- a/samphirerill/tests/test_poison_requests.py
+++ b/samphirerill/tests/test_poison_requests.py
@@ -12,6 +12,7 @@
 
 from msgspec import json
 
+from samphirerill.backends.framing import Framing
 from samphirerill.quarantine import digest_request
 from samphirerill.relay.connection import HttpConnection, serialize_request
 from samphirerill.relay.pool import call_once
@@ -141,6 +142,22 @@
         self.assert_few_crashes()
 
 
+class TestUnframedPoisonStream(RepeatedPoisonCase):
+    """Engines whose streams end with their connection, inside an event."""
+
+    async def start_engine(self) -> None:
+        """Start an engine that sends neither a length nor chunks."""
+        await super().start_engine()
+        newest = f'engine-{len(self.harness.replicas) - 1}'
+        self.harness.replicas[newest].delivery.framing = Framing.CONNECTION
+
+    async def test_two_nodes_in_turn(self) -> None:
+        """Guards against crashes that count as completed streams."""
+        await self.add_node()
+        await self.send_repeatedly(self.nodes)
+        self.assert_few_crashes()
+
+
 class TestResponses(RepeatedPoisonCase):
     """Responses to clients and operators."""
 
