Streams: the forwarding of events is a module of its own

relay/streaming.py mixed the sequence of a stream's runs with what is done for each event. EventForwarder has the parser, the check of the end and the ids that were passed on; behaviour, logs and counters are the same.

--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -24,6 +24,7 @@
     ResponseHead,
 )
 from samphirerill.relay.errors import BrokenResponseError, EndpointError
+from samphirerill.relay.event_forwarder import EventForwarder
 from samphirerill.relay.handover import Handover, RunEnd, find_run_end
 from samphirerill.relay.refusals import (
     FAILED,
@@ -34,12 +35,10 @@
 )
 from samphirerill.relay.replacement import STARTED_RANK, ReplacementStarter
 from samphirerill.relay.responses import (
-    check_stream_end,
     filter_headers,
     is_success,
     read_body,
 )
-from samphirerill.relay.server_sent_events import EventParser
 from samphirerill.relay.stream_guard import StreamGuard
 from samphirerill.relay.stream_limits import StreamLimits
 from samphirerill.relay.stream_path import StreamPath, format_path
@@ -114,6 +113,14 @@
         self._limits = StreamLimits(
             state, context, self._progress, self._times, crash_detector
         )
+        self._events = EventForwarder(
+            state,
+            context,
+            self._path,
+            self._progress,
+            self._times,
+            crash_detector,
+        )
         self._ended = False
         self._error_response: tuple[ResponseHead, bytes] | None = None
         self._run = RunTimes(0.0)
@@ -406,69 +413,18 @@
         if not self._progress.has_started:
             self._progress.response_started_at = self._loop.time()
             client.start_response(head.status, filter_headers(head), None)
-        event_parser = EventParser()
+        self._events.start(conn, self._run)
         predicted_s = self._path.predict_gap_s(self._path.stages)
         while not self._ended:
             silence_s = self._times.get_silence_limit_s(predicted_s)
             part = await self._guard.read(conn, silence_s, _read_part)
             if isinstance(part, EndOfResponse):
-                self._finish(conn, event_parser)
+                self._events.finish()
+                self._ended = True
             elif isinstance(part, BodyChunk):
-                self._forward_events(conn, event_parser, part.body)
+                self._events.forward(part.body)
                 await client.drain()
 
-    def _finish(self, conn: HttpConnection, event_parser: EventParser) -> None:
-        """Complete the response to the client if the stream is complete."""
-        self._state.counters[f'streams.ended_by.{conn.framing.value}'] += 1
-        self._log(
-            'stream response ended',
-            framing=conn.framing.value,
-            relayed_by=conn.relayed_by,
-            last_event=self._progress.last_id,
-            run_events=self._run.events,
-            partial_bytes=len(event_parser.buffer),
-        )
-        check_stream_end(conn, event_parser, self._run.events)
-        if self._run.events:
-            self._crash_detector.record_completion(self._context)
-        client = self._context.conn
-        client.write_body(event_parser.buffer)
-        client.finish_response()
-        self._ended = True
-
-    def _forward_events(
-        self, conn: HttpConnection, event_parser: EventParser, body: bytes
-    ) -> None:
-        new_events = []
-        events = event_parser.feed(body)
-        if events:
-            if not self._run.events:
-                self._mark_path_working()
-            self._run.record_events(len(events), self._loop.time())
-            self._crash_detector.record_progress(self._context, self._run)
-        for event in events:
-            if event.event_id < 0 or event.event_id > self._progress.last_id:
-                self._progress.last_id = max(
-                    self._progress.last_id, event.event_id
-                )
-                new_events.append(event.raw)
-        if new_events:
-            self._times.record_event(self._loop.time())
-            self._context.conn.write_body(b''.join(new_events))
-        if event_parser.is_too_long():
-            raise BrokenResponseError(
-                f'{conn.address}: got {len(event_parser.buffer)} bytes without '
-                'the end of an event'
-            )
-
-    def _mark_path_working(self) -> None:
-        """Mark all replicas of the path as working after a first event.
-
-        A response head alone is no proof: an engine may send it and break off.
-        """
-        for stage in self._path.stages:
-            self._state.view.note_alive(stage.replica.replica_id)
-
     def _handle_break(self, conn: HttpConnection, exc: EndpointError) -> None:
         self._run_end = find_run_end(
             exc,
