--- a/samphirerill/relay/server_sent_events.py
+++ b/samphirerill/relay/server_sent_events.py
@@ -11,12 +11,14 @@
 from dataclasses import dataclass, field
 
 # Atomic groups: the two bytes of a CR LF must not be read as two line endings.
-_EVENT_END = re.compile(rb'(?>\r\n|\n|\r)(?>\r\n|\n|\r)')
+_EVENT_END = re.compile(rb'(?>\r\n?|\n)(?>\r\n?|\n)')
 # Bytes of an event end that may be buffered before its last one arrives.
 _MAX_PARTIAL_END = 3
-_ID_FIELD = b'id:'
+_BLANK_LINE = b'\n\n'
+_ID_LINE = re.compile(rb'(?:\A|[\n\r])id:([^\n\r]*)')
 _COMMENT = b':'
-_LINE_ENDS = (b'\n', b'\r')
+_LF = b'\n'
+_CR = b'\r'
 # Bounds the buffer; a run with a longer event is broken off.
 MAX_EVENT_BYTES = 1_048_576
 
@@ -45,16 +47,13 @@
 
     def feed(self, body: bytes) -> list[Event]:
         """Add received data; return the events completed by it."""
-        search_from = max(0, len(self.buffer) - _MAX_PARTIAL_END)
         received = self.buffer + body
-        events = []
-        begin = 0
-        for end in _EVENT_END.finditer(received, search_from):
-            raw = received[begin : end.end()]
-            events.append(Event(raw, _read_id(raw)))
-            begin = end.end()
-        self.buffer = received[begin:]
-        return events
+        if _CR in received:
+            raw_events, rest = _split_any(received, len(self.buffer))
+        else:
+            raw_events, rest = _split_lines(received)
+        self.buffer = rest
+        return [Event(raw, _read_id(raw)) for raw in raw_events]
 
     def is_inside_event(self) -> bool:
         """Return whether an event has begun and not ended.
@@ -62,7 +61,7 @@
         Blank lines and comments belong to no event.
         """
         return any(
-            not line.startswith(_COMMENT) or not line.endswith(_LINE_ENDS)
+            not line.startswith(_COMMENT) or not line.endswith((_LF, _CR))
             for line in self.buffer.splitlines(keepends=True)
             if line.strip(b'\r\n')
         )
@@ -72,9 +71,32 @@
         return len(self.buffer) > MAX_EVENT_BYTES
 
 
+def _split_lines(received: bytes) -> tuple[list[bytes], bytes]:
+    """Return the complete events, whose lines end with LF, and the rest."""
+    parts = received.split(_BLANK_LINE)
+    rest = parts.pop()
+    return [part + _BLANK_LINE for part in parts], rest
+
+
+def _split_any(
+    received: bytes, buffered_bytes: int
+) -> tuple[list[bytes], bytes]:
+    """Return the complete events, however their lines end, and the rest.
+
+    The bytes that were buffered before contain no end of an event.
+    """
+    search_from = max(0, buffered_bytes - _MAX_PARTIAL_END)
+    raw_events = []
+    begin = 0
+    for end in _EVENT_END.finditer(received, search_from):
+        raw_events.append(received[begin : end.end()])
+        begin = end.end()
+    return raw_events, received[begin:]
+
+
 def _read_id(raw: bytes) -> int:
-    for line in raw.splitlines():
-        if line.startswith(_ID_FIELD):
-            text = line[len(_ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else -1
-    return -1
+    found = _ID_LINE.search(raw)
+    if found is None:
+        return -1
+    text = found[1].strip()
+    return int(text) if text.isdigit() else -1
