--- a/samphirerill/tests/test_server_sent_events.py
+++ b/samphirerill/tests/test_server_sent_events.py
@@ -5,7 +5,7 @@
 from itertools import pairwise
 from unittest import TestCase
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from samphirerill.relay.server_sent_events import EventParser
@@ -13,6 +13,7 @@
 _LINE_ENDS = (b'\n', b'\r\n', b'\r')
 _EVENTS = 6
 _MAX_BYTES = 40
+_SETTINGS = settings(max_examples=400, deadline=None, derandomize=True)
 
 
 def _build_event(number: int, line_end: bytes) -> bytes:
@@ -33,6 +34,7 @@
 class TestEvents(TestCase):
     """Complete events."""
 
+    @_SETTINGS
     @given(
         st.lists(st.sampled_from(_LINE_ENDS), min_size=1, max_size=_EVENTS),
         st.lists(st.integers(0, _MAX_BYTES * _EVENTS)),
@@ -49,6 +51,7 @@
         self.assertEqual(_feed(parser, body, cuts), list(range(len(line_ends))))
         self.assertFalse(parser.is_inside_event())
 
+    @_SETTINGS
     @given(
         st.sampled_from(_LINE_ENDS),
         st.integers(1, _MAX_BYTES),
