--- a/samphirerill/backends/framing.py
+++ b/samphirerill/backends/framing.py
@@ -12,10 +12,10 @@
 
 
 class Framing(Enum):
-    """What marks the end of a response; the value is for logs."""
+    """What marks the end of a response; the value is for logs and metrics."""
 
     UNKNOWN = 'unknown'
-    NO_BODY = 'no body'
+    NO_BODY = 'no_body'
     LENGTH = 'length'
     CHUNKS = 'chunks'
     CONNECTION = 'connection'
--- a/samphirerill/relay/event_forwarder.py
+++ b/samphirerill/relay/event_forwarder.py
@@ -11,7 +11,7 @@
 from samphirerill.relay.server_sent_events import EventParser
 
 if TYPE_CHECKING:
-    from samphirerill.relay.connection import HttpConnection
+    from samphirerill.relay.connection import HttpConnection, ResponseHead
     from samphirerill.relay.quarantine import CrashDetector
     from samphirerill.relay.request_context import RequestContext
     from samphirerill.relay.server_sent_events import Event
@@ -46,6 +46,7 @@
         '_conn',
         '_context',
         '_crash_detector',
+        '_head',
         '_loop',
         '_parser',
         '_path',
@@ -73,19 +74,25 @@
         self._loop = asyncio.get_running_loop()
         self._parser = EventParser()
         self._conn: HttpConnection
+        self._head: ResponseHead
         self._run: RunTimes
 
-    def start(self, conn: HttpConnection, run: RunTimes) -> None:
+    def start(
+        self, conn: HttpConnection, head: ResponseHead, run: RunTimes
+    ) -> None:
         """Forward the events of another run from now on.
 
         Parameters
         ----------
         conn : HttpConnection
             Its connection.
+        head : ResponseHead
+            The head of its response.
         run : RunTimes
             Its times, which are kept up to date.
         """
         self._conn = conn
+        self._head = head
         self._run = run
         self._parser = EventParser()
 
@@ -125,7 +132,7 @@
                 'partial_bytes': len(self._parser.buffer),
             },
         )
-        check_stream_end(conn, self._parser, self._run.events)
+        check_stream_end(conn, self._head, self._parser, self._run.events)
         if self._run.events:
             self._crash_detector.record_completion(self._context)
         self._context.conn.write_body(self._parser.buffer)
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -11,6 +11,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from samphirerill.backends.framing import Framing
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.replica_notices import explain_withheld
 from samphirerill.node.logs import get_logger
@@ -26,7 +27,6 @@
     SendWithheldError,
     UnconfirmedConnectError,
 )
-from samphirerill.backends.framing import Framing
 from samphirerill.relay.plain_limits import PlainLimits
 from samphirerill.relay.platform_adapter import Attempt
 from samphirerill.relay.refusals import (
--- a/samphirerill/relay/responses.py
+++ b/samphirerill/relay/responses.py
@@ -33,6 +33,7 @@
     )
 )
 _MAX_STALE_RESPONSES = 8
+_EVENT_STREAM = b'text/event-stream'
 
 
 async def read_head(
@@ -89,7 +90,10 @@
 
 
 def check_stream_end(
-    conn: HttpConnection, event_parser: EventParser, run_events: int
+    conn: HttpConnection,
+    head: ResponseHead,
+    event_parser: EventParser,
+    run_events: int,
 ) -> None:
     """Raise ``BrokenResponseError`` unless a stream has ended as complete.
 
@@ -101,11 +105,15 @@
     ----------
     conn : HttpConnection
         The connection whose response has ended.
+    head : ResponseHead
+        The head of the response.
     event_parser : EventParser
         Has received the whole body.
     run_events : int
         Number of complete events in it.
     """
+    if not _has_events(head):
+        return
     if event_parser.is_inside_event():
         raise BrokenResponseError(
             f'{conn.address}: stream ended inside an event'
@@ -126,6 +134,12 @@
     return [pair for pair in head.headers if pair[0] not in _HOP_BY_HOP_HEADERS]
 
 
+def _has_events(head: ResponseHead) -> bool:
+    """Return whether the body is a series of events, as if nothing is said."""
+    content_type = head.get(b'content-type') or _EVENT_STREAM
+    return content_type.lower().startswith(_EVENT_STREAM)
+
+
 def _is_stale(metadata: ResponseMetadata, request_id: bytes) -> bool:
     if metadata.request_id:
         return metadata.request_id != request_id
--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -314,7 +314,7 @@
             return None
         part = await conn.wait_for_part(deadline)
         if isinstance(part, EndOfResponse):
-            check_stream_end(conn, EventParser(), 0)
+            check_stream_end(conn, head, EventParser(), 0)
         return head
 
     async def _read_head_of(
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -413,7 +413,7 @@
         if not self._progress.has_started:
             self._progress.response_started_at = self._loop.time()
             client.start_response(head.status, filter_headers(head), None)
-        self._events.start(conn, self._run)
+        self._events.start(conn, head, self._run)
         predicted_s = self._path.predict_gap_s(self._path.stages)
         while not self._ended:
             silence_s = self._times.get_silence_limit_s(predicted_s)
--- a/samphirerill/testing/fake_connection.py
+++ b/samphirerill/testing/fake_connection.py
@@ -6,8 +6,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING, cast
 
-from samphirerill.relay.closed_connections import CloseReason
 from samphirerill.backends.framing import Framing
+from samphirerill.relay.closed_connections import CloseReason
 from samphirerill.relay.server import ClientConnection
 from samphirerill.relay.sockets import reset_connection
 
@@ -15,9 +15,7 @@
     from samphirerill.relay.connection import Headers
     from samphirerill.relay.server import RequestHandler
 
-
-# The beginning of an event.
-_PART = b'id: '
+_EVENT_PART = b'id: '
 
 
 class BreakKind(Enum):
@@ -154,7 +152,7 @@
             reset_connection(self._transport)
             return
         if self._is_response_unframed and not self._is_response_complete:
-            self.write_body(_PART)
+            self.write_body(_EVENT_PART)
         self.abort()
 
     def _start_unframed(self, status: int, headers: Headers) -> None:
--- a/samphirerill/tests/test_incomplete_responses.py
+++ b/samphirerill/tests/test_incomplete_responses.py
@@ -7,10 +7,15 @@
 from unittest import IsolatedAsyncioTestCase
 
 from samphirerill.backends.framing import Framing
-from samphirerill.relay.connection import HttpConnection, serialize_request
+from samphirerill.relay.connection import (
+    HttpConnection,
+    ResponseHead,
+    serialize_request,
+)
 from samphirerill.relay.errors import BrokenResponseError
 from samphirerill.relay.pool import read_response
-from samphirerill.relay.server_sent_events import MAX_EVENT_BYTES
+from samphirerill.relay.responses import check_stream_end
+from samphirerill.relay.server_sent_events import MAX_EVENT_BYTES, EventParser
 from samphirerill.relay.sockets import reset_connection
 from samphirerill.testing.fake_connection import BreakKind, StreamBreak
 from samphirerill.tests.platform_documents import build_configuration
@@ -165,6 +170,21 @@
         self.assertEqual(response[0], OK)
 
 
+class TestCheck(IsolatedAsyncioTestCase):
+    """What counts as the end of a stream."""
+
+    async def test_only_events_must_be_complete(self) -> None:
+        """Guards against another content type that counts as a broken event."""
+        conn = HttpConnection('127.0.0.1:9')
+        parser = EventParser()
+        parser.feed(b'{"choices": []}')
+        other = ResponseHead(OK, [(b'content-type', b'application/json')])
+        check_stream_end(conn, other, parser, 0)
+        for headers in ([], [(b'content-type', b'Text/Event-Stream; x=y')]):
+            with self.assertRaises(BrokenResponseError):
+                check_stream_end(conn, ResponseHead(OK, headers), parser, 0)
+
+
 class TestOldClients(BreakingEnginesCase):
     """Clients of HTTP/1.0, which know no chunks."""
 
