Soak: a node that is starting gets no SIGHUP with its new settings

One of the two places that send SIGHUP did not regard the start, and did not log the signal. The other place has waited for that since it was written; both do now, and both log it.

--- a/samphirerill/testing/soak/faults.py
+++ b/samphirerill/testing/soak/faults.py
@@ -367,15 +367,17 @@
             return
         self._ground_truth.counts['planned.settings'] += 1
         node.write_settings(retry_slack=self._choose_retry_slack())
-        if self._random.random() < _SIGHUP_SHARE:
+        if self._random.random() < _SIGHUP_SHARE and not self._is_starting(
+            node
+        ):
+            self._log(f'{node.name}: SIGHUP')
             node.send_signal(signal.SIGHUP)
 
     async def _reload_settings(self) -> None:
         """Send signals in series, also to a node that is shutting down."""
         node = self._random.choice(self._environment.nodes)
         for _ in range(self._random.randrange(1, _MAX_SIGHUPS + 1)):
-            if node.started_at + _STARTUP_S > self._loop.time():
-                # Its signal handlers may not be installed yet.
+            if self._is_starting(node):
                 return
             self._ground_truth.counts['planned.reloaded'] += 1
             self._log(f'{node.name}: SIGHUP')
@@ -383,6 +385,10 @@
             node.send_signal(signal.SIGHUP)
             await asyncio.sleep(_SERIES_GAP_S * self._random.random())
 
+    def _is_starting(self, node: SoakNode) -> bool:
+        """Return whether its signal handlers may not be installed yet."""
+        return node.started_at + _STARTUP_S > self._loop.time()
+
     def _choose_retry_slack(self) -> int:
         third = self._retry_slack // 3
         return self._random.randint(2 * third, 4 * third)
