Test harness: ports that are free at all addresses; nodes that end say why

Seen: a node of a test "is not ready in 20 s", without a reason (once in test_poison_requests...test_a_fleet_that_was_restarted on; now in setUp of test_cut_off_nodes beside other copies).

Cause: nodes listen at one port on several loopback addresses. The port was chosen as one that is free at 127.0.0.1, from the range that the kernel takes ports from for listeners without one, so that at 127.0.0.2 it may be taken. The node ended with EADDRINUSE, and the harness kept waiting for it.

That the earlier failure had the same cause is likely, not shown.

Change: ports below that range, free at all addresses. A node that has ended raises its error at once.

--- a/samphirerill/testing/platform_harness.py
+++ b/samphirerill/testing/platform_harness.py
@@ -146,6 +146,7 @@
         node = process or self.require_first_node()
         async with asyncio.timeout(_TEST_TIMEOUT_S):
             while not node.is_ready():
+                self._raise_if_ended(node)
                 await asyncio.sleep(_POLL_INTERVAL_S)
         return node
 
@@ -183,3 +184,11 @@
             return await read_response(conn, deadline)
         finally:
             conn.close()
+
+    def _raise_if_ended(self, process: EdgeProcess) -> None:
+        """Raise why a node has ended, if it has."""
+        for known, task in self._nodes:
+            if known is process and task.done():
+                raise RuntimeError(
+                    f'{process.state.settings.name} has ended'
+                ) from task.exception()
--- a/samphirerill/testing/soak/run.py
+++ b/samphirerill/testing/soak/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import sys
 import time
 from collections import Counter
@@ -15,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.model import MS_PER_S
+from samphirerill.testing.free_ports import is_free
 from samphirerill.testing.soak.balancer import LoadBalancer
 from samphirerill.testing.soak.clients import KINDS, create_clients
 from samphirerill.testing.soak.environment import SoakEnvironment
@@ -226,16 +226,6 @@
     starts = list(_PORTS)
     random.shuffle(starts)
     for start in starts:
-        if all(_is_free(start + offset) for offset in range(_PORT_COUNT)):
+        if all(is_free(start + offset) for offset in range(_PORT_COUNT)):
             return start
     raise RuntimeError(f'found no {_PORT_COUNT} consecutive free ports')
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind(('0.0.0.0', port))
-        except OSError:
-            return False
-    return True
--- a/samphirerill/tests/crashing_engines.py
+++ b/samphirerill/tests/crashing_engines.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from typing import TYPE_CHECKING
 from unittest import IsolatedAsyncioTestCase
 
@@ -12,6 +11,7 @@
 
 from samphirerill.relay.errors import EndpointError
 from samphirerill.testing.crashing_replica import CrashingReplica
+from samphirerill.testing.free_ports import find_ports
 from samphirerill.testing.platform_harness import PlatformHarness
 from samphirerill.tests.platform_documents import (
     API_KEY,
@@ -34,17 +34,6 @@
 _RESTART_DELAY_S = 0.4
 
 
-def find_ports() -> tuple[int, int]:
-    """Return a free port for datagrams and one for calls."""
-    with (
-        socket.socket(type=socket.SOCK_DGRAM) as datagrams,
-        socket.socket() as calls,
-    ):
-        for sock in (datagrams, calls):
-            sock.bind(('127.0.0.1', 0))
-        return datagrams.getsockname()[1], calls.getsockname()[1]
-
-
 def build_headers(request_id: str, key: str = API_KEY) -> Headers:
     """Return the headers of a request."""
     return [
--- a/samphirerill/tests/limited_fleet.py
+++ b/samphirerill/tests/limited_fleet.py
@@ -15,7 +15,7 @@
 from samphirerill.relay.pool import read_response
 from samphirerill.testing.limiting_replica import LimitingReplica
 from samphirerill.testing.platform_harness import PlatformHarness
-from samphirerill.tests.crashing_engines import find_ports
+from samphirerill.testing.free_ports import find_ports
 from samphirerill.tests.platform_documents import (
     build_announcement,
     build_configuration,
--- a/samphirerill/tests/restored_store.py
+++ b/samphirerill/tests/restored_store.py
@@ -8,7 +8,7 @@
 
 from samphirerill.fleet.revisions import get_number
 from samphirerill.testing.platform_harness import PlatformHarness
-from samphirerill.tests.crashing_engines import find_ports
+from samphirerill.testing.free_ports import find_ports
 from samphirerill.tests.platform_documents import (
     build_announcement,
     build_configuration,
--- a/samphirerill/tests/test_cut_off_nodes.py
+++ b/samphirerill/tests/test_cut_off_nodes.py
@@ -16,7 +16,8 @@
 from samphirerill.testing.cut_links import CutKind, CutLinks
 from samphirerill.testing.fake_connection import BreakKind, StreamBreak
 from samphirerill.testing.platform_harness import PlatformHarness
-from samphirerill.tests.crashing_engines import build_headers, find_ports
+from samphirerill.testing.free_ports import find_ports
+from samphirerill.tests.crashing_engines import build_headers
 from samphirerill.tests.platform_documents import (
     build_announcement,
     build_configuration,
--- a/samphirerill/tests/test_tunnels.py
+++ b/samphirerill/tests/test_tunnels.py
@@ -21,7 +21,7 @@
 from samphirerill.relay.tunnels.handshake import TunnelRequest, open_tunnel
 from samphirerill.testing.cut_links import CutKind, CutLinks
 from samphirerill.testing.platform_harness import PlatformHarness
-from samphirerill.tests.crashing_engines import find_ports
+from samphirerill.testing.free_ports import find_ports
 from samphirerill.tests.platform_documents import (
     build_announcement,
     build_configuration,
