Server: requests are parsed by a module of its own

server.py had 638 lines and two jobs: reading requests whatever bytes a client sends, and serving them one after another. `RequestParser` does the first and tells the connection what it has read; no behaviour changes.

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -1,8 +1,7 @@
 """HTTP/1.1 server for client connections, on the asyncio loop.
 
 A connection serves one request at a time. Whatever bytes a client sends, it
-gets a well-formed response or a close. Requests that two parsers could read
-differently are rejected, which prevents request smuggling.
+gets a well-formed response or a close.
 """
 
 from __future__ import annotations
@@ -12,19 +11,13 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Protocol
 
-from httptools import (
-    HttpParserError,
-    HttpParserUpgrade,
-    HttpRequestParser,
-)
-
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.closed_connections import (
     ClosedConnection,
     CloseReason,
 )
 from samphirerill.relay.request import Request
-from samphirerill.relay.request_validation import validate_head
+from samphirerill.relay.request_parser import RequestError, RequestParser
 from samphirerill.relay.sockets import disable_nagle, reset_connection
 
 if TYPE_CHECKING:
@@ -37,8 +30,6 @@
 _LOG = get_logger('callers')
 # Reading pauses while this many requests are queued on a connection.
 _MAX_PIPELINED = 8
-_MAX_HEADERS = 100
-_MAX_TARGET_BYTES = 8192
 _HIGH_WATER_BYTES = 131_072
 # How long a slow client may go without reading any of the buffered response.
 _SLOW_CLIENT_TIMEOUT_S = 10.0
@@ -47,10 +38,6 @@
 # Lingering close: a client may still be sending, and closing at once would
 # reset the connection before it reads the last response.
 _LINGER_S = 0.5
-# Headers that frame a body, and a request line to replay them to a parser.
-_FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
-_REPLAY_REQUEST_LINE = b'POST / HTTP/1.1'
-_OLD_VERSION = '1.0'
 _REASONS = {
     status.value: status.phrase.encode('latin-1') for status in HTTPStatus
 }
@@ -103,26 +90,17 @@
         self._close_reason: CloseReason | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: Any = None
-        self._parser = HttpRequestParser(self)
-        # The limits on the request that is being read.
-        self._limits = handler.get_limits()
+        self._parser = RequestParser(self, handler.get_limits)
         # The idle time that the client was told, and when it began.
-        self._idle_timeout_s = self._limits.idle_timeout_s
+        self._idle_timeout_s = self._parser.limits.idle_timeout_s
         self._idle_since = 0.0
         self._queue: deque[Request] = deque()
-        self._current: Request | None = None
         # The request that is served, or was served last.
         self._served: Request | None = None
         self._served_count = 0
         self._response_bytes = 0
         self._is_response_complete = False
-        # A request that offers a protocol upgrade, before and after the parser
-        # is replaced.
-        self._upgrade_request: Request | None = None
-        self._replayed_request: Request | None = None
-        self._target: list[bytes] = []
-        self._headers: Headers = []
-        self._header_bytes = 0
+        # The status of a request that was rejected, if any.
         self._reject_status = 0
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -132,8 +110,6 @@
         self._chunked = False
         self._ends_with_connection = False
         self._keeps_alive = True
-        self._in_message = False
-        self._awaits_continue = False
         self._is_input_ignored = False
         self._closing = False
 
@@ -173,12 +149,12 @@
         if self._is_input_ignored or self._closing:
             return
         try:
-            self._parse(data)
-        except HttpParserError:
-            self._reject(self._reject_status or HTTPStatus.BAD_REQUEST)
+            self._parser.feed(data)
+        except RequestError as exc:
+            self._reject(exc.status)
             return
-        if self._current is not None and not self.is_busy:
-            self._start_timer(self._limits.idle_timeout_s)
+        if self._parser.is_reading_body and not self.is_busy:
+            self._start_timer(self._parser.limits.idle_timeout_s)
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as disconnected.
@@ -200,85 +176,18 @@
         self._writable = None
         self._start_next()
 
-    def on_message_begin(self) -> None:
-        """Parser callback: a request starts."""
-        if self._replayed_request is not None:
-            return
-        self._target = []
-        self._headers = []
-        self._header_bytes = 0
-        self._in_message = True
-        self._limits = self._handler.get_limits()
+    def request_begun(self) -> None:
+        """Limit the time that the request head may take."""
         if not self.is_busy:
-            self._start_timer(self._limits.header_timeout_s)
+            self._start_timer(self._parser.limits.header_timeout_s)
 
-    def on_url(self, url: bytes) -> None:
-        """Parser callback: a part of the request target."""
-        if self._replayed_request is not None:
-            return
-        self._target.append(url)
-        self._count_header(len(url), _MAX_TARGET_BYTES)
-
-    def on_header(self, name: bytes, text: bytes) -> None:
-        """Parser callback: one header, or a trailer after the body."""
-        if self._replayed_request is not None:
-            return
-        # Trailers are dropped: they could add to the headers after validation.
-        if self._current is None:
-            self._headers.append((name.lower(), text.strip()))
-        self._count_header(len(name) + len(text), self._limits.max_header_bytes)
-        if len(self._headers) > _MAX_HEADERS:
-            self._abort_parsing(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
-    def on_headers_complete(self) -> None:
-        """Parser callback: the request head is complete."""
-        if self._replayed_request is not None:
-            self._current = self._replayed_request
-            self._replayed_request = None
-            return
-        req = Request(
-            self._parser.get_method(),
-            b''.join(self._target),
-            self._headers,
-            self._loop.time(),
-            keeps_alive=self._parser.should_keep_alive(),
-            accepts_chunks=self._parser.get_http_version() != _OLD_VERSION,
-        )
-        status = validate_head(req, self._limits)
-        if status:
-            self._abort_parsing(status)
-        expected = (req.get(b'expect') or b'').lower()
-        self._awaits_continue = expected == b'100-continue'
+    def head_received(self) -> None:
+        """Let the client send the body."""
         if not self.is_busy:
             self._send_continue()
-        self._current = req
-        if self._parser.should_upgrade():
-            self._upgrade_request = req
-
-    def on_body(self, body: bytes) -> None:
-        """Parser callback: bytes of the body."""
-        req = self._current
-        if req is None:
-            return
-        req.chunks.append(body)
-        req.chunk_bytes += len(body)
-        if req.chunk_bytes > self._limits.max_body_bytes:
-            self._abort_parsing(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-
-    def on_message_complete(self) -> None:
-        """Parser callback: the request is complete."""
-        if self._upgrade_request is not None:
-            # The parser stops here; its replacement reads the body.
-            return
-        req = self._current
-        self._current = None
-        self._in_message = False
-        self._awaits_continue = False
-        if req is None:
-            return
-        req.body = b''.join(req.chunks)
-        req.chunks = []
-        req.arrived_at = self._loop.time()
+
+    def request_received(self, req: Request) -> None:
+        """Serve the request after those before it."""
         self._queue.append(req)
         if len(self._queue) >= _MAX_PIPELINED:
             self._transport.pause_reading()
@@ -297,8 +206,7 @@
         self._ends_with_connection = length is None and not self._chunked
         if self._ends_with_connection:
             self._keeps_alive = False
-        has_next = self._in_message or bool(self._queue)
-        if self._handler.is_draining() and not has_next:
+        if self._handler.is_draining() and not self._has_next():
             # Requests that were already begun are served before the close.
             self._keeps_alive = False
         lines = [b'HTTP/1.1 %d %b' % (status, _REASONS.get(status, b'Other'))]
@@ -371,7 +279,7 @@
 
         The first request of a new connection may be on its way.
         """
-        if self.is_busy or self._in_message or self._queue:
+        if self.is_busy or self._has_next():
             return
         idle_s = self._loop.time() - self._idle_since
         if self._served_count or idle_s >= _FIRST_REQUEST_TIMEOUT_S:
@@ -411,45 +319,13 @@
         )
         self.abort(CloseReason.SLOW_CLIENT)
 
-    def _parse(self, data: bytes) -> None:
-        while data:
-            try:
-                self._parser.feed_data(data)
-            except HttpParserUpgrade as exc:
-                data = data[exc.args[0] :]
-                self._ignore_upgrade()
-            else:
-                return
-
-    def _ignore_upgrade(self) -> None:
-        """Ignore an offer to upgrade the protocol.
-
-        The parser stops at the head of such a request. A new parser gets the
-        framing headers again, so that the body is read as a body and not as
-        another request.
-        """
-        req = self._upgrade_request
-        self._upgrade_request = None
-        if req is None:
-            raise HttpParserError('upgrade without a request')
-        framing = [
-            b'%b: %b' % pair
-            for pair in req.headers
-            if pair[0] in _FRAMING_HEADERS
-        ]
-        self._parser = HttpRequestParser(self)
-        self._replayed_request = req
-        self._parser.feed_data(
-            b'\r\n'.join((_REPLAY_REQUEST_LINE, *framing, b'', b''))
-        )
-
     def _send_continue(self) -> None:
         """Send the interim response that a client may wait for.
 
         It must not be sent within the response to an earlier request.
         """
-        if self._awaits_continue:
-            self._awaits_continue = False
+        if self._parser.awaits_continue:
+            self._parser.awaits_continue = False
             self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def _start_next(self) -> None:
@@ -518,16 +394,6 @@
         else:
             self.respond(HTTPStatus.BAD_GATEWAY, [], b'')
 
-    def _count_header(self, size: int, limit: int) -> None:
-        self._header_bytes += size
-        if self._header_bytes > limit:
-            self._abort_parsing(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
-    def _abort_parsing(self, status: int) -> None:
-        """Stop the parser; `data_received` sends the error response."""
-        self._reject_status = self._reject_status or status
-        raise ValueError(status)
-
     def _reject(self, status: int) -> None:
         """Reject a malformed request, after the requests before it."""
         self._is_input_ignored = True
@@ -555,18 +421,25 @@
         if self._task is not None:
             self._task.cancel()
             self.is_busy = False
-            self._respond_unserved(HTTPStatus.BAD_GATEWAY)
+            self._respond_unserved(
+                HTTPStatus.BAD_GATEWAY, has_next=self._has_next()
+            )
         while self._queue:
             self._queue.popleft()
-            self._respond_unserved(HTTPStatus.SERVICE_UNAVAILABLE)
-        if self._in_message:
-            self._in_message = False
-            self._respond_unserved(HTTPStatus.REQUEST_TIMEOUT)
+            self._respond_unserved(
+                HTTPStatus.SERVICE_UNAVAILABLE, has_next=self._has_next()
+            )
+        if self._parser.is_reading:
+            self._respond_unserved(HTTPStatus.REQUEST_TIMEOUT, has_next=False)
 
-    def _respond_unserved(self, status: int) -> None:
-        self._keeps_alive = self._in_message or bool(self._queue)
+    def _respond_unserved(self, status: int, *, has_next: bool) -> None:
+        self._keeps_alive = has_next
         self.respond(status, [], b'')
 
+    def _has_next(self) -> bool:
+        """Return whether further requests are queued or being read."""
+        return self._parser.is_reading or bool(self._queue)
+
     def _close(self, reason: CloseReason) -> None:
         if self._closing:
             return
@@ -625,7 +498,7 @@
         if self._queue:
             self._check_unread_responses()
             return
-        if self._in_message:
+        if self._parser.is_reading:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
             return
         # Clients reuse connections within the idle time that is in force, which
