Soak: pipelines and facts of request ids in modules of their own

replicas.py read pipelines, checked them, derived event counts and framing from request ids, and ran replicas.

--- a/samphirerill/testing/soak/clients.py
+++ b/samphirerill/testing/soak/clients.py
@@ -23,7 +23,7 @@
     read_body,
     read_head,
 )
-from samphirerill.testing.soak.replicas import count_events, is_long
+from samphirerill.testing.soak.request_traits import count_events, is_long
 from samphirerill.testing.soak.unanswered import UnansweredCheck
 
 if TYPE_CHECKING:
--- a/samphirerill/testing/soak/environment.py
+++ b/samphirerill/testing/soak/environment.py
@@ -13,12 +13,9 @@
 from samphirerill.testing.soak.cuttable_node import FIRST_REPLICA_OCTET
 from samphirerill.testing.soak.ground_truth import GroundTruth
 from samphirerill.testing.soak.nodes import SoakNode
+from samphirerill.testing.soak.pipelines import LAYERS
 from samphirerill.testing.soak.proxy import LoopbackProxy
-from samphirerill.testing.soak.replicas import (
-    LAYERS,
-    ReplicaRegistry,
-    SoakReplica,
-)
+from samphirerill.testing.soak.replicas import ReplicaRegistry, SoakReplica
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/samphirerill/testing/soak/replicas.py
+++ b/samphirerill/testing/soak/replicas.py
@@ -13,16 +13,24 @@
 
 from msgspec import json
 
-from samphirerill.backends.framing import Framing
 from samphirerill.fleet.model import NO_LAYERS, ClientLimits, LayerRange
 from samphirerill.relay.listeners import listen_with
 from samphirerill.testing.fake_connection import Delivery, FakeConnection
+from samphirerill.testing.soak.pipelines import (
+    Pipeline,
+    covers,
+    is_whole,
+    parse_pipeline,
+)
+from samphirerill.testing.soak.request_traits import (
+    choose_framing,
+    count_events,
+)
 
 if TYPE_CHECKING:
     from samphirerill.relay.server import ClientConnection, Request
     from samphirerill.testing.soak.ground_truth import GroundTruth
 
-LAYERS = 80
 # Values that are no limit.
 BAD_LIMITS = (b'few', b'-1', b'nan', b'1e9', b' ', b'9' * 20)
 _OK = 200
@@ -36,13 +44,6 @@
 # How long an engine waits for a stage that is down before it drops the request.
 _STALL_TIMEOUT_S = 1.0
 _LAYER_LOAD_S = 0.01
-# First digits of the ids of requests with many events.
-_LONG_PREFIXES = '012'
-_LONG_FACTOR = 8
-# A quarter of the responses end with their connection: those to ids with one of
-# these digits at this position.
-_FRAMING_DIGIT = 1
-_UNFRAMED_DIGITS = '0123'
 # The platform's bound plus a margin for message delay on a loaded machine.
 _DRAIN_BOUND_S = 2.5
 _POLL_INTERVAL_S = 0.02
@@ -50,24 +51,6 @@
 _PIPELINE_HEADER = b'x-samphirerill-hop-count'
 
 
-def count_events(request_id: str) -> int:
-    """Return the number of events in the response to a request."""
-    count = 8 + int(request_id[-2:], 16) % 24
-    return count * _LONG_FACTOR if is_long(request_id) else count
-
-
-def is_long(request_id: str) -> bool:
-    """Return whether the response to a request has many events."""
-    return request_id[0] in _LONG_PREFIXES
-
-
-def _choose_framing(request_id: str) -> Framing:
-    """Return how the response to a request is delimited."""
-    if request_id[_FRAMING_DIGIT:].startswith(tuple(_UNFRAMED_DIGITS)):
-        return Framing.CONNECTION
-    return Framing.CHUNKS
-
-
 def _break_off(conn: ClientConnection, *, is_reset: bool) -> None:
     """Break off a response in the way of a crash."""
     if isinstance(conn, FakeConnection):
@@ -99,7 +82,7 @@
 class _Run:
     """A stream that an engine is running."""
 
-    pipeline: list[tuple[str, LayerRange]]
+    pipeline: Pipeline
 
 
 class SoakReplica:
@@ -224,11 +207,11 @@
 
     def holds(self, layers: LayerRange) -> bool:
         """Return whether the replica has loaded these layers."""
-        return _covers(self.layers, layers)
+        return covers(self.layers, layers)
 
     def keeps(self, layers: LayerRange) -> bool:
         """Return whether streams in progress can use these layers."""
-        return self.holds(layers) or _covers(self._released, layers)
+        return self.holds(layers) or covers(self._released, layers)
 
     def runs_through(self, address: str) -> bool:
         """Return whether a stream that it runs passes through a replica."""
@@ -241,7 +224,7 @@
     async def handle(self, req: Request, conn: ClientConnection) -> None:
         """Handle one request."""
         if isinstance(conn, FakeConnection):
-            conn.delivery.framing = _choose_framing(_read_id(req))
+            conn.delivery.framing = choose_framing(_read_id(req))
         if req.target == b'/report':
             conn.respond(_OK, [], json.encode(self._report()))
         elif req.target == b'/order':
@@ -269,7 +252,7 @@
         if not self.kind:
             await self._answer_plain(req, conn)
             return
-        pipeline = _parse_pipeline(req.get(_PIPELINE_HEADER) or b'')
+        pipeline = parse_pipeline(req.get(_PIPELINE_HEADER) or b'')
         self._check_coverage(req, pipeline)
         failed_address = self._find_unavailable(pipeline)
         if failed_address:
@@ -290,7 +273,7 @@
         self,
         req: Request,
         conn: ClientConnection,
-        pipeline: list[tuple[str, LayerRange]],
+        pipeline: Pipeline,
     ) -> None:
         request_id = _read_id(req)
         first = int(req.get(b'last-event-id') or b'0') + 1
@@ -319,9 +302,7 @@
             if self._runs.get(request_id) is run:
                 self._runs.pop(request_id)
 
-    def _record_path(
-        self, request_id: str, pipeline: list[tuple[str, LayerRange]]
-    ) -> None:
+    def _record_path(self, request_id: str, pipeline: Pipeline) -> None:
         self._ground_truth.arrivals[request_id].update(
             address for address, _ in pipeline
         )
@@ -336,7 +317,7 @@
         return True
 
     def _find_unavailable(
-        self, pipeline: list[tuple[str, LayerRange]], run: _Run | None = None
+        self, pipeline: Pipeline, run: _Run | None = None
     ) -> str:
         """Return the address of an unavailable stage, or an empty string.
 
@@ -382,7 +363,7 @@
             self._is_busy = False
 
     def _change_pipeline(self, order: dict[str, Any]) -> int:
-        pipeline = _parse_pipeline(order['path'].encode())
+        pipeline = parse_pipeline(order['path'].encode())
         run = self._runs.get(order['id'])
         if run is None:
             return _NOT_FOUND
@@ -470,34 +451,14 @@
                 'after it started draining'
             )
 
-    def _check_coverage(
-        self, req: Request, pipeline: list[tuple[str, LayerRange]]
-    ) -> None:
+    def _check_coverage(self, req: Request, pipeline: Pipeline) -> None:
         """Check that the pipeline runs each layer once, starting here."""
-        position = 0
-        for _, layers in pipeline:
-            if layers.first != position or layers.end <= layers.first:
-                break
-            position = layers.end
-        if position != LAYERS or pipeline[0][0] != self.address:
+        if not is_whole(pipeline) or pipeline[0][0] != self.address:
             self._ground_truth.record_violation(
                 f'{_read_id(req)}: incomplete pipeline {pipeline}'
             )
 
 
-def _parse_pipeline(text: bytes) -> list[tuple[str, LayerRange]]:
-    pipeline = []
-    for stage in text.decode().split(','):
-        address, _, layers = stage.partition('=')
-        first, _, end = layers.partition('-')
-        pipeline.append((address, LayerRange(int(first), int(end))))
-    return pipeline
-
-
-def _covers(held: LayerRange, layers: LayerRange) -> bool:
-    return held.first <= layers.first and layers.end <= held.end
-
-
 def _encode_layers(layers: LayerRange) -> dict[str, int]:
     return {'from': layers.first, 'to': layers.end, 'version': 1}
 
--- a/samphirerill/testing/soak/run.py
+++ b/samphirerill/testing/soak/run.py
@@ -19,8 +19,8 @@
 from samphirerill.testing.soak.clients import KINDS, create_clients
 from samphirerill.testing.soak.environment import SoakEnvironment
 from samphirerill.testing.soak.faults import FaultInjector
-from samphirerill.testing.soak.limit_naming import LimitNaming
 from samphirerill.testing.soak.ground_truth import Fault
+from samphirerill.testing.soak.limit_naming import LimitNaming
 from samphirerill.testing.soak.node_cuts import NodeCuts
 from samphirerill.testing.soak.store_restores import StoreRestores
 from samphirerill.testing.soak.version_probe import VersionProbe
--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -14,12 +14,9 @@
 from samphirerill.testing.soak.exchange import Exchange, Outcome
 from samphirerill.testing.soak.ground_truth import Fault, GroundTruth
 from samphirerill.testing.soak.nodes import SoakNode
-from samphirerill.testing.soak.replicas import (
-    LAYERS,
-    ReplicaRegistry,
-    SoakReplica,
-    count_events,
-)
+from samphirerill.testing.soak.pipelines import LAYERS
+from samphirerill.testing.soak.replicas import ReplicaRegistry, SoakReplica
+from samphirerill.testing.soak.request_traits import count_events
 from samphirerill.testing.soak.run import run_seed
 from samphirerill.testing.soak.settings import SoakSettings
 from samphirerill.testing.soak.unanswered import UnansweredCheck
