--- a/samphirerill/tests/test_cut_off_nodes.py
+++ b/samphirerill/tests/test_cut_off_nodes.py
@@ -16,7 +16,8 @@
 from samphirerill.testing.cut_links import CutKind, CutLinks
 from samphirerill.testing.fake_connection import BreakKind, StreamBreak
 from samphirerill.testing.platform_harness import PlatformHarness
-from samphirerill.tests.crashing_engines import build_headers, find_ports
+from samphirerill.testing.free_ports import find_ports
+from samphirerill.tests.crashing_engines import build_headers
 from samphirerill.tests.platform_documents import (
     build_announcement,
     build_configuration,
@@ -56,6 +57,8 @@
     """Four nodes, six engines and three endpoints of a plain service."""
 
     async def asyncSetUp(self) -> None:
+        # Debugging takes most of the time of a loop that thirteen processes share.
+        asyncio.get_running_loop().set_debug(False)
         self.harness = PlatformHarness(find_ports())
         self.links = CutLinks(self.harness.is_replica)
         self.addAsyncCleanup(self.harness.stop)
