--- a/samphirerill/tests/test_cut_off_nodes.py
+++ b/samphirerill/tests/test_cut_off_nodes.py
@@ -57,7 +57,7 @@
     """Four nodes, six engines and three endpoints of a plain service."""
 
     async def asyncSetUp(self) -> None:
-        # Debugging takes most of the time of a loop that thirteen processes share.
+        # Debug mode takes most of the time of the loop that all of them share.
         asyncio.get_running_loop().set_debug(False)
         self.harness = PlatformHarness(find_ports())
         self.links = CutLinks(self.harness.is_replica)
