Records: count rejections by the reason up to its first number

Cause: find_rejection puts the predicted wait into the reason, so that each rejection had a count of its own until the 16 counts were used up.

Change: the text up to the first number is the kind of reason.

--- a/samphirerill/sharing/admission_counts.py
+++ b/samphirerill/sharing/admission_counts.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+import re
 from collections import Counter
 from typing import Any
 
 from samphirerill.sharing.wait_histogram import WaitHistogram
 
 OTHER = 'other'
-# More than the code has. Bounds the counts also if a caller formats numbers
-# into its reasons.
+# More than the code has; bounds the counts if reasons contain names.
 _MAX_REASONS = 16
+_NUMBER = re.compile(r'[^A-Za-z]*\d')
 
 
 class AdmissionCounts:
@@ -58,9 +59,7 @@
 
     def add_rejected(self, reason: str, retry_s: float) -> None:
         """Count a request that may be repeated after `retry_s` seconds."""
-        if reason not in self.rejected and len(self.rejected) >= _MAX_REASONS:
-            reason = OTHER
-        self.rejected[reason] += 1
+        self._count_reason(_find_kind(reason), 1)
         self.retry.add(retry_s)
 
     def merge(self, other: AdmissionCounts) -> None:
@@ -68,8 +67,7 @@
         self.admitted += other.admitted
         self.admitted_room += other.admitted_room
         for reason, number in other.rejected.items():
-            known = reason in self.rejected or len(self.rejected) < _MAX_REASONS
-            self.rejected[reason if known else OTHER] += number
+            self._count_reason(reason, number)
         self.predicted.merge(other.predicted)
         self.retry.merge(other.retry)
         self.waited.merge(other.waited)
@@ -84,3 +82,13 @@
             'waited': self.waited.describe(),
             'retry': self.retry.describe(),
         }
+
+    def _count_reason(self, reason: str, number: int) -> None:
+        if reason not in self.rejected and len(self.rejected) >= _MAX_REASONS:
+            reason = OTHER
+        self.rejected[reason] += number
+
+
+def _find_kind(reason: str) -> str:
+    """Return a reason up to its first number, which differs by request."""
+    return _NUMBER.split(reason, maxsplit=1)[0]
