Operators: admissions on the pages of a node and in its log

Cause: the records of a service are shown nowhere, and a request that waits or is rejected leaves no line that tells its account, its level and what was served before it.

Change: AdmissionObserver (Metrics.admissions) holds the records of all services, and FleetRoom objects for running and waiting work. The state page shows them as `admissions`, the metrics page by level, rank and account. WorkItem gets a request_id for these lines, empty by default.

--- a/samphirerill/node/metrics.py
+++ b/samphirerill/node/metrics.py
@@ -6,10 +6,13 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 from hdrh.histogram import HdrHistogram
 
+from samphirerill.node.admission_observer import AdmissionObserver
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -23,12 +26,19 @@
 
 
 class Metrics:
-    """Histograms of durations in microseconds, by name and priority."""
+    """Histograms of durations in microseconds, by name and priority.
+
+    Attributes
+    ----------
+    admissions : AdmissionObserver
+        Records of requests that waited for capacity or were rejected.
+    """
 
-    __slots__ = ('_histograms',)
+    __slots__ = ('_histograms', 'admissions')
 
     def __init__(self) -> None:
         self._histograms: dict[tuple[str, str], HdrHistogram] = {}
+        self.admissions = AdmissionObserver(Random())  # noqa: S311
 
     def record(self, name: str, priority: str, seconds: float) -> None:
         """Add a duration to its histogram."""
--- a/samphirerill/relay/status_endpoints.py
+++ b/samphirerill/relay/status_endpoints.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import asyncio
+from typing import TYPE_CHECKING, Any
 
 from msgspec import json
 
+from samphirerill.node.admission_metrics import format_admissions
 from samphirerill.relay.listeners import PageHandler
 from samphirerill.relay.usage import UsageReporter
 
@@ -93,6 +95,7 @@
             'limits': state.request_limits.describe(),
             'quarantine': self._quarantine_manager.describe(),
             'paths': self._path_checks.describe(),
+            'admissions': self._describe_admissions(),
         }
         return _OK, json.encode(dump)
 
@@ -122,4 +125,10 @@
         for replica, limit in state.request_limits.list_in_force():
             gauges[f'limits.withheld.{replica.replica_id}'] = limit.withheld
         gauges['replicas.false_deaths'] = state.view.false_suspicions
-        return _OK, state.metrics.format_prometheus(gauges).encode()
+        text = state.metrics.format_prometheus(gauges)
+        text += format_admissions(self._describe_admissions())
+        return _OK, text.encode()
+
+    def _describe_admissions(self) -> dict[str, Any]:
+        now = asyncio.get_running_loop().time()
+        return self._state.metrics.admissions.describe(now)
--- a/samphirerill/sharing/model.py
+++ b/samphirerill/sharing/model.py
@@ -36,6 +36,8 @@
         objective.
     deadline : float
         When the client gives up.
+    request_id : str
+        Names the request in log lines; no decision depends on it.
     """
 
     rank: int
@@ -43,6 +45,7 @@
     room: float
     due: float
     deadline: float
+    request_id: str = ''
 
 
 @dataclass(slots=True)
