Explain: what was served before a rejected or late request

Cause: the log records of a request that found no capacity in time do not say who used it.

If the request's line was suppressed by the rate limit, the nearest one with the same outcome is shown and marked.

--- a/samphirerill/reports/explain.py
+++ b/samphirerill/reports/explain.py
@@ -11,6 +11,7 @@
 from msgspec import json
 
 from samphirerill.relay.path_tracker import ISOLATED
+from samphirerill.reports.admission_causes import explain_admission
 from samphirerill.reports.by_second import format_by_second
 from samphirerill.reports.late_streams import (
     UNANSWERED,
@@ -198,6 +199,8 @@
     ]
     for record in sorted([*records, *related], key=_get_time):
         _print_line(_format_record(record, start_s))
+    for line in explain_admission(index, request):
+        _print_line(line)
     return 0
 
 
--- a/samphirerill/tests/test_explain.py
+++ b/samphirerill/tests/test_explain.py
@@ -89,6 +89,47 @@
 ]
 
 
+_ADMISSION_LOG = [
+    _line(1, 'level changed', service='painting', sharing_level=2),
+    _line(
+        5,
+        'rejected by prediction',
+        request='logged',
+        service='painting',
+        account='batch',
+        sharing_level=3,
+        level_in_force=2,
+        reason='predicted wait 4.00 s, 0.20 s left to start in time',
+        retry_ms=4100,
+        served_before=[
+            {'level': 0, 'account': 'line', 'count': 7, 'room': 700.0},
+            {'level': 2, 'account': 'small', 'count': 1, 'room': 90.0},
+        ],
+    ),
+    _line(
+        5.9,
+        'refused',
+        request='suppressed',
+        status=503,
+        reason='predicted wait 4.10 s, 0.10 s left to start in time',
+    ),
+    _line(5.9, 'refused', request='other', status=503, reason='no path'),
+    _line(
+        8,
+        'admitted after waiting',
+        request='late',
+        service='painting',
+        account='small',
+        sharing_level=-1,
+        level_in_force=None,
+        predicted_ms=300,
+        waited_ms=900,
+        served_before=[],
+    ),
+    _line(9, 'stream ended', request='late', first_ms=1000, most_gap_ms=40),
+]
+
+
 def _explain(lines: list[str], request: str) -> str:
     """Return what the command prints for one request."""
     with TemporaryDirectory() as folder:
@@ -313,3 +354,41 @@
             with contextlib.redirect_stderr(io.StringIO()):
                 code = main(['explain', str(path), '--request', 'nobody'])
             self.assertEqual(code, 1)
+
+
+class TestExplainAdmission(TestCase):
+    """What was served before a rejected or late request."""
+
+    def test_rejection_names_levels_and_accounts_served_before(self) -> None:
+        """Guard against a rejection whose cause operators cannot find."""
+        lines = _explain(_ADMISSION_LOG, 'logged').splitlines()
+        self.assertEqual(
+            lines[-4:],
+            [
+                'rejected: predicted wait 4.00 s, 0.20 s left to start in '
+                'time; retry after 4100 ms; account batch, level 3 (rank 1, '
+                'account above its share), service painting',
+                'only levels up to 2 (rank 1) started since 4.000 s',
+                'served before it: level 0 (rank 0), account line: 7 requests,'
+                ' room 700',
+                'served before it: level 2 (rank 1), account small: 1 requests'
+                ', room 90',
+            ],
+        )
+
+    def test_late_request_shows_predicted_and_actual_wait(self) -> None:
+        """Guard against a prediction that cannot be compared with the wait."""
+        explained = _explain(_ADMISSION_LOG, 'late')
+        self.assertIn('admitted after 900 ms, predicted 300 ms', explained)
+        self.assertIn('guaranteed part', explained)
+        self.assertIn('this node served nothing', explained)
+
+    def test_suppressed_line_is_replaced_by_the_nearest(self) -> None:
+        """Guard against no answer during a flood, when lines are suppressed."""
+        explained = _explain(_ADMISSION_LOG, 'suppressed')
+        self.assertIn('the nearest, of request logged:', explained)
+        self.assertIn('account line: 7 requests', explained)
+
+    def test_other_rejections_have_no_admission_lines(self) -> None:
+        """Guard against blaming accounts for a missing path."""
+        self.assertNotIn('served', _explain(_ADMISSION_LOG, 'other'))
