Accounts: a weight in the configuration

Cause: capacity is to be shared between accounts by weights from the active configuration. Change: ClientAccount.weight, decoded from the optional positive number `weight` of an account; 1 by default. A configuration with another value is rejected as a whole, like any other invalid one.

--- a/samphirerill/fleet/model.py
+++ b/samphirerill/fleet/model.py
@@ -113,10 +113,14 @@
 
 @dataclass(slots=True, frozen=True)
 class ClientAccount:
-    """A client account, identified by a bearer key."""
+    """A client account, identified by a bearer key.
+
+    Under load, accounts of the same rank get capacity in proportion to `weight`.
+    """
 
     name: str
     priority: int | None = None
+    weight: float = 1.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/samphirerill/platform/documents.py
+++ b/samphirerill/platform/documents.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Any
 
-from msgspec import DecodeError, Struct, ValidationError, field, json
+from msgspec import DecodeError, Meta, Struct, ValidationError, field, json
 
 from samphirerill.fleet.model import (
     MS_PER_S,
@@ -108,6 +108,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    weight: Annotated[float, Meta(gt=0)] = 1
 
 
 class _Config(Struct):
@@ -126,7 +127,7 @@
     """Decode a stored configuration; raise ``DocumentError``."""
     document: _Config = decode_document(_CONFIG, text)
     accounts = {
-        key: ClientAccount(account.name, account.priority)
+        key: ClientAccount(account.name, account.priority, account.weight)
         for account in document.tenants or ()
         for key in account.api_keys
     }
--- a/samphirerill/tests/test_platform.py
+++ b/samphirerill/tests/test_platform.py
@@ -44,6 +44,17 @@
     def setUp(self) -> None:
         self.adapter = HttpPlatformAdapter()
 
+    def test_account_weight_is_decoded(self) -> None:
+        account = b'{"name": "a", "apiKeys": ["k"]%b}'
+        document = b'{"version": 1, "tenants": [%b]}'
+        for text, weight in ((b'', 1.0), (b', "weight": 2.5', 2.5)):
+            cfg = self.adapter.decode_configuration(document % (account % text))
+            self.assertEqual(cfg.accounts['k'].weight, weight)
+        with self.assertRaises(DocumentError):
+            self.adapter.decode_configuration(
+                document % (account % b', "weight": 0')
+            )
+
     def test_configuration_is_decoded_completely(self) -> None:
         configuration = self.adapter.decode_configuration(CONFIGURATION)
         streaming_route, plain_route = configuration.routes
