Streams: the admission queue is split by responsibility

Change: errors, the search of a path and the checks of hopeless requests are modules of their own; the code is unchanged. Three tests import the errors from their new module. Result: test_admission_edge, test_request_limits, test_reported_back_off, test_resending, test_secured_successors, test_retry_choice, test_handover, 70 tests, OK.

--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -8,32 +8,28 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from itertools import pairwise
 from typing import TYPE_CHECKING
 
-from samphirerill.fleet.explain import (
-    describe_backoffs,
-    describe_limits,
-    explain_no_path,
-)
 from samphirerill.fleet.load import list_replica_ids
-from samphirerill.fleet.outage import Outage, find_coverage_time
-from samphirerill.fleet.paths import choose_path
 from samphirerill.fleet.prediction import predict_transfer_ms
-from samphirerill.fleet.replica_notices import prefer_unreported
+from samphirerill.relay.admission_errors import NoPathError
+from samphirerill.relay.path_search import search_path
+from samphirerill.relay.queued_request import (
+    FIRST_EVENT_S,
+    OutageChecks,
+    QueuedRequest,
+    explain_wait,
+    find_backoff_error,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from samphirerill.fleet.model import EngineSpec, Replica, Stage
+    from samphirerill.fleet.model import EngineSpec, Stage
     from samphirerill.fleet.paths import PathRequest
-    from samphirerill.fleet.view import FleetView, ReplicaState
     from samphirerill.relay.state import EdgeState
 
-# Expected time from sending a request to its first event: prefill of a usual
-# prompt in all stages, beside other streams.
-_FIRST_EVENT_S = 0.15
 # Smoothing factor for the interval between grants to queued requests.
 _INTERVAL_SMOOTHING = 0.2
 # Requests with at most this many ahead of them are queued without comparing the
@@ -44,39 +40,6 @@
 _MAX_SKIPPED = 3
 
 
-@dataclass(slots=True, eq=False)
-class _QueuedRequest:
-    """A queued request; lower ranks are served first.
-
-    `timely_until` is the latest time at which a path still allows the first
-    event to meet its latency objective, `deadline` when it stops waiting.
-    """
-
-    rank: int
-    timely_until: float
-    deadline: float
-    service: str
-    engine: EngineSpec
-    path_request: PathRequest
-    granted: asyncio.Future[tuple[Stage, ...]]
-
-
-class NoPathError(Exception):
-    """No path will be free in time; retry after `wait_s` seconds."""
-
-    def __init__(self, wait_s: float, reason: str) -> None:
-        super().__init__(f'no path in time: {reason}')
-        self.wait_s = wait_s
-
-
-class OutageError(NoPathError):
-    """No live replica holds some layers; `wait_s` estimates the recovery."""
-
-
-class BackOffError(NoPathError):
-    """Replicas want no more requests for `wait_s`, and no others have a path."""
-
-
 class AdmissionQueue:
     """The admission queue for the streams of this node.
 
@@ -89,8 +52,8 @@
     def __init__(self, state: EdgeState) -> None:
         self._state = state
         self._loop = asyncio.get_running_loop()
-        self._queue: list[_QueuedRequest] = []
-        self._outages: dict[str, Outage] = {}
+        self._queue: list[QueuedRequest] = []
+        self._outages = OutageChecks(state)
         self._grant_interval_s = 0.0
         self._last_grant_at = 0.0
         self._is_grant_scheduled = False
@@ -151,9 +114,9 @@
             stages = self._reserve_path(service, engine, path_request)
             if stages:
                 return stages
-        queued = _QueuedRequest(
+        queued = QueuedRequest(
             rank,
-            first_event_due - _FIRST_EVENT_S,
+            first_event_due - FIRST_EVENT_S,
             deadline,
             service,
             engine,
@@ -162,8 +125,8 @@
         )
         self._reject_if_queue_too_long(ahead_count, queued, deadline)
         if not path_request.is_urgent:
-            self._reject_during_outage(queued, deadline)
-            error = _find_backoff_error(
+            self._outages.reject(queued, self._loop.time())
+            error = find_backoff_error(
                 self._state, queued, self._loop.time(), ahead_count
             )
             if error is not None:
@@ -200,26 +163,12 @@
         self, service: str, engine: EngineSpec, path_request: PathRequest
     ) -> tuple[Stage, ...]:
         """Return a path with free capacity, or none, without reserving it."""
-        now = self._loop.time()
-        state = self._state
-        path_request.links = state.link_usage
-        path_request.data_centre = state.settings.data_centre
-        path_request.policy = state.settings.policy
-        if state.load_tracker.count_silent_peers():
-            path_request.jitter = state.random
-        usable = _list_usable(state, service, path_request, now)
-        preferred = prefer_unreported(usable, now)
-        stages = choose_path(
-            engine, preferred, state.load_tracker, path_request, now
-        )
-        if stages or len(preferred) == len(usable):
-            return stages
-        return choose_path(
-            engine, usable, state.load_tracker, path_request, now
+        return search_path(
+            self._state, service, engine, path_request, self._loop.time()
         )
 
     async def _wait_for_grant(
-        self, queued: _QueuedRequest, deadline: float
+        self, queued: QueuedRequest, deadline: float
     ) -> tuple[Stage, ...]:
         self._queue.append(queued)
         try:
@@ -234,13 +183,13 @@
             self._abandon(queued)
             raise NoPathError(
                 self.predict_wait_s(),
-                _explain_no_path(self._state, queued, self._loop.time()),
+                explain_wait(self._state, queued, self._loop.time()),
             ) from exc
         except asyncio.CancelledError:
             self._abandon(queued)
             raise
 
-    def _abandon(self, queued: _QueuedRequest) -> None:
+    def _abandon(self, queued: QueuedRequest) -> None:
         """Release a path that was granted while the request stopped waiting."""
         granted = queued.granted
         is_granted = granted.done() and not granted.cancelled()
@@ -249,7 +198,7 @@
         granted.cancel()
 
     def _reject_if_queue_too_long(
-        self, ahead_count: int, queued: _QueuedRequest, deadline: float
+        self, ahead_count: int, queued: QueuedRequest, deadline: float
     ) -> None:
         """Reject a request whose deadline the queue would exceed."""
         left_s = deadline - self._loop.time()
@@ -257,28 +206,7 @@
         if ahead_count > _MAX_UNCHECKED_QUEUE and expected_s > left_s:
             raise NoPathError(
                 expected_s,
-                _explain_no_path(self._state, queued, self._loop.time()),
-            )
-
-    def _reject_during_outage(
-        self, queued: _QueuedRequest, deadline: float
-    ) -> None:
-        """Reject a request if missing layers will load too late.
-
-        Not used for streams that have started: the client cannot retry those.
-        """
-        service, now = queued.service, self._loop.time()
-        outage = self._outages.get(service)
-        if outage is None:
-            outage = Outage(queued.engine)
-            self._outages[service] = outage
-        live = self._state.view.list_live(service, now)
-        if not outage.observe(live, now):
-            return
-        wait_s = outage.predict_wait_s(live, now)
-        if now + wait_s > deadline:
-            raise OutageError(
-                wait_s, _explain_no_path(self._state, queued, self._loop.time())
+                explain_wait(self._state, queued, self._loop.time()),
             )
 
     def _schedule_grants(self) -> None:
@@ -328,7 +256,7 @@
         for position, queued in enumerate(tuple(self._queue)):
             if queued.path_request.is_urgent:
                 continue
-            error = _find_backoff_error(self._state, queued, now, position)
+            error = find_backoff_error(self._state, queued, now, position)
             if error is not None:
                 self._queue.remove(queued)
                 queued.granted.set_exception(error)
@@ -364,77 +292,3 @@
                 self._state.link_usage.note_transfer(
                     source, destination, transfer_ms, now
                 )
-
-
-def _list_usable(
-    state: EdgeState, service: str, path_request: PathRequest, now: float
-) -> list[ReplicaState]:
-    """Return the replicas that a path may use."""
-    usable = state.view.list_usable(service, now)
-    return [*usable, *_list_kept(state.view, path_request, usable, now)]
-
-
-def _list_kept(
-    view: FleetView,
-    path_request: PathRequest,
-    usable: list[ReplicaState],
-    now: float,
-) -> list[ReplicaState]:
-    """Return the replicas that a rerouted stream keeps without new work.
-
-    A replica that is leaving, paused after a refusal or asked for a back-off
-    still runs the streams that it has.
-    """
-    if not path_request.first_stage_end:
-        return []
-    usable_ids = {state.replica.replica_id for state in usable}
-    kept = map(view.replicas.get, path_request.prefilled_on - usable_ids)
-    return [
-        state
-        for state in kept
-        if state is not None and state.suspicion.suspected_until <= now
-    ]
-
-
-def _find_backoff_error(
-    state: EdgeState, queued: _QueuedRequest, now: float, ahead: int
-) -> BackOffError | None:
-    """Return why a request would wait in vain; none if it may be served.
-
-    `ahead` is how many requests are served before it.
-    """
-    if state.view.notices.last_obstacle_end <= now:
-        return None
-    candidates = [
-        known
-        for known in state.view.list_live(queued.service, now)
-        if _is_candidate(known.replica, queued.path_request)
-    ]
-    possible_at = find_coverage_time(queued.engine, candidates, now, ahead)
-    is_in_time = possible_at + _FIRST_EVENT_S <= queued.deadline
-    if is_in_time or possible_at in {now, float('inf')}:
-        return None
-    reason = _explain_no_path(state, queued, now)
-    return BackOffError(possible_at - now, reason)
-
-
-def _is_candidate(replica: Replica, path_request: PathRequest) -> bool:
-    """Return whether a path may use a replica, as far as that is required."""
-    if replica.replica_id in path_request.excluded:
-        return False
-    heads = path_request.first_replicas
-    return not heads or replica.held.first > 0 or replica.replica_id in heads
-
-
-def _explain_no_path(
-    state: EdgeState, queued: _QueuedRequest, now: float
-) -> str:
-    reason = explain_no_path(
-        queued.engine,
-        state.view.list_usable(queued.service, now),
-        state.load_tracker,
-        queued.path_request,
-    )
-    live = state.view.list_live(queued.service, now)
-    obstacles = (describe_backoffs(live, now), describe_limits(live, now))
-    return '; '.join(filter(None, (reason, *obstacles)))
--- a/samphirerill/relay/replacement.py
+++ b/samphirerill/relay/replacement.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.node.logs import get_logger
-from samphirerill.relay.admission import NoPathError
+from samphirerill.relay.admission_errors import NoPathError
 from samphirerill.relay.leaving_replicas import (
     must_resend_to_head,
     should_seek_path,
--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -12,7 +12,7 @@
 from samphirerill.fleet.stage_lifetime import find_stage_end, is_stage_lost
 from samphirerill.fleet.stream_rerouting import predict_reroute_pause_ms
 from samphirerill.node.logs import get_logger
-from samphirerill.relay.admission import NoPathError
+from samphirerill.relay.admission_errors import NoPathError
 from samphirerill.relay.health.passive_checks import list_unconfirmed
 from samphirerill.relay.orders import request_reroute
 from samphirerill.relay.path_finder import ANY_HEAD, PathFinder
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.node.logs import get_logger
-from samphirerill.relay.admission import (
+from samphirerill.relay.admission_errors import (
     BackOffError,
     NoPathError,
     OutageError,
--- a/samphirerill/tests/test_admission_edge.py
+++ b/samphirerill/tests/test_admission_edge.py
@@ -11,8 +11,8 @@
 from samphirerill.fleet.replica_notices import note_requested_backoff
 from samphirerill.platform.http_adapter import HttpPlatformAdapter
 from samphirerill.platform.settings import EdgeSettings
-from samphirerill.relay.admission import (
-    AdmissionQueue,
+from samphirerill.relay.admission import AdmissionQueue
+from samphirerill.relay.admission_errors import (
     BackOffError,
     NoPathError,
     OutageError,
--- a/samphirerill/tests/test_resending.py
+++ b/samphirerill/tests/test_resending.py
@@ -13,7 +13,8 @@
 from samphirerill.fleet.view import LAPSE_GRACE_S
 from samphirerill.platform.http_adapter import HttpPlatformAdapter
 from samphirerill.platform.settings import EdgeSettings
-from samphirerill.relay.admission import AdmissionQueue, NoPathError
+from samphirerill.relay.admission import AdmissionQueue
+from samphirerill.relay.admission_errors import NoPathError
 from samphirerill.relay.connection import HttpConnection
 from samphirerill.relay.path_tracker import PathTracker
 from samphirerill.relay.state import EdgeState
--- a/samphirerill/tests/test_retry_choice.py
+++ b/samphirerill/tests/test_retry_choice.py
@@ -9,7 +9,8 @@
 from samphirerill.fleet.paths import PathRequest
 from samphirerill.platform.http_adapter import HttpPlatformAdapter
 from samphirerill.platform.settings import EdgeSettings
-from samphirerill.relay.admission import AdmissionQueue, NoPathError
+from samphirerill.relay.admission import AdmissionQueue
+from samphirerill.relay.admission_errors import NoPathError
 from samphirerill.relay.state import EdgeState
 from samphirerill.relay.stream_path import StreamPath
 from samphirerill.tests.fleet_builders import ENGINE, build_replica
