Streams: nodes share capacity between ranks and accounts

Cause: a node knew the load of others, but not what waits there, so a flood of less urgent streams at one node took the capacity for which urgent ones waited at another. Change: statuses and aggregates carry the running and waiting room of each shared service. Where settings and configuration call for it, streams are admitted by level and account use, leave capacity to work of lower levels elsewhere, and are rejected on arrival if their predicted start is too late. A status is sent at once when waiting work appears or disappears, and to one node with better work when a stream ends. Without sharing, decisions are as before.

--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -8,33 +8,27 @@
 from __future__ import annotations
 
 import asyncio
-from itertools import pairwise
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.load import list_replica_ids
-from samphirerill.fleet.prediction import predict_transfer_ms
-from samphirerill.relay.admission_errors import NoPathError
-from samphirerill.relay.path_search import search_path
+from samphirerill.relay.arrival_checks import ArrivalChecks
+from samphirerill.relay.grant_rate import GrantRate
+from samphirerill.relay.path_search import record_transfers, search_path
 from samphirerill.relay.queued_request import (
     FIRST_EVENT_S,
-    OutageChecks,
     QueuedRequest,
-    explain_wait,
     find_backoff_error,
 )
+from samphirerill.relay.shared_admission import SharedAdmission
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable
 
     from samphirerill.fleet.model import EngineSpec, Stage
     from samphirerill.fleet.paths import PathRequest
     from samphirerill.relay.state import EdgeState
+    from samphirerill.relay.stream_share import StreamShare
 
-# Smoothing factor for the interval between grants to queued requests.
-_INTERVAL_SMOOTHING = 0.2
-# Requests with at most this many ahead of them are queued without comparing the
-# expected wait with their deadline.
-_MAX_UNCHECKED_QUEUE = 4
 # Started streams without a path that are skipped per pass. Bounds the cost of a
 # pass: a path search takes 1 ms at 98 replicas and is done 80 times a second.
 _MAX_SKIPPED = 3
@@ -47,15 +41,20 @@
     ----------
     state : EdgeState
         The known replicas and their load.
+
+    Attributes
+    ----------
+    shared : SharedAdmission
+        Decides on streams of services whose capacity is shared.
     """
 
     def __init__(self, state: EdgeState) -> None:
         self._state = state
         self._loop = asyncio.get_running_loop()
         self._queue: list[QueuedRequest] = []
-        self._outages = OutageChecks(state)
-        self._grant_interval_s = 0.0
-        self._last_grant_at = 0.0
+        self.shared = SharedAdmission(state, self._queue, self._schedule_grants)
+        self._checks = ArrivalChecks(state, self.shared)
+        self._rate = GrantRate()
         self._is_grant_scheduled = False
         self._handled_obstacles = 0
         state.add_listener(self._schedule_grants)
@@ -77,7 +76,7 @@
 
     def predict_wait_s(self) -> float:
         """Return the expected time until the present queue is empty."""
-        return self._grant_interval_s * (1 + self.count_waiting())
+        return self._rate.interval_s * (1 + self.count_waiting())
 
     async def admit(
         self,
@@ -87,6 +86,7 @@
         rank: int,
         deadline: float,
         first_event_due: float,
+        share: StreamShare | None = None,
     ) -> tuple[Stage, ...]:
         """Wait for a path with free capacity and reserve it.
 
@@ -102,6 +102,8 @@
             The latest time to wait until, on the loop's clock.
         first_event_due : float
             When the first event is due, on the loop's clock.
+        share : StreamShare, optional
+            The stream, if the capacity of its service is shared.
 
         Raises
         ------
@@ -109,11 +111,6 @@
             No path is expected to be free before the deadline.
         """
         self._state.request_limits.note_arrival(service)
-        ahead_count = self.count_ahead(rank)
-        if not ahead_count:
-            stages = self._reserve_path(service, engine, path_request)
-            if stages:
-                return stages
         queued = QueuedRequest(
             rank,
             first_event_due - FIRST_EVENT_S,
@@ -122,16 +119,15 @@
             engine,
             path_request,
             self._loop.create_future(),
+            share,
         )
-        self._reject_if_queue_too_long(ahead_count, queued, deadline)
-        if not path_request.is_urgent:
-            self._outages.reject(queued, self._loop.time())
-            error = find_backoff_error(
-                self._state, queued, self._loop.time(), ahead_count
-            )
-            if error is not None:
-                raise error
-        return await self._wait_for_grant(queued, deadline)
+        ahead_count = self._count_ahead_of(queued)
+        if not ahead_count:
+            stages = self._try_reserve(queued)
+            if stages:
+                return stages
+        self._checks.check(queued, ahead_count, self._rate.interval_s)
+        return await self._wait_for_grant(queued)
 
     def reserve(
         self,
@@ -150,13 +146,15 @@
             for stage in stages
             if stage.replica.replica_id not in kept_ids
         )
-        self._record_transfers(engine, stages, tokens)
+        self.shared.free_room.note_change(stages, tokens, 1)
+        record_transfers(self._state, engine, stages, tokens, self._loop.time())
 
     def release(self, stages: tuple[Stage, ...], tokens: float) -> None:
         """Release the capacity of a path and wake waiting requests."""
         self._state.load_tracker.remove_request(
             list_replica_ids(stages), tokens
         )
+        self.shared.free_room.note_change(stages, -tokens, -1)
         self._state.notify_listeners()
 
     def find_path(
@@ -167,13 +165,25 @@
             self._state, service, engine, path_request, self._loop.time()
         )
 
-    async def _wait_for_grant(
-        self, queued: QueuedRequest, deadline: float
-    ) -> tuple[Stage, ...]:
+    def _count_ahead_of(self, queued: QueuedRequest) -> int:
+        """Return how many queued requests are served before a new one."""
+        if queued.share is None:
+            return self.count_ahead(queued.rank)
+        return self.shared.count_ahead(queued)
+
+    def _try_reserve(self, queued: QueuedRequest) -> tuple[Stage, ...]:
+        """Reserve a path for a request that nothing at this node precedes."""
+        if queued.share is not None and not self.shared.may_start(queued):
+            return ()
+        return self._reserve_path(queued)
+
+    async def _wait_for_grant(self, queued: QueuedRequest) -> tuple[Stage, ...]:
         self._queue.append(queued)
+        if queued.share is not None:
+            self.shared.enqueue(queued)
         try:
             with self._state.request_limits.waiting(queued.service):
-                async with asyncio.timeout_at(deadline):
+                async with asyncio.timeout_at(queued.deadline):
                     return await queued.granted
         except TimeoutError as exc:
             # After the loop was blocked, a path may be granted just before the
@@ -181,13 +191,21 @@
             if queued.granted.done() and not queued.granted.cancelled():
                 return queued.granted.result()
             self._abandon(queued)
-            raise NoPathError(
-                self.predict_wait_s(),
-                explain_wait(self._state, queued, self._loop.time()),
+            raise self._checks.build_timeout_error(
+                queued, self.predict_wait_s()
             ) from exc
         except asyncio.CancelledError:
             self._abandon(queued)
             raise
+        finally:
+            self._leave_queue(queued)
+
+    def _leave_queue(self, queued: QueuedRequest) -> None:
+        """Remove a request from the queue, if it is there."""
+        if queued in self._queue:
+            self._queue.remove(queued)
+            if queued.share is not None:
+                self.shared.leave_queue(queued)
 
     def _abandon(self, queued: QueuedRequest) -> None:
         """Release a path that was granted while the request stopped waiting."""
@@ -197,18 +215,6 @@
             self.release(granted.result(), queued.path_request.tokens)
         granted.cancel()
 
-    def _reject_if_queue_too_long(
-        self, ahead_count: int, queued: QueuedRequest, deadline: float
-    ) -> None:
-        """Reject a request whose deadline the queue would exceed."""
-        left_s = deadline - self._loop.time()
-        expected_s = self._grant_interval_s * ahead_count
-        if ahead_count > _MAX_UNCHECKED_QUEUE and expected_s > left_s:
-            raise NoPathError(
-                expected_s,
-                explain_wait(self._state, queued, self._loop.time()),
-            )
-
     def _schedule_grants(self) -> None:
         if self._queue and not self._is_grant_scheduled:
             self._is_grant_scheduled = True
@@ -224,19 +230,23 @@
         excluded every replica.
         """
         self._is_grant_scheduled = False
-        self._queue = [item for item in self._queue if not item.granted.done()]
         now = self._loop.time()
         self._queue.sort(key=lambda item: (item.rank, item.timely_until < now))
         self._reject_backed_off()
+        self._grant_in_order(
+            [queued for queued in self._queue if queued.share is None]
+        )
+        for order in self.shared.list_orders():
+            self._grant_in_order(order)
+
+    def _grant_in_order(self, order: Iterable[QueuedRequest]) -> None:
         skipped = 0
-        for queued in tuple(self._queue):
-            stages = self._reserve_path(
-                queued.service, queued.engine, queued.path_request
-            )
+        for queued in order:
+            stages = self._reserve_path(queued)
             if stages:
-                self._queue.remove(queued)
+                self._leave_queue(queued)
                 queued.granted.set_result(stages)
-                self._record_grant()
+                self._rate.note_grant(self._loop.time())
             elif not queued.path_request.is_urgent or skipped >= _MAX_SKIPPED:
                 return
             else:
@@ -254,41 +264,18 @@
         self._handled_obstacles = notices.obstacle_count
         now = self._loop.time()
         for position, queued in enumerate(tuple(self._queue)):
-            if queued.path_request.is_urgent:
+            if queued.path_request.is_urgent or queued.granted.done():
                 continue
             error = find_backoff_error(self._state, queued, now, position)
             if error is not None:
-                self._queue.remove(queued)
+                self._leave_queue(queued)
                 queued.granted.set_exception(error)
 
-    def _record_grant(self) -> None:
-        now = self._loop.time()
-        interval_s = min(1.0, now - self._last_grant_at)
-        self._grant_interval_s += _INTERVAL_SMOOTHING * (
-            interval_s - self._grant_interval_s
-        )
-        self._last_grant_at = now
-
-    def _reserve_path(
-        self, service: str, engine: EngineSpec, path_request: PathRequest
-    ) -> tuple[Stage, ...]:
-        stages = self.find_path(service, engine, path_request)
+    def _reserve_path(self, queued: QueuedRequest) -> tuple[Stage, ...]:
+        path_request = queued.path_request
+        stages = self.find_path(queued.service, queued.engine, path_request)
         if stages:
-            self.reserve(engine, stages, path_request.tokens)
+            self.reserve(queued.engine, stages, path_request.tokens)
+            if queued.share is not None:
+                self.shared.note_start(queued)
         return stages
-
-    def _record_transfers(
-        self,
-        engine: EngineSpec,
-        stages: tuple[Stage, ...],
-        tokens: float,
-    ) -> None:
-        now = self._loop.time()
-        transfer_ms = predict_transfer_ms(engine, tokens)
-        for stage, following in pairwise(stages):
-            source = stage.replica.data_centre
-            destination = following.replica.data_centre
-            if source != destination:
-                self._state.link_usage.note_transfer(
-                    source, destination, transfer_ms, now
-                )
--- a/samphirerill/relay/admission_errors.py
+++ b/samphirerill/relay/admission_errors.py
@@ -15,5 +15,9 @@
     """No live replica holds some layers; `wait_s` estimates the recovery."""
 
 
+class RejectedError(NoPathError):
+    """Capacity is not expected in time; `wait_s` is spread over clients."""
+
+
 class BackOffError(NoPathError):
     """Replicas want no more requests for `wait_s`, and no others have a path."""
--- a/samphirerill/relay/aggregate_status.py
+++ b/samphirerill/relay/aggregate_status.py
@@ -11,6 +11,7 @@
     encode_link_usage,
     encode_suspicions,
 )
+from samphirerill.relay.room_exchange import merge_rows
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -47,6 +48,7 @@
         node_count=len(statuses),
         budget_usage=_sum_budget_usage(statuses),
         suspected_ago_ms=suspicions.suspected_ago_ms,
+        room=merge_rows(status.room for status in statuses),
     )
 
 
--- a/samphirerill/relay/node_status.py
+++ b/samphirerill/relay/node_status.py
@@ -14,6 +14,7 @@
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.retry_budget import RetryUsage
 from samphirerill.relay.replica_ids import checksum_name
+from samphirerill.relay.room_rows import RoomRow
 
 if TYPE_CHECKING:
     from samphirerill.fleet.link_usage import LinkKey
@@ -46,7 +47,8 @@
     unresponsive. `link_usage` holds the milliseconds of transfer over each link
     between data centres since the node started. `budget_usage` maps services to
     requests and retries in the window of their retry budget, and to running
-    streams.
+    streams. `room` holds the running and waiting requests of each service whose
+    capacity is shared.
 
     An aggregate of all nodes of a data centre has the same form, with their
     number in `node_count`.
@@ -64,6 +66,7 @@
     node_count: int = 1
     budget_usage: dict[str, tuple[int, int, int]] = {}
     suspected_ago_ms: dict[int, int] = {}
+    room: dict[str, RoomRow] = {}
 
 
 class EncodedSuspicions:
@@ -141,6 +144,7 @@
         data_centre=state.settings.data_centre,
         budget_usage=_encode_budget_usage(state, now),
         suspected_ago_ms=suspicions.suspected_ago_ms,
+        room=state.rooms.build_rows(now),
     )
 
 
@@ -175,6 +179,7 @@
         now,
         status.node_count,
     )
+    state.rooms.apply(status.node, status.room, now)
     _apply_link_usage(state, status, now)
     for service, counts in status.budget_usage.items():
         budget = state.get_retry_budget(service)
--- a/samphirerill/relay/path_search.py
+++ b/samphirerill/relay/path_search.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
 from typing import TYPE_CHECKING
 
 from samphirerill.fleet.paths import choose_path
+from samphirerill.fleet.prediction import predict_transfer_ms
 from samphirerill.fleet.replica_notices import prefer_unreported
 
 if TYPE_CHECKING:
@@ -37,6 +39,24 @@
     return choose_path(engine, usable, state.load_tracker, path_request, now)
 
 
+def record_transfers(
+    state: EdgeState,
+    engine: EngineSpec,
+    stages: tuple[Stage, ...],
+    tokens: float,
+    now: float,
+) -> None:
+    """Record what a path transfers over links between data centres."""
+    transfer_ms = predict_transfer_ms(engine, tokens)
+    for stage, following in pairwise(stages):
+        source = stage.replica.data_centre
+        destination = following.replica.data_centre
+        if source != destination:
+            state.link_usage.note_transfer(
+                source, destination, transfer_ms, now
+            )
+
+
 def _list_usable(
     state: EdgeState, service: str, path_request: PathRequest, now: float
 ) -> list[ReplicaState]:
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -247,6 +247,7 @@
             now = self._loop.time()
             removed = self.state.view.remove_lapsed(now)
             self.state.load_tracker.expire_peers(now)
+            self.state.rooms.expire(now)
             self._permit_exchange.sweep()
             self.state.pool.close_stale(set(self.state.view.replicas))
             if removed:
--- a/samphirerill/relay/queued_request.py
+++ b/samphirerill/relay/queued_request.py
@@ -19,6 +19,7 @@
     from samphirerill.fleet.model import EngineSpec, Replica, Stage
     from samphirerill.fleet.paths import PathRequest
     from samphirerill.relay.state import EdgeState
+    from samphirerill.relay.stream_share import StreamShare
 
 # Expected time from sending a request to its first event: prefill of a usual
 # prompt in all stages, beside other streams.
@@ -31,6 +32,7 @@
 
     `timely_until` is the latest time at which a path still allows the first
     event to meet its latency objective, `deadline` when it stops waiting.
+    `share` is set if the service's capacity is shared.
     """
 
     rank: int
@@ -40,6 +42,7 @@
     engine: EngineSpec
     path_request: PathRequest
     granted: asyncio.Future[tuple[Stage, ...]]
+    share: StreamShare | None = None
 
 
 class OutageChecks:
--- a/samphirerill/relay/refusals.py
+++ b/samphirerill/relay/refusals.py
@@ -30,12 +30,14 @@
     """An error response of this node.
 
     Status 503 guarantees that the request was not executed; 502 and 504 do not.
-    `retry_s` is the time after which the client should retry.
+    `retry_s` is the time after which the client should retry; it is sent as it
+    is if it `is_spread` over clients already.
     """
 
     status: int
     reason: str
     retry_s: float = 0.0
+    is_spread: bool = False
 
 
 def send_refusal(
@@ -48,8 +50,9 @@
     state.counters[f'refused.{refusal.status}'] += 1
     headers: Headers = []
     if refusal.status == UNAVAILABLE:
-        jitter = 1 + _RETRY_JITTER * state.random.random()
-        retry_s = max(_MIN_RETRY_S, refusal.retry_s) * jitter
+        retry_s = max(_MIN_RETRY_S, refusal.retry_s)
+        if not refusal.is_spread:
+            retry_s *= 1 + _RETRY_JITTER * state.random.random()
         headers.append((b'retry-after', b'%.2f' % retry_s))
     _LOG.info(
         'refused',
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -9,7 +9,12 @@
 
 from samphirerill.fleet.link_usage import LinkUsage
 from samphirerill.fleet.load import LoadTracker
-from samphirerill.fleet.model import MS_PER_S, ClientLimits
+from samphirerill.fleet.model import (
+    MS_PER_S,
+    ClientLimits,
+    FleetConfiguration,
+    Service,
+)
 from samphirerill.fleet.retry_budget import RetryBudget
 from samphirerill.fleet.routes import RouteTable
 from samphirerill.fleet.view import FleetView
@@ -20,11 +25,11 @@
 from samphirerill.relay.pool import ConnectionPool
 from samphirerill.relay.replica_ids import ReplicaIdIndex
 from samphirerill.relay.response_notices import ResponseNotices
+from samphirerill.relay.room_exchange import RoomExchange
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from samphirerill.fleet.model import FleetConfiguration, Service
     from samphirerill.platform.settings import EdgeSettings
     from samphirerill.relay.active_stream import ActiveStream
     from samphirerill.relay.platform_adapter import PlatformAdapter
@@ -126,6 +131,7 @@
         self.peer_count = 0
         self._max_nodes_seen = _MIN_ASSUMED_NODES
         self.retry_budgets: dict[str, RetryBudget] = {}
+        self._rooms = RoomExchange(self)
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -138,6 +144,11 @@
         """Return the handler of what replicas say in responses."""
         return self._response_notices
 
+    @property
+    def rooms(self) -> RoomExchange:
+        """Return the capacity that nodes share between ranks and accounts."""
+        return self._rooms
+
     @property
     def request_limits(self) -> RequestLimits:
         """Return the request rates that replicas have named."""
@@ -246,6 +257,7 @@
         be counted twice.
         """
         self.load_tracker.remove_peer(name)
+        self._rooms.remove_peer(name)
         for budget in self.retry_budgets.values():
             budget.peers.remove(name)
 
--- a/samphirerill/relay/status_sender.py
+++ b/samphirerill/relay/status_sender.py
@@ -15,6 +15,7 @@
 
 from samphirerill.relay.aggregate_status import build_aggregate
 from samphirerill.relay.node_status import build_node_status
+from samphirerill.relay.prompt_status import PromptStatus
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -51,8 +52,10 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
         self._sequence = 0
-        self._sent_versions = (-1, -1)
+        self._sent_versions = (-1, -1, -1)
         self._send_at = 0.0
+        prompt = PromptStatus(state, peers, self)
+        state.rooms.bind(prompt.note_waiting, prompt.note_end)
 
     def bind(self, transport: asyncio.DatagramTransport) -> None:
         """Send through this transport from now on."""
@@ -108,59 +111,58 @@
             group.create_task(self._run_local())
             group.create_task(self._run_remote())
 
-    async def _run_local(self) -> None:
-        while True:
-            self._send_local()
-            count = len(self._peers.list_local_addresses(self._loop.time()))
-            await asyncio.sleep(
-                max(_MIN_SEND_INTERVAL_S, _SEND_INTERVAL_PER_NODE_S * count)
-            )
-
-    async def _run_remote(self) -> None:
-        while True:
-            await asyncio.sleep(_REMOTE_INTERVAL_S)
-            self._send_remote()
-
-    def _schedule_send(self) -> None:
-        """Schedule one send for all changes within a short delay."""
-        if self._read_versions() == self._sent_versions or self._send_at:
-            return
-        now = self._loop.time()
-        count = len(self._peers.list_local_addresses(now))
-        self._send_at = now + max(
-            _MIN_SEND_DELAY_S, _SEND_DELAY_PER_NODE_S * count
-        )
-        self._loop.call_at(self._send_at, self._send_local)
-
-    def _send_local(self) -> None:
+    def send_local(self) -> None:
         """Send the status to the nodes of this data centre."""
         self._send_at = 0.0
         self._sent_versions = self._read_versions()
-        data = msgpack.encode(self._build_status())
+        data = msgpack.encode(self.build_status())
         local = self._peers.list_local_addresses(self._loop.time())
         self._send_to(data, local | self._list_seed_addresses(local))
 
-    def _send_remote(self) -> None:
+    def send_remote(self) -> None:
         """Send to other data centres: to all nodes there or to a few."""
         now = self._loop.time()
         if self._peers.is_direct(now):
             self._send_to(
-                msgpack.encode(self._build_status()),
+                msgpack.encode(self.build_status()),
                 self._peers.list_remote_addresses(now),
             )
         elif self._peers.is_aggregator(now):
             local = self._peers.list_local_statuses(now)
-            aggregate = build_aggregate(
-                self._state, self._build_status(), local
-            )
+            aggregate = build_aggregate(self._state, self.build_status(), local)
             self._send_to(
                 msgpack.encode(aggregate), self._peers.list_receivers(now)
             )
 
-    def _build_status(self) -> NodeStatus:
+    def build_status(self) -> NodeStatus:
+        """Return the present status of this node, to be sent now."""
         self._sequence += 1
         return build_node_status(self._state, self._sequence, self._loop.time())
 
+    async def _run_local(self) -> None:
+        while True:
+            self.send_local()
+            count = len(self._peers.list_local_addresses(self._loop.time()))
+            await asyncio.sleep(
+                max(_MIN_SEND_INTERVAL_S, _SEND_INTERVAL_PER_NODE_S * count)
+            )
+
+    async def _run_remote(self) -> None:
+        while True:
+            await asyncio.sleep(_REMOTE_INTERVAL_S)
+            self.send_remote()
+
+    def _schedule_send(self) -> None:
+        """Schedule one send for all changes within a short delay."""
+        if self._read_versions() == self._sent_versions or self._send_at:
+            return
+        now = self._loop.time()
+        count = len(self._peers.list_local_addresses(now))
+        self._send_at = now + max(
+            _MIN_SEND_DELAY_S, _SEND_DELAY_PER_NODE_S * count
+        )
+        self._loop.call_at(self._send_at, self.send_local)
+
     def _send_to(self, data: bytes, addresses: Iterable[str]) -> None:
         # The port closes before the sending tasks are cancelled; sending on it
         # would raise and replace the cancellation, so that the node does not
@@ -185,8 +187,9 @@
             for seed in settings.seeds
         }
 
-    def _read_versions(self) -> tuple[int, int]:
+    def _read_versions(self) -> tuple[int, int, int]:
         return (
             self._state.load_tracker.own_version,
             self._state.view.own_suspicions_version,
+            self._state.rooms.get_version(),
         )
--- a/samphirerill/relay/stream_path.py
+++ b/samphirerill/relay/stream_path.py
@@ -111,6 +111,7 @@
             state, context, engine, admission, self.used_heads
         )
         self.tokens = self.finder.tokens
+        self._share = admission.shared.open(context, self.tokens)
         self.avoid = self.finder.avoid
         self.direct_paths = state.pool.dialer.paths
         self._state = state
@@ -219,6 +220,11 @@
         self.release_reserved(self.stages)
         self.stages = ()
 
+    def close(self) -> None:
+        """Record that the stream has ended and needs no path any more."""
+        if self._share is not None:
+            self._admission.shared.close(self._share)
+
     def release_reserved(self, stages: tuple[Stage, ...]) -> None:
         """Release the capacity of a path that was reserved for another run."""
         self._admission.release(stages, self.tokens)
@@ -366,6 +372,7 @@
             rank,
             deadline,
             context.req.arrived_at + context.route.target_s,
+            self._share,
         )
 
     def _list_end_times(self, now: float) -> dict[str, float]:
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -16,6 +16,7 @@
     BackOffError,
     NoPathError,
     OutageError,
+    RejectedError,
 )
 from samphirerill.relay.connection import (
     BodyChunk,
@@ -225,6 +226,8 @@
         """Wait for a path; fail the stream and return false if none comes."""
         try:
             return await self._wait_unless_quarantined(self._acquire_path())
+        except RejectedError as exc:
+            self._fail(str(exc), exc.wait_s, is_spread=True)
         except (OutageError, BackOffError) as exc:
             self._fail(str(exc), exc.wait_s)
         except NoPathError as exc:
@@ -471,7 +474,9 @@
         self._progress.has_broken_run = True
         self._progress.reason = self._closing_reason
 
-    def _fail(self, denial: str, wait_s: float) -> None:
+    def _fail(
+        self, denial: str, wait_s: float, *, is_spread: bool = False
+    ) -> None:
         """Send an error, or abort a response that has started."""
         self._ended = True
         client = self._context.conn
@@ -490,6 +495,7 @@
             client.abort()
         elif self._error_response is None:
             refusal = self._build_refusal(denial, wait_s)
+            refusal.is_spread = is_spread
             send_refusal(self._state, client, self._context.facts, refusal)
         else:
             head, body = self._error_response
@@ -511,6 +517,7 @@
         ).active_streams += 1
 
     def _unregister(self) -> None:
+        self._path.close()
         self._limits.return_reserved()
         self._state.streams.discard(self)
         self._state.get_retry_budget(
