Operators: the records of shared services are shown and logged

Cause: streams counted in records of their own, which no page shows, and noted the level with each request, so that it changed several times a second: requests of other levels, and smaller ones, may start while one is held back.

A higher level counts as in force once nothing lower was noted for 1 s. A request that was accepted and then got no capacity is logged as `rejected after waiting`. A service that never shared anything adds nothing to the pages.

--- a/samphirerill/node/admission_log.py
+++ b/samphirerill/node/admission_log.py
@@ -17,6 +17,9 @@
 LEVEL_CHANGED = 'level changed'
 ADMITTED = 'admitted after waiting'
 REJECTED = 'rejected by prediction'
+REJECTED_LATER = 'rejected after waiting'
+# In the reasons of `sharing.prediction.find_rejection`.
+PREDICTED_WAIT = 'predicted wait'
 _LINES_PER_S = 10
 # Lines on requests must not keep those on levels out of the log.
 _RESERVED_LINES = 2
@@ -106,7 +109,7 @@
         super().note_rejected(item, level, reason, retry_s, now)
         if self._log.may_log_request(now):
             self._write(
-                REJECTED,
+                REJECTED if PREDICTED_WAIT in reason else REJECTED_LATER,
                 item,
                 level,
                 reason=reason,
--- a/samphirerill/node/admission_metrics.py
+++ b/samphirerill/node/admission_metrics.py
@@ -36,7 +36,7 @@
             yield from _format_counts(label, {**labels, label: name}, counts)
     others = {**labels, 'account': _OTHER_ACCOUNTS}
     yield from _format_counts('account', others, records['other_accounts'])
-    yield from _format_room(labels, records.get('room', {}))
+    yield from _format_room(labels, records['room'])
 
 
 def _format_counts(
@@ -61,13 +61,13 @@
 def _format_room(
     labels: Mapping[str, str], room: Mapping[str, Any]
 ) -> Iterator[str]:
-    """Format running and waiting work, if the service shares capacity."""
-    for rank, running in room.get('running_by_rank', {}).items():
+    """Format running and waiting work."""
+    for rank, running in room['running_by_rank'].items():
         yield _format('rank_running_room', {**labels, 'rank': rank}, running)
-    for account, running in room.get('running_by_account', {}).items():
+    for account, running in room['running_by_account'].items():
         listed = {**labels, 'account': account}
         yield _format('account_running_room', listed, running)
-    for level, waiting in room.get('waiting_by_level', {}).items():
+    for level, waiting in room['waiting_by_level'].items():
         listed = {**labels, 'level': level}
         yield _format('level_waiting', listed, waiting['count'])
         yield _format('level_waiting_room', listed, waiting['room'])
--- a/samphirerill/node/admission_observer.py
+++ b/samphirerill/node/admission_observer.py
@@ -5,13 +5,12 @@
 from typing import TYPE_CHECKING, Any
 
 from samphirerill.node.admission_log import AdmissionLog, LoggedRecords
-from samphirerill.sharing.model import identify_account
+from samphirerill.sharing.model import RoomReport, identify_account
 
 if TYPE_CHECKING:
     from random import Random
 
     from samphirerill.sharing.fleet_room import FleetRoom
-    from samphirerill.sharing.model import RoomReport
     from samphirerill.sharing.records import AdmissionRecords
 
 
@@ -47,22 +46,23 @@
 
     def describe(self, now: float) -> dict[str, Any]:
         """Return records, running and waiting work by service."""
-        return {
+        described = {
             service: self._describe_service(service, records, now)
             for service, records in self._by_service.items()
         }
+        return {service: shown for service, shown in described.items() if shown}
 
     def _describe_service(
         self, service: str, records: AdmissionRecords, now: float
     ) -> dict[str, Any]:
-        described = records.describe(now)
+        """Describe a service; nothing if it has not shared any capacity."""
         room = self._rooms.get(service)
-        if room is not None:
-            names = {
-                identify_account(name): name for name in described['accounts']
-            }
-            report = room.build_report(now)
-            described['room'] = _describe_room(report, names)
+        report = RoomReport() if room is None else room.build_report(now)
+        if not records.is_used and not report.account_count:
+            return {}
+        described = records.describe(now)
+        names = {identify_account(name): name for name in described['accounts']}
+        described['room'] = _describe_room(report, names)
         return described
 
 
--- a/samphirerill/relay/room_exchange.py
+++ b/samphirerill/relay/room_exchange.py
@@ -147,10 +147,19 @@
         for name in state.cfg.services:
             shared = self._services.get(name)
             if shared is None:
-                shared = SharedService(name, state.random)
-                self._services[name] = shared
+                shared = self._open(name)
             shared.configure(state.settings.sharing, state.cfg)
 
+    def _open(self, name: str) -> SharedService:
+        """Add a service and show it to operators."""
+        admissions = self._state.metrics.admissions
+        shared = SharedService(
+            name, self._state.random, admissions.find_records(name)
+        )
+        admissions.add_room(name, shared.fleet_room)
+        self._services[name] = shared
+        return shared
+
     def _is_configured_by(
         self, current: tuple[EdgeSettings, FleetConfiguration | None]
     ) -> bool:
--- a/samphirerill/relay/shared_service.py
+++ b/samphirerill/relay/shared_service.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.sharing.fleet_room import FleetRoom
-from samphirerill.sharing.records import AdmissionRecords
 from samphirerill.sharing.return_times import ReturnTimes
 from samphirerill.sharing.settings import SharingSettings
 
@@ -14,6 +13,7 @@
     from random import Random
 
     from samphirerill.fleet.model import FleetConfiguration
+    from samphirerill.sharing.records import AdmissionRecords
 
 # Above every level.
 NO_LEVEL = sys.maxsize
@@ -28,6 +28,8 @@
         The service.
     random : Random
         Source of jitter.
+    records : AdmissionRecords
+        Counts of admissions and rejections at this node.
 
     Attributes
     ----------
@@ -36,7 +38,7 @@
     fleet_room : FleetRoom
         Running and waiting requests at all nodes.
     records : AdmissionRecords
-        Counts of admissions and rejections at this node.
+        As given.
     return_times : ReturnTimes
         Schedules the returns of rejected clients.
     settings : SharingSettings
@@ -51,11 +53,13 @@
         'settings',
     )
 
-    def __init__(self, name: str, random: Random) -> None:
+    def __init__(
+        self, name: str, random: Random, records: AdmissionRecords
+    ) -> None:
         self.name = name
         self.settings = SharingSettings()
         self.fleet_room = FleetRoom(self.settings)
-        self.records = AdmissionRecords(name, random)
+        self.records = records
         self.return_times = ReturnTimes(random)
 
     @property
--- a/samphirerill/reports/admission_causes.py
+++ b/samphirerill/reports/admission_causes.py
@@ -4,7 +4,13 @@
 
 from typing import TYPE_CHECKING, Any
 
-from samphirerill.node.admission_log import ADMITTED, LEVEL_CHANGED, REJECTED
+from samphirerill.node.admission_log import (
+    ADMITTED,
+    LEVEL_CHANGED,
+    PREDICTED_WAIT,
+    REJECTED,
+    REJECTED_LATER,
+)
 from samphirerill.reports.late_streams import LatencyTargets
 from samphirerill.sharing.model import GUARANTEED_LEVEL, STARTED_LEVEL
 
@@ -15,8 +21,7 @@
 
 _REFUSED = 'refused'
 _ENDED = 'stream ended'
-# In the reason of `sharing.prediction.find_rejection`.
-_PREDICTED = 'predicted wait'
+_ADMISSION_EVENTS = frozenset((ADMITTED, REJECTED, REJECTED_LATER))
 # Lines are suppressed while others are logged, at least every second.
 _MAX_STAND_IN_S = 2.0
 
@@ -29,7 +34,7 @@
     another request is shown, and marked as such.
     """
     records = index.by_request.get(request, ())
-    own = [item for item in records if item.event in {ADMITTED, REJECTED}]
+    own = [item for item in records if item.event in _ADMISSION_EVENTS]
     if own:
         return [line for item in own for line in _explain(index, item)]
     stand_ins = [_find_stand_in(index, item) for item in records]
@@ -120,7 +125,7 @@
 def _find_suppressed_event(record: LogRecord) -> str:
     """Return which line on the request's admission is missing, if any."""
     reason = str(record.fields.get('reason', ''))
-    if record.event == _REFUSED and _PREDICTED in reason:
+    if record.event == _REFUSED and PREDICTED_WAIT in reason:
         return REJECTED
     first_ms = record.fields.get('first_ms', 0)
     if record.event == _ENDED and first_ms > LatencyTargets().first_event_ms:
--- a/samphirerill/sharing/records.py
+++ b/samphirerill/sharing/records.py
@@ -16,6 +16,7 @@
 # Levels and ranks are counted one by one up to this number, then together:
 # their number is set by the configuration, not by this node.
 _MAX_NUMBERS = 32
+_LEVEL_HOLD_S = 1.0
 
 
 class AdmissionRecords:
@@ -47,6 +48,7 @@
         '_by_level',
         '_by_rank',
         '_grants',
+        '_held_until',
         'level',
         'level_changes',
         'level_since',
@@ -62,6 +64,12 @@
         self.level: int | None = None
         self.level_since = 0.0
         self.level_changes = 0
+        self._held_until = 0.0
+
+    @property
+    def is_used(self) -> bool:
+        """Return whether anything was noted."""
+        return bool(self._by_level or self.level_changes)
 
     def note_admitted(
         self,
@@ -91,11 +99,20 @@
     def note_level(self, level: int | None, now: float) -> bool:
         """Note the highest level that may take capacity; `None` for all.
 
+        A higher level than the present one applies once the present one or a
+        lower one was not noted for 1 s: requests of different levels and sizes
+        alternate in what they note, several times a second.
+
         Returns
         -------
         bool
             Whether the level has changed.
         """
+        is_higher = _is_above(level, self.level)
+        if is_higher and now < self._held_until:
+            return False
+        if level is not None:
+            self._held_until = now + _LEVEL_HOLD_S
         if level == self.level:
             return False
         self.level = level
@@ -134,6 +151,11 @@
         )
 
 
+def _is_above(level: int | None, other: int | None) -> bool:
+    """Compare two levels that may take capacity; none stands for all."""
+    return other is not None and (level is None or level > other)
+
+
 def _find_number(
     groups: dict[int | str, AdmissionCounts], number: int
 ) -> AdmissionCounts:
--- a/samphirerill/tests/test_admission_records.py
+++ b/samphirerill/tests/test_admission_records.py
@@ -103,6 +103,22 @@
         described = self.records.describe(8)
         self.assertEqual((described['level'], described['level_for_s']), (1, 3))
 
+    def test_alternating_notes_are_one_level(self) -> None:
+        """Guard against a change of level with each request.
+
+        While a level has to leave capacity, requests of lower levels still
+        start, and small ones of the same level too.
+        """
+        for step in range(200):
+            level = None if step % 3 else 1
+            self.records.note_level(level, 10 + step / 20)
+        self.assertEqual(
+            (self.records.level, self.records.level_changes), (1, 1)
+        )
+        self.assertTrue(self.records.note_level(-1, 20.1))
+        self.assertFalse(self.records.note_level(None, 20.9))
+        self.assertTrue(self.records.note_level(None, 21.2))
+
     def test_served_before_counts_only_the_time_of_the_wait(self) -> None:
         """Guard against blaming accounts that were served before arrival."""
         large = _build_item('large', room=50)
--- a/samphirerill/tests/test_admission_reports.py
+++ b/samphirerill/tests/test_admission_reports.py
@@ -7,11 +7,17 @@
 
 from logbook import TestHandler
 
-from samphirerill.node.admission_log import ADMITTED, LEVEL_CHANGED, REJECTED
+from samphirerill.node.admission_log import (
+    ADMITTED,
+    LEVEL_CHANGED,
+    REJECTED,
+    REJECTED_LATER,
+)
 from samphirerill.node.admission_metrics import format_admissions
 from samphirerill.node.admission_observer import AdmissionObserver
 from samphirerill.sharing.fleet_room import FleetRoom
 from samphirerill.sharing.model import WorkItem
+from samphirerill.sharing.prediction import find_rejection
 from samphirerill.sharing.settings import SharingSettings
 
 
@@ -47,7 +53,7 @@
         self.assertEqual(events[-1], LEVEL_CHANGED)
         self.assertEqual(self.log.records[-1].extra['suppressed'], 492)
         for number in range(20):
-            self.records.note_level(number, 7.7)
+            self.records.note_level(-number, 7.7)
         self.assertEqual(len(self.log.records), 10)
         self.records.note_level(None, 9)
         self.assertEqual(_list_events(self.log).count(LEVEL_CHANGED), 3)
@@ -61,6 +67,15 @@
         fields = self.log.records[-1].extra
         self.assertEqual((fields['before'], fields['lasted_s']), (3, 20))
 
+    def test_rejection_on_arrival_is_told_from_a_later_one(self) -> None:
+        """Guard against blaming the prediction for requests that waited."""
+        item = WorkItem(0, 'large', 100, due=5, deadline=9)
+        rejection = find_rejection(item, wait_s=8, now=1)
+        assert rejection is not None
+        for reason in (rejection.reason, 'no replica has free memory'):
+            self.records.note_rejected(item, 0, reason, 1, 1)
+        self.assertEqual(_list_events(self.log), [REJECTED, REJECTED_LATER])
+
     def test_wait_names_who_was_served_before(self) -> None:
         """Guard against a wait whose cause is not in the log."""
         self.records.note_admitted(_build_item('r1', 'past'), 0, 0, 0, 1)
@@ -132,7 +147,9 @@
 
     def test_node_without_records_adds_no_lines(self) -> None:
         """Guard against a changed page where nothing is shared."""
-        self.assertEqual(format_admissions({}), '')
+        room = FleetRoom(SharingSettings())
+        self.observer.add_room('painting', room)
+        self.assertEqual(format_admissions(self.observer.describe(1)), '')
 
 
 if __name__ == '__main__':
