--- a/samphirerill/relay/shared_admission.py
+++ b/samphirerill/relay/shared_admission.py
@@ -14,7 +14,7 @@
 from samphirerill.relay.shared_service import NO_LEVEL
 from samphirerill.relay.stream_share import StreamShare
 from samphirerill.sharing.gate import may_start
-from samphirerill.sharing.model import WaitingWork
+from samphirerill.sharing.model import GUARANTEED_LEVEL, WaitingWork
 from samphirerill.sharing.order import sort_key
 from samphirerill.sharing.prediction import find_rejection, predict_wait_s
 
@@ -90,7 +90,7 @@
 
     def count_ahead(self, queued: QueuedRequest) -> int:
         """Return how many requests of this node are served before another."""
-        level = self._find_level(queued)
+        level = self._find_arrival_level(queued)
         waiting = self._list_waiting(_get_share(queued).shared)
         return sum(self._find_level(other) <= level for other in waiting)
 
@@ -154,7 +154,7 @@
             return
         now = self._loop.time()
         fleet_room = share.shared.fleet_room
-        level = self._find_level(queued)
+        level = self._find_arrival_level(queued)
         share.predicted_s = predict_wait_s(
             fleet_room.count_ahead(level, now),
             fleet_room.compute_rate(now),
@@ -262,6 +262,21 @@
         fleet_room = _get_share(queued).shared.fleet_room
         return fleet_room.find_level(_get_item(queued), self._loop.time())
 
+    def _find_arrival_level(self, queued: QueuedRequest) -> int:
+        """Return the level that an arriving request is expected to have.
+
+        The guaranteed room of its rank goes to requests that wait already. If
+        each new one counted as guaranteed, none would be rejected on arrival.
+        """
+        level = self._find_level(queued)
+        item = _get_item(queued)
+        if level != GUARANTEED_LEVEL:
+            return level
+        waiting = self._list_waiting(_get_share(queued).shared)
+        if any(_get_item(other).rank == item.rank for other in waiting):
+            return 2 * item.rank
+        return level
+
     def _recheck(self, at: float) -> None:
         """Look for requests that may start when the estimate is renewed.
 
