--- a/samphirerill/tests/test_shared_admission.py
+++ b/samphirerill/tests/test_shared_admission.py
@@ -45,9 +45,15 @@
 
 
 def compute_utilization(outcomes: Collection[Outcome]) -> float:
-    """Return the part of the capacity that was used."""
-    admitted = sum(found.retry_s is None for found in outcomes)
-    return admitted / (_CAPACITY_PER_S * _DURATION_S)
+    """Return the part of the slots that was used while streams arrived."""
+    since = min(found.arrived_at for found in outcomes)
+    until = since + _DURATION_S
+    busy_s = 0.0
+    for found in outcomes:
+        if found.retry_s is None:
+            started_at = found.arrived_at + found.wait_s
+            busy_s += max(0, min(until - started_at, STREAM_S))
+    return busy_s / (2 * SLOTS * _DURATION_S)
 
 
 class TestOverload(TestCase):
