Streams: admissions are recorded where operators see them

Change: the records of a shared service are those of AdmissionObserver, with the request's id, and exist only once the service has something to share.

--- a/samphirerill/relay/room_exchange.py
+++ b/samphirerill/relay/room_exchange.py
@@ -5,7 +5,10 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.relay.room_rows import RoomRow, decode_row, encode_report
-from samphirerill.relay.shared_service import SharedService
+from samphirerill.relay.shared_service import (
+    SharedService,
+    restrict_settings,
+)
 from samphirerill.sharing.fleet_room import merge_reports
 from samphirerill.sharing.model import (
     MAX_AGGREGATED_ACCOUNTS,
@@ -144,12 +147,24 @@
         if state.cfg is None or self._is_configured_by(current):
             return
         self._configured_by = current
+        sharing = state.settings.sharing
         for name in state.cfg.services:
-            shared = self._services.get(name)
-            if shared is None:
-                shared = SharedService(name, state.random)
-                self._services[name] = shared
-            shared.configure(state.settings.sharing, state.cfg)
+            restricted = restrict_settings(sharing, state.cfg, name)
+            if restricted.ranks or restricted.accounts:
+                self._add(name)
+        for shared in self._services.values():
+            shared.configure(sharing, state.cfg)
+
+    def _add(self, name: str) -> None:
+        """Add a service, if it is not known yet."""
+        if name in self._services:
+            return
+        admissions = self._state.metrics.admissions
+        shared = SharedService(
+            name, self._state.random, admissions.find_records(name)
+        )
+        admissions.add_room(name, shared.fleet_room)
+        self._services[name] = shared
 
     def _is_configured_by(
         self, current: tuple[EdgeSettings, FleetConfiguration | None]
--- a/samphirerill/relay/shared_service.py
+++ b/samphirerill/relay/shared_service.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.sharing.fleet_room import FleetRoom
-from samphirerill.sharing.records import AdmissionRecords
 from samphirerill.sharing.return_times import ReturnTimes
 from samphirerill.sharing.settings import SharingSettings
 
@@ -14,6 +13,7 @@
     from random import Random
 
     from samphirerill.fleet.model import FleetConfiguration
+    from samphirerill.sharing.records import AdmissionRecords
 
 # Above every level.
 NO_LEVEL = sys.maxsize
@@ -28,6 +28,8 @@
         The service.
     random : Random
         Source of jitter.
+    records : AdmissionRecords
+        Counts admissions and rejections at this node.
 
     Attributes
     ----------
@@ -36,7 +38,7 @@
     fleet_room : FleetRoom
         Running and waiting requests at all nodes.
     records : AdmissionRecords
-        Counts of admissions and rejections at this node.
+        As given.
     return_times : ReturnTimes
         Schedules the returns of rejected clients.
     settings : SharingSettings
@@ -51,11 +53,13 @@
         'settings',
     )
 
-    def __init__(self, name: str, random: Random) -> None:
+    def __init__(
+        self, name: str, random: Random, records: AdmissionRecords
+    ) -> None:
         self.name = name
         self.settings = SharingSettings()
         self.fleet_room = FleetRoom(self.settings)
-        self.records = AdmissionRecords(name, random)
+        self.records = records
         self.return_times = ReturnTimes(random)
 
     @property
@@ -67,13 +71,8 @@
         self, settings: SharingSettings, cfg: FleetConfiguration
     ) -> None:
         """Apply settings and a configuration."""
-        weights = {
-            account.name: account.weight for account in cfg.accounts.values()
-        }
-        self.settings = settings.restrict(
-            count_ranks(cfg, self.name), len(weights)
-        )
-        self.fleet_room.configure(self.settings, weights)
+        self.settings = restrict_settings(settings, cfg, self.name)
+        self.fleet_room.configure(self.settings, _list_weights(cfg))
 
     def expire(self, now: float) -> None:
         """Drop old reports; without any waiting work, all levels may start."""
@@ -84,7 +83,20 @@
             self.records.note_level(None, now)
 
 
-def count_ranks(cfg: FleetConfiguration, service: str) -> int:
+def restrict_settings(
+    settings: SharingSettings, cfg: FleetConfiguration, service: str
+) -> SharingSettings:
+    """Return what is shared, as far as a service has anything to share."""
+    return settings.restrict(
+        _count_ranks(cfg, service), len(_list_weights(cfg))
+    )
+
+
+def _list_weights(cfg: FleetConfiguration) -> dict[str, float]:
+    return {account.name: account.weight for account in cfg.accounts.values()}
+
+
+def _count_ranks(cfg: FleetConfiguration, service: str) -> int:
     """Return how many priorities the requests of a service may have."""
     priorities = {
         route.priority
--- a/samphirerill/relay/stream_share.py
+++ b/samphirerill/relay/stream_share.py
@@ -68,6 +68,7 @@
             tokens,
             self.arrived_at + context.route.target_s - FIRST_EVENT_S,
             context.client_deadline,
+            context.request_id,
         )
         self.started_item = replace(self.item, rank=_STARTED_RANK)
         self.is_accepted = False
--- a/samphirerill/tests/shared_nodes.py
+++ b/samphirerill/tests/shared_nodes.py
@@ -246,7 +246,7 @@
 def _build_context(rank: int, account: str, now: float) -> RequestContext:
     return RequestContext(
         cast('Request', Mock(arrived_at=now)),
-        cast('RequestMetadata', Mock()),
+        cast('RequestMetadata', Mock(request_id=b'r')),
         cast('ClientConnection', Mock()),
         build_route(rank),
         Service(SERVICE, engine=_ENGINE),
