--- a/samphirerill/tests/shared_fleet.py
+++ b/samphirerill/tests/shared_fleet.py
@@ -156,8 +156,8 @@
     ) -> Answer:
         """Send one request and read its response to the end."""
         loop = asyncio.get_running_loop()
-        number = len(self.answers)
         conn = await self.harness.connect(node)
+        number = len(self.answers)
         answer = Answer(rank, account, loop.time())
         self.answers.append(answer)
         headers = [
