Streams: levels of a queue are found once for each rank and account

Cause: an arrival behind 200 waiting streams took 1.4 ms to count those ahead. Change: levels are looked up by rank and account instead of by request; a test checks that Retry-After is spread and leaves time for the retry.

--- a/samphirerill/relay/shared_admission.py
+++ b/samphirerill/relay/shared_admission.py
@@ -85,14 +85,16 @@
         share.is_running = False
         shared = share.shared
         shared.fleet_room.finish(share.item, self._loop.time())
-        levels = map(self._find_level, self._list_waiting(shared))
-        self._state.rooms.note_end(shared, min(levels, default=NO_LEVEL))
+        keys = self._find_keys(self._list_waiting(shared))
+        lowest = min((level for level, _ in keys.values()), default=NO_LEVEL)
+        self._state.rooms.note_end(shared, lowest)
 
     def count_ahead(self, queued: QueuedRequest) -> int:
         """Return how many requests of this node are served before another."""
         level = self._find_arrival_level(queued)
         waiting = self._list_waiting(_get_share(queued).shared)
-        return sum(self._find_level(other) <= level for other in waiting)
+        keys = self._find_keys(waiting)
+        return sum(keys[_get_group(other)][0] <= level for other in waiting)
 
     def list_orders(self) -> list[Iterator[QueuedRequest]]:
         """Return the waiting requests of each service in their order.
@@ -243,20 +245,31 @@
     def _choose_next(self, waiting: list[QueuedRequest]) -> QueuedRequest:
         """Return the request that is served first."""
         now = self._loop.time()
-        keys: dict[tuple[int, str], tuple[int, float]] = {}
+        keys = self._find_keys(waiting)
+        return min(
+            waiting,
+            key=lambda queued: sort_key(
+                _get_item(queued), *keys[_get_group(queued)], now
+            ),
+        )
+
+    def _find_keys(
+        self, waiting: list[QueuedRequest]
+    ) -> dict[tuple[int, str], tuple[int, float]]:
+        """Return level and account use by rank and account.
 
-        def build_key(
-            queued: QueuedRequest,
-        ) -> tuple[int, bool, float, float]:
-            item = _get_item(queued)
-            group = (item.rank, item.account)
+        They are the same for all requests of a rank and account.
+        """
+        now = self._loop.time()
+        keys: dict[tuple[int, str], tuple[int, float]] = {}
+        for queued in waiting:
+            group = _get_group(queued)
             if group not in keys:
+                item = _get_item(queued)
                 fleet_room = _get_share(queued).shared.fleet_room
                 level = fleet_room.find_level(item, now)
                 keys[group] = (level, fleet_room.find_account_use(item))
-            return sort_key(item, *keys[group], now)
-
-        return min(waiting, key=build_key)
+        return keys
 
     def _find_level(self, queued: QueuedRequest) -> int:
         fleet_room = _get_share(queued).shared.fleet_room
@@ -301,6 +314,11 @@
     return share.started_item if queued.path_request.is_urgent else share.item
 
 
+def _get_group(queued: QueuedRequest) -> tuple[int, str]:
+    item = _get_item(queued)
+    return item.rank, item.account
+
+
 def _find_allowed(shared: SharedService, level: int, now: float) -> int:
     """Return the highest level below another that has nothing to wait for."""
     while shared.fleet_room.count_waiting_before(
--- a/samphirerill/tests/test_shared_streams.py
+++ b/samphirerill/tests/test_shared_streams.py
@@ -14,15 +14,22 @@
 _DEMAND_PER_S = 2 * CAPACITY_PER_S
 _DURATION_S = 3.0
 _PROMPT_S = 0.1
+_CLIENT_TIMEOUT_S = 20.0
 
 
 class TestTargets(SharedFleetCase):
     """Demand at twice the capacity; the bounds are those of the design."""
 
     def assert_rejections_are_prompt(self) -> None:
-        """Assert that four of five came within 0.1 s, with Retry-After."""
+        """Assert that four of five came within 0.1 s.
+
+        Retry-After is spread, and leaves time for the retry.
+        """
         rejected = self.list_answers(status=UNAVAILABLE)
-        self.assertTrue(all(answer.retry_s > 0 for answer in rejected))
+        retries_s = {answer.retry_s for answer in rejected}
+        self.assertGreater(min(retries_s), 0)
+        self.assertLessEqual(max(retries_s), _CLIENT_TIMEOUT_S / 3)
+        self.assertGreater(len(retries_s), len(rejected) / 2)
         prompt = sum(answer.first_s <= _PROMPT_S for answer in rejected)
         self.assertGreaterEqual(prompt / len(rejected), 0.8)
 
