Streams: Retry-After at the rate at which a node's clients are served

Cause: each node let its rejected clients return at the rate of the whole fleet, and one that had waited in vain was told to return at once. Change: returns are scheduled at this node's part of the rate; after a wait in vain, the wait is predicted anew.

--- a/samphirerill/relay/arrival_checks.py
+++ b/samphirerill/relay/arrival_checks.py
@@ -81,7 +81,7 @@
         reason = explain_wait(self._state, queued, self._loop.time())
         if queued.share is None:
             return NoPathError(wait_s, reason)
-        return self._shared.build_rejection(queued, reason)
+        return self._shared.build_timeout_error(queued, reason, wait_s)
 
     def _check_queue(
         self, queued: QueuedRequest, ahead_count: int, grant_interval_s: float
--- a/samphirerill/relay/shared_admission.py
+++ b/samphirerill/relay/shared_admission.py
@@ -9,8 +9,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from samphirerill.relay.admission_errors import RejectedError
 from samphirerill.relay.free_room_cache import FreeRoomCache
+from samphirerill.relay.rejections import build_rejection
 from samphirerill.relay.shared_service import NO_LEVEL
 from samphirerill.relay.stream_share import StreamShare
 from samphirerill.sharing.gate import may_start
@@ -21,15 +21,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from samphirerill.relay.admission_errors import RejectedError
     from samphirerill.relay.queued_request import QueuedRequest
     from samphirerill.relay.request_context import RequestContext
     from samphirerill.relay.shared_service import SharedService
     from samphirerill.relay.state import EdgeState
     from samphirerill.sharing.model import WorkItem
 
-# Latest return of a rejected client, as a part of its remaining time.
-_RETURN_PART = 1 / 3
-
 
 class SharedAdmission:
     """Decisions on the streams of one node whose services are shared.
@@ -167,28 +165,32 @@
             share.item, share.predicted_s, now, own_ahead
         )
         if rejection is not None:
-            raise self.build_rejection(queued, rejection.reason)
+            raise build_rejection(
+                share, level, rejection.reason, share.predicted_s, now
+            )
 
-    def build_rejection(
-        self, queued: QueuedRequest, reason: str
+    def build_timeout_error(
+        self, queued: QueuedRequest, reason: str, own_wait_s: float
     ) -> RejectedError:
-        """Return the error for a request that is not served in time."""
-        share = _get_share(queued)
+        """Return the error for a request that has waited until its deadline.
+
+        Parameters
+        ----------
+        queued : QueuedRequest
+            The request.
+        reason : str
+            Why there was no path.
+        own_wait_s : float
+            The expected time until the present queue of this node is empty.
+        """
         now = self._loop.time()
+        share = _get_share(queued)
         fleet_room = share.shared.fleet_room
         level = self._find_level(queued)
-        retry_s = share.shared.return_times.assign(
-            level,
-            share.predicted_s,
-            share.item.room,
-            fleet_room.compute_rate(now),
-            max(0, share.item.deadline - now) * _RETURN_PART,
-            now,
-        )
-        share.shared.records.note_rejected(
-            share.item, level, reason, retry_s, now
-        )
-        return RejectedError(retry_s, f'level {level}: {reason}')
+        ahead = fleet_room.count_ahead(level, now)
+        rate = fleet_room.compute_rate(now)
+        wait_s = predict_wait_s(ahead, rate, own_wait_s, 1)
+        return build_rejection(share, level, reason, wait_s, now)
 
     def enqueue(self, queued: QueuedRequest) -> None:
         """Count a request that waits."""
--- a/samphirerill/tests/shared_nodes.py
+++ b/samphirerill/tests/shared_nodes.py
@@ -107,8 +107,9 @@
         number: int,
         cfg: FleetConfiguration,
         sharing: SharingSettings = ALL,
+        data_centre: str = 'a',
     ) -> None:
-        super().__init__(network, f'a-{number}', 'a')
+        super().__init__(network, f'{data_centre}-{number}', data_centre)
         self.state.apply_settings(
             structs.replace(self.state.settings, sharing=sharing)
         )
@@ -183,7 +184,7 @@
 
 
 class SharedNodes:
-    """Three nodes and some engines of `SLOTS` slots each.
+    """Some nodes, by default three, and engines of `SLOTS` slots each.
 
     Parameters
     ----------
@@ -191,16 +192,22 @@
         Accounts and their weights.
     engines : int
         Number of engines.
+    data_centres : str
+        The data centre of each node, as one letter.
     """
 
     def __init__(
-        self, accounts: dict[str, float] | None = None, engines: int = 2
+        self,
+        accounts: dict[str, float] | None = None,
+        engines: int = 2,
+        data_centres: str = 'aaa',
     ) -> None:
         self.network = DelayedNetwork()
         self.random = Random(_SEED)
         cfg = build_configuration(accounts or {'one': 1.0})
         self.nodes = [
-            SharedNode(self.network, number, cfg) for number in range(3)
+            SharedNode(self.network, number, cfg, data_centre=data_centre)
+            for number, data_centre in enumerate(data_centres)
         ]
         for node in self.nodes:
             node.add_peers(self.nodes)
