--- a/samphirerill/tests/test_shared_admission.py
+++ b/samphirerill/tests/test_shared_admission.py
@@ -156,14 +156,15 @@
             nodes.start(0, 0)
         await asyncio.sleep(0.05)
 
-    async def serve_after_loss(self, *, is_dead: bool) -> list[Outcome]:
-        """Lose node 0 while it waits, then request all slots at node 1."""
+    async def serve_after_loss(self, loss: str) -> list[Outcome]:
+        """Part node 0, which waits, from node 1; request all slots there."""
         nodes = SharedNodes(engines=1)
         await self.fill(nodes, 1.0)
-        if is_dead:
+        if loss == 'node 0 is dead':
             nodes.network.nodes.pop(nodes.nodes[0].host)
         else:
-            nodes.network.cut.add(nodes.nodes[0].host)
+            cut_off = nodes.nodes[int(loss == 'node 1 is cut off')]
+            nodes.network.cut.add(cut_off.host)
         await asyncio.sleep(1.0)
         for _ in range(SLOTS):
             nodes.start(1, 2, duration_s=9.0)
@@ -173,13 +174,15 @@
     def test_a_lost_node_holds_back_its_reported_room_for_two_seconds(
         self,
     ) -> None:
-        for is_dead in (True, False):
-            outcomes = run_with_virtual_time(
-                self.serve_after_loss(is_dead=is_dead)
-            )
+        for loss in (
+            'node 0 is dead',
+            'node 0 is cut off',
+            'node 1 is cut off',
+        ):
+            outcomes = run_with_virtual_time(self.serve_after_loss(loss))
             waits = sorted(found.wait_s for found in outcomes)
             self.assertEqual(
-                [found.retry_s for found in outcomes], [None] * SLOTS, is_dead
+                [found.retry_s for found in outcomes], [None] * SLOTS, loss
             )
             self.assertLess(waits[SLOTS - 5], 0.05)
             self.assertGreater(waits[SLOTS - 4], 0.5)
