Connections: the idle time of a kept one starts with the end of its response

Cause: the time until which a connection to an endpoint may be reused was computed when the head of the response arrived. A stream that lasted longer than the idle time of the endpoint (4 s unless it says otherwise) left a connection that was never reused, so each such stream opened one.

Change: the time is computed when the response is complete, which is when the endpoint starts its own idle time.

Measured: three streams of 0.55 s one after another to an engine with an idle time of 1 s (0.4 s without the margin) open 3 connections before, 1 after (samphirerill.tests.test_endpoint_connections).

--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -97,6 +97,7 @@
         # When the last request was sent, on the loop's clock.
         self.sent_at = 0.0
         self.idle_until = 0.0
+        self._idle_timeout_s = _DEFAULT_IDLE_S
         self.is_reusable = True
         self._on_close: Callable[[], None] | None = None
         self._on_response: Callable[[], None] | None = None
@@ -343,6 +344,10 @@
             return
         self._head = None
         self._awaits_response = False
+        # The endpoint's idle time starts with the end of its response; counted
+        # from the head, connections of longer streams were never reused.
+        now = asyncio.get_running_loop().time()
+        self.idle_until = now + self._idle_timeout_s - _IDLE_MARGIN_S
         self._push(EndOfResponse())
 
     async def _connect(self, until: float) -> None:
@@ -410,8 +415,7 @@
     def _note_keep_alive(self, head: ResponseHead) -> None:
         if (head.get(b'connection') or b'').lower() == b'close':
             self.is_reusable = False
-        now = asyncio.get_running_loop().time()
-        self.idle_until = now + _parse_idle_timeout_s(head) - _IDLE_MARGIN_S
+        self._idle_timeout_s = _parse_idle_timeout_s(head)
 
 
 def serialize_request(
--- a/samphirerill/testing/platform_harness.py
+++ b/samphirerill/testing/platform_harness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from samphirerill.platform.http_adapter import HttpPlatformAdapter
@@ -35,12 +36,18 @@
     ports : tuple of int
         Ports for datagrams and for calls between nodes, the same on each node;
         by default nodes do not communicate.
+
+    Attributes
+    ----------
+    accepted_connections : Counter
+        Number of connections that were opened to each replica.
     """
 
     def __init__(self, ports: tuple[int, int] = (0, 0)) -> None:
         self._ports = ports
         self._nodes: list[tuple[EdgeProcess, asyncio.Task[int]]] = []
         self.store = FakePlatformStore()
+        self.accepted_connections: Counter[str] = Counter()
         self.replicas: dict[str, FakeReplica] = {}
         self.addresses: dict[str, str] = {}
         self._connections: set[ClientConnection] = set()
@@ -114,6 +121,7 @@
         connections: set[FakeConnection] = set()
 
         def build_connection() -> FakeConnection:
+            self.accepted_connections[name] += 1
             return FakeConnection(replica, connections, replica.delivery)
 
         server = await listen_with(build_connection, _ANY_PORT)
