Connections: requests that run once reuse one that has just responded

Cause: each request that may not be sent again opened a connection, as the endpoint may close an idle one just as it is reused.

Change: such a request reuses a connection whose last response ended at most 2 s ago and at most half of the idle time ago that the endpoint stated in Keep-Alive. Without a statement, a new one is opened as before. Connections that have idled for longer may have fallen silent, and stay for requests that can be sent again. `acquire(fresh=)` became `acquire(proven=)`.

Measured: three requests one after another to a route that is not idempotent open 3 connections before, 1 after; 3 if the proof is older or no idle time is stated (samphirerill.tests.test_endpoint_connections).

--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -36,6 +36,12 @@
 # Connections are dropped this long before the peer closes them, so that no
 # request is sent into the close.
 _IDLE_MARGIN_S = 0.6
+# How long a response proves that the connection still delivers. A connection may
+# fall silent without a reset, and most of those that do have idled for longer.
+_PROOF_S = 2.0
+# Part of the idle time that an endpoint has stated within which it surely keeps
+# the connection open.
+_PROOF_SHARE = 0.5
 _FIRST_FINAL_STATUS = 200
 _NEVER = float('inf')
 
@@ -97,7 +103,10 @@
         # When the last request was sent, on the loop's clock.
         self.sent_at = 0.0
         self.idle_until = 0.0
-        self._idle_timeout_s = _DEFAULT_IDLE_S
+        # Until when the last response proves that the connection works; only if
+        # the endpoint has stated its idle time.
+        self.proven_until = 0.0
+        self._stated_idle_s: float | None = None
         self.is_reusable = True
         self._on_close: Callable[[], None] | None = None
         self._on_response: Callable[[], None] | None = None
@@ -248,6 +257,13 @@
             return False
         return self.is_reusable and self.is_open() and now < self.idle_until
 
+    def is_proven(self, now: float) -> bool:
+        """Return whether a request may be sent that can't be sent again.
+
+        The endpoint has just responded, and does not close the connection yet.
+        """
+        return now < self.proven_until and self.is_usable(now)
+
     def close(self) -> None:
         """Abort the connection; an endpoint then cancels its work."""
         self.is_reusable = False
@@ -347,7 +363,12 @@
         # The endpoint's idle time starts with the end of its response; counted
         # from the head, connections of longer streams were never reused.
         now = asyncio.get_running_loop().time()
-        self.idle_until = now + self._idle_timeout_s - _IDLE_MARGIN_S
+        idle_s = self._stated_idle_s
+        if idle_s is None:
+            idle_s = _DEFAULT_IDLE_S
+        else:
+            self.proven_until = now + min(_PROOF_S, idle_s * _PROOF_SHARE)
+        self.idle_until = now + idle_s - _IDLE_MARGIN_S
         self._push(EndOfResponse())
 
     async def _connect(self, until: float) -> None:
@@ -415,7 +436,7 @@
     def _note_keep_alive(self, head: ResponseHead) -> None:
         if (head.get(b'connection') or b'').lower() == b'close':
             self.is_reusable = False
-        self._idle_timeout_s = _parse_idle_timeout_s(head)
+        self._stated_idle_s = _parse_idle_timeout_s(head)
 
 
 def serialize_request(
@@ -429,9 +450,9 @@
     return b'\r\n'.join((*lines, b'', body))
 
 
-def _parse_idle_timeout_s(head: ResponseHead) -> float:
+def _parse_idle_timeout_s(head: ResponseHead) -> float | None:
     for word in (head.get(b'keep-alive') or b'').split(b','):
         name, _, text = word.strip().partition(b'=')
         if name.lower() == b'timeout' and text.isdigit():
             return float(text)
-    return _DEFAULT_IDLE_S
+    return None
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -208,7 +208,7 @@
     async def _connect(self, replica: Replica) -> HttpConnection:
         conn = await self._state.pool.acquire(
             replica,
-            fresh=not self._context.is_retryable,
+            proven=not self._context.is_retryable,
             max_open=self._state.get_connection_limit(self._context.service),
         )
         if self._crash_detector.find_held_until(self._context):
--- a/samphirerill/relay/pool.py
+++ b/samphirerill/relay/pool.py
@@ -60,8 +60,14 @@
             return True
         return self._open[replica_id] < max_open
 
+    def has_idle(self, replica_id: str) -> bool:
+        """Return whether an idle connection to a replica can be reused."""
+        now = asyncio.get_running_loop().time()
+        idle = self._idle.get(replica_id, ())
+        return any(conn.is_usable(now) for conn in idle)
+
     async def acquire(
-        self, replica: Replica, *, fresh: bool = False, max_open: int = 0
+        self, replica: Replica, *, proven: bool = False, max_open: int = 0
     ) -> HttpConnection:
         """Return an open connection; raise ``ConnectError`` on failure.
 
@@ -69,35 +75,74 @@
         ----------
         replica : Replica
             The replica to connect to.
-        fresh : bool
-            Open a new connection, as for a request that is not retryable: if
-            the endpoint closed an idle connection just as it is reused, the
-            request might have been executed and could not be sent again.
+        proven : bool
+            Reuse only a connection that has just responded and that the
+            endpoint keeps open for longer, as for a request that is not
+            retryable: if the endpoint closed an idle connection just as it is
+            reused, the request might have been executed and could not be sent
+            again.
         max_open : int
             The limit of this node's connections to the replica; 0 for none. An
             endpoint resets connections beyond its limit over all nodes.
         """
-        now = asyncio.get_running_loop().time()
         self._close_outdated(replica)
-        idle = self._idle[replica.replica_id]
-        while idle and not fresh:
+        conn = self.take_idle(replica, proven=proven)
+        if conn is not None:
+            return conn
+        self._evict_idle(replica.replica_id, max_open)
+        conn = await self._open_tracked(replica)
+        self._counters['connections.made'] += 1
+        return conn
+
+    def take_idle(
+        self, replica: Replica, *, proven: bool = False
+    ) -> HttpConnection | None:
+        """Return an idle connection to a replica, or none.
+
+        With `proven`, the others are kept for requests that may be repeated.
+        """
+        replica_id = replica.replica_id
+        idle = self._idle.get(replica_id)
+        if idle is None or self._is_outdated(replica):
+            return None
+        now = asyncio.get_running_loop().time()
+        needs_tunnel = self.dialer.paths.needs_tunnel(replica.address)
+        while idle and (idle[-1].is_proven(now) or not proven):
             conn = idle.pop()
-            needs_tunnel = self.dialer.paths.needs_tunnel(replica.address)
             if conn.is_usable(now) and conn.is_relayed == needs_tunnel:
                 self._counters['connections.reused'] += 1
                 return conn
             conn.close()
-        self._evict_idle(replica.replica_id, max_open)
-        conn = await self._open_tracked(replica)
-        self._counters['connections.made'] += 1
-        return conn
+        return None
+
+    def keep(
+        self, replica: Replica, conn: HttpConnection, max_open: int = 0
+    ) -> None:
+        """Keep a connection that was opened elsewhere, unless there are enough.
+
+        Parameters
+        ----------
+        replica : Replica
+            The replica that it is connected to.
+        conn : HttpConnection
+            The connection; its response was read completely.
+        max_open : int
+            The limit of this node's connections to the replica; 0 for none.
+        """
+        replica_id = replica.replica_id
+        if replica.started_ms > self._start_times.get(replica_id, 0):
+            self._close_outdated(replica)
+        if max_open and self._open[replica_id] >= max_open:
+            conn.close()
+            return
+        self._open[replica_id] += 1
+        conn.notify_on_close(partial(self._untrack_open, replica_id))
+        self.release(replica, conn)
 
     def release(self, replica: Replica, conn: HttpConnection) -> None:
         """Keep a connection whose response was read completely."""
         now = asyncio.get_running_loop().time()
-        if replica.is_different_process(
-            self._start_times.get(replica.replica_id, 0)
-        ):
+        if self._is_outdated(replica):
             conn.close()
             return
         idle = self._idle[replica.replica_id]
@@ -129,11 +174,17 @@
         them; requests on such a connection would time out.
         """
         replica_id = replica.replica_id
-        if replica.is_different_process(self._start_times.get(replica_id, 0)):
+        if self._is_outdated(replica):
             for conn in self._idle.pop(replica_id, ()):
                 conn.close()
         self._start_times[replica_id] = replica.started_ms
 
+    def _is_outdated(self, replica: Replica) -> bool:
+        """Return whether idle connections are to another process."""
+        return replica.is_different_process(
+            self._start_times.get(replica.replica_id, 0)
+        )
+
     def _evict_idle(self, replica_id: str, max_open: int) -> None:
         """Close an idle connection if the limit is reached."""
         if not max_open or self._open[replica_id] < max_open:
--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -155,7 +155,7 @@
         try:
             conn = await self._state.pool.acquire(
                 replica,
-                fresh=not self._context.is_retryable,
+                proven=not self._context.is_retryable,
                 max_open=self._state.get_connection_limit(
                     self._context.service
                 ),
--- a/samphirerill/tests/test_endpoint_connections.py
+++ b/samphirerill/tests/test_endpoint_connections.py
@@ -6,6 +6,7 @@
 
 from samphirerill.fleet.model import ClientLimits
 from samphirerill.tests.test_edge import EdgeCase
+from samphirerill.tests.two_engines import OK, build_headers
 
 # The margin before the end of the idle time leaves 0.4 s for reuse.
 _IDLE_TIMEOUT_S = 1
@@ -29,3 +30,37 @@
                 self.assertEqual(await self.stream(), self.build_events(5))
         counters = self.harness.require_first_node().state.counters
         self.assertEqual(counters['connections.made'], 1)
+
+    async def test_requests_that_run_once_use_proven_connections(
+        self,
+    ) -> None:
+        """A new connection for each, also right after a response."""
+        for _ in range(_REQUESTS):
+            await self.send_once()
+        self.assertEqual(self.harness.accepted_connections['desk-1'], 1)
+
+    async def test_requests_that_run_once_avoid_older_connections(
+        self,
+    ) -> None:
+        """A connection may have fallen silent, or be about to be closed."""
+        with patch('samphirerill.relay.connection._PROOF_S', 0.0):
+            for _ in range(_REQUESTS):
+                await self.send_once()
+        self.assertEqual(self.harness.accepted_connections['desk-1'], _REQUESTS)
+
+    async def test_idle_time_has_to_be_stated_for_requests_that_run_once(
+        self,
+    ) -> None:
+        """An endpoint that states none may close a connection at any time."""
+        parse = 'samphirerill.relay.connection._parse_idle_timeout_s'
+        with patch(parse, return_value=None):
+            for _ in range(_REQUESTS):
+                await self.send_once()
+        self.assertEqual(self.harness.accepted_connections['desk-1'], _REQUESTS)
+
+    async def send_once(self) -> None:
+        """Send a request that is not idempotent."""
+        status, _ = await self.harness.send_request(
+            b'/pickup/x', build_headers('r1')
+        )
+        self.assertEqual(status, OK)
