Connections: reports and orders use those of requests, and keep theirs

Cause: each health probe, report and order opened a connection and closed it.

Change: the first probe of a replica uses an idle connection, if there is one. Only its answer counts: a connection may fall silent without a reset while new ones work, so probes on new connections follow after the delay of a repeated probe (7 to 20 ms), with their number and time unchanged. A replica that counts as dead has to answer on a new connection. Short latencies of kept connections do not shorten the timeout of new ones. Connections of answered calls are kept for requests, within the limit of the endpoint. An order uses a connection only if it has just responded, as after the report that precedes it. connections.made.calls counts the new ones, connections.reused is reported too.

A replica whose connections fall silent after each answer stays alive, one behind a silent connection is found dead.

--- a/samphirerill/relay/health/probe_retries.py
+++ b/samphirerill/relay/health/probe_retries.py
@@ -6,6 +6,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from samphirerill.relay.health.kept_probe import KeptProbe
 from samphirerill.relay.health.probe_timeouts import (
     MIN_TIMEOUT_S,
     ProbeDeadline,
@@ -48,8 +49,29 @@
     latencies : ProbeLatencies
         Latency of earlier probes; updated with this one.
     max_probes : int
-        Probes per round.
+        Probes on new connections per round; 1 for a dead replica.
     """
+    is_dead = max_probes == 1
+    kept = KeptProbe(state, replica, latencies, is_dead=is_dead)
+    try:
+        probe = await kept.wait()
+        if probe is not None:
+            return await _conclude(state, replica, probe, kept.sent_at)
+        return await _probe_in_rounds(
+            state, replica, latencies, max_probes, kept
+        )
+    finally:
+        kept.cancel()
+
+
+async def _probe_in_rounds(
+    state: EdgeState,
+    replica: Replica,
+    latencies: ProbeLatencies,
+    max_probes: int,
+    kept: KeptProbe,
+) -> Probe:
+    """Probe on new connections, and wait for the answer on a kept one too."""
     loop = asyncio.get_running_loop()
     rounds = 0
     has_lagged = True
@@ -57,19 +79,35 @@
         rounds += 1
         sent_at = loop.time()
         deadline = ProbeDeadline(latencies)
-        probe = await _run_round(state, replica, deadline, max_probes)
+        probe = await _run_round(
+            state, replica, deadline, max_probes, kept.tasks
+        )
         if probe is not None:
-            latencies.note(deadline.get_elapsed_s())
-            if probe.verdict is not Verdict.ALIVE:
-                probe = await _confirm_failure(state, replica, probe)
-            probe.sent_at = sent_at
-            return probe
+            if probe is kept.find_answer():
+                kept.note_latency()
+            else:
+                latencies.note(deadline.get_elapsed_s())
+            return await _conclude(state, replica, probe, sent_at)
         has_lagged = deadline.lag_s >= MIN_TIMEOUT_S
     return Probe(loop.time(), Verdict.UNRESPONSIVE, sent_at=sent_at)
 
 
+async def _conclude(
+    state: EdgeState, replica: Replica, probe: Probe, sent_at: float
+) -> Probe:
+    """Return the result of an answered probe, confirmed if it is a failure."""
+    if probe.verdict is not Verdict.ALIVE:
+        probe = await _confirm_failure(state, replica, probe)
+    probe.sent_at = sent_at
+    return probe
+
+
 async def _run_round(
-    state: EdgeState, replica: Replica, deadline: ProbeDeadline, max_probes: int
+    state: EdgeState,
+    replica: Replica,
+    deadline: ProbeDeadline,
+    max_probes: int,
+    kept_tasks: set[asyncio.Task[Probe]],
 ) -> Probe | None:
     """Return the first answer; none if none arrives in time."""
     loop = asyncio.get_running_loop()
@@ -81,10 +119,12 @@
         probes.add(
             loop.create_task(probe_once(state, replica, round_end, connect))
         )
-        await deadline.wait_for_retry(probes)
-        probe = _find_answered(probes)
-    while probe is None and await deadline.wait_until_deadline(probes):
-        probe = _find_answered(probes)
+        await deadline.wait_for_retry(probes | kept_tasks)
+        probe = _find_answered(probes | kept_tasks)
+    while probe is None and await deadline.wait_until_deadline(
+        probes | kept_tasks
+    ):
+        probe = _find_answered(probes | kept_tasks)
     for task in probes:
         task.cancel()
     return probe
--- a/samphirerill/relay/health/probe_timeouts.py
+++ b/samphirerill/relay/health/probe_timeouts.py
@@ -38,6 +38,14 @@
         """Record the latency of an answered probe."""
         self._latency.add_sample(latency_s)
 
+    def note_slower(self, latency_s: float) -> None:
+        """Record the latency of a probe that needed no connect, if it is long.
+
+        Short ones would make the timeout too short for those that connect.
+        """
+        if 0 < self._latency.mean_s < latency_s:
+            self._latency.add_sample(latency_s)
+
     def choose_timeout(self) -> float:
         """Return how long to wait for an answer."""
         if not self._latency.mean_s:
--- a/samphirerill/relay/health/probing.py
+++ b/samphirerill/relay/health/probing.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.node.logs import get_logger
+from samphirerill.relay.endpoint_calls import build_call, call_kept, call_new
 from samphirerill.relay.errors import (
     ConnectRefusedError,
     ConnectTimeoutError,
@@ -16,7 +17,6 @@
     PeerUnavailableError,
 )
 from samphirerill.relay.platform_adapter import DocumentError
-from samphirerill.relay.pool import call_once
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import Replica
@@ -28,6 +28,8 @@
 _OK = 200
 # Usually 2 ms, but 200 ms if a packet has to be retransmitted.
 _REPORT_TIMEOUT_S = 0.3
+# Part of it that a connection in use before is given.
+_KEPT_TIMEOUT_S = 0.1
 
 
 class Verdict(enum.Enum):
@@ -72,16 +74,41 @@
     except EndpointError as exc:
         _log_no_report(replica, exc)
         return Probe(loop.time(), Verdict.INCONCLUSIVE)
-    if report is not None and replica.is_different_process(report.started_ms):
-        return Probe(loop.time(), Verdict.TERMINATED)
-    return Probe(loop.time(), Verdict.ALIVE, report)
+    return _judge(replica, report)
+
+
+async def probe_kept(
+    state: EdgeState, replica: Replica, deadline: float
+) -> Probe:
+    """Request the report of a replica on an idle connection.
+
+    The silence or the end of that connection says nothing about the replica:
+    the result is then that this probe had no answer.
+    """
+    try:
+        report = await _read_kept_report(state, replica, deadline)
+    except EndpointError as exc:
+        _log_no_report(replica, exc)
+        report = None
+    if report is None:
+        now = asyncio.get_running_loop().time()
+        return Probe(now, Verdict.UNRESPONSIVE)
+    return _judge(replica, report)
 
 
 async def fetch_report(
     state: EdgeState, replica: Replica
 ) -> ReplicaReport | None:
     """Return a replica's status report, or none if it sent none."""
-    deadline = asyncio.get_running_loop().time() + _REPORT_TIMEOUT_S
+    now = asyncio.get_running_loop().time()
+    try:
+        report = await _read_kept_report(state, replica, now + _KEPT_TIMEOUT_S)
+    except EndpointError as exc:
+        _log_no_report(replica, exc)
+        report = None
+    if report is not None:
+        return report
+    deadline = now + _REPORT_TIMEOUT_S
     try:
         return await _read_report(
             state, replica, deadline, state.pool.dialer.connect
@@ -91,6 +118,14 @@
         return None
 
 
+def _judge(replica: Replica, report: ReplicaReport | None) -> Probe:
+    """Return the result of a probe that was answered."""
+    now = asyncio.get_running_loop().time()
+    if report is not None and replica.is_different_process(report.started_ms):
+        return Probe(now, Verdict.TERMINATED)
+    return Probe(now, Verdict.ALIVE, report)
+
+
 def _log_no_report(replica: Replica, exc: EndpointError) -> None:
     _LOG.info(
         'cannot get replica report',
@@ -102,11 +137,28 @@
     state: EdgeState, replica: Replica, deadline: float, connect: Connect
 ) -> ReplicaReport | None:
     """Return a report; none if the response is not a valid one."""
-    path = state.adapter.report_path
     state.counters['reports.sent'] += 1
-    status, body = await call_once(
-        replica.address, b'GET', path, b'', deadline, connect
-    )
+    request = build_call(replica, b'GET', state.adapter.report_path)
+    status, body = await call_new(state, replica, request, deadline, connect)
+    return _decode_report(state, replica, status, body)
+
+
+async def _read_kept_report(
+    state: EdgeState, replica: Replica, deadline: float
+) -> ReplicaReport | None:
+    """Return a report from an idle connection; none if there is neither."""
+    request = build_call(replica, b'GET', state.adapter.report_path)
+    response = await call_kept(state, replica, request, deadline)
+    if response is None:
+        return None
+    state.counters['reports.sent'] += 1
+    return _decode_report(state, replica, *response)
+
+
+def _decode_report(
+    state: EdgeState, replica: Replica, status: int, body: bytes
+) -> ReplicaReport | None:
+    """Return a report; none if the response is not a valid one."""
     if status != _OK:
         return None
     try:
--- a/samphirerill/relay/orders.py
+++ b/samphirerill/relay/orders.py
@@ -9,8 +9,8 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.node.logs import get_logger
+from samphirerill.relay.endpoint_calls import build_call, call_kept, call_new
 from samphirerill.relay.errors import EndpointError
-from samphirerill.relay.pool import call_once
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import Replica, Stage
@@ -31,23 +31,25 @@
     An unanswered order may still be carried out, even seconds later.
     """
     deadline = asyncio.get_running_loop().time() + _ORDER_TIMEOUT_S
-    path = state.adapter.order_path
+    request = build_call(replica, b'POST', state.adapter.order_path, order)
+    connect = state.pool.dialer.connect
     state.counters['orders'] += 1
     try:
-        status, body = await call_once(
-            replica.address,
-            b'POST',
-            path,
-            order,
-            deadline,
-            state.pool.dialer.connect,
+        # The report that precedes an order to load layers has just come on it.
+        response = await call_kept(
+            state, replica, request, deadline, proven=True
         )
+        if response is None:
+            response = await call_new(
+                state, replica, request, deadline, connect
+            )
     except EndpointError as exc:
         _LOG.warning(
             'engine did not answer an order',
             extra={'replica': replica.replica_id, 'reason': str(exc)},
         )
         return 0
+    status, body = response
     if status not in ACCEPTED_STATUSES:
         _LOG.warning(
             'engine rejected an order',
--- a/samphirerill/relay/usage.py
+++ b/samphirerill/relay/usage.py
@@ -21,6 +21,8 @@
 _LOG_INTERVAL_S = 10.0
 _ENDPOINT_COUNTERS = (
     'connections.made',
+    'connections.made.calls',
+    'connections.reused',
     'reports.sent',
     'orders',
     'alarms.sent',
