--- a/samphirerill/tests/test_room_rows.py
+++ b/samphirerill/tests/test_room_rows.py
@@ -28,6 +28,7 @@
 _NODES = 12
 _MAX_STATUS_BYTES = 400
 _MAX_AGGREGATE_BYTES = 1000
+_MAX_ROOM = 1_000_000_000
 _NUMBERS = st.integers(-(2**63), 2**63)
 _ROWS = st.dictionaries(_NUMBERS, _NUMBERS, max_size=4)
 _WAITING = st.dictionaries(_NUMBERS, st.tuples(_NUMBERS, _NUMBERS), max_size=4)
@@ -64,7 +65,11 @@
         report = decode_row(row).report
         rooms = (report.running_by_rank, report.running_by_account)
         self.assertTrue(
-            all(0 <= room <= 1e9 for found in rooms for room in found.values())
+            all(
+                0 <= room <= _MAX_ROOM
+                for found in rooms
+                for room in found.values()
+            )
         )
 
     def test_too_many_entries_are_dropped(self) -> None:
