Streams: nodes share the last free slots of engines where sharing is on

Cause: each node compares an engine's slots with its own streams and the other nodes' last reports, so several nodes take the same last slot.

Streams that have started take any free slot. With sharing off, decisions are unchanged.

Measured: of three nodes that know of one free slot, never more than one takes it at a time, and each has its turn within 10 s; all three do with sharing off (samphirerill.tests.test_slot_gate).

--- a/samphirerill/fleet/paths.py
+++ b/samphirerill/fleet/paths.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,9 @@
     from samphirerill.fleet.model import EngineSpec, Replica
     from samphirerill.fleet.view import ReplicaState
 
+# Takes a replica and how many of its slots are free; returns whether this node
+# may take one.
+MayTakeSlot = Callable[[str, int], bool]
 # Load reports of other nodes lag, and answers may be longer than announced. The
 # rest is reserved for streams that lost their path.
 MAX_MEMORY_USE = 0.92
@@ -90,7 +94,9 @@
     request, whose stream has begun, may use the reserved memory and links with
     a longer queue. `data_centre` is the data centre of the requesting node.
     `jitter` is given where other nodes may choose at the same moment, without
-    knowing of each other; it makes their choices differ.
+    knowing of each other; it makes their choices differ. `connected` are
+    replicas to which the requesting node has an idle connection.
+    `may_take_slot` is given where the nodes share the free slots.
     """
 
     tokens: float
@@ -104,6 +110,7 @@
     policy: Policy = Policy()
     jitter: Random | None = None
     connected: Collection[str] = ()
+    may_take_slot: MayTakeSlot | None = None
 
 
 def choose_path(
@@ -230,10 +237,12 @@
         if replica.replica_id in self._request.prefilled_on:
             # The stream keeps the slot that it has there.
             return True
-        return (
-            self._load_tracker.count_requests(replica.replica_id)
-            < self._engine.slots
-        )
+        used = self._load_tracker.count_requests(replica.replica_id)
+        free = self._engine.slots - used
+        may_take = self._request.may_take_slot
+        if may_take is None:
+            return free > 0
+        return may_take(replica.replica_id, free)
 
     def _start_path(self, candidate: _Candidate) -> None:
         held = candidate.replica.held
--- a/samphirerill/fleet/retry_budget.py
+++ b/samphirerill/fleet/retry_budget.py
@@ -54,6 +54,11 @@
         """Drop a peer's report: its usage is now reported under another name."""
         self._reports.pop(peer, None)
 
+    def find_requests(self, peer: str, now: float) -> int | None:
+        """Return the requests in a valid report; none without one."""
+        until, usage = self._reports.get(peer, (now, RetryUsage()))
+        return usage.requests if until > now else None
+
     def get_total(self, now: float) -> RetryUsage:
         """Return the total usage in all reports that are still valid."""
         recent = [
--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -22,6 +22,7 @@
 from samphirerill.fleet.paths import choose_path
 from samphirerill.fleet.prediction import predict_transfer_ms
 from samphirerill.fleet.replica_notices import prefer_unreported
+from samphirerill.relay.slot_gate import SlotGate
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -84,11 +85,17 @@
     ----------
     state : EdgeState
         The known replicas and their load.
+
+    Attributes
+    ----------
+    slot_gate : SlotGate
+        Limits which free slots this node takes.
     """
 
     def __init__(self, state: EdgeState) -> None:
         self._state = state
         self._loop = asyncio.get_running_loop()
+        self.slot_gate = SlotGate(state, self._loop)
         self._queue: list[_QueuedRequest] = []
         self._outages: dict[str, Outage] = {}
         self._grant_interval_s = 0.0
@@ -182,6 +189,8 @@
         Replicas in `kept_ids` run the stream already and need no permit.
         """
         self._state.load_tracker.add_request(list_replica_ids(stages), tokens)
+        if stages[0].replica.replica_id not in kept_ids:
+            self.slot_gate.note_taken(stages)
         self._state.request_limits.take(
             stage.replica
             for stage in stages
@@ -194,6 +203,7 @@
         self._state.load_tracker.remove_request(
             list_replica_ids(stages), tokens
         )
+        self.slot_gate.note_released(stages)
         self._state.notify_listeners()
 
     def find_path(
@@ -206,6 +216,12 @@
         path_request.data_centre = state.settings.data_centre
         path_request.policy = state.settings.policy
         path_request.connected = state.pool.list_idle()
+        # Streams that have started take any free slot.
+        path_request.may_take_slot = (
+            None
+            if path_request.is_urgent
+            else self.slot_gate.find_check(service)
+        )
         if state.load_tracker.count_silent_peers():
             path_request.jitter = state.random
         usable = _list_usable(state, service, path_request, now)
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -87,6 +87,7 @@
         self._health = health
         self._admission = AdmissionQueue(self.state)
         alarms = Alarms(self.state)
+        self._admission.slot_gate.bind(alarms)
         prober = ReplicaProber(self.state, alarms)
         quarantine_manager = QuarantineManager(self.state)
         self._evidence_exchange = EvidenceExchange(
--- a/samphirerill/relay/status_sender.py
+++ b/samphirerill/relay/status_sender.py
@@ -9,10 +9,12 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from msgspec import msgpack
 
+from samphirerill.fleet.load_aggregation import is_full_mesh
 from samphirerill.relay.aggregate_status import build_aggregate
 from samphirerill.relay.node_status import build_node_status
 
@@ -33,6 +35,30 @@
 # Traffic between data centres is billed, and few requests cross them.
 _REMOTE_INTERVAL_S = 0.25
 
+# Datagrams take less, and node clocks and loops lag by less.
+_TRANSIT_S = 0.02
+
+
+def find_report_age_s(nodes: Mapping[str, str]) -> float:
+    """Return how old the reports on requests of other nodes may be.
+
+    It is the same at all nodes.
+
+    Parameters
+    ----------
+    nodes : mapping
+        The data centre of each node by name.
+    """
+    sizes = Counter(nodes.values())
+    largest = max(sizes.values(), default=1)
+    age_s = _MIN_SEND_DELAY_S + _SEND_DELAY_PER_NODE_S * largest + _TRANSIT_S
+    if len(sizes) < 2:
+        return age_s
+    remote_s = _REMOTE_INTERVAL_S + _TRANSIT_S
+    if is_full_mesh(len(nodes) - 1):
+        return max(age_s, remote_s)
+    return age_s + remote_s + _TRANSIT_S
+
 
 class StatusSender:
     """Sends the status of this node, and datagrams of other components.
