--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -20,6 +20,7 @@
     find_backoff_error,
 )
 from samphirerill.relay.shared_admission import SharedAdmission
+from samphirerill.relay.slot_gate import SlotGate
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -46,11 +47,14 @@
     ----------
     shared : SharedAdmission
         Decides on streams of services whose capacity is shared.
+    slot_gate : SlotGate
+        Limits which free slots this node takes.
     """
 
     def __init__(self, state: EdgeState) -> None:
         self._state = state
         self._loop = asyncio.get_running_loop()
+        self.slot_gate = SlotGate(state, self._loop)
         self._queue: list[QueuedRequest] = []
         self.shared = SharedAdmission(state, self._queue, self._schedule_grants)
         self._checks = ArrivalChecks(state, self.shared)
@@ -141,6 +145,8 @@
         Replicas in `kept_ids` run the stream already and need no permit.
         """
         self._state.load_tracker.add_request(list_replica_ids(stages), tokens)
+        if stages[0].replica.replica_id not in kept_ids:
+            self.slot_gate.note_taken(stages)
         self._state.request_limits.take(
             stage.replica
             for stage in stages
@@ -155,12 +161,19 @@
             list_replica_ids(stages), tokens
         )
         self.shared.free_room.note_change(stages, -tokens, -1)
+        self.slot_gate.note_released(stages)
         self._state.notify_listeners()
 
     def find_path(
         self, service: str, engine: EngineSpec, path_request: PathRequest
     ) -> tuple[Stage, ...]:
         """Return a path with free capacity, or none, without reserving it."""
+        # Streams that have started take any free slot.
+        path_request.may_take_slot = (
+            None
+            if path_request.is_urgent
+            else self.slot_gate.find_check(service)
+        )
         return search_path(
             self._state, service, engine, path_request, self._loop.time()
         )
