Platform: decode the load that endpoints report

Cause: endpoints name the requests that they run and queue in each response, and nodes did not read it. Each node knew its own requests and, up to 1.3 s late, those of the others.

Change: the header is decoded into ReportedLoad; malformed or impossible values are ignored, counted and logged once per endpoint and value.

--- a/samphirerill/fleet/load.py
+++ b/samphirerill/fleet/load.py
@@ -151,6 +151,11 @@
             count = own.requests * (1 + self.count_silent_peers())
         return count if others is None else count + others.requests
 
+    def count_own(self, replica_id: str) -> int:
+        """Return how many requests of this node are in flight at a replica."""
+        own = self._own.get(replica_id)
+        return 0 if own is None else own.requests
+
     def count_tokens(self, replica_id: str) -> float:
         """Return how many tokens requests hold in a replica's memory."""
         own = self._own.get(replica_id)
--- a/samphirerill/platform/http_adapter.py
+++ b/samphirerill/platform/http_adapter.py
@@ -10,6 +10,7 @@
 from samphirerill.platform import announcements, documents, wire_names
 from samphirerill.platform.request_limit import parse_request_limit
 from samphirerill.platform.retry_after import parse_retry_after
+from samphirerill.platform.server_load import parse_server_load
 from samphirerill.relay.platform_adapter import (
     RequestMetadata,
     ResponseMetadata,
@@ -141,6 +142,7 @@
         is_other_replica = head.status == _MISDIRECTED
         retry_after = head.get(b'retry-after')
         request_limit = head.get(wire_names.REQUEST_LIMIT)
+        server_load = head.get(wire_names.SERVER_LOAD)
         return ResponseMetadata(
             request_id=head.get(wire_names.REQUEST_ID) or b'',
             is_signed=bool(head.get(wire_names.RESPONSE_SIGNATURE)),
@@ -160,6 +162,9 @@
             request_limit=None
             if request_limit is None
             else parse_request_limit(request_limit),
+            server_load=None
+            if server_load is None
+            else parse_server_load(server_load),
         )
 
     def decode_configuration(self, text: bytes) -> FleetConfiguration:
--- a/samphirerill/platform/settings.py
+++ b/samphirerill/platform/settings.py
@@ -50,6 +50,9 @@
         Retries allowed to all nodes together in addition to that share.
     retry_window_s : float
         The window in which requests and retries are counted.
+    reported_load : bool
+        Whether plain services are balanced by the load that their endpoints
+        report.
     policy : Policy
         Switches to turn single mechanisms off.
     """
@@ -69,6 +72,7 @@
     retry_ratio: float = 0.2
     retry_slack: float = 0
     retry_window_s: float = 10
+    reported_load: bool = False
     policy: Policy = Policy()
 
 
--- a/samphirerill/platform/wire_names.py
+++ b/samphirerill/platform/wire_names.py
@@ -26,6 +26,9 @@
 LEAVING = b'server-leaving'
 # Requests a second that a replica takes from all nodes together.
 REQUEST_LIMIT = b'server-limit'
+# "RUNNING,WAITING,SLOTS": requests that a replica runs and queues, and how many
+# it runs at once.
+SERVER_LOAD = b'x-samphirerill-server-load'
 RESUME_AFTER = b'last-event-id'
 # In each response of the store; rises when it is restored from a copy.
 STORE_ERA = b'store-era'
--- a/samphirerill/relay/platform_adapter.py
+++ b/samphirerill/relay/platform_adapter.py
@@ -16,6 +16,7 @@
         Replica,
         Stage,
     )
+    from samphirerill.fleet.reported_load import ReportedLoad
     from samphirerill.relay.connection import Headers, ResponseHead
     from samphirerill.relay.request import Request
 
@@ -110,6 +111,17 @@
     rate_per_s: float | None
 
 
+@dataclass(slots=True, frozen=True)
+class NamedLoad:
+    """The load that a response names: `text` as received, maybe shortened.
+
+    `load` is none if the value is malformed or impossible.
+    """
+
+    text: str
+    load: ReportedLoad | None
+
+
 @dataclass(slots=True)
 class ResponseMetadata:
     """Metadata in the headers of an endpoint's response.
@@ -136,6 +148,8 @@
         The time for which it wants no requests, if it named one.
     request_limit : NamedLimit, optional
         The request rate that it takes, if it named one.
+    server_load : NamedLoad, optional
+        The requests that it runs and queues, if it named them.
     """
 
     request_id: bytes = b''
@@ -147,6 +161,7 @@
     is_leaving: bool = False
     retry_after: RetryAfter | None = None
     request_limit: NamedLimit | None = None
+    server_load: NamedLoad | None = None
 
 
 @dataclass(slots=True)
--- a/samphirerill/relay/response_notices.py
+++ b/samphirerill/relay/response_notices.py
@@ -18,6 +18,7 @@
     note_leaving,
     note_requested_backoff,
 )
+from samphirerill.fleet.reported_load import ReportedLoads
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.limits.known_limits import RequestLimits
 
@@ -29,6 +30,7 @@
     from samphirerill.fleet.model import Replica
     from samphirerill.fleet.view import FleetView
     from samphirerill.relay.platform_adapter import (
+        NamedLoad,
         ResponseMetadata,
         RetryAfter,
     )
@@ -84,6 +86,8 @@
     ----------
     limits : RequestLimits
         Records the request rates that they name.
+    loads : ReportedLoads
+        Records the load that endpoints of plain services report.
     """
 
     __slots__ = (
@@ -92,6 +96,7 @@
         '_state',
         '_wake_timers',
         'limits',
+        'loads',
     )
 
     def __init__(self, state: NoticeContext) -> None:
@@ -100,6 +105,7 @@
         self._broadcast: Callable[[Replica], None] | None = None
         self._wake_timers: dict[str, asyncio.TimerHandle] = {}
         self.limits = RequestLimits(state)
+        self.loads = ReportedLoads()
 
     def bind(self, broadcast: Callable[[Replica], None]) -> None:
         """Tell the other nodes what replicas say by this from now on."""
@@ -137,6 +143,7 @@
             self._mark_leaving(replica, status)
         if metadata.retry_after is not None and status in _BACKOFF_STATUSES:
             self._handle_retry_after(replica, metadata.retry_after)
+        self._handle_load(replica, metadata.server_load)
         if sent_at is None:
             sent_at = asyncio.get_running_loop().time()
         self.limits.handle(replica, metadata.request_limit, sent_at)
@@ -186,7 +193,10 @@
     ) -> None:
         delay_s = retry_after.delay_s
         if delay_s is None or delay_s > _MAX_PLAUSIBLE_BACKOFF_S:
-            self._log_invalid(replica.replica_id, retry_after.text)
+            self._state.counters['replicas.invalid_retry_after'] += 1
+            self._log_invalid(
+                replica.replica_id, 'Retry-After', retry_after.text
+            )
         elif delay_s:
             self._back_off(replica, retry_after.text, delay_s)
 
@@ -231,15 +241,25 @@
         else:
             self._state.notify_listeners()
 
-    def _log_invalid(self, replica_id: str, text: str) -> None:
+    def _handle_load(self, replica: Replica, named: NamedLoad | None) -> None:
+        now = asyncio.get_running_loop().time()
+        if named is None:
+            self.loads.note_response(replica, None, now)
+        elif named.load is None:
+            self._state.counters['replicas.invalid_load'] += 1
+            self._log_invalid(replica.replica_id, 'load', named.text)
+        else:
+            self.loads.note_response(replica, named.load, now)
+
+    def _log_invalid(self, replica_id: str, name: str, text: str) -> None:
         """Log an invalid value, once for each replica and value."""
-        self._state.counters['replicas.invalid_retry_after'] += 1
-        if (replica_id, text) in self._logged_values:
+        entry = (replica_id, f'{name}: {text}')
+        if entry in self._logged_values:
             return
         if len(self._logged_values) >= _MAX_LOGGED_VALUES:
             self._logged_values.clear()
-        self._logged_values.add((replica_id, text))
+        self._logged_values.add(entry)
         _LOG.warning(
-            'Retry-After of a replica is invalid and ignored',
+            f'{name} of a replica is invalid and ignored',
             extra={'replica': replica_id, 'received': text},
         )
