Plain services: choose endpoints by expected response time

Cause: the endpoint with the least requests times latency was chosen. Requests beyond the slots of an endpoint raise its measured latency, an unknown endpoint was taken for the fastest, and nodes with the same statuses preferred the same endpoint.

Change: choose_by_load compares the expected response times of the endpoints. Not in use yet.

--- a/samphirerill/fleet/endpoints.py
+++ b/samphirerill/fleet/endpoints.py
@@ -1,27 +1,31 @@
 """Choose an endpoint of a service without layers.
 
-The endpoint with the least predicted wait is chosen: its requests in flight
-times its latency, increased by its failure rate.
+The endpoint with the least predicted wait is chosen. Where endpoints do not
+report their load, that is its requests in flight times its latency, increased
+by its failure rate.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from samphirerill.fleet.endpoint_offers import (
+    FAILURE_WEIGHT,
+    MIN_LATENCY_S,
+    build_offers,
+    choose_offer,
+)
 from samphirerill.fleet.replica_notices import prefer_unreported
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
+    from samphirerill.fleet.endpoint_offers import FleetKnowledge
     from samphirerill.fleet.load import LoadTracker
+    from samphirerill.fleet.reported_load import ReportedLoads
     from samphirerill.fleet.view import FleetView, ReplicaState
 
-# The wait of an endpoint that fails every request is multiplied by 1 plus this.
-_FAILURE_WEIGHT = 12.0
-# Also the assumed latency of an endpoint that has not answered yet, so that it
-# is tried.
-_MIN_LATENCY_S = 0.005
-
 
 def choose_endpoint(
     view: FleetView,
@@ -38,6 +42,20 @@
     asked another node for a back-off only if the others are suspected.
     `may_call` returns whether an endpoint, given by id, would accept a call now.
     """
+    pool = list_preferred(view, service, tried, now, may_call)
+    if not pool:
+        return None
+    return min(pool, key=lambda state: _predict_wait(state, load_tracker))
+
+
+def list_preferred(
+    view: FleetView,
+    service: str,
+    tried: Collection[str],
+    now: float,
+    may_call: Callable[[str], bool] = bool,
+) -> list[ReplicaState]:
+    """Return the endpoints to choose from, as `choose_endpoint` says."""
     candidates = [
         state
         for state in view.list_service(service)
@@ -49,10 +67,71 @@
     trusted = [
         state for state in candidates if state.suspicion.suspected_until <= now
     ]
-    pool = prefer_unreported(trusted, now) or trusted or candidates
-    if not pool:
-        return None
-    return min(pool, key=lambda state: _predict_wait(state, load_tracker))
+    return prefer_unreported(trusted, now) or trusted or candidates
+
+
+@dataclass(slots=True, frozen=True)
+class EndpointChoice:
+    """The choice among endpoints that report their load.
+
+    Attributes
+    ----------
+    endpoint : ReplicaState, optional
+        The endpoint to send to now; none if the request should wait.
+    free_room : float
+        The free slots of all endpoints.
+    service_s : float
+        The least time for one request.
+    queued_s : float
+        The least time in the queue of an endpoint.
+    """
+
+    endpoint: ReplicaState | None
+    free_room: float
+    service_s: float
+    queued_s: float
+
+
+def choose_by_load(
+    pool: list[ReplicaState],
+    knowledge: FleetKnowledge,
+    waiting: float,
+    left_s: float,
+    now: float,
+) -> EndpointChoice:
+    """Choose an endpoint by its expected response time.
+
+    Parameters
+    ----------
+    pool : list of ReplicaState
+        The endpoints that may be used, from `list_preferred`; at least one.
+    knowledge : FleetKnowledge
+        What is known of their load.
+    waiting : float
+        How many requests wait for them.
+    left_s : float
+        The time until the response is due.
+    now : float
+        The time.
+    """
+    offers = build_offers(pool, knowledge, now)
+    chosen = choose_offer(offers, waiting, left_s, knowledge.random)
+    return EndpointChoice(
+        None if chosen is None else chosen.state,
+        sum(offer.load.free for offer in offers if offer.may_send),
+        min(offer.service_s for offer in offers),
+        min(offer.queued_s for offer in offers),
+    )
+
+
+def reports_load(view: FleetView, service: str, loads: ReportedLoads) -> bool:
+    """Return whether endpoints of a service report their load.
+
+    Until the first response of a new service, it is assumed that they do.
+    """
+    return any(
+        loads.reports(state.replica) for state in view.list_service(service)
+    )
 
 
 def find_backoff_end(
@@ -74,5 +153,5 @@
 
 def _predict_wait(state: ReplicaState, load_tracker: LoadTracker) -> float:
     in_flight = 1 + load_tracker.count_requests(state.replica.replica_id)
-    latency_s = max(_MIN_LATENCY_S, state.latency_s)
-    return in_flight * latency_s * (1 + _FAILURE_WEIGHT * state.failures)
+    latency_s = max(MIN_LATENCY_S, state.latency_s)
+    return in_flight * latency_s * (1 + FAILURE_WEIGHT * state.failures)
--- a/samphirerill/fleet/reported_load.py
+++ b/samphirerill/fleet/reported_load.py
@@ -2,8 +2,8 @@
 
 An endpoint names in each response how many requests it runs and queues for all
 nodes, and how many it runs at once. Between two responses, a node adds the
-requests that it has sent since. Each node also learns from the responses how
-long an endpoint takes for one request.
+requests that it has sent since, and those of which other nodes have told. Each
+node also learns from the responses how long an endpoint takes for one request.
 """
 
 from __future__ import annotations
@@ -17,9 +17,11 @@
 
 # Older reports are ignored; the requests in flight are counted instead.
 MAX_REPORT_AGE_S = 1.0
-# The statuses of other nodes are about as old as this in small fleets, so that
-# an older report is no better than their counts of requests in flight.
-FRESH_S = 0.2
+# An endpoint that appears later than this after the first is new. Those that
+# were there before are in use by other nodes, too.
+_START_S = 1.0
+# A new endpoint has been tried by some nodes after this time.
+_NEW_S = 10.0
 # So many responses in a row without the header end the reports of an endpoint;
 # single ones may be made by a proxy in front of it.
 _MISSING_RESPONSES = 3
@@ -63,8 +65,10 @@
         How many it runs at once.
     service_s : float
         Time for one request without queueing; 0 if not known.
-    is_fresh : bool
-        Whether a report not older than `FRESH_S` says so.
+    age_s : float
+        How old this knowledge is.
+    is_new : bool
+        Whether it started a short time ago, so that no node may know it yet.
     responded_at : float
         When the last response of this process came; minus infinity for never.
     """
@@ -73,7 +77,8 @@
     own: int
     slots: int
     service_s: float
-    is_fresh: bool
+    age_s: float
+    is_new: bool
     responded_at: float
 
     @property
@@ -92,11 +97,14 @@
     """What one process of an endpoint has reported and is known to run.
 
     `sent` holds when each request of this node that is still in flight was
-    sent, in that order.
+    sent, in that order. `others_before` is how many requests of other nodes
+    were in flight at the report, as those nodes told later.
     """
 
     replica: Replica
+    found_at: float
     load: ReportedLoad | None = None
+    others_before: int | None = None
     reported_at: float = _NEVER
     responded_at: float = _NEVER
     missing: int = 0
@@ -112,14 +120,25 @@
             return self.replica.started_ms == replica.started_ms
         return self.replica.address == replica.address
 
-    def count_sent_since_report(self) -> int:
-        """Return how many requests in flight were sent after the report."""
-        count = 0
-        for sent_at in reversed(self.sent.values()):
-            if sent_at < self.reported_at:
-                break
-            count += 1
-        return count
+    def estimate_in_system(self, others: int) -> int:
+        """Return the requests that it runs and queues, if it has reported.
+
+        Parameters
+        ----------
+        others : int
+            Requests of other nodes that are in flight now.
+        """
+        own = len(self.sent)
+        if self.load is None:
+            return own + others
+        reported = self.load.running + self.load.waiting
+        if reported == self.load.slots:
+            # Some endpoints count the request that they answer. Its slot is
+            # free; without this, a full endpoint would be left one slot short.
+            reported -= 1
+        if self.others_before is not None:
+            reported += others - self.others_before
+        return max(own, reported + self._count_sent_since_report())
 
     def count_queued_per_slot(self) -> float:
         """Return how many requests were queued when it reported."""
@@ -137,6 +156,15 @@
         is_overdue = age_s > _OVERDUE_FACTOR * self.service_s
         return age_s if is_overdue else self.service_s
 
+    def _count_sent_since_report(self) -> int:
+        """Return how many requests in flight were sent after the report."""
+        count = 0
+        for sent_at in reversed(self.sent.values()):
+            if sent_at < self.reported_at:
+                break
+            count += 1
+        return count
+
 
 class ReportedLoads:
     """The load of the endpoints, as far as this node knows.
@@ -144,16 +172,17 @@
     Times are on one monotonic clock.
     """
 
-    __slots__ = ('_last_token', '_records')
+    __slots__ = ('_first_found_at', '_last_token', '_records')
 
     def __init__(self) -> None:
+        self._first_found_at: float | None = None
         self._records: dict[str, _EndpointRecord] = {}
         self._last_token = 0
 
     def note_sent(self, replica: Replica, now: float) -> int:
         """Record a request that is sent now; return a token for its end."""
         self._last_token += 1
-        self._ensure(replica).sent[self._last_token] = now
+        self._ensure(replica, now).sent[self._last_token] = now
         return self._last_token
 
     def note_ended(self, replica: Replica, token: int) -> None:
@@ -175,6 +204,7 @@
             return
         record.missing = 0
         record.load = load
+        record.others_before = None
         record.reported_at = now
 
     def note_service_time(
@@ -206,7 +236,11 @@
         return record.missing <= allowed
 
     def estimate(
-        self, replica: Replica, tracker: LoadTracker, now: float
+        self,
+        replica: Replica,
+        tracker: LoadTracker,
+        status_age_s: float,
+        now: float,
     ) -> LoadEstimate:
         """Return the load to expect at an endpoint.
 
@@ -216,23 +250,30 @@
             The endpoint as announced now.
         tracker : LoadTracker
             The requests in flight from all nodes.
+        status_age_s : float
+            How old the other nodes' counts of these are.
         now : float
             The time.
         """
-        in_flight = tracker.count_requests(replica.replica_id)
-        record = self._find(replica)
-        if record is None:
-            return LoadEstimate(in_flight, 0, replica.slots, 0, False, _NEVER)
-        # Requests that were granted but not sent yet are in flight, too.
-        in_flight += len(record.sent) - tracker.count_own(replica.replica_id)
+        record = self._ensure(replica, now)
+        replica_id = replica.replica_id
+        others = tracker.count_requests(replica_id) - tracker.count_own(
+            replica_id
+        )
         age_s = now - record.reported_at
-        slots = replica.slots if record.load is None else record.load.slots
+        if age_s > MAX_REPORT_AGE_S:
+            in_system = len(record.sent) + others
+        else:
+            if age_s >= status_age_s and record.others_before is None:
+                record.others_before = others
+            in_system = record.estimate_in_system(others)
         return LoadEstimate(
-            _estimate_in_system(record, in_flight, age_s),
+            in_system,
             len(record.sent),
-            slots,
+            replica.slots if record.load is None else record.load.slots,
             record.estimate_service_s(now),
-            age_s <= FRESH_S,
+            min(age_s, status_age_s),
+            self._is_new(record, now),
             record.responded_at,
         )
 
@@ -248,32 +289,19 @@
             return None
         return record
 
-    def _ensure(self, replica: Replica) -> _EndpointRecord:
+    def _is_new(self, record: _EndpointRecord, now: float) -> bool:
+        started_at = self._first_found_at or 0.0
+        found_at = record.found_at
+        return found_at > started_at + _START_S and now - found_at < _NEW_S
+
+    def _ensure(self, replica: Replica, now: float) -> _EndpointRecord:
         """Return the record of this process, a new one if there is none."""
         record = self._find(replica)
         if record is None:
-            record = _EndpointRecord(replica)
+            if self._first_found_at is None:
+                self._first_found_at = now
+            record = _EndpointRecord(replica, now)
             self._records[replica.replica_id] = record
             while len(self._records) > _MAX_ENDPOINTS:
                 self._records.pop(next(iter(self._records)))
         return record
-
-
-def _estimate_in_system(
-    record: _EndpointRecord, in_flight: float, age_s: float
-) -> float:
-    """Return how many requests an endpoint runs and queues."""
-    load = record.load
-    if load is None or age_s > MAX_REPORT_AGE_S:
-        return in_flight
-    reported = load.running + load.waiting
-    if reported == load.slots:
-        # Some endpoints count the request that they answer. Its slot is free;
-        # without this, a full endpoint would be left one slot short.
-        reported -= 1
-    own = len(record.sent)
-    known = max(own, reported + record.count_sent_since_report())
-    if age_s <= FRESH_S:
-        return known
-    # Other nodes have told since how many of their requests are in flight.
-    return max(own, min(known, in_flight))
--- a/samphirerill/tests/test_reported_load.py
+++ b/samphirerill/tests/test_reported_load.py
@@ -65,7 +65,7 @@
         self.assertEqual(log.warning.call_count, len(_MALFORMED))
         invalid = self.state.counters['replicas.invalid_load']
         self.assertEqual(invalid, 2 * len(_MALFORMED))
-        load = self.loads.estimate(_ENDPOINT, LoadTracker(), self.now)
+        load = self.loads.estimate(_ENDPOINT, LoadTracker(), 0.1, self.now)
         self.assertEqual((load.in_system, load.slots), (3, 6))
 
     async def test_header_that_is_missing_for_good_ends_the_reports(
@@ -99,7 +99,7 @@
 
     def count(self, now: float) -> float:
         """Return the requests that are assumed at the endpoint."""
-        return self.loads.estimate(_ENDPOINT, self.tracker, now).in_system
+        return self.loads.estimate(_ENDPOINT, self.tracker, 0.1, now).in_system
 
     def test_requests_sent_since_are_added(self) -> None:
         """Guard against a burst of one node within one report."""
@@ -115,11 +115,11 @@
     def test_report_of_other_process_is_ignored(self) -> None:
         """Guard against a restarted endpoint with the load of the former."""
         restarted = replace(_ENDPOINT, started_ms=6)
-        load = self.loads.estimate(restarted, self.tracker, 1.1)
+        load = self.loads.estimate(restarted, self.tracker, 0.1, 1.1)
         self.assertEqual((load.in_system, load.is_known), (0, False))
         self.loads.note_sent(restarted, 1.2)
         self.loads.note_response(_ENDPOINT, ReportedLoad(6, 4, 6), 1.3)
-        load = self.loads.estimate(restarted, self.tracker, 1.3)
+        load = self.loads.estimate(restarted, self.tracker, 0.1, 1.3)
         self.assertEqual(load.in_system, 1)
 
     def test_answered_request_frees_a_slot(self) -> None:
@@ -131,12 +131,12 @@
         """Guard against a full endpoint that is taken for a slow one."""
         self.loads.note_response(_ENDPOINT, ReportedLoad(6, 12, 6), 1)
         self.loads.note_service_time(_ENDPOINT, 0.3, 1)
-        load = self.loads.estimate(_ENDPOINT, self.tracker, 1)
+        load = self.loads.estimate(_ENDPOINT, self.tracker, 0.1, 1)
         self.assertAlmostEqual(load.service_s, 0.1)
 
     def test_overdue_request_shows_a_slow_endpoint(self) -> None:
         """Guard against sending on until the first slow response."""
         self.loads.note_service_time(_ENDPOINT, 0.1, 1)
         self.loads.note_sent(_ENDPOINT, 1)
-        load = self.loads.estimate(_ENDPOINT, self.tracker, 1.5)
+        load = self.loads.estimate(_ENDPOINT, self.tracker, 0.1, 1.5)
         self.assertAlmostEqual(load.service_s, 0.5)
