--- a/samphirerill/platform/settings.py
+++ b/samphirerill/platform/settings.py
@@ -11,6 +11,7 @@
 from samphirerill.fleet.policy import Policy
 from samphirerill.settings.errors import Finding, InvalidDocumentError
 from samphirerill.settings.jsonc import read_jsonc
+from samphirerill.sharing.settings import SharingSettings
 
 
 class EdgeSettings(Struct, frozen=True, forbid_unknown_fields=True):
@@ -55,6 +56,8 @@
         report.
     policy : Policy
         Switches to turn single mechanisms off.
+    sharing : SharingSettings
+        Which capacity ranks and client accounts share across nodes.
     """
 
     name: str
@@ -74,6 +77,7 @@
     retry_window_s: float = 10
     reported_load: bool = False
     policy: Policy = Policy()
+    sharing: SharingSettings = SharingSettings()
 
 
 def load_edge_settings(path: str) -> EdgeSettings:
