Plain services: requests wait at the node for a free slot

Cause: plain requests were sent at once, also to full endpoints. Under overload they queued there in the order of arrival, urgent ones behind a flood, and clients learned late that their request would not be served in time.

Change: where endpoints report their load, a request that finds no free slot waits in the queue of its node and service, in the order of samphirerill/sharing, and leaves slots to more urgent requests that wait elsewhere. It is rejected at once with 503 and Retry-After if its predicted start is too late; nothing was sent then. Retries precede new requests. Without reports the choice is that of before.

--- a/samphirerill/fleet/endpoint_offers.py
+++ b/samphirerill/fleet/endpoint_offers.py
@@ -145,6 +145,11 @@
         Source of randomness.
     """
     available = [offer for offer in offers if offer.is_open(left_s)]
+    timely = [offer for offer in available if offer.wait_s <= left_s]
+    if not timely and _predict_first(offers, waiting) <= left_s:
+        # An endpoint that is full now responds sooner than the free ones.
+        return None
+    available = timely or available
     if not available:
         return None
     best = min(available, key=lambda offer: _rank(offer, random))
@@ -171,7 +176,14 @@
         The time.
     """
 
-    __slots__ = ('_has_known', '_knowledge', '_mean_fill', '_now', '_usual_s')
+    __slots__ = (
+        '_has_known',
+        '_knowledge',
+        '_mean_fill',
+        '_now',
+        '_own_part',
+        '_usual_s',
+    )
 
     def __init__(
         self, loads: list[LoadEstimate], knowledge: FleetKnowledge, now: float
@@ -181,6 +193,9 @@
         slots = sum(load.slots for load in loads)
         in_system = sum(load.in_system for load in loads)
         self._mean_fill = in_system / max(1, slots)
+        own = sum(load.own for load in loads)
+        # Free slots are left to other nodes by their part of the requests.
+        self._own_part = (1 + own) / (1 + max(own, in_system))
         self._has_known = bool(known)
         self._knowledge = knowledge
         self._now = now
@@ -201,7 +216,7 @@
             service_s,
             queued_s,
             (service_s + queued_s) * failing,
-            load.is_known or self._may_try(state.replica.replica_id, load),
+            self._may_send(state.replica.replica_id, load, service_s),
         )
 
     def _estimate_in_system(
@@ -214,6 +229,20 @@
         expected = self._mean_fill * load.slots
         return max(load.own, expected + weight * (load.in_system - expected))
 
+    def _may_send(
+        self, replica_id: str, load: LoadEstimate, service_s: float
+    ) -> bool:
+        """Return whether this node may send another request by its share.
+
+        One slot that is free by its own knowledge may always be taken.
+        """
+        if not load.is_known:
+            return self._may_try(replica_id, load)
+        if load.age_s > _OUTDATED_FACTOR * service_s:
+            return True
+        share = int((load.free + load.taken) * self._own_part)
+        return load.taken < max(1, share)
+
     def _may_try(self, replica_id: str, load: LoadEstimate) -> bool:
         """Return whether an endpoint of unknown speed may get a request.
 
@@ -273,7 +302,15 @@
         and offer.load.is_known
         and offer.wait_s * _EQUAL_FACTOR < best.wait_s
     ]
-    if not faster:
+    return _predict_first(faster, waiting)
+
+
+def _predict_first(offers: list[Offer], waiting: float) -> float:
+    """Return the response time of a request that waits for any free slot.
+
+    Infinite if there are no endpoints.
+    """
+    if not offers:
         return float('inf')
-    rate = sum(offer.rate for offer in faster)
-    return (1 + waiting) / rate + min(offer.service_s for offer in faster)
+    rate = sum(offer.rate for offer in offers)
+    return (1 + waiting) / rate + min(offer.service_s for offer in offers)
--- a/samphirerill/fleet/reported_load.py
+++ b/samphirerill/fleet/reported_load.py
@@ -61,6 +61,8 @@
         The requests that it runs and queues.
     own : int
         Those of this node that are in flight.
+    taken : int
+        Those of this node that other nodes may not know yet.
     slots : int
         How many it runs at once.
     service_s : float
@@ -75,6 +77,7 @@
 
     in_system: float
     own: int
+    taken: int
     slots: int
     service_s: float
     age_s: float
@@ -138,7 +141,16 @@
             reported -= 1
         if self.others_before is not None:
             reported += others - self.others_before
-        return max(own, reported + self._count_sent_since_report())
+        return max(own, reported + self.count_sent_since(self.reported_at))
+
+    def count_sent_since(self, since: float) -> int:
+        """Return how many requests in flight were sent from a time on."""
+        count = 0
+        for sent_at in reversed(self.sent.values()):
+            if sent_at < since:
+                break
+            count += 1
+        return count
 
     def count_queued_per_slot(self) -> float:
         """Return how many requests were queued when it reported."""
@@ -156,15 +168,6 @@
         is_overdue = age_s > _OVERDUE_FACTOR * self.service_s
         return age_s if is_overdue else self.service_s
 
-    def _count_sent_since_report(self) -> int:
-        """Return how many requests in flight were sent after the report."""
-        count = 0
-        for sent_at in reversed(self.sent.values()):
-            if sent_at < self.reported_at:
-                break
-            count += 1
-        return count
-
 
 class ReportedLoads:
     """The load of the endpoints, as far as this node knows.
@@ -270,6 +273,9 @@
         return LoadEstimate(
             in_system,
             len(record.sent),
+            record.count_sent_since(
+                max(record.reported_at, now - status_age_s)
+            ),
             replica.slots if record.load is None else record.load.slots,
             record.estimate_service_s(now),
             min(age_s, status_age_s),
--- a/samphirerill/relay/endpoint_finder.py
+++ b/samphirerill/relay/endpoint_finder.py
@@ -7,11 +7,14 @@
 
 from samphirerill.fleet.endpoints import choose_endpoint, find_backoff_end
 from samphirerill.fleet.explain import describe_backoffs, describe_limits
+from samphirerill.relay.plain_request import PlainSlot, SlotRejectedError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from samphirerill.fleet.view import ReplicaState
+    from samphirerill.relay.plain_queue import PlainQueue
+    from samphirerill.relay.plain_request import PlainRequest
     from samphirerill.relay.request_context import RequestContext
     from samphirerill.relay.state import EdgeState
 
@@ -37,33 +40,76 @@
         Shared state of this node.
     context : RequestContext
         The request.
+    queue : PlainQueue, optional
+        The queue for services whose endpoints report their load.
 
     Attributes
     ----------
     tried : set of str
         Endpoints that are not tried again.
+    rejection : SlotRejectedError, optional
+        Why the request got no slot, if it waited for one.
     """
 
-    __slots__ = ('_context', '_loop', '_state', 'tried')
-
-    def __init__(self, state: EdgeState, context: RequestContext) -> None:
+    __slots__ = (
+        '_context',
+        '_loop',
+        '_queue',
+        '_request',
+        '_slot',
+        '_state',
+        'rejection',
+        'tried',
+    )
+
+    def __init__(
+        self,
+        state: EdgeState,
+        context: RequestContext,
+        queue: PlainQueue | None = None,
+    ) -> None:
         self.tried: set[str] = set()
         self._state = state
         self._context = context
         self._loop = asyncio.get_running_loop()
+        self.rejection: SlotRejectedError | None = None
+        self._queue = queue
+        self._request: PlainRequest | None = None
+        self._slot: PlainSlot | None = None
 
     async def wait_for_endpoint(self) -> ReplicaState | None:
-        """Return an endpoint, waiting for a connection, room or a back-off's end."""
+        """Return an endpoint, waiting for a connection, room or a back-off's end.
+
+        Where endpoints report their load, a slot is taken until `release_slot`.
+        """
         limits = self._state.request_limits
         limits.note_arrival(self._context.service.name)
-        with limits.waiting(self._context.service.name):
-            return await self._wait_for_endpoint()
+        try:
+            with limits.waiting(self._context.service.name):
+                return await self._wait_for_endpoint()
+        except SlotRejectedError as exc:
+            self.rejection = exc
+            return None
+
+    def note_sent(self) -> None:
+        """Record that the request is sent: its retries precede new requests."""
+        if self._request is not None:
+            self._request.note_sent()
+
+    def release_slot(self) -> None:
+        """Release the slot, if one was taken, and wake waiting requests."""
+        if self._queue is not None and self._slot is not None:
+            self._queue.release(self._slot)
+        self._slot = None
+        self._state.notify_listeners()
 
     def has_alternative(self, replica_id: str) -> bool:
         """Return whether an endpoint other than this one may be called now.
 
         One that is suspected may fail too, so it does not count.
         """
+        if self._queue is not None and self._queue.is_active():
+            return self._queue.has_slot(self._open(self._queue), replica_id)
         now = self._loop.time()
         other = choose_endpoint(
             self._state.view,
@@ -106,7 +152,33 @@
             endpoint = await self._wait_for_connection()
         return endpoint
 
+    def _open(self, queue: PlainQueue) -> PlainRequest:
+        if self._request is None:
+            self._request = queue.open(
+                self._context, self.tried, self._has_connection
+            )
+        return self._request
+
     async def _wait_for_connection(self) -> ReplicaState | None:
+        """Return an endpoint, waiting while all slots are in use."""
+        queue = self._queue
+        if queue is None or not self._state.settings.reported_load:
+            return await self._poll_connections()
+        if queue.is_active():
+            self._slot = await queue.acquire(self._open(queue))
+            if self._slot is not None:
+                return self._slot.endpoint
+            if queue.is_active():
+                return None
+        endpoint = await self._poll_connections()
+        if endpoint is not None:
+            # Responses to counted requests show when endpoints begin to report.
+            self._slot = PlainSlot(
+                endpoint, self._state.response_notices.loads, self._loop.time()
+            )
+        return endpoint
+
+    async def _poll_connections(self) -> ReplicaState | None:
         """Return an endpoint, waiting while all connections are in use."""
         until = self._loop.time() + _CONNECTION_WAIT_S
         while True:
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -47,6 +47,7 @@
     from samphirerill.fleet.model import Replica
     from samphirerill.fleet.view import ReplicaState
     from samphirerill.relay.connection import HttpConnection
+    from samphirerill.relay.plain_queue import PlainQueue
     from samphirerill.relay.quarantine import CrashDetector
     from samphirerill.relay.request_context import RequestContext
     from samphirerill.relay.state import EdgeState
@@ -98,6 +99,8 @@
     crash_detector : CrashDetector
         Knows whether the request is quarantined; informed of attempts that
         break off.
+    queue : PlainQueue, optional
+        The queue for services whose endpoints report their load.
     """
 
     def __init__(
@@ -105,12 +108,13 @@
         state: EdgeState,
         context: RequestContext,
         crash_detector: CrashDetector,
+        queue: PlainQueue | None = None,
     ) -> None:
         self._state = state
         self._context = context
         self._crash_detector = crash_detector
         self._loop = asyncio.get_running_loop()
-        self._finder = EndpointFinder(state, context)
+        self._finder = EndpointFinder(state, context, queue)
         self._limits = PlainLimits(state, context, crash_detector, self._finder)
         self._sent_at = 0.0
         self._may_have_run = False
@@ -148,7 +152,7 @@
             outcome = await self._exchange(endpoint)
         finally:
             self._state.load_tracker.remove_request(reserved_ids, 0)
-            self._state.notify_listeners()
+            self._finder.release_slot()
         duration_s = self._loop.time() - started_at
         self._record_outcome(endpoint, outcome, duration_s)
         if not outcome.may_return:
@@ -190,6 +194,7 @@
             self._avoid_unreached(endpoint, exc)
             return _Outcome(is_not_run=True, was_sent=False, reason=str(exc))
         self._limits.attempts += 1
+        self._finder.note_sent()
         self._sent_at = self._loop.time()
         try:
             outcome = await self._call(endpoint, conn)
@@ -368,6 +373,10 @@
         if not failed:
             endpoint.latency_s += _SMOOTHING * (duration_s - endpoint.latency_s)
             self._state.view.note_alive(endpoint.replica.replica_id)
+            now = self._loop.time()
+            self._state.response_notices.loads.note_service_time(
+                endpoint.replica, now - self._sent_at, now
+            )
 
     def _respond(self, outcome: _Outcome) -> None:
         conn = self._context.conn
@@ -390,6 +399,11 @@
                 self._crash_detector.describe_hold(self._context),
                 self._limits.quarantined_until - now,
             )
+        rejection = self._finder.rejection
+        if rejection is not None:
+            return Refusal(
+                UNAVAILABLE, str(rejection), rejection.retry_s, is_spread=True
+            )
         backoff_end = self._finder.find_backoff_end()
         if backoff_end:
             return Refusal(
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -249,7 +249,9 @@
             self.state.load_tracker.expire_peers(now)
             self.state.rooms.expire(now)
             self._permit_exchange.sweep()
-            self.state.pool.close_stale(set(self.state.view.replicas))
+            present = set(self.state.view.replicas)
+            self.state.pool.close_stale(present)
+            self.state.response_notices.loads.remove_absent(present)
             if removed:
                 _LOG.info(
                     'replicas removed; announcements did not return',
--- a/samphirerill/relay/request_dispatcher.py
+++ b/samphirerill/relay/request_dispatcher.py
@@ -9,6 +9,7 @@
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.path_tracker import ISOLATED, ISOLATED_RETRY_S
 from samphirerill.relay.plain import PlainExchange
+from samphirerill.relay.plain_queue import PlainQueues
 from samphirerill.relay.refusals import (
     NOT_FOUND,
     UNAVAILABLE,
@@ -71,6 +72,7 @@
         self._state = state
         self._admission = admission
         self._prober = prober
+        self._plain_queues = PlainQueues(state)
         self._loop = asyncio.get_running_loop()
 
     def get_limits(self) -> ClientLimits:
@@ -118,7 +120,10 @@
         if engine is None or not engine.layers:
             if not self._reject_if_ending(_MAX_REQUEST_S, context):
                 await PlainExchange(
-                    self._state, context, self._crash_detector
+                    self._state,
+                    context,
+                    self._crash_detector,
+                    self._plain_queues.get(context.service.name),
                 ).run()
         elif not self._reject_if_ending(_EXPECTED_STREAM_S, context):
             await StreamExchange(
--- a/samphirerill/relay/shared_admission.py
+++ b/samphirerill/relay/shared_admission.py
@@ -130,7 +130,9 @@
         if is_allowed:
             shared.records.note_level(None, now)
         else:
-            shared.records.note_level(_find_allowed(shared, level, now), now)
+            shared.records.note_level(
+                find_allowed_level(shared, level, now), now
+            )
             self._state.counters['sharing.held_back'] += 1
             self._recheck(self.free_room.get_end(shared.name))
         return is_allowed
@@ -301,7 +303,7 @@
     return share.started_item if queued.path_request.is_urgent else share.item
 
 
-def _find_allowed(shared: SharedService, level: int, now: float) -> int:
+def find_allowed_level(shared: SharedService, level: int, now: float) -> int:
     """Return the highest level below another that has nothing to wait for."""
     while shared.fleet_room.count_waiting_before(
         level, now, elsewhere_only=True
--- a/samphirerill/testing/platform_replicas.py
+++ b/samphirerill/testing/platform_replicas.py
@@ -179,6 +179,7 @@
             conn.respond(_SERVER_ERROR, headers, b'failed')
         elif req.get(b'x-samphirerill-hop-count') is None:
             await self._wait_for_answer(req)
+            headers.extend(self._build_load_headers())
             body = b'plain ' + req.body + bytes(self.padding_bytes)
             conn.respond(_OK, headers, body)
         else:
@@ -196,6 +197,10 @@
             headers.append((b'Server-Leaving', b'1'))
         return headers
 
+    def _build_load_headers(self) -> Headers:
+        """Return the headers of each plain response that report the load."""
+        return []
+
     def _refuses_next(self) -> bool:
         served_limit = self.refusal.after_requests
         is_limit_reached = 0 < served_limit < len(self.received_requests)
