Plain services: predicted waits consider the queue of the node

Cause: each freed slot is seen first by the node that used it. With exact reports one node of three kept one slot at each endpoint while 40 requests waited there, accepted by the rate of the whole fleet; up to a fifth of the accepted requests were late. A node could not use free slots beyond one per response.

Change: the predicted wait is the larger one of the fleet's and that by the node's own grants, with a margin of 0.3, and the rate is at least 0.8 of what the endpoints serve by their slots and service times. A node may take its part of the free slots by its part of the demand. A report counts the answered request only as long as no endpoint of the service has reported 0.

--- a/samphirerill/fleet/endpoint_offers.py
+++ b/samphirerill/fleet/endpoint_offers.py
@@ -61,6 +61,10 @@
         The name of this node.
     random : Random
         Source of randomness.
+    own_waiting : int
+        How many requests wait at this node.
+    waiting : int
+        How many requests wait at all nodes.
     """
 
     loads: ReportedLoads
@@ -69,6 +73,8 @@
     status_age_s: float
     node: str
     random: Random
+    own_waiting: int = 0
+    waiting: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -195,7 +201,9 @@
         self._mean_fill = in_system / max(1, slots)
         own = sum(load.own for load in loads)
         # Free slots are left to other nodes by their part of the requests.
-        self._own_part = (1 + own) / (1 + max(own, in_system))
+        own += 1 + knowledge.own_waiting
+        demand = 1 + in_system + knowledge.waiting
+        self._own_part = own / max(own, demand)
         self._has_known = bool(known)
         self._knowledge = knowledge
         self._now = now
@@ -234,14 +242,17 @@
     ) -> bool:
         """Return whether this node may send another request by its share.
 
-        One slot that is free by its own knowledge may always be taken.
+        One slot that is free by its own knowledge may always be taken, and its
+        part of the others: each response frees one slot, so that less would not
+        use the others.
         """
         if not load.is_known:
             return self._may_try(replica_id, load)
         if load.age_s > _OUTDATED_FACTOR * service_s:
             return True
-        share = int((load.free + load.taken) * self._own_part)
-        return load.taken < max(1, share)
+        others = load.free + load.taken - 1
+        share = others * self._own_part + self._knowledge.random.random()
+        return load.taken < 1 + int(share)
 
     def _may_try(self, replica_id: str, load: LoadEstimate) -> bool:
         """Return whether an endpoint of unknown speed may get a request.
--- a/samphirerill/fleet/endpoints.py
+++ b/samphirerill/fleet/endpoints.py
@@ -84,18 +84,20 @@
         The least time for one request.
     queued_s : float
         The least time in the queue of an endpoint.
+    rate : float
+        Requests per second that all endpoints serve.
     """
 
     endpoint: ReplicaState | None
     free_room: float
     service_s: float
     queued_s: float
+    rate: float
 
 
 def choose_by_load(
     pool: list[ReplicaState],
     knowledge: FleetKnowledge,
-    waiting: float,
     left_s: float,
     now: float,
 ) -> EndpointChoice:
@@ -107,20 +109,19 @@
         The endpoints that may be used, from `list_preferred`; at least one.
     knowledge : FleetKnowledge
         What is known of their load.
-    waiting : float
-        How many requests wait for them.
     left_s : float
         The time until the response is due.
     now : float
         The time.
     """
     offers = build_offers(pool, knowledge, now)
-    chosen = choose_offer(offers, waiting, left_s, knowledge.random)
+    chosen = choose_offer(offers, knowledge.waiting, left_s, knowledge.random)
     return EndpointChoice(
         None if chosen is None else chosen.state,
         sum(offer.load.free for offer in offers if offer.may_send),
         min(offer.service_s for offer in offers),
         min(offer.queued_s for offer in offers),
+        sum(offer.rate for offer in offers),
     )
 
 
--- a/samphirerill/fleet/reported_load.py
+++ b/samphirerill/fleet/reported_load.py
@@ -46,6 +46,10 @@
     waiting: int
     slots: int
 
+    def count(self) -> int:
+        """Return the requests that it runs and queues."""
+        return self.running + self.waiting
+
     def is_possible(self) -> bool:
         """Return whether an endpoint can be in this state."""
         return self.slots > 0 and self.running <= self.slots
@@ -123,25 +127,30 @@
             return self.replica.started_ms == replica.started_ms
         return self.replica.address == replica.address
 
-    def estimate_in_system(self, others: int) -> int:
+    def estimate_in_system(
+        self, others: int, *, may_count_answered: bool
+    ) -> int:
         """Return the requests that it runs and queues, if it has reported.
 
         Parameters
         ----------
         others : int
             Requests of other nodes that are in flight now.
+        may_count_answered : bool
+            Whether the report may count the request that it came with.
         """
         own = len(self.sent)
         if self.load is None:
             return own + others
-        reported = self.load.running + self.load.waiting
-        if reported == self.load.slots:
-            # Some endpoints count the request that they answer. Its slot is
-            # free; without this, a full endpoint would be left one slot short.
+        reported = self.load.count()
+        if reported == self.load.slots and may_count_answered:
+            # The slot of the request that it answered is free; without this, a
+            # full endpoint would be left one slot short.
             reported -= 1
-        if self.others_before is not None:
-            reported += others - self.others_before
-        return max(own, reported + self.count_sent_since(self.reported_at))
+        known = reported + self.count_sent_since(self.reported_at)
+        if self.others_before is None:
+            return max(own, known)
+        return max(own + others, known + others - self.others_before)
 
     def count_sent_since(self, since: float) -> int:
         """Return how many requests in flight were sent from a time on."""
@@ -175,12 +184,20 @@
     Times are on one monotonic clock.
     """
 
-    __slots__ = ('_first_found_at', '_last_token', '_records')
+    __slots__ = (
+        '_first_found_at',
+        '_last_token',
+        '_records',
+        '_without_answered',
+    )
 
     def __init__(self) -> None:
         self._first_found_at: float | None = None
         self._records: dict[str, _EndpointRecord] = {}
         self._last_token = 0
+        # Services whose endpoints do not count the request that they answer:
+        # one of them has reported none.
+        self._without_answered: set[str] = set()
 
     def note_sent(self, replica: Replica, now: float) -> int:
         """Record a request that is sent now; return a token for its end."""
@@ -205,6 +222,8 @@
         if load is None:
             record.missing += 1
             return
+        if not load.count():
+            self._without_answered.add(replica.service)
         record.missing = 0
         record.load = load
         record.others_before = None
@@ -269,7 +288,11 @@
         else:
             if age_s >= status_age_s and record.others_before is None:
                 record.others_before = others
-            in_system = record.estimate_in_system(others)
+            in_system = record.estimate_in_system(
+                others,
+                may_count_answered=replica.service
+                not in self._without_answered,
+            )
         return LoadEstimate(
             in_system,
             len(record.sent),
--- a/samphirerill/relay/grant_rate.py
+++ b/samphirerill/relay/grant_rate.py
@@ -22,6 +22,10 @@
         self.interval_s = 0.0
         self._last_at = 0.0
 
+    def note_first(self, now: float) -> None:
+        """Record that a request begins to wait where none did."""
+        self._last_at = now
+
     def note_grant(self, now: float) -> None:
         """Record a grant."""
         interval_s = min(_MAX_INTERVAL_S, now - self._last_at)
--- a/samphirerill/relay/plain_order.py
+++ b/samphirerill/relay/plain_order.py
@@ -19,6 +19,9 @@
 # At full load all accepted requests wait for about as long as is allowed. Without
 # a margin for wrong predictions, a fifth of them was late.
 _WAIT_MARGIN = 1.3
+# Part of the rate of the endpoints, by their slots and service times, that is
+# expected at least: where demand begins, few requests have ended yet.
+_LEAST_RATE_PART = 0.8
 
 
 def choose_next(requests: list[PlainRequest], now: float) -> PlainRequest:
@@ -78,14 +81,24 @@
     now: float,
 ) -> float:
     """Return the time until a slot is expected for an arriving request."""
-    fleet_room = request.shared.fleet_room
     level = find_arrival_level(request, waiting, now)
-    return _WAIT_MARGIN * predict_wait_s(
-        fleet_room.count_ahead(level, now),
-        fleet_room.compute_rate(now),
+    fleet_s = predict_wait_s(
+        request.shared.fleet_room.count_ahead(level, now),
+        estimate_rate(request, now),
         own_interval_s,
         own_ahead,
     )
+    # Each slot that becomes free is seen first by the node that used it, so that
+    # the queues of the nodes may move at different speeds.
+    return _WAIT_MARGIN * max(fleet_s, own_interval_s * own_ahead)
+
+
+def estimate_rate(request: PlainRequest, now: float) -> float:
+    """Return the slots that become free per second over all nodes."""
+    return max(
+        request.shared.fleet_room.compute_rate(now),
+        _LEAST_RATE_PART * request.endpoint_rate,
+    )
 
 
 def reject_if_late(
@@ -126,7 +139,7 @@
         level,
         request.predicted_s,
         item.room,
-        shared.fleet_room.compute_rate(now) / node_count,
+        estimate_rate(request, now) / node_count,
         max(0, item.deadline - now) * _RETURN_PART,
         now,
     )
--- a/samphirerill/relay/plain_queue.py
+++ b/samphirerill/relay/plain_queue.py
@@ -191,6 +191,8 @@
     async def _wait(self, request: PlainRequest) -> PlainSlot | None:
         granted = self._loop.create_future()
         request.granted = granted
+        if not self._waiting:
+            self._rate.note_first(self._loop.time())
         self._waiting.add(request)
         self.schedule_grants()
         try:
--- a/samphirerill/relay/plain_request.py
+++ b/samphirerill/relay/plain_request.py
@@ -35,7 +35,8 @@
     `tried` are the endpoints that it must not use, `may_call` returns whether
     an endpoint has a connection for it. `due` is when its response is due,
     `deadline` when it stops waiting. Once it `is_accepted`, it is not rejected
-    because of its predicted wait, `predicted_s`. `counts_as_waiting` is whether
+    because of its predicted wait, `predicted_s`. `endpoint_rate` is how many
+    requests per second the endpoints serve, 0 if not known. `counts_as_waiting` is whether
     other nodes leave capacity to it.
     """
 
@@ -49,6 +50,7 @@
     is_accepted: bool = False
     counts_as_waiting: bool = False
     predicted_s: float = 0.0
+    endpoint_rate: float = 0.0
     granted: asyncio.Future[PlainSlot | None] | None = None
 
     def note_sent(self) -> None:
--- a/samphirerill/relay/slot_finder.py
+++ b/samphirerill/relay/slot_finder.py
@@ -89,6 +89,7 @@
             return None
         choice = self._choose_from(pool, request)
         self.service_s = choice.service_s
+        request.endpoint_rate = choice.rate
         return choice
 
     def has_slot(self, request: PlainRequest, replica_id: str) -> bool:
@@ -138,16 +139,21 @@
         self, pool: list[ReplicaState], request: PlainRequest
     ) -> EndpointChoice:
         now = self._loop.time()
-        waiting = request.shared.fleet_room.count_ahead(
-            request.find_level(now), now
-        )
         until = request.due if request.due > now else request.deadline
         return choose_by_load(
-            pool, self._build_knowledge(), waiting.count, until - now, now
+            pool, self._build_knowledge(request, now), until - now, now
         )
 
-    def _build_knowledge(self) -> FleetKnowledge:
+    def _build_knowledge(
+        self, request: PlainRequest, now: float
+    ) -> FleetKnowledge:
         state = self._state
+        fleet_room = request.shared.fleet_room
+        level = request.find_level(now)
+        waiting = fleet_room.count_ahead(level, now).count
+        elsewhere = fleet_room.count_waiting_before(
+            level + 1, now, elsewhere_only=True
+        )
         node_count = state.count_nodes()
         return FleetKnowledge(
             state.response_notices.loads,
@@ -159,4 +165,6 @@
             ),
             state.settings.name,
             state.random,
+            max(0, waiting - elsewhere.count),
+            waiting,
         )
--- a/samphirerill/tests/plain_fleet.py
+++ b/samphirerill/tests/plain_fleet.py
@@ -73,13 +73,21 @@
         self.is_polling = False
         self.tracker = _DelayedTracker(fleet)
         self.loads = ReportedLoads()
-        self.knowledge = FleetKnowledge(
+        self.fleet = fleet
+        self.name = f'node-{number}'
+
+    def build_knowledge(self) -> FleetKnowledge:
+        """Return what the node knows now."""
+        waiting = len(self.waiting) - 1
+        return FleetKnowledge(
             self.loads,
             self.tracker,
-            fleet.node_count,
-            fleet.delay_s,
-            f'node-{number}',
-            fleet.random,
+            self.fleet.node_count,
+            self.fleet.delay_s,
+            self.name,
+            self.fleet.random,
+            waiting,
+            waiting * self.fleet.node_count,
         )
 
 
@@ -153,8 +161,7 @@
             pool = [item.state for item in self.endpoints.values()]
             choice = choose_by_load(
                 pool,
-                node.knowledge,
-                len(node.waiting) - 1,
+                node.build_knowledge(),
                 node.waiting[0] + OBJECTIVE_S - self.now,
                 self.now,
             )
--- a/samphirerill/tests/test_reported_load.py
+++ b/samphirerill/tests/test_reported_load.py
@@ -124,8 +124,12 @@
 
     def test_answered_request_frees_a_slot(self) -> None:
         """Guard against a slot that stays idle if endpoints count it."""
-        self.loads.note_response(_ENDPOINT, ReportedLoad(6, 0, 6), 1)
+        full = ReportedLoad(6, 0, 6)
+        self.loads.note_response(_ENDPOINT, full, 1)
         self.assertEqual(self.count(1), 5)
+        self.loads.note_response(_ENDPOINT, ReportedLoad(0, 0, 6), 1)
+        self.loads.note_response(_ENDPOINT, full, 1)
+        self.assertEqual(self.count(1), 6)
 
     def test_service_time_excludes_queueing(self) -> None:
         """Guard against a full endpoint that is taken for a slow one."""
