Plain services: new requests use a slow endpoint while others wait

Cause: with one of three endpoints five times slower, requests were rejected while that endpoint had free slots: the first in the queue would have been late there, and the later ones were not considered.

Change: waiting is compared with a slow endpoint by the speed of the node's own queue, too, and a new request may take a slot of a slow endpoint before waiting ones.

Open: the queues of the nodes still differ in length.

--- a/samphirerill/fleet/endpoint_offers.py
+++ b/samphirerill/fleet/endpoint_offers.py
@@ -27,7 +27,7 @@
 # endpoint with the lowest of many estimates.
 _EQUAL_FACTOR = 1.25
 # An endpoint is slow if it takes so many times longer than the fastest.
-_SLOW_FACTOR = 2.0
+SLOW_FACTOR = 2.0
 # Slow endpoints are tried again, by all nodes together about twice a second.
 _RETEST_S_PER_NODE = 0.5
 # Knowledge that is older than this is not used to prefer an endpoint to others:
@@ -65,6 +65,8 @@
         How many requests wait at this node.
     waiting : int
         How many requests wait at all nodes.
+    own_wait_s : float
+        How long a request would wait at this node behind these.
     """
 
     loads: ReportedLoads
@@ -75,6 +77,7 @@
     random: Random
     own_waiting: int = 0
     waiting: int = 0
+    own_wait_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -135,7 +138,7 @@
 
 
 def choose_offer(
-    offers: list[Offer], waiting: float, left_s: float, random: Random
+    offers: list[Offer], knowledge: FleetKnowledge, left_s: float
 ) -> Offer | None:
     """Return the offer to take now; none if the request should wait.
 
@@ -143,16 +146,15 @@
     ----------
     offers : list of Offer
         The offers of all endpoints that may be used.
-    waiting : float
-        How many requests wait for the endpoints.
+    knowledge : FleetKnowledge
+        What this node knows.
     left_s : float
-        The time until its response is due.
-    random : Random
-        Source of randomness.
+        The time until the response is due.
     """
+    random = knowledge.random
     available = [offer for offer in offers if offer.is_open(left_s)]
     timely = [offer for offer in available if offer.wait_s <= left_s]
-    if not timely and _predict_first(offers, waiting) <= left_s:
+    if not timely and _predict_first(offers, knowledge) <= left_s:
         # An endpoint that is full now responds sooner than the free ones.
         return None
     available = timely or available
@@ -164,7 +166,7 @@
             available, [offer.rate for offer in available], k=2
         )
         best = min(drawn, key=lambda offer: _rank(offer, random))
-    if best.wait_s > _predict_faster(best, offers, waiting, left_s):
+    if best.wait_s > _predict_faster(best, offers, knowledge, left_s):
         return None
     return best
 
@@ -284,7 +286,7 @@
 
     def _is_retest_due(self, load: LoadEstimate) -> bool:
         """Return whether a slow endpoint may be fast again."""
-        if load.own or load.service_s < _SLOW_FACTOR * self._usual_s:
+        if load.own or load.service_s < SLOW_FACTOR * self._usual_s:
             return False
         interval_s = _RETEST_S_PER_NODE * self._knowledge.node_count
         return self._now - load.responded_at > interval_s
@@ -300,7 +302,10 @@
 
 
 def _predict_faster(
-    best: Offer, offers: list[Offer], waiting: float, left_s: float
+    best: Offer,
+    offers: list[Offer],
+    knowledge: FleetKnowledge,
+    left_s: float,
 ) -> float:
     """Return the response time of a request that waits for a faster endpoint.
 
@@ -313,10 +318,10 @@
         and offer.load.is_known
         and offer.wait_s * _EQUAL_FACTOR < best.wait_s
     ]
-    return _predict_first(faster, waiting)
+    return _predict_first(faster, knowledge)
 
 
-def _predict_first(offers: list[Offer], waiting: float) -> float:
+def _predict_first(offers: list[Offer], knowledge: FleetKnowledge) -> float:
     """Return the response time of a request that waits for any free slot.
 
     Infinite if there are no endpoints.
@@ -324,4 +329,5 @@
     if not offers:
         return float('inf')
     rate = sum(offer.rate for offer in offers)
-    return (1 + waiting) / rate + min(offer.service_s for offer in offers)
+    wait_s = max((1 + knowledge.waiting) / rate, knowledge.own_wait_s)
+    return wait_s + min(offer.service_s for offer in offers)
--- a/samphirerill/fleet/endpoints.py
+++ b/samphirerill/fleet/endpoints.py
@@ -13,6 +13,7 @@
 from samphirerill.fleet.endpoint_offers import (
     FAILURE_WEIGHT,
     MIN_LATENCY_S,
+    SLOW_FACTOR,
     build_offers,
     choose_offer,
 )
@@ -86,6 +87,8 @@
         The least time in the queue of an endpoint.
     rate : float
         Requests per second that all endpoints serve.
+    is_slow : bool
+        Whether the endpoint is much slower than others, which have no slot.
     """
 
     endpoint: ReplicaState | None
@@ -93,6 +96,7 @@
     service_s: float
     queued_s: float
     rate: float
+    is_slow: bool
 
 
 def choose_by_load(
@@ -115,13 +119,15 @@
         The time.
     """
     offers = build_offers(pool, knowledge, now)
-    chosen = choose_offer(offers, knowledge.waiting, left_s, knowledge.random)
+    chosen = choose_offer(offers, knowledge, left_s)
+    service_s = min(offer.service_s for offer in offers)
     return EndpointChoice(
         None if chosen is None else chosen.state,
         sum(offer.load.free for offer in offers if offer.may_send),
-        min(offer.service_s for offer in offers),
+        service_s,
         min(offer.queued_s for offer in offers),
         sum(offer.rate for offer in offers),
+        chosen is not None and chosen.service_s > SLOW_FACTOR * service_s,
     )
 
 
--- a/samphirerill/relay/plain_queue.py
+++ b/samphirerill/relay/plain_queue.py
@@ -10,7 +10,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from samphirerill.relay.grant_rate import GrantRate
 from samphirerill.relay.plain_order import (
     build_rejection,
     choose_next,
@@ -84,7 +83,6 @@
         '_is_scheduled',
         '_loop',
         '_own',
-        '_rate',
         '_recheck',
         '_service',
         '_state',
@@ -98,7 +96,6 @@
         self._finder = SlotFinder(state, service)
         # Used where nothing is shared with other nodes.
         self._own = SharedService(service, state.random)
-        self._rate = GrantRate()
         self._waiting = PlainWaiting(state.rooms.note_waiting)
         self._is_scheduled = False
         self._recheck: asyncio.TimerHandle | None = None
@@ -141,7 +138,9 @@
             return None
         own_ahead = self._waiting.count_ahead(request, self._loop.time())
         choice = self._finder.choose(request)
-        if choice is not None and not own_ahead:
+        # A slow endpoint is of use to a new request whose response is due later
+        # than those of the requests that have waited.
+        if choice is not None and (choice.is_slow or not own_ahead):
             slot = self._finder.take(request, choice)
             if slot is not None:
                 return slot
@@ -180,7 +179,7 @@
             request,
             self._waiting.list_open(),
             own_ahead,
-            self._rate.interval_s,
+            self._finder.rate.interval_s,
             now,
         )
         reject_if_late(request, own_ahead, self._count_nodes(), now)
@@ -192,7 +191,7 @@
         granted = self._loop.create_future()
         request.granted = granted
         if not self._waiting:
-            self._rate.note_first(self._loop.time())
+            self._finder.rate.note_first(self._loop.time())
         self._waiting.add(request)
         self.schedule_grants()
         try:
@@ -251,7 +250,7 @@
                 slot = self._finder.take(request, choice)
             if slot is None:
                 return False
-            self._rate.note_grant(self._loop.time())
+            self._finder.rate.note_grant(self._loop.time())
         self._waiting.remove(request)
         if request.granted is not None:
             request.granted.set_result(slot)
--- a/samphirerill/relay/slot_finder.py
+++ b/samphirerill/relay/slot_finder.py
@@ -12,6 +12,7 @@
     list_preferred,
     reports_load,
 )
+from samphirerill.relay.grant_rate import GrantRate
 from samphirerill.relay.plain_order import may_take_slot
 from samphirerill.relay.plain_request import PlainSlot
 
@@ -45,6 +46,8 @@
     ----------
     service_s : float
         The least time that an endpoint takes for a request.
+    rate : GrantRate
+        How fast the queue of this node moves.
     """
 
     __slots__ = (
@@ -53,6 +56,7 @@
         '_loop',
         '_service',
         '_state',
+        'rate',
         'service_s',
     )
 
@@ -63,6 +67,7 @@
         self._is_active = False
         self._checked_at = float('-inf')
         self.service_s = MIN_LATENCY_S
+        self.rate = GrantRate()
 
     def is_active(self) -> bool:
         """Return whether the endpoints report their load."""
@@ -154,6 +159,7 @@
         elsewhere = fleet_room.count_waiting_before(
             level + 1, now, elsewhere_only=True
         )
+        own_waiting = max(0, waiting - elsewhere.count)
         node_count = state.count_nodes()
         return FleetKnowledge(
             state.response_notices.loads,
@@ -165,6 +171,7 @@
             ),
             state.settings.name,
             state.random,
-            max(0, waiting - elsewhere.count),
+            own_waiting,
             waiting,
+            own_waiting * self.rate.interval_s,
         )
