Plain services: nodes leave slots to nodes with more waiting requests

Cause: each freed slot is seen first by the node that used it, so that the queues of the nodes differed in length at full load.

Change: a node that uses more than one slot beyond its part of the demand takes no further one while requests wait elsewhere.

--- a/samphirerill/fleet/endpoint_offers.py
+++ b/samphirerill/fleet/endpoint_offers.py
@@ -187,6 +187,7 @@
     __slots__ = (
         '_has_known',
         '_knowledge',
+        '_leaves_slots',
         '_mean_fill',
         '_now',
         '_own_part',
@@ -203,9 +204,15 @@
         self._mean_fill = in_system / max(1, slots)
         own = sum(load.own for load in loads)
         # Free slots are left to other nodes by their part of the requests.
-        own += 1 + knowledge.own_waiting
+        own_demand = own + 1 + knowledge.own_waiting
         demand = 1 + in_system + knowledge.waiting
-        self._own_part = own / max(own, demand)
+        self._own_part = own_demand / max(own_demand, demand)
+        # Without this, the node that used a slot would always use it again,
+        # while more requests wait at others.
+        is_waiting_elsewhere = knowledge.waiting > knowledge.own_waiting
+        self._leaves_slots = is_waiting_elsewhere and (
+            own > 1 + self._own_part * slots
+        )
         self._has_known = bool(known)
         self._knowledge = knowledge
         self._now = now
@@ -252,6 +259,8 @@
             return self._may_try(replica_id, load)
         if load.age_s > _OUTDATED_FACTOR * service_s:
             return True
+        if self._leaves_slots:
+            return False
         others = load.free + load.taken - 1
         share = others * self._own_part + self._knowledge.random.random()
         return load.taken < 1 + int(share)
--- a/samphirerill/relay/plain_order.py
+++ b/samphirerill/relay/plain_order.py
@@ -90,7 +90,7 @@
     )
     # Each slot that becomes free is seen first by the node that used it, so that
     # the queues of the nodes may move at different speeds.
-    return _WAIT_MARGIN * max(fleet_s, own_interval_s * own_ahead)
+    return max(_WAIT_MARGIN * fleet_s, own_interval_s * own_ahead)
 
 
 def estimate_rate(request: PlainRequest, now: float) -> float:
