--- a/samphirerill/relay/shared_admission.py
+++ b/samphirerill/relay/shared_admission.py
@@ -130,7 +130,9 @@
         if is_allowed:
             shared.records.note_level(None, now)
         else:
-            shared.records.note_level(_find_allowed(shared, level, now), now)
+            shared.records.note_level(
+                find_allowed_level(shared, level, now), now
+            )
             self._state.counters['sharing.held_back'] += 1
             self._recheck(self.free_room.get_end(shared.name))
         return is_allowed
@@ -321,7 +323,7 @@
     return item.rank, item.account
 
 
-def _find_allowed(shared: SharedService, level: int, now: float) -> int:
+def find_allowed_level(shared: SharedService, level: int, now: float) -> int:
     """Return the highest level below another that has nothing to wait for."""
     while shared.fleet_room.count_waiting_before(
         level, now, elsewhere_only=True
