--- a/samphirerill/sharing/prediction.py
+++ b/samphirerill/sharing/prediction.py
@@ -46,7 +46,9 @@
     if rate <= 0:
         return own_wait_s
     wait_s = ahead.room / rate
-    return max(wait_s, own_wait_s) if ahead.count > own_ahead else wait_s
+    if MIN_CHECKED_QUEUE <= own_ahead < ahead.count:
+        return max(wait_s, own_wait_s)
+    return wait_s
 
 
 def find_rejection(
