Sharing: compute the share once per pass over the waiting requests

Cause: building a report and predicting a wait computed the share of an account anew for each group of waiting requests.

Change: the share of an account of weight 1 is computed once per pass. A test guards against a template that leaves sharing off.

--- a/samphirerill/sharing/account_use.py
+++ b/samphirerill/sharing/account_use.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 from typing import TYPE_CHECKING
 
 from samphirerill.sharing.model import identify_account
@@ -81,13 +82,21 @@
         self._listed += sign * len(listed)
         self._counted += sign * max(report.account_count, len(listed))
 
-    def is_above_share(self, key: int, total: float) -> bool:
-        """Return whether an account uses more than its share of `total`."""
+    def compute_share(self, total: float) -> float:
+        """Return the share of `total` of an active account of weight 1.
+
+        It is infinite for a single account, which competes with nobody.
+        """
+        if self.estimate_count() <= 1:
+            return inf
+        return total * self._listed / (self._listed_weight * self._counted)
+
+    def is_above_share(self, key: int, share: float) -> bool:
+        """Return whether an account uses more than `share` per weight."""
         account = self._accounts.get(key)
-        if account is None or self.estimate_count() <= 1:
+        if account is None:
             return False
-        active_weight = self._listed_weight * self._counted / self._listed
-        return account.room * active_weight > total * self._get_weight(key)
+        return account.room > share * self._weights.get(key, _DEFAULT_WEIGHT)
 
     def compute_weighted_use(self, key: int) -> float:
         """Return the room in use by an account, divided by its weight."""
--- a/samphirerill/sharing/levels.py
+++ b/samphirerill/sharing/levels.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import TYPE_CHECKING
 
 from samphirerill.sharing.model import (
@@ -52,7 +53,7 @@
             return STARTED_LEVEL
         if self._find_guaranteed_room(rank) > 0:
             return GUARANTEED_LEVEL
-        return self._find_share_level(rank, key, self._sum_running())
+        return self._find_share_level(rank, key, self._compute_share())
 
     def find_lowest_shared(self, level: int) -> int:
         """Return the lowest level that a request of this level waits for.
@@ -90,13 +91,13 @@
 
     def sum_own_waiting(self) -> dict[int, WaitingWork]:
         """Return this node's waiting work by level."""
-        running = self._sum_running()
+        share = self._compute_share()
         by_level: dict[int, WaitingWork] = {}
         for (rank, key), group in self._own.groups.items():
             level = (
                 STARTED_LEVEL
                 if rank < 0
-                else self._find_share_level(rank, key, running)
+                else self._find_share_level(rank, key, share)
             )
             work = by_level.setdefault(level, WaitingWork())
             work.add(group.count, group.room)
@@ -105,11 +106,14 @@
             _promote(by_level, waiting_rank, guaranteed)
         return by_level
 
-    def _find_share_level(self, rank: int, key: int, total: float) -> int:
-        is_above = self.settings.accounts and self._accounts.is_above_share(
-            key, total
-        )
-        return 2 * rank + int(is_above)
+    def _compute_share(self) -> float:
+        """Return the share of an account of weight 1; infinite if not shared."""
+        if not self.settings.accounts:
+            return inf
+        return self._accounts.compute_share(self._sum_running())
+
+    def _find_share_level(self, rank: int, key: int, share: float) -> int:
+        return 2 * rank + int(self._accounts.is_above_share(key, share))
 
     def _sum_running(self) -> float:
         return self._own.sum_running() + self._peers.sum_running()
--- a/samphirerill/tests/test_edge_settings.py
+++ b/samphirerill/tests/test_edge_settings.py
@@ -76,6 +76,11 @@
         self.assertEqual(settings.store, '10.200.1.7:8223')
         self.assertEqual(settings.exchange_port, 7340)
 
+    def test_sharing_is_switched_on(self) -> None:
+        """Guards against a deployment in which each node decides on its own."""
+        sharing = self._load().sharing
+        self.assertTrue(sharing.ranks and sharing.accounts)
+
     def _load(self) -> EdgeSettings:
         text = _render_template()
         self.assertNotIn('{{', text)
