--- a/samphirerill/relay/rejections.py
+++ b/samphirerill/relay/rejections.py
@@ -60,4 +60,4 @@
         level + 1, now, elsewhere_only=True
     )
     own_part = max(item.room, total - elsewhere.room) / max(1.0, total)
-    return fleet_room.compute_rate(now) * own_part
+    return fleet_room.compute_rate(now, level) * own_part
--- a/samphirerill/relay/shared_admission.py
+++ b/samphirerill/relay/shared_admission.py
@@ -157,7 +157,7 @@
         level = self._find_arrival_level(queued)
         share.predicted_s = predict_wait_s(
             fleet_room.count_ahead(level, now),
-            fleet_room.compute_rate(now),
+            fleet_room.compute_rate(now, level),
             own_interval_s,
             own_ahead,
         )
@@ -188,7 +188,7 @@
         fleet_room = share.shared.fleet_room
         level = self._find_level(queued)
         ahead = fleet_room.count_ahead(level, now)
-        rate = fleet_room.compute_rate(now)
+        rate = fleet_room.compute_rate(now, level)
         wait_s = predict_wait_s(ahead, rate, own_wait_s, 1)
         return build_rejection(share, level, reason, wait_s, now)
 
