Streams: predictions count half of the late requests as ahead

Change: half of the late requests of the same level are left out; their part at other nodes is assumed to be the same.

--- a/samphirerill/relay/shared_admission.py
+++ b/samphirerill/relay/shared_admission.py
@@ -26,8 +26,15 @@
     from samphirerill.relay.request_context import RequestContext
     from samphirerill.relay.shared_service import SharedService
     from samphirerill.relay.state import EdgeState
+    from samphirerill.sharing.fleet_room import FleetRoom
     from samphirerill.sharing.model import WorkItem
 
+# Part of the late requests that is not counted as ahead of a new one, which
+# overtakes them. Other nodes report no lateness; their queues are assumed to be
+# alike. In trials at twice the capacity, 1 left 0.77 of the rejections within
+# 0.1 s; with 0, 0.36 of the streams of a large account were admitted too late.
+_LATE_PART = 0.5
+
 
 class SharedAdmission:
     """Decisions on the streams of one node whose services are shared.
@@ -155,12 +162,13 @@
         now = self._loop.time()
         fleet_room = share.shared.fleet_room
         level = self._find_arrival_level(queued)
-        share.predicted_s = predict_wait_s(
-            fleet_room.count_ahead(level, now),
-            fleet_room.compute_rate(now, level),
-            own_interval_s,
-            own_ahead,
+        waiting = self._list_waiting(share.shared)
+        late_count = _count_late(waiting, self._find_keys(waiting), level, now)
+        overtaken = round(_LATE_PART * late_count)
+        share.predicted_s = _predict_timely_wait_s(
+            fleet_room, level, now, own_ahead, overtaken, own_interval_s
         )
+        own_ahead -= overtaken
         rejection = find_rejection(
             share.item, share.predicted_s, now, own_ahead
         )
@@ -321,6 +329,38 @@
     return item.rank, item.account
 
 
+def _predict_timely_wait_s(
+    fleet_room: FleetRoom,
+    level: int,
+    now: float,
+    own_ahead: int,
+    overtaken: int,
+    own_interval_s: float,
+) -> float:
+    """Return the predicted wait of a request that overtakes some others."""
+    ahead = fleet_room.count_ahead(level, now)
+    part = 1 - overtaken / max(1, own_ahead)
+    return predict_wait_s(
+        WaitingWork(round(ahead.count * part), ahead.room * part),
+        fleet_room.compute_rate(now, level),
+        own_interval_s,
+        own_ahead - overtaken,
+    )
+
+
+def _count_late(
+    waiting: list[QueuedRequest],
+    keys: dict[tuple[int, str], tuple[int, float]],
+    level: int,
+    now: float,
+) -> int:
+    """Return how many late requests a timely one of their level overtakes."""
+    return sum(
+        _get_item(queued).due < now and keys[_get_group(queued)][0] == level
+        for queued in waiting
+    )
+
+
 def _find_allowed(shared: SharedService, level: int, now: float) -> int:
     """Return the highest level below another that has nothing to wait for."""
     while shared.fleet_room.count_waiting_before(
--- a/samphirerill/tests/shared_fleet.py
+++ b/samphirerill/tests/shared_fleet.py
@@ -48,6 +48,7 @@
 # Nodes have exchanged their status by then.
 _START_S = 1.0
 _TIMEOUT_S = 15.0
+_LAG_INTERVAL_S = 0.01
 # With this seed, each small account of the targets sends 12 streams or more.
 _SEED = 30
 
@@ -106,6 +107,9 @@
         # on stack traces and falls behind the offered load.
         asyncio.get_running_loop().set_debug(False)
         self.answers: list[Answer] = []
+        self._max_lag_s = 0.0
+        watch = asyncio.create_task(self._watch_lag())
+        self.addCleanup(watch.cancel)
         self.harness = PlatformHarness(find_ports())
         self.addAsyncCleanup(self.harness.stop)
         await self.harness.start()
@@ -126,6 +130,13 @@
             node.state.apply_settings(settings)
         await asyncio.sleep(_START_S)
 
+    def describe_lag(self) -> str:
+        """Return how far the event loop of the test fell behind.
+
+        With 0.1 s or more, the machine was too busy for the objectives.
+        """
+        return f'the event loop was up to {self._max_lag_s:.3f} s late'
+
     async def announce(self, name: str, state: str = 'ready') -> None:
         """Write an engine's announcement to the store."""
         entry = build_announcement(
@@ -204,6 +215,13 @@
             busy_s += max(0, min(until, ended_at) - started_at)
         return busy_s / (_ENGINE_COUNT * SLOTS * duration_s)
 
+    async def _watch_lag(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due_at = loop.time() + _LAG_INTERVAL_S
+            await asyncio.sleep(_LAG_INTERVAL_S)
+            self._max_lag_s = max(self._max_lag_s, loop.time() - due_at)
+
     async def _add_engine(self, name: str) -> SlottedReplica:
         replica = SlottedReplica(name, EVENTS)
         await self.harness.start_replica(replica)
--- a/samphirerill/tests/test_shared_streams.py
+++ b/samphirerill/tests/test_shared_streams.py
@@ -44,7 +44,9 @@
             self.offer(self.nodes[2], 2, flood_per_s, _DURATION_S),
         )
         urgent = self.list_answers(rank=0)
-        self.assertGreaterEqual(compute_timely(urgent), 0.95)
+        self.assertGreaterEqual(
+            compute_timely(urgent), 0.95, self.describe_lag()
+        )
         self.assert_rejections_are_prompt()
         self.assertGreaterEqual(self.compute_utilization(_DURATION_S), 0.8)
 
@@ -63,7 +65,9 @@
         )
         for account in small:
             timely = compute_timely(self.list_answers(account=account))
-            self.assertGreaterEqual(timely, 0.9, account)
+            self.assertGreaterEqual(
+                timely, 0.9, f'{account}; {self.describe_lag()}'
+            )
         self.assert_rejections_are_prompt()
         self.assertGreaterEqual(self.compute_utilization(_DURATION_S), 0.8)
 
@@ -79,4 +83,4 @@
         later = [
             answer for answer in self.answers if answer.sent_at > began_at + 2
         ]
-        self.assertGreaterEqual(compute_timely(later), 0.9)
+        self.assertGreaterEqual(compute_timely(later), 0.9, self.describe_lag())
