--- a/samphirerill/testing/soak/clients.py
+++ b/samphirerill/testing/soak/clients.py
@@ -42,6 +42,8 @@
 _DROPPED_STATUSES = frozenset((404, 503))
 _REQUEST_TIMEOUT_S = 9.0
 _CLIENTS_PER_NODE = 5
+# Beside floods, fewer, as engines have few slots.
+_LOAD_CLIENTS_PER_NODE = 2
 _PIPELINING_SHARE = 0.1
 _MAX_BURST = 4
 # Requests may fail because of a fault for this long after the fault ended.
@@ -352,6 +354,7 @@
     settings: SoakSettings,
 ) -> list[Client]:
     """Return the clients of a run, with all habits in turn."""
+    per_node = _LOAD_CLIENTS_PER_NODE if settings.floods else _CLIENTS_PER_NODE
     return [
         Client(
             environment,
@@ -360,5 +363,5 @@
             settings,
             _HABITS[index % len(_HABITS)],
         )
-        for index in range(_CLIENTS_PER_NODE * settings.nodes)
+        for index in range(per_node * settings.nodes)
     ]
--- a/samphirerill/testing/soak/command.py
+++ b/samphirerill/testing/soak/command.py
@@ -46,6 +46,18 @@
         metavar='N',
         help='number of router nodes (%(default)s)',
     )
+    parser.add_argument(
+        '--keep',
+        default='',
+        metavar='DIR',
+        help="keep the nodes' logs in DIR, one subdirectory for each seed",
+    )
+    _add_switches(parser)
+    parser.set_defaults(command=_run_soak)
+
+
+def _add_switches(parser: argparse.ArgumentParser) -> None:
+    """Add the options that choose what happens during a run."""
     parser.add_argument(
         '--planned',
         action='store_true',
@@ -72,12 +84,10 @@
         help='cut nodes off from all replicas now and then',
     )
     parser.add_argument(
-        '--keep',
-        default='',
-        metavar='DIR',
-        help="keep the nodes' logs in DIR, one subdirectory for each seed",
+        '--load',
+        action='store_true',
+        help='let one account send more than the engines can run now and then',
     )
-    parser.set_defaults(command=_run_soak)
 
 
 def _run_soak(options: argparse.Namespace) -> int:
@@ -99,6 +109,7 @@
         names_limits=options.limits,
         restores_store=options.restores,
         cuts_nodes=options.cuts,
+        floods=options.load,
     )
     failed = run_seeds(iter(seeds), settings, options.keep)
     return int(failed > 0)
--- a/samphirerill/testing/soak/environment.py
+++ b/samphirerill/testing/soak/environment.py
@@ -24,6 +24,14 @@
 
 HOST = 'soak.example'
 KEYS = {'suva': 'key-suva', 'nadi': 'key-nadi'}
+# Accounts and route ranks of runs with floods; other routes have rank 5.
+LOAD_KEYS = {
+    name: f'key-{name}'
+    for name in ('flood', 'small-0', 'small-1', 'small-2', 'line', 'rest')
+}
+_LOAD_RANKS = {'urgent': 0, 'bulk': 5, 'least': 7}
+# Three pipelines run 18 streams; the clients of other kinds send 8 at once.
+_LOAD_SLOTS = 6
 # Kinds of requests whose route or service some configurations drop.
 DROPPED_KINDS = frozenset(('brief', 'extra'))
 STREAMS = frozenset(('notes', 'brief'))
@@ -96,6 +104,9 @@
     nodes, engines, services, extras : int
         The number of nodes, engines, plain replicas, and plain replicas of a
         service that some configurations drop.
+    is_loaded : bool
+        Whether nodes share capacity between ranks and accounts, and engines
+        have few slots.
     """
 
     def __init__(
@@ -106,10 +117,13 @@
         engines: int = 6,
         services: int = 2,
         extras: int = 1,
+        *,
+        is_loaded: bool = False,
     ) -> None:
         self.ground_truth = GroundTruth()
         self.service = FakePlatformStore()
         self.version = 0
+        self._is_loaded = is_loaded
         self.committed_at: dict[int, float] = {}
         self._store_address = f'{_STORE_HOST}:{port}'
         self.nodes = [
@@ -155,7 +169,8 @@
         await self.configure()
         seeds = [str(node.settings['peers']) for node in self.nodes]
         for node in self.nodes:
-            node.write_settings(seeds=seeds)
+            sharing = dict.fromkeys(('ranks', 'accounts'), self._is_loaded)
+            node.write_settings(seeds=seeds, sharing=sharing)
             node.start()
         self._tasks.add(asyncio.create_task(self._publish_entries()))
 
@@ -184,14 +199,12 @@
         node serves with this version.
         """
         self.version += 1
-        document = json.encode(_build_configuration(self.version))
-        await self.service.put('op/config', document)
+        await self._write_configuration()
         self.committed_at[self.version] = self._loop.time()
 
     async def rewrite_entries(self) -> None:
         """Write again what a restore of the store has lost."""
-        document = json.encode(_build_configuration(self.version))
-        await self.service.put('op/config', document)
+        await self._write_configuration()
         present = set()
         for slot in self.slots:
             if slot.replica is not None:
@@ -252,6 +265,12 @@
         for slot in self.slots:
             slot.proxy.clear_faults()
 
+    async def _write_configuration(self) -> None:
+        document = _build_configuration(self.version)
+        if self._is_loaded:
+            _add_load(document)
+        await self.service.put('op/config', json.encode(document))
+
     def _get_store_address(self) -> str:
         return self._store_address
 
@@ -314,6 +333,18 @@
     }
 
 
+def _add_load(document: dict[str, Any]) -> None:
+    """Add routes with ranks and accounts, and leave engines few slots."""
+    document['routes'].extend(
+        {**_STREAM, 'name': name, 'prefix': f'/{name}/', 'priority': rank}
+        for name, rank in _LOAD_RANKS.items()
+    )
+    document['tenants'].extend(
+        {'name': name, 'apiKeys': [key]} for name, key in LOAD_KEYS.items()
+    )
+    document['services'][0]['engine'] = {**_ENGINE, 'slots': _LOAD_SLOTS}
+
+
 def _build_plain_route(
     name: str, service: str, kind: str = 'idempotent'
 ) -> dict[str, Any]:
--- a/samphirerill/testing/soak/exchange.py
+++ b/samphirerill/testing/soak/exchange.py
@@ -12,12 +12,13 @@
     ResponseHead,
     serialize_request,
 )
-from samphirerill.testing.soak.environment import HOST, KEYS
+from samphirerill.testing.soak.environment import HOST, KEYS, LOAD_KEYS
 
 if TYPE_CHECKING:
     from samphirerill.testing.soak.nodes import SoakNode
 
 _OK = 200
+_ALL_KEYS = {**KEYS, **LOAD_KEYS}
 _DEADLINE_MS = 8000
 
 
@@ -41,12 +42,14 @@
 class Response:
     """A client's response; `status` is 0 if no response head arrived.
 
-    `replica_id` is empty if the response is not from a replica.
+    `replica_id` is empty if the response is not from a replica, `retry_after`
+    if it has no such header.
     """
 
     status: int = 0
     request_id: bytes = b''
     replica_id: str = ''
+    retry_after: bytes = b''
     body: bytes = b''
     is_complete: bool = False
 
@@ -125,7 +128,7 @@
     headers = [
         (b'host', HOST.encode()),
         (b'x-samphirerill-request-id', request_id.encode()),
-        (b'authorization', f'Bearer {KEYS[account]}'.encode()),
+        (b'authorization', f'Bearer {_ALL_KEYS[account]}'.encode()),
         (b'x-samphirerill-token-count', b'20,20'),
         (b'x-samphirerill-deadline-ms', b'%d' % _DEADLINE_MS),
     ]
@@ -143,6 +146,7 @@
     response.request_id = head.get(b'x-samphirerill-request-id') or b''
     seal = head.get(b'x-samphirerill-response-seal') or b''
     response.replica_id = seal.decode()
+    response.retry_after = head.get(b'retry-after') or b''
 
 
 async def read_body(
--- a/samphirerill/testing/soak/run.py
+++ b/samphirerill/testing/soak/run.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.testing.free_ports import is_free
@@ -19,6 +19,7 @@
 from samphirerill.testing.soak.clients import KINDS, create_clients
 from samphirerill.testing.soak.environment import SoakEnvironment
 from samphirerill.testing.soak.faults import FaultInjector
+from samphirerill.testing.soak.flood import Floods
 from samphirerill.testing.soak.ground_truth import Fault
 from samphirerill.testing.soak.limit_naming import LimitNaming
 from samphirerill.testing.soak.node_cuts import NodeCuts
@@ -47,6 +48,13 @@
 _CUTTABLE_NODE = 'samphirerill.testing.soak.cuttable_node'
 
 
+class _Action(Protocol):
+    """Something that happens during a run, until a loop time."""
+
+    async def run(self, until: float) -> None:
+        """Run until then."""
+
+
 @dataclass(slots=True)
 class SoakReport:
     """Result of one seed."""
@@ -101,7 +109,12 @@
 
 async def _run(seed: int, settings: SoakSettings, folder: Path) -> SoakReport:
     random = Random(seed)
-    environment = SoakEnvironment(folder, _find_ports(random), settings.nodes)
+    environment = SoakEnvironment(
+        folder,
+        _find_ports(random),
+        settings.nodes,
+        is_loaded=settings.floods,
+    )
     try:
         await _run_workload(environment, random, settings, seed)
     finally:
@@ -149,17 +162,43 @@
     tasks.append(asyncio.create_task(probe.run()))
     tasks.append(asyncio.create_task(_measure_lag(environment)))
     tasks.extend(asyncio.create_task(client.run()) for client in clients)
+    await _perform_actions(environment, balancer, random, settings, seed)
+    await _check_recovery(environment)
+    await _cancel_tasks(tasks)
+
+
+async def _perform_actions(
+    environment: SoakEnvironment,
+    balancer: LoadBalancer,
+    random: Random,
+    settings: SoakSettings,
+    seed: int,
+) -> None:
+    """Let everything happen that the settings ask for."""
+    actions = _list_actions(environment, random, settings, seed)
+    if settings.floods:
+        floods = Floods(environment, balancer, seed)
+        await floods.run_first()
+        actions.append(floods)
     until = asyncio.get_running_loop().time() + settings.length_s
-    actions = [FaultInjector(environment, random, settings).run(until)]
+    await asyncio.gather(*(action.run(until) for action in actions))
+
+
+def _list_actions(
+    environment: SoakEnvironment,
+    random: Random,
+    settings: SoakSettings,
+    seed: int,
+) -> list[_Action]:
+    """Return what happens during the run."""
+    actions: list[_Action] = [FaultInjector(environment, random, settings)]
     if settings.names_limits:
-        actions.append(LimitNaming(environment, seed).run(until))
+        actions.append(LimitNaming(environment, seed))
     if settings.restores_store:
-        actions.append(StoreRestores(environment, seed).run(until))
+        actions.append(StoreRestores(environment, seed))
     if settings.cuts_nodes:
-        actions.append(NodeCuts(environment, seed).run(until))
-    await asyncio.gather(*actions)
-    await _check_recovery(environment)
-    await _cancel_tasks(tasks)
+        actions.append(NodeCuts(environment, seed))
+    return actions
 
 
 async def _check_recovery(environment: SoakEnvironment) -> None:
--- a/samphirerill/testing/soak/settings.py
+++ b/samphirerill/testing/soak/settings.py
@@ -24,6 +24,8 @@
         Whether the store is restored from copies.
     cuts_nodes : bool
         Whether nodes are cut off from all replicas.
+    floods : bool
+        Whether one account sends more than the engines can run.
     """
 
     length_s: float = 14.0
@@ -32,3 +34,4 @@
     names_limits: bool = False
     restores_store: bool = False
     cuts_nodes: bool = False
+    floods: bool = False
--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -12,6 +12,7 @@
 from samphirerill.relay.connection import HttpConnection, serialize_request
 from samphirerill.relay.pool import call_once, read_response
 from samphirerill.testing.soak.exchange import Exchange, Outcome
+from samphirerill.testing.soak.flood_checks import FloodChecks, FloodGroup
 from samphirerill.testing.soak.ground_truth import Fault, GroundTruth
 from samphirerill.testing.soak.nodes import SoakNode
 from samphirerill.testing.soak.pipelines import LAYERS
@@ -28,6 +29,8 @@
 _CUT_SEED = 49001
 _RESTORE_SEED = 46
 _RESTORE_DURATION_S = 14.0
+_LOAD_SEED = 5115
+_LOAD_DURATION_S = 1.0
 _FAULT_DURATION_S = 8.0
 _REQUEST_ID = '9000000000000009'
 _ENGINE_ADDRESS = '127.0.0.61:20911'
@@ -82,6 +85,65 @@
         self.assertEqual(report.violations, [])
         self.assertGreater(report.counts['fault.cut off'], 0)
 
+    def test_a_flood_by_one_account_leaves_the_others_their_shares(
+        self,
+    ) -> None:
+        """Guard against small accounts and ranks that a flood shuts out."""
+        with TemporaryDirectory() as folder:
+            settings = SoakSettings(
+                _LOAD_DURATION_S, injects_faults=False, floods=True
+            )
+            report = run_seed(_LOAD_SEED, settings, Path(folder))
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.counts['bulk.503'], 0)
+
+
+class TestFloodChecks(TestCase):
+    """The checker of floods, with a flood from 10 s to 15 s."""
+
+    def setUp(self) -> None:
+        self.ground_truth = GroundTruth()
+        self.flood = Fault('flood', 10, 15)
+        self.ground_truth.faults.append(self.flood)
+        self.checks = FloodChecks(self.ground_truth, self.flood)
+        self.group = FloodGroup('bulk', ('small',), 1, 0.5)
+
+    def respond(self, status: int, count: int, retry_after: bytes) -> None:
+        """Let clients get responses with a status."""
+        for number in range(count):
+            exchange = Exchange('bulk', f'{status}-{number}', 'small')
+            exchange.sent_at = 12
+            exchange.response.status = status
+            exchange.response.retry_after = retry_after
+            self.checks.check_response(self.group, exchange)
+
+    def test_share_below_the_expected_one_is_a_violation(self) -> None:
+        self.respond(HTTPStatus.OK, 5, b'')
+        self.respond(HTTPStatus.SERVICE_UNAVAILABLE, 5, b'0.4')
+        self.checks.check_shares()
+        self.assertEqual(self.ground_truth.violations, [])
+        self.respond(HTTPStatus.SERVICE_UNAVAILABLE, 1, b'0.4')
+        self.checks.check_shares()
+        self.assertEqual(len(self.ground_truth.violations), 1)
+
+    def test_faults_during_the_flood_excuse_shares(self) -> None:
+        self.respond(HTTPStatus.SERVICE_UNAVAILABLE, 10, b'0.4')
+        self.ground_truth.faults.append(Fault('replica gone', 11, 11.4))
+        self.ground_truth.faults.append(Fault('replica gone', 14.8))
+        self.checks.check_shares()
+        self.assertEqual(self.ground_truth.violations, [])
+
+    def test_rejection_without_a_time_to_return_is_a_violation(self) -> None:
+        for retry_after in (b'', b'0', b'soon', b'inf'):
+            self.respond(HTTPStatus.SERVICE_UNAVAILABLE, 1, retry_after)
+        self.assertEqual(len(self.ground_truth.violations), 4)
+
+    def test_rejected_request_that_ran_is_a_violation(self) -> None:
+        self.ground_truth.accounts['503-0'] = 'small'
+        self.ground_truth.record_run('503-0', 'one', 'small')
+        self.respond(HTTPStatus.SERVICE_UNAVAILABLE, 1, b'1')
+        self.assertEqual(len(self.ground_truth.violations), 1)
+
 
 class TestLimitChecks(TestCase):
     """The checker of request limits, with a limit of 1 named at 10 s."""
