Soak: a stream that goes on counts as a part of the share

Cause: the check of rank 7 counted only requests sent 1.5 s after a flood began. A stream of 4 s that started before takes all that is guaranteed to this rank, so the check could blame nodes that kept it.

Change: a stream from before that is still running is counted as sent and served. The checks of shares and their thresholds stay. A new test holds both sides.

--- a/samphirerill/testing/soak/flood.py
+++ b/samphirerill/testing/soak/flood.py
@@ -102,6 +102,7 @@
             exchange = Exchange(group.kind, request_id, account)
             self._ground_truth.accounts[request_id] = account
             await self._exchange(exchange, random)
+            exchange.ended_at = self._loop.time()
             checks.check_response(group, exchange)
             await asyncio.sleep(_MAX_PAUSE_S * random.random())
 
--- a/samphirerill/testing/soak/flood_checks.py
+++ b/samphirerill/testing/soak/flood_checks.py
@@ -68,7 +68,11 @@
         """
         status = exchange.response.status
         self._ground_truth.counts[f'{group.kind}.{status}'] += 1
-        if exchange.sent_at >= self._flood.since + _ONSET_S:
+        onset_end = self._flood.since + _ONSET_S
+        # A stream that goes on takes part of the group's share: one of 4 s takes
+        # all that is guaranteed to a rank.
+        is_running = status == _OK and exchange.ended_at >= onset_end
+        if is_running or exchange.sent_at >= onset_end:
             statuses = self._statuses.setdefault(group, Counter())
             statuses[status] += 1
         if status != _UNAVAILABLE:
--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -126,6 +126,20 @@
         self.checks.check_shares()
         self.assertEqual(len(self.ground_truth.violations), 1)
 
+    def test_stream_from_before_the_flood_counts_while_it_runs(self) -> None:
+        """Guard against blaming nodes for a share that a long stream takes."""
+        exchange = Exchange('bulk', 'long', 'small', sent_at=9, ended_at=13)
+        exchange.response.status = HTTPStatus.OK
+        group = FloodGroup('bulk', ('small',), 1, 0.1)
+        self.checks.check_response(group, exchange)
+        self.group = group
+        self.respond(HTTPStatus.SERVICE_UNAVAILABLE, 9, b'0.4')
+        self.checks.check_shares()
+        self.assertEqual(self.ground_truth.violations, [])
+        self.respond(HTTPStatus.SERVICE_UNAVAILABLE, 1, b'0.4')
+        self.checks.check_shares()
+        self.assertEqual(len(self.ground_truth.violations), 1)
+
     def test_faults_during_the_flood_excuse_shares(self) -> None:
         self.respond(HTTPStatus.SERVICE_UNAVAILABLE, 10, b'0.4')
         self.ground_truth.faults.append(Fault('replica gone', 11, 11.4))
