Server: write head and body of a complete response together

Change: the head is held until the body is written.

Three sends per plain request before (to the endpoint, head, body), two after.

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -94,6 +94,8 @@
         # The idle time that the client was told, and when it began.
         self._idle_timeout_s = self._parser.limits.idle_timeout_s
         self._idle_since = 0.0
+        # The head that is written together with the body; none to write at once.
+        self._held: list[bytes] | None = None
         self._queue: deque[Request] = deque()
         # The request that is served, or was served last.
         self._served: Request | None = None
@@ -239,8 +241,13 @@
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete response."""
+        # One write for both, as a call of the system takes longer than to copy
+        # the body.
+        held: list[bytes] = []
+        self._held = held
         self.start_response(status, headers, len(body))
-        self._write(body)
+        self._held = None
+        self._write(b''.join((*held, body)))
         self._is_response_complete = True
 
     def abort(self, reason: CloseReason = CloseReason.RESPONSE_ABORTED) -> None:
@@ -412,7 +419,9 @@
         )
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
+        if self._held is not None:
+            self._held.append(data)
+        elif self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
             self._response_bytes += len(data)
 
