--- a/samphirerill/bench/edge_costs.py
+++ b/samphirerill/bench/edge_costs.py
@@ -202,16 +202,14 @@
     lines = []
     for (file, line, name), (_, calls, own_s, total_s, _) in rows:
         place = '/'.join(Path(file).parts[-2:])
-        costs = (own_s * _US_PER_S, total_s * _US_PER_S, calls)
-        own_us, total_us, per_request = (cost / count for cost in costs)
-        lines.append(
-            f'{own_us:8.1f} {total_us:8.1f} {per_request:7.1f}  '
-            f'{place}:{line} {name}'
-        )
+        own_us = own_s * _US_PER_S / count
+        total_us = total_s * _US_PER_S / count
+        figures = f'{own_us:8.1f} {total_us:8.1f} {calls / count:7.1f}'
+        lines.append(f'{figures}  {place}:{line} {name}')
     return lines[:_LISTED_FUNCTIONS]
 
 
-def main(kind: str, mode: str) -> None:
+def measure(kind: str, mode: str) -> None:
     """Measure one kind of request, and print the result."""
     with tempfile.NamedTemporaryFile() as profile:
         path = profile.name if mode == 'profile' else ''
@@ -223,11 +221,15 @@
             sys.stdout.write('\n'.join((*lines, '')))
 
 
-if __name__ == '__main__':
-    if sys.argv[1] == 'node':
-        start_logging(
-            LogSettings(form='json'), LogSink(os.open(os.devnull, os.O_WRONLY))
-        )
-        asyncio.run(_run_node(sys.argv[2], sys.argv[3]))
+def _main(kind: str, mode: str = '', profile_path: str = '') -> None:
+    """Run a node for a store, given as `mode`, or measure."""
+    if kind == 'node':
+        sink = LogSink(os.open(os.devnull, os.O_WRONLY))
+        start_logging(LogSettings(form='json'), sink)
+        asyncio.run(_run_node(mode, profile_path))
     else:
-        main(sys.argv[1], sys.argv[2] if len(sys.argv) > 2 else '')
+        measure(kind, mode)
+
+
+if __name__ == '__main__':
+    _main(*sys.argv[1:])
