--- a/samphirerill/fleet/endpoint_offers.py
+++ b/samphirerill/fleet/endpoint_offers.py
@@ -36,6 +36,9 @@
 # Knowledge this many service times old is outdated: it says nothing about
 # single endpoints, and a request need not wait for it to improve.
 _OUTDATED_FACTOR = 3.0
+# With outdated knowledge, an endpoint of unknown speed is avoided only if it
+# held so many times its slots; less may be an endpoint of usual speed.
+_OUTDATED_LIMIT = 2.0
 # How long a request may queue at an endpoint, as a share of the time by which
 # it has to start there, if this node would learn of a free slot too late.
 _MAX_QUEUED_SHARE = 0.5
@@ -271,7 +274,9 @@
         It gets none beyond its slots, so that a slow one does not keep many
         requests waiting before its speed is known.
         """
-        if load.in_system >= load.slots:
+        is_outdated = load.age_s > _OUTDATED_FACTOR * self._usual_s
+        limit = _OUTDATED_LIMIT if is_outdated else 1
+        if load.in_system >= load.slots * limit:
             return False
         return load.own < self._count_allowed(replica_id, load)
 
