Plain services: permits and connections are checked after a grant

Cause: one pass of the queue may grant an endpoint with a single permit, or a single connection, to two requests: the permit is taken when the request continues. And a service without reports used the queue as long as one of its endpoints was not known yet, as after each start of an endpoint.

Change: a request that was granted a slot checks the permit and the connection again and otherwise waits on. A service of which some endpoints are known not to report and none is known to, does not report.

Result: the test for permits fails without the check and passes with it; the one for services without reports passes.

--- a/samphirerill/fleet/endpoints.py
+++ b/samphirerill/fleet/endpoints.py
@@ -136,9 +136,10 @@
 
     Until the first response of a new service, it is assumed that they do.
     """
-    return any(
+    answers = {
         loads.reports(state.replica) for state in view.list_service(service)
-    )
+    }
+    return True in answers or answers == {None}
 
 
 def find_backoff_end(
--- a/samphirerill/fleet/reported_load.py
+++ b/samphirerill/fleet/reported_load.py
@@ -249,11 +249,11 @@
         weight = _SLOWER_WEIGHT if is_slower else _FASTER_WEIGHT
         record.service_s += weight * (service_s - record.service_s)
 
-    def reports(self, replica: Replica) -> bool:
-        """Return whether an endpoint reports its load, or is not known yet."""
+    def reports(self, replica: Replica) -> bool | None:
+        """Return whether an endpoint reports its load; none if not known."""
         record = self._find(replica)
-        if record is None:
-            return True
+        if record is None or not (record.load or record.missing):
+            return None
         allowed = 0 if record.load is None else _MISSING_RESPONSES - 1
         return record.missing <= allowed
 
--- a/samphirerill/relay/endpoint_finder.py
+++ b/samphirerill/relay/endpoint_finder.py
@@ -165,11 +165,9 @@
         if queue is None or not self._state.settings.reported_load:
             return await self._poll_connections()
         if queue.is_active():
-            self._slot = await queue.acquire(self._open(queue))
-            if self._slot is not None:
-                return self._slot.endpoint
-            if queue.is_active():
-                return None
+            endpoint = await self._acquire_slot(queue)
+            if endpoint is not None or queue.is_active():
+                return endpoint
         endpoint = await self._poll_connections()
         if endpoint is not None:
             # Responses to counted requests show when endpoints begin to report.
@@ -178,6 +176,21 @@
             )
         return endpoint
 
+    async def _acquire_slot(self, queue: PlainQueue) -> ReplicaState | None:
+        """Return an endpoint with a slot; none if none may be used now."""
+        while True:
+            self._slot = await queue.acquire(self._open(queue))
+            if self._slot is None:
+                return None
+            endpoint = self._slot.endpoint
+            # A request that was granted a slot at the same time may have taken
+            # the last permit or connection since.
+            if endpoint.has_room(self._loop.time()) and self._has_connection(
+                endpoint.replica.replica_id
+            ):
+                return endpoint
+            self.release_slot()
+
     async def _poll_connections(self) -> ReplicaState | None:
         """Return an endpoint, waiting while all connections are in use."""
         until = self._loop.time() + _CONNECTION_WAIT_S
--- a/samphirerill/tests/plain_nodes.py
+++ b/samphirerill/tests/plain_nodes.py
@@ -141,7 +141,7 @@
         """Serve one request."""
         loop = asyncio.get_running_loop()
         request = self.queue.open(
-            _build_context(outcome.rank, loop.time()), set(), bool
+            build_context(outcome.rank, loop.time()), set(), bool
         )
         try:
             slot = await self.queue.acquire(request)
@@ -266,7 +266,8 @@
 )
 
 
-def _build_context(rank: int, now: float) -> RequestContext:
+def build_context(rank: int, now: float) -> RequestContext:
+    """Return the context of a request that arrives now."""
     return RequestContext(
         cast('Request', Mock(arrived_at=now)),
         cast('RequestMetadata', Mock()),
--- a/samphirerill/tests/test_plain_queue.py
+++ b/samphirerill/tests/test_plain_queue.py
@@ -4,8 +4,12 @@
 
 import asyncio
 from itertools import product
-from unittest import TestCase
+from random import Random
+from unittest import IsolatedAsyncioTestCase, TestCase
+from unittest.mock import patch
 
+from samphirerill.fleet.view import ReplicaState
+from samphirerill.relay.endpoint_finder import EndpointFinder
 from samphirerill.testing.virtual_time import run_with_virtual_time
 from samphirerill.tests.plain_fleet import (
     SERVICE_S,
@@ -13,7 +17,14 @@
     Endpoint,
     PlainFleet,
 )
-from samphirerill.tests.plain_nodes import PlainNodes, compute_timely
+from samphirerill.tests.peers import Network
+from samphirerill.tests.plain_nodes import (
+    PlainNode,
+    PlainNodes,
+    SlotEndpoint,
+    build_context,
+    compute_timely,
+)
 
 _FAST_S = 0.1
 _SLOW_S = 0.5
@@ -110,6 +121,41 @@
         self.assertFalse(any(item.is_rejected for item in nodes.outcomes))
 
 
+class TestPermits(IsolatedAsyncioTestCase):
+    """Requests that wait for an endpoint that limits requests."""
+
+    async def test_one_permit_serves_one_of_two_waiting_requests(self) -> None:
+        """Guard against two requests that are granted the same permit."""
+        node = PlainNode(Network(), 1)
+        endpoint = SlotEndpoint('one', _FAST_S, Random(1))
+        node.add_endpoint(endpoint)
+        loads = node.state.response_notices.loads
+        now = asyncio.get_running_loop().time()
+        tokens = [loads.note_sent(endpoint.replica, now) for _ in range(SLOTS)]
+        loads.note_service_time(endpoint.replica, _FAST_S, now)
+        permits = [1]
+        with patch.object(ReplicaState, 'has_room', lambda *_: permits[0] > 0):
+            finders = [
+                EndpointFinder(node.state, build_context(1, now), node.queue)
+                for _ in range(2)
+            ]
+            tasks = [
+                asyncio.create_task(_take_permit(finder, permits))
+                for finder in finders
+            ]
+            await asyncio.sleep(_PROMPT_S)
+            self.assertFalse(any(task.done() for task in tasks))
+            for token in tokens:
+                loads.note_ended(endpoint.replica, token)
+            await asyncio.gather(*tasks)
+        self.assertEqual(permits, [0])
+
+
+async def _take_permit(finder: EndpointFinder, permits: list[int]) -> None:
+    if await finder.wait_for_endpoint() is not None:
+        permits[0] -= 1
+
+
 async def _start(service_s: list[float]) -> PlainNodes:
     """Return nodes that have served some requests."""
     nodes = PlainNodes(service_s)
--- a/samphirerill/tests/test_reported_load.py
+++ b/samphirerill/tests/test_reported_load.py
@@ -7,6 +7,7 @@
 from unittest import IsolatedAsyncioTestCase, TestCase
 from unittest.mock import patch
 
+from samphirerill.fleet.endpoints import reports_load
 from samphirerill.fleet.load import LoadTracker
 from samphirerill.fleet.reported_load import ReportedLoad, ReportedLoads
 from samphirerill.platform.http_adapter import HttpPlatformAdapter
@@ -82,9 +83,12 @@
         self.assertTrue(self.loads.reports(_ENDPOINT))
 
     async def test_service_without_header_does_not_report(self) -> None:
-        """Guard against other decisions where nothing is reported."""
+        """Guard against other decisions as long as an endpoint is unknown."""
+        for endpoint in (_ENDPOINT, build_replica('new')):
+            self.state.view.apply_announcement(endpoint, 1)
+        self.assertTrue(reports_load(self.state.view, 'llm', self.loads))
         self.respond(None)
-        self.assertFalse(self.loads.reports(_ENDPOINT))
+        self.assertFalse(reports_load(self.state.view, 'llm', self.loads))
 
 
 class TestEstimates(TestCase):
