Streams: which request other nodes leave capacity to

Change: has_first_claim tells whether a queued request is one that others hold back for; the search of its path need not respect slot shares.

--- a/samphirerill/relay/shared_admission.py
+++ b/samphirerill/relay/shared_admission.py
@@ -310,6 +310,23 @@
             self._loop.call_at(at, self._schedule_grants)
 
 
+def has_first_claim(queued: QueuedRequest, now: float) -> bool:
+    """Return whether other nodes leave capacity to a request.
+
+    They do so once it is queued, if none of the same or a lower level waits
+    elsewhere. It may then also take slots that other nodes count as theirs:
+    they hold those back, and nobody would use them.
+    """
+    share = queued.share
+    if share is None or not share.is_accepted:
+        return False
+    fleet_room = share.shared.fleet_room
+    level = fleet_room.find_level(_get_item(queued), now)
+    return not fleet_room.count_waiting_before(
+        level + 1, now, elsewhere_only=True
+    ).count
+
+
 def _get_share(queued: QueuedRequest) -> StreamShare:
     if queued.share is None:
         raise ValueError(
