--- a/samphirerill/tests/test_admission_reports.py
+++ b/samphirerill/tests/test_admission_reports.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from random import Random
 
 from logbook import TestHandler
+from msgspec import json
 
 from samphirerill.node.admission_log import (
     ADMITTED,
@@ -15,10 +17,12 @@
 )
 from samphirerill.node.admission_metrics import format_admissions
 from samphirerill.node.admission_observer import AdmissionObserver
+from samphirerill.relay.pool import call_once
 from samphirerill.sharing.fleet_room import FleetRoom
 from samphirerill.sharing.model import WorkItem
 from samphirerill.sharing.prediction import find_rejection
 from samphirerill.sharing.settings import SharingSettings
+from samphirerill.tests.two_engines import TwoEnginesCase
 
 
 def _build_item(request_id: str, account: str, rank: int = 0) -> WorkItem:
@@ -152,5 +156,33 @@
         self.assertEqual(format_admissions(self.observer.describe(1)), '')
 
 
+class TestPages(TwoEnginesCase):
+    """The pages of a running node."""
+
+    async def test_pages_show_admissions(self) -> None:
+        """Guard against records that no page of a node shows."""
+        admissions = self.process.state.metrics.admissions
+        self.assertEqual(
+            json.decode(await self._fetch(b'/state'))['admissions'], {}
+        )
+        item = _build_item('r', 'viti')
+        records = admissions.find_records('painting')
+        records.note_rejected(item, 0, 'predicted wait 3 s', 3, 6)
+        state = json.decode(await self._fetch(b'/state'))
+        shown = state['admissions']['painting']
+        self.assertEqual(
+            shown['accounts']['viti']['rejected'], {'predicted wait': 1}
+        )
+        metrics = await self._fetch(b'/metrics')
+        self.assertIn(b'samphirerill_account_rejected_total{', metrics)
+
+    async def _fetch(self, path: bytes) -> bytes:
+        host = self.process.state.settings.host
+        port = self.process.get_metrics_port()
+        until = asyncio.get_running_loop().time() + 2
+        _, text = await call_once(f'{host}:{port}', b'GET', path, b'', until)
+        return text
+
+
 if __name__ == '__main__':
     unittest.main()
