Admission: no grant to a request whose client has left in the same iteration

Callers saw nothing, but a replica kept one request and its tokens too many, at all nodes, until the node restarted: a grant to a cancelled wait raised, after the path was reserved. Found in review; the split of the admission queue had dropped the check. The test failed before (the waiting request behind it got no path) and passes.

--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -247,7 +247,11 @@
         self._queue.sort(key=lambda item: (item.rank, item.timely_until < now))
         self._reject_backed_off()
         self._grant_in_order(
-            [queued for queued in self._queue if queued.share is None]
+            [
+                queued
+                for queued in self._queue
+                if queued.share is None and not queued.granted.done()
+            ]
         )
         for order in self.shared.list_orders():
             self._grant_in_order(order)
--- a/samphirerill/tests/test_admission_edge.py
+++ b/samphirerill/tests/test_admission_edge.py
@@ -161,6 +161,22 @@
         self.assertTrue(waiting.cancelled())
         self.assertEqual(self.state.load_tracker.get_own_load(), {})
 
+    async def test_wait_cancelled_before_a_grant_reserves_nothing(
+        self,
+    ) -> None:
+        """Guard against a grant to a request whose client has just left."""
+        self.state.load_tracker.add_request(['one'], _FULL_TOKENS)
+        waiting = self.admit(100, _NEW_RANK)
+        others = self.admit(100, _NEW_RANK)
+        await asyncio.sleep(0)
+        self.state.load_tracker.remove_request(['one'], _FULL_TOKENS)
+        self.state.notify_listeners()
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.assertTrue(await others)
+        loads = self.state.load_tracker.get_own_load().values()
+        self.assertEqual({load.requests for load in loads}, {1})
+
     async def test_cancelled_wait_reserves_nothing(self) -> None:
         waiting = self.admit(1e9, _NEW_RANK)
         await asyncio.sleep(0.01)
