Calls on kept connections: they show that a path works, and check whose response came

Two faults of the same new code, found in review. A response on a kept connection no longer counted as an endpoint reached, so that failures of other connections alone could make a node report that it reaches no endpoint.

--- a/samphirerill/relay/endpoint_calls.py
+++ b/samphirerill/relay/endpoint_calls.py
@@ -9,7 +9,8 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.relay.connection import serialize_request
-from samphirerill.relay.pool import read_response
+from samphirerill.relay.errors import BrokenResponseError
+from samphirerill.relay.pool import read_whole_response
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import Replica
@@ -58,8 +59,11 @@
     conn = state.pool.take_idle(replica, proven=proven)
     if conn is None:
         return None
-    response = await _exchange(conn, request, deadline)
+    response = await _exchange(state, conn, request, deadline)
     state.pool.release(replica, conn)
+    if not conn.is_relayed:
+        # Only connections on which nothing was called before report it.
+        state.pool.dialer.paths.note_success(replica.address)
     return response
 
 
@@ -72,12 +76,12 @@
 ) -> tuple[int, bytes]:
     """Call a replica on a new connection, which is kept after the response.
 
-    Takes, returns and raises the same as `call_kept`; `connect` opens the
-    connection, directly or through another node.
+    Returns the status and the body, and raises as `call_kept`; `connect` opens
+    the connection, directly or through another node.
     """
     conn = await connect(replica.address, deadline)
     state.counters['connections.made.calls'] += 1
-    response = await _exchange(conn, request, deadline)
+    response = await _exchange(state, conn, request, deadline)
     state.pool.keep(replica, conn, _find_limit(state, replica))
     return response
 
@@ -93,18 +97,28 @@
 
 
 async def _exchange(
-    conn: HttpConnection, request: bytes, deadline: float
+    state: EdgeState, conn: HttpConnection, request: bytes, deadline: float
 ) -> tuple[int, bytes]:
-    """Return the response; close the connection if there is none."""
+    """Return the response; close the connection if there is none.
+
+    These calls have no request id, so a response with one answers an earlier
+    request on the connection.
+    """
     is_complete = False
     try:
         conn.send(request)
-        response = await read_response(conn, deadline)
+        head, body = await read_whole_response(conn, deadline)
+        answered = state.adapter.parse_response(head).request_id
+        if answered:
+            raise BrokenResponseError(
+                f'{conn.address}: got a response to request'
+                f' {answered.decode("latin-1")}, expected one without an id'
+            )
         is_complete = True
     finally:
         if not is_complete:
             conn.close()
-    return response
+    return head.status, body
 
 
 def _find_limit(state: EdgeState, replica: Replica) -> int:
--- a/samphirerill/tests/test_endpoint_calls.py
+++ b/samphirerill/tests/test_endpoint_calls.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from dataclasses import replace
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
 
 from samphirerill.relay.health import Alarms, ReplicaProber, fetch_report
 from samphirerill.relay.orders import send_order
@@ -50,6 +52,8 @@
         await self.harness.wait_until_ready()
         self.accepts = 0
         self.answers_new = True
+        self.keeps_answering = False
+        self.response = _REPORT
         server = await asyncio.start_server(self._answer_once, '127.0.0.1', 0)
         self.addCleanup(server.close)
         host, port = server.sockets[0].getsockname()
@@ -78,6 +82,32 @@
         self.answers_new = False
         self.assertEqual(await self.probe(), {'x'})
 
+    async def test_answer_on_a_kept_connection_shows_that_the_path_works(
+        self,
+    ) -> None:
+        """Nodes took themselves for cut off while kept connections answered."""
+        state = self.harness.require_first_node().state
+        self.response = _REPORT
+        self.keeps_answering = True
+        await self.probe()
+        paths = state.pool.dialer.paths
+        with patch.object(type(paths), 'note_success') as note_success:
+            await self.probe()
+        note_success.assert_called_once_with(self.replica.address)
+        self.assertEqual(self.accepts, 1)
+
+    async def test_response_to_another_request_is_no_answer_to_an_order(
+        self,
+    ) -> None:
+        """An extra response was taken for the acceptance of an order."""
+        state = self.harness.require_first_node().state
+        self.response = _REPORT.replace(
+            b'content-length',
+            b'x-samphirerill-request-id: r1\r\ncontent-length',
+        )
+        self.assertEqual(await send_order(state, self.replica, _ORDER), 0)
+        self.assertFalse(state.pool.has_idle('x'))
+
     def announce_control(self) -> None:
         """Let another replica answer, so that the node is not cut off."""
         control = build_replica('control', layers=(0, 80))
@@ -101,6 +131,11 @@
         self.accepts += 1
         if self.answers_new:
             await reader.readuntil(b'\r\n\r\n')
-            writer.write(_REPORT)
-        await reader.read()
+            writer.write(self.response)
+        while self.keeps_answering and not reader.at_eof():
+            with suppress(asyncio.IncompleteReadError):
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(self.response)
+        with suppress(ConnectionResetError):
+            await reader.read()
         writer.close()
