Slot shares: only for shared services of fleets without aggregates

Found in review: nodes that know only the aggregates of other data centres did not agree on the owner of a slot; urgent streams waited for a slot of their own while others left it to them, which undid the gate between ranks in large fleets; services without anything to share were limited, too.

--- a/samphirerill/fleet/slot_shares.py
+++ b/samphirerill/fleet/slot_shares.py
@@ -117,10 +117,10 @@
         now : float
             The present time.
         """
-        if self._has_unreported(replica_id, age_s, now):
-            return True
         if free < 1:
             return False
+        if self._has_unreported(replica_id, age_s, now):
+            return True
         if free > _find_most_taken(arrivals_per_s * age_s):
             return True
         return self._owns_next(replica_id, free, age_s, now)
@@ -130,7 +130,8 @@
     ) -> bool:
         """Return whether the others count a slot that this node released."""
         released_at = self._released.get(replica_id, float('-inf'))
-        return now - released_at <= min(_UNREPORTED_S, age_s)
+        # The clock may have been set back since.
+        return 0 <= now - released_at <= min(_UNREPORTED_S, age_s)
 
     def _owns_next(
         self, replica_id: str, free: int, age_s: float, now: float
--- a/samphirerill/relay/slot_gate.py
+++ b/samphirerill/relay/slot_gate.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import time
-from collections import Counter, defaultdict
+from collections import defaultdict
 from functools import partial
 from math import ldexp, log2
 from typing import TYPE_CHECKING
 
-from samphirerill.fleet.load_aggregation import name_aggregate
+from samphirerill.fleet.load_aggregation import is_full_mesh
 from samphirerill.fleet.slot_shares import SlotShares
 from samphirerill.relay.status_sender import find_report_age_s
 
@@ -30,8 +30,9 @@
 class SlotGate:
     """Limits what this node takes of the free slots of engines.
 
-    It is used where capacity is shared between ranks or accounts; otherwise
-    nodes take any free slot.
+    It is used for services whose capacity is shared between ranks or accounts, in
+    fleets whose nodes all report to each other; otherwise nodes take any free
+    slot.
 
     Parameters
     ----------
@@ -75,13 +76,17 @@
         callable, optional
             Takes a replica and its free slots; none if each may be taken.
         """
-        sharing = self._state.settings.sharing
-        if self._alarms is None or not (sharing.ranks or sharing.accounts):
+        if self._alarms is None or self._state.rooms.get(service) is None:
+            return None
+        nodes = self._alarms.list_nodes()
+        if not is_full_mesh(len(nodes) - 1):
+            # With aggregates, nodes do not know the same of each other, and
+            # would not agree on the owners of slots.
             return None
         now = self._loop.time()
         if self._refresh_at[service] <= now:
             self._refresh_at[service] = now + _REFRESH_INTERVAL_S
-            self._refresh(service, self._alarms.list_nodes())
+            self._refresh(service, nodes)
         return partial(self._may_take, service)
 
     def note_taken(self, stages: tuple[Stage, ...]) -> None:
@@ -127,17 +132,10 @@
         """Return the parts of the requests that arrive at each node."""
         budget = self._state.get_retry_budget(service)
         now = self._loop.time()
-        sizes = Counter(nodes.values())
-        requests: dict[str, float] = {}
-        for name, data_centre in nodes.items():
-            reported = budget.peers.find_requests(name, now)
-            total = budget.peers.find_requests(name_aggregate(data_centre), now)
-            if name == self._state.settings.name:
-                requests[name] = budget.get_usage(now).requests
-            elif reported is None:
-                requests[name] = (total or 0) / sizes[data_centre]
-            else:
-                requests[name] = reported
+        requests: dict[str, float] = {
+            name: budget.peers.find_requests(name, now) or 0 for name in nodes
+        }
+        requests[self._state.settings.name] = budget.get_usage(now).requests
         return _round_parts(requests)
 
 
--- a/samphirerill/tests/test_slot_gate.py
+++ b/samphirerill/tests/test_slot_gate.py
@@ -12,6 +12,15 @@
 from msgspec.structs import replace as replace_fields
 
 from samphirerill.fleet.load import ReplicaLoad
+from samphirerill.fleet.model import (
+    ClientAccount,
+    ClientLimits,
+    FleetConfiguration,
+    FleetRoute,
+    RetryClass,
+    Service,
+    ServiceWeight,
+)
 from samphirerill.fleet.paths import PathRequest
 from samphirerill.fleet.retry_budget import RetryUsage
 from samphirerill.platform.http_adapter import HttpPlatformAdapter
@@ -27,6 +36,26 @@
 _TOKENS = 900.0
 _STEP_S = 0.05
 _STEPS = 200
+_LARGE_FLEET = 69
+_ROUTES = tuple(
+    FleetRoute(
+        f'r{priority}',
+        'h',
+        f'/{priority}/',
+        RetryClass.STREAM,
+        (ServiceWeight('llm', 1),),
+        priority=priority,
+    )
+    for priority in range(2)
+)
+_CONFIGURATION = FleetConfiguration(
+    1,
+    _ROUTES,
+    {'llm': Service('llm', engine=_ENGINE)},
+    {name: ClientAccount(name) for name in ('one', 'two')},
+    needs_keys=True,
+    limits=ClientLimits(),
+)
 
 
 class TestSlotGate(IsolatedAsyncioTestCase):
@@ -59,10 +88,34 @@
             takers = self.list_takers(step * _STEP_S, is_urgent=False)
             self.assertEqual(takers, list(_NODES))
 
+    async def test_service_without_anything_to_share_is_unchanged(
+        self,
+    ) -> None:
+        """Guard against slot shares in a service with one rank and account."""
+        for state in self.states:
+            state.cfg = replace(_CONFIGURATION, routes=_ROUTES[:1], accounts={})
+        self.configure(SharingSettings(ranks=True, accounts=True))
+        takers = self.list_takers(0, is_urgent=False)
+        self.assertEqual(takers, list(_NODES))
+
+    async def test_nodes_that_know_only_aggregates_take_any_free_slot(
+        self,
+    ) -> None:
+        """Nodes with different knowledge disagreed on the owners of slots."""
+        self.configure(SharingSettings(ranks=True))
+        names = [f'n{number}' for number in range(1, _LARGE_FLEET + 1)]
+        nodes = SimpleNamespace(list_nodes=lambda: dict.fromkeys(names, 'a'))
+        for queue in self.queues:
+            queue.slot_gate.bind(cast('Alarms', nodes))
+        for step in range(_STEPS):
+            takers = self.list_takers(step * _STEP_S, is_urgent=False)
+            self.assertEqual(takers, list(_NODES))
+
     def build_queue(self, name: str) -> AdmissionQueue:
         settings = EdgeSettings(name, 'a', 'h', 'c', 'r', 'p', 's', 1, 2)
         state = EdgeState(settings, HttpPlatformAdapter())
         self.states.append(state)
+        state.cfg = _CONFIGURATION
         head = build_replica('head', 'a', 'large', (0, 40))
         tail = build_replica('tail', 'a', 'large', (40, 80))
         state.view.apply_announcement(head, 1)
