Sharing: rates of a node's own clients, guarantees and idle intervals as meant

Found in review: with accounts shared but not ranks, each node let its clients return at the rate of the whole fleet; a waiting started stream made rank 0 count as guaranteed; the first grant after an idle time counted that time as an interval between grants, so that the fifth request of a burst was rejected; waiting work without room would have ended the exchange of statuses. test_sharing.TestTargets, test_shared_admission: pass.

--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -191,9 +191,11 @@
         return self._reserve_path(queued)
 
     async def _wait_for_grant(self, queued: QueuedRequest) -> tuple[Stage, ...]:
-        self._queue.append(queued)
         if queued.share is not None:
+            if not self._queue:
+                self._rate.note_first(self._loop.time())
             self.shared.enqueue(queued)
+        self._queue.append(queued)
         try:
             with self._state.request_limits.waiting(queued.service):
                 async with asyncio.timeout_at(queued.deadline):
--- a/samphirerill/relay/rejections.py
+++ b/samphirerill/relay/rejections.py
@@ -56,8 +56,6 @@
     """
     fleet_room = shared.fleet_room
     total = fleet_room.count_ahead(level, now).room + item.room
-    elsewhere = fleet_room.count_waiting_before(
-        level + 1, now, elsewhere_only=True
-    )
+    elsewhere = fleet_room.count_ahead_elsewhere(level, now)
     own_part = max(item.room, total - elsewhere.room) / max(1.0, total)
     return fleet_room.compute_rate(now, level) * own_part
--- a/samphirerill/sharing/fleet_room.py
+++ b/samphirerill/sharing/fleet_room.py
@@ -150,6 +150,11 @@
         total.add(own.count, own.room)
         return total
 
+    def count_ahead_elsewhere(self, level: int, now: float) -> WaitingWork:
+        """Return the part of `count_ahead` that waits at other nodes."""
+        self.expire(now)
+        return _sum_levels(self._peers.waiting, range(STARTED_LEVEL, level + 1))
+
     def sum_running(self, now: float) -> float:
         """Return the room in use over all nodes."""
         self.expire(now)
--- a/samphirerill/sharing/levels.py
+++ b/samphirerill/sharing/levels.py
@@ -142,12 +142,9 @@
         return max(0.0, min(target - running, own_target - own_running))
 
     def _is_more_urgent_waiting(self, rank: int) -> bool:
-        if any(found < rank for found in self._own.waiting_by_rank):
+        if any(0 <= found < rank for found in self._own.waiting_by_rank):
             return True
-        return any(
-            found < 2 * rank and found != GUARANTEED_LEVEL
-            for found in self._peers.waiting
-        )
+        return any(0 <= found < 2 * rank for found in self._peers.waiting)
 
 
 def _get_room(works: dict[int, WaitingWork], key: int) -> float:
@@ -163,7 +160,7 @@
         work = by_level.get(level)
         if work is None or guaranteed <= 0:
             continue
-        part = min(1.0, guaranteed / work.room)
+        part = min(1.0, guaranteed / max(1.0, work.room))
         count = max(1, round(part * work.count))
         # Whole units, as reports are rounded: the parts must add up.
         room = round(work.room * count / work.count)
