--- a/samphirerill/relay/admission.py
+++ b/samphirerill/relay/admission.py
@@ -19,7 +19,7 @@
     QueuedRequest,
     find_backoff_error,
 )
-from samphirerill.relay.shared_admission import SharedAdmission
+from samphirerill.relay.shared_admission import SharedAdmission, has_first_claim
 from samphirerill.relay.slot_gate import SlotGate
 
 if TYPE_CHECKING:
@@ -165,13 +165,18 @@
         self._state.notify_listeners()
 
     def find_path(
-        self, service: str, engine: EngineSpec, path_request: PathRequest
+        self,
+        service: str,
+        engine: EngineSpec,
+        path_request: PathRequest,
+        *,
+        takes_any_slot: bool = False,
     ) -> tuple[Stage, ...]:
         """Return a path with free capacity, or none, without reserving it."""
         # Streams that have started take any free slot.
         path_request.may_take_slot = (
             None
-            if path_request.is_urgent
+            if path_request.is_urgent or takes_any_slot
             else self.slot_gate.find_check(service)
         )
         return search_path(
@@ -292,7 +297,12 @@
 
     def _reserve_path(self, queued: QueuedRequest) -> tuple[Stage, ...]:
         path_request = queued.path_request
-        stages = self.find_path(queued.service, queued.engine, path_request)
+        stages = self.find_path(
+            queued.service,
+            queued.engine,
+            path_request,
+            takes_any_slot=has_first_claim(queued, self._loop.time()),
+        )
         if stages:
             self.reserve(queued.engine, stages, path_request.tokens)
             if queued.share is not None:
--- a/samphirerill/relay/rejections.py
+++ b/samphirerill/relay/rejections.py
@@ -56,6 +56,6 @@
     """
     fleet_room = shared.fleet_room
     total = fleet_room.count_ahead(level, now).room + item.room
-    elsewhere = fleet_room.count_ahead_elsewhere(level, now)
+    elsewhere = fleet_room.count_ahead(level, now, elsewhere_only=True)
     own_part = max(item.room, total - elsewhere.room) / max(1.0, total)
     return fleet_room.compute_rate(now, level) * own_part
--- a/samphirerill/relay/slot_gate.py
+++ b/samphirerill/relay/slot_gate.py
@@ -30,8 +30,8 @@
 class SlotGate:
     """Limits what this node takes of the free slots of engines.
 
-    It is used for services whose capacity is shared between ranks or accounts, in
-    fleets whose nodes all report to each other; otherwise nodes take any free
+    It is used where the settings ask for it, for services whose capacity is shared
+    between ranks or accounts, in fleets whose nodes all report to each other; otherwise nodes take any free
     slot.
 
     Parameters
@@ -76,7 +76,8 @@
         callable, optional
             Takes a replica and its free slots; none if each may be taken.
         """
-        if self._alarms is None or self._state.rooms.get(service) is None:
+        shared = self._state.rooms.get(service)
+        if self._alarms is None or shared is None or not shared.settings.slots:
             return None
         nodes = self._alarms.list_nodes()
         if not is_full_mesh(len(nodes) - 1):
--- a/samphirerill/sharing/fleet_room.py
+++ b/samphirerill/sharing/fleet_room.py
@@ -141,20 +141,28 @@
             total.add(own.count, own.room)
         return total
 
-    def count_ahead(self, level: int, now: float) -> WaitingWork:
-        """Return all waiting work of the same or a lower level."""
+    def count_ahead(
+        self, level: int, now: float, *, elsewhere_only: bool = False
+    ) -> WaitingWork:
+        """Return all waiting work of the same or a lower level.
+
+        Parameters
+        ----------
+        level : int
+            The level of a request.
+        now : float
+            On the clock of `update_peer`.
+        elsewhere_only : bool
+            Leaves out the work of this node.
+        """
         self.expire(now)
         ahead = range(STARTED_LEVEL, level + 1)
         total = _sum_levels(self._peers.waiting, ahead)
-        own = _sum_levels(self._levels.sum_own_waiting(), ahead)
-        total.add(own.count, own.room)
+        if not elsewhere_only:
+            own = _sum_levels(self._levels.sum_own_waiting(), ahead)
+            total.add(own.count, own.room)
         return total
 
-    def count_ahead_elsewhere(self, level: int, now: float) -> WaitingWork:
-        """Return the part of `count_ahead` that waits at other nodes."""
-        self.expire(now)
-        return _sum_levels(self._peers.waiting, range(STARTED_LEVEL, level + 1))
-
     def sum_running(self, now: float) -> float:
         """Return the room in use over all nodes."""
         self.expire(now)
