--- a/samphirerill/relay/plain_queue.py
+++ b/samphirerill/relay/plain_queue.py
@@ -95,7 +95,7 @@
         self._loop = asyncio.get_running_loop()
         self._finder = SlotFinder(state, service)
         # Used where nothing is shared with other nodes.
-        self._own = SharedService(service, state.random)
+        self._own: SharedService | None = None
         self._waiting = PlainWaiting(state.rooms.note_waiting)
         self._is_scheduled = False
         self._recheck: asyncio.TimerHandle | None = None
@@ -121,7 +121,7 @@
         may_call : callable
             Returns whether an endpoint, given by id, has a connection for it.
         """
-        shared = self._state.rooms.get(self._service) or self._own
+        shared = self._state.rooms.get(self._service) or self._get_own()
         return build_plain_request(
             context, shared, self._finder.service_s, tried, may_call
         )
@@ -167,6 +167,14 @@
             self._is_scheduled = True
             self._loop.call_soon(self._grant_waiting)
 
+    def _get_own(self) -> SharedService:
+        """Return the capacity as this node alone knows it."""
+        if self._own is None:
+            state = self._state
+            records = state.metrics.admissions.find_records(self._service)
+            self._own = SharedService(self._service, state.random, records)
+        return self._own
+
     def _reject_if_late(
         self, request: PlainRequest, own_ahead: int, queued_s: float
     ) -> None:
