Tests: an account that waited alone neither gains nor loses a share

Change: in the test of bounded unfairness, one account is served alone for up to 100 requests before the others come.

--- a/samphirerill/tests/test_fair_queue.py
+++ b/samphirerill/tests/test_fair_queue.py
@@ -40,6 +40,11 @@
     return _Entry(f'{number}', cost, work)
 
 
+def _add_backlog(queue: FairQueue[_Entry], account: str, cost: float) -> None:
+    for number in range(400):
+        queue.add(_build_entry(number, account, 0, cost))
+
+
 def _take(queue: FairQueue[_Entry], now: float = 0) -> _Entry:
     entry = queue.list_candidates(now)[0]
     queue.dequeue(entry)
@@ -115,14 +120,19 @@
     @given(
         st.lists(st.tuples(_COSTS, st.integers(1, 5)), min_size=2, max_size=6),
         st.lists(st.tuples(st.sampled_from('xyz'), _COSTS), max_size=40),
+        st.integers(0, 100),
     )
     def test_unfairness_between_accounts_is_bounded(
         self,
         backlogged: list[tuple[int, int]],
         earlier: list[tuple[str, int]],
+        head_start: int,
     ) -> None:
         """Guard against shares that follow the number of requests.
 
+        The first account is served alone before the others come; that neither
+        earns nor costs it a share.
+
         The bound is that of start-time fair queueing: between two accounts that
         always wait, the served cost over weight differs by at most the sum of
         their largest requests, each over its account's weight.
@@ -132,9 +142,11 @@
             queue.add(_build_entry(number, name, 0, cost))
             _take(queue)
         costs = [cost / weight for cost, weight in backlogged]
-        for account, entry_cost in enumerate(costs):
-            for number in range(300):
-                queue.add(_build_entry(number, str(account), 0, entry_cost))
+        _add_backlog(queue, '0', costs[0])
+        for _ in range(head_start):
+            _take(queue)
+        for account, entry_cost in enumerate(costs[1:], 1):
+            _add_backlog(queue, str(account), entry_cost)
         served = [0.0 for _ in costs]
         for _ in range(300):
             entry = _take(queue)
