--- a/samphirerill/fleet/endpoint_offers.py
+++ b/samphirerill/fleet/endpoint_offers.py
@@ -157,7 +157,8 @@
     random = knowledge.random
     available = [offer for offer in offers if offer.is_open(left_s)]
     timely = [offer for offer in available if offer.wait_s <= left_s]
-    if not timely and _predict_first(offers, knowledge) <= left_s:
+    full = [offer for offer in offers if not offer.is_open(left_s)]
+    if not timely and _predict_first(full, knowledge) <= left_s:
         # An endpoint that is full now responds sooner than the free ones.
         return None
     available = timely or available
--- a/samphirerill/fleet/reported_load.py
+++ b/samphirerill/fleet/reported_load.py
@@ -173,7 +173,9 @@
         """
         if not self.service_s or not self.sent:
             return self.service_s
+        # About the same queue is before it as was at the report.
         age_s = now - next(iter(self.sent.values()))
+        age_s /= 1 + self.count_queued_per_slot()
         is_overdue = age_s > _OVERDUE_FACTOR * self.service_s
         return age_s if is_overdue else self.service_s
 
@@ -299,7 +301,7 @@
             record.count_sent_since(
                 max(record.reported_at, now - status_age_s)
             ),
-            replica.slots if record.load is None else record.load.slots,
+            max(1, replica.slots) if record.load is None else record.load.slots,
             record.estimate_service_s(now),
             min(age_s, status_age_s),
             self._is_new(record, now),
--- a/samphirerill/relay/endpoint_finder.py
+++ b/samphirerill/relay/endpoint_finder.py
@@ -109,7 +109,9 @@
         One that is suspected may fail too, so it does not count.
         """
         if self._queue is not None and self._queue.is_active():
-            return self._queue.has_slot(self._open(self._queue), replica_id)
+            return self._queue.has_alternative(
+                self._open(self._queue), replica_id
+            )
         now = self._loop.time()
         other = choose_endpoint(
             self._state.view,
--- a/samphirerill/relay/plain_queue.py
+++ b/samphirerill/relay/plain_queue.py
@@ -157,9 +157,9 @@
                 slot.shared, self._waiting.find_lowest_level(now)
             )
 
-    def has_slot(self, request: PlainRequest, replica_id: str) -> bool:
-        """Return whether an endpoint other than this one has a free slot."""
-        return self._finder.has_slot(request, replica_id)
+    def has_alternative(self, request: PlainRequest, replica_id: str) -> bool:
+        """Return whether an endpoint other than this one may be called."""
+        return self._finder.has_alternative(request, replica_id)
 
     def schedule_grants(self) -> None:
         """Look for slots soon, as the load or the endpoints have changed."""
--- a/samphirerill/relay/slot_finder.py
+++ b/samphirerill/relay/slot_finder.py
@@ -97,21 +97,18 @@
         request.endpoint_rate = choice.rate
         return choice
 
-    def has_slot(self, request: PlainRequest, replica_id: str) -> bool:
-        """Return whether an endpoint other than this one has a free slot.
+    def has_alternative(self, request: PlainRequest, replica_id: str) -> bool:
+        """Return whether an endpoint other than this one may be called.
 
-        One that is suspected may fail too, so it does not count.
+        One that is suspected may fail too, so it does not count. One that is
+        full does: a retry precedes new requests at its next free slot.
         """
         now = self._loop.time()
-        pool = [
-            state
-            for state in self._list_pool(request, request.may_call)
-            if state.replica.replica_id != replica_id
+        return any(
+            state.replica.replica_id != replica_id
             and state.suspicion.suspected_until <= now
-        ]
-        if not pool:
-            return False
-        return self._choose_from(pool, request).endpoint is not None
+            for state in self._list_pool(request, request.may_call)
+        )
 
     def take(
         self, request: PlainRequest, choice: EndpointChoice
