--- a/samphirerill/tests/test_reported_load.py
+++ b/samphirerill/tests/test_reported_load.py
@@ -4,12 +4,15 @@
 
 import asyncio
 from dataclasses import replace
+from random import Random
 from unittest import IsolatedAsyncioTestCase, TestCase
 from unittest.mock import patch
 
-from samphirerill.fleet.endpoints import reports_load
+from samphirerill.fleet.endpoint_offers import FleetKnowledge
+from samphirerill.fleet.endpoints import choose_by_load, reports_load
 from samphirerill.fleet.load import LoadTracker
 from samphirerill.fleet.reported_load import ReportedLoad, ReportedLoads
+from samphirerill.fleet.view import ReplicaState
 from samphirerill.platform.http_adapter import HttpPlatformAdapter
 from samphirerill.platform.server_load import parse_server_load
 from samphirerill.platform.settings import EdgeSettings
@@ -148,3 +151,22 @@
         self.loads.note_sent(_ENDPOINT, 1)
         load = self.loads.estimate(_ENDPOINT, self.tracker, 0.1, 1.5)
         self.assertAlmostEqual(load.service_s, 0.5)
+
+
+class TestFailingEndpoints(TestCase):
+    """The choice of an endpoint that fails most requests."""
+
+    def test_request_does_not_wait_beside_free_slots(self) -> None:
+        """Guard against requests that wait for the endpoint that is free."""
+        loads = ReportedLoads()
+        token = loads.note_sent(_ENDPOINT, 0)
+        loads.note_response(_ENDPOINT, ReportedLoad(0, 0, 4), 0.1)
+        loads.note_service_time(_ENDPOINT, 0.1, 0.1)
+        loads.note_ended(_ENDPOINT, token)
+        state = ReplicaState(_ENDPOINT, 1)
+        state.failures = 0.8
+        knowledge = FleetKnowledge(
+            loads, LoadTracker(), 1, 0.1, 'node', Random(1)
+        )
+        choice = choose_by_load([state], knowledge, 1.0, 0.2)
+        self.assertIs(choice.endpoint, state)
