--- a/samphirerill/bench/edge_costs.py
+++ b/samphirerill/bench/edge_costs.py
@@ -24,6 +24,7 @@
 from samphirerill.platform.http_adapter import HttpPlatformAdapter
 from samphirerill.platform.settings import EdgeSettings
 from samphirerill.platform.store import PlatformStore
+from samphirerill.platform import wire_names
 from samphirerill.relay.connection import HttpConnection, serialize_request
 from samphirerill.relay.pool import read_response
 from samphirerill.relay.process import EdgeProcess
@@ -132,9 +133,9 @@
     for number in range(count):
         headers: Headers = [
             (b'host', b'bridal.example'),
-            (b'x-samphirerill-request-id', b'r%d' % number),
+            (wire_names.REQUEST_ID, b'r%d' % number),
             (b'authorization', b'Bearer ' + API_KEY.encode()),
-            (b'x-samphirerill-token-count', b'800,80'),
+            (wire_names.TOKEN_COUNTS, b'800,80'),
         ]
         conn.send(serialize_request(b'POST', _TARGETS[kind], headers, b'x'))
         deadline = asyncio.get_running_loop().time() + _TIMEOUT_S
