Changes: a node's copy of the store has a confirmation, whose age goes along

Cause: a watcher counted as connected until its own watch had timed out, 2.1 s after its start, and answered polls "no changes" meanwhile. Nobody could tell how old that was. Beside it, a listener waited a second for each of two watchers that did not answer at all.

Evidence: the nodes' logs of one turn. All nodes have version 35 at 5.99 s, the watchers say "store is unreachable" at 8.00, the polls waiting at them end at 8.28 to 8.35, the listeners have the next version within 10 ms of that. Back-off from the store and batches are ruled out by the same lines.

Change: the time of the store's latest response is kept with the change log; responses between nodes carry its age. It is valid for 1.2 s; a watcher without a valid one refuses polls, also waiting ones. The store is asked each 0.9 s at the latest. A poll is answered at each confirmation and given up 0.1 s after the copy expires; the next watcher has 0.25 s, then the store is asked. Changes that wait for their turn confirm nothing.

The fakes of the tests take the time until which a watch lasts, and a watcher in a test has to be confirmed to count as connected; no check has changed but the path's version.

--- a/samphirerill/platform/store.py
+++ b/samphirerill/platform/store.py
@@ -51,10 +51,13 @@
 _NOT_FOUND = 404
 # The store usually answers in milliseconds, under load in some hundred.
 CALL_TIMEOUT_S = 1.0
-# Server-side timeout of a watch. It bounds how long a broken watch goes
-# unnoticed: a change must take effect within two seconds even then.
-WATCH_TIMEOUT_S = 1.8
-_WATCH_MARGIN_S = 0.3
+# Server-side timeout of a watch, and how much later its response may arrive.
+# Together they bound how long a broken watch goes unnoticed: other nodes rely on
+# it meanwhile, and a change must take effect there within two seconds.
+WATCH_TIMEOUT_S = 0.9
+WATCH_MARGIN_S = 0.3
+_MIN_WATCH_TIMEOUT_S = 0.1
+_NO_DEADLINE = float('inf')
 _MS_PER_S = 1000
 _MAX_IDLE_CONNECTIONS = 3
 
@@ -104,10 +107,13 @@
         The store revision up to which the changes are complete.
     events : list of StoredItem or DeletedKey
         Writes and deletions.
+    confirmed_at : float
+        When they were complete, on the loop's clock; minus infinity if unknown.
     """
 
     revision: int
     events: list[StoredItem | DeletedKey]
+    confirmed_at: float = float('-inf')
 
 
 class DeletedKey(Struct):
@@ -232,7 +238,9 @@
             found.extend(_build_item(item, era) for item in page.found)
         return found, revision
 
-    async def watch(self, prefix: str, after: int) -> Changes:
+    async def watch(
+        self, prefix: str, after: int, until: float = _NO_DEADLINE
+    ) -> Changes:
         """Wait for changes after a revision.
 
         Parameters
@@ -241,11 +249,14 @@
             Prefix of the keys to watch.
         after : int
             The revision up to which changes are known.
+        until : float
+            When the store is to answer at the latest, on the loop's clock; by
+            default, and at most, after `WATCH_TIMEOUT_S`.
 
         Returns
         -------
         Changes
-            Without events if nothing changed within `WATCH_TIMEOUT_S`.
+            Without events if nothing has changed.
 
         Raises
         ------
@@ -255,20 +266,28 @@
         """
         era = get_era(after)
         _check_era(era, self.era.current)
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        wait_s = max(_MIN_WATCH_TIMEOUT_S, min(WATCH_TIMEOUT_S, until - now))
         query = {
             'prefix': prefix,
             'after': str(get_number(after)),
-            'waitMs': str(int(WATCH_TIMEOUT_S * _MS_PER_S)),
+            'waitMs': str(int(wait_s * _MS_PER_S)),
         }
-        timeout_s = WATCH_TIMEOUT_S + _WATCH_MARGIN_S
         response = await self._call(
-            'watch', 'GET', '/kv-watch', query, timeout_s=timeout_s
+            'watch',
+            'GET',
+            '/kv-watch',
+            query,
+            timeout_s=wait_s + WATCH_MARGIN_S,
         )
         _check_era(era, response.era)
         found = _decode(response, _WatchResponse)
         return Changes(
             build_revision(era, found.current_rev),
             [_build_event(item, era) for item in found.events],
+            # A response that was delayed on its way is older than its arrival.
+            min(loop.time(), now + wait_s),
         )
 
     async def write(
--- a/samphirerill/relay/change_log.py
+++ b/samphirerill/relay/change_log.py
@@ -18,6 +18,7 @@
     decode_row_text,
     is_large,
 )
+from samphirerill.relay.confirmation import Confirmation
 from samphirerill.relay.stored_items import StoredItems
 
 if TYPE_CHECKING:
@@ -30,6 +31,10 @@
 _MAX_SNAPSHOT_BYTES = 131_072
 # Changes with a large text that are kept, up to 0.5 MB each.
 _MAX_LARGE_CHANGES = 8
+# A smaller gain is not worth a response to a polling node: its copy and this one
+# were usually confirmed by the same response of the store.
+_MIN_CONFIRMATION_GAIN_S = 0.1
+_UNCONFIRMED = float('-inf')
 
 
 class _Change:
@@ -67,17 +72,30 @@
 
     The items are needed to build deltas of large texts, and snapshots for nodes
     that lack older changes.
+
+    Attributes
+    ----------
+    revision : int
+        The store revision up to which the log is complete.
+    confirmation : Confirmation
+        When the store confirmed that nothing is missing.
     """
 
     def __init__(self) -> None:
         self.revision = 0
+        self.confirmation = Confirmation()
         self._compacted_revision = 0
         self._changes: deque[_Change] = deque()
         self._large_count = 0
         self._stored = StoredItems()
         self._changed = asyncio.Event()
 
-    def reset(self, revision: int, found: Iterable[StoredItem] = ()) -> None:
+    def reset(
+        self,
+        revision: int,
+        found: Iterable[StoredItem] = (),
+        confirmed_at: float = _UNCONFIRMED,
+    ) -> None:
         """Discard the history after a full read of the store.
 
         Parameters
@@ -86,10 +104,12 @@
             Revision of the read.
         found : iterable of StoredItem
             All existing keys.
+        confirmed_at : float
+            When the read began, on the loop's clock.
         """
         self._clear_changes(revision)
         self._stored.replace_all(found)
-        self._advance(revision)
+        self._advance(revision, confirmed_at)
 
     def append(self, changes: Changes) -> None:
         """Append changes.
@@ -108,7 +128,7 @@
             dropped = self._changes.popleft()
             self._large_count -= dropped.is_large
             self._compacted_revision = dropped.event.revision
-        self._advance(changes.revision)
+        self._advance(changes.revision, changes.confirmed_at)
 
     def contains(self, after: int) -> bool:
         """Return whether all changes after a revision are in the log."""
@@ -118,22 +138,38 @@
         """Return whether changes after a revision have been dropped."""
         return after < self._compacted_revision
 
-    async def wait(self, after: int, timeout_s: float) -> None:
-        """Wait for changes after a revision, a reset or a timeout.
+    async def wait(self, after: int, known_at: float, until: float) -> None:
+        """Wait for changes, a later confirmation, a reset or the timeout.
+
+        A log that has not reached the revision yet may do so meanwhile.
 
-        A log that has not reached that revision yet may do so meanwhile.
+        Parameters
+        ----------
+        after : int
+            The revision that the polling node has.
+        known_at, until : float
+            When its copy was confirmed, and when to give up, on the loop's
+            clock.
         """
         try:
-            async with asyncio.timeout(timeout_s):
-                while (
-                    self._compacted_revision <= after and self.revision <= after
-                ):
+            async with asyncio.timeout_at(until):
+                while not self._has_news(after, known_at):
                     await self._changed.wait()
         except TimeoutError:
             return
 
-    def encode_changes(self, after: int) -> bytes | None:
-        """Return the changes after a revision; none if too large."""
+    def encode_changes(
+        self, after: int, age_ms: int | None = None
+    ) -> bytes | None:
+        """Return the changes after a revision; none if too large.
+
+        Parameters
+        ----------
+        after : int
+            Revision of the other node.
+        age_ms : int, optional
+            Age of the confirmation that there are no further ones.
+        """
         rows = []
         for change in self._changes:
             if change.event.revision <= after:
@@ -142,9 +178,11 @@
             if row is None:
                 return None
             rows.append(row)
-        return msgpack.encode(ChangeBatch(self.revision, rows))
+        return msgpack.encode(ChangeBatch(self.revision, rows, age_ms))
 
-    def encode_snapshot(self, after: int) -> bytes | None:
+    def encode_snapshot(
+        self, after: int, age_ms: int | None = None
+    ) -> bytes | None:
         """Return the current items, without those that the other node has.
 
         Return none if that is too large, or if there are no items. It spares
@@ -155,6 +193,8 @@
         ----------
         after : int
             Revision of the other node; 0 for none.
+        age_ms : int, optional
+            Age of the confirmation that these items are the current ones.
         """
         if not self._stored or after > self.revision:
             return None
@@ -165,7 +205,9 @@
             return None
         rows.sort(key=_get_revision)
         unchanged = self._stored.describe_others({item.key for item in missing})
-        snapshot = msgpack.encode(Snapshot(self.revision, rows, unchanged))
+        snapshot = msgpack.encode(
+            Snapshot(self.revision, rows, unchanged, age_ms)
+        )
         return snapshot if len(snapshot) <= _MAX_SNAPSHOT_BYTES else None
 
     def decode_snapshot(self, snapshot: Snapshot) -> Changes:
@@ -242,9 +284,17 @@
             or self._large_count > _MAX_LARGE_CHANGES
         )
 
-    def _advance(self, revision: int) -> None:
-        if revision > self.revision:
-            self.revision = revision
+    def _has_news(self, after: int, known_at: float) -> bool:
+        """Return whether a polling node is to be answered."""
+        if self._compacted_revision > after or self.revision > after:
+            return True
+        gain_s = self.confirmation.at - known_at
+        return self.revision == after and gain_s > _MIN_CONFIRMATION_GAIN_S
+
+    def _advance(self, revision: int, confirmed_at: float) -> None:
+        is_confirmed = self.confirmation.renew(confirmed_at)
+        if revision > self.revision or is_confirmed:
+            self.revision = max(self.revision, revision)
             self._changed.set()
             self._changed = asyncio.Event()
 
--- a/samphirerill/relay/change_rows.py
+++ b/samphirerill/relay/change_rows.py
@@ -37,10 +37,15 @@
 
 
 class ChangeBatch(Struct, array_like=True):
-    """All changes after the requested revision, up to `revision`."""
+    """All changes after the requested revision, up to `revision`.
+
+    `age_ms` is the age of the store's confirmation that they are complete;
+    ``None`` if there are further ones.
+    """
 
     revision: int
     rows: list[ChangeRow]
+    age_ms: int | None = None
 
 
 class UnchangedItem(Struct, array_like=True):
@@ -55,12 +60,14 @@
     """State at `revision`, for nodes that lack the changes before it.
 
     `rows` are the items that the other node is likely to lack, `unchanged` all
-    others; any other key has been deleted.
+    others; any other key has been deleted. `age_ms` is the age of the store's
+    confirmation when the snapshot was taken.
     """
 
     revision: int
     rows: list[ChangeRow]
     unchanged: list[UnchangedItem]
+    age_ms: int | None = None
 
 
 def is_large(text: bytes) -> bool:
--- a/samphirerill/relay/change_source.py
+++ b/samphirerill/relay/change_source.py
@@ -2,7 +2,8 @@
 
 A few nodes, the watchers, watch the store and keep the latest changes. Other
 nodes long-poll a watcher for the changes after a revision, as they would watch
-the store. If the watcher is not connected to the store, or no longer has the
+the store. Each response says how long ago the store confirmed that there are no
+further changes. If that is too long ago, or the watcher no longer has the
 changes, they fall back to the store.
 """
 
@@ -20,15 +21,16 @@
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.change_log import ChangeLog
 from samphirerill.relay.change_rows import ChangeBatch, Snapshot
+from samphirerill.relay.confirmation import Confirmation, parse_confirmation
 from samphirerill.relay.errors import (
     BrokenResponseError,
     ChangeTooLargeError,
     EndpointError,
     WatchLostError,
 )
-from samphirerill.relay.listeners import PageHandler, read_revision
+from samphirerill.relay.listeners import PageHandler, read_age_ms, read_revision
 from samphirerill.relay.pool import call_once
-from samphirerill.relay.response_pacing import ResponsePacer
+from samphirerill.relay.response_pacing import ResponsePacer, is_paced
 from samphirerill.relay.store_era import StoreEra
 
 if TYPE_CHECKING:
@@ -51,12 +53,13 @@
 _NOT_FOUND = 404
 # The number is the version of the response format: while nodes with different
 # formats run side by side, each gets 404 from the others.
-_CHANGES_PATH = b'/changes/4'
-_SNAPSHOT_PATH = b'/present/3'
-# Shorter than a watch of the store, as it costs the store nothing; an
-# unresponsive watcher is detected sooner.
-_LONG_POLL_S = 0.7
-_RESPONSE_MARGIN_S = 0.3
+_CHANGES_PATH = b'/changes/5'
+_SNAPSHOT_PATH = b'/present/4'
+# A poll is answered at the next response of the store to the watcher, and no
+# later than the copy of the polling node expires. One that has expired already is
+# answered this soon, if the watcher's has not.
+_SHORT_POLL_S = 0.15
+_RESPONSE_MARGIN_S = 0.1
 # How long a node waits for its turn to receive a snapshot. The watcher has just
 # told it that it lacks the changes, so it is alive.
 _SNAPSHOT_WAIT_S = 1.5
@@ -132,9 +135,13 @@
         after = read_revision(query)
         if after < 0:
             return _BAD_REQUEST, b''
-        poll_end = self._loop.time() + _LONG_POLL_S
-        if self._may_serve(after) and not self._log.is_compacted(after):
-            await self._log.wait(after, _LONG_POLL_S)
+        now = self._loop.time()
+        known = Confirmation()
+        known.renew(parse_confirmation(read_age_ms(query), now))
+        poll_end = _compute_poll_end(known, now)
+        if self._may_serve(after):
+            until = min(poll_end, self._log.confirmation.expires_at)
+            await self._log.wait(after, known.at, until)
         if not self._may_serve(after):
             return _UNAVAILABLE, b''
         # The log may have been reset during the wait, and then lacks earlier
@@ -142,20 +149,31 @@
         # configuration.
         if not self._log.contains(after):
             return _GONE, b''
-        batch = self._log.encode_changes(after)
+        batch = self._encode_changes(after)
         if batch is None:
             return _TOO_LARGE, b''
         if await self._pacer.wait_for_turn(len(batch), poll_end):
             return _OK, batch
         return _OK, msgpack.encode(ChangeBatch(after, []))
 
+    def _encode_changes(self, after: int) -> bytes | None:
+        """Return the changes after a revision; none if too large.
+
+        Those that wait for their turn confirm nothing, as they would be older by
+        then.
+        """
+        batch = self._log.encode_changes(after, self._get_age_ms())
+        if batch is not None and is_paced(len(batch)):
+            return self._log.encode_changes(after)
+        return batch
+
     async def _serve_snapshot(self, query: bytes) -> Page:
         after = read_revision(query)
         if after < 0:
             return _BAD_REQUEST, b''
         if not self._may_serve(after):
             return _UNAVAILABLE, b''
-        snapshot = self._log.encode_snapshot(after)
+        snapshot = self._log.encode_snapshot(after, self._get_age_ms())
         if snapshot is None:
             return _GONE, b''
         until = self._loop.time() + _SNAPSHOT_WAIT_S
@@ -169,7 +187,11 @@
         A node in a later era must not, until this one has listed all keys.
         """
         is_in_era = get_era(after) <= get_era(self._log.revision)
-        return is_in_era and self._receives_from_store()
+        is_confirmed = self._log.confirmation.is_valid(self._loop.time())
+        return is_in_era and is_confirmed and self._receives_from_store()
+
+    def _get_age_ms(self) -> int | None:
+        return self._log.confirmation.get_age_ms(self._loop.time())
 
 
 class ChangeSource:
@@ -285,6 +307,11 @@
 
         A watcher whose changes are merely too large to forward is not avoided
         afterwards.
+
+        Returns
+        -------
+        Changes
+            Not confirmed if the watcher could not send them in time.
         """
         try:
             return await self._fetch_changes(self._peers[watcher], after)
@@ -305,8 +332,13 @@
             raise
 
     async def _fetch_changes(self, address: str, after: int) -> Changes:
-        deadline = self._loop.time() + _LONG_POLL_S + _RESPONSE_MARGIN_S
+        now = self._loop.time()
+        known = self.log.confirmation
+        deadline = _compute_poll_end(known, now) + _RESPONSE_MARGIN_S
         path = b'%b?after=%d' % (_CHANGES_PATH, after)
+        age_ms = known.get_age_ms(now)
+        if age_ms is not None:
+            path += b'&age=%d' % age_ms
         status, body = await call_once(address, b'GET', path, b'', deadline)
         if status == _GONE:
             return await self._fetch_snapshot(address, after)
@@ -318,18 +350,27 @@
             raise WatchLostError(f'{address}: is not connected to the store')
         if status != _OK:
             raise BrokenResponseError(f'{address}: got status {status}')
-        return _decode(address, body, ChangeBatch, self.log.decode)
+        batch = _decode_message(address, body, ChangeBatch)
+        changes = _apply_decoder(address, batch, self.log.decode)
+        changes.confirmed_at = parse_confirmation(
+            batch.age_ms, self._loop.time()
+        )
+        return changes
 
     async def _fetch_snapshot(self, address: str, after: int) -> Changes:
         """Fetch a snapshot from a watcher that lacks the changes."""
-        deadline = self._loop.time() + _SNAPSHOT_WAIT_S + _RESPONSE_MARGIN_S
+        asked_at = self._loop.time()
+        deadline = asked_at + _SNAPSHOT_WAIT_S + _RESPONSE_MARGIN_S
         path = b'%b?after=%d' % (_SNAPSHOT_PATH, after)
         status, body = await call_once(address, b'GET', path, b'', deadline)
         if status == _UNAVAILABLE:
             raise WatchLostError(f'{address}: cannot send a snapshot now')
         if status != _OK:
             raise BrokenResponseError(f'{address}: got status {status}')
-        changes = _decode(address, body, Snapshot, self.log.decode_snapshot)
+        snapshot = _decode_message(address, body, Snapshot)
+        changes = _apply_decoder(address, snapshot, self.log.decode_snapshot)
+        # The watcher may have held it back until its turn.
+        changes.confirmed_at = parse_confirmation(snapshot.age_ms, asked_at)
         _LOG.info(
             'received a snapshot from a watcher',
             extra={
@@ -340,14 +381,36 @@
         return changes
 
 
-def _decode(
-    address: str,
-    body: bytes,
-    message_type: type[Message],
-    decode_changes: Callable[[Message], Changes],
+def _compute_poll_end(known: Confirmation, now: float) -> float:
+    """Return when to answer a poll at the latest, on the loop's clock.
+
+    Parameters
+    ----------
+    known : Confirmation
+        Of the copy of the polling node.
+    now : float
+        When the poll began.
+    """
+    if known.is_valid(now):
+        return known.expires_at
+    return now + _SHORT_POLL_S
+
+
+def _decode_message(
+    address: str, body: bytes, message_type: type[Message]
+) -> Message:
+    """Return the message in a watcher's response."""
+    try:
+        return msgpack.decode(body, type=message_type)
+    except (DecodeError, ValidationError) as exc:
+        raise BrokenResponseError(f'{address}: {exc}') from exc
+
+
+def _apply_decoder(
+    address: str, message: Message, decode_changes: Callable[[Message], Changes]
 ) -> Changes:
-    """Return the changes in a watcher's response."""
+    """Return the changes in a watcher's message."""
     try:
-        return decode_changes(msgpack.decode(body, type=message_type))
-    except (DecodeError, ValidationError, DeltaError) as exc:
+        return decode_changes(message)
+    except DeltaError as exc:
         raise BrokenResponseError(f'{address}: {exc}') from exc
--- a/samphirerill/relay/listeners.py
+++ b/samphirerill/relay/listeners.py
@@ -90,3 +90,9 @@
     """Return the revision in the `after` parameter of a query, or -1."""
     after = parse_qs(query).get(b'after', [b''])[0]
     return int(after) if after.isdigit() else -1
+
+
+def read_age_ms(query: bytes) -> int | None:
+    """Return the `age` parameter of a query; none if there is no valid one."""
+    age = parse_qs(query).get(b'age', [b''])[0]
+    return int(age) if age.isdigit() else None
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -133,6 +133,7 @@
             self._count_busy,
             quarantine_manager,
             self._membership.path_checks,
+            change_source.log.confirmation,
         )
         self._reloader = SettingsReloader(self.state, store, settings_file)
         self._connections: set[ClientConnection] = set()
--- a/samphirerill/relay/response_pacing.py
+++ b/samphirerill/relay/response_pacing.py
@@ -10,6 +10,11 @@
 _MIN_PACED_BYTES = 8192
 
 
+def is_paced(size: int) -> bool:
+    """Return whether a response of so many bytes has to wait for its turn."""
+    return size >= _MIN_PACED_BYTES
+
+
 class ResponsePacer:
     """Lets large responses begin one after the other, at a bounded rate."""
 
@@ -29,7 +34,7 @@
         until : float
             When to give up, on the loop's clock.
         """
-        if size < _MIN_PACED_BYTES:
+        if not is_paced(size):
             return True
         now = self._loop.time()
         turn_at = max(now, self._next_turn_at)
--- a/samphirerill/relay/status_endpoints.py
+++ b/samphirerill/relay/status_endpoints.py
@@ -16,6 +16,7 @@
 
     from samphirerill.platform.store import PlatformStore
     from samphirerill.relay.admission import AdmissionQueue
+    from samphirerill.relay.confirmation import Confirmation
     from samphirerill.relay.listeners import Page
     from samphirerill.relay.path_checks import PathChecks
     from samphirerill.relay.quarantine import QuarantineManager
@@ -42,6 +43,8 @@
         Lists the quarantined requests.
     path_checks : PathChecks
         Describes the paths to endpoints.
+    confirmation : Confirmation
+        When the store confirmed that this node's copy is complete.
 
     Attributes
     ----------
@@ -57,8 +60,10 @@
         count_busy: Callable[[], int],
         quarantine_manager: QuarantineManager,
         path_checks: PathChecks,
+        confirmation: Confirmation,
     ) -> None:
         self._path_checks = path_checks
+        self._confirmation = confirmation
         self._quarantine_manager = quarantine_manager
         self._state = state
         self._admission = admission
@@ -101,12 +106,17 @@
 
     def _describe_store(self) -> dict[str, int]:
         era = self._store.era
-        return {
+        described = {
             'era': era.current,
             'restores': era.restores,
             'invalid_eras': era.invalid_count,
             'revision': self._state.view.revision,
         }
+        now = asyncio.get_running_loop().time()
+        age_ms = self._confirmation.get_age_ms(now)
+        if age_ms is not None:
+            described['confirmed_age_ms'] = age_ms
+        return described
 
     def _serve_metrics(self) -> Page:
         state = self._state
--- a/samphirerill/relay/store_follower.py
+++ b/samphirerill/relay/store_follower.py
@@ -15,6 +15,7 @@
 from samphirerill.fleet.revisions import describe_revision, get_era
 from samphirerill.node.logs import get_logger
 from samphirerill.platform.store import DeletedKey, RevisionCompactedError
+from samphirerill.relay.confirmation import is_recent
 from samphirerill.relay.errors import ChangeTooLargeError, EndpointError
 from samphirerill.relay.platform_adapter import DocumentError
 from samphirerill.relay.replica_handler import ReplicaHandler
@@ -195,6 +196,7 @@
         changes = await self._wait_for_changes() if self.revision else None
         if changes is None:
             self._check_backoff()
+            began_at = self._loop.time()
             found, revision = await self._store.read_prefix('')
             self._log_listing(len(found), revision)
             self._change_source.record_store_result(answers=True)
@@ -207,7 +209,7 @@
                 handler.apply_snapshot(matching, revision)
             self.revision = revision
             self._must_relist = False
-            self._change_log.reset(revision, found)
+            self._change_log.reset(revision, found, began_at)
             self._state.notify_listeners()
             return
         self._store.era.observe(get_era(changes.revision))
@@ -249,7 +251,9 @@
         if self._must_relist:
             return None
         self._check_backoff()
-        changes = await self._store.watch('', self.revision)
+        confirmation = self._change_log.confirmation
+        until = confirmation.get_renewal_time(self._loop.time())
+        changes = await self._store.watch('', self.revision, until)
         self._change_source.record_store_result(answers=True)
         return changes
 
@@ -264,7 +268,9 @@
         while watcher and asked < _MAX_WATCHERS_ASKED:
             asked += 1
             try:
-                return await self._change_source.watch(watcher, self.revision)
+                changes = await self._change_source.watch(
+                    watcher, self.revision
+                )
             except EndpointError as exc:
                 _LOG.info(
                     'call to a watcher node failed',
@@ -272,9 +278,26 @@
                 )
                 if isinstance(exc, ChangeTooLargeError):
                     return None
+            else:
+                return changes if self._is_complete(changes) else None
             watcher = self._change_source.select_watcher()
         return None
 
+    def _is_complete(self, changes: Changes) -> bool:
+        """Return whether this node need not ask the store for more."""
+        now = self._loop.time()
+        confirmation = self._change_log.confirmation
+        is_confirmed = confirmation.is_valid(now) or is_recent(
+            changes.confirmed_at, now
+        )
+        if changes.events or is_confirmed:
+            return True
+        _LOG.info(
+            'watcher node does not confirm the state; asking the store',
+            extra={'age_ms': confirmation.get_age_ms(now)},
+        )
+        return False
+
     def _check_backoff(self) -> None:
         """Raise ``StoreBackoffError`` while backing off after a store failure."""
         if self.revision and not self._change_source.may_call_store():
--- a/samphirerill/testing/platform_harness.py
+++ b/samphirerill/testing/platform_harness.py
@@ -131,6 +131,10 @@
         self.addresses[name] = f'{_HOST}:{port}'
         self.replicas[name] = replica
 
+    def is_store(self, address: str) -> bool:
+        """Return whether the store serves an ``IP:PORT``."""
+        return address == self._store_address
+
     def is_replica(self, address: str) -> bool:
         """Return whether a replica was started at an ``IP:PORT``."""
         return address in self.addresses.values()
--- a/samphirerill/tests/test_store_calls.py
+++ b/samphirerill/tests/test_store_calls.py
@@ -8,7 +8,7 @@
 import asyncio
 from typing import TYPE_CHECKING, cast
 from unittest import IsolatedAsyncioTestCase, TestCase
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 from samphirerill.backends.store import StoreRejectedError
 from samphirerill.fleet.watchers import list_watchers
@@ -27,6 +27,9 @@
     from samphirerill.relay.store_follower import ChangeHandler
 
 _WATCH_DELAY_S = 0.05
+# Within this a configuration is in force; reading a large one takes a part of it.
+_IN_FORCE_S = 2.0
+_READ_S = 0.45
 _NODE_NAMES = [
     f'edge-hall-{data_centre}-{number}'
     for data_centre in 'abc'
@@ -35,7 +38,10 @@
 
 
 def _build_follower(
-    store: object, handlers: list[ChangeHandler], change_source: object
+    store: object,
+    handlers: list[ChangeHandler],
+    change_source: object,
+    change_log: ChangeLog | None = None,
 ) -> StoreFollower:
     """Return a follower with a fake store and a fake source of changes."""
     return StoreFollower(
@@ -44,7 +50,7 @@
         StoreHealth(0),
         handlers,
         cast('ChangeSource', change_source),
-        ChangeLog(),
+        change_log or ChangeLog(),
     )
 
 
@@ -92,7 +98,7 @@
         self.is_up = False
         return [], 10
 
-    async def watch(self, prefix: str, after: int) -> Changes:
+    async def watch(self, prefix: str, after: int, until: float) -> Changes:
         """Refuse."""
         raise StoreRejectedError('got status 503')
 
@@ -162,7 +168,7 @@
         """Return an empty listing at revision 10."""
         return [], 10
 
-    async def watch(self, prefix: str, after: int) -> Changes:
+    async def watch(self, prefix: str, after: int, until: float) -> Changes:
         """Return a change immediately."""
         self.calls += 1
         await asyncio.sleep(0)
@@ -204,7 +210,7 @@
             raise StoreRejectedError('got status 503')
         return [], 10
 
-    async def watch(self, prefix: str, after: int) -> Changes:
+    async def watch(self, prefix: str, after: int, until: float) -> Changes:
         """Refuse."""
         self.calls += 1
         raise StoreRejectedError('got status 503')
@@ -253,3 +259,57 @@
             await asyncio.sleep(0.05)
         task.cancel()
         return store.calls, loop.time() - recovers_at
+
+
+class _QuietStore:
+    """A store without changes that records when it is watched."""
+
+    def __init__(self) -> None:
+        self.era = StoreEra()
+        self.watched_at = 0.0
+
+    async def read_prefix(self, prefix: str) -> tuple[list[StoredItem], int]:
+        """Return an empty listing at revision 10."""
+        return [], 10
+
+    async def watch(self, prefix: str, after: int, until: float) -> Changes:
+        """Record the time; never return."""
+        self.watched_at = asyncio.get_running_loop().time()
+        return await asyncio.get_running_loop().create_future()
+
+
+async def _hang(
+    address: str, method: bytes, path: bytes, body: bytes, deadline: float
+) -> tuple[int, bytes]:
+    """Time out, as a call to a node that is frozen."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(deadline - loop.time())
+    raise EndpointError(f'{address}: no response within the deadline')
+
+
+class TestFrozenWatchers(TestCase):
+    """All watchers stop responding, in fleets of any size."""
+
+    def test_the_store_is_asked_in_time(self) -> None:
+        """Guards against the sum of several waits for silent watchers."""
+        for count in (4, 17, 72, 400):
+            with self.subTest(nodes=count):
+                delay_s = run_with_virtual_time(self._measure_delay(count))
+                # Leaves the time in which a large configuration is read.
+                self.assertLess(delay_s, _IN_FORCE_S - _READ_S)
+
+    async def _measure_delay(self, count: int) -> float:
+        names = [f'node-{number}' for number in range(count)]
+        watchers = list_watchers(names)
+        own = next(name for name in names if name not in watchers)
+        source = ChangeSource(own)
+        source.update_peers(dict.fromkeys(names, '10.0.0.1:1'))
+        store = _QuietStore()
+        follower = _build_follower(store, [], source, source.log)
+        began_at = asyncio.get_running_loop().time()
+        with patch('samphirerill.relay.change_source.call_once', _hang):
+            task = asyncio.create_task(follower.run())
+            while not store.watched_at:
+                await asyncio.sleep(_WATCH_DELAY_S)
+            task.cancel()
+        return store.watched_at - began_at
--- a/samphirerill/tests/test_store_changes.py
+++ b/samphirerill/tests/test_store_changes.py
@@ -8,14 +8,24 @@
 from unittest.mock import patch
 
 from samphirerill.fleet.watchers import choose_watcher, list_watchers
-from samphirerill.platform.store import Changes, DeletedKey, StoredItem
+from samphirerill.platform.store import (
+    WATCH_TIMEOUT_S,
+    Changes,
+    DeletedKey,
+    StoredItem,
+)
 from samphirerill.relay.change_log import ChangeLog
 from samphirerill.relay.change_source import (
     MAX_LAG_S,
     ChangeSource,
     PeerRequestHandler,
 )
-from samphirerill.relay.errors import ChangeTooLargeError, EndpointError
+from samphirerill.relay.confirmation import MAX_CONFIRMATION_AGE_S
+from samphirerill.relay.errors import (
+    ChangeTooLargeError,
+    EndpointError,
+    WatchLostError,
+)
 from samphirerill.relay.listeners import listen
 from samphirerill.relay.pool import call_once
 from samphirerill.relay.server import ClientConnection
@@ -65,8 +75,9 @@
     """A watcher and a node that polls it."""
 
     async def asyncSetUp(self) -> None:
+        self.loop = asyncio.get_running_loop()
         self.log = ChangeLog()
-        self.log.reset(10)
+        self.log.reset(10, confirmed_at=self.loop.time())
         self.is_connected = True
         handler = PeerRequestHandler({}, self.log, lambda: self.is_connected)
         connections: set[ClientConnection] = set()
@@ -77,7 +88,10 @@
         watchers = list_watchers(self.names)
         own = next(name for name in self.names if name not in watchers)
         self.source = self.build_started_source(own)
+        self.source.log.reset(10, confirmed_at=self.loop.time())
         self.watcher = self.source.select_watcher()
+        self.confirming = asyncio.create_task(self._keep_confirmed())
+        self.addCleanup(self.confirming.cancel)
 
     def build_started_source(self, own: str) -> ChangeSource:
         """Return the source of a node that is past its startup."""
@@ -86,6 +100,13 @@
         source.update_peers(self.names)
         return source
 
+    async def _keep_confirmed(self) -> None:
+        """Confirm the watcher's log as the store does without changes."""
+        while True:
+            now = self.loop.time()
+            self.log.append(Changes(self.log.revision, [], now))
+            await asyncio.sleep(WATCH_TIMEOUT_S)
+
 
 class TestChanges(ChangesCase):
     """Changes that a watcher serves or cannot serve."""
@@ -160,6 +181,28 @@
         with self.assertRaises(EndpointError):
             await self.source.watch(self.watcher, 10)
 
+    async def test_a_watcher_whose_watch_is_silent_stops_answering(
+        self,
+    ) -> None:
+        """Guards against "no changes" from a watcher that cannot know."""
+        self.confirming.cancel()
+        after = self.loop.time() + MAX_CONFIRMATION_AGE_S + _MARGIN_S
+        with self.assertRaises(WatchLostError):
+            while self.loop.time() < after:
+                changes = await self.source.watch(self.watcher, 10)
+                self.source.log.append(changes)
+        self.assertLess(self.loop.time(), after)
+
+    async def test_a_confirmation_keeps_its_age_on_the_way(self) -> None:
+        """Guards against nodes that confirm more to others than they know."""
+        self.confirming.cancel()
+        self.source.log.reset(9)
+        self.log.append(Changes(11, []))
+        changes = await self.source.watch(self.watcher, 10)
+        self.assertLessEqual(
+            changes.confirmed_at, self.log.confirmation.at + _MARGIN_S
+        )
+
     async def test_a_watcher_that_lags_waits_for_the_revision(self) -> None:
         """Guard against refusing nodes whose revision is slightly newer.
 
@@ -267,7 +310,7 @@
         status, body = await call_once(
             self.names[self.watcher],
             b'GET',
-            b'/changes/4?after=11',
+            b'/changes/5?after=11',
             b'',
             asyncio.get_running_loop().time() + 1,
         )
