Replicas: a test and a postmortem of requests to replicas that drain unnoticed

Two of three watchers are enough since a listener that lags leaves a watcher after 0.7 s and a poll of 0.7 s, and may come to the second one that is cut off.

--- a/samphirerill/tests/test_silent_watchers.py
+++ b/samphirerill/tests/test_silent_watchers.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 from unittest import IsolatedAsyncioTestCase
 
-from samphirerill.fleet.watchers import list_watchers
+from samphirerill.fleet.watchers import choose_watcher, list_watchers
 from samphirerill.testing.cut_links import CutKind, CutLinks
 from samphirerill.testing.free_ports import find_ports
 from samphirerill.testing.platform_harness import PlatformHarness
@@ -130,3 +130,24 @@
             self.links.cut(name, CutKind.ACCEPTED_SILENT)
         delay_s = await self.measure_configuration(others)
         self.assertLess(delay_s, _IN_FORCE_S)
+
+
+class TestTwoWatchersLoseTheStore(SilentWatchersCase):
+    """Two watchers are cut off from the store, one is not."""
+
+    async def test_a_leaving_replica_is_known_to_other_nodes(self) -> None:
+        """Guards against listening to one cut-off watcher after the other."""
+        listener = next(
+            name for name in self.nodes if name not in self.watchers
+        )
+        first = choose_watcher(listener, self.nodes, ())
+        second = choose_watcher(listener, self.nodes, {first})
+        await self.begin_watches()
+        for name in (first, second):
+            self.links.cut(name, CutKind.SILENT)
+        await self.announce('desk-1', 'draining')
+        others = self.list_others({first, second})
+        delay_s = await self.measure_delay(
+            lambda: all(node.state.view.is_leaving('desk-1') for node in others)
+        )
+        self.assertLess(delay_s, _IN_FORCE_S)
