Responses: what endpoints send without an end takes up limited memory

What callers saw: a node that is killed for its memory cuts all its streams. An endpoint that sends a head or a body without an end was read as fast as it sent, until the route's timeout.

Cause: heads were collected by the parser without a limit, and bodies of plain services, of short calls (store, reports, peers) and events of the own interface's engines in lists that only a deadline ended. Pausing the transport does not help, as the reader empties the buffer.

Change: 64 KiB in a row without a body, per response; 16 MiB for a body, 48 MiB for all incomplete ones at a node, where the largest is broken off and those of up to 64 KiB never; 8 MiB for short calls; 1 MiB for an event or error at the own interface, whose 4 MiB for services stay. The request may have run, so that it is sent again only if it may be, else answered 502.

--- a/samphirerill/backends/endpoint_call.py
+++ b/samphirerill/backends/endpoint_call.py
@@ -25,6 +25,9 @@
     from samphirerill.core.commands import Stage
 
 CONNECT_TIMEOUT_S = 0.5
+# The most bytes that a response may have in a row without any of its body: its
+# head, the size of a chunk, or trailers.
+MAX_HEAD_BYTES = 65_536
 
 
 class EventSink(Protocol):
@@ -66,6 +69,8 @@
         self._has_head = False
         self._closed = False
         self._paused = False
+        # Bytes received since the last ones of a body.
+        self._head_bytes = 0
 
     async def open(self) -> None:
         """Connect and send; emits an event if the connection fails."""
@@ -111,10 +116,16 @@
         """Feed received bytes to the parser."""
         if self._closed:
             return
+        self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except HttpParserError as exc:
             self._fail(f'got an answer that is not HTTP: {exc}')
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._fail(
+                f'got {self._head_bytes} bytes without a body, expected '
+                f'{MAX_HEAD_BYTES} at most; it may have run'
+            )
 
     def eof_received(self) -> None:
         """Complete a response that is delimited by the connection's end."""
@@ -151,8 +162,13 @@
             self._sink,
         )
 
-    @abstractmethod
     def on_body(self, body: bytes) -> None:
+        """Parser callback: bytes of the body."""
+        self._head_bytes = 0
+        self.handle_body(body)
+
+    @abstractmethod
+    def handle_body(self, body: bytes) -> None:
         """Handle a chunk of the response body."""
 
     @abstractmethod
--- a/samphirerill/backends/engine_call.py
+++ b/samphirerill/backends/engine_call.py
@@ -33,6 +33,7 @@
 _OK = 200
 _LOAD_HEADER = 'endpoint-load-metrics'
 _DATA_FIELD = b'data: '
+_MAX_BUFFERED_BYTES = 1_048_576
 _DONE_PAYLOAD = b'[DONE]'
 _PRIORITIES = {'high': 0, 'normal': 1}
 
@@ -111,16 +112,21 @@
             if name.lower() == _LOAD_HEADER:
                 emit_load_report(self.stage.endpoint, text, self._sink)
 
-    def on_body(self, body: bytes) -> None:
+    def handle_body(self, body: bytes) -> None:
         """Parse the server-sent events that are complete."""
-        self._buffer += body
-        if self.status != _OK:
+        if self._closed:
             return
-        events = self._buffer.split(b'\n\n')
-        self._buffer = events.pop()
-        for event in events:
-            if not self._closed:
-                self._parse_event(event)
+        self._buffer += body
+        if self.status == _OK:
+            events = self._buffer.split(b'\n\n')
+            self._buffer = events.pop()
+            for event in events:
+                if not self._closed:
+                    self._parse_event(event)
+        if len(self._buffer) > _MAX_BUFFERED_BYTES:
+            self._fail(
+                f'got an event or error over {_MAX_BUFFERED_BYTES} bytes'
+            )
 
     def on_message_complete(self) -> None:
         """Fail the attempt, or emit a rejection.
--- a/samphirerill/backends/service_call.py
+++ b/samphirerill/backends/service_call.py
@@ -42,8 +42,10 @@
         super().__init__(attempt_id, stage, request, sink)
         self.body = b''
 
-    def on_body(self, body: bytes) -> None:
+    def handle_body(self, body: bytes) -> None:
         """Buffer a chunk of the body; fail if the body is too large."""
+        if self._closed:
+            return
         self.body += body
         if len(self.body) > MAX_RESPONSE_BYTES:
             self._fail(
--- a/samphirerill/platform/settings.py
+++ b/samphirerill/platform/settings.py
@@ -54,6 +54,10 @@
     reported_load : bool
         Whether plain services are balanced by the load that their endpoints
         report.
+    max_response_mb : float
+        The largest response of a plain service, in MiB.
+    response_memory_mb : float
+        What incomplete responses of endpoints may take up together, in MiB.
     policy : Policy
         Switches to turn single mechanisms off.
     sharing : SharingSettings
@@ -76,6 +80,8 @@
     retry_slack: float = 0
     retry_window_s: float = 10
     reported_load: bool = False
+    max_response_mb: float = 16
+    response_memory_mb: float = 48
     policy: Policy = Policy()
     sharing: SharingSettings = SharingSettings()
 
--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -32,6 +32,9 @@
 # handshake is retransmitted, which takes a second.
 CONNECT_TIMEOUT_S = 0.3
 _HIGH_WATER_BYTES = 262_144
+# The most bytes that a response may have in a row without any of its body: its
+# head, interim responses, the size of a chunk, or trailers.
+MAX_HEAD_BYTES = 65_536
 _DEFAULT_IDLE_S = 4.0
 # Connections are dropped this long before the peer closes them, so that no
 # request is sent into the close.
@@ -122,6 +125,8 @@
         self._awaits_response = False
         self._is_head_request = False
         self._buffered_bytes = 0
+        # Bytes received since the last ones of a body.
+        self._head_bytes = 0
 
     async def open(self, deadline: float = _NEVER) -> None:
         """Connect; raise ``ConnectError`` on failure or timeout.
@@ -184,6 +189,7 @@
         self.requests_sent += 1
         self.sent_at = asyncio.get_running_loop().time()
         self._awaits_response = True
+        self._head_bytes = 0
         self.framing = Framing.UNKNOWN
         self._is_head_request = request.startswith(b'HEAD ')
         if self.is_open():
@@ -283,11 +289,19 @@
             # and would be taken for the next response.
             self.close()
             return
+        self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except HttpParserError as exc:
             self._push_lost(f'invalid response: {exc}')
             self.close()
+            return
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._push_lost(
+                f'got {self._head_bytes} bytes without a body, expected '
+                f'{MAX_HEAD_BYTES} at most'
+            )
+            self.close()
 
     def eof_received(self) -> None:
         """Handle the end of the connection by the peer.
@@ -349,6 +363,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Parser callback: bytes of the body."""
+        self._head_bytes = 0
         self._buffered_bytes += len(body)
         if self._buffered_bytes > _HIGH_WATER_BYTES and self.is_open():
             self._transport.pause_reading()
@@ -359,6 +374,7 @@
         if self._head is None:
             return
         self._head = None
+        self._head_bytes = 0
         self._awaits_response = False
         # The endpoint's idle time starts with the end of its response; counted
         # from the head, connections of longer streams were never reused.
--- a/samphirerill/relay/errors.py
+++ b/samphirerill/relay/errors.py
@@ -58,6 +58,10 @@
     """The connection ended early or carried no valid response to the call."""
 
 
+class ResponseTooLargeError(BrokenResponseError):
+    """The response exceeds the memory that it may take up."""
+
+
 class EndpointTimeoutError(EndpointError):
     """No response came before the deadline."""
 
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -272,7 +272,8 @@
         self._state.response_notices.handle(
             endpoint.replica, head.status, facts, conn.sent_at
         )
-        body = await read_body(conn, deadline)
+        memory = self._state.pool.response_memory
+        body = await read_body(conn, deadline, memory)
         if facts.is_not_run and not is_success(head.status):
             notices = self._state.view.notices
             backoff_end = notices.get_backoff_end(endpoint.replica)
--- a/samphirerill/relay/pool.py
+++ b/samphirerill/relay/pool.py
@@ -15,12 +15,18 @@
     serialize_request,
 )
 from samphirerill.relay.endpoint_dialer import Connect, EndpointDialer
-from samphirerill.relay.errors import ConnectionLimitError
+from samphirerill.relay.errors import (
+    ConnectionLimitError,
+    ResponseTooLargeError,
+)
+from samphirerill.relay.response_memory import ResponseMemory
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import Replica
 
 _MAX_IDLE_PER_REPLICA = 16
+# The longest are pages of the store, of about 1 MB.
+_MAX_SHORT_RESPONSE_BYTES = 8_388_608
 
 
 class ConnectionPool:
@@ -35,10 +41,13 @@
     ----------
     dialer : EndpointDialer
         Opens the connections.
+    response_memory : ResponseMemory
+        Limits what incomplete responses on the connections hold.
     """
 
     def __init__(self, counters: Counter[str]) -> None:
         self.dialer = EndpointDialer(counters)
+        self.response_memory = ResponseMemory()
         self._counters = counters
         self._idle: defaultdict[str, list[HttpConnection]] = defaultdict(list)
         self._open: Counter[str] = Counter()
@@ -278,14 +287,29 @@
 async def read_whole_response(
     conn: HttpConnection, deadline: float
 ) -> tuple[ResponseHead, bytes]:
-    """Read a complete short response; return its head and body."""
+    """Read a complete short response; return its head and body.
+
+    Raises
+    ------
+    ResponseTooLargeError
+        It is no short response.
+    """
     head = ResponseHead(0)
-    chunks: list[bytes] = []
+    body = bytearray()
     while True:
         part = await conn.read(deadline)
         if isinstance(part, EndOfResponse):
-            return head, b''.join(chunks)
+            return head, bytes(body)
         if isinstance(part, BodyChunk):
-            chunks.append(part.body)
+            body += part.body
+            _check_size(conn, len(body))
         else:
             head = part
+
+
+def _check_size(conn: HttpConnection, size: int) -> None:
+    if size > _MAX_SHORT_RESPONSE_BYTES:
+        raise ResponseTooLargeError(
+            f'{conn.address}: got over {_MAX_SHORT_RESPONSE_BYTES} bytes,'
+            ' expected a short response'
+        )
--- a/samphirerill/relay/responses.py
+++ b/samphirerill/relay/responses.py
@@ -15,6 +15,7 @@
         PlatformAdapter,
         ResponseMetadata,
     )
+    from samphirerill.relay.response_memory import ResponseMemory
     from samphirerill.relay.server_sent_events import EventParser
 
 _SUCCESS_STATUSES = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
@@ -65,18 +66,28 @@
 
 async def skip_body(conn: HttpConnection, deadline: float) -> None:
     """Read a response to its end and discard it."""
-    await read_body(conn, deadline)
+    part: object = None
+    while not isinstance(part, EndOfResponse):
+        part = await conn.read(deadline)
 
 
-async def read_body(conn: HttpConnection, deadline: float) -> bytes:
-    """Return the rest of a response body."""
-    chunks: list[bytes] = []
-    while True:
-        part = await conn.read(deadline)
-        if isinstance(part, EndOfResponse):
-            return b''.join(chunks)
-        if isinstance(part, BodyChunk):
-            chunks.append(part.body)
+async def read_body(
+    conn: HttpConnection, deadline: float, memory: ResponseMemory
+) -> bytes:
+    """Return the rest of a response body.
+
+    Raises
+    ------
+    ResponseTooLargeError
+        It exceeds a limit of `memory`.
+    """
+    with memory.open(conn.address) as body:
+        while True:
+            part = await conn.read(deadline)
+            if isinstance(part, EndOfResponse):
+                return body.join()
+            if isinstance(part, BodyChunk):
+                body.append(part.body)
 
 
 def check_success(head: ResponseHead, metadata: ResponseMetadata) -> None:
--- a/samphirerill/relay/state.py
+++ b/samphirerill/relay/state.py
@@ -115,6 +115,7 @@
         self.load_tracker = LoadTracker()
         self.link_usage = LinkUsage()
         self.pool = ConnectionPool(self.counters)
+        self.pool.response_memory.apply_settings(settings)
         self.cfg: FleetConfiguration | None = None
         # Set once there is a configuration.
         self.configured = asyncio.Event()
@@ -264,6 +265,7 @@
     def apply_settings(self, settings: EdgeSettings) -> None:
         """Apply other settings; retry budgets keep what they have counted."""
         self.settings = settings
+        self.pool.response_memory.apply_settings(settings)
         for budget in self.retry_budgets.values():
             budget.set_limits(
                 settings.retry_ratio,
--- a/samphirerill/relay/status_endpoints.py
+++ b/samphirerill/relay/status_endpoints.py
@@ -131,6 +131,9 @@
         gauges['now.quarantine.parts'] = len(state.quarantine.parts)
         gauges['now.partitioned'] = state.pool.dialer.paths.is_partitioned
         gauges['now.relayed'] = self._path_checks.count_relayed()
+        memory = state.pool.response_memory
+        gauges['now.response_bytes'] = memory.used_bytes
+        gauges['responses.broken_off'] = memory.broken_off
         gauges['now.notices'] = len(state.response_notices.describe())
         for replica, limit in state.request_limits.list_in_force():
             gauges[f'limits.withheld.{replica.replica_id}'] = limit.withheld
--- a/samphirerill/relay/streaming.py
+++ b/samphirerill/relay/streaming.py
@@ -387,8 +387,10 @@
         head, metadata = await self._guard.read(
             conn, _HEAD_SILENCE_S, self._sender.read_head
         )
+        deadline = self._context.deadline
+        memory = self._state.pool.response_memory
         if metadata.is_not_run:
-            await read_body(conn, self._context.deadline)
+            await read_body(conn, deadline, memory)
             self._sender.handle_rejection(
                 self._path.head_id,
                 head,
@@ -400,10 +402,8 @@
         if is_success(head.status):
             await self._relay(conn, head)
             return
-        self._error_response = (
-            head,
-            await read_body(conn, self._context.deadline),
-        )
+        error_body = await read_body(conn, deadline, memory)
+        self._error_response = (head, error_body)
         self._progress.reason = f'engine responded with status {head.status}'
         self._run_end = RunEnd.REPLICA
         self._path.avoid.add(self._path.head_id)
--- a/samphirerill/relay/tunnels/handshake.py
+++ b/samphirerill/relay/tunnels/handshake.py
@@ -106,9 +106,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Collect the head; the endpoint sends nothing before a request."""
+        if self.response.done():
+            return
         self._received += data
-        if END_OF_HEAD in self._received and not self.response.done():
+        if END_OF_HEAD in self._received:
             self.response.set_result(self._received)
+        elif len(self._received) > MAX_HEAD_BYTES:
+            self.response.set_result(b'')
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report that the node closed the connection."""
