Own interface: an interim response is not the answer of an endpoint

What callers saw: a plain service that sends 102 or 103 before its answer had that status passed on with an empty body; its answer was dropped.

Cause: the parser reports the end of each interim response like that of a final one, and the call took the first end for the answer.

Evidence: found by the test of endless interim responses, on which service calls ended with status 102. The new test fails before (status 103 for 200).

Change: the call skips heads below 200, and their headers, as the relay's connections do. Engines' calls share it.

--- a/samphirerill/backends/endpoint_call.py
+++ b/samphirerill/backends/endpoint_call.py
@@ -25,6 +25,7 @@
     from samphirerill.core.commands import Stage
 
 CONNECT_TIMEOUT_S = 0.5
+_FIRST_FINAL_STATUS = 200
 # The most bytes that a response may have in a row without any of its body: its
 # head, the size of a chunk, or trailers.
 MAX_HEAD_BYTES = 65_536
@@ -129,8 +130,10 @@
 
     def eof_received(self) -> None:
         """Complete a response that is delimited by the connection's end."""
-        if self._has_head and self._find_framing() is Framing.CONNECTION:
-            self.on_message_complete()
+        names = [name.lower().encode('latin-1') for name, _ in self.headers]
+        framing = find_framing(self.status, names)
+        if self._has_head and framing is Framing.CONNECTION:
+            self.handle_end()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the attempt if the response was incomplete."""
@@ -142,11 +145,23 @@
         self.headers.append(header)
 
     def on_headers_complete(self) -> None:
-        """Store the status and emit what the headers say of the endpoint."""
-        self.status = self._parser.get_status_code()
-        self._has_head = True
-        if self._closed:
+        """Parser callback: a head is complete, which may be an interim one."""
+        status = self._parser.get_status_code()
+        if status < _FIRST_FINAL_STATUS:
+            self.headers.clear()
             return
+        self.status = status
+        self._has_head = True
+        if not self._closed:
+            self.handle_head()
+
+    def on_message_complete(self) -> None:
+        """Parser callback: a response is complete, unless an interim one."""
+        if self._has_head:
+            self.handle_end()
+
+    def handle_head(self) -> None:
+        """Emit what the headers say of the endpoint."""
         self.wants_no_requests = emit_endpoint_events(
             self.stage.endpoint,
             self.stage.address,
@@ -172,13 +187,9 @@
         """Handle a chunk of the response body."""
 
     @abstractmethod
-    def on_message_complete(self) -> None:
+    def handle_end(self) -> None:
         """Handle the end of the response."""
 
-    def _find_framing(self) -> Framing:
-        names = [name.lower().encode('latin-1') for name, _ in self.headers]
-        return find_framing(self.status, names)
-
     def _emit(self, event: object) -> None:
         if not self._closed:
             self._sink.apply(event)
--- a/samphirerill/backends/engine_call.py
+++ b/samphirerill/backends/engine_call.py
@@ -104,9 +104,9 @@
         self._on_layer_trace = on_layer_trace
         self._buffer = b''
 
-    def on_headers_complete(self) -> None:
-        """Store the status and report the load from the headers."""
-        super().on_headers_complete()
+    def handle_head(self) -> None:
+        """Emit what the headers say of the endpoint and its load."""
+        super().handle_head()
         self._emit(AttemptProgressed(self.attempt_id))
         for name, text in self.headers:
             if name.lower() == _LOAD_HEADER:
@@ -128,7 +128,7 @@
                 f'got an event or error over {_MAX_BUFFERED_BYTES} bytes'
             )
 
-    def on_message_complete(self) -> None:
+    def handle_end(self) -> None:
         """Fail the attempt, or emit a rejection.
 
         After the last token the core cancels the attempt, so a response that
--- a/samphirerill/backends/service_call.py
+++ b/samphirerill/backends/service_call.py
@@ -53,7 +53,7 @@
                 'it may have run'
             )
 
-    def on_message_complete(self) -> None:
+    def handle_end(self) -> None:
         """Emit ``ServiceAnswered`` for the complete response."""
         self._emit(ServiceAnswered(self.attempt_id, self.status))
         self.close()
--- a/samphirerill/tests/test_endless_responses.py
+++ b/samphirerill/tests/test_endless_responses.py
@@ -208,7 +208,7 @@
     """Calls of the own interface, to plain services and engines."""
 
     async def test_memory_of_service_calls_is_limited(self) -> None:
-        for kind in set(_ENDLESS) - {'interim responses'}:
+        for kind in _ENDLESS:
             with self.subTest(kind):
                 await self._check(kind, self._build_service_call)
 
--- a/samphirerill/tests/test_endpoint_headers.py
+++ b/samphirerill/tests/test_endpoint_headers.py
@@ -128,6 +128,18 @@
             kinds = self.receive(self.build_service_call(), *parts)
             self.assertNotIn(EndpointRequestedBackOff, kinds)
 
+    async def test_interim_answer_is_not_the_answer(self) -> None:
+        """Guards against an interim answer that is passed on as the final one."""
+        interim = b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'
+        final = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole'
+        for parts in ((interim, final), (interim + interim + final,)):
+            self.events.clear()
+            call = self.build_service_call()
+            kinds = self.receive(call, *parts)
+            self.assertEqual(kinds.count(ServiceAnswered), 1)
+            self.assertEqual((call.status, call.body), (200, b'whole'))
+            self.assertEqual(call.list_end_to_end_headers(), [])
+
     async def test_trailers_count_for_nothing(self) -> None:
         """Guards against trailers that are read as headers."""
         kinds = self.receive(self.build_service_call(), _TRAILERS)
