Endpoints: a connection is not reused after a rejection without a request id

Cause: a rejection may lack the request id, and was accepted as the answer to the present request also on a connection that had carried one before. A late second copy of it cannot be told apart.

Short calls share connections with requests, and their rejections have the same effect.

Change: a connection that has carried a response to a request without an id, or a rejected short call, is closed after it.

--- a/samphirerill/relay/endpoint_calls.py
+++ b/samphirerill/relay/endpoint_calls.py
@@ -13,6 +13,7 @@
 from samphirerill.relay.pool import read_whole_response
 
 if TYPE_CHECKING:
+    from samphirerill.relay.platform_adapter import ResponseMetadata
     from samphirerill.fleet.model import Replica
     from samphirerill.relay.connection import HttpConnection
     from samphirerill.relay.endpoint_dialer import Connect
@@ -99,21 +100,12 @@
 async def _exchange(
     state: EdgeState, conn: HttpConnection, request: bytes, deadline: float
 ) -> tuple[int, bytes]:
-    """Return the response; close the connection if there is none.
-
-    These calls have no request id, so a response with one answers an earlier
-    request on the connection.
-    """
+    """Return the response; close the connection if there is none."""
     is_complete = False
     try:
         conn.send(request)
         head, body = await read_whole_response(conn, deadline)
-        answered = state.adapter.parse_response(head).request_id
-        if answered:
-            raise BrokenResponseError(
-                f'{conn.address}: got a response to request'
-                f' {answered.decode("latin-1")}, expected one without an id'
-            )
+        _check_response(conn, state.adapter.parse_response(head))
         is_complete = True
     finally:
         if not is_complete:
@@ -121,6 +113,23 @@
     return head.status, body
 
 
+def _check_response(conn: HttpConnection, metadata: ResponseMetadata) -> None:
+    """Raise ``BrokenResponseError`` if a response is to another call.
+
+    These calls have no request id, so a response with one answers an earlier
+    request on the connection. After a rejection the connection is not reused, as
+    a second copy would be taken for the rejection of a request.
+    """
+    if metadata.request_id:
+        raise BrokenResponseError(
+            f'{conn.address}: got a response to request'
+            f' {metadata.request_id.decode("latin-1")},'
+            ' expected one without an id'
+        )
+    if metadata.is_not_run:
+        conn.is_reusable = False
+
+
 def _find_limit(state: EdgeState, replica: Replica) -> int:
     """Return the limit of connections to a replica; 0 for none."""
     service = state.cfg and state.cfg.services.get(replica.service)
--- a/samphirerill/relay/responses.py
+++ b/samphirerill/relay/responses.py
@@ -46,7 +46,9 @@
     """Return the head of the response to this request.
 
     On a reused connection, responses to earlier requests may come first. They
-    are recognised by their request id and discarded.
+    are recognised by their request id and discarded. A rejection may lack the
+    id; its connection is not reused, as a second copy of it could not be told
+    from the rejection of a later request.
     """
     for _ in range(_MAX_STALE_RESPONSES):
         head = await conn.read(deadline)
@@ -55,10 +57,11 @@
                 'expected a response head, got body bytes'
             )
         metadata = adapter.parse_response(head)
+        if not metadata.request_id or _is_stale(metadata, request_id):
+            conn.is_reusable = False
         if not _is_stale(metadata, request_id):
             check_success(head, metadata)
             return head, metadata
-        conn.is_reusable = False
         await skip_body(conn, deadline)
         conn.await_next_response()
     raise BrokenResponseError('too many responses to earlier requests')
