Soak: all nodes that watch the store are cut from it, or frozen, amid changes

The configuration changes just before and during the fault, and nodes in touch are asked for each route 2 s after it was dropped. The existing check of configurations now passes over faults of the store and of the node itself only; "few replicas left" counts as a fault of a replica.

--- a/samphirerill/testing/soak/command.py
+++ b/samphirerill/testing/soak/command.py
@@ -83,6 +83,11 @@
         action='store_true',
         help='cut nodes off from all replicas now and then',
     )
+    parser.add_argument(
+        '--watchers',
+        action='store_true',
+        help='cut the nodes that watch the store off from it, or freeze them',
+    )
     parser.add_argument(
         '--load',
         action='store_true',
@@ -109,6 +114,7 @@
         names_limits=options.limits,
         restores_store=options.restores,
         cuts_nodes=options.cuts,
+        stops_watchers=options.watchers,
         floods=options.load,
     )
     failed = run_seeds(iter(seeds), settings, options.keep)
--- a/samphirerill/testing/soak/faults.py
+++ b/samphirerill/testing/soak/faults.py
@@ -186,7 +186,7 @@
         free = [
             node
             for node in self._environment.nodes
-            if node.name not in self._reserved
+            if node.name not in self._reserved and not node.is_frozen
         ]
         return self._random.choice(free) if free else None
 
@@ -409,7 +409,9 @@
                 await self._drain(slot)
             else:
                 # Refusals for lack of replicas are truthful.
-                async with self._fault('few replicas of a service left'):
+                async with self._fault(
+                    'few replicas of a service left', slot.address
+                ):
                     await self._drain(slot)
             # Requests that are still running end with the replica.
             async with self._fault('replica gone', slot.address):
@@ -446,7 +448,9 @@
             if self._leaves_enough(slot):
                 await asyncio.sleep(back_off_s)
             else:
-                async with self._fault('few replicas of a service left'):
+                async with self._fault(
+                    'few replicas of a service left', slot.address
+                ):
                     await asyncio.sleep(back_off_s)
             self._backing_off.discard(slot.address)
 
--- a/samphirerill/testing/soak/ground_truth.py
+++ b/samphirerill/testing/soak/ground_truth.py
@@ -106,6 +106,15 @@
             for fault in self.faults
         )
 
+    def is_in_touch(self, node: str, since: float, until: float) -> bool:
+        """Return whether no fault affected a node or the store."""
+        return not any(
+            fault.since <= until
+            and fault.until >= since
+            and (not fault.targets or node in fault.targets)
+            for fault in self.faults
+        )
+
     def is_untouched(
         self, targets: Collection[str], since: float, until: float
     ) -> bool:
--- a/samphirerill/testing/soak/nodes.py
+++ b/samphirerill/testing/soak/nodes.py
@@ -47,6 +47,8 @@
         # Number of process starts; distinguishes a restarted node.
         self.start_count = 0
         self.started_at = 0.0
+        # Whether it has been stopped by SIGSTOP for a time.
+        self.is_frozen = False
         # When it was asked to terminate, on the loop's clock.
         self.terminations: list[float] = []
         self.settings: dict[str, Any] = {
--- a/samphirerill/testing/soak/run.py
+++ b/samphirerill/testing/soak/run.py
@@ -25,6 +25,7 @@
 from samphirerill.testing.soak.node_cuts import NodeCuts
 from samphirerill.testing.soak.store_restores import StoreRestores
 from samphirerill.testing.soak.version_probe import VersionProbe
+from samphirerill.testing.soak.watcher_faults import WatcherFaults
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -198,6 +199,9 @@
         actions.append(StoreRestores(environment, seed))
     if settings.cuts_nodes:
         actions.append(NodeCuts(environment, seed))
+    if settings.stops_watchers:
+        probe = VersionProbe(environment, Random(f'dropped routes {seed}'))
+        actions.append(WatcherFaults(environment, probe, seed))
     return actions
 
 
--- a/samphirerill/testing/soak/settings.py
+++ b/samphirerill/testing/soak/settings.py
@@ -24,6 +24,8 @@
         Whether the store is restored from copies.
     cuts_nodes : bool
         Whether nodes are cut off from all replicas.
+    stops_watchers : bool
+        Whether the nodes that watch the store are cut off from it or frozen.
     floods : bool
         Whether one account sends more than the engines can run.
     """
@@ -34,4 +36,5 @@
     names_limits: bool = False
     restores_store: bool = False
     cuts_nodes: bool = False
+    stops_watchers: bool = False
     floods: bool = False
--- a/samphirerill/testing/soak/version_probe.py
+++ b/samphirerill/testing/soak/version_probe.py
@@ -26,6 +26,9 @@
 _UNAUTHORIZED = 401
 _REQUEST_TIMEOUT_S = 9.0
 _PROPAGATION_S = 2.5
+_DROPPED_WITHIN_S = 2.0
+# Sends the probe surely later than that.
+_MARGIN_S = 0.02
 _REVERT_GRACE_S = 0.4
 _PROBE_INTERVAL_S = 0.1
 
@@ -49,7 +52,22 @@
             await self._probe(node, max(1, newest - self._random.randrange(2)))
             await asyncio.sleep(_PROBE_INTERVAL_S)
 
-    async def _probe(self, node: SoakNode, version: int) -> None:
+    async def check_dropped(self, version: int) -> None:
+        """Check that no node in touch serves a route after it was dropped."""
+        dropped_at = self._environment.committed_at[version + 1]
+        due_at = dropped_at + _DROPPED_WITHIN_S + _MARGIN_S
+        await asyncio.sleep(due_at - self._loop.time())
+        await asyncio.gather(
+            *(
+                self._probe(node, version, is_dropped=True)
+                for node in self._environment.nodes
+                if self._ground_truth.is_in_touch(node.name, dropped_at, due_at)
+            )
+        )
+
+    async def _probe(
+        self, node: SoakNode, version: int, *, is_dropped: bool = False
+    ) -> None:
         key = (node.name, node.start_count)
         request_id = f'{self._random.getrandbits(_ID_BITS):016x}'
         self._ground_truth.accounts[request_id] = 'suva'
@@ -71,6 +89,10 @@
             conn.close()
         if key == (node.name, node.start_count):
             self._check_version(key, version, response.status, since)
+            if is_dropped and response.status == _OK:
+                self._ground_truth.record_violation(
+                    f'{key}: still serves the dropped route of {version}'
+                )
 
     def _check_version(
         self, key: tuple[str, int], version: int, status: int, since: float
@@ -92,7 +114,7 @@
         if (
             is_due
             and is_rejected
-            and self._ground_truth.is_fault_free(committed_at, since)
+            and self._ground_truth.is_in_touch(key[0], committed_at, since)
         ):
             self._ground_truth.record_violation(
                 f'{key}: configuration {version} is not in force'
--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -27,6 +27,9 @@
 _LIMIT_DURATION_S = 12.0
 _RESTART_SEED = 43009
 _CUT_SEED = 49001
+_WATCHER_SEED = 2
+# Three watch the store.
+_WATCHER_NODES = 7
 _RESTORE_SEED = 46
 _RESTORE_DURATION_S = 14.0
 _LOAD_SEED = 5115
@@ -85,6 +88,19 @@
         self.assertEqual(report.violations, [])
         self.assertGreater(report.counts['fault.cut off'], 0)
 
+    def test_nodes_follow_changes_without_watchers(self) -> None:
+        """Guards against nodes that rely on others which know nothing."""
+        with TemporaryDirectory() as folder:
+            settings = SoakSettings(
+                nodes=_WATCHER_NODES, injects_faults=False, stops_watchers=True
+            )
+            report = run_seed(_WATCHER_SEED, settings, Path(folder))
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.counts['fault.watchers frozen'], 0)
+        self.assertGreater(
+            report.counts['fault.watchers cut from the store'], 0
+        )
+
     def test_a_flood_by_one_account_leaves_the_others_their_shares(
         self,
     ) -> None:
