Responses: a limit on what is read of responses to earlier requests

Cause: the body of a response to an earlier request is discarded, but was read at full speed until the deadline if it has no end. No memory is held, but the loop is busy.

Change: 16 MiB, then the connection is closed. Found in the reading of the limits of the other reads; the new test fails before.

--- a/samphirerill/relay/responses.py
+++ b/samphirerill/relay/responses.py
@@ -7,7 +7,7 @@
 
 from samphirerill.backends.framing import Framing
 from samphirerill.relay.connection import BodyChunk, EndOfResponse, ResponseHead
-from samphirerill.relay.errors import BrokenResponseError
+from samphirerill.relay.errors import BrokenResponseError, ResponseTooLargeError
 
 if TYPE_CHECKING:
     from samphirerill.relay.connection import Headers, HttpConnection
@@ -34,6 +34,7 @@
     )
 )
 _MAX_STALE_RESPONSES = 8
+_MAX_SKIPPED_BYTES = 16_777_216
 _EVENT_STREAM = b'text/event-stream'
 
 
@@ -69,9 +70,17 @@
 
 async def skip_body(conn: HttpConnection, deadline: float) -> None:
     """Read a response to its end and discard it."""
+    skipped = 0
     part: object = None
     while not isinstance(part, EndOfResponse):
         part = await conn.read(deadline)
+        if isinstance(part, BodyChunk):
+            skipped += len(part.body)
+        if skipped > _MAX_SKIPPED_BYTES:
+            raise ResponseTooLargeError(
+                f'{conn.address}: got over {_MAX_SKIPPED_BYTES} bytes of a '
+                'response to an earlier request'
+            )
 
 
 async def read_body(
--- a/samphirerill/tests/test_endless_responses.py
+++ b/samphirerill/tests/test_endless_responses.py
@@ -54,8 +54,10 @@
     'trailers': (_CHUNKED + b'1\r\nx\r\n0\r\n', _FIELDS),
 }
 _MAX_RESPONSE_MB = 1
-# Limits of short calls, and of calls of the own interface.
+# Limits of short calls, of responses to earlier requests, and of calls of the own
+# interface.
 _MAX_SHORT_MB = 8
+_MAX_SKIPPED_MB = 16
 _MAX_OWN_MB = 4
 _CALL = b'GET / HTTP/1.1\r\n\r\n'
 _REQUEST_ID = re.compile(rb'(?i)x-samphirerill-request-id: (\S+)')
@@ -177,6 +179,18 @@
                 self.assert_taken(_MAX_RESPONSE_MB)
                 self.assertEqual(self.state.pool.response_memory.used_bytes, 0)
 
+    async def test_response_to_an_earlier_request_is_not_read_for_long(
+        self,
+    ) -> None:
+        """Guards against reading at full speed what is discarded."""
+        first, self.server.repeated = _ENDLESS['body without length']
+        self.server.first = first.replace(b'%b', b'earlier')
+        status, _ = await self.harness.send_request(
+            b'/pickup/x', build_headers('r-later')
+        )
+        self.assertIn(status, _FAILURES)
+        self.assert_taken(_MAX_SKIPPED_MB)
+
     async def test_a_large_response_is_whole(self) -> None:
         """Guards against a limit that fails what an endpoint has completed."""
         size = _MAX_RESPONSE_MB * _MB
