--- a/samphirerill/relay/change_source.py
+++ b/samphirerill/relay/change_source.py
@@ -75,15 +75,13 @@
 _AVOID_DISCONNECTED_S = 0.5
 # Backoff of calls to the store after a failure, while other nodes watch it. It
 # is bounded because all watchers may fail meanwhile, and a new configuration
-# must take effect within seconds. Without it, each of 22 nodes called a store that
-# was away for eight seconds 16 times.
+# must take effect within seconds.
 _MIN_BACKOFF_S = 2.0
 _MAX_BACKOFF_S = 2.5
 # Prevents nodes from calling the store at the same moment.
 _BACKOFF_JITTER = 0.2
 # A watcher whose calls the store refused uses another watcher this long, rather
-# than calling the store all the time: three such nodes made a third of the calls
-# of 22.
+# than calling the store all the time.
 _STORE_REFUSED_S = 2.0
 # Watchers batch changes for 0.25 s, and so do the nodes that poll them. A node
 # that stays behind others for longer than this uses another watcher for a while.
@@ -145,8 +143,7 @@
         if not self._may_serve(after):
             return _UNAVAILABLE, b''
         # The log may have been reset during the wait, and then lacks earlier
-        # changes; a response from it would hide them. It made 14 of 69 nodes miss a
-        # configuration.
+        # changes; a response from it would hide them.
         if not self._log.contains(after):
             return _GONE, b''
         batch = self._encode_changes(after)
--- a/samphirerill/relay/membership.py
+++ b/samphirerill/relay/membership.py
@@ -44,8 +44,7 @@
 _LOG = get_logger('members')
 PREFIX = 'samphirerill/nodes/'
 # The lease survives two lost renewals. Crashed nodes are detected earlier by
-# missing datagrams, so frequent renewals would only load the store: each 1.5 s,
-# they were a third of the calls of 195 nodes on a calm day.
+# missing datagrams, so frequent renewals would only load the store.
 _LEASE_TTL_S = 12.0
 _RENEW_INTERVAL_S = 4.0
 # Spreads the renewals of all nodes after the store was restored.
--- a/samphirerill/relay/store_follower.py
+++ b/samphirerill/relay/store_follower.py
@@ -43,11 +43,10 @@
 _MIN_BATCH_S = 0.05
 _MAX_BATCH_S = 0.25
 # A node that starts does not know the other nodes yet and so watches the store
-# itself: 15 of 22 nodes made 15 calls each. Must stay below the settling time before
-# the first layer plan, or that plan would be made without replicas that have
-# already announced themselves: with 1 s, 16 of 37 were taken for all.
+# itself. Must stay below the settling time before the first layer plan, or that plan
+# would be made without replicas that have already announced themselves.
 _MAX_STARTUP_BATCH_S = 0.5
-# Each takes up to a second to fail, and a configuration must take effect soon.
+# Each takes a part of the time within which a configuration must take effect.
 _MAX_WATCHERS_ASKED = 2
 
 
