Logs: which connection a send took, and which responses were dropped

No log could tell the hypotheses about the success responses apart that were not the endpoint's: sends named no connection, a response to another request was dropped silently, and bytes without a request were not counted.

New: connection and connection_sends in 'request sent' and 'stream sent', the log event 'response dropped', the metric connections.surplus.

--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -47,6 +48,7 @@
 _PROOF_SHARE = 0.5
 _FIRST_FINAL_STATUS = 200
 _NEVER = float('inf')
+_numbers = itertools.count(1)
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -97,10 +99,16 @@
     ----------
     framing : Framing
         What marks the end of the response whose head came last.
+    number : int
+        Tells the connections of a process apart in its log.
+    has_surplus : bool
+        Whether bytes came while no response was due.
     """
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.number = next(_numbers)
+        self.has_surplus = False
         self.framing = Framing.UNKNOWN
         self.requests_sent = 0
         # When the last request was sent, on the loop's clock.
@@ -287,6 +295,7 @@
         if not self._awaits_response:
             # Unexpected bytes may be a second response to an earlier request,
             # and would be taken for the next response.
+            self.has_surplus = True
             self.close()
             return
         self._head_bytes += len(data)
@@ -331,6 +340,11 @@
         self._notify_end()
         self._push_lost('connection closed' if exc is None else repr(exc))
 
+    def on_message_begin(self) -> None:
+        """Parser callback: the first byte of a response."""
+        if not self._awaits_response:
+            self.has_surplus = True
+
     def on_header(self, name: bytes, text: bytes) -> None:
         """Parser callback: collect a header."""
         if self._head is None:
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -11,7 +11,6 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from samphirerill.backends.framing import Framing
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.replica_notices import explain_withheld
 from samphirerill.node.logs import get_logger
@@ -72,8 +71,7 @@
     """The result of one attempt; `head` is set if there is a response.
 
     `may_return` is whether the endpoint may be tried again, as it has only
-    asked for a back-off. `relayed_by` is the node that relayed it, if any, and
-    `framing` what marks the end of the response.
+    asked for a back-off. `conn` is the connection that the request was sent on.
     """
 
     head: ResponseHead | None = None
@@ -82,8 +80,7 @@
     was_sent: bool = True
     may_return: bool = False
     timed_out: bool = False
-    relayed_by: str = ''
-    framing: Framing = Framing.UNKNOWN
+    conn: HttpConnection | None = None
     reason: str = ''
 
 
@@ -165,8 +162,7 @@
                 'request': self._context.request_id,
                 'endpoint': endpoint.replica.replica_id,
                 'send': self._limits.attempts,
-                'relayed_by': outcome.relayed_by,
-                'framing': outcome.framing.value,
+                **_describe_connection(outcome.conn),
                 'status': 0 if outcome.head is None else outcome.head.status,
                 'not_run': outcome.is_not_run,
                 'reason': outcome.reason,
@@ -206,8 +202,7 @@
             raise
         else:
             self._state.pool.release(replica, conn)
-        outcome.relayed_by = conn.relayed_by
-        outcome.framing = conn.framing
+        outcome.conn = conn
         return outcome
 
     async def _connect(self, replica: Replica) -> HttpConnection:
@@ -413,3 +408,15 @@
                 backoff_end - now,
             )
         return Refusal(UNAVAILABLE, outcome.reason, _DEFAULT_RETRY_S)
+
+
+def _describe_connection(conn: HttpConnection | None) -> dict[str, object]:
+    """Return what the log says of the connection of an attempt."""
+    if conn is None:
+        return {}
+    return {
+        'connection': conn.number,
+        'connection_sends': conn.requests_sent,
+        'relayed_by': conn.relayed_by,
+        'framing': conn.framing.value,
+    }
--- a/samphirerill/relay/pool.py
+++ b/samphirerill/relay/pool.py
@@ -149,7 +149,7 @@
             conn.close()
             return
         self._open[replica_id] += 1
-        conn.notify_on_close(partial(self._untrack_open, replica_id))
+        conn.notify_on_close(partial(self._handle_close, replica_id, conn))
         self.release(replica, conn)
 
     def release(self, replica: Replica, conn: HttpConnection) -> None:
@@ -219,9 +219,14 @@
         finally:
             if conn is None:
                 self._untrack_open(replica_id)
-        conn.notify_on_close(partial(self._untrack_open, replica_id))
+        conn.notify_on_close(partial(self._handle_close, replica_id, conn))
         return conn
 
+    def _handle_close(self, replica_id: str, conn: HttpConnection) -> None:
+        if conn.has_surplus:
+            self._counters['connections.surplus'] += 1
+        self._untrack_open(replica_id)
+
     def _untrack_open(self, replica_id: str) -> None:
         self._open[replica_id] -= 1
         if self._open[replica_id] <= 0:
--- a/samphirerill/relay/responses.py
+++ b/samphirerill/relay/responses.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.backends.framing import Framing
+from samphirerill.node.logs import get_logger
 from samphirerill.relay.connection import BodyChunk, EndOfResponse, ResponseHead
 from samphirerill.relay.errors import BrokenResponseError, ResponseTooLargeError
 
@@ -18,6 +19,7 @@
     from samphirerill.relay.response_memory import ResponseMemory
     from samphirerill.relay.server_sent_events import EventParser
 
+_LOG = get_logger('responses')
 _SUCCESS_STATUSES = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 # Hop-by-hop headers, and the length, which this node sets itself.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -63,13 +65,24 @@
         if not _is_stale(metadata, request_id):
             check_success(head, metadata)
             return head, metadata
-        await skip_body(conn, deadline)
+        skipped_bytes = await skip_body(conn, deadline)
+        _LOG.info(
+            'response dropped',
+            extra={
+                'request': request_id.decode('latin-1'),
+                'responds_to': metadata.request_id.decode('latin-1'),
+                'status': head.status,
+                'body_bytes': skipped_bytes,
+                'endpoint': conn.address,
+                'connection': conn.number,
+            },
+        )
         conn.await_next_response()
     raise BrokenResponseError('too many responses to earlier requests')
 
 
-async def skip_body(conn: HttpConnection, deadline: float) -> None:
-    """Read a response to its end and discard it."""
+async def skip_body(conn: HttpConnection, deadline: float) -> int:
+    """Read a response to its end; return the size of its body."""
     skipped = 0
     part: object = None
     while not isinstance(part, EndOfResponse):
@@ -81,6 +94,7 @@
                 f'{conn.address}: got over {_MAX_SKIPPED_BYTES} bytes of a '
                 'response to an earlier request'
             )
+    return skipped
 
 
 async def read_body(
--- a/samphirerill/relay/stream_sender.py
+++ b/samphirerill/relay/stream_sender.py
@@ -199,6 +199,8 @@
             heads=len(self._path.used_heads),
             nodes=1 + self._state.load_tracker.count_peers(),
             after_event=progress.last_id,
+            connection=conn.number,
+            connection_sends=conn.requests_sent + 1,
             relayed_by=conn.relayed_by,
             tokens=int(self._path.tokens),
             gap_ms=round(self._path.predict_gap_s(stages) * MS_PER_S),
