Tests: responses that are sent again, whole or cut short, mislead callers

The cut lies in the reason phrase or in a header's value, and the parser reads both heads as one: the status of the first, the headers and body of the second. - An endpoint that sends a whole copy before its next response to the same request on the same connection: a stream is answered 503 though it ran, and a client that uses an id again gets the failure of its first attempt.

--- /dev/null
+++ b/samphirerill/tests/test_repeated_responses.py
@@ -0,0 +1,255 @@
+"""Endpoints that send a response again, whole or cut short."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from typing import TYPE_CHECKING
+from unittest import IsolatedAsyncioTestCase
+
+from msgspec.structs import replace
+
+from samphirerill.testing.platform_harness import PlatformHarness
+from samphirerill.tests.platform_documents import (
+    build_announcement,
+    build_configuration,
+)
+from samphirerill.tests.two_engines import build_headers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_REQUEST_ID = re.compile(rb'(?i)x-samphirerill-request-id: (\S+)')
+_KEPT = (
+    b'keep-alive: timeout=5\r\nx-samphirerill-request-id: %b\r\n'
+    b'x-samphirerill-response-seal: s-%b\r\n'
+)
+_REPORT = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}'
+_NOTE = b'id: 0\ndata: x\n\n'
+_PICKUP = b'/pickup/x'
+_STREAM = b'/notes/x'
+# Ends an attempt whose response is taken for the rest of another body.
+_DEADLINE_MS = 150
+_AMPLE_MS = 5000
+_DEADLINE = b'x-samphirerill-deadline-ms'
+_OK = 200
+_FAILURES = {500, 502, 504}
+_AMPLE_RETRIES = 10_000
+
+
+def _build_success(request_id: bytes, body: bytes, kind: bytes) -> bytes:
+    return _build_response(b'200 OK', request_id, body, kind)
+
+
+def _build_failure(request_id: bytes) -> bytes:
+    return _build_response(
+        b'500 Internal Server Error', request_id, b'failed', b'text/plain'
+    )
+
+
+def _build_rejection(request_id: bytes) -> bytes:
+    return _build_response(
+        b'503 Busy\r\nx-samphirerill-not-executed: 1',
+        request_id,
+        b'busy',
+        b'text/plain',
+    )
+
+
+def _build_response(
+    status: bytes, request_id: bytes, body: bytes, kind: bytes
+) -> bytes:
+    return (
+        b'HTTP/1.1 %b\r\ncontent-type: %b\r\n%bcontent-length: %d\r\n\r\n%b'
+        % (
+            status,
+            kind,
+            _KEPT % (request_id, request_id),
+            len(body),
+            body,
+        )
+    )
+
+
+class _Endpoint:
+    """Responds to the requests of each connection as `respond` says.
+
+    `respond` takes the ids of the requests so far, and returns the bytes to send.
+    """
+
+    def __init__(self) -> None:
+        self.respond: Callable[[list[bytes]], bytes] = _respond_well
+        self.address = ''
+        # The request ids of each connection.
+        self.requests: list[list[bytes]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> asyncio.Server:
+        """Listen on a free port."""
+        server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+        return server
+
+    async def stop(self) -> None:
+        """End all connections."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._tasks.add(asyncio.create_task(self._serve(reader, writer)))
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        received: list[bytes] = []
+        self.requests.append(received)
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                found = _REQUEST_ID.search(head)
+                if found is None:
+                    writer.write(_REPORT)
+                    continue
+                received.append(found[1])
+                writer.write(self.respond(received))
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        finally:
+            writer.close()
+
+
+def _respond_well(received: list[bytes]) -> bytes:
+    return _build_success(received[-1], b'done', b'text/plain')
+
+
+class RepeatedResponsesCase(IsolatedAsyncioTestCase):
+    """A node in front of one plain endpoint and one engine."""
+
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+        self.desk = await self.start_endpoint()
+        self.engine = await self.start_endpoint()
+        self.harness = PlatformHarness()
+        self.addAsyncCleanup(self.harness.stop)
+        await self.harness.start()
+        await self.harness.store.put('op/config', build_configuration())
+        await self.harness.store.put(
+            'servers/desk-1', build_announcement('desk', self.desk.address)
+        )
+        await self.harness.store.put(
+            'servers/engine-1',
+            build_announcement('llm', self.engine.address, 'vast', (0, 80)),
+        )
+        await self.harness.wait_for_replica_count(2)
+        self.state = self.harness.require_first_node().state
+        self.state.apply_settings(
+            replace(self.state.settings, retry_slack=_AMPLE_RETRIES)
+        )
+
+    async def start_endpoint(self) -> _Endpoint:
+        """Start an endpoint that responds well."""
+        endpoint = _Endpoint()
+        listening = await endpoint.start()
+        self.addAsyncCleanup(endpoint.stop)
+        self.addCleanup(listening.close)
+        return endpoint
+
+    async def send(
+        self, target: bytes, request_id: str, deadline_ms: int = _DEADLINE_MS
+    ) -> tuple[int, bytes]:
+        """Send a request; the endpoints count as working before."""
+        for name in ('desk-1', 'engine-1'):
+            self.state.view.note_alive(name)
+            self.state.view.replicas[name].backoff_until = 0
+        headers = build_headers(request_id)
+        headers.append((_DEADLINE, b'%d' % deadline_ms))
+        return await self.harness.send_request(target, headers)
+
+
+class TestCopiesCutShort(RepeatedResponsesCase):
+    """A part of the first response precedes the second one, a failure."""
+
+    async def check_target(self, target: bytes, first: bytes) -> None:
+        """Assert that no request gets a success that was a failure."""
+        sizes = range(1, len(first))
+        for size in sizes:
+            self.desk.respond = _build_glued(first, size)
+            self.engine.respond = self.desk.respond
+            self.state.pool.close_stale(set())
+            status, _ = await self.send(target, f'first-{size}')
+            self.assertEqual(status, _OK)
+            with self.subTest(target=target, size=size):
+                status, _ = await self.send(target, f'later-{size}')
+                self.assertIn(status, _FAILURES)
+
+    async def test_plain_failure_is_not_a_success(self) -> None:
+        """Guards against the status of one response with the body of another."""
+        first = _build_success(b'%b', b'done', b'text/plain')
+        await self.check_target(_PICKUP, first)
+
+    async def test_stream_failure_is_not_a_success(self) -> None:
+        """Guards against the text of a failure as a complete stream."""
+        first = _build_success(b'%b', _NOTE, b'text/event-stream')
+        await self.check_target(_STREAM, first)
+
+
+def _build_glued(first: bytes, size: int) -> Callable[[list[bytes]], bytes]:
+    def respond(received: list[bytes]) -> bytes:
+        whole = first.replace(b'%b', received[0])
+        if received[-1].startswith(b'first'):
+            return whole
+        copy = whole[:size] if len(received) > 1 else b''
+        return copy + _build_failure(received[-1])
+
+    return respond
+
+
+class TestCopiesForTheSameRequest(RepeatedResponsesCase):
+    """A copy of the first response to a request precedes that to its next send."""
+
+    async def test_stream_is_not_rejected_by_a_copy(self) -> None:
+        """Guards against a run that nobody reads, and that may run twice."""
+        await self.send(_STREAM, 'earlier', _AMPLE_MS)
+        runs: list[bytes] = []
+        self.engine.respond = _build_stuttering(_build_rejection, runs)
+        status, body = await self.send(_STREAM, 'r1', _AMPLE_MS)
+        self.assertEqual((status, body), (_OK, _NOTE))
+        self.assertEqual(runs, [b'r1'])
+
+    async def test_client_that_sends_an_id_again_gets_the_new_response(
+        self,
+    ) -> None:
+        """Guards against the failure of one attempt as that of the next one."""
+        await self.send(_PICKUP, 'earlier')
+        runs: list[bytes] = []
+        self.desk.respond = _build_stuttering(_build_failure, runs)
+        await self.send(_PICKUP, 'r1')
+        status, body = await self.send(_PICKUP, 'r1')
+        self.assertEqual((status, body), (_OK, _NOTE))
+        self.assertEqual(runs, [b'r1'])
+
+
+def _build_stuttering(
+    build_first: Callable[[bytes], bytes], runs: list[bytes]
+) -> Callable[[list[bytes]], bytes]:
+    """Return how an endpoint responds that succeeds from the second time on.
+
+    A request that comes again on a connection gets a copy of the first response
+    before its own.
+    """
+    seen: set[bytes] = set()
+
+    def respond(received: list[bytes]) -> bytes:
+        request_id = received[-1]
+        if request_id not in seen:
+            seen.add(request_id)
+            return build_first(request_id)
+        runs.append(request_id)
+        copy = build_first(request_id) if request_id in received[:-1] else b''
+        return copy + _build_success(request_id, _NOTE, b'text/event-stream')
+
+    return respond
