Responses: a head that contains the status line of another response is broken

Cause: an endpoint that repeats the beginning of its last response on a kept connection, cut inside the reason phrase or the value of a header, and then sends its next response. The parser reads on over the cut: the status comes from the first response, the remaining headers, the request id and the body from the second. The id is right, so nothing noticed. Evidence: test_repeated_responses at every cut. Change: the rest of the cut line is a status line wherever the cut lies in such text, so a head with a status line (RFC 9112, section 4) in its reason phrase or a value is a broken response, as an invalid one is: the connection is closed, a repeatable request is sent again, any other one gets 502. Cuts elsewhere are rejected by the parser already. The own interface does the same. A header whose value really is a status line fails its response; Via and Upgrade are not concerned (test).

--- a/samphirerill/backends/endpoint_call.py
+++ b/samphirerill/backends/endpoint_call.py
@@ -19,6 +19,7 @@
     emit_request_limit,
 )
 from samphirerill.backends.framing import Framing, find_framing
+from samphirerill.backends.response_heads import HeadChecker
 from samphirerill.core.events import AttemptFailed, AttemptSent
 
 if TYPE_CHECKING:
@@ -38,7 +39,7 @@
         """Pass an event to the decision core."""
 
 
-class EndpointCall(asyncio.Protocol):
+class EndpointCall(HeadChecker, asyncio.Protocol):
     """The connection of one attempt.
 
     Parameters
@@ -56,6 +57,7 @@
     def __init__(
         self, attempt_id: str, stage: Stage, request: bytes, sink: EventSink
     ) -> None:
+        super().__init__()
         self.attempt_id = attempt_id
         self.stage = stage
         self.wants_no_requests = False
@@ -121,7 +123,7 @@
         try:
             self._parser.feed_data(data)
         except HttpParserError as exc:
-            self._fail(f'got an answer that is not HTTP: {exc}')
+            self._fail(self.defect or f'got an answer that is not HTTP: {exc}')
         if self._head_bytes > MAX_HEAD_BYTES:
             self._fail(
                 f'got {self._head_bytes} bytes without a body, expected '
@@ -146,6 +148,10 @@
 
     def on_headers_complete(self) -> None:
         """Parser callback: a head is complete, which may be an interim one."""
+        self.check_head(
+            (name.encode('latin-1'), text.encode('latin-1'))
+            for name, text in self.headers
+        )
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS:
             self.headers.clear()
--- /dev/null
+++ b/samphirerill/backends/response_heads.py
@@ -0,0 +1,62 @@
+"""Recognise response heads that were joined from two responses."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# RFC 9112, section 4; some servers omit the space before an empty reason.
+_STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}(?: |$)')
+_JOINED_HEADS = 'the response head contains that of another response'
+
+
+class HeadChecker:
+    """Rejects joined heads; a base class of the receivers of a parser.
+
+    Attributes
+    ----------
+    defect : str
+        Why a head was rejected that the parser accepts; else empty.
+    """
+
+    def __init__(self) -> None:
+        self.defect = ''
+        self._reason = b''
+
+    def on_message_begin(self) -> None:
+        """Parser callback: the first byte of a response."""
+        self._reason = b''
+
+    def on_status(self, reason: bytes) -> None:
+        """Parser callback: a part of the reason phrase."""
+        self._reason += reason
+
+    def check_head(self, headers: Iterable[tuple[bytes, bytes]]) -> None:
+        """Raise ``ValueError``, which ends the parsing, if heads are joined."""
+        if has_joined_heads(self._reason, headers):
+            self.defect = _JOINED_HEADS
+            raise ValueError(_JOINED_HEADS)
+
+
+def has_joined_heads(
+    reason: bytes, headers: Iterable[tuple[bytes, bytes]]
+) -> bool:
+    """Return whether a head contains the status line of another response.
+
+    If a response breaks off inside its reason phrase or a header's value and
+    another one follows on the connection, parsers accept both as one: the status
+    of the first with the headers and the body of the second.
+
+    Parameters
+    ----------
+    reason : bytes
+        The reason phrase.
+    headers : iterable of tuple of bytes
+        Names and values.
+    """
+    if _STATUS_LINE.search(reason):
+        return True
+    return any(_STATUS_LINE.search(text) for _, text in headers)
--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -16,6 +16,7 @@
 from httptools import HttpParserError, HttpResponseParser
 
 from samphirerill.backends.framing import Framing, find_framing
+from samphirerill.backends.response_heads import HeadChecker
 from samphirerill.node.loop_lag import lag_aware_timeout_at
 from samphirerill.relay.errors import (
     BrokenResponseError,
@@ -87,7 +88,7 @@
     reason: str
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(HeadChecker, asyncio.Protocol):
     """One connection; `read` returns the parts of the current response.
 
     Parameters
@@ -106,6 +107,7 @@
     """
 
     def __init__(self, address: str) -> None:
+        super().__init__()
         self.address = address
         self.number = next(_numbers)
         self.has_surplus = False
@@ -302,7 +304,8 @@
         try:
             self._parser.feed_data(data)
         except HttpParserError as exc:
-            self._push_lost(f'invalid response: {exc}')
+            self.has_surplus = self.has_surplus or bool(self.defect)
+            self._push_lost(self.defect or f'invalid response: {exc}')
             self.close()
             return
         if self._head_bytes > MAX_HEAD_BYTES:
@@ -342,6 +345,7 @@
 
     def on_message_begin(self) -> None:
         """Parser callback: the first byte of a response."""
+        super().on_message_begin()
         if not self._awaits_response:
             self.has_surplus = True
 
@@ -358,6 +362,7 @@
         if self._head is None:
             self._head = ResponseHead(0)
         self._head.status = self._parser.get_status_code()
+        self.check_head(self._head.headers)
         self._notify_response()
         if self._head.status < _FIRST_FINAL_STATUS:
             self._head = None
--- a/samphirerill/tests/test_repeated_responses.py
+++ b/samphirerill/tests/test_repeated_responses.py
@@ -5,10 +5,15 @@
 import asyncio
 import re
 from typing import TYPE_CHECKING
-from unittest import IsolatedAsyncioTestCase
+from unittest import IsolatedAsyncioTestCase, TestCase
+from unittest.mock import Mock
 
 from msgspec.structs import replace
 
+from samphirerill.backends.response_heads import has_joined_heads
+from samphirerill.backends.service_call import ServiceCall
+from samphirerill.core.commands import Stage
+from samphirerill.core.events import AttemptFailed
 from samphirerill.testing.platform_harness import PlatformHarness
 from samphirerill.tests.platform_documents import (
     build_announcement,
@@ -253,3 +258,33 @@
         return copy + _build_success(request_id, _NOTE, b'text/event-stream')
 
     return respond
+
+
+class TestJoinedHeads(TestCase):
+    """Heads that the parser accepts and that come from two responses."""
+
+    def test_status_lines_inside_a_head_are_found(self) -> None:
+        for reason, text in (
+            (b'OHTTP/1.1 500 Internal Server Error', b''),
+            (b'OK', b'text/plHTTP/1.1 503 Busy'),
+            (b'OK', b'HTTP/1.0 500'),
+        ):
+            with self.subTest(reason=reason, text=text):
+                self.assertTrue(has_joined_heads(reason, [(b'x', text)]))
+
+    def test_ordinary_heads_are_accepted(self) -> None:
+        """Guards against failing endpoints behind a proxy."""
+        headers = [
+            (b'via', b'HTTP/1.1 proxy.example, HTTP/1.1 200.0.0.7'),
+            (b'upgrade', b'HTTP/2.0'),
+            (b'server', b'x HTTP/1.1'),
+        ]
+        self.assertFalse(has_joined_heads(b'OK', headers))
+
+    def test_own_interface_fails_the_attempt(self) -> None:
+        """Guards against the status of one response with the body of another."""
+        sink = Mock()
+        call = ServiceCall('a1', Mock(spec=Stage, address='h:1'), b'', sink)
+        call.data_received(b'HTTP/1.1 200 O' + _build_failure(b'r1'))
+        events = [type(entry.args[0]) for entry in sink.apply.call_args_list]
+        self.assertEqual(events, [AttemptFailed])
