Connections: not reused once bytes of a further response have come

Bytes that come without a request close a connection, but not those in the same read as the end of a response: if they end inside a further head, no part of that was parsed yet, and the connection was kept. The next response was then read as the rest of that head. Change: the parser's first byte of a response marks the connection if no response is due, and such a connection is not usable (RFC 9112, section 9.2).

--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -271,7 +271,9 @@
         """
         if self._parts or self._head is not None or self._awaits_response:
             return False
-        return self.is_reusable and self.is_open() and now < self.idle_until
+        if self.has_surplus or not self.is_reusable:
+            return False
+        return self.is_open() and now < self.idle_until
 
     def is_proven(self, now: float) -> bool:
         """Return whether a request may be sent that can't be sent again.
--- a/samphirerill/tests/test_repeated_responses.py
+++ b/samphirerill/tests/test_repeated_responses.py
@@ -14,6 +14,8 @@
 from samphirerill.backends.service_call import ServiceCall
 from samphirerill.core.commands import Stage
 from samphirerill.core.events import AttemptFailed
+from samphirerill.relay.connection import HttpConnection
+from samphirerill.relay.pool import read_whole_response
 from samphirerill.testing.platform_harness import PlatformHarness
 from samphirerill.tests.platform_documents import (
     build_announcement,
@@ -288,3 +290,27 @@
         call.data_received(b'HTTP/1.1 200 O' + _build_failure(b'r1'))
         events = [type(entry.args[0]) for entry in sink.apply.call_args_list]
         self.assertEqual(events, [AttemptFailed])
+
+
+class TestReuse(IsolatedAsyncioTestCase):
+    """What a connection may still be used for."""
+
+    def connect(self) -> HttpConnection:
+        """Return a connection with a request in progress."""
+        conn = HttpConnection('127.0.0.1:1')
+        conn.connection_made(Mock(is_closing=Mock(return_value=False)))
+        conn.send(b'GET / HTTP/1.1\r\n\r\n')
+        return conn
+
+    async def test_no_reuse_after_the_start_of_a_further_response(self) -> None:
+        """Guards against a head whose start came before the request."""
+        response = _respond_well([b'r1'])
+        sizes = range(len(response))
+        for size in sizes:
+            with self.subTest(size=size):
+                conn = self.connect()
+                conn.data_received(response + response[:size])
+                now = asyncio.get_running_loop().time()
+                head, _ = await read_whole_response(conn, now + 1)
+                self.assertEqual(head.status, _OK)
+                self.assertEqual(conn.is_usable(now), size == 0)
