Connections: the response after a dropped one is not lost in the next read

What callers saw: 502, or a second run, though their response was there. If a response to another request and the awaited one come in two reads before the reader runs, the second read counted as bytes without a request and closed the connection. Evidence: test_response_may_follow_a_dropped_one_at_once, which failed before.

--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -296,9 +296,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
-        if not self._awaits_response:
+        if not (self._awaits_response or self._parts):
             # Unexpected bytes may be a second response to an earlier request,
-            # and would be taken for the next response.
+            # and would be taken for the next response. Before the last response
+            # was read, they may be what its reader waits for: it drops responses
+            # to other requests.
             self.has_surplus = True
             self.close()
             return
--- a/samphirerill/tests/test_repeated_responses.py
+++ b/samphirerill/tests/test_repeated_responses.py
@@ -14,8 +14,11 @@
 from samphirerill.backends.service_call import ServiceCall
 from samphirerill.core.commands import Stage
 from samphirerill.core.events import AttemptFailed
+from samphirerill.platform.http_adapter import HttpPlatformAdapter
 from samphirerill.relay.connection import HttpConnection
 from samphirerill.relay.pool import read_whole_response
+from samphirerill.relay.response_memory import ResponseMemory
+from samphirerill.relay.responses import read_body, read_head
 from samphirerill.testing.platform_harness import PlatformHarness
 from samphirerill.tests.platform_documents import (
     build_announcement,
@@ -314,3 +317,17 @@
                 head, _ = await read_whole_response(conn, now + 1)
                 self.assertEqual(head.status, _OK)
                 self.assertEqual(conn.is_usable(now), size == 0)
+
+    async def test_response_may_follow_a_dropped_one_at_once(self) -> None:
+        """Guards against losing a response that comes in the next read."""
+        conn = self.connect()
+        conn.data_received(_respond_well([b'earlier']))
+        conn.data_received(_respond_well([b'own']))
+        deadline = asyncio.get_running_loop().time() + 1
+        head, metadata = await read_head(
+            conn, HttpPlatformAdapter(), b'own', deadline
+        )
+        self.assertEqual((head.status, metadata.request_id), (_OK, b'own'))
+        self.assertEqual(
+            await read_body(conn, deadline, ResponseMemory()), b'done'
+        )
