Responses: one that is followed by bytes that are no response is broken

What callers would see: a success whose last bytes are the first ones of another response. An endpoint that breaks off a response with a length and sends the next one on the same connection completes the body with the beginning of that. Change: the rest of the next response is no response. If it comes in the same read as the end, the end is withdrawn. A whole second response behind the end still does no harm, and the connection is not reused. A rest that comes in a later read, or a body completed to the byte, is not noticed.

--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -329,9 +329,7 @@
         try:
             self._parser.feed_data(data)
         except HttpParserError as exc:
-            self.has_surplus = self.has_surplus or bool(self.defect)
-            self._push_lost(self.defect or f'invalid response: {exc}')
-            self.close()
+            self._handle_invalid(self.defect or f'invalid response: {exc}')
             return
         if self._head_bytes > MAX_HEAD_BYTES:
             self._push_lost(
@@ -444,6 +442,17 @@
         except (OSError, ValueError) as exc:
             raise ConnectError(f'{self.address}: {exc!r}') from exc
 
+    def _handle_invalid(self, reason: str) -> None:
+        if not self._awaits_response:
+            reason = f'behind the response: {reason}'
+            if self._parts and isinstance(self._parts[-1], EndOfResponse):
+                # It may have been cut short, and completed with the beginning
+                # of what follows.
+                self._parts.pop()
+        self.has_surplus = self.has_surplus or bool(self.defect)
+        self._push_lost(reason)
+        self.close()
+
     def _notify_response(self) -> None:
         callback = self._on_response
         self._on_response = None
--- a/samphirerill/tests/test_repeated_responses.py
+++ b/samphirerill/tests/test_repeated_responses.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+from functools import partial
 from typing import TYPE_CHECKING
 from unittest import IsolatedAsyncioTestCase, TestCase
 from unittest.mock import Mock
@@ -331,3 +332,22 @@
         self.assertEqual(
             await read_body(conn, deadline, ResponseMemory()), b'done'
         )
+
+
+class TestResponsesCutShort(RepeatedResponsesCase):
+    """A response breaks off, and another one follows at once."""
+
+    async def test_next_response_does_not_complete_it(self) -> None:
+        """Guards against bytes of a second response at the end of a body."""
+        sizes = range(1, len(_respond_well([b'r-000'])))
+        for size in sizes:
+            self.state.pool.close_stale(set())
+            self.desk.respond = partial(_respond_cut, size)
+            with self.subTest(size=size):
+                status, body = await self.send(_PICKUP, f'r-{size:03d}')
+                self.assertIn(status, _FAILURES, body)
+
+
+def _respond_cut(size: int, received: list[bytes]) -> bytes:
+    whole = _respond_well(received)
+    return whole[:size] + whole
