Tunnels: an endpoint that speaks before it was asked gets no request

What callers would see: a response without its beginning. Bytes of an endpoint that came with the head of the handshake were dropped, and the tunnel was used; what came after them was read as the rest of a response. Evidence: test_endpoint_that_speaks_first, which failed before. Change: a handshake that is followed by anything opens no tunnel.

--- a/samphirerill/relay/tunnels/handshake.py
+++ b/samphirerill/relay/tunnels/handshake.py
@@ -105,7 +105,7 @@
         self._received = b''
 
     def data_received(self, data: bytes) -> None:
-        """Collect the head; the endpoint sends nothing before a request."""
+        """Collect the head, and what follows in the same read."""
         if self.response.done():
             return
         self._received += data
@@ -167,10 +167,14 @@
     return conn
 
 
-def _parse_status(head: bytes) -> int:
-    """Return the status code; 0 if there is none."""
+def _parse_status(response: bytes) -> int:
+    """Return the status code; 0 if there is none, or if more follows.
+
+    An endpoint that sends something before it was asked is not trusted.
+    """
+    head, _, rest = response.partition(END_OF_HEAD)
     words = head.split(b' ', 2)
-    if len(words) < 3 or not words[1].isdigit():
+    if rest or len(words) < 3 or not words[1].isdigit():
         return 0
     return int(words[1])
 
--- a/samphirerill/tests/test_tunnels.py
+++ b/samphirerill/tests/test_tunnels.py
@@ -201,6 +201,23 @@
         with self.assertRaises(PeerUnavailableError):
             await self.open()
 
+    async def test_endpoint_that_speaks_first(self) -> None:
+        """Guards against a response whose beginning was lost in the handshake."""
+        head = b'HTTP/1.1 200 Tunnel\r\nframes: 1\r\n\r\n'
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(head + encode_frame(b'HTTP/1.1 200 OK\r\n\r\n'))
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        self.peer = f'{host}:{port}'
+        with self.assertRaises(PeerUnavailableError):
+            await self.open()
+
     async def test_long_head_is_rejected(self) -> None:
         host, _, port = self.peer.rpartition(':')
         reader, writer = await asyncio.open_connection(host, int(port))
