Responses: one that comes inside a dropped one is noticed at once

One way to it: a second response to an earlier request is cut short in its body, and the awaited response is read as the rest of that; the node then waits for bytes that do not come. Evidence: test_response_inside_a_dropped_one_is_noticed; before, it timed out. Change: bytes that are dropped and contain a status line and the awaited request id end the attempt. Whether the record's 504 came about in this way is not known.

--- a/samphirerill/backends/response_heads.py
+++ b/samphirerill/backends/response_heads.py
@@ -57,6 +57,11 @@
     headers : iterable of tuple of bytes
         Names and values.
     """
-    if _STATUS_LINE.search(reason):
+    if has_status_line(reason):
         return True
     return any(_STATUS_LINE.search(text) for _, text in headers)
+
+
+def has_status_line(text: bytes) -> bool:
+    """Return whether a text contains the status line of a response."""
+    return _STATUS_LINE.search(text) is not None
--- a/samphirerill/relay/responses.py
+++ b/samphirerill/relay/responses.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.backends.framing import Framing
+from samphirerill.backends.response_heads import has_status_line
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.connection import BodyChunk, EndOfResponse, ResponseHead
 from samphirerill.relay.errors import BrokenResponseError, ResponseTooLargeError
@@ -65,7 +66,7 @@
         if not _is_stale(metadata, request_id):
             check_success(head, metadata)
             return head, metadata
-        skipped_bytes = await skip_body(conn, deadline)
+        skipped_bytes = await skip_body(conn, request_id, deadline)
         _LOG.info(
             'response dropped',
             extra={
@@ -81,14 +82,39 @@
     raise BrokenResponseError('too many responses to earlier requests')
 
 
-async def skip_body(conn: HttpConnection, deadline: float) -> int:
-    """Read a response to its end; return the size of its body."""
+async def skip_body(
+    conn: HttpConnection, request_id: bytes, deadline: float
+) -> int:
+    """Read a response to another request to its end.
+
+    Parameters
+    ----------
+    conn : HttpConnection
+        The connection.
+    request_id : bytes
+        The request whose response is awaited.
+    deadline : float
+        On the loop's clock.
+
+    Returns
+    -------
+    int
+        The size of its body.
+
+    Raises
+    ------
+    BrokenResponseError
+        The awaited response came inside the body, as the other one was cut short.
+    ResponseTooLargeError
+        The body is too large.
+    """
     skipped = 0
     part: object = None
     while not isinstance(part, EndOfResponse):
         part = await conn.read(deadline)
         if isinstance(part, BodyChunk):
             skipped += len(part.body)
+            _check_skipped(conn, part.body, request_id)
         if skipped > _MAX_SKIPPED_BYTES:
             raise ResponseTooLargeError(
                 f'{conn.address}: got over {_MAX_SKIPPED_BYTES} bytes of a '
@@ -97,6 +123,15 @@
     return skipped
 
 
+def _check_skipped(
+    conn: HttpConnection, body: bytes, request_id: bytes
+) -> None:
+    if request_id in body and has_status_line(body):
+        raise BrokenResponseError(
+            f'{conn.address}: got the response inside one to another request'
+        )
+
+
 async def read_body(
     conn: HttpConnection, deadline: float, memory: ResponseMemory
 ) -> bytes:
--- a/samphirerill/tests/test_repeated_responses.py
+++ b/samphirerill/tests/test_repeated_responses.py
@@ -17,6 +17,7 @@
 from samphirerill.core.events import AttemptFailed
 from samphirerill.platform.http_adapter import HttpPlatformAdapter
 from samphirerill.relay.connection import HttpConnection
+from samphirerill.relay.errors import BrokenResponseError
 from samphirerill.relay.pool import read_whole_response
 from samphirerill.relay.response_memory import ResponseMemory
 from samphirerill.relay.responses import read_body, read_head
@@ -333,6 +334,15 @@
             await read_body(conn, deadline, ResponseMemory()), b'done'
         )
 
+    async def test_response_inside_a_dropped_one_is_noticed(self) -> None:
+        """Guards against waiting until the deadline for what has come."""
+        conn = self.connect()
+        earlier = _build_success(b'earlier', bytes(900), b'text/plain')
+        conn.data_received(earlier[:-500] + _respond_well([b'own']))
+        deadline = asyncio.get_running_loop().time() + 1
+        with self.assertRaisesRegex(BrokenResponseError, 'inside'):
+            await read_head(conn, HttpPlatformAdapter(), b'own', deadline)
+
 
 class TestResponsesCutShort(RepeatedResponsesCase):
     """A response breaks off, and another one follows at once."""
