--- a/samphirerill/tests/test_endless_responses.py
+++ b/samphirerill/tests/test_endless_responses.py
@@ -23,6 +23,7 @@
 from samphirerill.relay.pool import call_once
 from samphirerill.relay.response_memory import ResponseMemory
 from samphirerill.testing.platform_harness import PlatformHarness
+from samphirerill.testing.raw_server import RawServer
 from samphirerill.tests.platform_documents import (
     build_announcement,
     build_configuration,
@@ -68,7 +69,7 @@
 _TIMEOUT_S = 5.0
 
 
-class EndlessServer:
+class EndlessServer(RawServer):
     """Answers each request with the same kind of response.
 
     It sends `first`, with the request id filled in, and then `repeated` until the
@@ -76,43 +77,15 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.first = b''
         self.repeated = b''
         self.repeats = float('inf')
-        self.address = ''
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def start(self) -> asyncio.Server:
-        """Listen on a free port."""
-        server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
-        host, port = server.sockets[0].getsockname()
-        self.address = f'{host}:{port}'
-        return server
-
-    async def stop(self) -> None:
-        """End all connections."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._tasks.add(asyncio.create_task(self._serve(reader, writer)))
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            await self._respond(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            return
-        finally:
-            writer.close()
-
-    async def _respond(
+    async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        """Answer one request."""
         head = await reader.readuntil(b'\r\n\r\n')
         found = _REQUEST_ID.search(head)
         request_id = found[1] if found else b''
--- a/samphirerill/tests/test_repeated_responses.py
+++ b/samphirerill/tests/test_repeated_responses.py
@@ -22,6 +22,7 @@
 from samphirerill.relay.response_memory import ResponseMemory
 from samphirerill.relay.responses import read_body, read_head
 from samphirerill.testing.platform_harness import PlatformHarness
+from samphirerill.testing.raw_server import RawServer
 from samphirerill.tests.platform_documents import (
     build_announcement,
     build_configuration,
@@ -74,55 +75,29 @@
     )
 
 
-class _Endpoint:
+class _Endpoint(RawServer):
     """Responds to the requests of each connection as `respond` says.
 
     `respond` takes the ids of the requests so far, and returns the bytes to send.
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.respond: Callable[[list[bytes]], bytes] = _respond_well
-        self.address = ''
-        # The request ids of each connection.
-        self.requests: list[list[bytes]] = []
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def start(self) -> asyncio.Server:
-        """Listen on a free port."""
-        server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
-        host, port = server.sockets[0].getsockname()
-        self.address = f'{host}:{port}'
-        return server
-
-    async def stop(self) -> None:
-        """End all connections."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._tasks.add(asyncio.create_task(self._serve(reader, writer)))
 
-    async def _serve(
+    async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        """Answer the requests of one connection."""
         received: list[bytes] = []
-        self.requests.append(received)
-        try:
-            while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                found = _REQUEST_ID.search(head)
-                if found is None:
-                    writer.write(_REPORT)
-                    continue
-                received.append(found[1])
-                writer.write(self.respond(received))
-        except (ConnectionError, asyncio.IncompleteReadError):
-            return
-        finally:
-            writer.close()
+        while True:
+            head = await reader.readuntil(b'\r\n\r\n')
+            found = _REQUEST_ID.search(head)
+            if found is None:
+                writer.write(_REPORT)
+                continue
+            received.append(found[1])
+            writer.write(self.respond(received))
 
 
 def _respond_well(received: list[bytes]) -> bytes:
