--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -105,7 +105,7 @@
     number : int
         Tells the connections of a process apart in its log.
     has_surplus : bool
-        Whether bytes came while no response was due.
+        Whether bytes came that belong to no request.
     """
 
     def __init__(self, address: str) -> None:
