Tunnels: an endpoint that speaks first is at fault, not the relaying node

Found by the review: PeerUnavailableError made the asking node avoid each node that it had asked, for 1 s. It is a failed connection to the endpoint now (ConnectError). test_endpoint_that_speaks_first asserts it.

--- a/samphirerill/relay/tunnels/handshake.py
+++ b/samphirerill/relay/tunnels/handshake.py
@@ -9,6 +9,7 @@
 from samphirerill.node.loop_lag import lag_aware_timeout_at
 from samphirerill.relay.connection import HttpConnection
 from samphirerill.relay.errors import (
+    ConnectError,
     ConnectRefusedError,
     ConnectTimeoutError,
     PeerPartitionedError,
@@ -22,6 +23,8 @@
 # In the request of a node that reads frames, and in the response of one that
 # sends them.
 _FRAMES_HEADER = 'frames: 1'
+# In place of a status: bytes of the endpoint follow the head.
+_SPOKE_FIRST = -1
 
 
 @dataclass(slots=True, frozen=True)
@@ -142,6 +145,8 @@
         It reaches no endpoint itself.
     PeerUnavailableError
         It does not answer, or opens no tunnel now.
+    ConnectError
+        The endpoint sent something before it was asked.
     """
     host, _, port = peer.rpartition(':')
     loop = asyncio.get_running_loop()
@@ -160,6 +165,8 @@
     finally:
         if status != TunnelStatus.OPEN and transport is not None:
             transport.abort()
+    if status == _SPOKE_FIRST:
+        raise ConnectError(f'{req.address}: sent bytes before it was asked')
     _raise_for_status(status, req.address, peer)
     conn = HttpConnection(req.address)
     sends_frames = _FRAMES_HEADER.encode() in head
@@ -168,15 +175,12 @@
 
 
 def _parse_status(response: bytes) -> int:
-    """Return the status code; 0 if there is none, or if more follows.
-
-    An endpoint that sends something before it was asked is not trusted.
-    """
+    """Return the status code; 0 if there is none."""
     head, _, rest = response.partition(END_OF_HEAD)
     words = head.split(b' ', 2)
-    if rest or len(words) < 3 or not words[1].isdigit():
+    if len(words) < 3 or not words[1].isdigit():
         return 0
-    return int(words[1])
+    return _SPOKE_FIRST if rest else int(words[1])
 
 
 def _raise_for_status(status: int, address: str, peer: str) -> None:
--- a/samphirerill/tests/test_tunnels.py
+++ b/samphirerill/tests/test_tunnels.py
@@ -9,6 +9,7 @@
 from samphirerill.relay.connection import HttpConnection, serialize_request
 from samphirerill.relay.errors import (
     BrokenResponseError,
+    ConnectError,
     ConnectRefusedError,
     PeerUnavailableError,
 )
@@ -215,8 +216,9 @@
         self.addCleanup(server.close)
         host, port = server.sockets[0].getsockname()
         self.peer = f'{host}:{port}'
-        with self.assertRaises(PeerUnavailableError):
+        with self.assertRaises(ConnectError) as raised:
             await self.open()
+        self.assertNotIsInstance(raised.exception, PeerUnavailableError)
 
     async def test_long_head_is_rejected(self) -> None:
         host, _, port = self.peer.rpartition(':')
