Own interface: joined heads of short responses, and trailers

Health checks, load polls and orders read 'HTTP/1.1 200 OHTTP/1.1 503 Busy' as status 200; trailers of a response, also those that are the head of another one, were passed on to the client as headers. Evidence: TestShortResponses and test_trailers_are_not_headers, which failed before. Change: the check of heads also there; fields behind the head are dropped.

--- a/samphirerill/backends/endpoint_call.py
+++ b/samphirerill/backends/endpoint_call.py
@@ -142,7 +142,9 @@
         self._fail('the connection closed before the answer was whole')
 
     def on_header(self, name: bytes, header_value: bytes) -> None:
-        """Store a response header."""
+        """Store a response header; trailers are dropped."""
+        if self._has_head:
+            return
         header = (name.decode('latin-1'), header_value.decode('latin-1'))
         self.headers.append(header)
 
--- a/samphirerill/node/endpoint_responses.py
+++ b/samphirerill/node/endpoint_responses.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.backends.framing import Framing, find_framing
+from samphirerill.backends.response_heads import has_joined_heads
 
 if TYPE_CHECKING:
     from samphirerill.backends.endpoint_headers import Headers
@@ -40,6 +41,7 @@
     status_line, *lines = head.decode('latin-1').split('\r\n')
     status = _parse_status(status_line)
     headers = _parse_headers(lines)
+    _check_head(status_line, headers)
     body = await _read_body(reader, status, headers)
     return EndpointResponse(status, headers, body)
 
@@ -94,6 +96,16 @@
         )
 
 
+def _check_head(status_line: str, headers: Headers) -> None:
+    _, _, reason = status_line.partition(' ')
+    fields = [
+        (name.encode('latin-1'), text.encode('latin-1'))
+        for name, text in headers
+    ]
+    if has_joined_heads(reason.encode('latin-1'), fields):
+        raise ValueError('got a head that contains another one')
+
+
 def _parse_status(status_line: str) -> int:
     """Return the status; 0, which says nothing, if there is none."""
     _, _, text = status_line.partition(' ')
