Connections: a complete response is kept, whatever follows it

Change: the end is withdrawn only from a body with a length that ends with the beginning of a response, where the parse error shows the rest of that. Bytes of later reads are held, and reading stops, until the response was read: they are parsed if it is dropped, and closed with the connection if not. Evidence: TestCompleteResponses, TestNode (two tests of streams, one of plain requests) and test_unread_responses_are_bounded failed before; TestResponsesCutShort still passes.

--- a/samphirerill/backends/response_heads.py
+++ b/samphirerill/backends/response_heads.py
@@ -10,6 +10,7 @@
 
 # RFC 9112, section 4; some servers omit the space before an empty reason.
 _STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}(?: |$)')
+_STATUS_LINE_START = re.compile(rb'(?:H|HT|HTT|HTTP|HTTP/[\d. ]{0,7})$')
 _JOINED_HEADS = 'the response head contains that of another response'
 
 
@@ -65,3 +66,8 @@
 def has_status_line(text: bytes) -> bool:
     """Return whether a text contains the status line of a response."""
     return _STATUS_LINE.search(text) is not None
+
+
+def ends_with_response(body: bytes) -> bool:
+    """Return whether a body ends with the beginning of a response."""
+    return has_status_line(body) or _STATUS_LINE_START.search(body) is not None
--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -16,7 +16,10 @@
 from httptools import HttpParserError, HttpResponseParser
 
 from samphirerill.backends.framing import Framing, find_framing
-from samphirerill.backends.response_heads import HeadChecker
+from samphirerill.backends.response_heads import (
+    HeadChecker,
+    ends_with_response,
+)
 from samphirerill.node.loop_lag import lag_aware_timeout_at
 from samphirerill.relay.errors import (
     BrokenResponseError,
@@ -138,6 +141,8 @@
         self._awaits_response = False
         self._is_head_request = False
         self._buffered_bytes = 0
+        # Bytes that came before the last response was read.
+        self._held = b''
         # Bytes received since the last ones of a body.
         self._head_bytes = 0
 
@@ -270,6 +275,11 @@
     def await_next_response(self) -> None:
         """Expect another response: the last one was to an earlier request."""
         self._awaits_response = True
+        held = self._held
+        self._held = b''
+        if held:
+            self._transport.resume_reading()
+            self.data_received(held)
 
     def has_unread(self) -> bool:
         """Return whether there is a part to read."""
@@ -317,13 +327,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
-        if not (self._awaits_response or self._parts):
-            # Unexpected bytes may be a second response to an earlier request,
-            # and would be taken for the next response. Before the last response
-            # was read, they may be what its reader waits for: it drops responses
-            # to other requests.
-            self.has_surplus = True
-            self.close()
+        if not self._awaits_response:
+            self._handle_surplus(data)
             return
         self._head_bytes += len(data)
         try:
@@ -442,17 +447,45 @@
         except (OSError, ValueError) as exc:
             raise ConnectError(f'{self.address}: {exc!r}') from exc
 
+    def _handle_surplus(self, data: bytes) -> None:
+        """Handle bytes that come while no response is awaited.
+
+        They may be a second response to an earlier request, and would be taken
+        for the next one. Before the last response was read, they may be what its
+        reader waits for: it drops responses to other requests.
+        """
+        self.has_surplus = True
+        if self._parts and self.is_open():
+            self._held += data
+            self._transport.pause_reading()
+        else:
+            self.close()
+
     def _handle_invalid(self, reason: str) -> None:
         if not self._awaits_response:
-            reason = f'behind the response: {reason}'
-            if self._parts and isinstance(self._parts[-1], EndOfResponse):
-                # It may have been cut short, and completed with the beginning
-                # of what follows.
+            self.has_surplus = True
+            if self._is_joined_body():
                 self._parts.pop()
+                reason = f'the body contains a response; {reason}'
         self.has_surplus = self.has_surplus or bool(self.defect)
         self._push_lost(reason)
         self.close()
 
+    def _is_joined_body(self) -> bool:
+        """Return whether the beginning of another response completed a body.
+
+        The rest of that is no response, and its beginning is at the end of the
+        body, which must have been cut short.
+        """
+        if self.framing is not Framing.LENGTH or len(self._parts) < 2:
+            return False
+        chunk, end = self._parts[-2], self._parts[-1]
+        return (
+            isinstance(end, EndOfResponse)
+            and isinstance(chunk, BodyChunk)
+            and ends_with_response(chunk.body)
+        )
+
     def _notify_response(self) -> None:
         callback = self._on_response
         self._on_response = None
