Responses: what else shows that two were joined

A body or event that contains a status line and the request's own id is broken. - A head cut inside a value and joined to the middle of another one has no status line in it, but fields twice. One with two ids, signatures or content types is broken. - Calls without an id (reports, orders, the store): of two responses in one read on a reused connection the first may be to the call before. Neither counts. - 'Connection: close, x', two Connection fields and HTTP/1.0 left a connection in use whose parser takes no further response. The parser is asked (should_keep_alive).

--- a/samphirerill/platform/http_adapter.py
+++ b/samphirerill/platform/http_adapter.py
@@ -33,6 +33,10 @@
 _HIGHEST_PRIORITY = 9
 # Further parts of a prompt are ignored; real ones have a dozen at most.
 _MAX_PROMPT_PARTS = 32
+# If one stands twice in a head, that was joined from two responses.
+_SINGLE_FIELDS = frozenset(
+    (wire_names.REQUEST_ID, wire_names.RESPONSE_SIGNATURE, b'content-type')
+)
 # Hop-by-hop headers, and headers that the router sets itself.
 _NOT_FORWARDED = frozenset(
     (
@@ -145,6 +149,7 @@
         server_load = head.get(wire_names.SERVER_LOAD)
         return ResponseMetadata(
             request_id=head.get(wire_names.REQUEST_ID) or b'',
+            has_repeats=_count_repeats(head) > 0,
             is_signed=bool(head.get(wire_names.RESPONSE_SIGNATURE)),
             is_not_run=is_other_replica
             or head.get(wire_names.NOT_RUN) is not None,
@@ -209,6 +214,12 @@
     return {word.strip().lower() for word in listed.split(b',')}
 
 
+def _count_repeats(head: ResponseHead) -> int:
+    """Return how many fields stand twice that an endpoint sends once."""
+    names = [name for name, _ in head.headers if name in _SINGLE_FIELDS]
+    return len(names) - len(set(names))
+
+
 def _parse_bearer_token(text: bytes) -> str:
     decoded = text.decode('latin-1')
     if not decoded.lower().startswith(_BEARER):
--- a/samphirerill/platform/store.py
+++ b/samphirerill/platform/store.py
@@ -39,7 +39,7 @@
     serialize_request,
 )
 from samphirerill.relay.errors import ConnectError, EndpointError
-from samphirerill.relay.pool import read_whole_response
+from samphirerill.relay.pool import check_surplus, read_whole_response
 from samphirerill.relay.store_era import StoreEra
 
 if TYPE_CHECKING:
@@ -448,6 +448,7 @@
         try:
             connection.send(request)
             head, body = await read_whole_response(connection, deadline)
+            check_surplus(connection)
         except EndpointError as exc:
             connection.close()
             raise StoreUnreachableError(
--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -423,6 +423,8 @@
         self._head = None
         self._head_bytes = 0
         self._awaits_response = False
+        if not self._parser.should_keep_alive():
+            self.is_reusable = False
         # The endpoint's idle time starts with the end of its response; counted
         # from the head, connections of longer streams were never reused.
         now = asyncio.get_running_loop().time()
@@ -539,8 +541,6 @@
             self._transport.resume_reading()
 
     def _note_keep_alive(self, head: ResponseHead) -> None:
-        if (head.get(b'connection') or b'').lower() == b'close':
-            self.is_reusable = False
         self._stated_idle_s = _parse_idle_timeout_s(head)
 
 
--- a/samphirerill/relay/endpoint_calls.py
+++ b/samphirerill/relay/endpoint_calls.py
@@ -10,7 +10,7 @@
 
 from samphirerill.relay.connection import serialize_request
 from samphirerill.relay.errors import BrokenResponseError
-from samphirerill.relay.pool import read_whole_response
+from samphirerill.relay.pool import check_surplus, read_whole_response
 
 if TYPE_CHECKING:
     from samphirerill.fleet.model import Replica
@@ -122,9 +122,11 @@
     """Raise ``BrokenResponseError`` if a response is to another call.
 
     These calls have no request id, so a response with one answers an earlier
-    request on the connection. After a rejection the connection is not reused, as
-    a second copy would be taken for the rejection of a request.
+    request on the connection, and of two responses the first may answer the call
+    before. After a rejection the connection is not reused, as a second copy would
+    be taken for the rejection of a request.
     """
+    check_surplus(conn)
     if metadata.request_id:
         raise BrokenResponseError(
             f'{conn.address}: got a response to request'
--- a/samphirerill/relay/event_forwarder.py
+++ b/samphirerill/relay/event_forwarder.py
@@ -7,7 +7,7 @@
 
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.errors import BrokenResponseError
-from samphirerill.relay.responses import check_stream_end
+from samphirerill.relay.responses import check_body, check_stream_end
 from samphirerill.relay.server_sent_events import EventParser
 
 if TYPE_CHECKING:
@@ -99,10 +99,12 @@
     def forward(self, body: bytes) -> None:
         """Forward the events that some data completes.
 
-        Raises ``BrokenResponseError`` if an event is too long.
+        Raises ``BrokenResponseError`` if an event is too long, or contains
+        another response.
         """
         events = self._parser.feed(body)
         if events:
+            self._check_events(events)
             self._record_events(len(events))
         new_events = [event.raw for event in events if self._is_new(event)]
         if new_events:
@@ -138,6 +140,11 @@
         self._context.conn.write_body(self._parser.buffer)
         self._context.conn.finish_response()
 
+    def _check_events(self, events: list[Event]) -> None:
+        request_id = self._context.facts.request_id
+        for event in events:
+            check_body(self._conn, event.raw, request_id)
+
     def _record_events(self, count: int) -> None:
         if not self._run.events:
             self._mark_path_working()
--- a/samphirerill/relay/plain.py
+++ b/samphirerill/relay/plain.py
@@ -11,6 +11,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from samphirerill.backends.framing import Framing
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.replica_notices import explain_withheld
 from samphirerill.node.logs import get_logger
@@ -36,6 +37,7 @@
     send_refusal,
 )
 from samphirerill.relay.responses import (
+    check_body,
     filter_headers,
     is_success,
     read_body,
@@ -270,6 +272,8 @@
         )
         memory = self._state.pool.response_memory
         body = await read_body(conn, deadline, memory)
+        if conn.framing is Framing.CONNECTION:
+            check_body(conn, body, self._context.facts.request_id)
         if facts.is_not_run and not is_success(head.status):
             notices = self._state.view.notices
             backoff_end = notices.get_backoff_end(endpoint.replica)
--- a/samphirerill/relay/platform_adapter.py
+++ b/samphirerill/relay/platform_adapter.py
@@ -130,6 +130,8 @@
     ----------
     request_id : bytes
         The id of the request that is answered.
+    has_repeats : bool
+        Whether the head has a field twice that an endpoint sends once.
     is_signed : bool
         Whether the response carries the endpoint's signature, so that it was
         not made by anything in between.
@@ -153,6 +155,7 @@
     """
 
     request_id: bytes = b''
+    has_repeats: bool = False
     is_signed: bool = False
     is_not_run: bool = False
     is_encoded: bool = False
--- a/samphirerill/relay/pool.py
+++ b/samphirerill/relay/pool.py
@@ -16,6 +16,7 @@
 )
 from samphirerill.relay.endpoint_dialer import Connect, EndpointDialer
 from samphirerill.relay.errors import (
+    BrokenResponseError,
     ConnectionLimitError,
     ResponseTooLargeError,
 )
@@ -337,6 +338,15 @@
             head = part
 
 
+def check_surplus(conn: HttpConnection) -> None:
+    """Raise ``BrokenResponseError`` if a call without an id got two responses.
+
+    The first one may be to the call before.
+    """
+    if conn.has_surplus and conn.requests_sent > 1:
+        raise BrokenResponseError(f'{conn.address}: got two responses')
+
+
 def _check_size(conn: HttpConnection, size: int, max_bytes: int) -> None:
     if size > max_bytes:
         raise ResponseTooLargeError(
--- a/samphirerill/relay/responses.py
+++ b/samphirerill/relay/responses.py
@@ -55,17 +55,13 @@
     from the rejection of a later request.
     """
     for _ in range(_MAX_STALE_RESPONSES):
-        head = await conn.read(deadline)
-        if not isinstance(head, ResponseHead):
-            raise BrokenResponseError(
-                'expected a response head, got body bytes'
-            )
-        metadata = adapter.parse_response(head)
-        if not metadata.request_id or _is_stale(metadata, request_id):
-            conn.is_reusable = False
+        head, metadata = await _read_next_head(conn, adapter, deadline)
         if not _is_stale(metadata, request_id):
+            if not metadata.request_id:
+                conn.is_reusable = False
             check_success(head, metadata)
             return head, metadata
+        conn.has_surplus = True
         skipped_bytes = await skip_body(conn, request_id, deadline)
         _LOG.info(
             'response dropped',
@@ -82,6 +78,20 @@
     raise BrokenResponseError('too many responses to earlier requests')
 
 
+async def _read_next_head(
+    conn: HttpConnection, adapter: PlatformAdapter, deadline: float
+) -> tuple[ResponseHead, ResponseMetadata]:
+    head = await conn.read(deadline)
+    if not isinstance(head, ResponseHead):
+        raise BrokenResponseError('expected a response head, got body bytes')
+    metadata = adapter.parse_response(head)
+    if metadata.has_repeats:
+        raise BrokenResponseError(
+            f'{conn.address}: the response head has the fields of two'
+        )
+    return head, metadata
+
+
 async def skip_body(
     conn: HttpConnection, request_id: bytes, deadline: float
 ) -> int:
@@ -114,7 +124,7 @@
         part = await conn.read(deadline)
         if isinstance(part, BodyChunk):
             skipped += len(part.body)
-            _check_skipped(conn, part.body, request_id)
+            check_body(conn, part.body, request_id)
         if skipped > _MAX_SKIPPED_BYTES:
             raise ResponseTooLargeError(
                 f'{conn.address}: got over {_MAX_SKIPPED_BYTES} bytes of a '
@@ -123,15 +133,6 @@
     return skipped
 
 
-def _check_skipped(
-    conn: HttpConnection, body: bytes, request_id: bytes
-) -> None:
-    if request_id in body and has_status_line(body):
-        raise BrokenResponseError(
-            f'{conn.address}: got the response inside one to another request'
-        )
-
-
 async def read_body(
     conn: HttpConnection, deadline: float, memory: ResponseMemory
 ) -> bytes:
@@ -151,6 +152,18 @@
                 body.append(part.body)
 
 
+def check_body(conn: HttpConnection, body: bytes, request_id: bytes) -> None:
+    """Raise ``BrokenResponseError`` if a body contains another response.
+
+    A body without a length has no end after which a second response to the same
+    request could be told from it.
+    """
+    if request_id and request_id in body and has_status_line(body):
+        raise BrokenResponseError(
+            f'{conn.address}: got another response inside the body'
+        )
+
+
 def check_success(head: ResponseHead, metadata: ResponseMetadata) -> None:
     """Reject a success without a signature or with an encoded body."""
     if head.status not in _SUCCESS_STATUSES:
