Connections: the ids that they remember take limited memory

Found by the review: ids were kept as clients sent them, 2 MB a connection with ids of 64 KB. Hashes are kept. test_long_request_ids_are_not_kept failed before.

--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -118,7 +118,8 @@
         self.has_surplus = False
         self.framing = Framing.UNKNOWN
         self.requests_sent = 0
-        self._sent_ids: deque[bytes] = deque(maxlen=_MAX_KNOWN_IDS)
+        # Hashes, as clients choose the ids, and so their length.
+        self._sent_ids: deque[int] = deque(maxlen=_MAX_KNOWN_IDS)
         # When the last request was sent, on the loop's clock.
         self.sent_at = 0.0
         self.idle_until = 0.0
@@ -208,7 +209,7 @@
         A second response to it could not be told from the response to another
         request with the same id.
         """
-        return request_id in self._sent_ids
+        return bool(request_id) and hash(request_id) in self._sent_ids
 
     def send(self, request: bytes, request_id: bytes = b'') -> None:
         """Send a complete request; its response is read with ``read``.
@@ -222,7 +223,7 @@
         """
         self.requests_sent += 1
         if request_id:
-            self._sent_ids.append(request_id)
+            self._sent_ids.append(hash(request_id))
         self.sent_at = asyncio.get_running_loop().time()
         self._awaits_response = True
         self._head_bytes = 0
