Own interface: a second response does not complete a body

Change: the end of a response is handled after the whole read; the attempt fails if the bytes behind it are no response and the body ends with the beginning of one. What else follows in the read is ignored.

--- a/samphirerill/backends/endpoint_call.py
+++ b/samphirerill/backends/endpoint_call.py
@@ -19,7 +19,10 @@
     emit_request_limit,
 )
 from samphirerill.backends.framing import Framing, find_framing
-from samphirerill.backends.response_heads import HeadChecker
+from samphirerill.backends.response_heads import (
+    HeadChecker,
+    ends_with_response,
+)
 from samphirerill.core.events import AttemptFailed, AttemptSent
 
 if TYPE_CHECKING:
@@ -68,8 +71,11 @@
         self._transport: Any = None
         self._parser = HttpResponseParser(self)
         self._sent_at = 0.0
-        # Whether the head is complete.
+        # Whether the head, and whether the response is complete.
         self._has_head = False
+        self._is_complete = False
+        # The last bytes of the body.
+        self._last_bytes = b''
         self._closed = False
         self._paused = False
         # Bytes received since the last ones of a body.
@@ -123,7 +129,14 @@
         try:
             self._parser.feed_data(data)
         except HttpParserError as exc:
-            self._fail(self.defect or f'got an answer that is not HTTP: {exc}')
+            # Bytes behind a complete response do no harm, unless the beginning
+            # of another response has completed its body.
+            if not self._is_complete or ends_with_response(self._last_bytes):
+                self._fail(
+                    self.defect or f'got an answer that is not HTTP: {exc}'
+                )
+        if self._is_complete:
+            self.handle_end()
         if self._head_bytes > MAX_HEAD_BYTES:
             self._fail(
                 f'got {self._head_bytes} bytes without a body, expected '
@@ -154,6 +167,9 @@
             (name.encode('latin-1'), text.encode('latin-1'))
             for name, text in self.headers
         )
+        if self._has_head:
+            # A second response.
+            return
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS:
             self.headers.clear()
@@ -165,8 +181,7 @@
 
     def on_message_complete(self) -> None:
         """Parser callback: a response is complete, unless an interim one."""
-        if self._has_head:
-            self.handle_end()
+        self._is_complete = self._has_head
 
     def handle_head(self) -> None:
         """Emit what the headers say of the endpoint."""
@@ -188,7 +203,9 @@
     def on_body(self, body: bytes) -> None:
         """Parser callback: bytes of the body."""
         self._head_bytes = 0
-        self.handle_body(body)
+        if not self._is_complete:
+            self._last_bytes = body
+            self.handle_body(body)
 
     @abstractmethod
     def handle_body(self, body: bytes) -> None:
