Store: an odd document does not stop the rest

What was seen: after an entry with a very deeply nested value, a node took no later entry and no later configuration. msgspec raises RecursionError for it, which is no DecodeError, so the follower's loop ended, was started again at the same revision and met the same entry again. Also taken: entries with a port of 99999 or 0, an address that is none, slots, layers, starts and orders of any size or below 0, and ids that end a line of the header they are sent in.

Change: samphirerill/decoding holds the decoders (RecursionError becomes DecodeError in one place), the bounds of numbers, and the check of IP:PORT. The documents of the store (entries of replicas, nodes and holds, configuration), reports of engines and the store's own responses use them. Each invalid entry is logged once (relay/invalid_entries.py), a configuration once per write. An error that no decoder declares costs one change, not the follower, and is logged as `change of the store not applied`.

Ruled out: a limit on the size of entries (a valid configuration is larger than a nested entry has to be), and removing a known replica whose entry turns invalid (as before, it keeps the last valid one).

--- a/samphirerill/fleet/revisions.py
+++ b/samphirerill/fleet/revisions.py
@@ -12,7 +12,7 @@
 # Keeps revisions exact where numbers are read as 64-bit floats.
 _REVISION_BITS = 53
 MAX_ERA = 2 ** (_REVISION_BITS - _NUMBER_BITS) - 1
-_NUMBER_MASK = 2**_NUMBER_BITS - 1
+MAX_NUMBER = 2**_NUMBER_BITS - 1
 
 
 def build_revision(era: int, number: int) -> int:
@@ -27,7 +27,7 @@
 
 def get_number(revision: int) -> int:
     """Return the number that the store itself gave to a revision."""
-    return revision & _NUMBER_MASK
+    return revision & MAX_NUMBER
 
 
 def describe_revision(revision: int) -> str:
--- a/samphirerill/platform/announcements.py
+++ b/samphirerill/platform/announcements.py
@@ -2,38 +2,45 @@
 
 from __future__ import annotations
 
-import re
+from typing import Annotated
 
-from msgspec import Struct, field, json
+from msgspec import Meta, Struct, field
 
+from samphirerill.decoding.addresses import is_address
+from samphirerill.decoding.bounds import Count, Name, Ordinal
+from samphirerill.decoding.decoders import build_json_decoder
 from samphirerill.fleet.model import LayerRange, Replica
 from samphirerill.platform.documents import decode_document
 from samphirerill.relay.platform_adapter import DocumentError, ReplicaReport
 
 _LEAVING = 'draining'
 _STATES = ('ready', _LEAVING)
-_ADDRESS = re.compile(r'\d{1,3}(\.\d{1,3}){3}:\d{1,5}')
+# Connections to it would reach the node itself.
+_ANY_HOST = '0.0.0.0:'
+_MAX_QUOTED_CHARS = 80
+_MAX_TIME_FACTOR = 1e6
+_TimeFactor = Annotated[float, Meta(ge=0, le=_MAX_TIME_FACTOR)]
 
 
 class _Layers(Struct):
     # `to` is exclusive.
-    begin: int = field(default=0, name='from')
-    to: int = 0
+    begin: Count = field(default=0, name='from')
+    to: Count = 0
 
 
 class _Entry(Struct):
-    service: str
+    service: Name
     address: str
-    zone: str
-    slots: int
+    zone: Name
+    slots: Count
     state: str
-    kind: str = ''
+    kind: Name = ''
     layers: _Layers | None = None
     # When the process started, in Unix milliseconds; a restarted replica may
     # keep its id.
-    born: int = 0
+    born: Ordinal = 0
     # Orders that the replica has accepted since it started.
-    sequence: int = 0
+    sequence: Ordinal = 0
 
 
 class _Stalled(Struct):
@@ -45,14 +52,14 @@
     layers: _Layers | None = None
     busy: bool = False
     # Orders that the replica has accepted since it started.
-    sequence: int = 0
-    pace: float = 1
+    sequence: Ordinal = 0
+    pace: _TimeFactor = 1
     stalled: list[_Stalled] = []
-    born: int = 0
+    born: Ordinal = 0
 
 
-_ENTRY = json.Decoder(_Entry)
-_REPORT = json.Decoder(_Report)
+_ENTRY = build_json_decoder(_Entry)
+_REPORT = build_json_decoder(_Report)
 
 
 def decode_announcement(replica_id: str, text: bytes) -> Replica:
@@ -73,7 +80,8 @@
     DocumentError
         The entry is not a valid announcement.
     """
-    document: _Entry = decode_document(_ENTRY, text)
+    _check_replica_id(replica_id)
+    document = decode_document(_ENTRY, text)
     _check_entry(document)
     return Replica(
         replica_id=replica_id,
@@ -91,7 +99,7 @@
 
 def decode_report(text: bytes) -> ReplicaReport:
     """Decode an engine's status report; raise ``DocumentError``."""
-    document: _Report = decode_document(_REPORT, text)
+    document = decode_document(_REPORT, text)
     return ReplicaReport(
         layers=_build_layers(document.layers),
         is_busy=document.busy,
@@ -102,14 +110,29 @@
     )
 
 
+def _check_replica_id(replica_id: str) -> None:
+    """Check that an id can be sent to the replica in a header."""
+    is_visible = replica_id.isascii() and replica_id.isprintable()
+    if not replica_id or not is_visible or ' ' in replica_id:
+        raise DocumentError(
+            f'got id {replica_id[:_MAX_QUOTED_CHARS]!r}, expected visible ASCII '
+            'characters'
+        )
+
+
 def _check_entry(document: _Entry) -> None:
     if document.state not in _STATES:
         raise DocumentError(
-            f'got state {document.state!r}, expected one of {_STATES}'
+            f'got state {document.state[:_MAX_QUOTED_CHARS]!r}, expected one of {_STATES}'
+        )
+    if not f'{document.service}{document.zone}{document.kind}'.isprintable():
+        raise DocumentError(
+            'got a control character in a name, expected printable ones'
         )
-    if not _ADDRESS.fullmatch(document.address):
+    address = document.address
+    if not is_address(address) or address.startswith(_ANY_HOST):
         raise DocumentError(
-            f'got address {document.address!r}, expected IP:PORT'
+            f'got address {address[:_MAX_QUOTED_CHARS]!r}, expected IP:PORT'
         )
 
 
--- a/samphirerill/platform/documents.py
+++ b/samphirerill/platform/documents.py
@@ -7,10 +7,18 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any
+from typing import TYPE_CHECKING, Annotated, TypeVar
 
-from msgspec import DecodeError, Meta, Struct, ValidationError, field, json
+from msgspec import DecodeError, Meta, Struct, field
 
+from samphirerill.decoding.bounds import (
+    Amount,
+    Count,
+    ExactInt,
+    Name,
+    Ordinal,
+)
+from samphirerill.decoding.decoders import Decoder, build_json_decoder
 from samphirerill.fleet.model import (
     MS_PER_S,
     Accelerator,
@@ -25,17 +33,24 @@
 )
 from samphirerill.relay.platform_adapter import DocumentError
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+Document = TypeVar('Document')
 _MAX_QUOTED_BYTES = 80
 _RETRY_CLASS_BY_KIND = {
     'idempotent': RetryClass.IDEMPOTENT,
     'non_idempotent': RetryClass.NON_IDEMPOTENT,
     'streaming': RetryClass.STREAM,
 }
+_MAX_AMOUNT = 1e15
+_Signed = Annotated[float, Meta(ge=-_MAX_AMOUNT, le=_MAX_AMOUNT)]
+_Divisor = Annotated[float, Meta(gt=0, le=_MAX_AMOUNT)]
 
 
 class _Split(Struct):
     service: str
-    weight: float = 1
+    weight: _Signed = 1
 
 
 class _Route(Struct, rename='camel'):
@@ -43,49 +58,49 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float = 30_000
+    timeout_ms: Amount = 30_000
     # The target latency; not a deadline.
-    slo_ms: float = 1000
-    priority: int = 5
+    slo_ms: Amount = 1000
+    priority: ExactInt = 5
     service: str = ''
     traffic_split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: ExactInt = 1
     public: bool = False
     resumable: bool = False
-    gap_target_ms: float = 0
+    gap_target_ms: Amount = 0
 
 
 class _Model(Struct, rename='camel'):
-    load_s: float = 0
+    load_s: Amount = 0
 
 
 class _TypicalRequest(Struct):
-    prompt: float = 512
-    answer: float = 128
+    prompt: Amount = 512
+    answer: Amount = 128
 
 
 class _AcceleratorKind(Struct, rename='camel'):
     name: str
-    size_mb: float
-    pace: float = 1
-    read_factor: float = 1
+    size_mb: Amount
+    pace: Amount = 1
+    read_factor: Amount = 1
 
 
 class _Engine(Struct):
-    slots: int = 1
-    stride: int = 1
-    step_ms: float = 1
-    per_seq_ms: float = 0
-    context_per_k: float = 0
-    read_per_s: float = 100_000
-    chunk: int = 512
-    loads_at_once: int = 0
+    slots: Count = 1
+    stride: Count = 1
+    step_ms: Amount = 1
+    per_seq_ms: Amount = 0
+    context_per_k: Amount = 0
+    read_per_s: _Divisor = 100_000
+    chunk: Ordinal = 512
+    loads_at_once: Count = 0
     usual: _TypicalRequest = field(default_factory=_TypicalRequest)
-    layers: int = 0
-    layer_mb: float = field(default=0, name='layerMb')
-    kv_token_bytes: float = field(default=0, name='kvTokenBytes')
-    activation_bytes: float = field(default=0, name='activationBytes')
-    pipe_mbps: float = field(default=0, name='pipeMbps')
+    layers: Count = 0
+    layer_mb: Amount = field(default=0, name='layerMb')
+    kv_token_bytes: Amount = field(default=0, name='kvTokenBytes')
+    activation_bytes: Amount = field(default=0, name='activationBytes')
+    pipe_mbps: Amount = field(default=0, name='pipeMbps')
     models: list[_Model] = []
     kinds: list[_AcceleratorKind] = []
 
@@ -93,26 +108,26 @@
 class _Service(Struct, rename='camel'):
     name: str
     health_path: str = '/health'
-    max_connections: int = 0
+    max_connections: ExactInt = 0
     engine: _Engine | None = None
 
 
 class _Limits(Struct, rename='camel'):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: Ordinal = 16_384
+    max_body_bytes: Ordinal = 4_194_304
+    header_timeout_ms: Amount = 3000
+    idle_timeout_ms: Amount = 15_000
 
 
 class _Account(Struct, rename='camel'):
-    name: str
+    name: Name
     api_keys: list[str] = []
-    priority: int | None = None
-    weight: Annotated[float, Meta(gt=0)] = 1
+    priority: ExactInt | None = None
+    weight: _Divisor = 1
 
 
 class _Config(Struct):
-    version: int
+    version: Ordinal
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = field(default_factory=_Limits)
@@ -120,12 +135,13 @@
     tenants: list[_Account] | None = None
 
 
-_CONFIG = json.Decoder(_Config)
+_CONFIG = build_json_decoder(_Config)
 
 
 def decode_configuration(text: bytes) -> FleetConfiguration:
     """Decode a stored configuration; raise ``DocumentError``."""
-    document: _Config = decode_document(_CONFIG, text)
+    document = decode_document(_CONFIG, text)
+    _check_accounts(document.tenants or ())
     accounts = {
         key: ClientAccount(account.name, account.priority, account.weight)
         for account in document.tenants or ()
@@ -148,14 +164,24 @@
     )
 
 
-def decode_document(decoder: Any, text: bytes) -> Any:
+def decode_document(decoder: Decoder[Document], text: bytes) -> Document:
     """Decode a document; raise ``DocumentError`` if it is invalid."""
     try:
         return decoder.decode(text)
-    except (DecodeError, ValidationError) as exc:
+    except DecodeError as exc:
         raise DocumentError(f'{exc}; got {text[:_MAX_QUOTED_BYTES]!r}') from exc
 
 
+def _check_accounts(accounts: Iterable[_Account]) -> None:
+    """Check that names of accounts can be sent in a header."""
+    for account in accounts:
+        if not account.name.isprintable():
+            raise DocumentError(
+                f'got the account name {account.name!r}, expected printable '
+                'characters'
+            )
+
+
 def _build_route(document: _Route) -> FleetRoute:
     retry_class = _RETRY_CLASS_BY_KIND.get(
         document.kind, RetryClass.NON_IDEMPOTENT
--- a/samphirerill/platform/store.py
+++ b/samphirerill/platform/store.py
@@ -16,18 +16,21 @@
 import asyncio
 from base64 import b64decode, b64encode
 from collections import Counter
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, TypeVar
 from urllib.parse import urlencode
 
-from msgspec import DecodeError, Struct, ValidationError, field, json
+from msgspec import DecodeError, Meta, Struct, field, json
 
 from samphirerill.backends.store import (
     StoreError,
     StoreRejectedError,
     StoreUnreachableError,
 )
+from samphirerill.decoding.bounds import Amount
+from samphirerill.decoding.decoders import build_json_decoder
 from samphirerill.fleet.revisions import (
     MAX_ERA,
+    MAX_NUMBER,
     build_revision,
     get_era,
     get_number,
@@ -60,6 +63,11 @@
 _NO_DEADLINE = float('inf')
 _MS_PER_S = 1000
 _MAX_IDLE_CONNECTIONS = 3
+_LEASE_BITS = 63
+_MAX_LEASE = 2**_LEASE_BITS - 1
+Reply = TypeVar('Reply')
+_Revision = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
+_Lease = Annotated[int, Meta(ge=0, le=_MAX_LEASE)]
 
 
 class RevisionCompactedError(StoreError):
@@ -125,34 +133,34 @@
 
 class _Item(Struct, rename='camel'):
     key: str
-    revision: int
+    revision: _Revision
     text: str = field(default='', name='value')
-    lease: int = 0
+    lease: _Lease = 0
     deleted: bool = False
 
 
 class _KeyResponse(_Item):
-    current_rev: int = 0
+    current_rev: _Revision = 0
 
 
 class _RangeResponse(Struct, rename='camel'):
     found: list[_Item] = field(name='items')
     more_pages: bool = False
-    current_rev: int = 0
+    current_rev: _Revision = 0
 
 
 class _WatchResponse(Struct, rename='camel'):
     events: list[_Item]
-    current_rev: int = 0
+    current_rev: _Revision = 0
 
 
 class _LeaseResponse(Struct, rename='camel'):
-    ttl_ms: float
-    lease: int = 0
+    ttl_ms: Amount
+    lease: _Lease = 0
 
 
 class _WriteResponse(Struct):
-    revision: int = 0
+    revision: _Revision = 0
 
 
 class _Precondition(Struct):
@@ -524,10 +532,10 @@
         )
 
 
-def _decode(response: _Response, response_type: type[Any]) -> Any:
+def _decode(response: _Response, response_type: type[Reply]) -> Reply:
     try:
-        return json.decode(response.body, type=response_type)
-    except (DecodeError, ValidationError) as exc:
+        return build_json_decoder(response_type).decode(response.body)
+    except DecodeError as exc:
         raise StoreUnreachableError(
             f'got an invalid response: {exc}',
             may_have_applied=True,
--- a/samphirerill/relay/membership.py
+++ b/samphirerill/relay/membership.py
@@ -8,7 +8,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from msgspec import DecodeError, ValidationError, json
+from msgspec import json
 
 from samphirerill.backends.store import StoreError
 from samphirerill.node.logs import get_logger
@@ -16,7 +16,10 @@
 from samphirerill.relay.change_source import PeerRequestHandler
 from samphirerill.relay.datagram_receiver import DatagramReceiver
 from samphirerill.relay.leases import revoke_lease
-from samphirerill.relay.node_status import NodeAnnouncement
+from samphirerill.relay.node_announcements import (
+    AnnouncementReader,
+    NodeAnnouncement,
+)
 from samphirerill.relay.peer_directory import PeerDirectory
 from samphirerill.relay.path_checks import PathChecks
 from samphirerill.relay.peer_sync import PeerSync
@@ -120,6 +123,7 @@
         self._lease = 0
         self._has_left = False
         self._has_listed = False
+        self._reader = AnnouncementReader()
         self._renewal: asyncio.Task[None] | None = None
         store.era.add_restore_listener(self.renew_soon)
 
@@ -181,12 +185,8 @@
         name = item.key.removeprefix(PREFIX)
         if name == self._state.settings.name:
             return
-        try:
-            announcement = json.decode(item.text, type=NodeAnnouncement)
-        except (DecodeError, ValidationError) as exc:
-            _LOG.error(
-                'cannot decode node announcement', extra={'error': str(exc)}
-            )
+        announcement = self._reader.read(item.key, item.text)
+        if announcement is None:
             return
         self._peers.add_announcement(name, announcement)
         self._update_peers()
--- a/samphirerill/relay/node_status.py
+++ b/samphirerill/relay/node_status.py
@@ -25,14 +25,6 @@
 _TOKENS_PER_UNIT = 16
 
 
-class NodeAnnouncement(Struct):
-    """A node's entry in the store; addresses are ``IP:PORT``."""
-
-    exchange: str
-    peers: str
-    data_centre: str = ''
-
-
 class NodeStatus(Struct, array_like=True):
     """Periodic status datagram of a node, or of a whole data centre.
 
--- a/samphirerill/relay/peer_directory.py
+++ b/samphirerill/relay/peer_directory.py
@@ -13,7 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from samphirerill.relay.node_status import NodeAnnouncement, NodeStatus
+    from samphirerill.relay.node_announcements import NodeAnnouncement
+    from samphirerill.relay.node_status import NodeStatus
 
 # Nodes without an announcement expire this long after their last status.
 _PEER_EXPIRY_S = 20.0
--- a/samphirerill/relay/quarantine/stored_holds.py
+++ b/samphirerill/relay/quarantine/stored_holds.py
@@ -11,9 +11,11 @@
 import time
 from typing import TYPE_CHECKING
 
-from msgspec import DecodeError, Struct, ValidationError, json
+from msgspec import DecodeError, Struct, json
 
 from samphirerill.backends.store import StoreError
+from samphirerill.decoding.bounds import Ordinal
+from samphirerill.decoding.decoders import build_json_decoder
 from samphirerill.node.logs import get_logger
 from samphirerill.quarantine.messages import (
     EvidenceMessage,
@@ -22,6 +24,7 @@
     build_messages,
     check_messages,
 )
+from samphirerill.relay.invalid_entries import InvalidEntries
 
 if TYPE_CHECKING:
     from samphirerill.platform.store import (
@@ -50,10 +53,13 @@
 class StoredHold(Struct):
     """Stored evidence for one hold; `written_ms` is a Unix time."""
 
-    written_ms: int
+    written_ms: Ordinal
     record: EvidenceMessage
 
 
+_HOLD = build_json_decoder(StoredHold)
+
+
 class StoredHolds:
     """Reads the stored holds, and writes them while this node is the leader.
 
@@ -84,6 +90,7 @@
         self._leadership = leadership
         self._loop = asyncio.get_running_loop()
         self._stored: dict[str, bytes] = {}
+        self._invalid = InvalidEntries(_LOG, 'cannot decode stored hold')
 
     def apply_snapshot(self, found: list[StoredItem], revision: int) -> None:
         """Replace all stored holds by those of a full read."""
@@ -94,15 +101,10 @@
     def apply_write(self, item: StoredItem) -> None:
         """Apply the evidence of a stored hold."""
         try:
-            hold = json.decode(item.text, type=StoredHold)
+            hold = _HOLD.decode(item.text)
             check_messages([hold.record])
-        except (
-            DecodeError,
-            ValidationError,
-            InvalidEvidenceError,
-        ) as exc:
-            fields = {'key': item.key, 'error': str(exc)}
-            _LOG.warning('cannot decode stored hold', extra=fields)
+        except (DecodeError, InvalidEvidenceError) as exc:
+            self._invalid.note(item.key, str(exc))
             return
         self._stored[item.key] = hold.record.request
         age_ms = max(0, _read_clock_ms() - hold.written_ms)
--- a/samphirerill/relay/replica_handler.py
+++ b/samphirerill/relay/replica_handler.py
@@ -8,6 +8,7 @@
 from samphirerill.fleet.model import format_layers
 from samphirerill.fleet.revisions import describe_revision
 from samphirerill.node.logs import get_logger
+from samphirerill.relay.invalid_entries import InvalidEntries
 from samphirerill.relay.platform_adapter import DocumentError
 
 if TYPE_CHECKING:
@@ -18,8 +19,6 @@
 
 _LOG = get_logger('follower')
 _MAX_LOGGED_NAMES = 8
-# Invalid entries that are remembered, so that each is logged only once.
-_MAX_INVALID_KEYS = 256
 
 
 class ReplicaHandler:
@@ -45,7 +44,9 @@
         self.state = state
         self._health = health
         self._loop = asyncio.get_running_loop()
-        self._invalid_keys: set[str] = set()
+        self._invalid = InvalidEntries(
+            _LOG, 'announcement of a replica is invalid'
+        )
 
     def apply_snapshot(self, found: list[StoredItem], revision: int) -> None:
         """Replace the known replicas by a full listing of the store.
@@ -132,20 +133,12 @@
                 self._get_replica_id(item.key), item.text
             )
         except DocumentError as exc:
-            self._log_invalid(item.key, exc)
-            return None
-
-    def _log_invalid(self, key: str, exc: DocumentError) -> None:
-        """Log each invalid entry once, as some are rewritten every second."""
-        if key in self._invalid_keys:
-            return
-        if len(self._invalid_keys) >= _MAX_INVALID_KEYS:
-            self._invalid_keys.clear()
-        self._invalid_keys.add(key)
-        _LOG.error(
-            'announcement of a replica is invalid',
-            extra={'key': key, 'error': str(exc)},
-        )
+            self._invalid.note(item.key, str(exc))
+        except Exception as exc:  # noqa: BLE001
+            # Others may write under this prefix, too; whatever their entry
+            # holds, the other entries must be applied.
+            self._invalid.note(item.key, repr(exc))
+        return None
 
     def _get_replica_id(self, key: str) -> str:
         return key.removeprefix(self.prefix)
--- a/samphirerill/relay/store_follower.py
+++ b/samphirerill/relay/store_follower.py
@@ -17,6 +17,7 @@
 from samphirerill.platform.store import DeletedKey, RevisionCompactedError
 from samphirerill.relay.confirmation import is_recent
 from samphirerill.relay.errors import ChangeTooLargeError, EndpointError
+from samphirerill.relay.invalid_entries import InvalidEntries
 from samphirerill.relay.platform_adapter import DocumentError
 from samphirerill.relay.replica_handler import ReplicaHandler
 
@@ -115,6 +116,7 @@
         self._handlers = handlers
         self._loop = asyncio.get_running_loop()
         self._must_relist = False
+        self._failed = InvalidEntries(_LOG, 'change of the store not applied')
         self._batch_s = 0.0
         self._last_change_at = 0.0
         self._sync_task: asyncio.Task[None] | None = None
@@ -325,10 +327,21 @@
         for handler in self._handlers:
             if not event.key.startswith(handler.prefix):
                 continue
-            if isinstance(event, DeletedKey):
-                handler.apply_deletion(event)
-            else:
-                handler.apply_write(event)
+            try:
+                _apply_event(handler, event)
+            except Exception as exc:  # noqa: BLE001
+                # A handler that fails on one change would fail on it again,
+                # and no later change would be applied.
+                self._failed.note(event.key, repr(exc))
+
+
+def _apply_event(
+    handler: ChangeHandler, event: StoredItem | DeletedKey
+) -> None:
+    if isinstance(event, DeletedKey):
+        handler.apply_deletion(event)
+    else:
+        handler.apply_write(event)
 
 
 class ConfigurationHandler:
@@ -337,6 +350,9 @@
     def __init__(self, state: EdgeState) -> None:
         self.prefix = state.adapter.configuration_key
         self.state = state
+        self._invalid = InvalidEntries(
+            _LOG, 'stored configuration is invalid; keeping the current one'
+        )
 
     def apply_snapshot(self, found: list[StoredItem], revision: int) -> None:
         """Apply the configuration found in a full listing."""
@@ -348,10 +364,7 @@
         try:
             cfg = self.state.adapter.decode_configuration(item.text)
         except DocumentError as exc:
-            _LOG.error(
-                'stored configuration is invalid; keeping the current one',
-                extra={'error': str(exc)},
-            )
+            self._invalid.note(item.key, str(exc), item.revision)
             return
         self.state.apply_configuration(cfg, item.text)
 
--- a/samphirerill/tests/peers.py
+++ b/samphirerill/tests/peers.py
@@ -13,7 +13,7 @@
 from samphirerill.relay.change_source import ChangeSource
 from samphirerill.relay.datagram_receiver import DatagramReceiver
 from samphirerill.relay.health import Alarms
-from samphirerill.relay.node_status import NodeAnnouncement
+from samphirerill.relay.node_announcements import NodeAnnouncement
 from samphirerill.relay.peer_directory import PeerDirectory
 from samphirerill.relay.peer_sync import PeerSync
 from samphirerill.relay.state import EdgeState
