Connecting: an address that is none is a failed connection

What was seen: an entry with port 99999 led requests to 502 though a sound replica stood beside it. asyncio raises OverflowError for such a port, and UnicodeError for a host that can't be encoded; connecting caught neither everywhere, so that the request ended with an error of its own instead of trying another replica.

Change: one tuple, CONNECT_ERRORS, of what connecting raises, used by connections, the dialer, tunnels, calls of the own interface and its health checks.

--- a/samphirerill/backends/endpoint_call.py
+++ b/samphirerill/backends/endpoint_call.py
@@ -21,6 +21,7 @@
 from samphirerill.backends.framing import Framing, find_framing
 from samphirerill.backends.response_heads import HeadChecker
 from samphirerill.core.events import AttemptFailed, AttemptSent
+from samphirerill.decoding.addresses import CONNECT_ERRORS
 
 if TYPE_CHECKING:
     from samphirerill.core.commands import Stage
@@ -84,7 +85,7 @@
                 loop.create_connection(lambda: self, host, int(port)),
                 CONNECT_TIMEOUT_S,
             )
-        except (OSError, TimeoutError) as exc:
+        except CONNECT_ERRORS as exc:
             self._fail(f'no connection: {exc}', connected=False)
 
     def close(self) -> None:
--- a/samphirerill/decoding/addresses.py
+++ b/samphirerill/decoding/addresses.py
@@ -4,6 +4,9 @@
 
 from socket import AF_INET, inet_pton
 
+# Connecting raises `OverflowError` for a port out of range, and `ValueError` for
+# a host that can't be a name.
+CONNECT_ERRORS = (OSError, OverflowError, ValueError)
 _MAX_PORT_DIGITS = 5
 _MAX_PORT = 65_535
 
--- a/samphirerill/node/health_checks.py
+++ b/samphirerill/node/health_checks.py
@@ -9,6 +9,7 @@
 from samphirerill.backends.engine_call import emit_load_report
 from samphirerill.core.configuration import ENGINE
 from samphirerill.core.events import ProbeFinished
+from samphirerill.decoding.addresses import CONNECT_ERRORS
 from samphirerill.node.endpoint_responses import read_response
 from samphirerill.node.loop_lag import lag_aware_timeout_at
 
@@ -23,6 +24,7 @@
 LOAD_POLLS_PER_S = 8.0
 LOAD_REPORT_TTL_S = 1.0
 _IDLE_INTERVAL_S = 0.25
+_FETCH_ERRORS = (*CONNECT_ERRORS, EOFError)
 
 
 async def probe_endpoint(command: ProbeEndpoint, node: Node) -> None:
@@ -33,7 +35,7 @@
     except ConnectionRefusedError:
         is_refused = True
         is_alive = False
-    except (OSError, EOFError, TimeoutError, ValueError):
+    except _FETCH_ERRORS:
         is_alive = False
     else:
         is_alive = True
@@ -142,7 +144,7 @@
 ) -> EndpointResponse | None:
     try:
         return await _fetch_with_timeout(address, target, body)
-    except (OSError, EOFError, TimeoutError, ValueError):
+    except _FETCH_ERRORS:
         return None
 
 
--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -17,6 +17,7 @@
 
 from samphirerill.backends.framing import Framing, find_framing
 from samphirerill.backends.response_heads import HeadChecker
+from samphirerill.decoding.addresses import CONNECT_ERRORS
 from samphirerill.node.loop_lag import lag_aware_timeout_at
 from samphirerill.relay.errors import (
     BrokenResponseError,
@@ -439,7 +440,7 @@
             raise ConnectRefusedError(f'{self.address}: {exc!r}') from exc
         except TimeoutError as exc:
             raise ConnectTimeoutError(f'{self.address}: {exc!r}') from exc
-        except (OSError, ValueError) as exc:
+        except CONNECT_ERRORS as exc:
             raise ConnectError(f'{self.address}: {exc!r}') from exc
 
     def _handle_invalid(self, reason: str) -> None:
--- a/samphirerill/relay/endpoint_dialer.py
+++ b/samphirerill/relay/endpoint_dialer.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
+from samphirerill.decoding.addresses import CONNECT_ERRORS
 from samphirerill.fleet.direct_paths import ConnectFailure
 from samphirerill.node.logs import get_logger
 from samphirerill.node.loop_lag import lag_aware_timeout_at
@@ -149,7 +150,7 @@
         except TimeoutError as exc:
             self.paths.note_failure(address, ConnectFailure.TIMED_OUT)
             raise ConnectTimeoutError(f'{address}: {exc!r}') from exc
-        except (OSError, ValueError) as exc:
+        except CONNECT_ERRORS as exc:
             self.paths.note_failure(address, ConnectFailure.REFUSED)
             raise ConnectRefusedError(f'{address}: {exc!r}') from exc
 
--- a/samphirerill/relay/tunnels/handshake.py
+++ b/samphirerill/relay/tunnels/handshake.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from samphirerill.decoding.addresses import CONNECT_ERRORS
 from samphirerill.node.loop_lag import lag_aware_timeout_at
 from samphirerill.relay.connection import HttpConnection
 from samphirerill.relay.errors import (
@@ -155,7 +156,7 @@
             transport.write(req.encode())
             head = await made[1].response
             status = _parse_status(head)
-    except (OSError, TimeoutError) as exc:
+    except CONNECT_ERRORS as exc:
         raise PeerUnavailableError(f'{peer}: {exc!r}') from exc
     finally:
         if status != TunnelStatus.OPEN and transport is not None:
