Between nodes: an odd message is invalid, and logged once

A message with a deeply nested element that no one reads raises RecursionError, which no receiver caught: of a watcher's response it ends the follower's loop, of a datagram it is an error of the event loop each time. Revisions and counts of any size were taken; sums of such loads fit into no datagram. A negative age confirmed a copy in the future. A number of 5,000 digits in a query ended the request without a response.

Change: all MessagePack and JSON between nodes of the platform's side goes through samphirerill/decoding; statuses, rows of changes and replicas fetched from a node have bounds; fetched replicas need an address; what can't be decoded is logged once for a sender (level error, field `sender`), not for each datagram.

Not bounded: numbers of alarms and limits, whose handlers check each entry, so that one wrong number does not cost the rest of the datagram.

--- a/samphirerill/fleet/deltas.py
+++ b/samphirerill/fleet/deltas.py
@@ -11,7 +11,9 @@
 import hashlib
 import zlib
 
-from msgspec import DecodeError, Struct, ValidationError, msgpack
+from msgspec import DecodeError, Struct, msgpack
+
+from samphirerill.decoding.decoders import build_msgpack_decoder
 
 _PIECE_END = b'}'
 _CHECKSUM_BYTES = 8
@@ -45,6 +47,9 @@
     parts: list[PieceRange | bytes]
 
 
+_DECODER = build_msgpack_decoder(Delta)
+
+
 def build_delta(old: bytes, new: bytes) -> Delta:
     """Return the difference that turns `old` into `new`."""
     old_pieces = _split(old)
@@ -107,8 +112,8 @@
     decompressor = zlib.decompressobj()
     try:
         encoded = decompressor.decompress(packed, _MAX_UNPACKED_BYTES)
-        delta = msgpack.decode(encoded, type=Delta)
-    except (zlib.error, DecodeError, ValidationError) as exc:
+        delta = _DECODER.decode(encoded)
+    except (zlib.error, DecodeError) as exc:
         raise DeltaError(f'delta is corrupt: {exc}') from exc
     return delta
 
--- a/samphirerill/fleet/model.py
+++ b/samphirerill/fleet/model.py
@@ -10,6 +10,8 @@
 import enum
 from dataclasses import dataclass, field
 
+from samphirerill.decoding.bounds import Count, Ordinal
+
 MB = 1_000_000
 MS_PER_S = 1000
 DEFAULT_MAX_HEADER_BYTES = 16_384
@@ -149,8 +151,8 @@
 class LayerRange:
     """Layers ``first`` up to but not including ``end``."""
 
-    first: int
-    end: int
+    first: Count
+    end: Count
 
     @property
     def count(self) -> int:
@@ -176,12 +178,12 @@
     service: str
     address: str
     data_centre: str
-    slots: int = 1
+    slots: Count = 1
     is_leaving: bool = False
     accelerator: str = ''
     layers: LayerRange | None = None
-    started_ms: int = 0
-    order_count: int = 0
+    started_ms: Ordinal = 0
+    order_count: Ordinal = 0
 
     def is_different_process(self, started_ms: int) -> bool:
         """Return whether a start time belongs to another process than this."""
--- a/samphirerill/quarantine/messages.py
+++ b/samphirerill/quarantine/messages.py
@@ -7,9 +7,10 @@
 
 from typing import TYPE_CHECKING
 
-from msgspec import DecodeError, Struct, ValidationError, msgpack
+from msgspec import DecodeError, Struct, msgpack
 from msgspec.structs import replace
 
+from samphirerill.decoding.decoders import build_msgpack_decoder
 from samphirerill.quarantine.identity import DIGEST_BYTES, TAG_BYTES
 from samphirerill.quarantine.records import MAX_CRASHES, Crash
 
@@ -56,6 +57,9 @@
     is_proven: bool = False
 
 
+_MESSAGES = build_msgpack_decoder(list[EvidenceMessage])
+
+
 class InvalidEvidenceError(Exception):
     """A message with evidence is malformed or exceeds the limits."""
 
@@ -117,8 +121,8 @@
 def decode_messages(text: bytes) -> list[EvidenceMessage]:
     """Decode messages; raise ``InvalidEvidenceError`` if they are invalid."""
     try:
-        messages = msgpack.decode(text, type=list[EvidenceMessage])
-    except (DecodeError, ValidationError) as exc:
+        messages = _MESSAGES.decode(text)
+    except DecodeError as exc:
         raise InvalidEvidenceError(str(exc)) from exc
     check_messages(messages)
     return messages
--- a/samphirerill/relay/change_rows.py
+++ b/samphirerill/relay/change_rows.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from samphirerill.decoding.bounds import ExactInt, Ordinal
 from samphirerill.fleet.deltas import (
     DeltaError,
     apply_delta,
@@ -30,7 +31,7 @@
     """
 
     key: str
-    revision: int
+    revision: Ordinal
     text: bytes | None
     lease: int
     delta: bytes = b''
@@ -43,9 +44,9 @@
     ``None`` if there are further ones.
     """
 
-    revision: int
+    revision: Ordinal
     rows: list[ChangeRow]
-    age_ms: int | None = None
+    age_ms: ExactInt | None = None
 
 
 class UnchangedItem(Struct, array_like=True):
@@ -53,7 +54,7 @@
 
     key: int
     text: int
-    revision: int
+    revision: Ordinal
 
 
 class Snapshot(Struct, array_like=True):
@@ -64,10 +65,10 @@
     confirmation when the snapshot was taken.
     """
 
-    revision: int
+    revision: Ordinal
     rows: list[ChangeRow]
     unchanged: list[UnchangedItem]
-    age_ms: int | None = None
+    age_ms: ExactInt | None = None
 
 
 def is_large(text: bytes) -> bool:
--- a/samphirerill/relay/change_source.py
+++ b/samphirerill/relay/change_source.py
@@ -13,8 +13,9 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import DecodeError, msgpack
 
+from samphirerill.decoding.decoders import build_msgpack_decoder
 from samphirerill.fleet.deltas import DeltaError
 from samphirerill.fleet.revisions import describe_revision, get_era
 from samphirerill.fleet.watchers import choose_other_watcher, choose_watcher
@@ -398,8 +399,8 @@
 ) -> Message:
     """Return the message in a watcher's response."""
     try:
-        return msgpack.decode(body, type=message_type)
-    except (DecodeError, ValidationError) as exc:
+        return build_msgpack_decoder(message_type).decode(body)
+    except DecodeError as exc:
         raise BrokenResponseError(f'{address}: {exc}') from exc
 
 
--- a/samphirerill/relay/configuration_history.py
+++ b/samphirerill/relay/configuration_history.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct, msgpack
 
+from samphirerill.decoding.decoders import build_msgpack_decoder
 from samphirerill.fleet.deltas import (
     DeltaError,
     apply_delta,
@@ -25,6 +26,9 @@
     delta: bytes
 
 
+_DECODER = build_msgpack_decoder(_EncodedConfiguration)
+
+
 class ConfigurationHistory:
     """The current configuration text and its recent predecessors, by version.
 
@@ -91,7 +95,7 @@
         DecodeError
             The message is malformed.
         """
-        message = msgpack.decode(encoded, type=_EncodedConfiguration)
+        message = _DECODER.decode(encoded)
         delta = unpack_delta(message.delta)
         previous = self._texts.get(own_version)
         if previous is None and delta.base:
--- a/samphirerill/relay/confirmation.py
+++ b/samphirerill/relay/confirmation.py
@@ -66,4 +66,4 @@
     """Return the time of a confirmation that has an age; see `get_age_ms`."""
     if age_ms is None:
         return float('-inf')
-    return now - age_ms / _MS_PER_S
+    return now - max(0, age_ms) / _MS_PER_S
--- a/samphirerill/relay/datagram_receiver.py
+++ b/samphirerill/relay/datagram_receiver.py
@@ -5,12 +5,14 @@
 import asyncio
 from typing import TYPE_CHECKING, Any, cast
 
-from msgspec import DecodeError, ValidationError, msgpack
+from msgspec import DecodeError
 
+from samphirerill.decoding.decoders import build_msgpack_decoder
 from samphirerill.fleet.load_aggregation import name_aggregate
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.health.alarms import TYPE_PREFIX
 from samphirerill.relay.health.remote_suspicions import apply_suspicions
+from samphirerill.relay.invalid_entries import InvalidEntries
 from samphirerill.relay.node_status import NodeStatus, apply_node_status
 from samphirerill.relay.peer_directory import Peer
 
@@ -27,6 +29,7 @@
 
 _LOG = get_logger('members')
 _TYPE_PREFIX_BYTES = 2
+_STATUS = build_msgpack_decoder(NodeStatus)
 
 
 class DatagramReceiver(asyncio.DatagramProtocol):
@@ -72,6 +75,9 @@
         self._transport: asyncio.DatagramTransport | None = None
         # The process run and sequence number of the latest status, by sender.
         self._latest: dict[str, tuple[int, int]] = {}
+        self._invalid = InvalidEntries(
+            _LOG, 'cannot decode status datagram', 'sender'
+        )
 
     async def start(self) -> None:
         """Open the port."""
@@ -104,11 +110,9 @@
             handler(data, f'{addr[0]}:{addr[1]}')
             return
         try:
-            status = msgpack.decode(data, type=NodeStatus)
-        except (DecodeError, ValidationError) as exc:
-            _LOG.warning(
-                'cannot decode status datagram', extra={'error': str(exc)}
-            )
+            status = _STATUS.decode(data)
+        except DecodeError as exc:
+            self._invalid.note(f'{addr[0]}:{addr[1]}', str(exc))
             return
         if status.node == self._state.settings.name or self._is_outdated(
             status
--- a/samphirerill/relay/health/alarms.py
+++ b/samphirerill/relay/health/alarms.py
@@ -10,8 +10,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from msgspec import DecodeError, Struct, ValidationError, msgpack
+from msgspec import DecodeError, Struct, msgpack
 
+from samphirerill.decoding.decoders import build_msgpack_decoder
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.replica_notices import (
     MAX_BACKOFF_S,
@@ -25,6 +26,7 @@
     apply_silence_report,
     decode_silence_report,
 )
+from samphirerill.relay.invalid_entries import InvalidEntries
 from samphirerill.relay.replica_ids import checksum_name
 
 if TYPE_CHECKING:
@@ -79,6 +81,9 @@
     slow: dict[int, tuple[int, int]] = {}
 
 
+_ALARM = build_msgpack_decoder(Alarm)
+
+
 class Alarms:
     """Sends and receives alarms.
 
@@ -97,6 +102,7 @@
         self._noticed: dict[str, Replica] = {}
         state.response_notices.bind(self.broadcast_notice)
         self._deduplicator = DatagramDeduplicator()
+        self._invalid = InvalidEntries(_LOG, 'cannot decode alarm', 'sender')
 
     def bind(self, datagram_sender: DatagramSender) -> None:
         """Send through this sender from now on."""
@@ -166,9 +172,9 @@
     def handle_datagram(self, data: bytes, sender: str) -> None:
         """Apply an alarm of another node."""
         try:
-            alarm = msgpack.decode(data[len(TYPE_PREFIX) :], type=Alarm)
-        except (DecodeError, ValidationError) as exc:
-            _LOG.warning('cannot decode alarm', extra={'error': str(exc)})
+            alarm = _ALARM.decode(data[len(TYPE_PREFIX) :])
+        except DecodeError as exc:
+            self._invalid.note(sender, str(exc))
             return
         if alarm.node == self._state.settings.name or self._is_duplicate(alarm):
             return
--- a/samphirerill/relay/limits/exchange.py
+++ b/samphirerill/relay/limits/exchange.py
@@ -9,11 +9,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from msgspec import DecodeError, ValidationError
+from msgspec import DecodeError
 
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.datagrams import DatagramDeduplicator
+from samphirerill.relay.invalid_entries import InvalidEntries
 from samphirerill.relay.limits.broadcasting import LimitBroadcaster
 from samphirerill.relay.limits.granters import GranterChoice
 from samphirerill.relay.limits.granting import PermitGranter
@@ -63,6 +64,7 @@
         self._loop = asyncio.get_running_loop()
         self._datagram_sender: DatagramSender | None = None
         self._deduplicator = DatagramDeduplicator()
+        self._invalid = InvalidEntries(_LOG, 'cannot decode limits', 'sender')
         self._sequence = 0
         self._broadcaster = LimitBroadcaster(state, self._broadcast)
         self._granters = GranterChoice(state)
@@ -98,8 +100,8 @@
         """Apply a message of another node."""
         try:
             message = decode_message(data)
-        except (DecodeError, ValidationError) as exc:
-            _LOG.warning('cannot decode limits', extra={'error': str(exc)})
+        except DecodeError as exc:
+            self._invalid.note(sender, str(exc))
             return
         is_new = self._deduplicator.record(
             message.node, message.started, message.sequence
--- a/samphirerill/relay/limits/messages.py
+++ b/samphirerill/relay/limits/messages.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct, msgpack
 
+from samphirerill.decoding.decoders import build_msgpack_decoder
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.relay.replica_ids import checksum_name
 
@@ -46,6 +47,9 @@
     declined: tuple[int, ...] = ()
 
 
+_DECODER = build_msgpack_decoder(LimitMessage)
+
+
 def encode_message(message: LimitMessage) -> bytes:
     """Return the datagram of a message."""
     return TYPE_PREFIX + msgpack.encode(message)
@@ -53,7 +57,7 @@
 
 def decode_message(data: bytes) -> LimitMessage:
     """Return the message of a datagram; raise ``DecodeError`` if it has none."""
-    return msgpack.decode(data[len(TYPE_PREFIX) :], type=LimitMessage)
+    return _DECODER.decode(data[len(TYPE_PREFIX) :])
 
 
 def encode_limit(
--- a/samphirerill/relay/listeners.py
+++ b/samphirerill/relay/listeners.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
+from samphirerill.decoding.bounds import parse_ordinal
 from samphirerill.fleet.model import ClientLimits
 from samphirerill.relay.server import ClientConnection
 
@@ -89,10 +90,11 @@
 def read_revision(query: bytes) -> int:
     """Return the revision in the `after` parameter of a query, or -1."""
     after = parse_qs(query).get(b'after', [b''])[0]
-    return int(after) if after.isdigit() else -1
+    number = parse_ordinal(after)
+    return -1 if number is None else number
 
 
 def read_age_ms(query: bytes) -> int | None:
     """Return the `age` parameter of a query; none if there is no valid one."""
     age = parse_qs(query).get(b'age', [b''])[0]
-    return int(age) if age.isdigit() else None
+    return parse_ordinal(age)
--- a/samphirerill/relay/node_status.py
+++ b/samphirerill/relay/node_status.py
@@ -10,6 +10,7 @@
 
 from msgspec import Struct
 
+from samphirerill.decoding.bounds import Count, ExactInt, Name, Ordinal
 from samphirerill.fleet.load import ReplicaLoad
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.fleet.retry_budget import RetryUsage
@@ -46,18 +47,18 @@
     number in `node_count`.
     """
 
-    node: str
-    started: int
-    sequence: int
-    version: int
-    revision: int
-    load: dict[int, tuple[int, int]]
-    suspected: dict[int, tuple[int, int]]
-    link_usage: list[tuple[str, str, int]]
-    data_centre: str = ''
-    node_count: int = 1
-    budget_usage: dict[str, tuple[int, int, int]] = {}
-    suspected_ago_ms: dict[int, int] = {}
+    node: Name
+    started: Ordinal
+    sequence: Ordinal
+    version: Ordinal
+    revision: Ordinal
+    load: dict[int, tuple[ExactInt, ExactInt]]
+    suspected: dict[int, tuple[ExactInt, ExactInt]]
+    link_usage: list[tuple[Name, Name, ExactInt]]
+    data_centre: Name = ''
+    node_count: Count = 1
+    budget_usage: dict[str, tuple[ExactInt, ExactInt, ExactInt]] = {}
+    suspected_ago_ms: dict[int, ExactInt] = {}
     room: dict[str, RoomRow] = {}
 
 
--- a/samphirerill/relay/peer_sync.py
+++ b/samphirerill/relay/peer_sync.py
@@ -11,7 +11,11 @@
 from typing import TYPE_CHECKING
 
 from msgspec import DecodeError, json
+from msgspec.json import Decoder as JsonDecoder
 
+from samphirerill.decoding.addresses import is_address
+from samphirerill.decoding.bounds import Ordinal
+from samphirerill.decoding.decoders import Decoder
 from samphirerill.fleet.deltas import DeltaError
 from samphirerill.fleet.model import Replica
 from samphirerill.fleet.revisions import describe_revision
@@ -46,6 +50,7 @@
 _REPLICAS_PATH = b'/replicas/2'
 _FETCH_ERRORS = (EndpointError, DocumentError, DeltaError, DecodeError)
 _CONFIGURATION_PATH = b'/configuration/3'
+_REPLICAS = Decoder(JsonDecoder(tuple[Ordinal, list[tuple[Replica, Ordinal]]]))
 
 
 class PeerSync:
@@ -164,9 +169,8 @@
 
     async def _fetch_replicas(self, address: str) -> None:
         text = await self._get(address, _REPLICAS_PATH)
-        revision, rows = json.decode(
-            text, type=tuple[int, list[tuple[Replica, int]]]
-        )
+        revision, received = _REPLICAS.decode(text)
+        rows = [row for row in received if is_address(row[0].address)]
         if revision > self._state.view.revision and not self._health.is_up:
             leaves_at = self._state.compute_leaving_deadline(self._loop.time())
             self._state.view.apply_snapshot(rows, revision, 0, leaves_at)
--- a/samphirerill/relay/quarantine/evidence_exchange.py
+++ b/samphirerill/relay/quarantine/evidence_exchange.py
@@ -10,8 +10,9 @@
 from itertools import islice
 from typing import TYPE_CHECKING
 
-from msgspec import DecodeError, Struct, ValidationError, msgpack
+from msgspec import DecodeError, Struct, msgpack
 
+from samphirerill.decoding.decoders import build_msgpack_decoder
 from samphirerill.node.logs import get_logger
 from samphirerill.quarantine.decision import SUSPECT_CRASHES
 from samphirerill.quarantine.messages import (
@@ -21,6 +22,7 @@
     encode_messages,
 )
 from samphirerill.relay.datagrams import DatagramDeduplicator
+from samphirerill.relay.invalid_entries import InvalidEntries
 from samphirerill.relay.quarantine.trials import TRIAL_S, Trials
 
 if TYPE_CHECKING:
@@ -69,6 +71,9 @@
     is_broadcast: bool = True
 
 
+_EVIDENCE = build_msgpack_decoder(Evidence)
+
+
 class EvidenceExchange:
     """Sends and receives evidence.
 
@@ -88,6 +93,7 @@
         self._loop = asyncio.get_running_loop()
         self._datagram_sender: DatagramSender | None = None
         self._deduplicator = DatagramDeduplicator()
+        self._invalid = InvalidEntries(_LOG, 'cannot decode evidence', 'sender')
         self._sequence = 0
         self._pending: dict[bytes, None] = {}
         self._pending_parts: dict[bytes, None] = {}
@@ -118,10 +124,10 @@
     def handle_datagram(self, data: bytes, sender: str) -> None:
         """Apply the evidence of another node."""
         try:
-            evidence = msgpack.decode(data[len(TYPE_PREFIX) :], type=Evidence)
+            evidence = _EVIDENCE.decode(data[len(TYPE_PREFIX) :])
             records = decode_messages(evidence.records)
-        except (DecodeError, ValidationError, InvalidEvidenceError) as exc:
-            _LOG.warning('cannot decode evidence', extra={'error': str(exc)})
+        except (DecodeError, InvalidEvidenceError) as exc:
+            self._invalid.note(sender, str(exc))
             return
         is_own = evidence.node == self._state.settings.name
         is_new = self._deduplicator.record(
