--- a/samphirerill/backends/endpoint_call.py
+++ b/samphirerill/backends/endpoint_call.py
@@ -24,6 +24,7 @@
     ends_with_response,
 )
 from samphirerill.core.events import AttemptFailed, AttemptSent
+from samphirerill.decoding.addresses import CONNECT_ERRORS
 
 if TYPE_CHECKING:
     from samphirerill.core.commands import Stage
@@ -90,7 +91,7 @@
                 loop.create_connection(lambda: self, host, int(port)),
                 CONNECT_TIMEOUT_S,
             )
-        except (OSError, TimeoutError) as exc:
+        except CONNECT_ERRORS as exc:
             self._fail(f'no connection: {exc}', connected=False)
 
     def close(self) -> None:
