Probes: not repeated by a node that lagged before it read the answer

Cause: a probe is repeated after 7 to 20 ms, and timers fire before what arrived while the loop was held up is handled. Trace of a failing run at load 19, with 1 ms of processor time in an iteration of 8 ms: the first probe on a new connection began at 88.2 ms, the loop returned 8.4 ms late at 99.4 with the connection accepted, the second probe began at 101.5, and the first one was only sent at 102.2. The deadline of the round was extended by the lag already, the delay before the next probe was not.

Change: after a lag of more than 3 ms the wait for the retry is repeated once, on kept and on new connections. The verdict that a replica is unresponsive is not later: it comes with the deadline, which had this time added before.

The new test fails without the change.

--- a/samphirerill/relay/health/kept_probe.py
+++ b/samphirerill/relay/health/kept_probe.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from samphirerill.relay.health.probe_timeouts import ProbeDeadline
 from samphirerill.relay.health.probing import Verdict, probe_kept
 
 if TYPE_CHECKING:
@@ -65,8 +66,8 @@
         """Return the answer if it comes before a probe would be repeated."""
         if not self.tasks:
             return None
-        head_start_s = self._latencies.choose_retry_delay()
-        await asyncio.wait(self.tasks, timeout=head_start_s)
+        deadline = ProbeDeadline(self._latencies)
+        await deadline.wait_for_retry(self.tasks)
         probe = self.find_answer()
         if probe is not None:
             self.note_latency()
--- a/samphirerill/relay/health/probe_timeouts.py
+++ b/samphirerill/relay/health/probe_timeouts.py
@@ -86,8 +86,14 @@
     async def wait_for_retry(
         self, probes: Collection[asyncio.Task[object]]
     ) -> None:
-        """Wait for an answer, at most until the next retry."""
-        await self._wait(probes, self._retry_delay_s)
+        """Wait for an answer, at most until the next retry.
+
+        The wait is repeated once if the event loop lagged: timers fire before
+        what arrived meanwhile is handled.
+        """
+        lag_s = await self._wait(probes, self._retry_delay_s)
+        if lag_s > MIN_LAG_S and not any(task.done() for task in probes):
+            await self._wait(probes, self._retry_delay_s)
 
     async def wait_until_deadline(
         self, probes: Collection[asyncio.Task[object]]
@@ -101,8 +107,8 @@
 
     async def _wait(
         self, probes: Collection[asyncio.Task[object]], timeout_s: float
-    ) -> None:
-        """Wait for an answer, and extend the deadline by the lag."""
+    ) -> float:
+        """Wait for an answer, extend the deadline by the lag, and return it."""
         expected_at = self._loop.time() + timeout_s
         pending = {task for task in probes if not task.done()}
         if pending:
@@ -115,3 +121,4 @@
         if lag_s > MIN_LAG_S:
             self.deadline += lag_s + self._retry_delay_s
             self.lag_s += lag_s
+        return lag_s
--- a/samphirerill/tests/test_loop_lag.py
+++ b/samphirerill/tests/test_loop_lag.py
@@ -10,6 +10,7 @@
 from threading import Thread
 from typing import TYPE_CHECKING
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
 
 from msgspec import json
 
@@ -21,6 +22,10 @@
     serialize_request,
 )
 from samphirerill.relay.health.alarms import Alarms
+from samphirerill.relay.health.probe_timeouts import (
+    ProbeDeadline,
+    ProbeLatencies,
+)
 from samphirerill.relay.health.prober import ReplicaProber
 from samphirerill.testing.platform_harness import PlatformHarness
 from samphirerill.tests.fleet_builders import build_replica
@@ -140,6 +145,25 @@
                 await self.block_loop()
                 self.assertEqual(await probe, set())
 
+    async def test_probe_is_not_repeated_before_its_answer_is_read(
+        self,
+    ) -> None:
+        """A node that was blocked sent further probes past a waiting answer."""
+        for bound in ('_MIN_RETRY_DELAY_S', '_MAX_RETRY_DELAY_S'):
+            name = f'samphirerill.relay.health.probe_timeouts.{bound}'
+            self.enterContext(patch(name, _BLOCKED_S / 2))
+        deadline = ProbeDeadline(ProbeLatencies())
+        probe = asyncio.create_task(self.answer_in_steps())
+        waiting = asyncio.create_task(deadline.wait_for_retry({probe}))
+        await self.block_loop()
+        await waiting
+        self.assertTrue(probe.done())
+
+    async def answer_in_steps(self) -> None:
+        """Return after as many loop iterations as a probe needs."""
+        for _ in range(_MAX_STEPS):
+            await asyncio.sleep(0)
+
     def build_engine(self, name: str) -> Replica:
         """Start an engine; return it as a replica."""
         replica = build_replica(name, 'a', 'large', (0, 32))
