Tests: the connections of calls do not depend on how busy the machine is

test_calls_and_requests_share_connections and test_answer_on_a_kept_connection_shows_that_the_path_works expect one connection at an engine.

Trace: node, engine and test share one loop in debug mode, whose iterations took 4 to 9 ms with 1 to 2 ms of processor time. A call on the idle connection was sent at 105.7 ms, the probe after it at 122.6 (the iteration before came 7.3 ms late), so that no answer was there 8.6 ms after the probe began; the probe on a new connection that follows after 7 ms is what docs/design/connections-and-cpu.md specifies. In the second test the first probe, for which there is no idle connection yet, was repeated in the same way. No call opened a connection while an idle one could be taken, and no periodic call of the node took part.

The tests now set the delay before a probe is repeated to 10 s. They still require exactly one connection, and any second one fails them, whatever opens it.

--- a/samphirerill/tests/test_endpoint_calls.py
+++ b/samphirerill/tests/test_endpoint_calls.py
@@ -18,6 +18,9 @@
 _CALLS = 3
 _SETTLE_S = 0.05
 _FOUND_WITHIN_S = 3.0
+# Probes are repeated on a new connection if the answer takes longer; with the usual
+# 7 ms, a busy machine would decide how many connections are made.
+_LONG_DELAY_S = 10.0
 _ORDER = b'{"operation": "none"}'
 _REPORT = (
     b'HTTP/1.1 200 OK\r\ncontent-length: 30\r\n\r\n'
@@ -25,11 +28,19 @@
 )
 
 
+def _delay_repeated_probes(case: IsolatedAsyncioTestCase) -> None:
+    """Let probes be repeated only after a time that no answer takes."""
+    for bound in ('_MIN_RETRY_DELAY_S', '_MAX_RETRY_DELAY_S'):
+        name = f'samphirerill.relay.health.probe_timeouts.{bound}'
+        case.enterContext(patch(name, _LONG_DELAY_S))
+
+
 class TestCalls(EdgeCase):
     """Calls one after another to the same engine."""
 
     async def test_calls_and_requests_share_connections(self) -> None:
         """Each report and each order had a connection of its own."""
+        _delay_repeated_probes(self)
         process = await self.harness.wait_until_ready()
         state = process.state
         replica = state.view.replicas['engine-1'].replica
@@ -92,6 +103,7 @@
         self,
     ) -> None:
         """Nodes took themselves for cut off while kept connections answered."""
+        _delay_repeated_probes(self)
         state = self.harness.require_first_node().state
         self.response = _REPORT
         self.keeps_answering = True
