Client connections: closing one whose client has just left raises no error

A client that has left, but whose end the loop has not read, resets the connection when it is written to; the shutdown of the socket then fails, and the error went to whoever closed it.

When a node ends, it closes all connections in one loop. The error ended that loop, so that requests on the other connections got neither 502 nor 503, and the node did not announce that it leaves. Otherwise only the task of the connection was lost.

Change: such a connection is aborted and counted as closed by the client.

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -458,13 +458,21 @@
         if self._transport is None or self._transport.is_closing():
             return
         if self._transport.can_write_eof() and not self._keeps_alive:
-            self._transport.write_eof()
-            self._timer = self._loop.call_later(
-                _LINGER_S, self._transport.close
-            )
+            self._end_output()
         else:
             self._transport.close()
 
+    def _end_output(self) -> None:
+        """Send the end of the responses, and let the client close first."""
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The client has left, which the loop has not read yet.
+            self._close_reason = CloseReason.CLIENT
+            self._transport.abort()
+            return
+        self._timer = self._loop.call_later(_LINGER_S, self._transport.close)
+
     def _note_close(self, reason: CloseReason) -> None:
         """Note why the connection is closed; the first reason counts."""
         self._close_reason = self._close_reason or reason
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from dataclasses import replace
 from unittest import IsolatedAsyncioTestCase
 from unittest.mock import patch
@@ -180,6 +181,20 @@
         self.assertEqual(await self.receive_statuses(), [200] * 1200)
 
 
+class TestShutdown(KeptConnectionCase):
+    """Connections that a node closes when it ends."""
+
+    async def test_client_that_has_just_left_prevents_no_response(self) -> None:
+        """An error for its connection left the others without a response."""
+        left = socket.create_connection(('127.0.0.1', self.port))
+        left.sendall(_build('/1'))
+        await self.send(_build('/2'))
+        left.close()
+        for conn in tuple(self.connections):
+            conn.shut_down()
+        self.assertEqual(await self.receive_statuses(), [502])
+
+
 class TestTrailers(KeptConnectionCase):
     """Trailers of a chunked request."""
 
