Own interface: what follows a response neither completes nor changes it

What callers would see: a success whose last bytes are the first ones of a second response; the trailers of a response among its headers. Status and headers of a call were also replaced by those of a second response in the same read, after its event was sent. Cause: a response ended inside the parser, before the rest of its read was parsed. Evidence: TestOwnInterface in test_repeated_responses; before, 4 of 160 cuts were answered as whole, the status was 500 with the body of the 200, and a trailer was a header. Change: the end is handled once the whole read is parsed; if that fails, so does the attempt, as in HttpConnection. Headers after the head are no headers. Result: these tests, test_plain_services and test_endless_responses pass. A body completed to the byte, or whose rest comes in a later read, is not noticed.

--- a/samphirerill/backends/endpoint_call.py
+++ b/samphirerill/backends/endpoint_call.py
@@ -70,6 +70,8 @@
         self._sent_at = 0.0
         # Whether the head is complete.
         self._has_head = False
+        # Whether the response is; it ends once the rest of the read is checked.
+        self._is_whole = False
         self._closed = False
         self._paused = False
         # Bytes received since the last ones of a body.
@@ -123,12 +125,16 @@
         try:
             self._parser.feed_data(data)
         except HttpParserError as exc:
+            # Behind the response, too: it may have been cut short, and completed
+            # with the beginning of what follows.
             self._fail(self.defect or f'got an answer that is not HTTP: {exc}')
         if self._head_bytes > MAX_HEAD_BYTES:
             self._fail(
                 f'got {self._head_bytes} bytes without a body, expected '
                 f'{MAX_HEAD_BYTES} at most; it may have run'
             )
+        if self._is_whole and not self._closed:
+            self.handle_end()
 
     def eof_received(self) -> None:
         """Complete a response that is delimited by the connection's end."""
@@ -142,12 +148,18 @@
         self._fail('the connection closed before the answer was whole')
 
     def on_header(self, name: bytes, header_value: bytes) -> None:
-        """Store a response header."""
+        """Store a response header; trailers are none."""
+        if self._has_head:
+            return
         header = (name.decode('latin-1'), header_value.decode('latin-1'))
         self.headers.append(header)
 
     def on_headers_complete(self) -> None:
         """Parser callback: a head is complete, which may be an interim one."""
+        if self._has_head:
+            # Of a further response.
+            self.check_head(())
+            return
         self.check_head(
             (name.encode('latin-1'), text.encode('latin-1'))
             for name, text in self.headers
@@ -163,8 +175,7 @@
 
     def on_message_complete(self) -> None:
         """Parser callback: a response is complete, unless an interim one."""
-        if self._has_head:
-            self.handle_end()
+        self._is_whole = self._has_head
 
     def handle_head(self) -> None:
         """Emit what the headers say of the endpoint."""
@@ -186,7 +197,8 @@
     def on_body(self, body: bytes) -> None:
         """Parser callback: bytes of the body."""
         self._head_bytes = 0
-        self.handle_body(body)
+        if not self._is_whole:
+            self.handle_body(body)
 
     @abstractmethod
     def handle_body(self, body: bytes) -> None:
--- a/samphirerill/tests/test_repeated_responses.py
+++ b/samphirerill/tests/test_repeated_responses.py
@@ -14,7 +14,7 @@
 from samphirerill.backends.response_heads import has_joined_heads
 from samphirerill.backends.service_call import ServiceCall
 from samphirerill.core.commands import Stage
-from samphirerill.core.events import AttemptFailed
+from samphirerill.core.events import AttemptFailed, ServiceAnswered
 from samphirerill.platform.http_adapter import HttpPlatformAdapter
 from samphirerill.relay.connection import HttpConnection
 from samphirerill.relay.pool import read_whole_response
@@ -46,6 +46,7 @@
 _OK = 200
 _FAILURES = {500, 502, 504}
 _AMPLE_RETRIES = 10_000
+_ENDS = (AttemptFailed, ServiceAnswered)
 
 
 def _build_success(request_id: bytes, body: bytes, kind: bytes) -> bytes:
@@ -296,6 +297,44 @@
         self.assertEqual(events, [AttemptFailed])
 
 
+class TestOwnInterface(TestCase):
+    """Further bytes in the read that ends a response, on a call of its own."""
+
+    def receive(self, data: bytes) -> tuple[ServiceCall, list[type]]:
+        """Return a call that has received some data, and its events."""
+        sink = Mock()
+        call = ServiceCall('a1', Mock(spec=Stage, address='h:1'), b'', sink)
+        call.data_received(data)
+        events = [type(entry.args[0]) for entry in sink.apply.call_args_list]
+        return call, [event for event in events if event in _ENDS]
+
+    def test_next_response_does_not_complete_a_body(self) -> None:
+        """Guards against bytes of a second response at the end of a body."""
+        whole = _respond_well([b'r1'])
+        sizes = range(1, len(whole))
+        for size in sizes:
+            with self.subTest(size=size):
+                _, events = self.receive(whole[:size] + whole)
+                self.assertEqual(events, [AttemptFailed])
+
+    def test_second_response_changes_nothing(self) -> None:
+        """Guards against the status of one response with the body of another."""
+        call, events = self.receive(
+            _respond_well([b'r1']) + _build_failure(b'r2')
+        )
+        self.assertEqual(events, [ServiceAnswered])
+        self.assertEqual((call.status, call.body), (_OK, b'done'))
+        self.assertNotIn(('x-samphirerill-request-id', 'r2'), call.headers)
+
+    def test_trailers_are_no_headers(self) -> None:
+        """Guards against headers of a second response among those of the first."""
+        call, _ = self.receive(
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+            b'2\r\nok\r\n0\r\ncontent-type: text/html\r\n\r\n'
+        )
+        self.assertEqual(call.headers, [('transfer-encoding', 'chunked')])
+
+
 class TestReuse(IsolatedAsyncioTestCase):
     """What a connection may still be used for."""
 
