Responses: a body that contains another response to its request is broken

What callers would see: two responses as one body. An endpoint breaks off a response without a length and sends the next one: everything up to the end of the connection is the body. The same where a length is completed to the byte, and in events of a stream. Change: the head of a response with the id of the present request, within a body or a stream's events, ends the run as broken, before its event counts as passed on. The own interface has no such id and is as before. Left out of it: a read that ends just where the second response completes the body of the first; a head that breaks off before the id is not told from a body.

--- a/samphirerill/backends/response_heads.py
+++ b/samphirerill/backends/response_heads.py
@@ -10,6 +10,8 @@
 
 # RFC 9112, section 4; some servers omit the space before an empty reason.
 _STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}(?: |$)')
+_VERSION = b'HTTP/1.'
+_END_OF_HEAD = b'\r\n\r\n'
 _JOINED_HEADS = 'the response head contains that of another response'
 
 
@@ -60,3 +62,26 @@
     if _STATUS_LINE.search(reason):
         return True
     return any(_STATUS_LINE.search(text) for _, text in headers)
+
+
+def contains_response(body: bytes, request_id: bytes) -> bool:
+    """Return whether a body contains the head of a response to its request.
+
+    The framing alone does not tell if a response without a length breaks off and
+    another one follows, or if a length is completed with another response.
+
+    Parameters
+    ----------
+    body : bytes
+        The body, or some whole events of it.
+    request_id : bytes
+        The id that responses to the request name; empty for none.
+    """
+    if not request_id or _VERSION not in body:
+        return False
+    for found in _STATUS_LINE.finditer(body):
+        end = body.find(_END_OF_HEAD, found.end())
+        head = body[found.end() : end if end >= 0 else len(body)]
+        if request_id in head:
+            return True
+    return False
--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -115,6 +115,7 @@
         self.has_surplus = False
         self.framing = Framing.UNKNOWN
         self.requests_sent = 0
+        self._request_id = b''
         self._sent_ids: deque[bytes] = deque(maxlen=_MAX_KNOWN_IDS)
         # When the last request was sent, on the loop's clock.
         self.sent_at = 0.0
@@ -205,6 +206,11 @@
         """
         return request_id in self._sent_ids
 
+    @property
+    def request_id(self) -> bytes:
+        """Return the id of the request sent last; empty if it has none."""
+        return self._request_id
+
     def send(self, request: bytes, request_id: bytes = b'') -> None:
         """Send a complete request; its response is read with ``read``.
 
@@ -216,6 +222,7 @@
             The id that its response will name, if any.
         """
         self.requests_sent += 1
+        self._request_id = request_id
         if request_id:
             self._sent_ids.append(request_id)
         self.sent_at = asyncio.get_running_loop().time()
--- a/samphirerill/relay/event_forwarder.py
+++ b/samphirerill/relay/event_forwarder.py
@@ -7,7 +7,7 @@
 
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.errors import BrokenResponseError
-from samphirerill.relay.responses import check_stream_end
+from samphirerill.relay.responses import check_body, check_stream_end
 from samphirerill.relay.server_sent_events import EventParser
 
 if TYPE_CHECKING:
@@ -99,10 +99,13 @@
     def forward(self, body: bytes) -> None:
         """Forward the events that some data completes.
 
-        Raises ``BrokenResponseError`` if an event is too long.
+        Raises ``BrokenResponseError`` if an event is too long, or contains the
+        head of another response.
         """
         events = self._parser.feed(body)
         if events:
+            # Before they count as passed on.
+            check_body(self._conn, b''.join(event.raw for event in events))
             self._record_events(len(events))
         new_events = [event.raw for event in events if self._is_new(event)]
         if new_events:
@@ -133,6 +136,7 @@
             },
         )
         check_stream_end(conn, self._head, self._parser, self._run.events)
+        check_body(conn, self._parser.buffer)
         if self._run.events:
             self._crash_detector.record_completion(self._context)
         self._context.conn.write_body(self._parser.buffer)
--- a/samphirerill/relay/responses.py
+++ b/samphirerill/relay/responses.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.backends.framing import Framing
+from samphirerill.backends.response_heads import contains_response
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.connection import BodyChunk, EndOfResponse, ResponseHead
 from samphirerill.relay.errors import BrokenResponseError, ResponseTooLargeError
@@ -104,6 +105,8 @@
 
     Raises
     ------
+    BrokenResponseError
+        It contains the head of a further response.
     ResponseTooLargeError
         It exceeds a limit of `memory`.
     """
@@ -111,11 +114,22 @@
         while True:
             part = await conn.read(deadline)
             if isinstance(part, EndOfResponse):
-                return body.join()
+                whole = body.join()
+                check_body(conn, whole)
+                return whole
             if isinstance(part, BodyChunk):
                 body.append(part.body)
 
 
+def check_body(conn: HttpConnection, body: bytes) -> None:
+    """Raise ``BrokenResponseError`` if another response is in a body."""
+    if contains_response(body, conn.request_id):
+        conn.has_surplus = True
+        raise BrokenResponseError(
+            f'{conn.address}: the body contains another response'
+        )
+
+
 def check_success(head: ResponseHead, metadata: ResponseMetadata) -> None:
     """Reject a success without a signature or with an encoded body."""
     if head.status not in _SUCCESS_STATUSES:
--- a/samphirerill/tests/test_repeated_responses.py
+++ b/samphirerill/tests/test_repeated_responses.py
@@ -46,6 +46,8 @@
 _OK = 200
 _FAILURES = {500, 502, 504}
 _AMPLE_RETRIES = 10_000
+# Within the only event.
+_CUT_BYTES = 12
 _ENDS = (AttemptFailed, ServiceAnswered)
 
 
@@ -386,6 +388,32 @@
                 status, body = await self.send(_PICKUP, f'r-{size:03d}')
                 self.assertIn(status, _FAILURES, body)
 
+    async def test_event_does_not_go_on_with_another_response(self) -> None:
+        """Guards against a head within an event, and the loss of that event."""
+        self.engine.respond = _build_joined()
+        status, body = await self.send(_STREAM, 'r1', _AMPLE_MS)
+        self.assertEqual((status, body), (_OK, _NOTE))
+
+    async def test_body_does_not_contain_the_next_response(self) -> None:
+        """Guards against two responses as one body, completed to the byte."""
+        self.desk.respond = _build_joined()
+        status, body = await self.send(_PICKUP, 'r1', _AMPLE_MS)
+        self.assertIn(status, _FAILURES, body)
+
+
+def _build_joined() -> Callable[[list[bytes]], bytes]:
+    """Return how an endpoint responds whose first body another response ends."""
+    runs: list[bytes] = []
+
+    def respond(received: list[bytes]) -> bytes:
+        runs.append(received[-1])
+        body = _NOTE
+        if len(runs) == 1:
+            body = _NOTE[:_CUT_BYTES] + _build_failure(received[-1])
+        return _build_success(received[-1], body, b'text/event-stream')
+
+    return respond
+
 
 def _respond_cut(size: int, received: list[bytes]) -> bytes:
     whole = _respond_well(received)
