--- a/samphirerill/backends/endpoint_call.py
+++ b/samphirerill/backends/endpoint_call.py
@@ -164,13 +164,13 @@
 
     def on_headers_complete(self) -> None:
         """Parser callback: a head is complete, which may be an interim one."""
+        if self._has_head:
+            # A second response.
+            return
         self.check_head(
             (name.encode('latin-1'), text.encode('latin-1'))
             for name, text in self.headers
         )
-        if self._has_head:
-            # A second response.
-            return
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS:
             self.headers.clear()
--- a/samphirerill/relay/connection.py
+++ b/samphirerill/relay/connection.py
@@ -119,6 +119,7 @@
         self.has_surplus = False
         self.framing = Framing.UNKNOWN
         self.requests_sent = 0
+        self._request_id = b''
         # Hashes, as clients choose the ids, and so their length.
         self._sent_ids: deque[int] = deque(maxlen=_MAX_KNOWN_IDS)
         # When the last request was sent, on the loop's clock.
@@ -212,6 +213,11 @@
         """
         return bool(request_id) and hash(request_id) in self._sent_ids
 
+    @property
+    def request_id(self) -> bytes:
+        """Return the id of the request sent last; empty if it has none."""
+        return self._request_id
+
     def send(self, request: bytes, request_id: bytes = b'') -> None:
         """Send a complete request; its response is read with ``read``.
 
@@ -223,6 +229,7 @@
             The id that its response will name, if any.
         """
         self.requests_sent += 1
+        self._request_id = request_id
         if request_id:
             self._sent_ids.append(hash(request_id))
         self.sent_at = asyncio.get_running_loop().time()
--- a/samphirerill/relay/event_forwarder.py
+++ b/samphirerill/relay/event_forwarder.py
@@ -99,12 +99,13 @@
     def forward(self, body: bytes) -> None:
         """Forward the events that some data completes.
 
-        Raises ``BrokenResponseError`` if an event is too long, or contains
-        another response.
+        Raises ``BrokenResponseError`` if an event is too long, or contains the
+        head of another response.
         """
         events = self._parser.feed(body)
         if events:
-            self._check_events(events)
+            # Before they count as passed on.
+            check_body(self._conn, b''.join(event.raw for event in events))
             self._record_events(len(events))
         new_events = [event.raw for event in events if self._is_new(event)]
         if new_events:
@@ -135,16 +136,12 @@
             },
         )
         check_stream_end(conn, self._head, self._parser, self._run.events)
+        check_body(conn, self._parser.buffer)
         if self._run.events:
             self._crash_detector.record_completion(self._context)
         self._context.conn.write_body(self._parser.buffer)
         self._context.conn.finish_response()
 
-    def _check_events(self, events: list[Event]) -> None:
-        request_id = self._context.facts.request_id
-        for event in events:
-            check_body(self._conn, event.raw, request_id)
-
     def _record_events(self, count: int) -> None:
         if not self._run.events:
             self._mark_path_working()
--- a/samphirerill/relay/responses.py
+++ b/samphirerill/relay/responses.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from samphirerill.backends.framing import Framing
-from samphirerill.backends.response_heads import has_status_line
+from samphirerill.backends.response_heads import contains_response
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.connection import BodyChunk, EndOfResponse, ResponseHead
 from samphirerill.relay.errors import BrokenResponseError, ResponseTooLargeError
@@ -62,7 +62,7 @@
             check_success(head, metadata)
             return head, metadata
         conn.has_surplus = True
-        skipped_bytes = await skip_body(conn, request_id, deadline)
+        skipped_bytes = await skip_body(conn, deadline)
         _LOG.info(
             'response dropped',
             extra={
@@ -92,17 +92,13 @@
     return head, metadata
 
 
-async def skip_body(
-    conn: HttpConnection, request_id: bytes, deadline: float
-) -> int:
+async def skip_body(conn: HttpConnection, deadline: float) -> int:
     """Read a response to another request to its end.
 
     Parameters
     ----------
     conn : HttpConnection
         The connection.
-    request_id : bytes
-        The request whose response is awaited.
     deadline : float
         On the loop's clock.
 
@@ -124,7 +120,7 @@
         part = await conn.read(deadline)
         if isinstance(part, BodyChunk):
             skipped += len(part.body)
-            check_body(conn, part.body, request_id)
+            check_body(conn, part.body)
         if skipped > _MAX_SKIPPED_BYTES:
             raise ResponseTooLargeError(
                 f'{conn.address}: got over {_MAX_SKIPPED_BYTES} bytes of a '
@@ -140,6 +136,8 @@
 
     Raises
     ------
+    BrokenResponseError
+        It contains the head of a further response.
     ResponseTooLargeError
         It exceeds a limit of `memory`.
     """
@@ -147,20 +145,19 @@
         while True:
             part = await conn.read(deadline)
             if isinstance(part, EndOfResponse):
-                return body.join()
+                whole = body.join()
+                check_body(conn, whole)
+                return whole
             if isinstance(part, BodyChunk):
                 body.append(part.body)
 
 
-def check_body(conn: HttpConnection, body: bytes, request_id: bytes) -> None:
-    """Raise ``BrokenResponseError`` if a body contains another response.
-
-    A body without a length has no end after which a second response to the same
-    request could be told from it.
-    """
-    if request_id and request_id in body and has_status_line(body):
+def check_body(conn: HttpConnection, body: bytes) -> None:
+    """Raise ``BrokenResponseError`` if another response is in a body."""
+    if contains_response(body, conn.request_id):
+        conn.has_surplus = True
         raise BrokenResponseError(
-            f'{conn.address}: got another response inside the body'
+            f'{conn.address}: the body contains another response'
         )
 
 
--- a/samphirerill/tests/test_repeated_responses.py
+++ b/samphirerill/tests/test_repeated_responses.py
@@ -14,7 +14,7 @@
 from samphirerill.backends.response_heads import has_joined_heads
 from samphirerill.backends.service_call import ServiceCall
 from samphirerill.core.commands import Stage
-from samphirerill.core.events import AttemptFailed
+from samphirerill.core.events import AttemptFailed, ServiceAnswered
 from samphirerill.platform.http_adapter import HttpPlatformAdapter
 from samphirerill.relay.connection import HttpConnection
 from samphirerill.relay.errors import BrokenResponseError
@@ -48,6 +48,9 @@
 _OK = 200
 _FAILURES = {500, 502, 504}
 _AMPLE_RETRIES = 10_000
+# Within the only event.
+_CUT_BYTES = 12
+_ENDS = (AttemptFailed, ServiceAnswered)
 
 
 def _build_success(request_id: bytes, body: bytes, kind: bytes) -> bytes:
@@ -272,6 +275,44 @@
         self.assertEqual(events, [AttemptFailed])
 
 
+class TestOwnInterface(TestCase):
+    """Further bytes in the read that ends a response, on a call of its own."""
+
+    def receive(self, data: bytes) -> tuple[ServiceCall, list[type]]:
+        """Return a call that has received some data, and its events."""
+        sink = Mock()
+        call = ServiceCall('a1', Mock(spec=Stage, address='h:1'), b'', sink)
+        call.data_received(data)
+        events = [type(entry.args[0]) for entry in sink.apply.call_args_list]
+        return call, [event for event in events if event in _ENDS]
+
+    def test_next_response_does_not_complete_a_body(self) -> None:
+        """Guards against bytes of a second response at the end of a body."""
+        whole = _respond_well([b'r1'])
+        sizes = range(1, len(whole))
+        for size in sizes:
+            with self.subTest(size=size):
+                _, events = self.receive(whole[:size] + whole)
+                self.assertEqual(events, [AttemptFailed])
+
+    def test_second_response_changes_nothing(self) -> None:
+        """Guards against the status of one response with the body of another."""
+        call, events = self.receive(
+            _respond_well([b'r1']) + _build_failure(b'r2')
+        )
+        self.assertEqual(events, [ServiceAnswered])
+        self.assertEqual((call.status, call.body), (_OK, b'done'))
+        self.assertNotIn(('x-samphirerill-request-id', 'r2'), call.headers)
+
+    def test_trailers_are_no_headers(self) -> None:
+        """Guards against headers of a second response among those of the first."""
+        call, _ = self.receive(
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+            b'2\r\nok\r\n0\r\ncontent-type: text/html\r\n\r\n'
+        )
+        self.assertEqual(call.headers, [('transfer-encoding', 'chunked')])
+
+
 class TestReuse(IsolatedAsyncioTestCase):
     """What a connection may still be used for."""
 
@@ -279,7 +320,7 @@
         """Return a connection with a request in progress."""
         conn = HttpConnection('127.0.0.1:1')
         conn.connection_made(Mock(is_closing=Mock(return_value=False)))
-        conn.send(b'GET / HTTP/1.1\r\n\r\n')
+        conn.send(b'GET / HTTP/1.1\r\n\r\n', b'own')
         return conn
 
     async def test_no_reuse_after_the_start_of_a_further_response(self) -> None:
@@ -315,7 +356,7 @@
         earlier = _build_success(b'earlier', bytes(900), b'text/plain')
         conn.data_received(earlier[:-500] + _respond_well([b'own']))
         deadline = asyncio.get_running_loop().time() + 1
-        with self.assertRaisesRegex(BrokenResponseError, 'inside'):
+        with self.assertRaisesRegex(BrokenResponseError, 'contains'):
             await read_head(conn, HttpPlatformAdapter(), b'own', deadline)
 
 
@@ -332,6 +373,32 @@
                 status, body = await self.send(_PICKUP, f'r-{size:03d}')
                 self.assertIn(status, _FAILURES, body)
 
+    async def test_event_does_not_go_on_with_another_response(self) -> None:
+        """Guards against a head within an event, and the loss of that event."""
+        self.engine.respond = _build_joined()
+        status, body = await self.send(_STREAM, 'r1', _AMPLE_MS)
+        self.assertEqual((status, body), (_OK, _NOTE))
+
+    async def test_body_does_not_contain_the_next_response(self) -> None:
+        """Guards against two responses as one body, completed to the byte."""
+        self.desk.respond = _build_joined()
+        status, body = await self.send(_PICKUP, 'r1', _AMPLE_MS)
+        self.assertIn(status, _FAILURES, body)
+
+
+def _build_joined() -> Callable[[list[bytes]], bytes]:
+    """Return how an endpoint responds whose first body another response ends."""
+    runs: list[bytes] = []
+
+    def respond(received: list[bytes]) -> bytes:
+        runs.append(received[-1])
+        body = _NOTE
+        if len(runs) == 1:
+            body = _NOTE[:_CUT_BYTES] + _build_failure(received[-1])
+        return _build_success(received[-1], body, b'text/event-stream')
+
+    return respond
+
 
 def _respond_cut(size: int, received: list[bytes]) -> bytes:
     whole = _respond_well(received)
