Endpoints and files: odd input has the error of its reader

An engine's event with a deeply nested member raised RecursionError in the attempt; an event id or a client's token count of 5,000 digits raised ValueError; a load header with millions of slots was counted one by one on the loop; a settings file that is nested too deeply, or has a number of that length, ended the reader of settings, also before the node starts; NaN and 1e999 passed as numbers.

Change: engines' events, rejections, load reports and statuses, the VM list, the service's responses and nodes' entries on the own interface, operators' patches, and settings go through samphirerill/decoding. Settings have ports and addresses in range; a seed that is no address is left out. Numbers in headers have up to 18 digits. At most 4,096 slots of an endpoint are counted.

--- a/samphirerill/backends/engine_call.py
+++ b/samphirerill/backends/engine_call.py
@@ -12,7 +12,6 @@
 from typing import TYPE_CHECKING, Any
 
 from msgspec import DecodeError, Struct, field
-from msgspec.json import Decoder
 
 from samphirerill.backends.endpoint_call import EndpointCall, build_request
 from samphirerill.core.events import (
@@ -23,6 +22,8 @@
     TokenArrived,
 )
 from samphirerill.core.prefixes import CacheEvents
+from samphirerill.decoding.bounds import Amount, ExactInt, Ordinal
+from samphirerill.decoding.decoders import build_json_decoder
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,15 +51,15 @@
 
 class _Failure(Struct):
     code: str = ''
-    stage: int = -1
+    stage: ExactInt = -1
 
 
 class _Chunk(Struct):
     id: str = ''
-    epoch: int = 0
-    token: int = -1
+    epoch: ExactInt = 0
+    token: ExactInt = -1
     choices: list[_Choice] = field(default_factory=list)
-    hops_ms: tuple[float, ...] = ()
+    hops_ms: tuple[Amount, ...] = ()
     layers: list[list[Any]] = field(default_factory=list)
     error: _Failure | None = None
 
@@ -69,13 +70,13 @@
 
 
 class _LoadMetrics(Struct):
-    running: int = 0
-    waiting: int = 0
+    running: Ordinal = 0
+    waiting: Ordinal = 0
 
 
 class _CacheReport(Struct):
-    first: int
-    last: int
+    first: ExactInt
+    last: ExactInt
     stored: tuple[str, ...] = ()
     evicted: tuple[str, ...] = ()
 
@@ -85,9 +86,9 @@
     cache: _CacheReport | None = None
 
 
-_CHUNK_DECODER = Decoder(_Chunk)
-_REJECTION_DECODER = Decoder(_Rejection)
-_LOAD_DECODER = Decoder(_LoadReport)
+_CHUNK_DECODER = build_json_decoder(_Chunk)
+_REJECTION_DECODER = build_json_decoder(_Rejection)
+_LOAD_DECODER = build_json_decoder(_LoadReport)
 
 
 class EngineCall(EndpointCall):
--- a/samphirerill/backends/etcd.py
+++ b/samphirerill/backends/etcd.py
@@ -32,6 +32,7 @@
     ValueEquals,
     WatchBatch,
 )
+from samphirerill.decoding.decoders import parse_json
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -128,7 +129,7 @@
     def _call(self, path: str, payload: Json) -> Json:
         response = self._open(path, payload, stream=False)
         try:
-            document = json.loads(response.data)
+            document = parse_json(response.data)
         except ValueError as exc:
             raise StoreUnreachableError(
                 'got an answer that is not JSON', may_have_applied=True
@@ -245,7 +246,7 @@
         *lines, buffer = (buffer + chunk).split(b'\n')
         for line in lines:
             if line:
-                yield _parse_batch(json.loads(line)['result'])
+                yield _parse_batch(parse_json(line)['result'])
 
 
 def _parse_batch(document: Json) -> WatchBatch:
--- a/samphirerill/backends/vm_list.py
+++ b/samphirerill/backends/vm_list.py
@@ -7,13 +7,12 @@
 
 from __future__ import annotations
 
-import json
-
 from result import Err, Ok, Result
 from urllib3 import PoolManager, Timeout
 from urllib3.exceptions import HTTPError
 
 from samphirerill.core.events import VmListRead
+from samphirerill.decoding.decoders import parse_json
 
 _READ_TIMEOUT_S = 1.0
 
@@ -35,7 +34,7 @@
             response = self._http.request(
                 'GET', self._url, timeout=Timeout(total=_READ_TIMEOUT_S)
             )
-            groups = json.loads(response.data)
+            groups = parse_json(response.data)
             states = {
                 target: group['labels']['state']
                 for group in groups
--- a/samphirerill/decoding/addresses.py
+++ b/samphirerill/decoding/addresses.py
@@ -8,7 +8,7 @@
 # a host that can't be a name.
 CONNECT_ERRORS = (OSError, OverflowError, ValueError)
 _MAX_PORT_DIGITS = 5
-_MAX_PORT = 65_535
+MAX_PORT = 65_535
 
 
 def is_address(text: str, min_port: int = 1) -> bool:
@@ -25,7 +25,7 @@
     host, _, port = text.rpartition(':')
     if not (port.isascii() and port.isdigit()) or len(port) > _MAX_PORT_DIGITS:
         return False
-    if not min_port <= int(port) <= _MAX_PORT:
+    if not min_port <= int(port) <= MAX_PORT:
         return False
     try:
         inet_pton(AF_INET, host)
--- a/samphirerill/edges/operator_api.py
+++ b/samphirerill/edges/operator_api.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import hmac
-import json
 from functools import wraps
 from hashlib import sha256
 from http import HTTPStatus
@@ -22,6 +21,7 @@
 )
 from samphirerill.control.errors import InvalidPatchError
 from samphirerill.core.commands import Outcome, Problem
+from samphirerill.decoding.decoders import parse_json
 from samphirerill.edges.http_server import (
     read_bearer_token,
     render_json,
@@ -186,7 +186,7 @@
 def _parse_patch_request() -> dict[str, Any]:
     payload = cherrypy.request.wsgi_environ['wsgi.input'].read()
     try:
-        submission = json.loads(payload)
+        submission = parse_json(payload)
     except ValueError as exc:
         raise _InvalidPatchRequestError(
             f'got a body that is no JSON: {exc}'
--- a/samphirerill/fleet/slot_shares.py
+++ b/samphirerill/fleet/slot_shares.py
@@ -31,6 +31,8 @@
 # A slot that this node has released this recently is not yet reported as free.
 _UNREPORTED_S = 0.02
 # Consecutive multiples of it, modulo 1, are spread evenly.
+# A header may name millions; further ones belong to no node.
+_MAX_SLOTS = 4096
 _GOLDEN_RATIO = 0.618033988749895
 _CHECKSUM_RANGE = 4_294_967_296
 
@@ -154,7 +156,8 @@
         """Return how many of the first slots belong to this node."""
         first = _hash(key)
         points = (
-            modf(first + number * _GOLDEN_RATIO)[0] for number in range(slots)
+            modf(first + number * _GOLDEN_RATIO)[0]
+            for number in range(min(slots, _MAX_SLOTS))
         )
         return sum(self._start <= point < self._end for point in points)
 
--- a/samphirerill/node/engine_controller.py
+++ b/samphirerill/node/engine_controller.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from msgspec import DecodeError, Struct
-from msgspec.json import Decoder
 from result import Err
 
 from samphirerill.backends.store import (
@@ -25,6 +24,7 @@
     Order,
     plan_orders,
 )
+from samphirerill.decoding.decoders import build_json_decoder
 from samphirerill.node.health_checks import try_fetch_from
 from samphirerill.node.jitter import add_jitter
 from samphirerill.node.logs import get_logger
@@ -48,7 +48,7 @@
     loading: bool = False
 
 
-_STATUS_DECODER = Decoder(_StatusResponse)
+_STATUS_DECODER = build_json_decoder(_StatusResponse)
 
 
 class EngineController:
--- a/samphirerill/node/membership.py
+++ b/samphirerill/node/membership.py
@@ -11,6 +11,7 @@
 
 from samphirerill.backends.store import Put, StoreError, Transaction
 from samphirerill.core.events import NodeCountReported
+from samphirerill.decoding.decoders import parse_json
 from samphirerill.node.jitter import add_jitter
 from samphirerill.node.logs import get_logger
 
@@ -152,8 +153,14 @@
     def _add_member(self, entry: StoredEntry) -> None:
         if not entry.key.startswith(f'{self._prefix}{NODES_PREFIX}'):
             return
-        spec = json.loads(entry.stored_value)
-        member = Member(spec['id'], spec['data_centre'], spec['peer'])
+        try:
+            member = _parse_member(entry.stored_value)
+        except (LookupError, TypeError, ValueError) as exc:
+            _LOG.error(
+                'cannot decode node announcement',
+                extra={'key': entry.key, 'error': repr(exc)},
+            )
+            return
         self._removal_deadlines.pop(member.node_id, None)
         if member.node_id != self._node.node_id:
             self.peers[member.node_id] = member
@@ -173,3 +180,12 @@
                 'peer': self.peer_address,
             }
         )
+
+
+def _parse_member(text: str) -> Member:
+    spec = parse_json(text)
+    names = (spec['id'], spec['data_centre'], spec['peer'])
+    for name in names:
+        if not isinstance(name, str):
+            raise TypeError(f'got {name!r}, expected a text')
+    return Member(*names)
--- a/samphirerill/platform/early_listen.py
+++ b/samphirerill/platform/early_listen.py
@@ -13,6 +13,13 @@
 
 SETTINGS_VARIABLE = 'SAMPHIRERILL_SETTINGS'
 _COMMENT = '//'
+_UNREADABLE = (
+    AttributeError,
+    LookupError,
+    OSError,
+    RecursionError,
+    ValueError,
+)
 # As many clients may come back at once.
 _BACKLOG = 1024
 
@@ -25,14 +32,14 @@
     """
     try:
         host, port = _read_address(os.environ[SETTINGS_VARIABLE])
-    except (KeyError, OSError, ValueError):
+    except _UNREADABLE:
         return None
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.setblocking(False)
     try:
         sock.bind((host, port))
-    except OSError:
+    except (OSError, OverflowError):
         sock.close()
         return None
     sock.listen(_BACKLOG)
--- a/samphirerill/platform/http_adapter.py
+++ b/samphirerill/platform/http_adapter.py
@@ -6,6 +6,7 @@
 
 from msgspec import Struct, field, json
 
+from samphirerill.decoding.bounds import parse_ordinal
 from samphirerill.fleet.model import MS_PER_S
 from samphirerill.platform import announcements, documents, wire_names
 from samphirerill.platform.request_limit import parse_request_limit
@@ -228,5 +229,4 @@
 
 
 def _parse_number(text: bytes) -> float:
-    stripped = text.strip()
-    return float(stripped) if stripped.isdigit() else 0.0
+    return float(parse_ordinal(text.strip()) or 0)
--- a/samphirerill/platform/settings.py
+++ b/samphirerill/platform/settings.py
@@ -6,13 +6,23 @@
 
 from __future__ import annotations
 
-from msgspec import Struct, ValidationError, convert
+from typing import TYPE_CHECKING, Annotated
 
+from msgspec import Meta, Struct, ValidationError, convert
+
+from samphirerill.decoding.addresses import MAX_PORT, is_address
+from samphirerill.decoding.bounds import Amount
 from samphirerill.fleet.policy import Policy
 from samphirerill.settings.errors import Finding, InvalidDocumentError
 from samphirerill.settings.jsonc import read_jsonc
 from samphirerill.sharing.settings import SharingSettings
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+_ADDRESSES = ('callers', 'readiness', 'peers', 'store')
+_Port = Annotated[int, Meta(ge=0, le=MAX_PORT)]
+
 
 class EdgeSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of a node.
@@ -71,17 +81,17 @@
     readiness: str
     peers: str
     store: str
-    exchange_port: int
-    metrics_port: int
+    exchange_port: _Port
+    metrics_port: _Port
     seeds: list[str] = []
-    finish_s: float = 8
-    leaving_ms: float = 2000
-    retry_ratio: float = 0.2
-    retry_slack: float = 0
-    retry_window_s: float = 10
+    finish_s: Amount = 8
+    leaving_ms: Amount = 2000
+    retry_ratio: Amount = 0.2
+    retry_slack: Amount = 0
+    retry_window_s: Amount = 10
     reported_load: bool = False
-    max_response_mb: float = 16
-    response_memory_mb: float = 48
+    max_response_mb: Amount = 16
+    response_memory_mb: Amount = 48
     policy: Policy = Policy()
     sharing: SharingSettings = SharingSettings()
 
@@ -96,6 +106,17 @@
     """
     parsed = read_jsonc(path)
     try:
-        return convert(parsed.document, EdgeSettings)
+        settings = convert(parsed.document, EdgeSettings)
     except ValidationError as exc:
         raise InvalidDocumentError(path, [Finding('', 1, str(exc))]) from exc
+    findings = list(_check_addresses(settings))
+    if findings:
+        raise InvalidDocumentError(path, findings)
+    return settings
+
+
+def _check_addresses(settings: EdgeSettings) -> Iterator[Finding]:
+    for name in _ADDRESSES:
+        address = getattr(settings, name)
+        if not is_address(address, min_port=0):
+            yield Finding(f'/{name}', 1, f'got {address!r}, expected IP:PORT')
--- a/samphirerill/relay/server_sent_events.py
+++ b/samphirerill/relay/server_sent_events.py
@@ -10,6 +10,8 @@
 import re
 from dataclasses import dataclass, field
 
+from samphirerill.decoding.bounds import parse_ordinal
+
 # Atomic groups: the two bytes of a CR LF must not be read as two line endings.
 _EVENT_END = re.compile(rb'(?>\r\n?|\n)(?>\r\n?|\n)')
 # Bytes of an event end that may be buffered before its last one arrives.
@@ -98,5 +100,5 @@
     found = _ID_LINE.search(raw)
     if found is None:
         return -1
-    text = found[1].strip()
-    return int(text) if text.isdigit() else -1
+    number = parse_ordinal(found[1].strip())
+    return -1 if number is None else number
--- a/samphirerill/relay/status_sender.py
+++ b/samphirerill/relay/status_sender.py
@@ -14,6 +14,7 @@
 
 from msgspec import msgpack
 
+from samphirerill.decoding.addresses import is_address
 from samphirerill.fleet.load_aggregation import is_full_mesh
 from samphirerill.relay.aggregate_status import build_aggregate
 from samphirerill.relay.node_status import build_node_status
@@ -211,6 +212,7 @@
         return {
             f'{seed.rpartition(":")[0]}:{settings.exchange_port}'
             for seed in settings.seeds
+            if is_address(seed)
         }
 
     def _read_versions(self) -> tuple[int, int, int]:
--- a/samphirerill/relay/stream_request.py
+++ b/samphirerill/relay/stream_request.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from samphirerill.decoding.bounds import parse_ordinal
 from samphirerill.relay.connection import serialize_request
 from samphirerill.relay.platform_adapter import Attempt
 
@@ -76,4 +77,5 @@
 
 def parse_event_id(text: bytes) -> int:
     """Return the number of the event that a stream resumes after; -1 for none."""
-    return int(text) if text.isdigit() else -1
+    number = parse_ordinal(text)
+    return -1 if number is None else number
--- a/samphirerill/settings/jsonc.py
+++ b/samphirerill/settings/jsonc.py
@@ -9,6 +9,7 @@
 
 from json_source_map import calculate
 
+from samphirerill.decoding.decoders import parse_json
 from samphirerill.settings.errors import Finding, InvalidDocumentError
 
 _STRING_OR_COMMENT = re.compile(
@@ -52,9 +53,8 @@
         _blank_out, _STRING_OR_COMMENT.sub(_blank_out, text)
     )
     try:
-        document = json.loads(
-            json_text, object_pairs_hook=_reject_duplicate_keys
-        )
+        document = parse_json(json_text, _reject_duplicate_keys)
+        entries = calculate(json_text)
     except json.JSONDecodeError as exc:
         message = f'got {exc.msg.lower()}, expected JSON with comments'
         finding = Finding('', exc.lineno, message)
@@ -64,9 +64,12 @@
             exc.key, _find_duplicate_line(json_text, exc.key), str(exc)
         )
         raise InvalidDocumentError(source, [finding]) from exc
+    except (ValueError, RecursionError) as exc:
+        finding = Finding('', 1, f'{exc}; expected JSON with comments')
+        raise InvalidDocumentError(source, [finding]) from exc
     lines = {
         pointer: entry.value_start.line + 1
-        for pointer, entry in calculate(json_text).items()
+        for pointer, entry in entries.items()
     }
     return ParsedDocument(source, document, lines)
 
