--- a/samphirerill/tests/test_odd_documents.py
+++ b/samphirerill/tests/test_odd_documents.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from contextlib import suppress
+from pathlib import Path
 from unittest import IsolatedAsyncioTestCase, TestCase
 from unittest.mock import patch
 
@@ -47,6 +49,10 @@
 )
 from samphirerill.tests.two_engines import build_headers, wait_until
 
+_PACKAGE = Path(__file__).parent.parent
+_UNSAFE_DECODER = re.compile(r'\b(json|msgpack)\.(decode|loads)\(')
+# Runs before the rest of the program is imported.
+_WITHOUT_IMPORTS = {'early_listen.py'}
 _OK = 200
 _NEWER_VERSION = 9
 _INVALID = 'announcement of a replica is invalid'
@@ -213,3 +219,15 @@
             decode_report(encoded)
         with suppress(DocumentError):
             decode_announcement('desk-1', encoded)
+
+
+class TestBoundary(TestCase):
+    """Input of others is decoded in one place."""
+
+    def test_decoders_are_used_in_one_folder_only(self) -> None:
+        """Guards against a decoder whose `RecursionError` no one catches."""
+        for folder in ('fleet', 'platform', 'quarantine', 'relay'):
+            for path in (_PACKAGE / folder).rglob('*.py'):
+                match = _UNSAFE_DECODER.search(path.read_text())
+                if path.name not in _WITHOUT_IMPORTS:
+                    self.assertIsNone(match, f'{path}: {match}')
