--- a/samphirerill/tests/test_odd_documents.py
+++ b/samphirerill/tests/test_odd_documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 from contextlib import suppress
 from pathlib import Path
@@ -55,6 +56,7 @@
 _WITHOUT_IMPORTS = {'early_listen.py'}
 _OK = 200
 _NEWER_VERSION = 9
+_CONCURRENT = 20
 _INVALID = 'announcement of a replica is invalid'
 _NOT_APPLIED = 'change of the store not applied'
 _OTHER_KEYS = ('op/config', 'samphirerill/nodes/x', 'samphirerill/held/x', 'y')
@@ -118,6 +120,21 @@
                 await self.harness.store.put(key, odd)
         await self.check_follows_store()
 
+    async def test_port_out_of_range_gets_no_requests(self) -> None:
+        """Guards against 502 though a sound replica stands beside it."""
+        await self.start_node()
+        await self.harness.store.put('servers/x', ODD_ENTRIES['port-high'])
+        await self.configure()
+        answers = await asyncio.gather(
+            *(
+                self.harness.send_request(
+                    b'/pickup/x', build_headers(f'r{number}')
+                )
+                for number in range(_CONCURRENT)
+            )
+        )
+        self.assertEqual([status for status, _ in answers], [_OK] * _CONCURRENT)
+
     async def test_entry_that_turns_invalid_keeps_the_replica(self) -> None:
         """Guards against losing a replica by one odd write to its entry."""
         await self.start_node()
@@ -160,13 +177,18 @@
         for name, odd in ODD_ENTRIES.items():
             await self.harness.store.put(f'servers/{name}', odd)
 
+    async def configure(self) -> None:
+        """Write a newer configuration and wait until it is in force."""
+        newer = build_configuration(_NEWER_VERSION)
+        await self.harness.store.put('op/config', newer)
+        state = self.harness.require_first_node().state
+        await wait_until(lambda: state.version == _NEWER_VERSION)
+
     async def check_follows_store(self) -> None:
         """Check that later entries and configurations take effect."""
-        store = self.harness.store
         await self.announce('desk-2')
-        await store.put('op/config', build_configuration(_NEWER_VERSION))
+        await self.configure()
         node = self.harness.require_first_node()
-        await wait_until(lambda: node.state.version == _NEWER_VERSION)
         self.assertEqual(set(node.state.view.replicas), {'desk-1', 'desk-2'})
         for _ in range(4):
             status, _ = await self.harness.send_request(
