Soak: replicas that send copies of their responses, whole or cut short

Cause: no stand-in cut a second response and went on, so that no soak could find responses that were joined from two. Replicas send again what they last sent on a connection, half of the times cut within the first 64 bytes, and fail half of the requests meanwhile. Calls (reports, orders) get no copies. Clients check status and body as before. Replicas of the soak send their signature before the request id.

--- a/samphirerill/testing/fake_connection.py
+++ b/samphirerill/testing/fake_connection.py
@@ -67,11 +67,15 @@
         End of a line of an event.
     stream_break : StreamBreak, optional
         Where streams are broken off.
+    copied_bytes : int
+        How much of the last response, and of a copy before it, is sent once
+        more before the next one.
     """
 
     framing: Framing = Framing.CHUNKS
     line_end: bytes = b'\n'
     stream_break: StreamBreak | None = None
+    copied_bytes: int = 0
 
     def build_event(self, number: int) -> bytes:
         """Return an event."""
@@ -101,6 +105,7 @@
         super().__init__(handler, cast('set[ClientConnection]', connections))
         self.delivery = delivery
         self._is_response_unframed = False
+        self._last_response = b''
         # The head and the body of a stream that is sent with its length.
         self._buffered: tuple[int, Headers, list[bytes]] | None = None
 
@@ -108,6 +113,7 @@
         self, status: int, headers: Headers, length: int | None
     ) -> None:
         """Write a response head with or without framing."""
+        self._write_copy()
         if self.delivery.framing is Framing.CONNECTION:
             self._start_unframed(status, headers)
         elif self.delivery.framing is Framing.LENGTH and length is None:
@@ -155,6 +161,18 @@
             self.write_body(_EVENT_PART)
         self.abort()
 
+    def _write_copy(self) -> None:
+        last = self._last_response
+        self._last_response = b''
+        if self.delivery.copied_bytes:
+            self._write(last[: self.delivery.copied_bytes])
+            self._last_response = b''
+
+    def _write(self, data: bytes) -> None:
+        if self._held is None:
+            self._last_response += data
+        super()._write(data)
+
     def _start_unframed(self, status: int, headers: Headers) -> None:
         self.response_started = True
         self._is_response_unframed = True
--- a/samphirerill/testing/soak/replicas.py
+++ b/samphirerill/testing/soak/replicas.py
@@ -25,9 +25,12 @@
 from samphirerill.testing.soak.request_traits import (
     choose_framing,
     count_events,
+    fails_beside_copies,
 )
 
 if TYPE_CHECKING:
+    from random import Random
+
     from samphirerill.relay.server import ClientConnection, Request
     from samphirerill.testing.soak.ground_truth import GroundTruth
 
@@ -37,6 +40,9 @@
 _ACCEPTED = 202
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
+_FAILED = 500
+# Copies that end within the first headers, and all up to whole ones.
+_COPY_SIZES = (64, 400)
 _NOT_FOUND = 404
 _CONFLICT = 409
 _EVENT_INTERVAL_S = 0.015
@@ -128,6 +134,8 @@
         self._back_off_until = 0.0
         # Sent instead of the remaining time.
         self._retry_after = b''
+        # Draws the copies of responses that are sent; none if it sends none.
+        self.stutter: Random | None = None
         self.orders = 0
         self._listen_address = listen_address
         self._replicas = replicas
@@ -225,6 +233,7 @@
         """Handle one request."""
         if isinstance(conn, FakeConnection):
             conn.delivery.framing = choose_framing(_read_id(req))
+            conn.delivery.copied_bytes = self._draw_copy(req)
         if req.target == b'/report':
             conn.respond(_OK, [], json.encode(self._report()))
         elif req.target == b'/order':
@@ -243,6 +252,9 @@
             self._refuse(req, conn, _MISDIRECTED, self.address)
             return
         self._check_draining(req)
+        if self.stutter is not None and fails_beside_copies(_read_id(req)):
+            self._fail(req, conn)
+            return
         self._ground_truth.notice_checks.check_arrival(
             _read_id(req), self.replica_id, self.address, now
         )
@@ -260,6 +272,20 @@
             return
         await self._stream(req, conn, pipeline)
 
+    def _draw_copy(self, req: Request) -> int:
+        """Return how much of the last response to send again; 0 for calls."""
+        if self.stutter is None or not _read_id(req):
+            return 0
+        return self.stutter.randrange(self.stutter.choice(_COPY_SIZES))
+
+    def _fail(self, req: Request, conn: ClientConnection) -> None:
+        """Respond with a failure, after a part of a success maybe."""
+        self._ground_truth.counts['replica.failed'] += 1
+        self._ground_truth.record_run(
+            _read_id(req), self.replica_id, _read_account(req)
+        )
+        conn.respond(_FAILED, self._build_headers(req), b'failed')
+
     async def _answer_plain(self, req: Request, conn: ClientConnection) -> None:
         request_id = _read_id(req)
         self._ground_truth.record_run(
@@ -421,8 +447,8 @@
 
     def _build_headers(self, req: Request) -> list[tuple[bytes, bytes]]:
         return [
-            *self._build_common_headers(req),
             (b'x-samphirerill-response-seal', self.replica_id.encode()),
+            *self._build_common_headers(req),
         ]
 
     def _build_common_headers(self, req: Request) -> list[tuple[bytes, bytes]]:
--- a/samphirerill/testing/soak/request_traits.py
+++ b/samphirerill/testing/soak/request_traits.py
@@ -12,6 +12,10 @@
 _FRAMING_DIGIT = 1
 _UNFRAMED_DIGITS = '0123'
 
+# Half of the requests.
+_FAILURE_DIGIT = 2
+_FAILURE_DIGITS = tuple('02468ace')
+
 
 def count_events(request_id: str) -> int:
     """Return the number of events in the response to a request."""
@@ -24,6 +28,11 @@
     return request_id[0] in _LONG_PREFIXES
 
 
+def fails_beside_copies(request_id: str) -> bool:
+    """Return whether a replica that sends copies of responses fails a request."""
+    return request_id[_FAILURE_DIGIT] in _FAILURE_DIGITS
+
+
 def choose_framing(request_id: str) -> Framing:
     """Return how the response to a request is delimited."""
     if request_id[_FRAMING_DIGIT:].startswith(tuple(_UNFRAMED_DIGITS)):
--- a/samphirerill/testing/soak/run.py
+++ b/samphirerill/testing/soak/run.py
@@ -24,6 +24,7 @@
 from samphirerill.testing.soak.limit_naming import LimitNaming
 from samphirerill.testing.soak.node_cuts import NodeCuts
 from samphirerill.testing.soak.store_restores import StoreRestores
+from samphirerill.testing.soak.stutters import Stutters
 from samphirerill.testing.soak.version_probe import VersionProbe
 from samphirerill.testing.soak.watcher_faults import WatcherFaults
 
@@ -195,6 +196,8 @@
     actions: list[_Action] = [FaultInjector(environment, random, settings)]
     if settings.names_limits:
         actions.append(LimitNaming(environment, seed))
+    if settings.stutters:
+        actions.append(Stutters(environment, seed))
     if settings.restores_store:
         actions.append(StoreRestores(environment, seed))
     if settings.cuts_nodes:
--- a/samphirerill/testing/soak/settings.py
+++ b/samphirerill/testing/soak/settings.py
@@ -28,6 +28,8 @@
         Whether the nodes that watch the store are cut off from it or frozen.
     floods : bool
         Whether one account sends more than the engines can run.
+    stutters : bool
+        Whether replicas send copies of responses.
     """
 
     length_s: float = 14.0
@@ -38,3 +40,4 @@
     cuts_nodes: bool = False
     stops_watchers: bool = False
     floods: bool = False
+    stutters: bool = False
--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -23,6 +23,8 @@
 from samphirerill.testing.soak.unanswered import UnansweredCheck
 
 _SEED = 7
+_STUTTER_SEED = 7100
+_STUTTER_DURATION_S = 14.0
 _LIMIT_SEED = 43
 _LIMIT_DURATION_S = 12.0
 _RESTART_SEED = 43009
@@ -50,6 +52,14 @@
         self.assertEqual(report.violations, [])
         self.assertGreater(report.counts['notes.200'], 0)
 
+    def test_copies_of_responses_mislead_no_client(self) -> None:
+        """Guard against the status of a copy with the body of a failure."""
+        with TemporaryDirectory() as folder:
+            settings = SoakSettings(_STUTTER_DURATION_S, stutters=True)
+            report = run_seed(_STUTTER_SEED, settings, Path(folder))
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.counts['replica.failed'], 0)
+
     def test_all_nodes_together_keep_named_limits(self) -> None:
         """Guard against more requests than a replica named for all nodes."""
         with TemporaryDirectory() as folder:
