--- a/samphirerill/testing/soak/nodes.py
+++ b/samphirerill/testing/soak/nodes.py
@@ -67,6 +67,11 @@
         self._log = folder / f'{name}.log'
         self._process: subprocess.Popen[bytes] | None = None
 
+    @property
+    def pid(self) -> int:
+        """Id of the process; 0 if it was never started."""
+        return 0 if self._process is None else self._process.pid
+
     def write_settings(self, **changes: Any) -> None:
         """Update the settings and write the settings file."""
         self.settings.update(changes)
