Request parser: limit what has no end by the bytes received

Callers saw a node end for its memory beside clients that send a header field without end. Cause: the limits counted in `on_header`, which httptools calls when a field is complete; until then it joins the pieces of a name or value. The same for trailers. The extension of a chunk and empty lines before a request reach no callback at all: they were read until a timeout, which each read of a body renews.

Now the bytes that were received count, less those of the body: a head, the trailers and extensions of a body, and what comes between requests have the limit on heads and 1 KiB for their framing; each byte of a body allows 16 more, as chunks of one byte are legal. Data is parsed in slices of 4 KiB, so that the check comes in time. A rejected request is released at once, also while an earlier one is served.

--- a/samphirerill/relay/request_parser.py
+++ b/samphirerill/relay/request_parser.py
@@ -28,6 +28,12 @@
 
 _MAX_HEADERS = 100
 _MAX_TARGET_BYTES = 8192
+# What the lines of a head take up beside names, values and target.
+_HEAD_FRAMING_BYTES = 1024
+# What each byte of a body may take up in addition, as a chunk of its own.
+_CHUNK_FRAMING_BYTES = 16
+# Limits are checked after each slice of what was received.
+_SLICE_BYTES = 4096
 # Headers that frame a body, and a request line to replay them to a parser.
 _FRAMING_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
 _REPLAY_REQUEST_LINE = b'POST / HTTP/1.1'
@@ -91,6 +97,7 @@
         '_replayed_request',
         '_request',
         '_target',
+        '_unframed_bytes',
         '_upgrade_request',
         'awaits_continue',
         'is_reading',
@@ -115,6 +122,9 @@
         self._target: list[bytes] = []
         self._headers: Headers = []
         self._header_bytes = 0
+        # Bytes received for the current request, or before the next one. The
+        # HTTP parser keeps an incomplete header field without a callback.
+        self._unframed_bytes = 0
         self._reject_status = 0
 
     @property
@@ -130,11 +140,21 @@
         RequestError
             A request is malformed or too large.
         """
-        try:
-            self._parse(data)
-        except HttpParserError as exc:
-            status = self._reject_status or HTTPStatus.BAD_REQUEST
-            raise RequestError(status) from exc
+        for start in range(0, len(data), _SLICE_BYTES):
+            part = data[start : start + _SLICE_BYTES]
+            try:
+                self._parse(part)
+            except HttpParserError as exc:
+                status = self._reject_status or HTTPStatus.BAD_REQUEST
+                raise RequestError(status) from exc
+            self._limit_unframed(len(part))
+
+    def discard(self) -> None:
+        """Release what was read of a request that is rejected."""
+        self._http_parser = HttpRequestParser(self)
+        self._request = None
+        self._target = []
+        self._headers = []
 
     def on_message_begin(self) -> None:
         """Parser callback: a request starts."""
@@ -143,6 +163,7 @@
         self._target = []
         self._headers = []
         self._header_bytes = 0
+        self._unframed_bytes = 0
         self.is_reading = True
         self.limits = self._get_limits()
         self._receiver.request_begun()
@@ -199,6 +220,7 @@
             return
         req = self._request
         self._request = None
+        self._unframed_bytes = 0
         self.is_reading = False
         self.awaits_continue = False
         if req is None:
@@ -208,6 +230,24 @@
         req.arrived_at = asyncio.get_running_loop().time()
         self._receiver.request_received(req)
 
+    def _limit_unframed(self, size: int) -> None:
+        """Count received bytes; reject what has no end.
+
+        That is a header field, a trailer, the extension of a chunk, or empty
+        lines between requests.
+        """
+        self._unframed_bytes += size
+        allowed = self.limits.max_header_bytes + _HEAD_FRAMING_BYTES
+        if self._request is not None:
+            framed = self._request.chunk_bytes
+            allowed += framed * (1 + _CHUNK_FRAMING_BYTES)
+        if self._unframed_bytes > allowed:
+            raise RequestError(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                if self.is_reading
+                else HTTPStatus.BAD_REQUEST
+            )
+
     def _parse(self, data: bytes) -> None:
         while data:
             try:
--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -405,6 +405,7 @@
         """Reject a malformed request, after the requests before it."""
         self._is_input_ignored = True
         self._reject_status = status
+        self._parser.discard()
         if not (self.is_busy or self._queue):
             self._respond_rejection()
 
--- a/samphirerill/tests/test_client_input.py
+++ b/samphirerill/tests/test_client_input.py
@@ -108,6 +108,21 @@
                 b'\r\n\r\n800\r\n' + b'x' * 2048 + b'\r\n0\r\n\r\n',
                 413,
             ),
+            'field without end': (
+                b'GET / HTTP/1.1\r\nHost: a\r\nX: ' + b'x' * 9000,
+                431,
+            ),
+            'trailer without end': (
+                b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked'
+                b'\r\n\r\n1\r\nx\r\n0\r\nX: ' + b'x' * 9000,
+                431,
+            ),
+            'chunk extension without end': (
+                b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked'
+                b'\r\n\r\n1;' + b'x' * 9000,
+                431,
+            ),
+            'empty lines without end': (b'\r\n' * 4500, 400),
             'bad chunk': (
                 b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked'
                 b'\r\n\r\nzz\r\n',
@@ -122,6 +137,15 @@
                 )
         self.assertEqual(self.handler.bodies, [])
 
+    async def test_chunks_of_a_byte_are_accepted(self) -> None:
+        """Guards against limits on framing that reject a legal body."""
+        size = _LIMITS.max_body_bytes
+        head = b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked'
+        await self.exchange(
+            head + b'\r\n\r\n' + b'1\r\nx\r\n' * size + b'0\r\n\r\n'
+        )
+        self.assertEqual(self.handler.bodies, [b'x' * size])
+
     async def test_slow_request_head_times_out(self) -> None:
         answer = await self.exchange(b'GET / HTT')
         self.assertTrue(answer.startswith(b'HTTP/1.1 408'), answer)
