Requests: what all clients hold together is limited

Callers saw a node end for its memory beside many large bodies of legal size, most of them short of their end. Cause: each body had a limit, all together had none, and a client that stops keeps what it has sent until the idle timeout; a body also stayed with its connection until the next request on it.

Now a node counts what requests hold: the head and body that are being read, complete requests that wait for earlier ones on their connection, and a served one twice, as a copy is sent to the endpoint. Beyond `request_memory_mb` (32), or twice the largest legal request, those are rejected that have held the most for the longest time (bytes times seconds): 503 with Retry-After, after the responses before it, and the connection is closed. Requests in progress stay, and connections with 8 KiB at most are left alone, so that ordinary requests are served beside the crowd. Metrics now.request_bytes, requests.rejected_for_memory; `clients` in the state dump; one log line for all that are rejected at once, five a second at most.

--- a/samphirerill/platform/settings.py
+++ b/samphirerill/platform/settings.py
@@ -68,6 +68,10 @@
         The largest response of a plain service, in MiB.
     response_memory_mb : float
         What incomplete responses of endpoints may take up together, in MiB.
+    request_memory_mb : float
+        What requests of clients may take up together until they are answered,
+        in MiB. One request that keeps to the limits of the configuration always
+        fits.
     policy : Policy
         Switches to turn single mechanisms off.
     sharing : SharingSettings
@@ -92,6 +96,7 @@
     reported_load: bool = False
     max_response_mb: Amount = 16
     response_memory_mb: Amount = 48
+    request_memory_mb: Amount = 32
     policy: Policy = Policy()
     sharing: SharingSettings = SharingSettings()
 
--- a/samphirerill/relay/listeners.py
+++ b/samphirerill/relay/listeners.py
@@ -16,6 +16,7 @@
 
     from samphirerill.relay.closed_connections import ClosedConnection
     from samphirerill.relay.request import Request
+    from samphirerill.relay.request_memory import RequestMemory
     from samphirerill.relay.server import RequestHandler
 
 _BACKLOG = 1024
@@ -59,11 +60,28 @@
     connections: set[ClientConnection],
     record_close: Callable[[ClosedConnection], None] | None = None,
     listening: socket | None = None,
+    memory: RequestMemory | None = None,
 ) -> asyncio.Server:
-    """Serve an address, on a socket that already listens there if there is one."""
+    """Serve an address.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``.
+    handler : RequestHandler
+        Serves the requests.
+    connections : set
+        Gets the open connections.
+    record_close : callable, optional
+        Called with each connection that is closed.
+    listening : socket, optional
+        Already listens at the address.
+    memory : RequestMemory, optional
+        Limits what requests hold.
+    """
 
     def build_connection() -> ClientConnection:
-        return ClientConnection(handler, connections, record_close)
+        return ClientConnection(handler, connections, record_close, memory)
 
     if listening is not None:
         return await asyncio.get_running_loop().create_server(
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -24,6 +24,7 @@
     StoredHolds,
 )
 from samphirerill.relay.request_dispatcher import RequestDispatcher
+from samphirerill.relay.request_memory import RequestMemory
 from samphirerill.relay.settings_reload import SettingsFile, SettingsReloader
 from samphirerill.relay.state import EdgeState
 from samphirerill.relay.status_endpoints import StatusEndpoints
@@ -130,12 +131,13 @@
             self.state,
             self._admission,
             store,
-            self._count_busy,
+            self._collect_gauges,
             quarantine_manager,
             self._membership.path_checks,
             change_source.log.confirmation,
         )
         self._reloader = SettingsReloader(self.state, store, settings_file)
+        self._request_memory = RequestMemory(lambda: self.state.settings)
         self._connections: set[ClientConnection] = set()
         self._page_connections: set[ClientConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -217,16 +219,19 @@
                     self._connections,
                     ClosedConnectionLog(self.state).record,
                     client_socket,
+                    self._request_memory,
                 ),
                 listen(
                     settings.readiness,
                     self._status_endpoints.build_readiness_handler(),
                     self._page_connections,
+                    memory=self._request_memory,
                 ),
                 listen(
                     metrics_address,
                     self._status_endpoints.build_metrics_handler(),
                     self._page_connections,
+                    memory=self._request_memory,
                 ),
             )
         )
@@ -321,6 +326,14 @@
         requests = sum(conn.has_pending_work for conn in self._connections)
         return requests + self._membership.tunnels.count_in_use()
 
+    def _collect_gauges(self) -> dict[str, int]:
+        """Return metrics of connections and requests of clients."""
+        return {
+            'now.open': self._count_busy(),
+            'now.request_bytes': self._request_memory.used_bytes,
+            'requests.rejected_for_memory': self._request_memory.rejected,
+        }
+
     def _catch_signals(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.start_draining)
--- a/samphirerill/relay/request.py
+++ b/samphirerill/relay/request.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from samphirerill.relay.connection import Headers
 
+# A request without its bytes: the lists of headers and other objects.
+_OBJECT_BYTES = 2048
+
 
 @dataclass(slots=True)
 class Request:
@@ -16,7 +19,7 @@
     `arrived_at` is when the request was complete, on the loop's clock;
     `keeps_alive` is whether its connection stays open after the response, and
     `accepts_chunks` whether the response may be in chunks, as of HTTP/1.1;
-    `received` is what was read of the body so far, until it is complete.
+    `head_bytes` is the size of the head that was received, and `received` what was read of the body so far, until it is complete.
     """
 
     method: bytes
@@ -26,8 +29,18 @@
     body: bytes = b''
     keeps_alive: bool = True
     accepts_chunks: bool = True
+    head_bytes: int = 0
     received: bytearray = field(default_factory=bytearray)
 
+    @property
+    def size(self) -> int:
+        """Memory that the complete request takes up, in bytes."""
+        return self.head_bytes + len(self.body) + _OBJECT_BYTES
+
+    def without_body(self) -> Request:
+        """Return a copy for logs, which releases the body."""
+        return replace(self, body=b'')
+
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
         for known, text in self.headers:
--- a/samphirerill/relay/request_parser.py
+++ b/samphirerill/relay/request_parser.py
@@ -132,6 +132,13 @@
         """Return whether a head is complete and its request is not."""
         return self._request is not None
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of what is kept of an incomplete request."""
+        if self._request is None:
+            return self._unframed_bytes if self.is_reading else 0
+        return self._request.size + len(self._request.received)
+
     def feed(self, data: bytes) -> None:
         """Parse bytes of the client.
 
@@ -193,6 +200,7 @@
             self._replayed_request = None
             return
         req = self._build_request()
+        req.head_bytes = self._header_bytes
         status = validate_head(req, self.limits)
         if status:
             self._abort(status)
--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -17,6 +17,7 @@
     CloseReason,
 )
 from samphirerill.relay.request import Request
+from samphirerill.relay.request_memory import RequestMemory
 from samphirerill.relay.request_parser import RequestError, RequestParser
 from samphirerill.relay.sockets import disable_nagle, reset_connection
 
@@ -38,6 +39,8 @@
 # Lingering close: a client may still be sending, and closing at once would
 # reset the connection before it reads the last response.
 _LINGER_S = 0.5
+# For clients whose requests were rejected for their memory.
+_RETRY_AFTER_S = b'1'
 _REASONS = {
     status.value: status.phrase.encode('latin-1') for status in HTTPStatus
 }
@@ -67,6 +70,8 @@
         All open connections; this one adds and removes itself.
     record_close : callable, optional
         Called once when this node or the client has closed the connection.
+    memory : RequestMemory, optional
+        Limits what the requests of all connections hold.
 
     Attributes
     ----------
@@ -81,6 +86,7 @@
         handler: RequestHandler,
         connections: set[ClientConnection],
         record_close: Callable[[ClosedConnection], None] | None = None,
+        memory: RequestMemory | None = None,
     ) -> None:
         self.is_busy = False
         self.response_started = False
@@ -97,6 +103,8 @@
         # The head that is written together with the body; none to write at once.
         self._held: list[bytes] | None = None
         self._queue: deque[Request] = deque()
+        self._queued_bytes = 0
+        self._share = (memory or RequestMemory()).open(self._reject_unserved)
         # The request that is served, or was served last.
         self._served: Request | None = None
         self._served_count = 0
@@ -135,6 +143,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, as the client has disconnected."""
         self._connections.discard(self)
+        self._share.close()
         self._stop_timer()
         is_own_error = exc is not None and not isinstance(exc, OSError)
         self._note_close(
@@ -155,6 +164,9 @@
         except RequestError as exc:
             self._reject(exc.status)
             return
+        finally:
+            self._record_unserved()
+        self._share.enforce(self._parser.limits)
         if self._parser.is_reading_body and not self.is_busy:
             self._start_timer(self._parser.limits.idle_timeout_s)
 
@@ -191,6 +203,7 @@
     def request_received(self, req: Request) -> None:
         """Serve the request after those before it."""
         self._queue.append(req)
+        self._queued_bytes += req.size
         if len(self._queue) >= _MAX_PIPELINED:
             self._transport.pause_reading()
         self._start_next()
@@ -345,6 +358,9 @@
         self.is_busy = True
         self._stop_timer()
         req = self._queue.popleft()
+        self._queued_bytes -= req.size
+        self._record_unserved()
+        self._share.set_served(req.size)
         if len(self._queue) < _MAX_PIPELINED:
             self._transport.resume_reading()
         self._served = req
@@ -361,6 +377,8 @@
             self._respond_failed()
         self.is_busy = False
         self._task = None
+        self._served = req.without_body()
+        self._share.set_served(0)
         if self._keeps_alive:
             self._continue_reading()
         elif self._handler.is_draining():
@@ -409,10 +427,26 @@
         if not (self.is_busy or self._queue):
             self._respond_rejection()
 
+    def _reject_unserved(self) -> None:
+        """Reject what is not being served, as it holds too much memory."""
+        self._queue.clear()
+        self._queued_bytes = 0
+        if not (self._is_input_ignored or self._closing):
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def _record_unserved(self) -> None:
+        size = self._queued_bytes + self._parser.held_bytes
+        self._share.set_unserved(size, self._loop.time())
+
     def _respond_rejection(self) -> None:
         status = self._reject_status
         self._keeps_alive = False
-        self.respond(status, [], b'')
+        headers = (
+            [(b'retry-after', _RETRY_AFTER_S)]
+            if status == HTTPStatus.SERVICE_UNAVAILABLE
+            else []
+        )
+        self.respond(status, headers, b'')
         self._close(
             CloseReason.SLOW_REQUEST
             if status == HTTPStatus.REQUEST_TIMEOUT
--- a/samphirerill/relay/status_endpoints.py
+++ b/samphirerill/relay/status_endpoints.py
@@ -37,8 +37,8 @@
         The queue of streams that wait for a path.
     store : PlatformStore
         Client of the store, which counts its calls.
-    count_busy : callable
-        Returns the number of connections with a request in progress.
+    collect_gauges : callable
+        Returns metrics of connections and requests of clients.
     quarantine_manager : QuarantineManager
         Lists the quarantined requests.
     path_checks : PathChecks
@@ -57,7 +57,7 @@
         state: EdgeState,
         admission: AdmissionQueue,
         store: PlatformStore,
-        count_busy: Callable[[], int],
+        collect_gauges: Callable[[], dict[str, int]],
         quarantine_manager: QuarantineManager,
         path_checks: PathChecks,
         confirmation: Confirmation,
@@ -69,7 +69,7 @@
         self._admission = admission
         self._store = store
         self.usage = UsageReporter(state, store)
-        self._count_busy = count_busy
+        self._collect_gauges = collect_gauges
 
     def build_readiness_handler(self) -> PageHandler:
         """Return the handler of the load balancer's readiness check."""
@@ -100,6 +100,7 @@
             'limits': state.request_limits.describe(),
             'quarantine': self._quarantine_manager.describe(),
             'paths': self._path_checks.describe(),
+            'clients': self._collect_gauges(),
             'admissions': self._describe_admissions(),
         }
         return _OK, json.encode(dump)
@@ -120,9 +121,12 @@
 
     def _serve_metrics(self) -> Page:
         state = self._state
-        gauges = {**state.counters, **self.usage.collect()}
+        gauges = {
+            **state.counters,
+            **self.usage.collect(),
+            **self._collect_gauges(),
+        }
         gauges['now.waiting'] = self._admission.count_waiting()
-        gauges['now.open'] = self._count_busy()
         gauges['now.replicas'] = len(state.view.replicas)
         gauges['now.version'] = state.version
         for name, number in self._describe_store().items():
