Clients' connections: a limit that leaves descriptors for all else

Callers would have seen a node that accepts nobody and reaches no endpoint: connections had no limit, and each that has begun a request stays until the header timeout, one that trickles a body without end. With 400 descriptors 250 such connections took 263 of them; at the limit of the process, accepting stops for a second at a time and connects to endpoints fail.

Now clients may keep half of the descriptors that are not reserved for files (`max_connections`, 1,950 on a VM with 4,100). At the limit, 3 in 100 are closed of those without a request in progress, those first that were without a response for longest: 408 if a request has begun, which was not read and so not run. If all have one in progress, the new connection is closed. The loop accepts 6 in 100 of the limit at a time, as its check comes two turns later; the kernel's queue is as long as before. Metrics now.connections, connections.closed_for_others, connections.refused.

--- a/samphirerill/platform/settings.py
+++ b/samphirerill/platform/settings.py
@@ -21,6 +21,7 @@
     from collections.abc import Iterator
 
 _ADDRESSES = ('callers', 'readiness', 'peers', 'store')
+_Count = Annotated[int, Meta(ge=0)]
 _Port = Annotated[int, Meta(ge=0, le=MAX_PORT)]
 
 
@@ -72,6 +73,9 @@
         What requests of clients may take up together until they are answered,
         in MiB. One request that keeps to the limits of the configuration always
         fits.
+    max_connections : int
+        How many connections clients may keep open; 0 for half of the
+        descriptors of the process that are not reserved for files.
     policy : Policy
         Switches to turn single mechanisms off.
     sharing : SharingSettings
@@ -97,6 +101,7 @@
     max_response_mb: Amount = 16
     response_memory_mb: Amount = 48
     request_memory_mb: Amount = 32
+    max_connections: _Count = 0
     policy: Policy = Policy()
     sharing: SharingSettings = SharingSettings()
 
--- a/samphirerill/relay/closed_connections.py
+++ b/samphirerill/relay/closed_connections.py
@@ -31,6 +31,7 @@
     SLOW_CLIENT = 'slow_client'
     MALFORMED_REQUEST = 'malformed_request'
     LAST_RESPONSE = 'last_response'
+    CONNECTION_LIMIT = 'connection_limit'
     DRAINING = 'draining'
     SHUTDOWN = 'shutdown'
     RESPONSE_ABORTED = 'response_aborted'
--- a/samphirerill/relay/listeners.py
+++ b/samphirerill/relay/listeners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from socket import create_server, socket
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
@@ -12,9 +13,8 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from socket import socket
-
     from samphirerill.relay.closed_connections import ClosedConnection
+    from samphirerill.relay.connection_limit import ConnectionLimit
     from samphirerill.relay.request import Request
     from samphirerill.relay.request_memory import RequestMemory
     from samphirerill.relay.server import RequestHandler
@@ -61,6 +61,7 @@
     record_close: Callable[[ClosedConnection], None] | None = None,
     listening: socket | None = None,
     memory: RequestMemory | None = None,
+    limit: ConnectionLimit | None = None,
 ) -> asyncio.Server:
     """Serve an address.
 
@@ -78,16 +79,24 @@
         Already listens at the address.
     memory : RequestMemory, optional
         Limits what requests hold.
+    limit : ConnectionLimit, optional
+        Limits the number of connections.
     """
 
     def build_connection() -> ClientConnection:
-        return ClientConnection(handler, connections, record_close, memory)
-
-    if listening is not None:
-        return await asyncio.get_running_loop().create_server(
-            build_connection, sock=listening, backlog=_BACKLOG
+        return ClientConnection(
+            handler, connections, record_close, memory, limit
         )
-    return await listen_with(build_connection, address)
+
+    sock = listening or _open_socket(address)
+    server = await asyncio.get_running_loop().create_server(
+        build_connection,
+        sock=sock,
+        backlog=limit.max_accepted_at_once if limit else _BACKLOG,
+    )
+    # The loop accepts as many at once as its backlog says; more may wait.
+    sock.listen(_BACKLOG)
+    return server
 
 
 async def listen_with(
@@ -105,6 +114,11 @@
     )
 
 
+def _open_socket(address: str) -> socket:
+    host, _, port = address.rpartition(':')
+    return create_server((host, int(port)), backlog=_BACKLOG)
+
+
 def read_revision(query: bytes) -> int:
     """Return the revision in the `after` parameter of a query, or -1."""
     after = parse_qs(query).get(b'after', [b''])[0]
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -11,6 +11,7 @@
 from samphirerill.relay.admission import AdmissionQueue
 from samphirerill.relay.change_source import ChangeSource
 from samphirerill.relay.closed_connections import ClosedConnectionLog
+from samphirerill.relay.connection_limit import ConnectionLimit
 from samphirerill.relay.health import Alarms, LossProber, ReplicaProber
 from samphirerill.relay.layer_controller import LayerController
 from samphirerill.relay.leadership import Leadership
@@ -139,6 +140,9 @@
         self._reloader = SettingsReloader(self.state, store, settings_file)
         self._request_memory = RequestMemory(lambda: self.state.settings)
         self._connections: set[ClientConnection] = set()
+        self._connection_limit = ConnectionLimit(
+            lambda: self.state.settings, self._connections
+        )
         self._page_connections: set[ClientConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
@@ -220,6 +224,7 @@
                     ClosedConnectionLog(self.state).record,
                     client_socket,
                     self._request_memory,
+                    self._connection_limit,
                 ),
                 listen(
                     settings.readiness,
@@ -332,6 +337,9 @@
             'now.open': self._count_busy(),
             'now.request_bytes': self._request_memory.used_bytes,
             'requests.rejected_for_memory': self._request_memory.rejected,
+            'now.connections': len(self._connections),
+            'connections.closed_for_others': self._connection_limit.closed,
+            'connections.refused': self._connection_limit.refused,
         }
 
     def _catch_signals(self) -> None:
--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -26,6 +26,7 @@
 
     from samphirerill.fleet.model import ClientLimits
     from samphirerill.relay.connection import Headers
+    from samphirerill.relay.connection_limit import ConnectionLimit
 
 __all__ = ('ClientConnection', 'Request', 'RequestHandler')
 _LOG = get_logger('callers')
@@ -72,6 +73,8 @@
         Called once when this node or the client has closed the connection.
     memory : RequestMemory, optional
         Limits what the requests of all connections hold.
+    limit : ConnectionLimit, optional
+        Limits the number of connections.
 
     Attributes
     ----------
@@ -87,12 +90,14 @@
         connections: set[ClientConnection],
         record_close: Callable[[ClosedConnection], None] | None = None,
         memory: RequestMemory | None = None,
+        limit: ConnectionLimit | None = None,
     ) -> None:
         self.is_busy = False
         self.response_started = False
         self._handler = handler
         self._connections = connections
         self._record_close = record_close
+        self._limit = limit
         self._close_reason: CloseReason | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: Any = None
@@ -132,13 +137,24 @@
         """
         return self.is_busy or self._transport.get_write_buffer_size() > 0
 
+    @property
+    def unused_since(self) -> float:
+        """Return since when no request was served, on the loop's clock.
+
+        It is the smallest for a connection that waits for its client's close.
+        """
+        return float('-inf') if self._closing else self._idle_since
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start waiting for the first request."""
         self._transport = transport
         self._transport.set_write_buffer_limits(high=_HIGH_WATER_BYTES)
         disable_nagle(transport)
-        self._connections.add(self)
         self._start_idle_timer()
+        is_admitted = self._limit is None or self._limit.admit()
+        self._connections.add(self)
+        if not is_admitted:
+            self._close(CloseReason.CONNECTION_LIMIT)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, as the client has disconnected."""
@@ -305,6 +321,19 @@
         if self._served_count or idle_s >= _FIRST_REQUEST_TIMEOUT_S:
             self._close(CloseReason.DRAINING)
 
+    def make_room(self) -> None:
+        """Close the connection for a new one; no request is in progress."""
+        if self._parser.is_reading and not self._closing:
+            self._keeps_alive = False
+            self.respond(HTTPStatus.REQUEST_TIMEOUT, [], b'')
+        self._closing = True
+        self._is_input_ignored = True
+        # It does not count any more, although the transport closes later.
+        self._connections.discard(self)
+        self._note_close(CloseReason.CONNECTION_LIMIT)
+        self._stop_timer()
+        self._transport.close()
+
     async def drain(self) -> None:
         """Wait until a slow client has read some of its response."""
         writable = self._writable
