Own interface: a chunked body is read with limits on its framing

Callers saw the memory of a node grow beside clients that send a chunk extension without end. Cause: cheroot reads the line with the size of a chunk to its end, whatever its length. Its reader also copies the body so far for each chunk, and counts the framing towards the limit on bodies, so that a legal body in chunks of a byte was rejected.

Now the own reader of chunked bodies limits these lines (1 KiB) and trailers (64 KiB), joins the chunks in one buffer, counts the body alone, and takes only hexadecimal digits as a size.

--- a/samphirerill/edges/handoff.py
+++ b/samphirerill/edges/handoff.py
@@ -18,6 +18,7 @@
 from cheroot.wsgi import Gateway_10, Server
 
 from samphirerill.core.commands import Outcome, Problem
+from samphirerill.edges.chunked_body import ChunkedBody
 from samphirerill.node.logs import get_logger
 from samphirerill.node.responses import OUTCOME_HEADER, build_problem_document
 
@@ -95,6 +96,20 @@
         # The reader keeps state per request, so it must not be shared.
         self.header_reader = StrictHeaderReader()
 
+    def respond(self) -> None:
+        """Call the application; as in cheroot, but for chunked bodies."""
+        if not self.chunked_read:
+            super().respond()
+            return
+        self.rfile = ChunkedBody(
+            self.conn.rfile, self.server.max_request_body_size
+        )
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b'0\r\n\r\n')
+
     def simple_response(self, status: Any, msg: str = '') -> None:
         """Reject a request with a problem document (RFC 9457)."""
         status_code, _, reason = str(status).partition(' ')
