Own interface: a time limit for each whole request, and no thread for silence

Cause: `read_timeout_s` is the socket's timeout, which begins again with each byte, although docs/design/edges.md promises that it holds for the request; 16 such clients hold all threads for as long as they like. Besides, cheroot hands a new connection to a thread before anything has come, so that 16 silent clients hold all threads for `read_timeout_s`.

A new connection waits for its first byte without a thread.

--- a/samphirerill/edges/handoff.py
+++ b/samphirerill/edges/handoff.py
@@ -11,6 +11,7 @@
 import json
 import os
 import socket
+import threading
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -19,6 +20,7 @@
 
 from samphirerill.core.commands import Outcome, Problem
 from samphirerill.edges.chunked_body import ChunkedBody
+from samphirerill.edges.timed_socket import TimedSocket
 from samphirerill.node.logs import get_logger
 from samphirerill.node.responses import OUTCOME_HEADER, build_problem_document
 
@@ -201,10 +203,31 @@
 
 
 class StrictConnection(HTTPConnection):
-    """A connection whose requests are read by :class:`StrictRequest`."""
+    """A connection whose requests are read by :class:`StrictRequest`.
+
+    A client has `timeout` of the server for each request, and less while others
+    wait for a thread.
+    """
 
     RequestHandlerClass = StrictRequest
 
+    def __init__(
+        self, server: HandoffServer, sock: socket.socket, makefile: Any
+    ) -> None:
+        super().__init__(server, sock, makefile)
+        self._timed_socket = TimedSocket(
+            sock, server.timeout, server.has_waiting
+        )
+        self.rfile = makefile(self._timed_socket, 'rb', self.rbufsize)
+        # Whether it has been handed to a thread before.
+        self.is_known = False
+
+    def communicate(self) -> bool:
+        """Read a request and respond; return whether to keep the connection."""
+        self.server.note_thread_found()
+        self._timed_socket.start_request()
+        return bool(super().communicate())
+
 
 class HandoffServer(Server):
     """The HTTP server of the client and operator APIs."""
@@ -215,6 +238,31 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.gateway = HandoffGateway
+        self._waiting = 0
+        self._lock = threading.Lock()
+
+    def process_conn(self, conn: StrictConnection) -> None:
+        """Let a thread read from a connection once there is something to read.
+
+        cheroot hands a new connection to a thread at once, which would wait for
+        its first byte.
+        """
+        if not conn.is_known:
+            conn.is_known = True
+            self.put_conn(conn)
+            return
+        with self._lock:
+            self._waiting += 1
+        super().process_conn(conn)
+
+    def note_thread_found(self) -> None:
+        """Count a connection as read that had waited for a thread."""
+        with self._lock:
+            self._waiting -= 1
+
+    def has_waiting(self) -> bool:
+        """Return whether connections wait for a thread."""
+        return self._waiting > 0
 
     def error_log(
         self, msg: str = '', level: int = 20, traceback: bool = False
