Own interface: a limit on connections without a complete request

Connections had no limit but the descriptors of the process. Now `callers.max_connections` may be open whose request is incomplete (0, the default: half of the descriptors that are not reserved for files; 64 for operators); the one that was unused for longest is closed for a new one. Handed-off connections don't count: the core's limits hold for them.

The test of begun requests runs the own node with 400 descriptors, too, and for both nodes counts the most descriptors that are open while the crowd sends, not those at its end: crowd and bounds are the same, the check is stricter.

--- a/samphirerill/edges/handoff.py
+++ b/samphirerill/edges/handoff.py
@@ -13,6 +13,8 @@
 import socket
 import threading
 import time
+from collections import OrderedDict
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
@@ -21,6 +23,7 @@
 from samphirerill.core.commands import Outcome, Problem
 from samphirerill.edges.chunked_body import ChunkedBody
 from samphirerill.edges.timed_socket import TimedSocket
+from samphirerill.node.log_rate import LogRate
 from samphirerill.node.logs import get_logger
 from samphirerill.node.responses import OUTCOME_HEADER, build_problem_document
 
@@ -30,6 +33,8 @@
 _LOG = get_logger('http')
 SOCKET_HANDLERS = 'samphirerill.socket_handlers'
 _MAX_KEEP_ALIVE_CONNECTIONS = 1000
+_MAX_LOG_LINES_PER_S = 5
+_DEFAULT_MAX_CONNECTIONS = 1000
 # Bounds the CPU time spent on requests with many small headers.
 _MAX_HEADERS = 100
 _LINGERING_CLOSE_S = 0.5
@@ -192,6 +197,7 @@
         sending headers.
         """
         conn = self.req.conn
+        self.req.server.forget(conn)
         duplicate = socket.socket(fileno=os.dup(conn.socket.fileno()))
         duplicate.setblocking(False)  # noqa: FBT003
         self.req.close_connection = True
@@ -224,10 +230,15 @@
 
     def communicate(self) -> bool:
         """Read a request and respond; return whether to keep the connection."""
-        self.server.note_thread_found()
+        self.server.note_thread_found(self)
         self._timed_socket.start_request()
         return bool(super().communicate())
 
+    def close(self) -> None:
+        """Close the connection."""
+        self.server.forget(self)
+        super().close()
+
 
 class HandoffServer(Server):
     """The HTTP server of the client and operator APIs."""
@@ -238,9 +249,19 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.gateway = HandoffGateway
+        self.max_connections = _DEFAULT_MAX_CONNECTIONS
+        # Connections without a complete request, the longest unused first.
+        self._unread: OrderedDict[StrictConnection, None] = OrderedDict()
+        self._log_rate = LogRate(_MAX_LOG_LINES_PER_S)
         self._waiting = 0
         self._lock = threading.Lock()
 
+    def error_log(
+        self, msg: str = '', level: int = 20, traceback: bool = False
+    ) -> None:
+        """Send the server's own messages to the structured log."""
+        _LOG.warning('server error', extra={'error': msg})
+
     def process_conn(self, conn: StrictConnection) -> None:
         """Let a thread read from a connection once there is something to read.
 
@@ -249,23 +270,41 @@
         """
         if not conn.is_known:
             conn.is_known = True
+            self._admit(conn)
             self.put_conn(conn)
             return
         with self._lock:
             self._waiting += 1
         super().process_conn(conn)
 
-    def note_thread_found(self) -> None:
+    def note_thread_found(self, conn: StrictConnection) -> None:
         """Count a connection as read that had waited for a thread."""
         with self._lock:
             self._waiting -= 1
+            if conn in self._unread:
+                self._unread.move_to_end(conn)
+
+    def forget(self, conn: StrictConnection) -> None:
+        """Stop counting a connection: it has ended or was handed off."""
+        with self._lock:
+            self._unread.pop(conn, None)
 
     def has_waiting(self) -> bool:
         """Return whether connections wait for a thread."""
         return self._waiting > 0
 
-    def error_log(
-        self, msg: str = '', level: int = 20, traceback: bool = False
-    ) -> None:
-        """Send the server's own messages to the structured log."""
-        _LOG.warning('server error', extra={'error': msg})
+    def _admit(self, conn: StrictConnection) -> None:
+        """Count a new connection; the longest unused one gives way."""
+        with self._lock:
+            self._unread[conn] = None
+            if len(self._unread) <= self.max_connections:
+                return
+            unused, _ = self._unread.popitem(last=False)
+        if self._log_rate.may_log(time.monotonic()):
+            _LOG.warning(
+                'connection closed for a new one',
+                extra={'allowed': self.max_connections},
+            )
+        # The thread that reads from it, or will, closes it.
+        with suppress(OSError):
+            unused.socket.shutdown(socket.SHUT_RD)
--- a/samphirerill/edges/http_server.py
+++ b/samphirerill/edges/http_server.py
@@ -53,7 +53,9 @@
     max_body_bytes : int
         The largest request body that is accepted.
     read_timeout_s : float
-        The socket timeout while a request is read.
+        How long a client may take to send a request.
+    max_connections : int
+        How many connections may wait for a complete request.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         threads: int,
         max_body_bytes: int,
         read_timeout_s: float,
+        max_connections: int,
     ) -> None:
         self._server = HandoffServer(
             (host, port),
@@ -74,6 +77,7 @@
         )
         self._server.max_request_body_size = max_body_bytes
         self._server.max_request_header_size = 65_536
+        self._server.max_connections = max_connections
         self._thread: threading.Thread | None = None
 
     def start(self) -> int:
--- a/samphirerill/node/process.py
+++ b/samphirerill/node/process.py
@@ -15,6 +15,7 @@
 from samphirerill.edges.operator_api import OperatorApi
 from samphirerill.node.claim_writer import ClaimWriter
 from samphirerill.node.configuration_follower import ConfigurationFollower
+from samphirerill.node.descriptors import derive_max_connections
 from samphirerill.node.gossip import Gossip
 from samphirerill.node.health_checks import poll_loads
 from samphirerill.node.logs import get_logger
@@ -30,6 +31,7 @@
 
 _LOG = get_logger('process')
 _OPERATOR_THREADS = 4
+_MAX_OPERATOR_CONNECTIONS = 64
 _MAX_OPERATOR_BODY_BYTES = 8_388_608
 _DRAIN_POLL_INTERVAL_S = 0.05
 # How long an aborted node waits until the outcomes of claims are written.
@@ -219,6 +221,7 @@
             spec.threads,
             spec.max_body_bytes,
             spec.read_timeout_s,
+            spec.max_connections or derive_max_connections(),
         )
 
     def _build_operator_server(self) -> HttpServer:
@@ -231,6 +234,7 @@
             _OPERATOR_THREADS,
             _MAX_OPERATOR_BODY_BYTES,
             self._settings.callers.read_timeout_s,
+            _MAX_OPERATOR_CONNECTIONS,
         )
 
 
--- a/samphirerill/relay/connection_limit.py
+++ b/samphirerill/relay/connection_limit.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import resource
 from heapq import nsmallest
 from typing import TYPE_CHECKING
 
+from samphirerill.node.descriptors import derive_max_connections
 from samphirerill.node.log_rate import LogRate
 from samphirerill.node.logs import get_logger
 
@@ -21,11 +21,6 @@
     from samphirerill.relay.server import ClientConnection
 
 _LOG = get_logger('callers')
-# The least that a VM allows to a process, and what it reserves for files.
-_ASSUMED_DESCRIPTORS = 4100
-_RESERVED_DESCRIPTORS = 200
-# The share of clients in the others.
-_CLIENT_SHARE = 0.5
 # The share of connections that is closed at once, so that not each new one has to
 # look for the next.
 _CLOSED_SHARE = 0.03
@@ -61,7 +56,7 @@
         self.refused = 0
         self._get_settings = get_settings
         self._connections = connections
-        self._derived_max = _derive_max_connections()
+        self._derived_max = derive_max_connections()
         self._log_rate = LogRate(_MAX_LOG_LINES_PER_S)
 
     @property
@@ -102,14 +97,5 @@
         return min(count, len(unused))
 
 
-def _derive_max_connections() -> int:
-    soft_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    if soft_limit == resource.RLIM_INFINITY:
-        soft_limit = _ASSUMED_DESCRIPTORS
-    descriptors = min(soft_limit, _ASSUMED_DESCRIPTORS)
-    shared = max(descriptors - _RESERVED_DESCRIPTORS, 2)
-    return int(shared * _CLIENT_SHARE)
-
-
 def _get_unused_since(conn: ClientConnection) -> float:
     return conn.unused_since
--- a/samphirerill/settings/model.py
+++ b/samphirerill/settings/model.py
@@ -18,6 +18,7 @@
     threads: int = 16
     max_body_bytes: int = 1_048_576
     read_timeout_s: float = 5.0
+    max_connections: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/samphirerill/settings/schema.py
+++ b/samphirerill/settings/schema.py
@@ -160,6 +160,7 @@
                 'threads': _number(1, 'threads', 'integer'),
                 'max_body_bytes': _number(1, 'bytes', 'integer'),
                 'read_timeout_s': _number(0.1, 'seconds'),
+                'max_connections': _number(0, 'connections', 'integer'),
             },
             ('host', 'port'),
         ),
--- a/samphirerill/testing/cluster.py
+++ b/samphirerill/testing/cluster.py
@@ -45,9 +45,16 @@
         The node's settings document.
     folder : Path
         Directory for its settings and log files.
+    module : str
+        The module to run.
     """
 
-    def __init__(self, settings: dict[str, Any], folder: Path) -> None:
+    def __init__(
+        self,
+        settings: dict[str, Any],
+        folder: Path,
+        module: str = 'samphirerill',
+    ) -> None:
         self.name: str = settings['node']['name']
         self.callers = ''
         self.operators = ''
@@ -57,7 +64,7 @@
         path.write_text(json.dumps(settings), encoding='utf-8')
         with self.log_path.open('wb') as log:
             self.process = subprocess.Popen(
-                _build_command('samphirerill', 'serve', '--config', str(path)),
+                _build_command(module, 'serve', '--config', str(path)),
                 stderr=log,
             )
 
@@ -108,6 +115,8 @@
         Number of nodes to start.
     overrides : dict, optional
         Settings, by section, that override the defaults of every node.
+    module : str
+        The module that nodes run.
     """
 
     def __init__(
@@ -115,7 +124,9 @@
         layout: Layout,
         nodes: int = 1,
         overrides: dict[str, Any] | None = None,
+        module: str = 'samphirerill',
     ) -> None:
+        self._module = module
         self._layout = layout
         self._node_count = nodes
         self._overrides = overrides or {}
@@ -218,7 +229,7 @@
         self._nodes_started += 1
         settings = self._build_settings(f'n{self._nodes_started}')
         settings['peers']['seeds'] = seeds
-        node = NodeProcess(settings, self.folder)
+        node = NodeProcess(settings, self.folder, self._module)
         self.nodes.append(node)
         return node
 
--- a/samphirerill/tests/test_misbehaving_clients.py
+++ b/samphirerill/tests/test_misbehaving_clients.py
@@ -38,6 +38,7 @@
     Build = Callable[[crowds.RequestShape], Iterator[Iterable[bytes]]]
 
 _OK = 200
+_FEW_DESCRIPTORS = 'samphirerill.testing.few_descriptors'
 _HOST = '127.0.0.11'
 _PORTS = range(12_000, 20_000, 8)
 _PORTS_OF_A_NODE = 6
@@ -84,14 +85,24 @@
         """
         crowd = ClientCrowd(self.address)
         self.addCleanup(crowd.close)
+        counted = asyncio.create_task(self._count_most_descriptors())
         await crowd.send(build(self.shape))
+        counted.cancel()
         if trickled:
             crowd.trickle(trickled)
-        descriptors = crowds.count_descriptors(self.pid)
         await self.send_ordinary_request()
         memory_mb = crowds.read_peak_memory_mb(self.pid)
         self.assertLess(memory_mb, crowds.MAX_MEMORY_MB)
-        self.assertLess(descriptors, crowds.MAX_DESCRIPTORS)
+        self.assertLess(await counted, crowds.MAX_DESCRIPTORS)
+
+    async def _count_most_descriptors(self) -> int:
+        """Return the most descriptors that were open, once cancelled."""
+        most = 0
+        with suppress(asyncio.CancelledError):
+            while True:
+                most = max(most, crowds.count_descriptors(self.pid))
+                await asyncio.sleep(_POLL_S)
+        return most
 
 
 class CrowdTests:
@@ -168,7 +179,7 @@
         self.addCleanup(folder.cleanup)
         port = next(filter(_are_free, _PORTS))
         node = SoakNode('node-1', _HOST, port, Path(folder.name))
-        node.entry_point = 'samphirerill.testing.few_descriptors'
+        node.entry_point = _FEW_DESCRIPTORS
         await self._start_platform(node.store)
         node.write_settings()
         node.start()
@@ -225,7 +236,7 @@
     """A node with its own interface."""
 
     async def start_node(self) -> None:
-        cluster = Cluster(build_three_stages())
+        cluster = Cluster(build_three_stages(), module=_FEW_DESCRIPTORS)
         self.addCleanup(cluster.stop)
         await asyncio.to_thread(cluster.start)
         node = cluster.nodes[0]
