Client connections: small chunks are parsed in turns, and little waits in the system

Ordinary callers waited behind clients that send bodies in very small chunks: beside 200 of them (one-byte chunks, 512 KiB each, a trial of ours) an ordinary request took 3.6 and 8.2 s. Cause: a read is up to 256 KiB, some 43,000 chunks, each with a callback, and all such connections are read in each turn of the loop. Besides, what is not read yet waits in receive buffers that the system enlarges to megabytes, and that count towards a VM's memory.

Now a read is 16 KiB into a buffer that all connections share (asyncio's BufferedProtocol). A connection whose read had over 64 pieces of a body is read again when its turn comes: one at a time, with pauses of twice the time that the last took. Receive buffers have 64 KiB, and a connection that is not being read counts with as much in the memory of requests.

--- a/samphirerill/relay/listeners.py
+++ b/samphirerill/relay/listeners.py
@@ -10,13 +10,14 @@
 from samphirerill.decoding.bounds import parse_ordinal
 from samphirerill.fleet.model import ClientLimits
 from samphirerill.relay.server import ClientConnection
+from samphirerill.relay.sockets import limit_receive_buffers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from samphirerill.relay.client_intake import ClientIntake
     from samphirerill.relay.closed_connections import ClosedConnection
     from samphirerill.relay.connection_limit import ConnectionLimit
     from samphirerill.relay.request import Request
-    from samphirerill.relay.request_memory import RequestMemory
     from samphirerill.relay.server import RequestHandler
 
 _BACKLOG = 1024
@@ -60,7 +61,7 @@
     connections: set[ClientConnection],
     record_close: Callable[[ClosedConnection], None] | None = None,
     listening: socket | None = None,
-    memory: RequestMemory | None = None,
+    intake: ClientIntake | None = None,
     limit: ConnectionLimit | None = None,
 ) -> asyncio.Server:
     """Serve an address.
@@ -77,18 +78,19 @@
         Called with each connection that is closed.
     listening : socket, optional
         Already listens at the address.
-    memory : RequestMemory, optional
-        Limits what requests hold.
+    intake : ClientIntake, optional
+        Bounds the input of clients.
     limit : ConnectionLimit, optional
         Limits the number of connections.
     """
 
     def build_connection() -> ClientConnection:
         return ClientConnection(
-            handler, connections, record_close, memory, limit
+            handler, connections, record_close, intake, limit
         )
 
     sock = listening or _open_socket(address)
+    limit_receive_buffers(sock)
     server = await asyncio.get_running_loop().create_server(
         build_connection,
         sock=sock,
@@ -100,7 +102,7 @@
 
 
 async def listen_with(
-    build_connection: Callable[[], asyncio.Protocol], address: str
+    build_connection: Callable[[], asyncio.BaseProtocol], address: str
 ) -> asyncio.Server:
     """Serve an address with one protocol for each connection."""
     loop = asyncio.get_running_loop()
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -10,6 +10,7 @@
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.admission import AdmissionQueue
 from samphirerill.relay.change_source import ChangeSource
+from samphirerill.relay.client_intake import ClientIntake
 from samphirerill.relay.closed_connections import ClosedConnectionLog
 from samphirerill.relay.connection_limit import ConnectionLimit
 from samphirerill.relay.health import Alarms, LossProber, ReplicaProber
@@ -25,7 +26,6 @@
     StoredHolds,
 )
 from samphirerill.relay.request_dispatcher import RequestDispatcher
-from samphirerill.relay.request_memory import RequestMemory
 from samphirerill.relay.settings_reload import SettingsFile, SettingsReloader
 from samphirerill.relay.state import EdgeState
 from samphirerill.relay.status_endpoints import StatusEndpoints
@@ -138,7 +138,7 @@
             change_source.log.confirmation,
         )
         self._reloader = SettingsReloader(self.state, store, settings_file)
-        self._request_memory = RequestMemory(lambda: self.state.settings)
+        self._intake = ClientIntake(lambda: self.state.settings)
         self._connections: set[ClientConnection] = set()
         self._connection_limit = ConnectionLimit(
             lambda: self.state.settings, self._connections
@@ -223,20 +223,20 @@
                     self._connections,
                     ClosedConnectionLog(self.state).record,
                     client_socket,
-                    self._request_memory,
+                    self._intake,
                     self._connection_limit,
                 ),
                 listen(
                     settings.readiness,
                     self._status_endpoints.build_readiness_handler(),
                     self._page_connections,
-                    memory=self._request_memory,
+                    intake=self._intake,
                 ),
                 listen(
                     metrics_address,
                     self._status_endpoints.build_metrics_handler(),
                     self._page_connections,
-                    memory=self._request_memory,
+                    intake=self._intake,
                 ),
             )
         )
@@ -335,8 +335,9 @@
         """Return metrics of connections and requests of clients."""
         return {
             'now.open': self._count_busy(),
-            'now.request_bytes': self._request_memory.used_bytes,
-            'requests.rejected_for_memory': self._request_memory.rejected,
+            'now.request_bytes': self._intake.memory.used_bytes,
+            'requests.rejected_for_memory': self._intake.memory.rejected,
+            'reads.deferred': self._intake.pacing.deferred,
             'now.connections': len(self._connections),
             'connections.closed_for_others': self._connection_limit.closed,
             'connections.refused': self._connection_limit.refused,
--- a/samphirerill/relay/request_parser.py
+++ b/samphirerill/relay/request_parser.py
@@ -85,6 +85,8 @@
         Whether a request has begun and is not complete.
     awaits_continue : bool
         Whether its client waits for an interim response to send the body.
+    body_pieces : int
+        In how many pieces bodies came, in all.
     """
 
     __slots__ = (
@@ -100,6 +102,7 @@
         '_unframed_bytes',
         '_upgrade_request',
         'awaits_continue',
+        'body_pieces',
         'is_reading',
         'limits',
     )
@@ -110,6 +113,7 @@
         self.limits = get_limits()
         self.is_reading = False
         self.awaits_continue = False
+        self.body_pieces = 0
         self._receiver = receiver
         self._get_limits = get_limits
         self._http_parser = HttpRequestParser(self)
@@ -216,6 +220,7 @@
         req = self._request
         if req is None:
             return
+        self.body_pieces += 1
         req.received += body
         if len(req.received) > self.limits.max_body_bytes:
             self._abort(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -12,14 +12,18 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from samphirerill.node.logs import get_logger
+from samphirerill.relay.client_intake import ClientIntake
 from samphirerill.relay.closed_connections import (
     ClosedConnection,
     CloseReason,
 )
 from samphirerill.relay.request import Request
-from samphirerill.relay.request_memory import RequestMemory
 from samphirerill.relay.request_parser import RequestError, RequestParser
-from samphirerill.relay.sockets import disable_nagle, reset_connection
+from samphirerill.relay.sockets import (
+    RECEIVE_BUFFER_BYTES,
+    disable_nagle,
+    reset_connection,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,6 +36,10 @@
 _LOG = get_logger('callers')
 # Reading pauses while this many requests are queued on a connection.
 _MAX_PIPELINED = 8
+_READ_BYTES = 16_384
+_READ_BUFFER = memoryview(bytearray(_READ_BYTES))
+# Input in more pieces than this in one read takes long to parse.
+_MAX_BODY_PIECES = 64
 _HIGH_WATER_BYTES = 131_072
 # How long a slow client may go without reading any of the buffered response.
 _SLOW_CLIENT_TIMEOUT_S = 10.0
@@ -60,7 +68,7 @@
         """Return whether connections should close after their response."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """The connection of one client.
 
     Parameters
@@ -71,8 +79,8 @@
         All open connections; this one adds and removes itself.
     record_close : callable, optional
         Called once when this node or the client has closed the connection.
-    memory : RequestMemory, optional
-        Limits what the requests of all connections hold.
+    intake : ClientIntake, optional
+        Bounds the input of all connections.
     limit : ConnectionLimit, optional
         Limits the number of connections.
 
@@ -89,7 +97,7 @@
         handler: RequestHandler,
         connections: set[ClientConnection],
         record_close: Callable[[ClosedConnection], None] | None = None,
-        memory: RequestMemory | None = None,
+        intake: ClientIntake | None = None,
         limit: ConnectionLimit | None = None,
     ) -> None:
         self.is_busy = False
@@ -109,7 +117,10 @@
         self._held: list[bytes] | None = None
         self._queue: deque[Request] = deque()
         self._queued_bytes = 0
-        self._share = (memory or RequestMemory()).open(self._reject_unserved)
+        self._is_deferred = False
+        intake = intake or ClientIntake()
+        self._pacing = intake.pacing
+        self._share = intake.memory.open(self._reject_unserved)
         # The request that is served, or was served last.
         self._served: Request | None = None
         self._served_count = 0
@@ -171,10 +182,20 @@
         if self._task is not None:
             self._task.cancel()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read, which is parsed at once."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle a read."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser."""
         if self._is_input_ignored or self._closing:
             return
+        pieces = self._parser.body_pieces
+        started_at = self._loop.time()
         try:
             self._parser.feed(data)
         except RequestError as exc:
@@ -183,6 +204,8 @@
         finally:
             self._record_unserved()
         self._share.enforce(self._parser.limits)
+        if self._parser.body_pieces - pieces > _MAX_BODY_PIECES:
+            self._defer_reading(self._loop.time() - started_at)
         if self._parser.is_reading_body and not self.is_busy:
             self._start_timer(self._parser.limits.idle_timeout_s)
 
@@ -220,8 +243,7 @@
         """Serve the request after those before it."""
         self._queue.append(req)
         self._queued_bytes += req.size
-        if len(self._queue) >= _MAX_PIPELINED:
-            self._transport.pause_reading()
+        self._update_reading()
         self._start_next()
 
     def start_response(
@@ -390,8 +412,7 @@
         self._queued_bytes -= req.size
         self._record_unserved()
         self._share.set_served(req.size)
-        if len(self._queue) < _MAX_PIPELINED:
-            self._transport.resume_reading()
+        self._update_reading()
         self._served = req
         self._served_count += 1
         self._response_bytes = 0
@@ -463,8 +484,29 @@
         if not (self._is_input_ignored or self._closing):
             self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
 
+    def _defer_reading(self, cost_s: float) -> None:
+        """Let others be read before what takes long to parse."""
+        self._is_deferred = True
+        self._update_reading()
+        self._pacing.defer(self._resume_deferred, cost_s)
+
+    def _resume_deferred(self) -> None:
+        self._is_deferred = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        if self._is_reading_paused():
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _is_reading_paused(self) -> bool:
+        return self._is_deferred or len(self._queue) >= _MAX_PIPELINED
+
     def _record_unserved(self) -> None:
         size = self._queued_bytes + self._parser.held_bytes
+        if self._is_reading_paused():
+            size += RECEIVE_BUFFER_BYTES
         self._share.set_unserved(size, self._loop.time())
 
     def _respond_rejection(self) -> None:
--- a/samphirerill/relay/sockets.py
+++ b/samphirerill/relay/sockets.py
@@ -9,6 +9,9 @@
 if TYPE_CHECKING:
     import asyncio
 
+# What the system may receive of a connection that is not being read. Accepted
+# connections inherit it; without it, the system enlarges it to megabytes.
+RECEIVE_BUFFER_BYTES = 65_536
 _NO_LINGER = struct.pack('ii', 1, 0)
 
 
@@ -19,6 +22,13 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def limit_receive_buffers(listening: socket.socket) -> None:
+    """Limit the receive buffers of the connections that a socket accepts."""
+    listening.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+    )
+
+
 def reset_connection(transport: asyncio.WriteTransport) -> None:
     """Close a connection so that the peer gets an error.
 
--- a/samphirerill/relay/tunnels/port.py
+++ b/samphirerill/relay/tunnels/port.py
@@ -41,7 +41,7 @@
     def __init__(
         self,
         tunnels: TunnelServer,
-        build_server: Callable[[], asyncio.Protocol],
+        build_server: Callable[[], ClientConnection],
     ) -> None:
         self._tunnels = tunnels
         self._build_server = build_server
--- a/samphirerill/tests/test_request_memory.py
+++ b/samphirerill/tests/test_request_memory.py
@@ -12,6 +12,7 @@
 
 from samphirerill.fleet.model import ClientLimits
 from samphirerill.platform.settings import EdgeSettings
+from samphirerill.relay.client_intake import ClientIntake
 from samphirerill.relay.listeners import listen
 from samphirerill.relay.request_memory import RequestMemory, RequestShare
 from samphirerill.relay.request_parser import RequestError, RequestParser
@@ -137,9 +138,10 @@
         self.handler = _SlowHandler()
         connections: set[ClientConnection] = set()
         least = replace(_SETTINGS, request_memory_mb=0)
-        self.memory = RequestMemory(lambda: least)
+        intake = ClientIntake(lambda: least)
+        self.memory = intake.memory
         server = await listen(
-            '127.0.0.1:0', self.handler, connections, memory=self.memory
+            '127.0.0.1:0', self.handler, connections, intake=intake
         )
         self.addCleanup(server.close)
         self.port = server.sockets[0].getsockname()[1]
