Client connections: a body has until the deadline that its client names

A client that sends a byte each 14 s kept a connection and all that it had sent for as long as it liked: the timeout of a body began again with each read. Now a body must be complete by the deadline that the request names, as its client has left by then, or in 120 s without one; pauses are limited as before. A head or a body that began while an earlier request was served has its own limit from then on, in place of the idle timeout. The answer is 408 as before: the request was not read and not run.

--- a/samphirerill/relay/client_intake.py
+++ b/samphirerill/relay/client_intake.py
@@ -11,6 +11,10 @@
     from collections.abc import Callable
 
     from samphirerill.platform.settings import EdgeSettings
+    from samphirerill.relay.request import Request
+
+# How long a body may take whose client names no deadline.
+MAX_BODY_TIME_S = 120.0
 
 
 class ClientIntake:
@@ -20,6 +24,9 @@
     ----------
     get_settings : callable, optional
         Returns the settings; without it the memory has no limit.
+    get_body_time_s : callable, optional
+        Returns how long the client of a request may take to send its body, in
+        seconds.
 
     Attributes
     ----------
@@ -29,10 +36,17 @@
         Turns of connections whose input takes long to parse.
     """
 
-    __slots__ = ('memory', 'pacing')
+    __slots__ = ('get_body_time_s', 'memory', 'pacing')
 
     def __init__(
-        self, get_settings: Callable[[], EdgeSettings] | None = None
+        self,
+        get_settings: Callable[[], EdgeSettings] | None = None,
+        get_body_time_s: Callable[[Request], float] | None = None,
     ) -> None:
+        self.get_body_time_s = get_body_time_s or _get_max_body_time_s
         self.memory = RequestMemory(get_settings)
         self.pacing = ReadPacing()
+
+
+def _get_max_body_time_s(_: Request) -> float:
+    return MAX_BODY_TIME_S
--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -138,7 +138,9 @@
             change_source.log.confirmation,
         )
         self._reloader = SettingsReloader(self.state, store, settings_file)
-        self._intake = ClientIntake(lambda: self.state.settings)
+        self._intake = ClientIntake(
+            lambda: self.state.settings, self._dispatcher.get_body_time_s
+        )
         self._connections: set[ClientConnection] = set()
         self._connection_limit = ConnectionLimit(
             lambda: self.state.settings, self._connections
--- a/samphirerill/relay/request_dispatcher.py
+++ b/samphirerill/relay/request_dispatcher.py
@@ -7,6 +7,7 @@
 
 from samphirerill.fleet.routes import choose_service
 from samphirerill.node.logs import get_logger
+from samphirerill.relay.client_intake import MAX_BODY_TIME_S
 from samphirerill.relay.path_tracker import ISOLATED, ISOLATED_RETRY_S
 from samphirerill.relay.plain import PlainExchange
 from samphirerill.relay.plain_queue import PlainQueues
@@ -83,6 +84,14 @@
         """Return whether connections should close after their response."""
         return self._state.is_draining
 
+    def get_body_time_s(self, req: Request) -> float:
+        """Return how long a client may take to send a body, in seconds.
+
+        That is the deadline that it names, as it has left by then.
+        """
+        facts = self._state.adapter.parse_request(req)
+        return min(facts.deadline_s or MAX_BODY_TIME_S, MAX_BODY_TIME_S)
+
     async def handle(self, req: Request, conn: ClientConnection) -> None:
         """Serve one request."""
         facts = self._state.adapter.parse_request(req)
--- a/samphirerill/relay/request_parser.py
+++ b/samphirerill/relay/request_parser.py
@@ -132,9 +132,12 @@
         self._reject_status = 0
 
     @property
-    def is_reading_body(self) -> bool:
-        """Return whether a head is complete and its request is not."""
-        return self._request is not None
+    def incomplete(self) -> Request | None:
+        """Return the request whose body is being read, if any.
+
+        It arrived, so far, when its head was complete.
+        """
+        return self._request
 
     @property
     def held_bytes(self) -> int:
--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -118,9 +118,8 @@
         self._queue: deque[Request] = deque()
         self._queued_bytes = 0
         self._is_deferred = False
-        intake = intake or ClientIntake()
-        self._pacing = intake.pacing
-        self._share = intake.memory.open(self._reject_unserved)
+        self._intake = intake or ClientIntake()
+        self._share = self._intake.memory.open(self._reject_unserved)
         # The request that is served, or was served last.
         self._served: Request | None = None
         self._served_count = 0
@@ -206,8 +205,8 @@
         self._share.enforce(self._parser.limits)
         if self._parser.body_pieces - pieces > _MAX_BODY_PIECES:
             self._defer_reading(self._loop.time() - started_at)
-        if self._parser.is_reading_body and not self.is_busy:
-            self._start_timer(self._parser.limits.idle_timeout_s)
+        if not self.is_busy:
+            self._start_body_timer()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as disconnected.
@@ -445,6 +444,10 @@
         else:
             self._send_continue()
             self._start_idle_timer()
+            if self._parser.incomplete is not None:
+                self._start_body_timer()
+            elif self._parser.is_reading:
+                self._start_timer(self._parser.limits.header_timeout_s)
 
     async def _run_handler(self, req: Request) -> None:
         """Run the handler; its errors must not affect other requests."""
@@ -488,7 +491,7 @@
         """Let others be read before what takes long to parse."""
         self._is_deferred = True
         self._update_reading()
-        self._pacing.defer(self._resume_deferred, cost_s)
+        self._intake.pacing.defer(self._resume_deferred, cost_s)
 
     def _resume_deferred(self) -> None:
         self._is_deferred = False
@@ -607,6 +610,15 @@
         self._idle_since = self._loop.time()
         self._start_timer(self._idle_timeout_s)
 
+    def _start_body_timer(self) -> None:
+        """Limit the pause within a body, and the time for all of it."""
+        req = self._parser.incomplete
+        if req is None:
+            return
+        due = req.arrived_at + self._intake.get_body_time_s(req)
+        pause_s = self._parser.limits.idle_timeout_s
+        self._start_timer(max(0, min(pause_s, due - self._loop.time())))
+
     def _start_timer(self, after_s: float) -> None:
         self._stop_timer()
         self._timer = self._loop.call_later(after_s, self._on_timer)
