Client connections: a response that nobody reads is given up

A client that never reads a large response kept it, up to 16 MiB, and its connection for as long as it liked. Cause: the idle timeout and the end of a last response close the transport, which waits until its buffer is written, without a limit; only a request that waited behind the response was watched. Now each complete response that is not read for 10 s ends its connection, as for streams; one that is read slowly is finished.

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -130,7 +130,7 @@
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Future[None] | None = None
-        # Buffered bytes of responses that a queued request waits for.
+        # Buffered bytes of responses when the client was last seen to read.
         self._unread_bytes = 0
         self._chunked = False
         self._ends_with_connection = False
@@ -371,16 +371,19 @@
         return self._served is None or self._served.accepts_chunks
 
     def _watch_unread_responses(self) -> None:
-        """Give a client time to read what keeps its next request waiting."""
-        self._unread_bytes = self._transport.get_write_buffer_size()
+        """Give a client time to read its responses."""
         self._start_timer(_SLOW_CLIENT_TIMEOUT_S)
+        self._unread_bytes = self._transport.get_write_buffer_size()
 
     def _check_unread_responses(self) -> None:
         """Disconnect a client that has read nothing for too long."""
-        if self._transport.get_write_buffer_size() < self._unread_bytes:
+        unread_bytes = self._transport.get_write_buffer_size()
+        if unread_bytes >= self._unread_bytes:
+            self._abort_slow_client()
+        elif unread_bytes or self._queue:
             self._watch_unread_responses()
         else:
-            self._abort_slow_client()
+            self._start_idle_timer()
 
     def _abort_slow_client(self) -> None:
         _LOG.info(
@@ -443,11 +446,18 @@
             self._respond_rejection()
         else:
             self._send_continue()
-            self._start_idle_timer()
-            if self._parser.incomplete is not None:
-                self._start_body_timer()
-            elif self._parser.is_reading:
-                self._start_timer(self._parser.limits.header_timeout_s)
+            self._idle_since = self._loop.time()
+            self._limit_wait()
+
+    def _limit_wait(self) -> None:
+        """Start the timer for what the client has to do next."""
+        if self._transport.get_write_buffer_size():
+            self._watch_unread_responses()
+        elif self._parser.is_reading:
+            self._start_timer(self._parser.limits.header_timeout_s)
+            self._start_body_timer()
+        else:
+            self._start_timer(self._idle_timeout_s)
 
     async def _run_handler(self, req: Request) -> None:
         """Run the handler; its errors must not affect other requests."""
@@ -569,7 +579,7 @@
         if self._transport.can_write_eof() and not self._keeps_alive:
             self._end_output()
         else:
-            self._transport.close()
+            self._finish_close()
 
     def _end_output(self) -> None:
         """Send the end of the responses, and let the client close first."""
@@ -580,7 +590,22 @@
             self._close_reason = CloseReason.CLIENT
             self._transport.abort()
             return
-        self._timer = self._loop.call_later(_LINGER_S, self._transport.close)
+        self._timer = self._loop.call_later(_LINGER_S, self._finish_close)
+
+    def _finish_close(self) -> None:
+        """Close once the client has read its responses, if it does read."""
+        self._transport.close()
+        unread_bytes = self._transport.get_write_buffer_size()
+        if unread_bytes:
+            self._timer = self._loop.call_later(
+                _SLOW_CLIENT_TIMEOUT_S, self._check_closing, unread_bytes
+            )
+
+    def _check_closing(self, unread_bytes: int) -> None:
+        if self._transport.get_write_buffer_size() >= unread_bytes:
+            self._abort_slow_client()
+        else:
+            self._finish_close()
 
     def _note_close(self, reason: CloseReason) -> None:
         """Note why the connection is closed; the first reason counts."""
@@ -611,7 +636,7 @@
         self._start_timer(self._idle_timeout_s)
 
     def _start_body_timer(self) -> None:
-        """Limit the pause within a body, and the time for all of it."""
+        """Limit the pause within a body, if one is read, and its whole time."""
         req = self._parser.incomplete
         if req is None:
             return
@@ -621,6 +646,7 @@
 
     def _start_timer(self, after_s: float) -> None:
         self._stop_timer()
+        self._unread_bytes = 0
         self._timer = self._loop.call_later(after_s, self._on_timer)
 
     def _stop_timer(self) -> None:
@@ -630,7 +656,7 @@
 
     def _on_timer(self) -> None:
         """Handle an idle or header timeout, or a client that reads slowly."""
-        if self._queue:
+        if self._unread_bytes:
             self._check_unread_responses()
             return
         if self._parser.is_reading:
--- /dev/null
+++ b/samphirerill/tests/test_unread_responses.py
@@ -0,0 +1,79 @@
+"""Clients that do not read their responses."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
+
+from samphirerill.fleet.model import ClientLimits
+from samphirerill.relay.listeners import listen
+
+if TYPE_CHECKING:
+    from samphirerill.relay.server import ClientConnection, Request
+
+_MB = 1_048_576
+_TIMEOUT_S = 10.0
+_SLOW_CLIENT_TIMEOUT_S = 0.2
+_KEPT = b'GET / HTTP/1.1\r\nHost: x\r\n\r\n'
+_LAST = b'GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
+
+
+class _LargeHandler:
+    """Responds with more than the system buffers."""
+
+    async def handle(self, req: Request, conn: ClientConnection) -> None:
+        conn.respond(200, [], bytes(16 * _MB))
+
+    def get_limits(self) -> ClientLimits:
+        return ClientLimits(idle_timeout_s=0.1)
+
+    def is_draining(self) -> bool:
+        return False
+
+
+class TestUnreadResponses(IsolatedAsyncioTestCase):
+    """Complete responses that stay in the node's write buffer."""
+
+    async def asyncSetUp(self) -> None:
+        timeout = patch(
+            'samphirerill.relay.server._SLOW_CLIENT_TIMEOUT_S',
+            _SLOW_CLIENT_TIMEOUT_S,
+        )
+        timeout.start()
+        self.addCleanup(timeout.stop)
+        self.connections: set[ClientConnection] = set()
+        server = await listen('127.0.0.1:0', _LargeHandler(), self.connections)
+        self.addCleanup(server.close)
+        self.address = server.sockets[0].getsockname()
+
+    async def assert_disconnected(self, request: bytes) -> None:
+        with socket.create_connection(self.address) as client:
+            client.sendall(request)
+            async with asyncio.timeout(_TIMEOUT_S):
+                while not self.connections:
+                    await asyncio.sleep(0)
+                while self.connections:
+                    await asyncio.sleep(0)
+
+    async def test_kept_connection_is_closed(self) -> None:
+        """Guards against an idle timeout that waits for the client to read."""
+        await self.assert_disconnected(_KEPT)
+
+    async def test_last_response_is_given_up(self) -> None:
+        """Guards against closed connections that keep their last response."""
+        await self.assert_disconnected(_LAST)
+
+    async def test_slow_client_gets_a_last_response(self) -> None:
+        """Guards against giving up on a client that reads slowly."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        self.addCleanup(writer.close)
+        writer.write(_LAST)
+        received = 0
+        async with asyncio.timeout(_TIMEOUT_S):
+            while chunk := await reader.read(_MB):
+                received += len(chunk)
+                await asyncio.sleep(0.01)
+        self.assertGreater(received, 16 * _MB)
