Responses: what clients have not read counts towards their memory

Complete responses of up to 16 MiB waited for clients that don't read, any number of them: the 48 MiB of `response_memory_mb` held for incomplete ones only. Now what is buffered for a client counts, too. Beyond the limit the response that waits for longest is given up, before an incomplete one is broken off.

New: TestMemory in test_unread_responses; the same without the change can't be expressed.

--- a/samphirerill/relay/process.py
+++ b/samphirerill/relay/process.py
@@ -139,7 +139,9 @@
         )
         self._reloader = SettingsReloader(self.state, store, settings_file)
         self._intake = ClientIntake(
-            lambda: self.state.settings, self._dispatcher.get_body_time_s
+            lambda: self.state.settings,
+            self.state.pool.response_memory,
+            self._dispatcher.get_body_time_s,
         )
         self._connections: set[ClientConnection] = set()
         self._connection_limit = ConnectionLimit(
--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -120,6 +120,9 @@
         self._is_deferred = False
         self._intake = intake or ClientIntake()
         self._share = self._intake.memory.open(self._reject_unserved)
+        self._unread = self._intake.responses.open_unread(
+            self._abort_slow_client
+        )
         # The request that is served, or was served last.
         self._served: Request | None = None
         self._served_count = 0
@@ -170,6 +173,7 @@
         """Cancel the request in progress, as the client has disconnected."""
         self._connections.discard(self)
         self._share.close()
+        self._unread.update(0)
         self._stop_timer()
         is_own_error = exc is not None and not isinstance(exc, OSError)
         self._note_close(
@@ -226,6 +230,7 @@
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
         self._writable = None
+        self._unread.update(0)
         self._start_next()
 
     def request_begun(self) -> None:
@@ -378,6 +383,8 @@
     def _check_unread_responses(self) -> None:
         """Disconnect a client that has read nothing for too long."""
         unread_bytes = self._transport.get_write_buffer_size()
+        if unread_bytes < self._unread_bytes and self._writable is not None:
+            self._record_unread()
         if unread_bytes >= self._unread_bytes:
             self._abort_slow_client()
         elif unread_bytes or self._queue:
@@ -385,10 +392,14 @@
         else:
             self._start_idle_timer()
 
+    def _record_unread(self) -> None:
+        """Record what the transport buffers; little is not worth counting."""
+        self._unread.update(self._transport.get_write_buffer_size())
+
     def _abort_slow_client(self) -> None:
         _LOG.info(
             'client reads too slowly; closing its connection',
-            extra={'waited_s': _SLOW_CLIENT_TIMEOUT_S},
+            extra={'unread_bytes': self._transport.get_write_buffer_size()},
         )
         self.abort(CloseReason.SLOW_CLIENT)
 
@@ -543,6 +554,8 @@
         elif self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
             self._response_bytes += len(data)
+            if self._writable is not None:
+                self._record_unread()
 
     def _respond_to_all(self) -> None:
         """Respond to the requests that will not be served."""
--- a/samphirerill/relay/status_endpoints.py
+++ b/samphirerill/relay/status_endpoints.py
@@ -138,6 +138,7 @@
         memory = state.pool.response_memory
         gauges['now.response_bytes'] = memory.used_bytes
         gauges['responses.broken_off'] = memory.broken_off
+        gauges['responses.given_up'] = memory.given_up
         gauges['now.notices'] = len(state.response_notices.describe())
         for replica, limit in state.request_limits.list_in_force():
             gauges[f'limits.withheld.{replica.replica_id}'] = limit.withheld
--- a/samphirerill/tests/test_unread_responses.py
+++ b/samphirerill/tests/test_unread_responses.py
@@ -6,10 +6,12 @@
 import socket
 from typing import TYPE_CHECKING
 from unittest import IsolatedAsyncioTestCase
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 from samphirerill.fleet.model import ClientLimits
+from samphirerill.platform.settings import EdgeSettings
 from samphirerill.relay.listeners import listen
+from samphirerill.relay.response_memory import ResponseMemory
 
 if TYPE_CHECKING:
     from samphirerill.relay.server import ClientConnection, Request
@@ -34,6 +36,37 @@
         return False
 
 
+class TestMemory(IsolatedAsyncioTestCase):
+    """Several clients that do not read."""
+
+    async def test_longest_unread_is_given_up(self) -> None:
+        """Guards against clients that fill the memory together."""
+        memory = ResponseMemory()
+        memory.apply_settings(
+            Mock(spec=EdgeSettings, max_response_mb=4, response_memory_mb=4)
+        )
+        give_up = [Mock(), Mock()]
+        earlier, later = map(memory.open_unread, give_up)
+        earlier.update(2 * _MB)
+        later.update(2 * _MB)
+        with memory.open('endpoint') as body:
+            body.append(bytes(_MB))
+            self.assertEqual(len(body.join()), _MB)
+        give_up[0].assert_called_once_with()
+        give_up[1].assert_not_called()
+        self.assertEqual(memory.used_bytes, 2 * _MB)
+        self.assertEqual((memory.given_up, memory.broken_off), (1, 0))
+
+    async def test_reading_releases(self) -> None:
+        memory = ResponseMemory()
+        unread = memory.open_unread(Mock())
+        unread.update(2 * _MB)
+        unread.update(_MB)
+        self.assertEqual(memory.used_bytes, _MB)
+        unread.update(0)
+        self.assertEqual(memory.used_bytes, 0)
+
+
 class TestUnreadResponses(IsolatedAsyncioTestCase):
     """Complete responses that stay in the node's write buffer."""
 
