Own interface: a quarter of a second to read a request while others wait for a thread

With 200 connections that have sent half a head, 16 threads at half a second each let others wait for six seconds; now for three (computed, not measured). A complete request needs none of it.

--- a/samphirerill/edges/timed_socket.py
+++ b/samphirerill/edges/timed_socket.py
@@ -11,9 +11,9 @@
     from collections.abc import Callable
 
 # How long a request may take while others wait for a thread.
-_CROWDED_TIMEOUT_S = 0.5
+_CROWDED_TIMEOUT_S = 0.25
 # How often to check whether others wait.
-_CHECK_INTERVAL_S = 0.1
+_CHECK_INTERVAL_S = 0.05
 
 
 class TimedSocket:
