Requests: a rejected one holds nothing while its client is still sending

The bytes received for a request that was rejected stayed in the account until its connection closed, half a second later, and others gave way for them. test_rejected_requests_hold_nothing fails without the change.

--- a/samphirerill/relay/request_parser.py
+++ b/samphirerill/relay/request_parser.py
@@ -169,6 +169,7 @@
         self._request = None
         self._target = []
         self._headers = []
+        self._unframed_bytes = 0
 
     def on_message_begin(self) -> None:
         """Parser callback: a request starts."""
--- a/samphirerill/tests/test_request_memory.py
+++ b/samphirerill/tests/test_request_memory.py
@@ -170,6 +170,16 @@
         self.assertEqual(answer.count(b'HTTP/1.1 503'), 1)
         self.assertIn(b'retry-after: ', answer)
 
+    async def test_rejected_requests_hold_nothing(self) -> None:
+        """Guards against rejections that make others give way."""
+        reader = await self.send(
+            b'%bTransfer-Encoding: chunked\r\n\r\n' % _HEAD
+            + b'4000\r\n%b\r\n' % (b'x' * 0x4000) * 5
+        )
+        async with asyncio.timeout(_TIMEOUT_S):
+            self.assertIn(b' 413 ', await reader.readuntil(b'\r\n\r\n'))
+        self.assertEqual(self.memory.used_bytes, 0)
+
     async def test_memory_is_released_with_the_response(self) -> None:
         """Guards against idle connections that hold their last request."""
         self.handler.may_respond.set()
