Soak: crowds of clients that send parts of requests (--crowds)

Now and then a node gets up to 30 clients that stop within bodies or heads, send without an end or in very small chunks, and leave some seconds later; other clients' guarantees are checked beside them.

--- a/samphirerill/testing/soak/command.py
+++ b/samphirerill/testing/soak/command.py
@@ -93,6 +93,11 @@
         action='store_true',
         help='let one account send more than the engines can run now and then',
     )
+    parser.add_argument(
+        '--crowds',
+        action='store_true',
+        help='let crowds of clients send parts of requests',
+    )
     parser.add_argument(
         '--stutters',
         action='store_true',
@@ -121,6 +126,7 @@
         cuts_nodes=options.cuts,
         stops_watchers=options.watchers,
         floods=options.load,
+        crowds=options.crowds,
         stutters=options.stutters,
     )
     failed = run_seeds(iter(seeds), settings, options.keep)
--- a/samphirerill/testing/soak/run.py
+++ b/samphirerill/testing/soak/run.py
@@ -17,6 +17,7 @@
 from samphirerill.testing.free_ports import is_free
 from samphirerill.testing.soak.balancer import LoadBalancer
 from samphirerill.testing.soak.clients import KINDS, create_clients
+from samphirerill.testing.soak.crowds import Crowds
 from samphirerill.testing.soak.environment import SoakEnvironment
 from samphirerill.testing.soak.faults import FaultInjector
 from samphirerill.testing.soak.flood import Floods
@@ -196,6 +197,8 @@
     actions: list[_Action] = [FaultInjector(environment, random, settings)]
     if settings.names_limits:
         actions.append(LimitNaming(environment, seed))
+    if settings.crowds:
+        actions.append(Crowds(environment, seed))
     if settings.stutters:
         actions.append(Stutters(environment, seed))
     if settings.restores_store:
--- a/samphirerill/testing/soak/settings.py
+++ b/samphirerill/testing/soak/settings.py
@@ -28,6 +28,8 @@
         Whether the nodes that watch the store are cut off from it or frozen.
     floods : bool
         Whether one account sends more than the engines can run.
+    crowds : bool
+        Whether crowds of clients send parts of requests.
     stutters : bool
         Whether replicas send copies of responses.
     """
@@ -40,4 +42,5 @@
     cuts_nodes: bool = False
     stops_watchers: bool = False
     floods: bool = False
+    crowds: bool = False
     stutters: bool = False
--- a/samphirerill/tests/test_soak.py
+++ b/samphirerill/tests/test_soak.py
@@ -23,6 +23,8 @@
 from samphirerill.testing.soak.unanswered import UnansweredCheck
 
 _SEED = 7
+_CROWD_SEED = 7200
+_CROWD_DURATION_S = 8.0
 _STUTTER_SEED = 7100
 _STUTTER_DURATION_S = 14.0
 _LIMIT_SEED = 43
@@ -60,6 +62,16 @@
         self.assertEqual(report.violations, [])
         self.assertGreater(report.counts['replica.failed'], 0)
 
+    def test_crowds_of_misbehaving_clients_harm_no_other(self) -> None:
+        """Guard against ordinary requests that fail beside such clients."""
+        with TemporaryDirectory() as folder:
+            settings = SoakSettings(
+                _CROWD_DURATION_S, injects_faults=False, crowds=True
+            )
+            report = run_seed(_CROWD_SEED, settings, Path(folder))
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.counts['planned.crowds'], 0)
+
     def test_all_nodes_together_keep_named_limits(self) -> None:
         """Guard against more requests than a replica named for all nodes."""
         with TemporaryDirectory() as folder:
