Client connections: true statuses and timers where limits meet

Found on reading the change. A proper request that gave way while input behind it had been rejected as malformed was told 400; now it is told 503. A request that began behind an unread response took over the response's timer, and the response was kept without end; now the response's timer stays. A connection that is closed for a new one is watched while its client does not read.

Two new tests fail without the change: 200 and 400 in place of 200 and 503; no close in 10 s.

--- a/samphirerill/relay/request_memory.py
+++ b/samphirerill/relay/request_memory.py
@@ -22,8 +22,8 @@
 
 _LOG = get_logger('callers')
 _BYTES_PER_MB = 1_048_576
-# Connections with less unserved are not rejected: ordinary requests fit.
 _MAX_LOG_LINES_PER_S = 5
+# What a connection may hold in any case: ordinary requests fit.
 _EXEMPT_BYTES = 8192
 # Rejections go on until this share of the limit is in use, so that not each
 # read has to look for the next connection.
--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -209,7 +209,7 @@
         self._share.enforce(self._parser.limits)
         if self._parser.body_pieces - pieces > _MAX_BODY_PIECES:
             self._defer_reading(self._loop.time() - started_at)
-        if not self.is_busy:
+        if self._may_limit_request():
             self._start_body_timer()
 
     def eof_received(self) -> bool:
@@ -235,7 +235,7 @@
 
     def request_begun(self) -> None:
         """Limit the time that the request head may take."""
-        if not self.is_busy:
+        if self._may_limit_request():
             self._start_timer(self._parser.limits.header_timeout_s)
 
     def head_received(self) -> None:
@@ -358,7 +358,7 @@
         self._connections.discard(self)
         self._note_close(CloseReason.CONNECTION_LIMIT)
         self._stop_timer()
-        self._transport.close()
+        self._finish_close()
 
     async def drain(self) -> None:
         """Wait until a slow client has read some of its response."""
@@ -390,7 +390,8 @@
         elif unread_bytes or self._queue:
             self._watch_unread_responses()
         else:
-            self._start_idle_timer()
+            self._idle_since = self._loop.time()
+            self._limit_wait()
 
     def _record_unread(self) -> None:
         """Record what the transport buffers; little is not worth counting."""
@@ -460,6 +461,13 @@
             self._idle_since = self._loop.time()
             self._limit_wait()
 
+    def _may_limit_request(self) -> bool:
+        """Return whether the timer is free for the request that is read.
+
+        A response in progress has none, and one that is not read keeps it.
+        """
+        return not (self.is_busy or self._unread_bytes)
+
     def _limit_wait(self) -> None:
         """Start the timer for what the client has to do next."""
         if self._transport.get_write_buffer_size():
@@ -505,7 +513,12 @@
         """Reject what is not being served, as it holds too much memory."""
         self._queue.clear()
         self._queued_bytes = 0
-        if not (self._is_input_ignored or self._closing):
+        if self._reject_status:
+            # The status was for what came after these requests.
+            self._reject_status = HTTPStatus.SERVICE_UNAVAILABLE
+        elif self._is_input_ignored or self._closing:
+            self._parser.discard()
+        else:
             self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _defer_reading(self, cost_s: float) -> None:
--- a/samphirerill/tests/test_request_memory.py
+++ b/samphirerill/tests/test_request_memory.py
@@ -42,6 +42,8 @@
 _MAX_UNREAD_BYTES = 2 * (_LIMITS.max_header_bytes + _KB + _SLICE_BYTES)
 _HEAD = b'POST /a HTTP/1.1\r\nHost: x\r\n'
 _TIMEOUT_S = 5.0
+# What has been held for so long gives way before what has just come.
+_SETTLE_S = 0.1
 _PIECES = strategies.sampled_from(
     (
         _HEAD,
@@ -170,6 +172,25 @@
         self.assertEqual(answer.count(b'HTTP/1.1 503'), 1)
         self.assertIn(b'retry-after: ', answer)
 
+    async def test_status_for_later_input_is_not_that_of_the_rejected(
+        self,
+    ) -> None:
+        """Guards against telling a proper request that it was malformed."""
+        whole = b'%bContent-Length: 50000\r\n\r\n' % _HEAD + b'x' * 50_000
+        small = b'%bContent-Length: 0\r\n\r\n' % _HEAD
+        first = await self.send(small + whole + b'malformed\r\n\r\n')
+        await asyncio.sleep(_SETTLE_S)
+        for _ in range(2):
+            await self.send(whole[:-1])
+        async with asyncio.timeout(_TIMEOUT_S):
+            while not self.memory.rejected:
+                await asyncio.sleep(0)
+            self.handler.may_respond.set()
+            answer = await first.read()
+        self.assertEqual(answer.count(b'HTTP/1.1 200'), 1)
+        self.assertEqual(answer.count(b'HTTP/1.1 503'), 1)
+        self.assertNotIn(b'HTTP/1.1 400', answer)
+
     async def test_rejected_requests_hold_nothing(self) -> None:
         """Guards against rejections that make others give way."""
         reader = await self.send(
--- a/samphirerill/tests/test_unread_responses.py
+++ b/samphirerill/tests/test_unread_responses.py
@@ -30,7 +30,7 @@
         conn.respond(200, [], bytes(16 * _MB))
 
     def get_limits(self) -> ClientLimits:
-        return ClientLimits(idle_timeout_s=0.1)
+        return ClientLimits(idle_timeout_s=0.1, header_timeout_s=0.1)
 
     def is_draining(self) -> bool:
         return False
@@ -82,12 +82,16 @@
         self.addCleanup(server.close)
         self.address = server.sockets[0].getsockname()
 
-    async def assert_disconnected(self, request: bytes) -> None:
+    async def assert_disconnected(
+        self, request: bytes, later: bytes = b''
+    ) -> None:
         with socket.create_connection(self.address) as client:
             client.sendall(request)
             async with asyncio.timeout(_TIMEOUT_S):
                 while not self.connections:
                     await asyncio.sleep(0)
+                await asyncio.sleep(_SLOW_CLIENT_TIMEOUT_S / 2)
+                client.sendall(later)
                 while self.connections:
                     await asyncio.sleep(0)
 
@@ -99,6 +103,10 @@
         """Guards against closed connections that keep their last response."""
         await self.assert_disconnected(_LAST)
 
+    async def test_begun_request_does_not_prolong_it(self) -> None:
+        """Guards against timers of requests that replace that of a response."""
+        await self.assert_disconnected(_KEPT + _KEPT, later=_KEPT[:-2])
+
     async def test_slow_client_gets_a_last_response(self) -> None:
         """Guards against giving up on a client that reads slowly."""
         reader, writer = await asyncio.open_connection(*self.address)
