Request parser: bytes of one request don't count for the next

Found on reading the change. Received bytes were counted for the request that began within a slice, also those of the request before it, so that the largest legal head behind the end of a body, in one read, was told 431. Now the slice in which a request begins or ends counts for none.

test_largest_head_is_accepted_behind_a_body fails without the change (3 of 4 answered 200).

--- a/samphirerill/relay/request_memory.py
+++ b/samphirerill/relay/request_memory.py
@@ -116,7 +116,7 @@
                 extra={
                     'connections': len(rejected),
                     'bytes': used_bytes - self.used_bytes,
-                    'longest_held_s': now - rejected[0].held_since,
+                    'longest_held_s': round(now - rejected[0].held_since, 3),
                     'used_bytes': used_bytes,
                     'allowed_bytes': max_bytes,
                 },
--- a/samphirerill/relay/request_parser.py
+++ b/samphirerill/relay/request_parser.py
@@ -94,6 +94,7 @@
         '_header_bytes',
         '_headers',
         '_http_parser',
+        '_part_bytes',
         '_receiver',
         '_reject_status',
         '_replayed_request',
@@ -129,6 +130,8 @@
         # Bytes received for the current request, or before the next one. The
         # HTTP parser keeps an incomplete header field without a callback.
         self._unframed_bytes = 0
+        # The size of the slice that is parsed.
+        self._part_bytes = 0
         self._reject_status = 0
 
     @property
@@ -156,12 +159,13 @@
         """
         for start in range(0, len(data), _SLICE_BYTES):
             part = data[start : start + _SLICE_BYTES]
+            self._part_bytes = len(part)
             try:
                 self._parse(part)
             except HttpParserError as exc:
                 status = self._reject_status or HTTPStatus.BAD_REQUEST
                 raise RequestError(status) from exc
-            self._limit_unframed(len(part))
+            self._limit_unframed()
 
     def discard(self) -> None:
         """Release what was read of a request that is rejected."""
@@ -178,7 +182,7 @@
         self._target = []
         self._headers = []
         self._header_bytes = 0
-        self._unframed_bytes = 0
+        self._skip_part()
         self.is_reading = True
         self.limits = self._get_limits()
         self._receiver.request_begun()
@@ -236,7 +240,7 @@
             return
         req = self._request
         self._request = None
-        self._unframed_bytes = 0
+        self._skip_part()
         self.is_reading = False
         self.awaits_continue = False
         if req is None:
@@ -246,13 +250,17 @@
         req.arrived_at = asyncio.get_running_loop().time()
         self._receiver.request_received(req)
 
-    def _limit_unframed(self, size: int) -> None:
-        """Count received bytes; reject what has no end.
+    def _skip_part(self) -> None:
+        """Begin to count with the next slice, as this one has two requests."""
+        self._unframed_bytes = -self._part_bytes
+
+    def _limit_unframed(self) -> None:
+        """Count a slice of received bytes; reject what has no end.
 
         That is a header field, a trailer, the extension of a chunk, or empty
         lines between requests.
         """
-        self._unframed_bytes += size
+        self._unframed_bytes += self._part_bytes
         allowed = self.limits.max_header_bytes + _HEAD_FRAMING_BYTES
         if self._request is not None:
             framed = len(self._request.received)
--- a/samphirerill/tests/test_client_input.py
+++ b/samphirerill/tests/test_client_input.py
@@ -146,6 +146,15 @@
         )
         self.assertEqual(self.handler.bodies, [b'x' * size])
 
+    async def test_largest_head_is_accepted_behind_a_body(self) -> None:
+        """Guards against counting bytes of one request for the next."""
+        body = b'x' * _LIMITS.max_body_bytes
+        first = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n'
+        field = b'X: ' + b'y' * (_LIMITS.max_header_bytes - 50)
+        second = b'GET / HTTP/1.1\r\nHost: a\r\n%b\r\n\r\n' % field
+        answer = await self.exchange((first % len(body) + body) * 3 + second)
+        self.assertEqual(answer.count(b'HTTP/1.1 200'), 4)
+
     async def test_slow_request_head_times_out(self) -> None:
         answer = await self.exchange(b'GET / HTT')
         self.assertTrue(answer.startswith(b'HTTP/1.1 408'), answer)
