Client connections: the account of requests costs ordinary ones less

Causes: a copy of each served request without its body, a look at the limit for each read, bookkeeping twice for each request, and calls that resume what is not paused. Now a small body stays with its request, only connections that hold over 8 KiB look at the limit, as only these can give way, and the transport is told of changes alone. Reading goes on when pipelined requests are rejected.

--- a/samphirerill/relay/request.py
+++ b/samphirerill/relay/request.py
@@ -10,6 +10,8 @@
 
 # A request without its bytes: the lists of headers and other objects.
 _OBJECT_BYTES = 2048
+# A body that may stay with its connection until the next request.
+_SMALL_BYTES = 4096
 
 
 @dataclass(slots=True)
@@ -38,8 +40,10 @@
         return self.head_bytes + len(self.body) + _OBJECT_BYTES
 
     def without_body(self) -> Request:
-        """Return a copy for logs, which releases the body."""
-        return replace(self, body=b'')
+        """Return the request for logs; a copy if that releases a large body."""
+        return (
+            replace(self, body=b'') if len(self.body) > _SMALL_BYTES else self
+        )
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
--- a/samphirerill/relay/request_memory.py
+++ b/samphirerill/relay/request_memory.py
@@ -156,19 +156,24 @@
         if not self.unserved_bytes:
             self.held_since = now
         growth = size - self.unserved_bytes
-        self.unserved_bytes = size
-        self._memory.record(self, growth)
+        if growth:
+            self.unserved_bytes = size
+            self._memory.record(self, growth)
 
     def set_served(self, size: int) -> None:
         """Set the size of the request that is being served; 0 for none."""
         copies = size * _SERVED_COPIES
         growth = copies - self._served_bytes
         self._served_bytes = copies
-        self._memory.record(self, growth)
+        self._memory.used_bytes += growth
 
     def enforce(self, limits: ClientLimits) -> None:
-        """Keep the limit of all connections after this one has grown."""
-        self._memory.enforce(limits)
+        """Keep the limit of all connections after this one has grown.
+
+        Small ones have no say: only large ones can give way.
+        """
+        if self.unserved_bytes > _EXEMPT_BYTES:
+            self._memory.enforce(limits)
 
     def reject(self) -> None:
         """Reject and release the unserved requests."""
--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -118,6 +118,8 @@
         self._queue: deque[Request] = deque()
         self._queued_bytes = 0
         self._is_deferred = False
+        # Whether the transport does not read.
+        self._is_paused = False
         self._intake = intake or ClientIntake()
         self._share = self._intake.memory.open(self._reject_unserved)
         self._unread = self._intake.responses.open_unread(
@@ -232,6 +234,7 @@
         self._writable = None
         self._unread.update(0)
         self._start_next()
+        self._record_unserved()
 
     def request_begun(self) -> None:
         """Limit the time that the request head may take."""
@@ -423,9 +426,9 @@
         self.is_busy = True
         self._stop_timer()
         req = self._queue.popleft()
-        self._queued_bytes -= req.size
-        self._record_unserved()
-        self._share.set_served(req.size)
+        size = req.size
+        self._queued_bytes -= size
+        self._share.set_served(size)
         self._update_reading()
         self._served = req
         self._served_count += 1
@@ -454,6 +457,7 @@
         """Go on after a complete response."""
         if self._queue:
             self._start_next()
+            self._record_unserved()
         elif self._reject_status:
             self._respond_rejection()
         else:
@@ -513,6 +517,7 @@
         """Reject what is not being served, as it holds too much memory."""
         self._queue.clear()
         self._queued_bytes = 0
+        self._update_reading()
         if self._reject_status:
             # The status was for what came after these requests.
             self._reject_status = HTTPStatus.SERVICE_UNAVAILABLE
@@ -532,17 +537,18 @@
         self._update_reading()
 
     def _update_reading(self) -> None:
-        if self._is_reading_paused():
+        is_paused = self._is_deferred or len(self._queue) >= _MAX_PIPELINED
+        if is_paused == self._is_paused:
+            return
+        self._is_paused = is_paused
+        if is_paused:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
 
-    def _is_reading_paused(self) -> bool:
-        return self._is_deferred or len(self._queue) >= _MAX_PIPELINED
-
     def _record_unserved(self) -> None:
         size = self._queued_bytes + self._parser.held_bytes
-        if self._is_reading_paused():
+        if self._is_paused:
             size += RECEIVE_BUFFER_BYTES
         self._share.set_unserved(size, self._loop.time())
 
