--- a/samphirerill/tests/test_requested_back_off.py
+++ b/samphirerill/tests/test_requested_back_off.py
@@ -41,9 +41,20 @@
 
 
 class BackOffCase(TwoEnginesCase):
-    """Two engines and two plain replicas that can refuse with a delay."""
+    """Two engines and two plain replicas that can refuse with a delay.
+
+    They share one loop with the node, whose clock leaves out the time that other
+    processes of the machine take.
+    """
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        asyncio.set_event_loop_policy(ProcessorTimePolicy())
+        cls.addClassCleanup(asyncio.set_event_loop_policy, None)
 
     async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
         await super().asyncSetUp()
         await self.harness.add_replica('desk-2')
         await self.announce('desk-2', 'desk', kind='')
@@ -352,21 +363,7 @@
 
 
 class TestOtherReplicas(BackOffCase):
-    """Replicas that go on while others back off.
-
-    Their streams share one loop with the node, whose clock leaves out the time that
-    other processes of the machine take.
-    """
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        super().setUpClass()
-        asyncio.set_event_loop_policy(ProcessorTimePolicy())
-        cls.addClassCleanup(asyncio.set_event_loop_policy, None)
-
-    async def asyncSetUp(self) -> None:
-        asyncio.get_running_loop().set_debug(False)
-        await super().asyncSetUp()
+    """Replicas that go on while others back off."""
 
     async def test_they_serve_without_delay(self) -> None:
         self.refuse_once('engine-1', 'desk-1', retry_after=b'4')
