--- a/samphirerill/relay/client_intake.py
+++ b/samphirerill/relay/client_intake.py
@@ -35,8 +35,12 @@
     ----------
     memory : RequestMemory
         What requests hold until they are answered.
+    responses : ResponseMemory
+        What responses hold until clients have read them.
     pacing : ReadPacing
         Turns of connections whose input takes long to parse.
+    get_body_time_s : callable
+        The parameter, or the longest time for each request.
     """
 
     __slots__ = ('get_body_time_s', 'memory', 'pacing', 'responses')
--- a/samphirerill/relay/request_memory.py
+++ b/samphirerill/relay/request_memory.py
@@ -170,7 +170,7 @@
     def enforce(self, limits: ClientLimits) -> None:
         """Keep the limit of all connections after this one has grown.
 
-        Small ones have no say: only large ones can give way.
+        Does nothing for small connections, which are exempt.
         """
         if self.unserved_bytes > _EXEMPT_BYTES:
             self._memory.enforce(limits)
