Crashing engines: their tests leave out other processes' time

TestPoisonStream.test_other_streams_complete got 503 for one of 30 ordinary streams, on a machine that ran nothing else that we know of.

Cause: two nodes, all engines and all clients share one loop, which uses 2.2 of the 3.7 s of the test. When other processes take more than the rest, the loop falls behind: the sends of the poison request, 0.25 s apart, arrive together and reach all six engines before the third crash is known. Then no engine is left, and the ordinary stream is truthfully refused ("no node reaches an endpoint"). No fault of the nodes was found in the refusals that were printed.

Change: ProcessorTimeCase, which three such cases share now.

--- a/samphirerill/testing/processor_time.py
+++ b/samphirerill/testing/processor_time.py
@@ -10,6 +10,7 @@
 from selectors import DefaultSelector
 from time import monotonic, thread_time
 from typing import TYPE_CHECKING
+from unittest import IsolatedAsyncioTestCase
 
 if TYPE_CHECKING:
     from selectors import SelectorKey
@@ -57,3 +58,17 @@
     def new_event_loop(self) -> ProcessorTimeLoop:
         """Return a new loop."""
         return ProcessorTimeLoop()
+
+
+class ProcessorTimeCase(IsolatedAsyncioTestCase):
+    """Tests whose loops have such a clock.
+
+    A test that blocks its loop with `time.sleep` needs another clock: this one
+    leaves that time out, too.
+    """
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        asyncio.set_event_loop_policy(ProcessorTimePolicy())
+        cls.addClassCleanup(asyncio.set_event_loop_policy, None)
--- a/samphirerill/tests/crashing_engines.py
+++ b/samphirerill/tests/crashing_engines.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from typing import TYPE_CHECKING
-from unittest import IsolatedAsyncioTestCase
 
 from msgspec import json
 from msgspec.structs import replace
@@ -13,6 +12,7 @@
 from samphirerill.testing.crashing_replica import CrashingReplica
 from samphirerill.testing.free_ports import find_ports
 from samphirerill.testing.platform_harness import PlatformHarness
+from samphirerill.testing.processor_time import ProcessorTimeCase
 from samphirerill.tests.platform_documents import (
     API_KEY,
     build_announcement,
@@ -44,7 +44,7 @@
     ]
 
 
-class CrashingEnginesCase(IsolatedAsyncioTestCase):
+class CrashingEnginesCase(ProcessorTimeCase):
     """Six engines that hold all layers; a crashed one restarts elsewhere.
 
     `crash_times` are when engines crashed, `poison_sent_at` when poison
--- a/samphirerill/tests/shared_fleet.py
+++ b/samphirerill/tests/shared_fleet.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING, Any
-from unittest import IsolatedAsyncioTestCase
 
 from msgspec import json
 from msgspec.structs import replace
@@ -21,7 +20,7 @@
 from samphirerill.testing.free_ports import find_ports
 from samphirerill.testing.limiting_replica import LimitingReplica
 from samphirerill.testing.platform_harness import PlatformHarness
-from samphirerill.testing.processor_time import ProcessorTimePolicy
+from samphirerill.testing.processor_time import ProcessorTimeCase
 from samphirerill.tests.platform_documents import (
     ENGINE,
     build_announcement,
@@ -100,20 +99,12 @@
             await super()._stream(req, conn, headers)
 
 
-class SharedFleetCase(IsolatedAsyncioTestCase):
+class SharedFleetCase(ProcessorTimeCase):
     """Three nodes, two engines, three ranks and four accounts.
 
-    They share one loop with the clients, so that the targets are measured on a
-    clock which leaves out the time that other processes of the machine take.
+    They share one loop with the clients.
     """
 
-    @classmethod
-    def setUpClass(cls) -> None:
-        """Let the loops of the tests have that clock."""
-        super().setUpClass()
-        asyncio.set_event_loop_policy(ProcessorTimePolicy())
-        cls.addClassCleanup(asyncio.set_event_loop_policy, None)
-
     async def asyncSetUp(self) -> None:
         # With the debug mode of the test case, the loop spends most of its time
         # on stack traces and falls behind the offered load.
--- a/samphirerill/tests/test_requested_back_off.py
+++ b/samphirerill/tests/test_requested_back_off.py
@@ -16,7 +16,7 @@
 )
 from samphirerill.relay.platform_adapter import ResponseMetadata, RetryAfter
 from samphirerill.relay.pool import call_once
-from samphirerill.testing.processor_time import ProcessorTimePolicy
+from samphirerill.testing.processor_time import ProcessorTimeCase
 from samphirerill.tests.platform_documents import build_configuration
 from samphirerill.tests.test_leaving import LeavingCase
 from samphirerill.tests.two_engines import (
@@ -40,18 +40,8 @@
 _DESKS = ('desk-1', 'desk-2')
 
 
-class BackOffCase(TwoEnginesCase):
-    """Two engines and two plain replicas that can refuse with a delay.
-
-    They share one loop with the node, whose clock leaves out the time that other
-    processes of the machine take.
-    """
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        super().setUpClass()
-        asyncio.set_event_loop_policy(ProcessorTimePolicy())
-        cls.addClassCleanup(asyncio.set_event_loop_policy, None)
+class BackOffCase(ProcessorTimeCase, TwoEnginesCase):
+    """Two engines and two plain replicas that can refuse with a delay."""
 
     async def asyncSetUp(self) -> None:
         asyncio.get_running_loop().set_debug(False)
