Client connections: output, timers and lingering close have modules of their own

No behaviour is meant to change. The condition 'or requests are queued' in the check of unread responses went: once nothing is unread, resume_writing has started the next queued request and stopped this timer. Tests lower the timeout at its new place, to the same values.

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -13,17 +13,16 @@
 
 from samphirerill.node.logs import get_logger
 from samphirerill.relay.client_intake import ClientIntake
+from samphirerill.relay.client_output import ClientOutput
+from samphirerill.relay.client_wait import ClientWait
 from samphirerill.relay.closed_connections import (
     ClosedConnection,
     CloseReason,
 )
+from samphirerill.relay.lingering_close import LingeringClose
 from samphirerill.relay.request import Request
 from samphirerill.relay.request_parser import RequestError, RequestParser
-from samphirerill.relay.sockets import (
-    RECEIVE_BUFFER_BYTES,
-    disable_nagle,
-    reset_connection,
-)
+from samphirerill.relay.sockets import RECEIVE_BUFFER_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,14 +39,8 @@
 _READ_BUFFER = memoryview(bytearray(_READ_BYTES))
 # Input in more pieces than this in one read takes long to parse.
 _MAX_BODY_PIECES = 64
-_HIGH_WATER_BYTES = 131_072
-# How long a slow client may go without reading any of the buffered response.
-_SLOW_CLIENT_TIMEOUT_S = 10.0
 # How long a draining node waits for the first request of a new connection.
 _FIRST_REQUEST_TIMEOUT_S = 1.0
-# Lingering close: a client may still be sending, and closing at once would
-# reset the connection before it reads the last response.
-_LINGER_S = 0.5
 # For clients whose requests were rejected for their memory.
 _RETRY_AFTER_S = b'1'
 _REASONS = {
@@ -92,6 +85,9 @@
         Whether the response to the current request has started.
     """
 
+    # Fakes of endpoints have an output of their own.
+    build_output = ClientOutput
+
     def __init__(
         self,
         handler: RequestHandler,
@@ -110,11 +106,6 @@
         self._loop = asyncio.get_running_loop()
         self._transport: Any = None
         self._parser = RequestParser(self, handler.get_limits)
-        # The idle time that the client was told, and when it began.
-        self._idle_timeout_s = self._parser.limits.idle_timeout_s
-        self._idle_since = 0.0
-        # The head that is written together with the body; none to write at once.
-        self._held: list[bytes] | None = None
         self._queue: deque[Request] = deque()
         self._queued_bytes = 0
         self._is_deferred = False
@@ -122,23 +113,24 @@
         self._is_paused = False
         self._intake = intake or ClientIntake()
         self._share = self._intake.memory.open(self._reject_unserved)
-        self._unread = self._intake.responses.open_unread(
-            self._abort_slow_client
+        self._output = self.build_output(
+            self._intake.responses.open_unread(self._abort_slow_client),
+            self._abort_slow_client,
+        )
+        self._closer = LingeringClose(self._output, self._abort_slow_client)
+        self._wait = ClientWait(
+            self._parser,
+            self._output,
+            handler.get_limits,
+            self._intake.get_body_time_s,
+            self._end_wait,
         )
         # The request that is served, or was served last.
         self._served: Request | None = None
         self._served_count = 0
-        self._response_bytes = 0
-        self._is_response_complete = False
         # The status of a request that was rejected, if any.
         self._reject_status = 0
         self._task: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
-        self._writable: asyncio.Future[None] | None = None
-        # Buffered bytes of responses when the client was last seen to read.
-        self._unread_bytes = 0
-        self._chunked = False
-        self._ends_with_connection = False
         self._keeps_alive = True
         self._is_input_ignored = False
         self._closing = False
@@ -150,7 +142,7 @@
         A response may still be buffered for a client with a slow link; closing
         the connection would truncate it.
         """
-        return self.is_busy or self._transport.get_write_buffer_size() > 0
+        return self.is_busy or self._output.unsent_bytes > 0
 
     @property
     def unused_since(self) -> float:
@@ -158,14 +150,13 @@
 
         It is the smallest for a connection that waits for its client's close.
         """
-        return float('-inf') if self._closing else self._idle_since
+        return float('-inf') if self._closing else self._wait.idle_since
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start waiting for the first request."""
         self._transport = transport
-        self._transport.set_write_buffer_limits(high=_HIGH_WATER_BYTES)
-        disable_nagle(transport)
-        self._start_idle_timer()
+        self._output.open(transport)
+        self._wait.start()
         is_admitted = self._limit is None or self._limit.admit()
         self._connections.add(self)
         if not is_admitted:
@@ -175,15 +166,14 @@
         """Cancel the request in progress, as the client has disconnected."""
         self._connections.discard(self)
         self._share.close()
-        self._unread.update(0)
-        self._stop_timer()
+        self._wait.stop()
+        self._closer.stop()
         is_own_error = exc is not None and not isinstance(exc, OSError)
         self._note_close(
             CloseReason.SERVER_ERROR if is_own_error else CloseReason.CLIENT
         )
         self._report_close()
-        if self._writable is not None and not self._writable.done():
-            self._writable.set_result(None)
+        self._output.discard()
         if self._task is not None:
             self._task.cancel()
 
@@ -212,7 +202,7 @@
         if self._parser.body_pieces - pieces > _MAX_BODY_PIECES:
             self._defer_reading(self._loop.time() - started_at)
         if self._may_limit_request():
-            self._start_body_timer()
+            self._wait.start_for_body()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as disconnected.
@@ -225,21 +215,18 @@
 
     def pause_writing(self) -> None:
         """Stop writing: the client reads slowly."""
-        self._writable = self._loop.create_future()
+        self._output.pause()
 
     def resume_writing(self) -> None:
         """Continue writing: the write buffer has drained."""
-        if self._writable is not None and not self._writable.done():
-            self._writable.set_result(None)
-        self._writable = None
-        self._unread.update(0)
+        self._output.resume()
         self._start_next()
         self._record_unserved()
 
     def request_begun(self) -> None:
         """Limit the time that the request head may take."""
         if self._may_limit_request():
-            self._start_timer(self._parser.limits.header_timeout_s)
+            self._wait.start_for_head()
 
     def head_received(self) -> None:
         """Let the client send the body."""
@@ -262,51 +249,40 @@
         HTTP/1.0.
         """
         self.response_started = True
-        self._chunked = length is None and self._accepts_chunks()
-        self._ends_with_connection = length is None and not self._chunked
-        if self._ends_with_connection:
+        accepts_chunks = self._served is None or self._served.accepts_chunks
+        if length is None and not accepts_chunks:
             self._keeps_alive = False
         if self._handler.is_draining() and not self._has_next():
             # Requests that were already begun are served before the close.
             self._keeps_alive = False
         lines = [b'HTTP/1.1 %d %b' % (status, _REASONS.get(status, b'Other'))]
         lines.extend(b'%b: %b' % pair for pair in headers)
-        if self._chunked:
-            lines.append(b'transfer-encoding: chunked')
-        elif length is not None:
-            lines.append(b'content-length: %d' % length)
+        lines.extend(
+            self._output.frame_body(length, accepts_chunks=accepts_chunks)
+        )
         if self._keeps_alive:
-            self._idle_timeout_s = self._handler.get_limits().idle_timeout_s
-            lines.append(b'keep-alive: timeout=%d' % int(self._idle_timeout_s))
+            idle_timeout_s = self._handler.get_limits().idle_timeout_s
+            self._wait.told_timeout_s = idle_timeout_s
+            lines.append(b'keep-alive: timeout=%d' % int(idle_timeout_s))
         else:
             lines.append(b'connection: close')
             self._is_input_ignored = True
-        self._write(b'\r\n'.join((*lines, b'', b'')))
+        self._output.write(b'\r\n'.join((*lines, b'', b'')))
 
     def write_body(self, body: bytes) -> None:
         """Write bytes of the response body."""
-        if not body:
-            return
-        if self._chunked:
-            body = b'%x\r\n%b\r\n' % (len(body), body)
-        self._write(body)
+        if body:
+            self._output.write_body(body)
 
     def finish_response(self) -> None:
         """Complete the response."""
-        if self._chunked:
-            self._write(b'0\r\n\r\n')
-        self._is_response_complete = True
+        self._output.finish_response()
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete response."""
-        # One write for both, as a call of the system takes longer than to copy
-        # the body.
-        held: list[bytes] = []
-        self._held = held
+        self._output.hold()
         self.start_response(status, headers, len(body))
-        self._held = None
-        self._write(b''.join((*held, body)))
-        self._is_response_complete = True
+        self._output.release(body)
 
     def abort(self, reason: CloseReason = CloseReason.RESPONSE_ABORTED) -> None:
         """Abort the connection so that the response is seen as incomplete.
@@ -316,12 +292,7 @@
         self._keeps_alive = False
         self._note_close(reason)
         self._report_close()
-        if self._transport is None:
-            return
-        if self._ends_with_connection:
-            reset_connection(self._transport)
-        else:
-            self._transport.abort()
+        self._output.abort()
 
     def shut_down(self) -> None:
         """Close the connection because the node ends.
@@ -346,7 +317,7 @@
         """
         if self.is_busy or self._has_next():
             return
-        idle_s = self._loop.time() - self._idle_since
+        idle_s = self._loop.time() - self._wait.idle_since
         if self._served_count or idle_s >= _FIRST_REQUEST_TIMEOUT_S:
             self._close(CloseReason.DRAINING)
 
@@ -360,50 +331,18 @@
         # It does not count any more, although the transport closes later.
         self._connections.discard(self)
         self._note_close(CloseReason.CONNECTION_LIMIT)
-        self._stop_timer()
-        self._finish_close()
+        self._wait.stop()
+        self._closer.close(self._transport)
 
     async def drain(self) -> None:
         """Wait until a slow client has read some of its response."""
-        writable = self._writable
-        while writable is not None and not writable.done():
-            unsent_bytes = self._transport.get_write_buffer_size()
-            await asyncio.wait((writable,), timeout=_SLOW_CLIENT_TIMEOUT_S)
-            if writable.done():
-                return
-            if self._transport.get_write_buffer_size() >= unsent_bytes:
-                self._abort_slow_client()
-                return
-
-    def _accepts_chunks(self) -> bool:
-        return self._served is None or self._served.accepts_chunks
-
-    def _watch_unread_responses(self) -> None:
-        """Give a client time to read its responses."""
-        self._start_timer(_SLOW_CLIENT_TIMEOUT_S)
-        self._unread_bytes = self._transport.get_write_buffer_size()
-
-    def _check_unread_responses(self) -> None:
-        """Disconnect a client that has read nothing for too long."""
-        unread_bytes = self._transport.get_write_buffer_size()
-        if unread_bytes < self._unread_bytes and self._writable is not None:
-            self._record_unread()
-        if unread_bytes >= self._unread_bytes:
-            self._abort_slow_client()
-        elif unread_bytes or self._queue:
-            self._watch_unread_responses()
-        else:
-            self._idle_since = self._loop.time()
-            self._limit_wait()
-
-    def _record_unread(self) -> None:
-        """Record what the transport buffers; little is not worth counting."""
-        self._unread.update(self._transport.get_write_buffer_size())
+        if self._output.is_blocked:
+            await self._output.drain()
 
     def _abort_slow_client(self) -> None:
         _LOG.info(
             'client reads too slowly; closing its connection',
-            extra={'unread_bytes': self._transport.get_write_buffer_size()},
+            extra={'unread_bytes': self._output.unsent_bytes},
         )
         self.abort(CloseReason.SLOW_CLIENT)
 
@@ -419,12 +358,12 @@
     def _start_next(self) -> None:
         if self.is_busy or not self._queue or self._closing:
             return
-        if self._writable is not None:
+        if self._output.is_blocked:
             # `resume_writing` continues when earlier responses have been read.
-            self._watch_unread_responses()
+            self._wait.start_for_responses()
             return
         self.is_busy = True
-        self._stop_timer()
+        self._wait.stop()
         req = self._queue.popleft()
         size = req.size
         self._queued_bytes -= size
@@ -432,15 +371,14 @@
         self._update_reading()
         self._served = req
         self._served_count += 1
-        self._response_bytes = 0
-        self._is_response_complete = False
+        self._output.begin_response()
         self._keeps_alive = req.keeps_alive
         self.response_started = False
         self._task = self._loop.create_task(self._serve(req))
 
     async def _serve(self, req: Request) -> None:
         await self._run_handler(req)
-        if not (self._is_response_complete or self._transport.is_closing()):
+        if not (self._output.is_complete or self._transport.is_closing()):
             self._respond_failed()
         self.is_busy = False
         self._task = None
@@ -462,25 +400,23 @@
             self._respond_rejection()
         else:
             self._send_continue()
-            self._idle_since = self._loop.time()
-            self._limit_wait()
+            self._wait.start()
 
     def _may_limit_request(self) -> bool:
         """Return whether the timer is free for the request that is read.
 
         A response in progress has none, and one that is not read keeps it.
         """
-        return not (self.is_busy or self._unread_bytes)
-
-    def _limit_wait(self) -> None:
-        """Start the timer for what the client has to do next."""
-        if self._transport.get_write_buffer_size():
-            self._watch_unread_responses()
-        elif self._parser.is_reading:
-            self._start_timer(self._parser.limits.header_timeout_s)
-            self._start_body_timer()
+        return not (self.is_busy or self._wait.is_for_responses)
+
+    def _end_wait(self, reason: CloseReason) -> None:
+        """Give up a client that was too slow, or that sends no request."""
+        if reason is CloseReason.SLOW_REQUEST:
+            self._reject(HTTPStatus.REQUEST_TIMEOUT)
+        elif reason is CloseReason.SLOW_CLIENT:
+            self._abort_slow_client()
         else:
-            self._start_timer(self._idle_timeout_s)
+            self._close(reason)
 
     async def _run_handler(self, req: Request) -> None:
         """Run the handler; its errors must not affect other requests."""
@@ -498,7 +434,7 @@
         """Complete a response that the handler left incomplete."""
         _LOG.error(
             'response was not completed',
-            extra={'response_bytes': self._response_bytes},
+            extra={'response_bytes': self._output.response_bytes},
         )
         if self.response_started:
             self.abort(CloseReason.HANDLER_ERROR)
@@ -567,15 +503,6 @@
             else CloseReason.MALFORMED_REQUEST
         )
 
-    def _write(self, data: bytes) -> None:
-        if self._held is not None:
-            self._held.append(data)
-        elif self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
-            self._response_bytes += len(data)
-            if self._writable is not None:
-                self._record_unread()
-
     def _respond_to_all(self) -> None:
         """Respond to the requests that will not be served."""
         if self._task is not None:
@@ -605,39 +532,21 @@
             return
         self._closing = True
         self._note_close(reason)
-        self._stop_timer()
+        self._wait.stop()
         if self._transport is None or self._transport.is_closing():
             return
-        if self._transport.can_write_eof() and not self._keeps_alive:
-            self._end_output()
+        if self._keeps_alive:
+            self._closer.close(self._transport)
         else:
-            self._finish_close()
+            self._end_output()
 
     def _end_output(self) -> None:
-        """Send the end of the responses, and let the client close first."""
         try:
-            self._transport.write_eof()
+            self._closer.end(self._transport)
         except OSError:
             # The client has left, which the loop has not read yet.
             self._close_reason = CloseReason.CLIENT
             self._transport.abort()
-            return
-        self._timer = self._loop.call_later(_LINGER_S, self._finish_close)
-
-    def _finish_close(self) -> None:
-        """Close once the client has read its responses, if it does read."""
-        self._transport.close()
-        unread_bytes = self._transport.get_write_buffer_size()
-        if unread_bytes:
-            self._timer = self._loop.call_later(
-                _SLOW_CLIENT_TIMEOUT_S, self._check_closing, unread_bytes
-            )
-
-    def _check_closing(self, unread_bytes: int) -> None:
-        if self._transport.get_write_buffer_size() >= unread_bytes:
-            self._abort_slow_client()
-        else:
-            self._finish_close()
 
     def _note_close(self, reason: CloseReason) -> None:
         """Note why the connection is closed; the first reason counts."""
@@ -649,7 +558,7 @@
         self._record_close = None
         if record_close is None or self._close_reason is None:
             return
-        unsent_bytes = self._transport.get_write_buffer_size()
+        unsent_bytes = self._output.unsent_bytes
         unanswered = tuple(self._queue)
         if self._served is not None and (self.is_busy or unsent_bytes):
             unanswered = (self._served, *unanswered)
@@ -657,48 +566,8 @@
             ClosedConnection(
                 self._close_reason,
                 unanswered,
-                self._response_bytes,
+                self._output.response_bytes,
                 unsent_bytes,
                 self._served_count,
             )
         )
-
-    def _start_idle_timer(self) -> None:
-        self._idle_since = self._loop.time()
-        self._start_timer(self._idle_timeout_s)
-
-    def _start_body_timer(self) -> None:
-        """Limit the pause within a body, if one is read, and its whole time."""
-        req = self._parser.incomplete
-        if req is None:
-            return
-        due = req.arrived_at + self._intake.get_body_time_s(req)
-        pause_s = self._parser.limits.idle_timeout_s
-        self._start_timer(max(0, min(pause_s, due - self._loop.time())))
-
-    def _start_timer(self, after_s: float) -> None:
-        self._stop_timer()
-        self._unread_bytes = 0
-        self._timer = self._loop.call_later(after_s, self._on_timer)
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-    def _on_timer(self) -> None:
-        """Handle an idle or header timeout, or a client that reads slowly."""
-        if self._unread_bytes:
-            self._check_unread_responses()
-            return
-        if self._parser.is_reading:
-            self._reject(HTTPStatus.REQUEST_TIMEOUT)
-            return
-        # Clients reuse connections within the idle time that is in force, which
-        # may have become longer than the one that they were told.
-        idle_timeout_s = self._handler.get_limits().idle_timeout_s
-        remaining_s = self._idle_since + idle_timeout_s - self._loop.time()
-        if remaining_s > 0:
-            self._start_timer(remaining_s)
-        else:
-            self._close(CloseReason.IDLE)
--- a/samphirerill/testing/fake_connection.py
+++ b/samphirerill/testing/fake_connection.py
@@ -7,12 +7,16 @@
 from typing import TYPE_CHECKING, cast
 
 from samphirerill.backends.framing import Framing
+from samphirerill.relay.client_output import ClientOutput
 from samphirerill.relay.closed_connections import CloseReason
 from samphirerill.relay.server import ClientConnection
 from samphirerill.relay.sockets import reset_connection
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from samphirerill.relay.connection import Headers
+    from samphirerill.relay.response_memory import UnreadResponse
     from samphirerill.relay.server import RequestHandler
 
 _EVENT_PART = b'id: '
@@ -83,6 +87,22 @@
         return self.line_end.join(lines)
 
 
+class _RecordingOutput(ClientOutput):
+    """Keeps the last response, which `FakeConnection` may send once more."""
+
+    def __init__(
+        self, unread: UnreadResponse, on_overdue: Callable[[], None]
+    ) -> None:
+        super().__init__(unread, on_overdue)
+        self.last_response = b''
+
+    def write(self, data: bytes) -> None:
+        """Write bytes, and record them when they are sent."""
+        if self._held is None:
+            self.last_response += data
+        super().write(data)
+
+
 class FakeConnection(ClientConnection):
     """The connection of one caller of a fake.
 
@@ -96,6 +116,9 @@
         Read for each response.
     """
 
+    build_output = _RecordingOutput
+    _output: _RecordingOutput
+
     def __init__(
         self,
         handler: RequestHandler,
@@ -105,7 +128,6 @@
         super().__init__(handler, cast('set[ClientConnection]', connections))
         self.delivery = delivery
         self._is_response_unframed = False
-        self._last_response = b''
         # The head and the body of a stream that is sent with its length.
         self._buffered: tuple[int, Headers, list[bytes]] | None = None
 
@@ -157,37 +179,31 @@
         if self._is_response_unframed and is_reset:
             reset_connection(self._transport)
             return
-        if self._is_response_unframed and not self._is_response_complete:
+        if self._is_response_unframed and not self._output.is_complete:
             self.write_body(_EVENT_PART)
         self.abort()
 
     def _write_copy(self) -> None:
-        last = self._last_response
-        self._last_response = b''
+        last = self._output.last_response
+        self._output.last_response = b''
         if self.delivery.copied_bytes:
-            self._write(last[: self.delivery.copied_bytes])
-            self._last_response = b''
-
-    def _write(self, data: bytes) -> None:
-        if self._held is None:
-            self._last_response += data
-        super()._write(data)
+            self._output.write(last[: self.delivery.copied_bytes])
+            self._output.last_response = b''
 
     def _start_unframed(self, status: int, headers: Headers) -> None:
         self.response_started = True
         self._is_response_unframed = True
-        self._chunked = False
         self._keeps_alive = False
         self._is_input_ignored = True
         lines = [b'HTTP/1.1 %d Fake' % status]
         lines.extend(b'%b: %b' % pair for pair in headers)
-        self._write(b'\r\n'.join((*lines, b'', b'')))
+        self._output.write(b'\r\n'.join((*lines, b'', b'')))
 
     def _break_off(self, kind: BreakKind) -> None:
         if kind is BreakKind.FRAMED:
             self.finish_response()
             return
-        self._is_response_complete = True
+        self._output.is_complete = True
         if kind is BreakKind.RESET:
             reset_connection(self._transport)
         elif kind is BreakKind.ORDERLY:
--- a/samphirerill/tests/test_kept_connections.py
+++ b/samphirerill/tests/test_kept_connections.py
@@ -9,6 +9,7 @@
 from unittest.mock import patch
 
 from samphirerill.fleet.model import ClientLimits
+from samphirerill.relay.client_output import ClientOutput
 from samphirerill.relay.listeners import listen
 from samphirerill.relay.server import ClientConnection, Request
 
@@ -238,7 +239,7 @@
         self,
     ) -> None:
         self.handler.padding = bytes(24_000_000)
-        timeout = patch('samphirerill.relay.server._SLOW_CLIENT_TIMEOUT_S', 0.2)
+        timeout = patch.object(ClientOutput, 'read_timeout_s', 0.2)
         timeout.start()
         self.addCleanup(timeout.stop)
         self.handler.gate.set()
@@ -251,7 +252,7 @@
 
     async def test_client_that_does_not_read_is_disconnected(self) -> None:
         self.handler.padding = bytes(24_000_000)
-        timeout = patch('samphirerill.relay.server._SLOW_CLIENT_TIMEOUT_S', 0.2)
+        timeout = patch.object(ClientOutput, 'read_timeout_s', 0.2)
         timeout.start()
         self.addCleanup(timeout.stop)
         await self.send(_build('/large'))
--- a/samphirerill/tests/test_unread_responses.py
+++ b/samphirerill/tests/test_unread_responses.py
@@ -10,6 +10,7 @@
 
 from samphirerill.fleet.model import ClientLimits
 from samphirerill.platform.settings import EdgeSettings
+from samphirerill.relay.client_output import ClientOutput
 from samphirerill.relay.listeners import listen
 from samphirerill.relay.response_memory import ResponseMemory
 
@@ -71,9 +72,8 @@
     """Complete responses that stay in the node's write buffer."""
 
     async def asyncSetUp(self) -> None:
-        timeout = patch(
-            'samphirerill.relay.server._SLOW_CLIENT_TIMEOUT_S',
-            _SLOW_CLIENT_TIMEOUT_S,
+        timeout = patch.object(
+            ClientOutput, 'read_timeout_s', _SLOW_CLIENT_TIMEOUT_S
         )
         timeout.start()
         self.addCleanup(timeout.stop)
