Retry budget: what others have borrowed is deducted from a node's share

Cause: at the crash of four replicas at 5.7 s, 6 of 18 nodes borrowed 34 retries from the unused shares of the others, within the budget. At the next crash, at 12.5 s, the others spent their whole shares: own shares were never compared with what had been borrowed from them. 148 retries in 10 s, 34 borrowed. Ruled out for this play: borrowing at the same moment (none at the second crash).

Change: nodes within their shares deduct from them, in proportion, what others have spent beyond theirs, all computed from the reports they have. Reports count the nodes that they stand for; the wire is unchanged.

The new test fails before (132 of 124). Two tests of an aggregated report now say for how many nodes it stands, as node_status.py does; their checks are unchanged.

--- a/samphirerill/fleet/retry_budget.py
+++ b/samphirerill/fleet/retry_budget.py
@@ -8,7 +8,8 @@
 may exceed its node's share if the global budget would still cover a retry of
 every active stream on all nodes. Otherwise one lost endpoint could exhaust the
 share of the few nodes whose streams it served while the other nodes' shares
-stay unused.
+stay unused. What a node has spent beyond its share is deducted from the shares of
+the others.
 """
 
 from __future__ import annotations
@@ -31,11 +32,15 @@
 
 @dataclass(slots=True, frozen=True)
 class RetryUsage:
-    """Requests and retries in the window, and streams active now."""
+    """Requests and retries in the window, and streams active now.
+
+    `nodes` is how many nodes the counts are of.
+    """
 
     requests: int = 0
     retries: int = 0
     active_streams: int = 0
+    nodes: int = 1
 
 
 class PeerUsage:
@@ -50,6 +55,10 @@
         """Replace the last report of a node or of a whole data centre."""
         self._reports[peer] = (now + _PEER_REPORT_TTL_S, usage)
 
+    def list_valid(self, now: float) -> list[RetryUsage]:
+        """Return the reports that are still valid."""
+        return [usage for until, usage in self._reports.values() if until > now]
+
     def remove(self, peer: str) -> None:
         """Drop a peer's report: its usage is now reported under another name."""
         self._reports.pop(peer, None)
@@ -61,10 +70,7 @@
 
     def get_total(self, now: float) -> RetryUsage:
         """Return the total usage in all reports that are still valid."""
-        recent = [
-            usage for until, usage in self._reports.values() if until > now
-        ]
-        return sum_usage(recent)
+        return sum_usage(self.list_valid(now))
 
 
 def sum_usage(usages: list[RetryUsage]) -> RetryUsage:
@@ -73,6 +79,7 @@
         sum(map(attrgetter('requests'), usages)),
         sum(map(attrgetter('retries'), usages)),
         sum(map(attrgetter('active_streams'), usages)),
+        sum(map(attrgetter('nodes'), usages)),
     )
 
 
@@ -132,7 +139,7 @@
             unused.
         """
         self._drop_expired(now)
-        allowed = self._compute_share(nodes)
+        allowed = self._compute_share(now, nodes)
         if not is_urgent:
             allowed *= _NON_URGENT_SHARE
         if len(self._retry_times) < allowed:
@@ -142,7 +149,7 @@
     def count_remaining(self, now: float, nodes: int) -> int:
         """Return how many retries are left of this node's share."""
         self._drop_expired(now)
-        left = self._compute_share(nodes) - len(self._retry_times)
+        left = self._compute_share(now, nodes) - len(self._retry_times)
         return max(0, ceil(left))
 
     def get_usage(self, now: float) -> RetryUsage:
@@ -168,10 +175,30 @@
         if self._retry_times:
             self._retry_times.pop()
 
-    def _compute_share(self, nodes: int) -> float:
-        """Return how many retries this node may use without the others."""
-        earned = self._ratio * len(self._request_times)
-        return earned + self._slack / max(1, nodes)
+    def _compute_share(self, now: float, nodes: int) -> float:
+        """Return how many retries this node may use without the others.
+
+        Nodes that have not exceeded their shares give up, in proportion to them,
+        what the others have borrowed.
+        """
+        share = self._compute_earned(self.get_usage(now), nodes)
+        borrowed = 0
+        lending = share
+        for usage in self.peers.list_valid(now):
+            other_share = self._compute_earned(usage, nodes)
+            excess = usage.retries - ceil(other_share)
+            if excess > 0:
+                borrowed += excess
+            else:
+                lending += other_share
+        if not (borrowed and lending):
+            return share
+        return share * max(0, 1 - borrowed / lending)
+
+    def _compute_earned(self, usage: RetryUsage, nodes: int) -> float:
+        """Return the share of one or several nodes of the whole budget."""
+        slack = self._slack * usage.nodes / max(1, nodes)
+        return self._ratio * usage.requests + slack
 
     def _can_borrow(self, now: float) -> bool:
         """Return whether the global budget covers retrying all active streams."""
--- a/samphirerill/relay/node_status.py
+++ b/samphirerill/relay/node_status.py
@@ -176,7 +176,8 @@
     _apply_link_usage(state, status, now)
     for service, counts in status.budget_usage.items():
         budget = state.get_retry_budget(service)
-        budget.peers.update(status.node, RetryUsage(*counts), now)
+        usage = RetryUsage(*counts, nodes=status.node_count)
+        budget.peers.update(status.node, usage, now)
 
 
 def _apply_link_usage(state: EdgeState, status: NodeStatus, now: float) -> None:
--- a/samphirerill/tests/test_fleet_paths.py
+++ b/samphirerill/tests/test_fleet_paths.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from itertools import permutations
 from time import process_time
 from unittest import TestCase
 
@@ -291,6 +292,12 @@
         self.assertTrue(links.is_open('a', 'b', 0.6, is_urgent=True))
 
 
+def _exchange_reports(fleet: list[RetryBudget], now: float) -> None:
+    """Let each node know the usage of all others."""
+    for one, other in permutations(range(len(fleet)), 2):
+        fleet[one].peers.update(str(other), fleet[other].get_usage(now), now)
+
+
 class TestBudget(TestCase):
     """The retry budget of all nodes together."""
 
@@ -324,7 +331,7 @@
             budget.try_spend(1, nodes, is_urgent=True) for _ in range(7)
         )
         self.assertLess(alone, 7)
-        budget.peers.update('all of b', RetryUsage(900, 20, 200), 1)
+        budget.peers.update('all of b', RetryUsage(900, 20, 200, nodes=77), 1)
         together = sum(
             budget.try_spend(1, nodes, is_urgent=True) for _ in range(7)
         )
@@ -333,11 +340,35 @@
 
     def test_borrowing_leaves_budget_for_all_active_streams(self) -> None:
         budget = RetryBudget(0.2, 340, 10)
-        budget.peers.update('all of b', RetryUsage(900, 300, 200), 1)
+        budget.peers.update('all of b', RetryUsage(900, 300, 200, nodes=77), 1)
         spent = sum(budget.try_spend(1, 78, is_urgent=True) for _ in range(50))
         self.assertLess(spent, 7)
         self.assertFalse(budget.try_spend(9, 78, is_urgent=True))
 
+    def test_borrowed_shares_are_not_spent_again(self) -> None:
+        """Guards against lenders that still use their whole shares later."""
+        nodes = 18
+        requests = 15
+        fleet = [RetryBudget(0.2, 70, 10) for _ in range(nodes)]
+        for budget in fleet:
+            budget.active_streams = 4
+            for _ in range(requests):
+                budget.note_request(0)
+        _exchange_reports(fleet, 1)
+        spent = sum(
+            budget.try_spend(1, nodes, is_urgent=True)
+            for budget in fleet[:6]
+            for _ in range(10)
+        )
+        self.assertGreater(spent, 36)
+        _exchange_reports(fleet, 2)
+        spent += sum(
+            budget.try_spend(2, nodes, is_urgent=True)
+            for budget in fleet
+            for _ in range(10)
+        )
+        self.assertLessEqual(spent, 0.2 * requests * nodes + 70)
+
     def test_window_slides(self) -> None:
         budget = RetryBudget(0, 8, 10)
         spent = sum(budget.try_spend(0, 1) for _ in range(20))
