Own interface: a response that its client does not read ends in time

What callers saw: nothing; a client that reads none of a complete response kept its connection, descriptor and the rest of the response for as long as it liked.

Cause: closing the transport waits for the buffered bytes without end.

Change: UnreadResponses closes the transports of finished sessions.

--- a/samphirerill/node/node.py
+++ b/samphirerill/node/node.py
@@ -17,6 +17,7 @@
 from samphirerill.node.key_index import KeyIndex
 from samphirerill.node.logs import get_logger
 from samphirerill.node.metrics import Metrics
+from samphirerill.node.unread_responses import UnreadResponses
 
 if TYPE_CHECKING:
     from samphirerill.backends.endpoint_call import EndpointCall
@@ -44,6 +45,7 @@
         self.router = Router(self.node_id, seed)
         self.loop = asyncio.get_running_loop()
         self.sessions: dict[str, Session] = {}
+        self.unread_responses = UnreadResponses(self.router.state.counters)
         self.calls: dict[str, EndpointCall] = {}
         self.metrics = Metrics()
         self.key_index = KeyIndex()
--- a/samphirerill/node/operator_requests.py
+++ b/samphirerill/node/operator_requests.py
@@ -85,6 +85,7 @@
             'healthy': node.is_healthy,
             'open_calls': len(node.calls),
             'open_sessions': len(node.sessions),
+            'unread_response_bytes': node.unread_responses.count_bytes(),
             'cpu_s': usage.ru_utime + usage.ru_stime,
             'max_memory_bytes': usage.ru_maxrss * _BYTES_PER_KIB,
             'store_read_age_s': self._follower.freshness.get_read_age_s(now),
--- a/samphirerill/node/request_receiver.py
+++ b/samphirerill/node/request_receiver.py
@@ -48,7 +48,12 @@
     def _create_session(
         self, client_request: ClientRequest, sock: socket.socket
     ) -> None:
-        session = Session(uuid.uuid4().hex, client_request, self._on_disconnect)
+        session = Session(
+            uuid.uuid4().hex,
+            client_request,
+            self._on_disconnect,
+            self._node.unread_responses,
+        )
         session.arrived_at = self._node.loop.time()
         self._node.start_task(self._handle_request(session, sock), 'admit')
 
--- a/samphirerill/node/sessions.py
+++ b/samphirerill/node/sessions.py
@@ -28,6 +28,7 @@
     from collections.abc import Callable
 
     from samphirerill.core.commands import Problem
+    from samphirerill.node.unread_responses import UnreadResponses
 
 StageRuns = list[list[Any]]
 _WRITE_BUFFER_BYTES = 262_144
@@ -44,6 +45,8 @@
         The parsed request.
     on_disconnect : callable
         Called once if the client disconnects before the response is complete.
+    unread : UnreadResponses
+        Closes the connection when the client has read its response.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         request_id: str,
         client_request: ClientRequest,
         on_disconnect: Callable[[str], None],
+        unread: UnreadResponses,
     ) -> None:
         self.request_id = request_id
         self.client_request = client_request
@@ -68,6 +72,7 @@
         self._finish_reason = ''
         self._token_count = 0
         self._on_disconnect = on_disconnect
+        self._unread = unread
         self._transport: Any = None
         self._chunk_prefix = b''
 
@@ -87,6 +92,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report a disconnect before the response is complete."""
+        self._unread.discard(self._transport)
         self._transport = None
         if not self.is_finished:
             self.is_finished = True
@@ -231,4 +237,4 @@
     def _close(self) -> None:
         self.is_finished = True
         if self._transport is not None:
-            self._transport.close()
+            self._unread.close(self._transport)
--- a/samphirerill/tests/test_refusal_headers.py
+++ b/samphirerill/tests/test_refusal_headers.py
@@ -5,10 +5,12 @@
 import json
 from http import HTTPStatus
 from unittest import TestCase
+from unittest.mock import Mock
 
 from samphirerill.core.commands import Outcome, Problem
 from samphirerill.node.responses import ClientRequest, build_problem_document
 from samphirerill.node.sessions import Session
+from samphirerill.node.unread_responses import UnreadResponses
 
 
 class _Transport:
@@ -35,7 +37,12 @@
         """Guards against rounding down to a time at which nothing is free."""
         for seconds, expected in ((0.2, '1'), (2.4, '3'), (3, '3')):
             transport = _Transport()
-            session = Session('r1', ClientRequest('model', '', ''), print)
+            session = Session(
+                'r1',
+                ClientRequest('model', '', ''),
+                print,
+                Mock(spec=UnreadResponses),
+            )
             session.connection_made(transport)  # type: ignore[arg-type]
             session.send_problem(
                 Problem(
