Client connections: what was read is released when a connection closes

What callers saw: nothing, until a node ended. Clients that send a body of 4 MB but its last byte and leave, one after the other, took a node to 295, 298 and 307 MB after 300 of them, of 160; with whole bodies to 249 and 251 MB. The account of requests said that nothing was held.

Cause: a connection and its parser refer to each other, and a connection and its cancelled task do. They and their bodies stay until the garbage collector's oldest generation runs, which few objects seldom cause.

Change: connection_lost discards what the parser holds, the queue, the served request and the task.

--- a/samphirerill/relay/server.py
+++ b/samphirerill/relay/server.py
@@ -176,6 +176,12 @@
         self._output.discard()
         if self._task is not None:
             self._task.cancel()
+        # The connection and its parser refer to each other, so that they may
+        # stay in memory for long.
+        self._parser.discard()
+        self._queue.clear()
+        self._served = None
+        self._task = None
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer for the next read, which is parsed at once."""
--- a/samphirerill/tests/test_misbehaving_clients.py
+++ b/samphirerill/tests/test_misbehaving_clients.py
@@ -55,6 +55,7 @@
 # Longer than a test, so that the crowd stays.
 _TIMEOUT_MS = 60_000
 _UNREAD_RESPONSES = 96
+_LEAVING_CLIENTS = 300
 _PADDING_BYTES = 4_000_000
 _LOOKUP = (
     b'POST /svc/lookups/x HTTP/1.1\r\nhost: x\r\n'
@@ -93,8 +94,7 @@
         trickled : bytes, optional
             What it sends again and again from then on.
         """
-        crowd = ClientCrowd(self.address)
-        self.addCleanup(crowd.close)
+        crowd = self.create_crowd()
         counted = asyncio.create_task(self._count_most_descriptors())
         await crowd.send(build(self.shape))
         counted.cancel()
@@ -105,6 +105,28 @@
         self.assertLess(memory_mb, crowds.MAX_MEMORY_MB)
         self.assertLess(await counted, crowds.MAX_DESCRIPTORS)
 
+    async def assert_forgets(self, request: bytes) -> None:
+        """Assert that a node keeps nothing of clients that leave.
+
+        Parameters
+        ----------
+        request : bytes
+            What each sends, one client after the other.
+        """
+        for _ in range(_LEAVING_CLIENTS):
+            crowd = self.create_crowd()
+            await crowd.send([[request]])
+            crowd.close()
+        await self.send_ordinary_request()
+        memory_mb = crowds.read_peak_memory_mb(self.pid)
+        self.assertLess(memory_mb, crowds.MAX_MEMORY_MB)
+
+    def create_crowd(self) -> ClientCrowd:
+        """Return a crowd that leaves at the end of the test."""
+        crowd = ClientCrowd(self.address)
+        self.addCleanup(crowd.close)
+        return crowd
+
     async def _count_most_descriptors(self) -> int:
         """Return the most descriptors that were open, once cancelled."""
         most = 0
@@ -206,6 +228,16 @@
             _MAX_BODY_BYTES,
         )
 
+    async def test_incomplete_bodies_of_clients_that_leave(self) -> None:
+        """Guards against what was read outliving its connection."""
+        body = bytes(_MAX_BODY_BYTES - 1)
+        await self.assert_forgets(self.shape.sized_head + body)
+
+    async def test_requests_of_clients_that_leave(self) -> None:
+        """Guards against what is served outliving its connection."""
+        body = bytes(_MAX_BODY_BYTES)
+        await self.assert_forgets(self.shape.sized_head + body)
+
     async def send_ordinary_request(self) -> None:
         conn = HttpConnection(self.address)
         await conn.open()
@@ -277,8 +309,7 @@
         """Guards against responses that stay for clients who never read."""
         desk = self.cluster.addresses['services']['desk']
         self.cluster.control(desk, padding_bytes=_PADDING_BYTES)
-        crowd = ClientCrowd(self.address)
-        self.addCleanup(crowd.close)
+        crowd = self.create_crowd()
         for number in range(_UNREAD_RESPONSES):
             body = b'%d' % number
             await crowd.send([[_LOOKUP % (len(body), body)]])
