--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -783,9 +784,9 @@
     held = None
     try:
         held = asyncio.run(play(record, has_trouble))
-    finally:
-        verdict = {True: 'held', False: 'BROKEN', None: 'could not run'}[held]
-        record.say(f'trouble: {has_trouble}; the rule: {verdict}')
-        record.write()
-        code = {True: 0, False: 1, None: 2}[held]
-        raise SystemExit(code)
+    except Exception:
+        record.say(traceback.format_exc())
+    verdict = {True: 'held', False: 'BROKEN', None: 'could not run'}[held]
+    record.say(f'trouble: {has_trouble}; the rule: {verdict}')
+    record.write()
+    raise SystemExit({True: 0, False: 1, None: 2}[held])
